--- /dev/null
+++ b/src/bin/zincpier/arguments.rs
@@ -0,0 +1,165 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Keep services within their availability budgets: change the service text,
+/// watch entry hosts, send load.
+///
+/// Changes need the operators' token in the environment variable ZINCPIER_TOKEN.
+/// Exit codes: 0 done, 1 failed, 2 the text has findings, 3 refused.
+#[derive(FromArgs)]
+pub(crate) struct Arguments {
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Text(TextArguments),
+    Status(StatusArguments),
+    Audit(AuditArguments),
+    Load(LoadArguments),
+    Demo(DemoArguments),
+}
+
+/// Check, compare, apply or show the service text.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "text")]
+pub(crate) struct TextArguments {
+    #[argh(subcommand)]
+    pub(crate) command: TextCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum TextCommand {
+    Check(CheckArguments),
+    Diff(DiffArguments),
+    Apply(ApplyArguments),
+    Show(ShowArguments),
+}
+
+/// Check a service text and print every finding.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct CheckArguments {
+    /// the service text
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+}
+
+/// Print the lines that differ between a file and the text in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub(crate) struct DiffArguments {
+    /// the service text
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+}
+
+/// Put a service text in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub(crate) struct ApplyArguments {
+    /// the service text
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+    /// the revision that it replaces; the one in force if not given
+    #[argh(option)]
+    pub(crate) replaces: Option<u64>,
+    /// wait until every entry host has it in force, and say which have
+    #[argh(switch)]
+    pub(crate) wait: bool,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Print the service text in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct ShowArguments {
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+}
+
+/// Print what a daemon knows of entry hosts and services.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct StatusArguments {
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Print the audit trail.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "audit")]
+pub(crate) struct AuditArguments {
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Send requests at a fixed rate, whatever becomes of them, and print a report.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+pub(crate) struct LoadArguments {
+    /// the callers' address of an entry host; may be given more than once
+    #[argh(option)]
+    pub(crate) to: Vec<SocketAddr>,
+    /// the path of the requests
+    #[argh(option, default = "String::from(\"/\")")]
+    pub(crate) path: String,
+    /// the requests a second
+    #[argh(option, default = "100.0")]
+    pub(crate) rate: f64,
+    /// how long, in seconds
+    #[argh(option, default = "10.0")]
+    pub(crate) seconds: f64,
+    /// the deadline of each request, in milliseconds
+    #[argh(option, default = "2000")]
+    pub(crate) deadline_ms: u64,
+    /// send POST requests with an idempotency key each
+    #[argh(switch)]
+    pub(crate) keyed: bool,
+    /// the customer on whose behalf they are sent
+    #[argh(option)]
+    pub(crate) customer: Option<String>,
+    /// makes runs alike
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Run platform, backend servers and three daemons in this process, change the
+/// text and drain a host under load, and print a report.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub(crate) struct DemoArguments {
+    /// the service text; Granite Bay's example if not given
+    #[argh(positional)]
+    pub(crate) file: Option<PathBuf>,
+    /// how long the load lasts, in seconds
+    #[argh(option, default = "8.0")]
+    pub(crate) seconds: f64,
+}
--- /dev/null
+++ b/src/bin/zincpier/commands.rs
@@ -0,0 +1,250 @@
+//! What each command does.
+
+use std::path::Path;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use monoio::time::Instant;
+use serde_json::json;
+
+use zincpier::error::Error;
+use zincpier::error::Result;
+use zincpier::id::Revision;
+use zincpier::operator::run_demo;
+use zincpier::operator::LoadPlan;
+use zincpier::operator::OperatorClient;
+use zincpier::operator::StatusReport;
+use zincpier::platform::AuditRecord;
+use zincpier::version::ServiceText;
+
+use crate::arguments::ApplyArguments;
+use crate::arguments::Arguments;
+use crate::arguments::AuditArguments;
+use crate::arguments::Command;
+use crate::arguments::DemoArguments;
+use crate::arguments::DiffArguments;
+use crate::arguments::LoadArguments;
+use crate::arguments::StatusArguments;
+use crate::arguments::TextCommand;
+use crate::printer::end_progress;
+use crate::printer::print_progress;
+use crate::printer::print_table;
+
+const TOKEN_VARIABLE: &str = "ZINCPIER_TOKEN";
+const USER_VARIABLE: &str = "USER";
+const WAIT_TIME: Duration = Duration::from_secs(30);
+const WAIT_POLL: Duration = Duration::from_millis(100);
+const DEMO_TEXT: &str = include_str!("../../../examples/granite-bay.toml");
+
+/// Runs a command and returns whether it found everything well.
+pub(crate) async fn run(arguments: Arguments) -> Result<bool> {
+    match arguments.command {
+        Command::Text(text) => match text.command {
+            TextCommand::Check(check) => check_text(&check.file),
+            TextCommand::Diff(diff) => diff_text(&diff).await,
+            TextCommand::Apply(apply) => apply_text(&apply).await,
+            TextCommand::Show(show) => {
+                let (_, source) = OperatorClient::new(show.server).text().await?;
+                print!("{source}");
+                Ok(true)
+            }
+        },
+        Command::Status(status) => show_status(&status).await,
+        Command::Audit(audit) => show_audit(&audit).await,
+        Command::Load(load) => send_load(&load).await,
+        Command::Demo(demo) => show_demo(&demo).await,
+    }
+}
+
+fn read(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|source| Error::ReadFile {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn parse(path: &Path) -> Result<(String, ServiceText)> {
+    let source = read(path)?;
+    let text = ServiceText::parse(&path.display().to_string(), &source)?;
+    Ok((source, text))
+}
+
+fn operator(server: std::net::SocketAddr) -> OperatorClient {
+    let token = std::env::var(TOKEN_VARIABLE).unwrap_or_default();
+    let who = std::env::var(USER_VARIABLE).unwrap_or_else(|_| "operator".to_owned());
+    OperatorClient::new(server).with_token(&token, &who)
+}
+
+fn check_text(path: &Path) -> Result<bool> {
+    let (_, text) = parse(path)?;
+    println!(
+        "{}: {} services, {} pools, {} racks, no findings",
+        path.display(),
+        text.services.len(),
+        text.pools.len(),
+        text.racks.len()
+    );
+    Ok(true)
+}
+
+async fn diff_text(arguments: &DiffArguments) -> Result<bool> {
+    let wanted = read(&arguments.file)?;
+    let (_, held) = operator(arguments.server).text().await?;
+    for line in held.lines().filter(|line| !has_line(&wanted, line)) {
+        println!("-{line}");
+    }
+    for line in wanted.lines().filter(|line| !has_line(&held, line)) {
+        println!("+{line}");
+    }
+    Ok(true)
+}
+
+fn has_line(text: &str, line: &str) -> bool {
+    text.lines().any(|other| other == line)
+}
+
+async fn apply_text(arguments: &ApplyArguments) -> Result<bool> {
+    let (source, _) = parse(&arguments.file)?;
+    let operator = operator(arguments.server);
+    let replaces = match arguments.replaces {
+        Some(revision) => Revision::new(revision),
+        None => operator.text().await?.0,
+    };
+    let revision = operator.apply_text(&source, replaces).await?;
+    let report = match arguments.wait {
+        true => Some(wait_in_force(&operator, revision).await?),
+        false => None,
+    };
+    if arguments.json {
+        println!("{}", json!({ "revision": revision, "status": report }));
+    } else {
+        println!("revision {revision}");
+        report.iter().for_each(print_entries);
+    }
+    Ok(report.is_none_or(|report| is_in_force(&report, revision)))
+}
+
+async fn wait_in_force(operator: &OperatorClient, revision: Revision) -> Result<StatusReport> {
+    let deadline = Instant::now() + WAIT_TIME;
+    loop {
+        let report = operator.status().await?;
+        if is_in_force(&report, revision) || Instant::now() >= deadline {
+            end_progress();
+            return Ok(report);
+        }
+        let done = report
+            .entries
+            .iter()
+            .filter(|entry| entry.text_in_force >= revision)
+            .count();
+        print_progress(&format!("in force on {done} of {}", report.entries.len()));
+        sleep(WAIT_POLL).await;
+    }
+}
+
+fn is_in_force(report: &StatusReport, revision: Revision) -> bool {
+    report
+        .entries
+        .iter()
+        .all(|entry| entry.text_in_force >= revision)
+}
+
+fn print_entries(report: &StatusReport) {
+    let rows = report.entries.iter().map(|entry| {
+        vec![
+            entry.entry.to_string(),
+            entry.data_centre.to_string(),
+            if entry.lost { "lost" } else { "live" }.to_owned(),
+            entry.silence_ms.to_string(),
+            entry.text_in_force.to_string(),
+        ]
+    });
+    let headings = ["ENTRY HOST", "DATA CENTRE", "STATE", "SILENT MS", "TEXT"];
+    print_table(&headings, &rows.collect::<Vec<_>>());
+}
+
+async fn show_status(arguments: &StatusArguments) -> Result<bool> {
+    let report = operator(arguments.server).status().await?;
+    if arguments.json {
+        println!("{}", json!(report));
+        return Ok(true);
+    }
+    print_entries(&report);
+    let rows = report.services.iter().map(|service| {
+        vec![
+            service.service.to_string(),
+            service.servers.to_string(),
+            service.waiting.to_string(),
+        ]
+    });
+    print_table(
+        &["SERVICE", "SERVERS", "WAITING"],
+        &rows.collect::<Vec<_>>(),
+    );
+    Ok(true)
+}
+
+async fn show_audit(arguments: &AuditArguments) -> Result<bool> {
+    let operator = operator(arguments.server);
+    let mut after = String::new();
+    loop {
+        let rows = operator.audit(&after).await?;
+        let Some(last) = rows.last() else {
+            return Ok(true);
+        };
+        after.clone_from(&last.key);
+        for row in rows {
+            if arguments.json {
+                println!("{}", row.value);
+            } else if let Ok(record) = serde_json::from_value(row.value) {
+                print_record(&record);
+            }
+        }
+    }
+}
+
+fn print_record(record: &AuditRecord) {
+    let row = vec![
+        record.at_ms.to_string(),
+        record.who.clone(),
+        record.action.clone(),
+        record.subject.clone(),
+        format!("{} -> {}", record.before, record.after),
+        record.outcome.clone(),
+    ];
+    print_table(
+        &["AT MS", "WHO", "ACTION", "SUBJECT", "CHANGE", "OUTCOME"],
+        &[row],
+    );
+}
+
+async fn send_load(arguments: &LoadArguments) -> Result<bool> {
+    let time = Duration::from_secs_f64(arguments.seconds);
+    let mut plan = LoadPlan::new(arguments.to.clone(), &arguments.path, arguments.rate, time)
+        .with_seed(arguments.seed)
+        .with_deadline(Duration::from_millis(arguments.deadline_ms));
+    if arguments.keyed {
+        plan = plan.with_keys();
+    }
+    if let Some(customer) = &arguments.customer {
+        plan = plan.with_customer(customer);
+    }
+    let report = plan.run().await;
+    if arguments.json {
+        println!("{}", report.to_json());
+    } else {
+        println!("{report}");
+    }
+    Ok(report.sent() == report.count("ok"))
+}
+
+async fn show_demo(arguments: &DemoArguments) -> Result<bool> {
+    let source = match &arguments.file {
+        Some(path) => read(path)?,
+        None => DEMO_TEXT.to_owned(),
+    };
+    let time = Duration::from_secs_f64(arguments.seconds);
+    let report = run_demo(&source, time).await?;
+    println!("{report}");
+    Ok(report.is_sound())
+}
--- /dev/null
+++ b/src/bin/zincpier/main.rs
@@ -0,0 +1,47 @@
+//! `zincpier`, the operators' tool.
+
+mod arguments;
+mod commands;
+mod printer;
+
+use std::process::ExitCode;
+
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+
+use zincpier::error::Error;
+
+use crate::arguments::Arguments;
+
+/// The exit code when a text has findings.
+const EXIT_FINDINGS: u8 = 2;
+/// The exit code when a daemon or the platform refused.
+const EXIT_REFUSED: u8 = 3;
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
+    let mut runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("zincpier: cannot start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(commands::run(arguments)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("zincpier: {error}");
+            exit_code(&error)
+        }
+    }
+}
+
+fn exit_code(error: &Error) -> ExitCode {
+    match error {
+        Error::Findings(_) => ExitCode::from(EXIT_FINDINGS),
+        Error::DaemonRefused { .. } => ExitCode::from(EXIT_REFUSED),
+        _ => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/src/bin/zincpierd/main.rs
@@ -0,0 +1,76 @@
+//! `zincpierd`, the daemon of an entry host.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::thread;
+
+use argh::FromArgs;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+use zincpier::error::Result;
+use zincpier::process::start_logging;
+use zincpier::process::Daemon;
+use zincpier::process::DaemonSettings;
+use zincpier::process::ShutdownSignal;
+
+/// The exit code after a second signal.
+const EXIT_ABORTED: i32 = 3;
+
+/// Serve callers on an entry host.
+///
+/// Exit codes: 0 after a graceful shutdown, 1 after an error, 3 after a second
+/// signal.
+#[derive(FromArgs)]
+struct Arguments {
+    /// the settings file
+    #[argh(positional)]
+    settings: PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("zincpierd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<()> {
+    let settings = DaemonSettings::read(&arguments.settings)?;
+    if arguments.check {
+        return Ok(());
+    }
+    start_logging(settings.log_level, settings.log_file.as_deref())?;
+    let name = settings.name.clone();
+    let daemon = Daemon::new(settings)?;
+    let at = daemon.addresses();
+    println!(
+        "{name} callers={} operators={} peers={}",
+        at.callers, at.operators, at.peers
+    );
+    follow_signals(daemon.shutdown());
+    daemon.run()
+}
+
+/// Starts the shutdown at the first signal and ends the process at the second.
+fn follow_signals(shutdown: ShutdownSignal) {
+    let Ok(mut signals) = Signals::new([SIGINT, SIGTERM]) else {
+        log::error!(target: "zincpier::process", "signals cannot be followed");
+        return;
+    };
+    thread::spawn(move || {
+        let mut signals = signals.forever();
+        signals.next();
+        shutdown.give_notice();
+        signals.next();
+        std::process::exit(EXIT_ABORTED);
+    });
+}
--- /dev/null
+++ b/src/connection/backend_pool.rs
@@ -0,0 +1,108 @@
+//! The connections to one backend server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monoio::time::Instant;
+
+use crate::connection::ExchangeError;
+use crate::connection::HttpConnection;
+use crate::connection::MessageLimits;
+
+/// How long an idle connection is kept.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// How long an idle connection may carry a request that must not be repeated.
+const IDLE_LIMIT_ONCE: Duration = Duration::from_secs(1);
+/// The greatest number of idle connections kept.
+const IDLE_COUNT: usize = 8;
+
+/// The idle connections to one backend server.
+///
+/// Connections are in use one request at a time, so that there are never more
+/// of them than slots in use and idle ones together.
+pub struct ServerConnections {
+    address: SocketAddr,
+    limits: MessageLimits,
+    idle: Vec<HttpConnection>,
+    trusted_since: Instant,
+}
+
+impl ServerConnections {
+    /// Creates an empty set of connections to `address`.
+    pub fn new(address: SocketAddr, limits: MessageLimits) -> Self {
+        Self {
+            address,
+            limits,
+            idle: Vec::new(),
+            trusted_since: Instant::now(),
+        }
+    }
+
+    /// Returns the server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the bounds on the server's messages.
+    pub fn limits(&self) -> MessageLimits {
+        self.limits
+    }
+
+    /// Takes an idle connection that is open, silent and recently used.
+    pub fn take(&mut self, repeatable: bool) -> Option<HttpConnection> {
+        let now = Instant::now();
+        let limit = if repeatable {
+            IDLE_LIMIT
+        } else {
+            IDLE_LIMIT_ONCE
+        };
+        while let Some(mut connection) = self.idle.pop() {
+            let used = connection.last_used();
+            if used < self.trusted_since || now - used > IDLE_LIMIT {
+                self.idle.clear();
+                return None;
+            }
+            if now - used > limit {
+                self.idle.push(connection);
+                return None;
+            }
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Gives a connection back after a whole answer.
+    pub fn put(&mut self, connection: HttpConnection) {
+        if connection.is_reusable() && self.idle.len() < IDLE_COUNT {
+            self.idle.push(connection);
+        }
+    }
+
+    /// Distrusts every connection that has been idle until now.
+    pub fn suspect(&mut self) {
+        self.trusted_since = Instant::now();
+        self.idle.clear();
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn close_unused(&mut self) {
+        let now = Instant::now();
+        self.idle
+            .retain(|connection| now - connection.last_used() <= IDLE_LIMIT);
+    }
+
+    /// Connects to a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::NotConnected`].
+    pub async fn dial(
+        address: SocketAddr,
+        limits: MessageLimits,
+        deadline: Instant,
+    ) -> Result<HttpConnection, ExchangeError> {
+        HttpConnection::dial(address, limits, deadline).await
+    }
+}
--- /dev/null
+++ b/src/connection/caller.rs
@@ -0,0 +1,265 @@
+//! The connection of a caller, from accept to close.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures::future::join;
+use futures::future::select;
+use futures::future::Either;
+use http::header::CONNECTION;
+use http::header::EXPECT;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Version;
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::io::OwnedReadHalf;
+use monoio::io::OwnedWriteHalf;
+use monoio::io::Splitable;
+use monoio::net::TcpListener;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+use monoio_http::common::error::HttpError;
+use monoio_http::h1::codec::decoder::FillPayload;
+use monoio_http::h1::codec::decoder::RequestDecoder;
+use monoio_http::h1::codec::encoder::GenericEncoder;
+use monoio_http::h1::payload::Payload;
+
+use crate::connection::check_framing;
+use crate::connection::exchange::collect;
+use crate::connection::exchange::to_body;
+use crate::connection::limited_reader::LimitedReader;
+use crate::connection::limited_reader::MessagePart;
+use crate::connection::limited_reader::ReadBudget;
+use crate::connection::limited_reader::ReadRefusal;
+use crate::connection::MessageLimits;
+use crate::process::ShutdownSignal;
+use crate::request::problem_response;
+
+/// Answers the requests of a connection.
+pub trait RequestHandler {
+    /// Answers one request, whose body has come whole.
+    fn handle(&self, request: Request<Bytes>) -> impl Future<Output = Response<Bytes>>;
+}
+
+/// Marks a response in whose place the connection is closed.
+#[derive(Clone, Copy, Debug)]
+struct NoAnswer;
+
+/// Returns a response in whose place the connection is closed without an answer.
+pub fn close_without_answer() -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    response.extensions_mut().insert(NoAnswer);
+    response
+}
+
+/// Accepts connections until shutdown and serves each in a task of its own.
+///
+/// A connection above `connection_limit` is closed at once.
+pub async fn accept_connections<H>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    limits: MessageLimits,
+    connection_limit: usize,
+    shutdown: ShutdownSignal,
+) where
+    H: RequestHandler + 'static,
+{
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = select(Box::pin(listener.accept()), Box::pin(shutdown.closing())).await;
+        let Either::Left((accepted, _)) = accepted else {
+            return;
+        };
+        let Ok((stream, _)) = accepted else {
+            continue;
+        };
+        if open.get() >= connection_limit {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let open = Rc::clone(&open);
+        let handler = Rc::clone(&handler);
+        let shutdown = shutdown.clone();
+        monoio::spawn(async move {
+            serve_connection(stream, handler.as_ref(), limits, shutdown).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// Serves the requests of one connection, one after the other, until it ends.
+pub async fn serve_connection<H: RequestHandler>(
+    stream: TcpStream,
+    handler: &H,
+    limits: MessageLimits,
+    shutdown: ShutdownSignal,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut connection = CallerConnection::new(stream, limits);
+    loop {
+        let request = match connection.next_request(&shutdown).await {
+            NextRequest::Request(request) => request,
+            NextRequest::Refuse(answer) => {
+                connection.answer(answer, true).await;
+                return;
+            }
+            NextRequest::End => return,
+        };
+        let last = wants_close(&request);
+        let _busy = shutdown.enter();
+        let answer = handler.handle(request).await;
+        if answer.extensions().get::<NoAnswer>().is_some() {
+            return;
+        }
+        let last = last || shutdown.is_closing() || has_close(&answer);
+        if !connection.answer(answer, last).await || last {
+            return;
+        }
+    }
+}
+
+/// What came next on a caller's connection.
+enum NextRequest {
+    /// A whole request.
+    Request(Request<Bytes>),
+    /// Something that is answered with a refusal before the connection closes.
+    Refuse(Response<Bytes>),
+    /// The end.
+    End,
+}
+
+struct CallerConnection {
+    decoder: RequestDecoder<LimitedReader<OwnedReadHalf<TcpStream>>>,
+    encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
+    budget: Rc<ReadBudget>,
+    limits: MessageLimits,
+}
+
+impl CallerConnection {
+    fn new(stream: TcpStream, limits: MessageLimits) -> Self {
+        let budget = ReadBudget::new(limits);
+        let (reader, writer) = stream.into_split();
+        let reader = LimitedReader::new(reader, Rc::clone(&budget));
+        Self {
+            decoder: RequestDecoder::new(reader),
+            encoder: GenericEncoder::new(writer),
+            budget,
+            limits,
+        }
+    }
+
+    async fn next_request(&mut self, shutdown: &ShutdownSignal) -> NextRequest {
+        self.budget.start_idle();
+        let budget = Rc::clone(&self.budget);
+        let next = Box::pin(self.decoder.next());
+        let head = match select(next, Box::pin(shutdown.closing())).await {
+            Either::Left((head, _)) => head,
+            Either::Right(((), next)) if budget.part() == MessagePart::Idle => {
+                drop(next);
+                return NextRequest::End;
+            }
+            Either::Right(((), next)) => next.await,
+        };
+        match head {
+            None => NextRequest::End,
+            Some(Ok(head)) => self.read_body(head).await,
+            Some(Err(error)) => self.refuse(&error),
+        }
+    }
+
+    async fn read_body(&mut self, head: Request<Payload>) -> NextRequest {
+        if let Some(refusal) = check_head(&head) {
+            return NextRequest::Refuse(refusal);
+        }
+        self.budget.start_body();
+        let (parts, payload) = head.into_parts();
+        let filled = self.decoder.fill_payload();
+        let (filled, body) = join(filled, collect(payload)).await;
+        if let Err(error) = filled {
+            return self.refuse(&error);
+        }
+        match body {
+            Ok(body) => NextRequest::Request(Request::from_parts(parts, body)),
+            Err(_) => NextRequest::Refuse(bad_request("the body cannot be read")),
+        }
+    }
+
+    fn refuse(&self, error: &HttpError) -> NextRequest {
+        let (status, reason) = match self.budget.refusal() {
+            Some(ReadRefusal::TooSlow(MessagePart::Idle)) => return NextRequest::End,
+            Some(ReadRefusal::TooSlow(_)) => {
+                (StatusCode::REQUEST_TIMEOUT, "the request took too long")
+            }
+            Some(ReadRefusal::TooLarge(MessagePart::Body)) => {
+                (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+            }
+            Some(ReadRefusal::TooLarge(_)) => (
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "the head is too large",
+            ),
+            None if matches!(error, HttpError::IOError(_)) => return NextRequest::End,
+            None => (StatusCode::BAD_REQUEST, "the request cannot be read"),
+        };
+        NextRequest::Refuse(problem_response(status, reason))
+    }
+
+    /// Writes an answer and returns whether all of it was accepted.
+    async fn answer(&mut self, mut answer: Response<Bytes>, last: bool) -> bool {
+        if last {
+            answer
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        let answer = answer.map(to_body);
+        let sent = timeout(self.limits.write, self.encoder.send_and_flush(answer)).await;
+        let sent = matches!(sent, Ok(Ok(())));
+        if last {
+            let closed =
+                monoio::io::sink::Sink::<Response<monoio_http::common::body::HttpBody>>::close(
+                    &mut self.encoder,
+                );
+            let _ = timeout(self.limits.write, closed).await;
+        }
+        sent
+    }
+}
+
+fn check_head(head: &Request<Payload>) -> Option<Response<Bytes>> {
+    if let Err(error) = check_framing(head.version(), head.headers()) {
+        return Some(bad_request(&error.to_string()));
+    }
+    if head.headers().contains_key(EXPECT) {
+        let reason = "'Expect' is not supported";
+        return Some(problem_response(StatusCode::EXPECTATION_FAILED, reason));
+    }
+    let unsupported = [Method::CONNECT, Method::HEAD, Method::TRACE];
+    if unsupported.contains(head.method()) {
+        let reason = "this method is not supported";
+        return Some(problem_response(StatusCode::NOT_IMPLEMENTED, reason));
+    }
+    None
+}
+
+fn bad_request(reason: &str) -> Response<Bytes> {
+    problem_response(StatusCode::BAD_REQUEST, reason)
+}
+
+fn wants_close(request: &Request<Bytes>) -> bool {
+    request.version() < Version::HTTP_11 || is_close(request.headers().get(CONNECTION))
+}
+
+fn has_close(answer: &Response<Bytes>) -> bool {
+    is_close(answer.headers().get(CONNECTION))
+}
+
+fn is_close(value: Option<&HeaderValue>) -> bool {
+    value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
--- /dev/null
+++ b/src/connection/exchange.rs
@@ -0,0 +1,235 @@
+//! One client connection that carries one request at a time.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::future::join;
+use futures::FutureExt;
+use http::header::CONNECTION;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::io::OwnedReadHalf;
+use monoio::io::OwnedWriteHalf;
+use monoio::io::Splitable;
+use monoio::net::TcpStream;
+use monoio::time::timeout_at;
+use monoio::time::Instant;
+use monoio_http::common::body::Body;
+use monoio_http::common::body::FixedBody;
+use monoio_http::common::body::HttpBody;
+use monoio_http::h1::codec::decoder::FillPayload;
+use monoio_http::h1::codec::decoder::ResponseDecoder;
+use monoio_http::h1::codec::encoder::GenericEncoder;
+use thiserror::Error;
+
+use crate::connection::check_framing;
+use crate::connection::limited_reader::LimitedReader;
+use crate::connection::limited_reader::ReadBudget;
+use crate::connection::BodyFraming;
+use crate::connection::MessageLimits;
+
+const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
+
+/// Why an exchange gave no whole answer.
+#[derive(Clone, Debug, Error)]
+pub enum ExchangeError {
+    /// No connection could be made, so nothing was sent.
+    #[error("cannot connect: {0}")]
+    NotConnected(String),
+    /// The process was paused, so that what it knows may be old; nothing was sent.
+    #[error("the entry host was paused")]
+    Paused,
+    /// The time ran out after sending had begun.
+    #[error("no whole answer in time")]
+    TimedOut,
+    /// The connection ended or carried something that cannot be read.
+    #[error("the answer is not whole: {0}")]
+    NotWhole(String),
+}
+
+impl ExchangeError {
+    /// Tells whether the other side may have received any of the request.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, Self::NotConnected(_) | Self::Paused)
+    }
+}
+
+/// A client connection with at most one request in flight.
+///
+/// After an error the connection must not be used again.
+pub struct HttpConnection {
+    decoder: ResponseDecoder<LimitedReader<OwnedReadHalf<TcpStream>>>,
+    encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
+    budget: Rc<ReadBudget>,
+    last_used: Instant,
+    reusable: bool,
+}
+
+impl HttpConnection {
+    /// Connects to `address` before `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::NotConnected`].
+    pub async fn dial(
+        address: SocketAddr,
+        limits: MessageLimits,
+        deadline: Instant,
+    ) -> Result<Self, ExchangeError> {
+        let connected = timeout_at(deadline, TcpStream::connect_addr(address)).await;
+        let stream = connected
+            .map_err(|_| ExchangeError::NotConnected("no answer in time".to_owned()))?
+            .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
+        Self::set_options(&stream)
+            .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
+        let budget = ReadBudget::new(limits);
+        let (reader, writer) = stream.into_split();
+        let reader = LimitedReader::new(reader, Rc::clone(&budget));
+        Ok(Self {
+            decoder: ResponseDecoder::new(reader),
+            encoder: GenericEncoder::new(writer),
+            budget,
+            last_used: Instant::now(),
+            reusable: true,
+        })
+    }
+
+    /// Returns when the last answer came.
+    pub fn last_used(&self) -> Instant {
+        self.last_used
+    }
+
+    /// Tells whether the connection is open, silent and fit for another request.
+    pub fn is_quiet(&mut self) -> bool {
+        self.budget.start_idle();
+        self.reusable && self.decoder.next().now_or_never().is_none()
+    }
+
+    /// Sends a request and waits for the whole answer until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer came; the request may then have run.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Bytes>,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        self.reusable = false;
+        self.budget.start_answer(deadline);
+        let answer = timeout_at(deadline, self.send_and_read(request)).await;
+        let answer = answer.map_err(|_| ExchangeError::TimedOut)??;
+        self.last_used = Instant::now();
+        self.reusable = !closes(&answer);
+        Ok(answer)
+    }
+
+    /// Tells whether the connection may carry another request.
+    pub fn is_reusable(&self) -> bool {
+        self.reusable
+    }
+
+    async fn send_and_read(
+        &mut self,
+        request: Request<Bytes>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let request = request.map(to_body);
+        self.encoder
+            .send_and_flush(request)
+            .await
+            .map_err(|error| ExchangeError::NotWhole(error.to_string()))?;
+        let answer = self.decoder.next().await;
+        let answer = answer
+            .ok_or_else(|| ExchangeError::NotWhole("the connection ended".to_owned()))?
+            .map_err(|error| self.decode_error(&error.to_string()))?;
+        let framing = check_framing(answer.version(), answer.headers())
+            .map_err(|error| ExchangeError::NotWhole(error.to_string()))?;
+        if framing == BodyFraming::Empty && answer.status() != StatusCode::NO_CONTENT {
+            return Err(ExchangeError::NotWhole(
+                "the answer has no length".to_owned(),
+            ));
+        }
+        self.budget.start_body();
+        let (parts, payload) = answer.into_parts();
+        let filled = self.decoder.fill_payload();
+        let (filled, body) = join(filled, collect(payload)).await;
+        let body = body.map_err(|error| self.decode_error(&error))?;
+        filled.map_err(|error| self.decode_error(&error.to_string()))?;
+        Ok(Response::from_parts(parts, body))
+    }
+
+    fn decode_error(&self, reason: &str) -> ExchangeError {
+        match self.budget.refusal() {
+            Some(refusal) => ExchangeError::NotWhole(format!("{refusal:?}")),
+            None => ExchangeError::NotWhole(reason.to_owned()),
+        }
+    }
+
+    fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        stream.set_tcp_keepalive(
+            Some(KEEPALIVE_TIME),
+            Some(KEEPALIVE_INTERVAL),
+            Some(KEEPALIVE_RETRIES),
+        )
+    }
+}
+
+/// Reads a body to its end.
+pub(crate) async fn collect<B>(mut body: B) -> Result<Bytes, String>
+where
+    B: Body<Data = Bytes>,
+    B::Error: ToString,
+{
+    let mut whole: Option<Bytes> = None;
+    while let Some(part) = body.next_data().await {
+        let part = part.map_err(|error| error.to_string())?;
+        whole = Some(match whole {
+            None => part,
+            Some(before) => {
+                let mut joined = BytesMut::from(before);
+                joined.extend_from_slice(&part);
+                joined.freeze()
+            }
+        });
+    }
+    Ok(whole.unwrap_or_default())
+}
+
+/// Turns bytes into a body whose length the encoder states.
+pub(crate) fn to_body(bytes: Bytes) -> HttpBody {
+    HttpBody::fixed_body(Some(bytes))
+}
+
+fn closes(answer: &Response<Bytes>) -> bool {
+    answer
+        .headers()
+        .get(CONNECTION)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+/// Removes the headers that speak of one connection only.
+pub(crate) fn strip_hop_headers(headers: &mut http::HeaderMap) {
+    for name in [
+        CONNECTION,
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING,
+        http::header::TE,
+        http::header::TRAILER,
+        http::header::UPGRADE,
+        http::header::PROXY_AUTHORIZATION,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
--- /dev/null
+++ b/src/connection/http_client.rs
@@ -0,0 +1,88 @@
+//! A client of one HTTP server, for the platform and for operators' tools.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use monoio::time::Instant;
+
+use crate::connection::ExchangeError;
+use crate::connection::HttpConnection;
+use crate::connection::MessageLimits;
+
+const IDLE_LIMIT: usize = 256;
+const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Sends requests to one address and keeps idle connections for reuse.
+pub struct HttpClient {
+    address: SocketAddr,
+    host: HeaderValue,
+    limits: MessageLimits,
+    idle: RefCell<Vec<HttpConnection>>,
+}
+
+impl HttpClient {
+    /// Creates a client of the server at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let limits = MessageLimits {
+            body_bytes: ANSWER_LIMIT_BYTES,
+            ..MessageLimits::default()
+        };
+        let host = address.to_string();
+        Self {
+            address,
+            host: HeaderValue::try_from(host).unwrap_or(HeaderValue::from_static("server")),
+            limits,
+            idle: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Returns the server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and waits for its whole answer for at most `time`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer came.
+    pub async fn send(
+        &self,
+        mut request: Request<Bytes>,
+        time: Duration,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let deadline = Instant::now() + time;
+        request.headers_mut().insert(HOST, self.host.clone());
+        let mut connection = match self.take_idle() {
+            Some(connection) => connection,
+            None => HttpConnection::dial(self.address, self.limits, deadline).await?,
+        };
+        let answer = connection.exchange(request, deadline).await?;
+        let mut idle = self.idle.borrow_mut();
+        if connection.is_reusable() && idle.len() < IDLE_LIMIT {
+            idle.push(connection);
+        }
+        Ok(answer)
+    }
+
+    /// Forgets every idle connection.
+    pub fn drop_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    fn take_idle(&self) -> Option<HttpConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(mut connection) = idle.pop() {
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/connection/limited_reader.rs
@@ -0,0 +1,187 @@
+//! A reader that bounds messages in bytes and in time.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::buf::IoBufMut;
+use monoio::buf::IoVecBufMut;
+use monoio::io::AsyncReadRent;
+use monoio::io::CancelableAsyncReadRent;
+use monoio::io::Canceller;
+use monoio::time::timeout_at;
+use monoio::time::Instant;
+use monoio::BufResult;
+
+use crate::connection::MessageLimits;
+
+/// Which part of a message is being read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum MessagePart {
+    /// No byte of the next message has come.
+    Idle,
+    /// The head is being read.
+    Head,
+    /// The body is being read.
+    Body,
+}
+
+/// Why a read was refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ReadRefusal {
+    /// The part has too many bytes.
+    TooLarge(MessagePart),
+    /// The part took too long.
+    TooSlow(MessagePart),
+}
+
+/// The bounds of the part being read, shared by a reader and its connection.
+#[derive(Debug)]
+pub(crate) struct ReadBudget {
+    limits: MessageLimits,
+    part: Cell<MessagePart>,
+    bytes_left: Cell<usize>,
+    deadline: Cell<Instant>,
+    answer_deadline: Cell<Option<Instant>>,
+    refusal: Cell<Option<ReadRefusal>>,
+}
+
+impl ReadBudget {
+    pub(crate) fn new(limits: MessageLimits) -> Rc<Self> {
+        Rc::new(Self {
+            limits,
+            part: Cell::new(MessagePart::Idle),
+            bytes_left: Cell::new(limits.head_bytes),
+            deadline: Cell::new(Instant::now() + limits.idle),
+            answer_deadline: Cell::new(None),
+            refusal: Cell::new(None),
+        })
+    }
+
+    /// Starts waiting for the next message.
+    pub(crate) fn start_idle(&self) {
+        self.start(MessagePart::Idle, self.limits.head_bytes, self.limits.idle);
+    }
+
+    /// Starts waiting for an answer, all of which must come before `deadline`.
+    pub(crate) fn start_answer(&self, deadline: Instant) {
+        self.answer_deadline.set(Some(deadline));
+        self.start_idle();
+    }
+
+    /// Starts reading a body.
+    pub(crate) fn start_body(&self) {
+        self.start(MessagePart::Body, self.limits.body_bytes, self.limits.body);
+    }
+
+    pub(crate) fn part(&self) -> MessagePart {
+        self.part.get()
+    }
+
+    /// Returns why the last read was refused, if it was.
+    pub(crate) fn refusal(&self) -> Option<ReadRefusal> {
+        self.refusal.get()
+    }
+
+    fn start(&self, part: MessagePart, bytes: usize, time: Duration) {
+        self.part.set(part);
+        self.bytes_left.set(bytes);
+        self.set_deadline(time);
+    }
+
+    fn set_deadline(&self, time: Duration) {
+        let deadline = self.answer_deadline.get();
+        self.deadline
+            .set(deadline.unwrap_or_else(|| Instant::now() + time));
+    }
+
+    fn check_size(&self) -> io::Result<()> {
+        if self.bytes_left.get() > 0 {
+            return Ok(());
+        }
+        Err(self.refuse(ReadRefusal::TooLarge(self.part.get())))
+    }
+
+    fn refuse(&self, refusal: ReadRefusal) -> io::Error {
+        self.refusal.set(Some(refusal));
+        match refusal {
+            ReadRefusal::TooLarge(_) => io::Error::from(io::ErrorKind::InvalidData),
+            ReadRefusal::TooSlow(_) => io::Error::from(io::ErrorKind::TimedOut),
+        }
+    }
+
+    fn spend(&self, bytes: usize) {
+        if self.part.get() == MessagePart::Idle {
+            self.part.set(MessagePart::Head);
+            self.set_deadline(self.limits.head);
+        }
+        let left = self.bytes_left.get().saturating_sub(bytes);
+        self.bytes_left.set(left);
+    }
+}
+
+/// Reads from `R` within a [`ReadBudget`].
+#[derive(Debug)]
+pub(crate) struct LimitedReader<R> {
+    inner: R,
+    budget: Rc<ReadBudget>,
+}
+
+impl<R> LimitedReader<R> {
+    pub(crate) fn new(inner: R, budget: Rc<ReadBudget>) -> Self {
+        Self { inner, budget }
+    }
+
+    fn account<T>(&self, (result, buffer): BufResult<usize, T>) -> BufResult<usize, T> {
+        if let Ok(count) = result {
+            self.budget.spend(count);
+        }
+        (result, buffer)
+    }
+}
+
+impl<R: CancelableAsyncReadRent> AsyncReadRent for LimitedReader<R> {
+    async fn read<T: IoBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        if let Err(error) = self.budget.check_size() {
+            return (Err(error), buffer);
+        }
+        let deadline = self.budget.deadline.get();
+        match read_until(&mut self.inner, buffer, deadline).await {
+            Ok(done) => self.account(done),
+            Err(buffer) => {
+                let refusal = ReadRefusal::TooSlow(self.budget.part());
+                (Err(self.budget.refuse(refusal)), buffer)
+            }
+        }
+    }
+
+    async fn readv<T: IoVecBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        if let Err(error) = self.budget.check_size() {
+            return (Err(error), buffer);
+        }
+        let done = self.inner.readv(buffer).await;
+        self.account(done)
+    }
+}
+
+/// Reads until a deadline, after which the buffer comes back as it was.
+async fn read_until<R, T>(
+    reader: &mut R,
+    buffer: T,
+    deadline: Instant,
+) -> Result<BufResult<usize, T>, T>
+where
+    R: CancelableAsyncReadRent,
+    T: IoBufMut,
+{
+    let canceller = Canceller::new();
+    let mut read = pin!(reader.cancelable_read(buffer, canceller.handle()));
+    if let Ok(done) = timeout_at(deadline, &mut read).await {
+        return Ok(done);
+    }
+    canceller.cancel();
+    let (_, buffer) = read.await;
+    Err(buffer)
+}
--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,34 @@
+//! What lives as long as one connection: to a caller, a backend server, a peer
+//! or the platform.
+
+mod backend_pool;
+mod caller;
+pub(crate) mod exchange;
+mod framing;
+mod http_client;
+mod limited_reader;
+mod message_limits;
+mod peer_link;
+mod peer_server;
+mod peer_service;
+mod peer_transport;
+
+pub use backend_pool::ServerConnections;
+pub use caller::accept_connections;
+pub use caller::close_without_answer;
+pub use caller::serve_connection;
+pub use caller::RequestHandler;
+pub use exchange::ExchangeError;
+pub use exchange::HttpConnection;
+pub use framing::check_framing;
+pub use framing::BodyFraming;
+pub use framing::FramingError;
+pub use http_client::HttpClient;
+pub use message_limits::MessageLimits;
+pub(crate) use peer_link::BeatPlan;
+pub(crate) use peer_link::LinkHandle;
+pub use peer_link::PeerLink;
+pub use peer_server::serve_peers;
+pub use peer_service::PeerBeat;
+pub use peer_service::PeerReply;
+pub use peer_service::SlotRequest;
--- /dev/null
+++ b/src/connection/peer_server.rs
@@ -0,0 +1,106 @@
+//! The answers to peers' calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+
+use crate::connection::peer_service::PeerService;
+use crate::connection::peer_transport::peer_transport;
+use crate::connection::PeerBeat;
+use crate::connection::PeerReply;
+use crate::connection::SlotRequest;
+use crate::id::EntryId;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Revision;
+use crate::platform::HostChanges;
+use crate::process::DrainReport;
+use crate::process::PeerState;
+use crate::version::FACT_KINDS;
+
+/// The longest time for which slots are lent.
+const LONGEST_LOAN: Duration = Duration::from_secs(10);
+
+/// Answers the calls of one peer.
+#[derive(Clone)]
+struct PeerServer {
+    state: Arc<PeerState>,
+}
+
+impl PeerService for PeerServer {
+    async fn beat(self, _: Context, beat: PeerBeat) -> PeerReply {
+        self.state.hear(&beat);
+        self.state.beat()
+    }
+
+    async fn fetch_fact(self, _: Context, index: u8) -> (Revision, Vec<u8>) {
+        match FACT_KINDS.get(usize::from(index)) {
+            Some(kind) => {
+                let fact = self.state.facts.get(*kind);
+                (fact.revision, fact.value.to_vec())
+            }
+            None => (Revision::new(0), Vec::new()),
+        }
+    }
+
+    async fn fetch_hosts(self, _: Context, since: Revision) -> HostChanges {
+        self.state.hosts().changed_since(since)
+    }
+
+    async fn drain(self, _: Context, hosts: Vec<HostId>) -> (Incarnation, Vec<DrainReport>) {
+        let reports = hosts
+            .iter()
+            .map(|host| self.state.ledger.drain_report(host))
+            .collect();
+        (self.state.identity.incarnation, reports)
+    }
+
+    async fn lend(
+        self,
+        _: Context,
+        borrower: EntryId,
+        wanted: Vec<SlotRequest>,
+        time_ms: u64,
+    ) -> Vec<SlotRequest> {
+        let time = Duration::from_millis(time_ms).min(LONGEST_LOAN);
+        let now = Instant::now();
+        let ledger = &self.state.ledger;
+        wanted
+            .into_iter()
+            .map(|request| SlotRequest {
+                slots: ledger.lend(&request.host, &borrower, request.slots, time, now),
+                host: request.host,
+            })
+            .collect()
+    }
+}
+
+/// Answers the calls of all peers for as long as the process lives.
+pub async fn serve_peers(listener: TcpListener, state: Arc<PeerState>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let transport = peer_transport(stream);
+        let server = PeerServer {
+            state: Arc::clone(&state),
+        };
+        let channel = BaseChannel::with_defaults(transport);
+        let served =
+            channel
+                .execute(server.serve())
+                .for_each_concurrent(None, |answer| async move {
+                    answer.await;
+                });
+        tokio::spawn(served);
+    }
+}
--- /dev/null
+++ b/src/id/data_centre_id.rs
@@ -0,0 +1,6 @@
+//! The name of a data centre.
+
+name_id!(
+    /// Names a data centre.
+    DataCentreId
+);
--- /dev/null
+++ b/src/id/incarnation.rs
@@ -0,0 +1,41 @@
+//! The number of one run of an entry host's daemon.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Tells one run of a daemon from the earlier ones on the same entry host.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(u64);
+
+impl Incarnation {
+    /// Wraps a number.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
--- /dev/null
+++ b/src/id/mod.rs
@@ -0,0 +1,60 @@
+//! Newtypes for the names and numbers that zincpier deals in.
+
+/// Defines a newtype over a name, with `Display` and `FromStr`.
+///
+/// A name has 1 to 64 characters out of letters, digits, `-`, `_` and `.`.
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, serde::Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize)]
+        #[serde(transparent)]
+        pub struct $name(String);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.pad(&self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = $crate::id::NameError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                $crate::id::check_name(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+    };
+}
+
+mod customer_id;
+mod data_centre_id;
+mod entry_id;
+mod host_id;
+mod incarnation;
+mod name_error;
+mod pool_id;
+mod rack_id;
+mod revision;
+mod service_id;
+mod wave_id;
+
+pub use customer_id::CustomerId;
+pub use data_centre_id::DataCentreId;
+pub use entry_id::EntryId;
+pub use host_id::HostId;
+pub use incarnation::Incarnation;
+pub(crate) use name_error::check_name;
+pub use name_error::NameError;
+pub use pool_id::PoolId;
+pub use rack_id::RackId;
+pub use revision::Revision;
+pub use service_id::ServiceId;
+pub use wave_id::WaveId;
--- /dev/null
+++ b/src/id/pool_id.rs
@@ -0,0 +1,6 @@
+//! The name of a pool of hosts.
+
+name_id!(
+    /// Names a pool of hosts.
+    PoolId
+);
--- /dev/null
+++ b/src/id/rack_id.rs
@@ -0,0 +1,6 @@
+//! The name of a rack.
+
+name_id!(
+    /// Names a rack.
+    RackId
+);
--- /dev/null
+++ b/src/id/service_id.rs
@@ -0,0 +1,6 @@
+//! The name of a service.
+
+name_id!(
+    /// Names a service.
+    ServiceId
+);
--- /dev/null
+++ b/src/operator/api.rs
@@ -0,0 +1,258 @@
+//! The operator listener of a daemon.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use serde::Serialize;
+use subtle::ConstantTimeEq;
+
+use crate::connection::RequestHandler;
+use crate::error::Error;
+use crate::id::Revision;
+use crate::operator::EntryStatus;
+use crate::operator::ServiceStatus;
+use crate::operator::StatusReport;
+use crate::operator::TextFact;
+use crate::platform::TableService;
+use crate::platform::Transaction;
+use crate::platform::TransactionOutcome;
+use crate::platform::AUDIT_PREFIX;
+use crate::process::AuditNote;
+use crate::process::DaemonParts;
+use crate::request::problem_response;
+use crate::version::FactKind;
+use crate::version::ServiceText;
+
+/// The header that carries the operators' secret.
+pub const TOKEN_HEADER: &str = "zincpier-token";
+/// The header that names the operator, for the audit trail.
+pub(crate) const WHO_HEADER: &str = "zincpier-who";
+/// The header that names the revision that a text replaces.
+pub(crate) const REPLACES_HEADER: &str = "zincpier-replaces";
+
+const AUDIT_LIMIT: usize = 1_000;
+
+/// Answers operators and monitoring.
+pub struct OperatorApi {
+    parts: Rc<DaemonParts>,
+    token: String,
+}
+
+impl OperatorApi {
+    /// Creates the listener's handler; changes need `token`.
+    pub fn new(parts: Rc<DaemonParts>, token: String) -> Self {
+        Self { parts, token }
+    }
+
+    async fn answer(&self, request: &Request<Bytes>) -> Response<Bytes> {
+        let path = request.uri().path().trim_matches('/');
+        let segments = path.split('/').collect::<Vec<_>>();
+        match (request.method(), segments.as_slice()) {
+            (&Method::GET, ["live"]) => text_response("live\n"),
+            (&Method::GET, ["ready"]) => self.ready(),
+            (&Method::GET, ["metrics"]) => text_response(&self.parts.metrics.to_text()),
+            (&Method::GET, ["status"]) => json_response(&self.status()),
+            (&Method::GET, ["text"]) => self.show_text(),
+            (&Method::GET, ["audit"]) => self.audit(request).await,
+            (&Method::GET, _) => problem_response(StatusCode::NOT_FOUND, "no such page"),
+            _ if !self.is_allowed(request) => {
+                let reason = "changes need the operators' token";
+                problem_response(StatusCode::FORBIDDEN, reason)
+            }
+            (&Method::POST, ["text"]) => self.apply_text(request).await,
+            _ => problem_response(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    fn is_allowed(&self, request: &Request<Bytes>) -> bool {
+        let shown = request.headers().get(TOKEN_HEADER);
+        shown.is_some_and(|shown| shown.as_bytes().ct_eq(self.token.as_bytes()).into())
+    }
+
+    fn ready(&self) -> Response<Bytes> {
+        if self.parts.is_ready() {
+            return text_response("ready\n");
+        }
+        problem_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+
+    fn status(&self) -> StatusReport {
+        let state = &self.parts.state;
+        let router = &self.parts.router;
+        let services = router
+            .table()
+            .routes()
+            .map(|route| ServiceStatus {
+                service: route.service.id.clone(),
+                servers: route.servers.len(),
+                waiting: router.waiting(&route.service.id),
+            })
+            .collect();
+        StatusReport {
+            entry: state.identity.entry.clone(),
+            ready: self.parts.is_ready(),
+            text_in_force: state.text_in_force(),
+            placement: state.facts.get(FactKind::Placement).revision,
+            hosts: state.hosts().revision(),
+            entries: self.entries(),
+            services,
+        }
+    }
+
+    fn entries(&self) -> Vec<EntryStatus> {
+        let state = &self.parts.state;
+        let now = Instant::now();
+        let members = state.members();
+        let tracker = state.tracker();
+        members
+            .members()
+            .iter()
+            .map(|(entry, member)| {
+                let own = *entry == state.identity.entry;
+                let silence = tracker.silence(entry, now).as_millis() as u64;
+                EntryStatus {
+                    entry: entry.clone(),
+                    data_centre: member.data_centre.clone(),
+                    incarnation: member.incarnation,
+                    lost: member.lost,
+                    silence_ms: if own { 0 } else { silence },
+                    text_in_force: match own {
+                        true => state.text_in_force(),
+                        false => tracker.text_in_force(entry),
+                    },
+                }
+            })
+            .collect()
+    }
+
+    fn show_text(&self) -> Response<Bytes> {
+        let fact = self.parts.state.facts.get(FactKind::Text);
+        let source = TextFact::from_fact(&fact).map_or_else(|_| String::new(), |text| text.source);
+        let mut response = text_response(&source);
+        response
+            .headers_mut()
+            .insert(REPLACES_HEADER, HeaderValue::from(fact.revision.get()));
+        response
+    }
+
+    async fn audit(&self, request: &Request<Bytes>) -> Response<Bytes> {
+        let query = request.uri().query().unwrap_or_default();
+        let after = query.strip_prefix("after=").unwrap_or_default();
+        let rows = self.parts.platform.scan(AUDIT_PREFIX, after, AUDIT_LIMIT);
+        match rows.await {
+            Ok(rows) => json_response(&rows),
+            Err(error) => error_response(&error),
+        }
+    }
+
+    async fn apply_text(&self, request: &Request<Bytes>) -> Response<Bytes> {
+        let Ok(source) = std::str::from_utf8(request.body()) else {
+            return problem_response(StatusCode::BAD_REQUEST, "the text is not UTF-8");
+        };
+        let replaces = header_text(request, REPLACES_HEADER).parse::<Revision>();
+        let Ok(replaces) = replaces else {
+            let reason = "the revision that the text replaces is missing";
+            return problem_response(StatusCode::BAD_REQUEST, reason);
+        };
+        let note = AuditNote {
+            who: header_text(request, WHO_HEADER),
+            action: "text apply",
+            subject: "service text".to_owned(),
+            before: format!("revision {replaces}"),
+            after: format!("{} bytes", source.len()),
+            text_revision: self.parts.state.text_in_force(),
+            lease_epoch: 0,
+        };
+        if let Err(error) = ServiceText::parse("service text", source) {
+            self.parts
+                .audit
+                .refuse(note, "refused: it has findings")
+                .await;
+            return error_response(&error);
+        }
+        let fact = TextFact {
+            source: source.to_owned(),
+            who: note.who.clone(),
+        };
+        self.commit_fact(FactKind::Text, replaces, &fact, note)
+            .await
+    }
+
+    /// Commits a new version of a fact and spreads it.
+    async fn commit_fact(
+        &self,
+        kind: FactKind,
+        replaces: Revision,
+        value: &impl Serialize,
+        note: AuditNote,
+    ) -> Response<Bytes> {
+        let value = serde_json::to_value(value).unwrap_or_default();
+        let transaction = Transaction::new()
+            .with_check(kind.row_key(), replaces)
+            .with_write(kind.row_key(), value.clone());
+        match self.parts.audit.commit(transaction, note).await {
+            Ok(TransactionOutcome::Committed(revision)) => {
+                let value = serde_json::to_vec(&value).unwrap_or_default();
+                self.parts.state.facts.offer(kind, revision, &value);
+                json_response(&revision)
+            }
+            Ok(TransactionOutcome::Conflict(rows)) => {
+                let held = rows.first().map_or(Revision::new(0), |row| row.revision);
+                let reason = format!("revision {held} is in force, not {replaces}");
+                problem_response(StatusCode::CONFLICT, &reason)
+            }
+            Err(error) => error_response(&error),
+        }
+    }
+}
+
+impl RequestHandler for OperatorApi {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Bytes> {
+        self.answer(&request).await
+    }
+}
+
+fn header_text(request: &Request<Bytes>, name: &str) -> String {
+    let value = request.headers().get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn text_response(text: &str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::copy_from_slice(text.as_bytes()));
+    response.headers_mut().insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; charset=utf-8"),
+    );
+    response
+}
+
+fn json_response(value: &impl Serialize) -> Response<Bytes> {
+    match serde_json::to_vec(value) {
+        Ok(body) => {
+            let mut response = Response::new(Bytes::from(body));
+            response
+                .headers_mut()
+                .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            response
+        }
+        Err(error) => problem_response(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+fn error_response(error: &Error) -> Response<Bytes> {
+    let status = match error {
+        Error::Findings(_) => StatusCode::UNPROCESSABLE_ENTITY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    problem_response(status, &error.to_string())
+}
--- /dev/null
+++ b/src/operator/client.rs
@@ -0,0 +1,169 @@
+//! Calls to a daemon's operator listener.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::connection::HttpClient;
+use crate::error::Error;
+use crate::error::Result;
+use crate::id::Revision;
+use crate::operator::api::REPLACES_HEADER;
+use crate::operator::api::WHO_HEADER;
+use crate::operator::StatusReport;
+use crate::operator::TOKEN_HEADER;
+use crate::platform::TableRow;
+
+const CALL_TIME: Duration = Duration::from_secs(15);
+
+/// Calls one daemon's operator listener.
+pub struct OperatorClient {
+    client: HttpClient,
+    token: String,
+    who: String,
+}
+
+impl OperatorClient {
+    /// Creates a caller without a token, which can only read.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            client: HttpClient::new(address),
+            token: String::new(),
+            who: String::new(),
+        }
+    }
+
+    /// Sets the token that allows changes and the name for the audit trail.
+    #[must_use]
+    pub fn with_token(mut self, token: &str, who: &str) -> Self {
+        self.token = token.to_owned();
+        self.who = who.to_owned();
+        self
+    }
+
+    /// Returns what the daemon knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon does not answer.
+    pub async fn status(&self) -> Result<StatusReport> {
+        self.get("/status").await
+    }
+
+    /// Returns audit rows after a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon or the platform does not answer.
+    pub async fn audit(&self, after: &str) -> Result<Vec<TableRow>> {
+        self.get(&format!("/audit?after={after}")).await
+    }
+
+    /// Returns the service text and its revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon does not answer.
+    pub async fn text(&self) -> Result<(Revision, String)> {
+        let answer = self.call(Method::GET, "/text", Bytes::new(), None).await?;
+        let revision = answer
+            .headers()
+            .get(REPLACES_HEADER)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.parse().ok())
+            .unwrap_or_default();
+        let source = String::from_utf8_lossy(answer.body()).into_owned();
+        Ok((revision, source))
+    }
+
+    /// Applies a service text in the place of a revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text is refused or the daemon does not answer.
+    pub async fn apply_text(&self, source: &str, replaces: Revision) -> Result<Revision> {
+        let body = Bytes::copy_from_slice(source.as_bytes());
+        let answer = self
+            .call(Method::POST, "/text", body, Some(replaces))
+            .await?;
+        self.decode(&answer)
+    }
+
+    /// Makes a change by a call with a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the change is refused or the daemon does not answer.
+    pub async fn post<A: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<A> {
+        let body = Bytes::from(body.to_string());
+        let answer = self.call(Method::POST, path, body, None).await?;
+        self.decode(&answer)
+    }
+
+    /// Reads a page that is JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon does not answer.
+    pub async fn get<A: DeserializeOwned>(&self, path: &str) -> Result<A> {
+        let answer = self.call(Method::GET, path, Bytes::new(), None).await?;
+        self.decode(&answer)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        replaces: Option<Revision>,
+    ) -> Result<Response<Bytes>> {
+        let mut request = Request::new(body);
+        *request.method_mut() = method;
+        *request.uri_mut() = path.parse().map_err(|error| self.broken(&error))?;
+        let headers = request.headers_mut();
+        for (name, value) in [(TOKEN_HEADER, &self.token), (WHO_HEADER, &self.who)] {
+            let value = HeaderValue::from_str(value).map_err(|error| self.broken(&error))?;
+            headers.insert(name, value);
+        }
+        if let Some(replaces) = replaces {
+            headers.insert(REPLACES_HEADER, HeaderValue::from(replaces.get()));
+        }
+        let answer = self.client.send(request, CALL_TIME).await;
+        let answer = answer.map_err(|error| self.broken(&error))?;
+        if answer.status() == StatusCode::OK {
+            return Ok(answer);
+        }
+        Err(Error::DaemonRefused {
+            address: self.client.address().to_string(),
+            status: answer.status().as_u16(),
+            reason: problem_detail(answer.body()),
+        })
+    }
+
+    fn decode<A: DeserializeOwned>(&self, answer: &Response<Bytes>) -> Result<A> {
+        serde_json::from_slice(answer.body()).map_err(|error| self.broken(&error))
+    }
+
+    fn broken(&self, reason: &impl ToString) -> Error {
+        Error::Exchange {
+            address: self.client.address().to_string(),
+            reason: reason.to_string(),
+        }
+    }
+}
+
+/// Returns the detail of a problem document, or the body as it is.
+fn problem_detail(body: &[u8]) -> String {
+    serde_json::from_slice::<Value>(body)
+        .ok()
+        .and_then(|document| Some(document.get("detail")?.as_str()?.to_owned()))
+        .unwrap_or_else(|| String::from_utf8_lossy(body).into_owned())
+}
--- /dev/null
+++ b/src/operator/load_report.rs
@@ -0,0 +1,144 @@
+//! What became of the requests of a load.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde_json::json;
+use serde_json::Value;
+
+/// The longest latency that is told apart, in microseconds.
+const LONGEST_MICROS: u64 = 120_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// Counts and latencies of a load.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    sent: u64,
+    outcomes: BTreeMap<String, u64>,
+    latencies: Histogram<u64>,
+    refusals: Histogram<u64>,
+    elapsed: Duration,
+}
+
+impl Default for LoadReport {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl LoadReport {
+    /// Creates a report of no request.
+    pub fn new() -> Self {
+        Self {
+            sent: 0,
+            outcomes: BTreeMap::new(),
+            latencies: histogram(),
+            refusals: histogram(),
+            elapsed: Duration::ZERO,
+        }
+    }
+
+    /// Counts a request as sent.
+    pub fn count_sent(&mut self) {
+        self.sent += 1;
+    }
+
+    /// Counts a request as ended; `latency` runs from the time it was due.
+    pub fn count_outcome(&mut self, outcome: &str, latency: Duration) {
+        *self.outcomes.entry(outcome.to_owned()).or_default() += 1;
+        let micros = (latency.as_micros() as u64).clamp(1, LONGEST_MICROS);
+        let histogram = match outcome {
+            "ok" => &mut self.latencies,
+            _ => &mut self.refusals,
+        };
+        histogram.saturating_record(micros);
+    }
+
+    /// Sets how long the load took.
+    pub fn set_elapsed(&mut self, elapsed: Duration) {
+        self.elapsed = elapsed;
+    }
+
+    /// Returns the number of requests sent.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Returns the number of requests that ended with an outcome.
+    pub fn count(&self, outcome: &str) -> u64 {
+        self.outcomes.get(outcome).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of requests that ended.
+    pub fn ended(&self) -> u64 {
+        self.outcomes.values().sum()
+    }
+
+    /// Returns every outcome with its count.
+    pub fn outcomes(&self) -> &BTreeMap<String, u64> {
+        &self.outcomes
+    }
+
+    /// Returns a percentile of the latency of whole answers, in microseconds.
+    pub fn latency_micros(&self, percentile: f64) -> u64 {
+        self.latencies.value_at_percentile(percentile)
+    }
+
+    /// Returns a percentile of the time until other outcomes, in microseconds.
+    pub fn refusal_micros(&self, percentile: f64) -> u64 {
+        self.refusals.value_at_percentile(percentile)
+    }
+
+    /// Returns whole answers a second.
+    pub fn rate(&self) -> f64 {
+        self.count("ok") as f64 / self.elapsed.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the report as JSON.
+    pub fn to_json(&self) -> Value {
+        json!({
+            "sent": self.sent,
+            "outcomes": self.outcomes,
+            "ok_per_second": self.rate(),
+            "latency_micros": {
+                "p50": self.latency_micros(50.0),
+                "p99": self.latency_micros(99.0),
+                "p999": self.latency_micros(99.9),
+                "max": self.latencies.max(),
+            },
+            "refusal_micros": {
+                "p50": self.refusal_micros(50.0),
+                "p99": self.refusal_micros(99.0),
+            },
+        })
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "sent       {}", self.sent)?;
+        for (outcome, count) in &self.outcomes {
+            writeln!(formatter, "{outcome:<10} {count}")?;
+        }
+        writeln!(
+            formatter,
+            "rate       {:.0} whole answers a second",
+            self.rate()
+        )?;
+        write!(
+            formatter,
+            "latency    p50 {} us, p99 {} us, p99.9 {} us, max {} us",
+            self.latency_micros(50.0),
+            self.latency_micros(99.0),
+            self.latency_micros(99.9),
+            self.latencies.max()
+        )
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_MICROS, SIGNIFICANT_DIGITS)
+        .unwrap_or_else(|_| unreachable!("the bounds are constants that fit"))
+}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,21 @@
+//! The operators' side: the daemon's operator listener and the tools that call it.
+
+mod api;
+mod client;
+mod demo;
+mod load_plan;
+mod load_report;
+mod status_report;
+mod text_fact;
+
+pub use api::OperatorApi;
+pub use api::TOKEN_HEADER;
+pub use client::OperatorClient;
+pub use demo::run_demo;
+pub use demo::DemoReport;
+pub use load_plan::LoadPlan;
+pub use load_report::LoadReport;
+pub use status_report::EntryStatus;
+pub use status_report::ServiceStatus;
+pub use status_report::StatusReport;
+pub use text_fact::TextFact;
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,28 @@
+//! The platform's table, objects and hosts, as zincpier calls them.
+//!
+//! The traits are the whole of what zincpier asks of a platform; tests
+//! implement them with small fakes, and [`HttpPlatform`] speaks to a real one.
+
+mod audit_record;
+mod host_changes;
+mod http_platform;
+mod platform_service;
+mod settle;
+mod table_row;
+mod transaction;
+
+pub use audit_record::audit_key;
+pub use audit_record::AuditRecord;
+pub use audit_record::AUDIT_PREFIX;
+pub use host_changes::HostChanges;
+pub use host_changes::RebootOrder;
+pub use http_platform::HttpPlatform;
+pub use platform_service::HostService;
+pub use platform_service::ObjectService;
+pub use platform_service::TableService;
+pub use settle::transact_once;
+pub use table_row::TableRow;
+pub use transaction::RowCheck;
+pub use transaction::RowWrite;
+pub use transaction::Transaction;
+pub use transaction::TransactionOutcome;
--- /dev/null
+++ b/src/platform/platform_service.rs
@@ -0,0 +1,60 @@
+//! What zincpier asks of a platform.
+
+use std::future::Future;
+
+use bytes::Bytes;
+
+use crate::error::Result;
+use crate::id::HostId;
+use crate::id::Revision;
+use crate::platform::HostChanges;
+use crate::platform::RebootOrder;
+use crate::platform::RowCheck;
+use crate::platform::TableRow;
+use crate::platform::Transaction;
+use crate::platform::TransactionOutcome;
+
+/// The transactional table.
+///
+/// A call that fails with [`Error::PlatformSilent`](crate::error::Error::PlatformSilent)
+/// may have taken effect.
+pub trait TableService {
+    /// Commits a transaction if its checks hold.
+    fn transact(
+        &self,
+        transaction: &Transaction,
+    ) -> impl Future<Output = Result<TransactionOutcome>>;
+
+    /// Reads the rows that exist out of `keys`.
+    fn read(&self, keys: &[&str]) -> impl Future<Output = Result<Vec<TableRow>>>;
+
+    /// Returns the revisions of the rows that exist out of `keys`.
+    fn revisions(&self, keys: &[&str]) -> impl Future<Output = Result<Vec<RowCheck>>>;
+
+    /// Reads at most `limit` rows whose keys start with `prefix`, in the order
+    /// of their keys, from the first key after `after`.
+    fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<Vec<TableRow>>>;
+}
+
+/// The object store.
+pub trait ObjectService {
+    /// Stores an object under a name.
+    fn put_object(&self, name: &str, content: Bytes) -> impl Future<Output = Result<()>>;
+
+    /// Returns an object, or nothing if there is none of that name.
+    fn get_object(&self, name: &str) -> impl Future<Output = Result<Option<Bytes>>>;
+}
+
+/// The hosts.
+pub trait HostService {
+    /// Returns the hosts that changed after `since`; the list lags.
+    fn changed_hosts(&self, since: Revision) -> impl Future<Output = Result<HostChanges>>;
+
+    /// Orders a restart; repeating the order has no further effect.
+    fn reboot(&self, host: &HostId, order: &RebootOrder) -> impl Future<Output = Result<()>>;
+}
--- /dev/null
+++ b/src/process/daemon.rs
@@ -0,0 +1,424 @@
+//! An entry host's daemon, put together.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future::select;
+use monoio::net::TcpListener;
+use monoio::time::sleep;
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+use tokio::sync::mpsc;
+use tokio::sync::Notify;
+
+use crate::connection::accept_connections;
+use crate::connection::MessageLimits;
+use crate::error::Error;
+use crate::error::Result;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::operator::OperatorApi;
+use crate::operator::TextFact;
+use crate::platform::HttpPlatform;
+use crate::process::fact_sync::pause;
+use crate::process::fact_sync::FactSync;
+use crate::process::member_keeper::MemberKeeper;
+use crate::process::now_ms;
+use crate::process::peer_thread::start_peer_thread;
+use crate::process::AuditLog;
+use crate::process::DaemonMetrics;
+use crate::process::DaemonSettings;
+use crate::process::EntryIdentity;
+use crate::process::FreezeGuard;
+use crate::process::MemberSet;
+use crate::process::PeerCall;
+use crate::process::PeerState;
+use crate::process::Placement;
+use crate::process::ShareKeeper;
+use crate::process::SharedServer;
+use crate::process::ShutdownSignal;
+use crate::request::ClaimKeeper;
+use crate::request::RequestRouter;
+use crate::version::FactKind;
+use crate::version::RoutingTable;
+use crate::version::ServiceText;
+
+const TICK: Duration = Duration::from_millis(50);
+const MEMBER_PAUSE: Duration = Duration::from_millis(500);
+const LEAVE_TIME: Duration = Duration::from_secs(2);
+const SWEEP_PAUSE: Duration = Duration::from_secs(5);
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For peers.
+    pub peers: SocketAddr,
+}
+
+/// A daemon that is bound to its addresses and ready to run.
+pub struct Daemon {
+    settings: DaemonSettings,
+    shutdown: ShutdownSignal,
+    callers: std::net::TcpListener,
+    operators: std::net::TcpListener,
+    peers: std::net::TcpListener,
+    addresses: DaemonAddresses,
+}
+
+impl Daemon {
+    /// Binds a daemon's addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub fn new(settings: DaemonSettings) -> Result<Self> {
+        let (callers, callers_at) = bind(settings.callers)?;
+        let (operators, operators_at) = bind(settings.operators)?;
+        let (peers, peers_at) = bind(settings.peers)?;
+        Ok(Self {
+            settings,
+            shutdown: ShutdownSignal::new(),
+            callers,
+            operators,
+            peers,
+            addresses: DaemonAddresses {
+                callers: callers_at,
+                operators: operators_at,
+                peers: peers_at,
+            },
+        })
+    }
+
+    /// Returns where the daemon listens.
+    pub fn addresses(&self) -> DaemonAddresses {
+        self.addresses
+    }
+
+    /// Returns the signal that shuts the daemon down.
+    pub fn shutdown(&self) -> ShutdownSignal {
+        self.shutdown.clone()
+    }
+
+    /// Serves until shutdown is complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a thread or runtime cannot be started.
+    pub fn run(self) -> Result<()> {
+        let identity = EntryIdentity {
+            entry: self.settings.name.clone(),
+            incarnation: Incarnation::new(now_ms()),
+            data_centre: self.settings.data_centre.clone(),
+            peer: self.addresses.peers,
+        };
+        let (state, calls) = PeerState::new(identity);
+        let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+            .enable_timer()
+            .build()
+            .map_err(|source| socket_error("cannot start the runtime", source))?;
+        runtime.block_on(self.serve(Arc::new(state), calls))
+    }
+
+    async fn serve(
+        self,
+        state: Arc<PeerState>,
+        calls: mpsc::UnboundedReceiver<PeerCall>,
+    ) -> Result<()> {
+        let known_peers = self.settings.known_peers.clone();
+        start_peer_thread(self.peers, Arc::clone(&state), calls, known_peers)?;
+        let parts = DaemonParts::new(&self.settings, state, self.shutdown.clone());
+        let parts = Rc::new(parts);
+        let limits = MessageLimits {
+            body_bytes: self.settings.body_bytes,
+            ..MessageLimits::default()
+        };
+        let callers = listen(self.callers)?;
+        let operators = listen(self.operators)?;
+        let connections = self.settings.connections;
+        monoio::spawn(accept_connections(
+            callers,
+            Rc::clone(&parts.router),
+            limits,
+            connections,
+            self.shutdown.clone(),
+        ));
+        // Operators are answered until the process ends, so that they see it end.
+        monoio::spawn(accept_connections(
+            operators,
+            Rc::new(OperatorApi::new(
+                Rc::clone(&parts),
+                self.settings.operator_token.clone(),
+            )),
+            limits,
+            connections,
+            ShutdownSignal::new(),
+        ));
+        parts.start(self.settings.poll);
+        parts.stop(&self.settings).await;
+        Ok(())
+    }
+}
+
+/// The parts of a running daemon.
+pub struct DaemonParts {
+    /// What both threads see.
+    pub state: Arc<PeerState>,
+    /// The platform.
+    pub platform: Rc<HttpPlatform>,
+    /// The audit trail.
+    pub audit: Rc<AuditLog<HttpPlatform>>,
+    /// The way of requests.
+    pub router: Rc<RequestRouter<HttpPlatform>>,
+    /// The counters.
+    pub metrics: Rc<DaemonMetrics>,
+    /// How far the shutdown has come.
+    pub shutdown: ShutdownSignal,
+    claims: Rc<ClaimKeeper<HttpPlatform>>,
+    guard: Rc<FreezeGuard>,
+    members: MemberKeeper<HttpPlatform>,
+    sync: FactSync<HttpPlatform>,
+    thaw: Notify,
+}
+
+impl DaemonParts {
+    fn new(settings: &DaemonSettings, state: Arc<PeerState>, shutdown: ShutdownSignal) -> Self {
+        let platform = Rc::new(HttpPlatform::new(
+            settings.platform,
+            settings.platform_timeout,
+        ));
+        let audit = Rc::new(AuditLog::new(Rc::clone(&platform)));
+        let claims = Rc::new(ClaimKeeper::new(Rc::clone(&platform)));
+        let metrics = Rc::new(DaemonMetrics::new());
+        let guard = Rc::new(FreezeGuard::new(Instant::now()));
+        let router = RequestRouter::new(
+            Arc::clone(&state),
+            Rc::clone(&claims),
+            Rc::clone(&metrics),
+            Rc::clone(&guard),
+            settings.queue,
+            state.identity.incarnation.get(),
+        );
+        Self {
+            members: MemberKeeper::new(Arc::clone(&state), Rc::clone(&audit)),
+            sync: FactSync::new(Rc::clone(&platform), Arc::clone(&state)),
+            router: Rc::new(router),
+            thaw: Notify::new(),
+            state,
+            platform,
+            audit,
+            metrics,
+            shutdown,
+            claims,
+            guard,
+        }
+    }
+
+    /// Tells whether callers are served and wanted.
+    pub fn is_ready(&self) -> bool {
+        self.shutdown.is_running() && self.state.text_in_force().get() > 0
+    }
+
+    fn start(self: &Rc<Self>, poll: Duration) {
+        monoio::spawn(Rc::clone(self).follow_facts());
+        monoio::spawn(Rc::clone(self).look_at_platform(poll));
+        monoio::spawn(Rc::clone(self).keep_membership());
+        monoio::spawn(Rc::clone(self).tick());
+        monoio::spawn(Rc::clone(self).sweep());
+        let claims = Rc::clone(&self.claims);
+        monoio::spawn(async move { claims.run().await });
+    }
+
+    /// Puts every newer text, placement and host list in force.
+    async fn follow_facts(self: Rc<Self>) {
+        let mut changes = self.state.facts.subscribe();
+        let mut text: Option<ServiceText> = None;
+        loop {
+            let fact = self.state.facts.get(FactKind::Text);
+            if fact.revision > self.state.text_in_force() {
+                match TextFact::from_fact(&fact).and_then(|fact| fact.parse()) {
+                    Ok(parsed) => text = Some(parsed),
+                    Err(error) => {
+                        log::error!(target: "zincpier::text", "revision {} cannot be used: {error}", fact.revision);
+                    }
+                }
+            }
+            if let Some(text) = &text {
+                self.install(text);
+                if fact.revision > self.state.text_in_force() {
+                    self.state.put_in_force(fact.revision);
+                    log::info!(target: "zincpier::text", "revision {} is in force", fact.revision);
+                }
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn install(&self, text: &ServiceText) {
+        let fact = self.state.facts.get(FactKind::Placement);
+        let placement = Placement::from_fact(&fact);
+        let closed = placement.closed_hosts().cloned().collect::<BTreeSet<_>>();
+        let table = RoutingTable::new(text, &placement, &self.state.hosts());
+        self.router.install(table);
+        let ledger = &self.state.ledger;
+        ledger.install_placement(fact.revision, closed);
+    }
+
+    async fn look_at_platform(self: Rc<Self>, poll: Duration) {
+        let mut reachable = true;
+        loop {
+            let hosts = self.sync.look_at_hosts().await;
+            let facts = self.sync.look_at_facts().await;
+            self.guard.catch_up();
+            let answered = hosts.is_ok() && facts.is_ok();
+            if answered != reachable {
+                reachable = answered;
+                log::warn!(target: "zincpier::platform", "the platform {}", match answered {
+                    true => "answers again",
+                    false => "does not answer",
+                });
+            }
+            self.metrics.count_event(match answered {
+                true => "platform_look",
+                false => "platform_silence",
+            });
+            select(Box::pin(pause(poll)), Box::pin(self.thaw.notified())).await;
+        }
+    }
+
+    async fn keep_membership(self: Rc<Self>) {
+        while self.shutdown.is_running() {
+            if self.members.is_superseded() {
+                log::warn!(target: "zincpier::members", "a later run has this entry host's name");
+                self.shutdown.give_notice();
+                return;
+            }
+            if self.state.text_in_force().get() > 0 {
+                // A silent platform is noticed and reported by the look at its rows.
+                let _ = self.members.look().await;
+            }
+            pause(MEMBER_PAUSE).await;
+        }
+    }
+
+    /// Follows pauses, shares and free slots.
+    async fn tick(self: Rc<Self>) {
+        let mut keeper = ShareKeeper::new(self.state.identity.clone(), Instant::now());
+        let mut looks = 0;
+        let mut shares = HashMap::new();
+        loop {
+            let now = Instant::now();
+            if self.guard.tick(now) {
+                self.metrics.count_event("thaw");
+                self.state.tracker().restart(now);
+                self.thaw.notify_one();
+            }
+            let seen = self.metrics.events("platform_look");
+            if seen > looks {
+                looks = seen;
+                keeper.confirm(now);
+            }
+            self.update_shares(&mut keeper, &mut shares, now);
+            self.router.dispatch_all();
+            sleep(TICK).await;
+        }
+    }
+
+    fn update_shares(
+        &self,
+        keeper: &mut ShareKeeper,
+        shares: &mut HashMap<HostId, u32>,
+        now: Instant,
+    ) {
+        let fact = self.state.facts.get(FactKind::Members);
+        keeper.follow(fact.revision, MemberSet::from_fact(&fact), now);
+        keeper.decide(&self.state.tracker(), now);
+        let servers = self.shared_servers();
+        let wanted = keeper.shares(&servers, now);
+        if wanted != *shares {
+            self.state.ledger.set_shares(&wanted);
+            *shares = wanted;
+        }
+        if self.state.ledger.is_within_shares(now) {
+            self.state.settle(keeper.revision());
+        }
+    }
+
+    fn shared_servers(&self) -> Vec<SharedServer> {
+        let table = self.router.table();
+        table
+            .routes()
+            .flat_map(|route| {
+                route.servers.iter().map(|server| SharedServer {
+                    host: server.host.clone(),
+                    data_centre: server.data_centre.clone(),
+                    slots: route.service.slots,
+                })
+            })
+            .collect()
+    }
+
+    async fn sweep(self: Rc<Self>) {
+        loop {
+            pause(SWEEP_PAUSE).await;
+            self.router.close_unused();
+        }
+    }
+
+    /// Waits for the shutdown and completes it.
+    async fn stop(&self, settings: &DaemonSettings) {
+        self.shutdown.notice().await;
+        log::info!(target: "zincpier::process", "shutdown: readiness fails");
+        sleep(settings.notice).await;
+        self.shutdown.close();
+        let deadline = Instant::now() + settings.grace;
+        while self.shutdown.busy() > 0 && Instant::now() < deadline {
+            sleep(TICK).await;
+        }
+        let deadline = Instant::now() + LEAVE_TIME;
+        while !self.claims.is_settled() && Instant::now() < deadline {
+            sleep(TICK).await;
+        }
+        if !self.members.is_superseded() {
+            let left = monoio::time::timeout(LEAVE_TIME, self.members.leave()).await;
+            if !matches!(left, Ok(Ok(()))) {
+                log::warn!(target: "zincpier::process", "shutdown: the platform was not told");
+            }
+        }
+        log::info!(target: "zincpier::process", "shutdown: complete");
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<(std::net::TcpListener, SocketAddr)> {
+    let action = || format!("cannot listen at {address}");
+    let listener =
+        std::net::TcpListener::bind(address).map_err(|source| socket_error(&action(), source))?;
+    listener
+        .set_nonblocking(true)
+        .map_err(|source| socket_error(&action(), source))?;
+    let bound = listener
+        .local_addr()
+        .map_err(|source| socket_error(&action(), source))?;
+    Ok((listener, bound))
+}
+
+fn listen(listener: std::net::TcpListener) -> Result<TcpListener> {
+    TcpListener::from_std(listener).map_err(|source| socket_error("cannot listen", source))
+}
+
+fn socket_error(action: &str, source: std::io::Error) -> Error {
+    Error::Socket {
+        action: action.to_owned(),
+        source,
+    }
+}
--- /dev/null
+++ b/src/process/log_setup.rs
@@ -0,0 +1,40 @@
+//! Where log lines go.
+
+use std::path::Path;
+
+use log::LevelFilter;
+
+use crate::error::Error;
+use crate::error::Result;
+
+/// Sends log lines of `level` and above to a file, or to the standard error output.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be opened.
+pub fn start_logging(level: LevelFilter, file: Option<&Path>) -> Result<()> {
+    let dispatch = fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("zincpier", level)
+        .format(|out, message, record| {
+            out.finish(format_args!(
+                "{} {} {} {message}",
+                crate::process::now_ms(),
+                record.level(),
+                record.target()
+            ));
+        });
+    let dispatch = match file {
+        None => dispatch.chain(std::io::stderr()),
+        Some(path) => {
+            let opened = fern::log_file(path).map_err(|source| Error::ReadFile {
+                path: path.to_owned(),
+                source,
+            })?;
+            dispatch.chain(opened)
+        }
+    };
+    // A second daemon in the same process keeps the first one's logger.
+    let _ = dispatch.apply();
+    Ok(())
+}
--- /dev/null
+++ b/src/process/peer_state.rs
@@ -0,0 +1,198 @@
+//! What the caller side and the peer side of a daemon share.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::connection::PeerBeat;
+use crate::connection::SlotRequest;
+use crate::id::EntryId;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Revision;
+use crate::platform::HostChanges;
+use crate::process::DrainReport;
+use crate::process::EntryIdentity;
+use crate::process::FlightLedger;
+use crate::process::MemberSet;
+use crate::process::MemberTracker;
+use crate::version::FactKind;
+use crate::version::FactStore;
+use crate::version::HostList;
+
+/// A call to one peer, made on behalf of the caller side.
+#[derive(Debug)]
+pub enum PeerCall {
+    /// Asks what is in flight at hosts.
+    Drain {
+        /// The peer.
+        entry: EntryId,
+        /// The hosts.
+        hosts: Vec<HostId>,
+        /// Where the answer goes.
+        reply: oneshot::Sender<(Incarnation, Vec<DrainReport>)>,
+    },
+    /// Asks for the loan of slots.
+    Borrow {
+        /// The peer.
+        entry: EntryId,
+        /// The slots wanted.
+        wanted: Vec<SlotRequest>,
+        /// How long they are wanted.
+        time: Duration,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Vec<SlotRequest>>,
+    },
+}
+
+impl PeerCall {
+    /// Returns the peer that is called.
+    pub fn entry(&self) -> &EntryId {
+        match self {
+            Self::Drain { entry, .. } | Self::Borrow { entry, .. } => entry,
+        }
+    }
+}
+
+/// The state that both threads of a daemon see.
+#[derive(Debug)]
+pub struct PeerState {
+    /// Who this entry host is.
+    pub identity: EntryIdentity,
+    /// The newest facts.
+    pub facts: FactStore,
+    /// The requests in flight.
+    pub ledger: FlightLedger,
+    hosts: Mutex<HostList>,
+    tracker: Mutex<MemberTracker>,
+    settled: AtomicU64,
+    text_in_force: AtomicU64,
+    beats: AtomicU64,
+    calls: mpsc::UnboundedSender<PeerCall>,
+}
+
+impl PeerState {
+    /// Creates the state of a daemon that knows nothing; calls go to the receiver.
+    pub fn new(identity: EntryIdentity) -> (Self, mpsc::UnboundedReceiver<PeerCall>) {
+        let (calls, receiver) = mpsc::unbounded_channel();
+        let state = Self {
+            identity,
+            facts: FactStore::new(),
+            ledger: FlightLedger::new(),
+            hosts: Mutex::default(),
+            tracker: Mutex::new(MemberTracker::new(Instant::now())),
+            settled: AtomicU64::new(0),
+            text_in_force: AtomicU64::new(0),
+            beats: AtomicU64::new(0),
+            calls,
+        };
+        (state, receiver)
+    }
+
+    /// Returns this entry host's heartbeat.
+    pub fn beat(&self) -> PeerBeat {
+        PeerBeat {
+            entry: self.identity.entry.clone(),
+            incarnation: self.identity.incarnation,
+            facts: self.facts.digest(),
+            hosts: self.hosts().revision(),
+            text_in_force: self.text_in_force(),
+            settled: self.settled(),
+        }
+    }
+
+    /// Notes a peer's heartbeat.
+    pub fn hear(&self, beat: &PeerBeat) {
+        self.beats.fetch_add(1, Ordering::Relaxed);
+        self.tracker().hear(beat, Instant::now());
+    }
+
+    /// Returns the number of heartbeats heard.
+    pub fn beats(&self) -> u64 {
+        self.beats.load(Ordering::Relaxed)
+    }
+
+    /// Returns the agreed members.
+    pub fn members(&self) -> MemberSet {
+        MemberSet::from_fact(&self.facts.get(FactKind::Members))
+    }
+
+    /// Locks the host list.
+    pub fn hosts(&self) -> MutexGuard<'_, HostList> {
+        self.hosts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes changes into the host list and wakes those who route by it.
+    pub fn merge_hosts(&self, changes: HostChanges) {
+        let differs = self.hosts().merge(changes);
+        if differs {
+            self.facts.touch();
+        }
+    }
+
+    /// Locks the record of heartbeats.
+    pub fn tracker(&self) -> MutexGuard<'_, MemberTracker> {
+        self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the member set within whose shares this entry host keeps.
+    pub fn settled(&self) -> Revision {
+        Revision::new(self.settled.load(Ordering::Acquire))
+    }
+
+    /// Notes that this entry host keeps within the shares of a member set.
+    pub fn settle(&self, revision: Revision) {
+        self.settled.fetch_max(revision.get(), Ordering::AcqRel);
+    }
+
+    /// Returns the revision of the service text that requests are routed by.
+    pub fn text_in_force(&self) -> Revision {
+        Revision::new(self.text_in_force.load(Ordering::Acquire))
+    }
+
+    /// Notes that requests are routed by a revision of the service text.
+    pub fn put_in_force(&self, text: Revision) {
+        self.text_in_force.fetch_max(text.get(), Ordering::AcqRel);
+    }
+
+    /// Asks a peer what it has in flight at hosts.
+    pub async fn drain_of(
+        &self,
+        entry: &EntryId,
+        hosts: &[HostId],
+    ) -> Option<(Incarnation, Vec<DrainReport>)> {
+        let (reply, answer) = oneshot::channel();
+        let call = PeerCall::Drain {
+            entry: entry.clone(),
+            hosts: hosts.to_vec(),
+            reply,
+        };
+        self.calls.send(call).ok()?;
+        answer.await.ok()
+    }
+
+    /// Asks a peer to lend slots.
+    pub async fn borrow_from(
+        &self,
+        entry: &EntryId,
+        wanted: Vec<SlotRequest>,
+        time: Duration,
+    ) -> Option<Vec<SlotRequest>> {
+        let (reply, answer) = oneshot::channel();
+        let call = PeerCall::Borrow {
+            entry: entry.clone(),
+            wanted,
+            time,
+            reply,
+        };
+        self.calls.send(call).ok()?;
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/src/process/peer_thread.rs
@@ -0,0 +1,189 @@
+//! The thread that talks to peers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::connection::serve_peers;
+use crate::connection::BeatPlan;
+use crate::connection::LinkHandle;
+use crate::connection::PeerLink;
+use crate::error::Error;
+use crate::error::Result;
+use crate::id::EntryId;
+use crate::process::Member;
+use crate::process::MemberSet;
+use crate::process::PeerCall;
+use crate::process::PeerState;
+use crate::version::FactKind;
+
+/// The number of members up to which everybody beats to everybody.
+const FULL_MESH: usize = 8;
+/// The heartbeats to members of other data centres that each interval has, on average.
+const FAR_BEATS: f64 = 2.0;
+/// The heartbeats to members of the own data centre that each interval has at most.
+const NEAR_BEATS: f64 = 8.0;
+/// The pause between two rounds of asking the known peers.
+const SEED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Starts the thread that serves peers and keeps links to them.
+///
+/// # Errors
+///
+/// Returns an error if the thread or its runtime cannot be started.
+pub(crate) fn start_peer_thread(
+    listener: std::net::TcpListener,
+    state: Arc<PeerState>,
+    calls: mpsc::UnboundedReceiver<PeerCall>,
+    known_peers: Vec<SocketAddr>,
+) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .map_err(|source| start_error("cannot start the peer runtime", source))?;
+    thread::Builder::new()
+        .name("peers".to_owned())
+        .spawn(move || runtime.block_on(talk(listener, state, calls, known_peers)))
+        .map_err(|source| start_error("cannot start the peer thread", source))?;
+    Ok(())
+}
+
+fn start_error(action: &str, source: std::io::Error) -> Error {
+    Error::Socket {
+        action: action.to_owned(),
+        source,
+    }
+}
+
+async fn talk(
+    listener: std::net::TcpListener,
+    state: Arc<PeerState>,
+    calls: mpsc::UnboundedReceiver<PeerCall>,
+    known_peers: Vec<SocketAddr>,
+) {
+    match TcpListener::from_std(listener) {
+        Ok(listener) => drop(tokio::spawn(serve_peers(listener, Arc::clone(&state)))),
+        Err(error) => log::error!(target: "zincpier::peers", "peers are not served: {error}"),
+    }
+    tokio::spawn(ask_known_peers(Arc::clone(&state), known_peers));
+    LinkTable::new(state).run(calls).await;
+}
+
+/// Asks the known peers until the members are known.
+async fn ask_known_peers(state: Arc<PeerState>, known_peers: Vec<SocketAddr>) {
+    let mut links = known_peers
+        .into_iter()
+        .map(|address| PeerLink::new(Arc::clone(&state), address))
+        .collect::<Vec<_>>();
+    while state.facts.get(FactKind::Text).revision.get() == 0 {
+        for link in &mut links {
+            link.beat().await;
+        }
+        sleep(SEED_PAUSE).await;
+    }
+}
+
+/// Keeps one link task for each other member.
+struct LinkTable {
+    state: Arc<PeerState>,
+    links: HashMap<EntryId, LinkHandle>,
+}
+
+impl LinkTable {
+    fn new(state: Arc<PeerState>) -> Self {
+        Self {
+            state,
+            links: HashMap::new(),
+        }
+    }
+
+    async fn run(mut self, mut calls: mpsc::UnboundedReceiver<PeerCall>) {
+        let mut changes = self.state.facts.subscribe();
+        loop {
+            self.follow(&self.state.members());
+            tokio::select! {
+                call = calls.recv() => match call {
+                    Some(call) => self.carry(call),
+                    None => return,
+                },
+                changed = changes.changed() => if changed.is_err() {
+                    return;
+                },
+            }
+        }
+    }
+
+    fn carry(&self, call: PeerCall) {
+        if let Some(link) = self.links.get(call.entry()) {
+            // A link that has just ended drops the call, which its caller sees.
+            let _ = link.calls.send(call);
+        }
+    }
+
+    fn follow(&mut self, members: &MemberSet) {
+        let own = &self.state.identity.entry;
+        self.links.retain(|entry, link| {
+            let plan = plan_of(&self.state, members, entry);
+            let member = members.get(entry);
+            member.is_some_and(|member| member.peer == link.address && plan == link.plan)
+        });
+        for (entry, member) in members.members() {
+            if entry == own || self.links.contains_key(entry) {
+                continue;
+            }
+            let link = start_link(&self.state, members, entry, member);
+            self.links.insert(entry.clone(), link);
+        }
+        self.state.tracker().retain(members);
+    }
+}
+
+fn start_link(
+    state: &Arc<PeerState>,
+    members: &MemberSet,
+    entry: &EntryId,
+    member: &Member,
+) -> LinkHandle {
+    let plan = plan_of(state, members, entry);
+    let (calls, receiver) = mpsc::unbounded_channel();
+    let link = PeerLink::new(Arc::clone(state), member.peer);
+    tokio::spawn(link.run(plan, receiver));
+    LinkHandle {
+        address: member.peer,
+        plan,
+        calls,
+    }
+}
+
+/// Returns how often a peer is beaten to.
+///
+/// Of two members the one with the lower name beats at each interval; the other
+/// one hears and is heard by the reply. In a large set beats to other data
+/// centres go to a few members picked at random, so that a member's cost does
+/// not grow with the set.
+fn plan_of(state: &PeerState, members: &MemberSet, entry: &EntryId) -> BeatPlan {
+    let own = &state.identity;
+    let near = members
+        .get(entry)
+        .is_some_and(|member| member.data_centre == own.data_centre);
+    let near_count = members.in_data_centre(&own.data_centre).count();
+    let far_count = members.members().len() - near_count;
+    let small = members.members().len() <= FULL_MESH;
+    let chance = match near {
+        _ if small => 1.0,
+        true => (NEAR_BEATS / near_count as f64).min(1.0),
+        false => (FAR_BEATS / far_count as f64).min(1.0),
+    };
+    let first = own.entry < *entry;
+    BeatPlan {
+        chance: if first || !small { chance } else { 0.0 },
+        push: small || near,
+    }
+}
--- /dev/null
+++ b/src/process/share_keeper.rs
@@ -0,0 +1,135 @@
+//! How many slots of each backend server this entry host may use now.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::id::DataCentreId;
+use crate::id::EntryId;
+use crate::id::HostId;
+use crate::id::Revision;
+use crate::process::slot_share;
+use crate::process::EntryIdentity;
+use crate::process::MemberSet;
+use crate::process::MemberTracker;
+
+/// How long full shares hold without a sign that the member set is current.
+const CONFIRMATION: Duration = Duration::from_secs(3);
+/// How long others wait for a lost member's shares to have fallen back.
+const TAKEOVER: Duration = Duration::from_secs(4);
+
+/// A backend server's place and slots, as far as shares depend on them.
+#[derive(Clone, Debug)]
+pub struct SharedServer {
+    /// The host.
+    pub host: HostId,
+    /// The data centre of the host.
+    pub data_centre: DataCentreId,
+    /// The requests that it runs at the same time.
+    pub slots: u32,
+}
+
+/// Follows the member set without ever using a slot that another may still use.
+///
+/// Shares shrink as soon as a member set is known and grow once every other
+/// member of the data centre has settled on it. An entry host without a sign
+/// that its set is current falls back to its reserve.
+#[derive(Debug)]
+pub struct ShareKeeper {
+    identity: EntryIdentity,
+    current: MemberSet,
+    current_revision: Revision,
+    current_since: Instant,
+    in_force: MemberSet,
+    confirmed_at: Instant,
+}
+
+impl ShareKeeper {
+    /// Creates a keeper that has no member set and so no slots.
+    pub fn new(identity: EntryIdentity, now: Instant) -> Self {
+        Self {
+            identity,
+            current: MemberSet::new(),
+            current_revision: Revision::new(0),
+            current_since: now,
+            in_force: MemberSet::new(),
+            confirmed_at: now,
+        }
+    }
+
+    /// Takes in a member set.
+    pub fn follow(&mut self, revision: Revision, members: MemberSet, now: Instant) {
+        if revision <= self.current_revision {
+            return;
+        }
+        self.current = members;
+        self.current_revision = revision;
+        self.current_since = now;
+        self.confirmed_at = now;
+    }
+
+    /// Returns the revision of the member set followed.
+    pub fn revision(&self) -> Revision {
+        self.current_revision
+    }
+
+    /// Notes that the platform has shown the member set to be current.
+    pub fn confirm(&mut self, now: Instant) {
+        self.confirmed_at = now;
+    }
+
+    /// Decides which member set is in force, after what was heard from peers.
+    pub fn decide(&mut self, tracker: &MemberTracker, now: Instant) {
+        let mates = self.mates();
+        let live = mates.iter().filter(|(_, lost)| !lost);
+        let settled = live
+            .clone()
+            .all(|(entry, _)| tracker.settled(entry) >= self.current_revision);
+        let heard = live.clone().all(|(entry, _)| tracker.is_alive(entry, now));
+        let any_lost = mates.iter().any(|(_, lost)| *lost);
+        if settled && heard && live.count() > 0 {
+            self.confirmed_at = now;
+        }
+        let waited = now.saturating_duration_since(self.current_since) >= TAKEOVER;
+        if settled && (waited || !any_lost) {
+            self.in_force = self.current.clone();
+        }
+    }
+
+    /// Returns the slots of each server that may be used now.
+    pub fn shares(&self, servers: &[SharedServer], now: Instant) -> HashMap<HostId, u32> {
+        let isolated = now.saturating_duration_since(self.confirmed_at) > CONFIRMATION;
+        servers
+            .iter()
+            .map(|server| {
+                let current = self.share(&self.current, server);
+                let in_force = self.share(&self.in_force, server);
+                let slots = match isolated {
+                    true => current.reserve.min(in_force.reserve),
+                    false => current.full.min(in_force.full),
+                };
+                (server.host.clone(), slots)
+            })
+            .collect()
+    }
+
+    /// Returns the other members of this data centre and whether they are lost.
+    fn mates(&self) -> Vec<(EntryId, bool)> {
+        self.current
+            .in_data_centre(&self.identity.data_centre)
+            .filter(|(entry, _)| **entry != self.identity.entry)
+            .map(|(entry, member)| (entry.clone(), member.lost))
+            .collect()
+    }
+
+    fn share(&self, members: &MemberSet, server: &SharedServer) -> crate::process::SlotShare {
+        let entry = &self.identity.entry;
+        slot_share(
+            members,
+            entry,
+            &server.host,
+            &server.data_centre,
+            server.slots,
+        )
+    }
+}
--- /dev/null
+++ b/src/process/slot_share.rs
@@ -0,0 +1,75 @@
+//! How the slots of a backend server are divided among entry hosts.
+
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher13;
+
+use crate::id::DataCentreId;
+use crate::id::EntryId;
+use crate::id::HostId;
+use crate::process::Member;
+use crate::process::MemberSet;
+
+/// The slots of one backend server that one entry host may use.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SlotShare {
+    /// The slots that nobody else ever takes while this member is in the set.
+    pub reserve: u32,
+    /// The slots while others can tell that this member is alive.
+    pub full: u32,
+}
+
+/// Returns the share of `entry` in the `slots` of `host`.
+///
+/// The members of the host's data centre own its slots. A lost member keeps
+/// half of an equal share, since it may still run, cut off; the live owners
+/// divide the rest, or all live members if no owner is live.
+pub fn slot_share(
+    members: &MemberSet,
+    entry: &EntryId,
+    host: &HostId,
+    data_centre: &DataCentreId,
+    slots: u32,
+) -> SlotShare {
+    let owners = members.in_data_centre(data_centre).collect::<Vec<_>>();
+    let owner_count = owners.len() as u32;
+    let reserve = slots / (2 * owner_count.max(1));
+    let own = owners.iter().any(|(owner, _)| *owner == entry);
+    let own_reserve = if own { reserve } else { 0 };
+    let mut live = live_by_rank(&owners, host);
+    if live.is_empty() {
+        live = live_by_rank(&members.members().iter().collect::<Vec<_>>(), host);
+    }
+    let Some(rank) = live.iter().position(|owner| *owner == entry) else {
+        return SlotShare {
+            reserve: own_reserve,
+            full: own_reserve,
+        };
+    };
+    let floating = slots - reserve * owner_count;
+    let live_count = live.len() as u32;
+    let extra = u32::from((rank as u32) < floating % live_count);
+    SlotShare {
+        reserve: own_reserve,
+        full: own_reserve + floating / live_count + extra,
+    }
+}
+
+/// Orders the owners that are not lost by a hash, so that remainders spread over hosts.
+fn live_by_rank<'m>(owners: &[(&'m EntryId, &Member)], host: &HostId) -> Vec<&'m EntryId> {
+    let mut live = owners
+        .iter()
+        .filter(|(_, member)| !member.lost)
+        .map(|(owner, _)| *owner)
+        .collect::<Vec<_>>();
+    live.sort_by_key(|owner| rendezvous_weight(owner, host));
+    live
+}
+
+fn rendezvous_weight(owner: &EntryId, host: &HostId) -> u64 {
+    let mut hasher = SipHasher13::new();
+    owner.hash(&mut hasher);
+    host.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/src/request/header.rs
@@ -0,0 +1,16 @@
+//! The names of the headers that zincpier reads and writes.
+
+/// Names a request across its caller's retries.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Names the attempt towards a backend server, which echoes it.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Names the caller's request, for the caller's own use; passed on as it is.
+pub const CALLER_ID: &str = "x-caller-id";
+/// Names the customer on whose behalf the request is made.
+pub const CUSTOMER: &str = "zincpier-customer";
+/// The time the request has, in milliseconds.
+pub const DEADLINE_MS: &str = "zincpier-deadline-ms";
+/// What became of a request that zincpier answers itself.
+pub const OUTCOME: &str = "zincpier-outcome";
+/// The data centre of the caller, when it is not the entry host's.
+pub const DATA_CENTRE: &str = "zincpier-data-centre";
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,22 @@
+//! What lives as long as one request.
+
+mod answer_outcome;
+mod claim;
+mod claim_keeper;
+pub mod header;
+mod problem;
+mod request_meta;
+mod request_router;
+
+pub use answer_outcome::AnswerOutcome;
+pub use claim::request_fingerprint;
+pub use claim::ClaimKey;
+pub use claim::ClaimRow;
+pub use claim::ClaimState;
+pub use claim::StoredAnswer;
+pub use claim_keeper::ClaimKeeper;
+pub use claim_keeper::ClaimOutcome;
+pub use problem::problem_response;
+pub use problem::refusal_response;
+pub use request_meta::RequestMeta;
+pub use request_router::RequestRouter;
--- /dev/null
+++ b/src/request/problem.rs
@@ -0,0 +1,47 @@
+//! Problem documents (RFC 9457), the form of every refusal.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use serde_json::json;
+
+use crate::request::header;
+use crate::request::AnswerOutcome;
+
+/// Returns a refusal of a request that nothing was done for.
+pub fn problem_response(status: StatusCode, reason: &str) -> Response<Bytes> {
+    refusal_response(status, AnswerOutcome::NotRun, reason, None)
+}
+
+/// Returns a refusal that says whether the request has run and when to come back.
+pub fn refusal_response(
+    status: StatusCode,
+    outcome: AnswerOutcome,
+    reason: &str,
+    retry_after: Option<Duration>,
+) -> Response<Bytes> {
+    let document = json!({
+        "title": status.canonical_reason().unwrap_or_default(),
+        "status": status.as_u16(),
+        "detail": reason,
+        "outcome": outcome.as_str(),
+    });
+    let mut response = Response::new(Bytes::from(document.to_string()));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
+    headers.insert(header::OUTCOME, HeaderValue::from_static(outcome.as_str()));
+    if let Some(time) = retry_after {
+        let seconds = time.as_millis().div_ceil(1_000).max(1) as u64;
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
--- /dev/null
+++ b/src/request/request_meta.rs
@@ -0,0 +1,91 @@
+//! What a request asks for, beside its content.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use monoio::time::Instant;
+
+use crate::id::CustomerId;
+use crate::id::DataCentreId;
+use crate::request::header;
+use crate::version::Service;
+
+const LONGEST_DEADLINE: Duration = Duration::from_secs(60);
+const KEY_LIMIT_BYTES: usize = 255;
+
+/// The time, urgency, customer and repeatability of a request.
+#[derive(Clone, Debug)]
+pub struct RequestMeta {
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// On whose behalf the request is made.
+    pub customer: Option<CustomerId>,
+    /// The data centre that should serve it, if not the entry host's.
+    pub data_centre: Option<DataCentreId>,
+    /// Names the request across its caller's retries.
+    pub idempotency_key: Option<Bytes>,
+    /// Whether it goes before others.
+    pub urgent: bool,
+    /// Whether it may be sent again after it may have run.
+    pub repeatable: bool,
+}
+
+impl RequestMeta {
+    /// Reads what a request asks for.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why a header cannot be read.
+    pub fn new(request: &Request<Bytes>, service: &Service) -> Result<Self, String> {
+        let path = request.uri().path();
+        let time = match parse_header::<u64>(request, header::DEADLINE_MS)? {
+            Some(millis) => Duration::from_millis(millis).min(LONGEST_DEADLINE),
+            None => service.deadline,
+        };
+        let idempotency_key = read_key(request)?;
+        let idempotent = is_idempotent(request.method());
+        Ok(Self {
+            deadline: Instant::now() + time,
+            customer: parse_header(request, header::CUSTOMER)?,
+            data_centre: parse_header(request, header::DATA_CENTRE)?,
+            idempotency_key,
+            urgent: service.is_urgent(path),
+            repeatable: idempotent && !service.is_at_most_once(path),
+        })
+    }
+}
+
+fn is_idempotent(method: &Method) -> bool {
+    [Method::GET, Method::PUT, Method::DELETE, Method::OPTIONS].contains(method)
+}
+
+fn read_key(request: &Request<Bytes>) -> Result<Option<Bytes>, String> {
+    let mut keys = request.headers().get_all(header::IDEMPOTENCY_KEY).iter();
+    let Some(key) = keys.next() else {
+        return Ok(None);
+    };
+    if keys.next().is_some() || key.is_empty() || key.len() > KEY_LIMIT_BYTES {
+        return Err(format!(
+            "'{}' is one value of 1 to {KEY_LIMIT_BYTES} bytes",
+            header::IDEMPOTENCY_KEY
+        ));
+    }
+    Ok(Some(Bytes::copy_from_slice(key.as_bytes())))
+}
+
+fn parse_header<T: std::str::FromStr>(
+    request: &Request<Bytes>,
+    name: &str,
+) -> Result<Option<T>, String> {
+    let Some(value) = request.headers().get(name) else {
+        return Ok(None);
+    };
+    value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .map(Some)
+        .ok_or_else(|| format!("'{name}' cannot be read"))
+}
--- /dev/null
+++ b/src/standin/platform_faults.rs
@@ -0,0 +1,22 @@
+//! Faults of the platform stand-in.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The faults that are switched on.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFaults {
+    /// Every call is answered with 503 and has no effect.
+    pub outage: bool,
+    /// Every call is answered this much later, in milliseconds.
+    pub delay_ms: u64,
+    /// So many next transactions take effect, after which the connection closes without an answer.
+    pub lost_answers: u32,
+    /// The host list does not show changes.
+    pub frozen_list: bool,
+    /// Table reads show the rows as they were when this was switched on.
+    pub stale_reads: bool,
+    /// Restarted hosts stay down.
+    pub stuck_reboots: bool,
+}
--- /dev/null
+++ b/src/standin/platform_state.rs
@@ -0,0 +1,152 @@
+//! The rows, objects and hosts that the platform stand-in keeps.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
+use bytes::Bytes;
+
+use crate::id::HostId;
+use crate::id::Revision;
+use crate::platform::HostChanges;
+use crate::platform::RowCheck;
+use crate::platform::TableRow;
+use crate::platform::Transaction;
+use crate::platform::TransactionOutcome;
+use crate::version::HostList;
+use crate::version::HostRecord;
+use crate::version::HostState;
+
+/// The whole state of a platform stand-in.
+#[derive(Debug, Default)]
+pub(super) struct PlatformState {
+    revision: u64,
+    rows: BTreeMap<String, TableRow>,
+    stale_rows: Option<BTreeMap<String, TableRow>>,
+    pub(super) objects: BTreeMap<String, Bytes>,
+    hosts: HostList,
+    shown_hosts: Option<HostList>,
+    reboot_tokens: BTreeSet<String>,
+}
+
+impl PlatformState {
+    pub(super) fn transact(&mut self, transaction: &Transaction) -> TransactionOutcome {
+        let conflicts = transaction
+            .checks
+            .iter()
+            .filter_map(|check| self.conflict(check))
+            .collect::<Vec<_>>();
+        if !conflicts.is_empty() {
+            return TransactionOutcome::Conflict(conflicts);
+        }
+        self.revision += 1;
+        let revision = Revision::new(self.revision);
+        for write in &transaction.writes {
+            match &write.value {
+                None => {
+                    self.rows.remove(&write.key);
+                }
+                Some(value) => {
+                    let row = TableRow {
+                        key: write.key.clone(),
+                        revision,
+                        value: value.clone(),
+                    };
+                    self.rows.insert(write.key.clone(), row);
+                }
+            }
+        }
+        TransactionOutcome::Committed(revision)
+    }
+
+    pub(super) fn read(&self, keys: &[String]) -> Vec<TableRow> {
+        let rows = self.shown_rows();
+        keys.iter()
+            .filter_map(|key| rows.get(key).cloned())
+            .collect()
+    }
+
+    pub(super) fn revisions(&self, keys: &[String]) -> Vec<RowCheck> {
+        let rows = self.shown_rows();
+        keys.iter()
+            .filter_map(|key| rows.get(key))
+            .map(|row| RowCheck {
+                key: row.key.clone(),
+                revision: row.revision,
+            })
+            .collect()
+    }
+
+    pub(super) fn scan(&self, prefix: &str, after: &str, limit: usize) -> Vec<TableRow> {
+        let start = after.max(prefix).to_owned();
+        let start = if after.is_empty() {
+            Bound::Included(start)
+        } else {
+            Bound::Excluded(start)
+        };
+        self.shown_rows()
+            .range((start, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .take(limit)
+            .map(|(_, row)| row.clone())
+            .collect()
+    }
+
+    /// Keeps showing the rows as they are now, or ends that.
+    pub(super) fn set_stale(&mut self, stale: bool) {
+        self.stale_rows = stale.then(|| self.rows.clone());
+    }
+
+    /// Keeps showing the host list as it is now, or ends that.
+    pub(super) fn set_frozen(&mut self, frozen: bool) {
+        self.shown_hosts = frozen.then(|| self.hosts.clone());
+    }
+
+    pub(super) fn put_host(&mut self, record: HostRecord) {
+        let revision = Revision::new(self.hosts.revision().get() + 1);
+        self.hosts.merge(HostChanges {
+            revision,
+            hosts: vec![record],
+        });
+    }
+
+    pub(super) fn host(&self, host: &HostId) -> Option<&HostRecord> {
+        self.hosts.get(host)
+    }
+
+    pub(super) fn set_host_state(&mut self, host: &HostId, state: HostState) -> bool {
+        let Some(mut record) = self.host(host).cloned() else {
+            return false;
+        };
+        let restarted = record.state == HostState::Down && state == HostState::Live;
+        record.boots += u64::from(restarted);
+        record.state = state;
+        self.put_host(record);
+        true
+    }
+
+    pub(super) fn changed_hosts(&self, since: Revision) -> HostChanges {
+        let shown = self.shown_hosts.as_ref().unwrap_or(&self.hosts);
+        shown.changed_since(since)
+    }
+
+    /// Takes in a restart order and returns whether its token is new.
+    pub(super) fn take_reboot(&mut self, token: &str) -> bool {
+        self.reboot_tokens.insert(token.to_owned())
+    }
+
+    fn shown_rows(&self) -> &BTreeMap<String, TableRow> {
+        self.stale_rows.as_ref().unwrap_or(&self.rows)
+    }
+
+    fn conflict(&self, check: &RowCheck) -> Option<RowCheck> {
+        let revision = self
+            .rows
+            .get(&check.key)
+            .map_or(Revision::new(0), |row| row.revision);
+        (revision != check.revision).then(|| RowCheck {
+            key: check.key.clone(),
+            revision,
+        })
+    }
+}
--- /dev/null
+++ b/src/version/budget.rs
@@ -0,0 +1,52 @@
+//! The availability that a service is promised.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The share of time that a service must be available, kept in millionths.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Availability {
+    millionths: u32,
+}
+
+/// The number of parts that make a whole.
+const WHOLE: u32 = 1_000_000;
+
+impl Availability {
+    /// Creates an availability from a percentage between 0 and 100.
+    pub fn from_percent(percent: f64) -> Option<Self> {
+        if !(0.0..=100.0).contains(&percent) {
+            return None;
+        }
+        let millionths = (percent * f64::from(WHOLE) / 100.0).round() as u32;
+        Some(Self { millionths })
+    }
+
+    /// Returns the time that the service may be unavailable within `window`.
+    pub fn allowance(self, window: Duration) -> Duration {
+        window * (WHOLE - self.millionths) / WHOLE
+    }
+}
+
+impl fmt::Display for Availability {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}%", f64::from(self.millionths) / 10_000.0)
+    }
+}
+
+impl FromStr for Availability {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim_end_matches('%')
+            .parse()
+            .ok()
+            .and_then(Self::from_percent)
+            .ok_or_else(|| format!("{text:?} is not a percentage between 0 and 100"))
+    }
+}
--- /dev/null
+++ b/src/version/fact_store.rs
@@ -0,0 +1,69 @@
+//! The newest version seen of each fact.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use crate::id::Revision;
+use crate::version::Fact;
+use crate::version::FactKind;
+use crate::version::FACT_KINDS;
+
+/// Keeps the highest version seen of each fact, so that none ever reverts.
+///
+/// Offers come from the platform, from peers and from this process's own
+/// transactions, in any order and any number of times.
+#[derive(Debug, Default)]
+pub struct FactStore {
+    facts: Mutex<[Fact; FACT_KINDS.len()]>,
+    changes: watch::Sender<u64>,
+}
+
+impl FactStore {
+    /// Creates a store that has seen nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in a version and returns whether it is newer than the one held.
+    pub fn offer(&self, kind: FactKind, revision: Revision, value: &[u8]) -> bool {
+        let mut facts = self.lock();
+        let held = &mut facts[kind.index()];
+        if revision <= held.revision {
+            return false;
+        }
+        held.revision = revision;
+        held.value = Bytes::copy_from_slice(value);
+        drop(facts);
+        self.touch();
+        true
+    }
+
+    /// Returns the version held.
+    pub fn get(&self, kind: FactKind) -> Fact {
+        self.lock()[kind.index()].clone()
+    }
+
+    /// Returns the revision held of each kind, in the order of [`FACT_KINDS`].
+    pub fn digest(&self) -> [Revision; FACT_KINDS.len()] {
+        let facts = self.lock();
+        FACT_KINDS.map(|kind| facts[kind.index()].revision)
+    }
+
+    /// Wakes the receivers, since something kept beside the facts has changed.
+    pub fn touch(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that is woken by every version taken in.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, [Fact; FACT_KINDS.len()]> {
+        self.facts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/version/host_list.rs
@@ -0,0 +1,67 @@
+//! One version of the platform's host list.
+
+use std::collections::BTreeMap;
+
+use crate::id::HostId;
+use crate::id::Revision;
+use crate::platform::HostChanges;
+use crate::version::HostRecord;
+
+/// The platform's hosts, as of one revision.
+#[derive(Clone, Debug, Default)]
+pub struct HostList {
+    revision: Revision,
+    hosts: BTreeMap<HostId, (Revision, HostRecord)>,
+}
+
+impl HostList {
+    /// Creates an empty list, older than any that the platform gives.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the revision of the list.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the record of a host.
+    pub fn get(&self, host: &HostId) -> Option<&HostRecord> {
+        self.hosts.get(host).map(|(_, record)| record)
+    }
+
+    /// Returns the records, in the order of the hosts' names.
+    pub fn records(&self) -> impl Iterator<Item = &HostRecord> {
+        self.hosts.values().map(|(_, record)| record)
+    }
+
+    /// Returns the records that changed after `since`.
+    pub fn changed_since(&self, since: Revision) -> HostChanges {
+        HostChanges {
+            revision: self.revision,
+            hosts: self
+                .hosts
+                .values()
+                .filter(|(changed, _)| *changed > since)
+                .map(|(_, record)| record.clone())
+                .collect(),
+        }
+    }
+
+    /// Takes in changes and returns whether any record differs.
+    ///
+    /// Changes that lead to an older revision than the list's have no effect.
+    pub fn merge(&mut self, changes: HostChanges) -> bool {
+        if changes.revision <= self.revision {
+            return false;
+        }
+        self.revision = changes.revision;
+        let mut differs = false;
+        for record in changes.hosts {
+            differs |= self.get(&record.id) != Some(&record);
+            self.hosts
+                .insert(record.id.clone(), (changes.revision, record));
+        }
+        differs
+    }
+}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,34 @@
+//! What lives as long as one version of the service text or the host list.
+
+mod budget;
+mod data_centre;
+mod fact;
+mod fact_store;
+mod host_list;
+mod host_record;
+mod pool;
+mod rack;
+mod routing_table;
+mod service;
+mod service_text;
+mod weights;
+
+pub use budget::Availability;
+pub use data_centre::DataCentre;
+pub use fact::Fact;
+pub use fact::FactKind;
+pub use fact::FACT_KINDS;
+pub use fact_store::FactStore;
+pub use host_list::HostList;
+pub use host_record::HostRecord;
+pub use host_record::HostState;
+pub use pool::Pool;
+pub use pool::PoolRole;
+pub use rack::Rack;
+pub use routing_table::BackendServer;
+pub use routing_table::RoutingTable;
+pub use routing_table::ServiceRoute;
+pub use service::LossDomain;
+pub use service::Service;
+pub use service_text::ServiceText;
+pub use weights::MeasureWeights;
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,408 @@
+//! Real processes on loopback ports, and plain HTTP calls to them.
+
+#![allow(dead_code)] // Each test file uses some of the fixtures.
+
+use std::collections::BTreeMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use serde_json::Value;
+
+use zincpier::version::ServiceText;
+
+pub(crate) const TOKEN: &str = "test-token";
+const START_TIME: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+
+/// A process that is killed with its test.
+pub(crate) struct Program {
+    pub(crate) child: Child,
+    pub(crate) lines: Vec<String>,
+}
+
+impl Program {
+    pub(crate) fn start(path: &str, arguments: &[&str], line_count: usize) -> Self {
+        let mut child = Command::new(path)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let output = BufReader::new(child.stdout.take().unwrap());
+        let lines = output
+            .lines()
+            .take(line_count)
+            .map(Result::unwrap)
+            .collect();
+        Self { child, lines }
+    }
+
+    pub(crate) fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An answer to a plain HTTP call.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: BTreeMap<String, String>,
+    pub(crate) body: String,
+}
+
+impl Answer {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// Calls a server once, on a connection of its own.
+pub(crate) fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    try_call(to, method, path, headers, body).unwrap()
+}
+
+pub(crate) fn try_call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Answer> {
+    let mut request = format!("{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        request += &format!("{name}: {value}\r\n");
+    }
+    request += &format!("content-length: {}\r\n\r\n{body}", body.len());
+    let wire = send_raw(to, request.as_bytes()).ok()?;
+    parse_answer(&wire)
+}
+
+/// Sends bytes and returns everything that comes back.
+pub(crate) fn send_raw(to: SocketAddr, bytes: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(to)?;
+    stream.set_read_timeout(Some(START_TIME))?;
+    // A server that refuses may close before it has read everything.
+    let _ = stream.write_all(bytes);
+    let mut wire = Vec::new();
+    let mut part = [0; 4096];
+    loop {
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return Ok(wire),
+            Ok(count) => wire.extend_from_slice(&part[..count]),
+        }
+    }
+}
+
+pub(crate) fn parse_answer(wire: &[u8]) -> Option<Answer> {
+    let text = String::from_utf8_lossy(wire);
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let mut lines = head.lines();
+    let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+    let headers = lines
+        .filter_map(|line| line.split_once(": "))
+        .map(|(name, value)| (name.to_lowercase(), value.to_owned()))
+        .collect();
+    Some(Answer {
+        status,
+        headers,
+        body: body.to_owned(),
+    })
+}
+
+/// Waits until something holds, and fails if it never does.
+pub(crate) fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + START_TIME;
+    while !holds() {
+        assert!(Instant::now() < deadline, "never: {what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// A daemon process with its addresses.
+pub(crate) struct DaemonProgram {
+    pub(crate) program: Program,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+impl DaemonProgram {
+    pub(crate) fn get(&self, path: &str) -> Answer {
+        call(self.callers, "GET", path, &[], "")
+    }
+
+    pub(crate) fn post_once(&self, path: &str, key: &str, caller: &str) -> Option<Answer> {
+        let headers = [("idempotency-key", key), ("x-caller-id", caller)];
+        try_call(self.callers, "POST", path, &headers, "{}")
+    }
+
+    pub(crate) fn status(&self) -> Value {
+        call(self.operators, "GET", "/status", &[], "").json()
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        try_call(self.operators, "GET", "/ready", &[], "")
+            .is_some_and(|answer| answer.status == 200)
+    }
+
+    pub(crate) fn metrics(&self) -> String {
+        call(self.operators, "GET", "/metrics", &[], "").body
+    }
+}
+
+/// A platform, backend servers and daemons, each a process.
+pub(crate) struct System {
+    pub(crate) platform_program: Program,
+    pub(crate) platform: SocketAddr,
+    pub(crate) backend_program: Program,
+    pub(crate) backends: BTreeMap<String, SocketAddr>,
+    pub(crate) daemons: Vec<DaemonProgram>,
+    pub(crate) text: String,
+    pub(crate) folder: tempfile::TempDir,
+}
+
+impl System {
+    /// Starts the processes of a text, with a daemon for each name and data centre.
+    pub(crate) fn start(text: &str, service_ms: &str, daemons: &[(&str, &str)]) -> Self {
+        let parsed = ServiceText::parse("test", text).unwrap();
+        let standin = env!("CARGO_BIN_EXE_zincpier-standin");
+        let platform_program = Program::start(standin, &["platform", "--reboot-ms", "200"], 1);
+        let platform = last_address(&platform_program.lines[0]);
+        let hosts = zincpier::standin::executor_hosts(&parsed)
+            .iter()
+            .map(|host| format!("{host}=127.0.0.1:0"))
+            .collect::<Vec<_>>();
+        let mut arguments = vec!["backend", "--service-ms", service_ms];
+        arguments.extend(hosts.iter().map(String::as_str));
+        let backend_program = Program::start(standin, &arguments, hosts.len());
+        let backends = backend_program
+            .lines
+            .iter()
+            .map(|line| {
+                (
+                    line.split(' ').next().unwrap().to_owned(),
+                    last_address(line),
+                )
+            })
+            .collect::<BTreeMap<_, _>>();
+        for record in
+            zincpier::standin::host_records(&parsed, |host| backends.get(host.as_str()).copied())
+        {
+            let body = serde_json::to_string(&record).unwrap();
+            assert_eq!(call(platform, "PUT", "/hosts", &[], &body).status, 200);
+        }
+        let mut system = Self {
+            platform_program,
+            platform,
+            backend_program,
+            backends,
+            daemons: Vec::new(),
+            text: text.to_owned(),
+            folder: tempfile::tempdir().unwrap(),
+        };
+        for (name, data_centre) in daemons {
+            let daemon = system.start_daemon(name, data_centre, &[]);
+            system.daemons.push(daemon);
+        }
+        system
+    }
+
+    /// Starts a system and puts its text in force everywhere.
+    pub(crate) fn start_ready(text: &str, service_ms: &str, daemons: &[(&str, &str)]) -> Self {
+        let system = Self::start(text, service_ms, daemons);
+        system.apply(text, 0);
+        system.wait_ready();
+        system
+    }
+
+    pub(crate) fn start_daemon(
+        &self,
+        name: &str,
+        data_centre: &str,
+        known_peers: &[SocketAddr],
+    ) -> DaemonProgram {
+        let path = self.folder.path().join(format!("{name}.toml"));
+        let known = known_peers
+            .iter()
+            .map(|peer| format!("{:?}", peer.to_string()));
+        let settings = format!(
+            "name = {name:?}\ndata_centre = {data_centre:?}\nplatform = \"{}\"\n\
+             callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             operator_token = {TOKEN:?}\nnotice_ms = 100\npoll_ms = 300\nknown_peers = [{}]\n",
+            self.platform,
+            known.collect::<Vec<_>>().join(", ")
+        );
+        std::fs::write(&path, settings).unwrap();
+        let program = Program::start(
+            env!("CARGO_BIN_EXE_zincpierd"),
+            &[path.to_str().unwrap()],
+            1,
+        );
+        let address = |role: &str| {
+            let line = &program.lines[0];
+            let start = line.find(&format!("{role}=")).unwrap() + role.len() + 1;
+            line[start..].split(' ').next().unwrap().parse().unwrap()
+        };
+        DaemonProgram {
+            callers: address("callers"),
+            operators: address("operators"),
+            peers: address("peers"),
+            program,
+        }
+    }
+
+    pub(crate) fn apply(&self, text: &str, replaces: u64) -> Answer {
+        let replaces = replaces.to_string();
+        let headers = [
+            ("zincpier-token", TOKEN),
+            ("zincpier-replaces", replaces.as_str()),
+            ("zincpier-who", "tester"),
+        ];
+        call(self.daemons[0].operators, "POST", "/text", &headers, text)
+    }
+
+    /// Waits until every daemon serves and has its share of slots.
+    pub(crate) fn wait_ready(&self) {
+        wait_for("all daemons are members", || {
+            self.daemons.iter().all(|daemon| {
+                daemon.is_ready()
+                    && daemon.status()["entries"].as_array().unwrap().len() == self.daemons.len()
+            })
+        });
+        // The servers' slots are shared out once all members have heard each other.
+        let parsed = ServiceText::parse("test", &self.text).unwrap();
+        for service in parsed.services.values() {
+            wait_for("every daemon serves", || {
+                self.daemons
+                    .iter()
+                    .all(|daemon| daemon.get(&service.path).status == 200)
+            });
+        }
+    }
+
+    pub(crate) fn platform_faults(&self, faults: &Value) {
+        let answer = call(self.platform, "POST", "/faults", &[], &faults.to_string());
+        assert_eq!(answer.status, 200);
+    }
+
+    pub(crate) fn backend_faults(&self, host: &str, faults: &Value) {
+        let answer = call(
+            self.backends[host],
+            "POST",
+            "/-/faults",
+            &[],
+            &faults.to_string(),
+        );
+        assert_eq!(answer.status, 200);
+    }
+
+    pub(crate) fn host_state(&self, host: &str, state: &str) {
+        let body = json!({ "state": state }).to_string();
+        let answer = call(
+            self.platform,
+            "PUT",
+            &format!("/hosts/{host}/state"),
+            &[],
+            &body,
+        );
+        assert_eq!(answer.status, 200);
+    }
+
+    pub(crate) fn stats(&self, host: &str) -> Value {
+        call(self.backends[host], "GET", "/-/stats", &[], "").json()
+    }
+
+    /// Counts the runs of each caller's request over all backend servers.
+    pub(crate) fn runs(&self) -> BTreeMap<String, usize> {
+        let mut runs = BTreeMap::new();
+        for host in self.backends.keys() {
+            for id in self.stats(host)["executions"].as_array().unwrap() {
+                *runs.entry(id.as_str().unwrap().to_owned()).or_default() += 1;
+            }
+        }
+        runs
+    }
+
+    /// Runs the operators' tool against the first daemon.
+    pub(crate) fn tool(&self, arguments: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_zincpier"))
+            .args(arguments)
+            .env("ZINCPIER_TOKEN", TOKEN)
+            .env("USER", "tester")
+            .output()
+            .unwrap()
+    }
+}
+
+fn last_address(line: &str) -> SocketAddr {
+    line.split(' ').next_back().unwrap().parse().unwrap()
+}
+
+/// A text with one service on four hosts in two data centres.
+pub(crate) fn small_text() -> String {
+    r#"deployment = "test"
+
+[[data_centres]]
+name = "east"
+region = "one"
+
+[[data_centres]]
+name = "west"
+region = "one"
+
+[[services]]
+name = "notices"
+path = "/notices"
+availability = "99.9"
+at_most_once = ["/notices/bills"]
+urgent = ["/notices/red-tags"]
+
+[[racks]]
+name = "east-r1"
+data_centre = "east"
+hosts = ["e1", "e2"]
+
+[[racks]]
+name = "west-r1"
+data_centre = "west"
+hosts = ["w1", "w2"]
+
+[[pools]]
+name = "notices-executors"
+service = "notices"
+role = "executor"
+needed = 2
+hosts = ["e1", "e2", "w1", "w2"]
+"#
+    .to_owned()
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,202 @@
+//! The whole path with real processes: text, requests, audit, shutdown.
+
+mod common;
+
+use std::fs;
+use std::path::Path;
+
+use crate::common::call;
+use crate::common::small_text;
+use crate::common::System;
+use crate::common::TOKEN;
+
+/// Replaces what differs between runs: addresses, times and tokens.
+fn normalize(text: &str) -> String {
+    text.split_inclusive([' ', '\n', '\t', ',', '"', '}'])
+        .map(|word| {
+            let bare = word.trim_end_matches([' ', '\n', '\t', ',', '"', '}']);
+            let long = bare.len() > 9 && bare.bytes().all(|byte| byte.is_ascii_digit());
+            match long {
+                true => word.replace(bare, "<number>"),
+                false => word.to_owned(),
+            }
+        })
+        .collect()
+}
+
+#[test]
+fn session_of_text_requests_and_audit() {
+    let system = System::start(&small_text(), "1", &[("entry-1", "east")]);
+    let path = system.folder.path().join("text.toml");
+    fs::write(&path, small_text()).unwrap();
+    let server = system.daemons[0].operators.to_string();
+    let mut session = String::new();
+    let mut run = |arguments: &[&str]| {
+        let output = system.tool(arguments);
+        let shown = arguments
+            .join(" ")
+            .replace(path.to_str().unwrap(), "text.toml");
+        session += &format!("$ zincpier {}\n", shown.replace(&server, "SERVER"));
+        let lines = String::from_utf8_lossy(&output.stdout).into_owned();
+        session += &lines.replace(path.to_str().unwrap(), "text.toml");
+        let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+        session += &errors
+            .replace(path.to_str().unwrap(), "text.toml")
+            .replace(&server, "SERVER");
+        session += &format!("exit {}\n\n", output.status.code().unwrap());
+    };
+
+    run(&["text", "check", path.to_str().unwrap()]);
+    run(&[
+        "text",
+        "apply",
+        path.to_str().unwrap(),
+        "--server",
+        &server,
+        "--wait",
+    ]);
+    run(&[
+        "text",
+        "apply",
+        path.to_str().unwrap(),
+        "--server",
+        &server,
+        "--replaces",
+        "0",
+    ]);
+    system.wait_ready();
+    let headers = [("x-caller-id", "caller-7")];
+    let daemon = &system.daemons[0];
+    let answer = call(daemon.callers, "GET", "/notices/today", &headers, "");
+    let refused = daemon.get("/elsewhere");
+    let forbidden = call(
+        daemon.operators,
+        "POST",
+        "/text",
+        &[("zincpier-token", "wrong-token")],
+        "",
+    );
+    run(&["audit", "--server", &server]);
+    session += &format!(
+        "GET /notices/today\n{} {}\n\n",
+        answer.status,
+        answer.json()["caller"]
+    );
+    session += &format!("GET /elsewhere\n{} {}\n\n", refused.status, refused.body);
+    session += &format!(
+        "POST /text with a wrong token\n{} {}\n",
+        forbidden.status, forbidden.body
+    );
+
+    insta::assert_snapshot!(normalize(&session));
+}
+
+#[test]
+fn findings_are_printed_together_and_change_nothing() {
+    let system = System::start_ready(&small_text(), "1", &[("entry-1", "east")]);
+    let broken = small_text()
+        .replace(
+            "availability = \"99.9\"",
+            "availability = \"many\"\ncolour = 3",
+        )
+        .replace("needed = 2", "needed = 4")
+        .replace(
+            "\"w1\", \"w2\"]\n\n[[pools]]",
+            "\"w1\", \"e1\"]\n\n[[pools]]",
+        );
+    let path = system.folder.path().join("broken.toml");
+    fs::write(&path, &broken).unwrap();
+    let before = system.daemons[0].status()["text_in_force"].clone();
+
+    let checked = system.tool(&["text", "check", path.to_str().unwrap()]);
+    let applied = system.apply(&broken, before.as_u64().unwrap());
+
+    let errors = String::from_utf8(checked.stderr).unwrap();
+    let errors = errors.replace(path.to_str().unwrap(), "broken.toml");
+    insta::assert_snapshot!(errors);
+    assert_eq!(checked.status.code(), Some(2));
+    assert_eq!(applied.status, 422);
+    assert_eq!(system.daemons[0].status()["text_in_force"], before);
+}
+
+#[test]
+fn cyclic_dependency_is_found() {
+    let cyclic = small_text().replace("at_most_once", "depends_on = [\"notices\"]\nat_most_once");
+
+    let parsed = zincpier::version::ServiceText::parse("cyclic.toml", &cyclic);
+
+    insta::assert_snapshot!(parsed.unwrap_err().to_string());
+}
+
+#[test]
+fn daemon_uses_no_io_uring_and_starts_no_process() {
+    let system = System::start_ready(&small_text(), "1", &[("entry-1", "east")]);
+    let pid = system.daemons[0].program.child.id();
+    let process = Path::new("/proc").join(pid.to_string());
+
+    let descriptors = fs::read_dir(process.join("fd"))
+        .unwrap()
+        .filter_map(|entry| fs::read_link(entry.unwrap().path()).ok())
+        .map(|link| link.display().to_string())
+        .collect::<Vec<_>>();
+    let children = fs::read_dir(process.join("task"))
+        .unwrap()
+        .map(|task| fs::read_to_string(task.unwrap().path().join("children")).unwrap_or_default())
+        .collect::<String>();
+
+    assert!(
+        descriptors.iter().any(|link| link.contains("eventpoll")),
+        "{descriptors:?}"
+    );
+    assert!(
+        !descriptors.iter().any(|link| link.contains("io_uring")),
+        "{descriptors:?}"
+    );
+    assert_eq!(children.trim(), "");
+}
+
+#[test]
+fn shutdown_finishes_requests_in_flight() {
+    let mut system = System::start_ready(&small_text(), "1", &[("entry-1", "east")]);
+    let callers = system.daemons[0].callers;
+    let slow = std::thread::spawn(move || call(callers, "GET", "/notices?ms=800", &[], ""));
+    common::wait_for("the request runs", || {
+        system
+            .backends
+            .keys()
+            .any(|host| system.stats(host)["in_flight"] == 1)
+    });
+
+    system.daemons[0].program.signal("-TERM");
+    common::wait_for("readiness fails", || !system.daemons[0].is_ready());
+    let answer = slow.join().unwrap();
+    let ended = system.daemons[0].program.child.wait().unwrap();
+
+    assert_eq!(answer.status, 200);
+    assert_eq!(ended.code(), Some(0));
+}
+
+#[test]
+fn operators_without_the_token_change_nothing() {
+    let system = System::start_ready(&small_text(), "1", &[("entry-1", "east")]);
+    let held = system.daemons[0].status()["text_in_force"].to_string();
+    let headers = [
+        ("zincpier-token", "not-the-token"),
+        ("zincpier-replaces", held.as_str()),
+    ];
+
+    let refused = call(
+        system.daemons[0].operators,
+        "POST",
+        "/text",
+        &headers,
+        &small_text(),
+    );
+
+    assert_eq!(refused.status, 403);
+    assert_ne!(TOKEN, "not-the-token");
+    assert_eq!(
+        system.daemons[0].status()["text_in_force"].to_string(),
+        held
+    );
+}
