Hold slots, claims and whole answers under faults of servers, daemons and platform

Cause of what the new tests showed: - with every server failing, requests hung to their deadline: ejection was judged over all servers of a service, also those whose slots we may not use, so that both usable servers were ejected at once; - a backend server got 11 requests over its 8 slots: a smaller wish shrank a loan of slots that was in use, and a loan was given back on the strength of a look that was old by one call; - a claim of a killed run was called in-progress by its own successor; - a declared body of 99 GB was waited for (408) instead of refused (413).

Ruled out: slot shares through kill and return (no loan was involved in the runs that held); the stand-in's own count (it frees a slot when the caller's connection closes).

Conclusion: loans only grow or end, end at the borrower first, never come out of the lender's reserve, and a restarted lender keeps to its reserve until loans of its earlier run have ended.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -37,6 +37,7 @@
 use crate::connection::limited_reader::MessagePart;
 use crate::connection::limited_reader::ReadBudget;
 use crate::connection::limited_reader::ReadRefusal;
+use crate::connection::BodyFraming;
 use crate::connection::MessageLimits;
 use crate::process::ShutdownSignal;
 use crate::request::problem_response;
@@ -176,7 +177,7 @@
     }
 
     async fn read_body(&mut self, head: Request<Payload>) -> NextRequest {
-        if let Some(refusal) = check_head(&head) {
+        if let Some(refusal) = check_head(&head, self.limits.body_bytes) {
             return NextRequest::Refuse(refusal);
         }
         self.budget.start_body();
@@ -232,9 +233,14 @@
     }
 }
 
-fn check_head(head: &Request<Payload>) -> Option<Response<Bytes>> {
-    if let Err(error) = check_framing(head.version(), head.headers()) {
-        return Some(bad_request(&error.to_string()));
+fn check_head(head: &Request<Payload>, body_limit: usize) -> Option<Response<Bytes>> {
+    match check_framing(head.version(), head.headers()) {
+        Err(error) => return Some(bad_request(&error.to_string())),
+        Ok(BodyFraming::Length(length)) if length > body_limit as u64 => {
+            let reason = "the body is too large";
+            return Some(problem_response(StatusCode::PAYLOAD_TOO_LARGE, reason));
+        }
+        Ok(_) => {}
     }
     if head.headers().contains_key(EXPECT) {
         let reason = "'Expect' is not supported";
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -30,6 +30,7 @@
 use crate::process::member_keeper::MemberKeeper;
 use crate::process::now_ms;
 use crate::process::peer_thread::start_peer_thread;
+use crate::process::slot_borrower::SlotBorrower;
 use crate::process::AuditLog;
 use crate::process::DaemonMetrics;
 use crate::process::DaemonSettings;
@@ -42,6 +43,7 @@
 use crate::process::ShareKeeper;
 use crate::process::SharedServer;
 use crate::process::ShutdownSignal;
+use crate::process::SlotShare;
 use crate::request::ClaimKeeper;
 use crate::request::RequestRouter;
 use crate::version::FactKind;
@@ -50,6 +52,7 @@
 
 const TICK: Duration = Duration::from_millis(50);
 const MEMBER_PAUSE: Duration = Duration::from_millis(500);
+const LOANS_TIME: Duration = Duration::from_millis(6_500);
 const LEAVE_TIME: Duration = Duration::from_secs(2);
 const SWEEP_PAUSE: Duration = Duration::from_secs(5);
 
@@ -233,6 +236,8 @@
         monoio::spawn(Rc::clone(self).keep_membership());
         monoio::spawn(Rc::clone(self).tick());
         monoio::spawn(Rc::clone(self).sweep());
+        let borrower = SlotBorrower::new(Arc::clone(&self.state), Rc::clone(&self.router));
+        monoio::spawn(borrower.run());
         let claims = Rc::clone(&self.claims);
         monoio::spawn(async move { claims.run().await });
     }
@@ -337,11 +342,13 @@
     fn update_shares(
         &self,
         keeper: &mut ShareKeeper,
-        shares: &mut HashMap<HostId, u32>,
+        shares: &mut HashMap<HostId, SlotShare>,
         now: Instant,
     ) {
         let fact = self.state.facts.get(FactKind::Members);
-        keeper.follow(fact.revision, MemberSet::from_fact(&fact), now);
+        if fact.revision > keeper.revision() {
+            keeper.follow(fact.revision, MemberSet::from_fact(&fact), now);
+        }
         keeper.decide(&self.state.tracker(), now);
         let servers = self.shared_servers();
         let wanted = keeper.shares(&servers, now);
@@ -379,16 +386,12 @@
     async fn stop(&self, settings: &DaemonSettings) {
         self.shutdown.notice().await;
         log::info!(target: "zincpier::process", "shutdown: readiness fails");
+        self.state.ledger.end_lending();
         sleep(settings.notice).await;
         self.shutdown.close();
-        let deadline = Instant::now() + settings.grace;
-        while self.shutdown.busy() > 0 && Instant::now() < deadline {
-            sleep(TICK).await;
-        }
-        let deadline = Instant::now() + LEAVE_TIME;
-        while !self.claims.is_settled() && Instant::now() < deadline {
-            sleep(TICK).await;
-        }
+        wait_while(settings.grace, || self.shutdown.busy() > 0).await;
+        wait_while(LOANS_TIME, || self.state.ledger.has_lent(Instant::now())).await;
+        wait_while(LEAVE_TIME, || !self.claims.is_settled()).await;
         if !self.members.is_superseded() {
             let left = monoio::time::timeout(LEAVE_TIME, self.members.leave()).await;
             if !matches!(left, Ok(Ok(()))) {
@@ -399,6 +402,14 @@
     }
 }
 
+/// Waits while something holds, for `time` at most.
+async fn wait_while(time: Duration, holds: impl Fn() -> bool) {
+    let deadline = Instant::now() + time;
+    while holds() && Instant::now() < deadline {
+        sleep(TICK).await;
+    }
+}
+
 fn bind(address: SocketAddr) -> Result<(std::net::TcpListener, SocketAddr)> {
     let action = || format!("cannot listen at {address}");
     let listener =
--- a/src/process/entry_identity.rs
+++ b/src/process/entry_identity.rs
@@ -21,12 +21,13 @@
 }
 
 impl EntryIdentity {
-    /// Returns the member row of this run.
-    pub fn member(&self) -> Member {
+    /// Returns the member row of this run, which may take the place of an earlier one.
+    pub fn member(&self, replaces: bool) -> Member {
         Member {
             incarnation: self.incarnation,
             data_centre: self.data_centre.clone(),
             peer: self.peer,
+            replaces,
             lost: false,
         }
     }
--- a/src/process/flight_ledger.rs
+++ b/src/process/flight_ledger.rs
@@ -14,6 +14,7 @@
 use crate::id::EntryId;
 use crate::id::HostId;
 use crate::id::Revision;
+use crate::process::SlotShare;
 
 /// The time a lender waits beyond a loan's end before it uses the slot again.
 const LOAN_MARGIN: Duration = Duration::from_millis(500);
@@ -39,35 +40,69 @@
 struct HostFlights {
     in_flight: u32,
     share: u32,
+    reserve: u32,
     lent: Vec<SlotLoan>,
     borrowed: Vec<SlotLoan>,
 }
 
 impl HostFlights {
-    fn usable(&self, now: Instant) -> u32 {
+    /// Returns the slots that a request may use which ends by `deadline`.
+    fn usable(&self, now: Instant, deadline: Instant) -> u32 {
         let lent = active_slots(&self.lent, now);
-        let borrowed = active_slots(&self.borrowed, now);
+        let borrowed = active_slots(&self.borrowed, deadline.max(now));
         (self.share + borrowed).saturating_sub(lent)
     }
 
+    fn set_share(&mut self, share: SlotShare) {
+        self.share = share.full;
+        self.reserve = share.reserve;
+    }
+
+    /// Tells whether what is in flight and lent fits into the share.
+    fn is_within_share(&self, now: Instant) -> bool {
+        let borrowed = active_slots(&self.borrowed, now);
+        self.in_flight + active_slots(&self.lent, now) <= self.share + borrowed
+    }
+
+    /// Returns how many more slots may be lent: half of what is free, and none of the reserve.
+    fn lendable(&self, now: Instant) -> u32 {
+        let lent = active_slots(&self.lent, now);
+        let free = self.share.saturating_sub(lent + self.in_flight);
+        let above_reserve = self.share.saturating_sub(lent + self.reserve);
+        free.div_ceil(2).min(above_reserve)
+    }
+
     fn forget_ended(&mut self, now: Instant) {
         self.lent.retain(|loan| loan.until > now);
         self.borrowed.retain(|loan| loan.until > now);
     }
 }
 
-fn active_slots(loans: &[SlotLoan], now: Instant) -> u32 {
+/// Returns the slots of the loans that last beyond `time`.
+fn active_slots(loans: &[SlotLoan], time: Instant) -> u32 {
     loans
         .iter()
-        .filter(|loan| loan.until > now)
+        .filter(|loan| loan.until > time)
         .map(|loan| loan.slots)
         .sum()
 }
 
+/// Slots of a host that a peer has lent.
+#[derive(Clone, Debug)]
+pub struct BorrowedHost {
+    /// The host.
+    pub host: HostId,
+    /// The lender.
+    pub lender: EntryId,
+    /// The slots lent.
+    pub slots: u32,
+}
+
 #[derive(Debug, Default)]
 struct LedgerState {
     placement: Revision,
     closed: BTreeSet<HostId>,
+    lending_ended: bool,
     hosts: HashMap<HostId, HostFlights>,
 }
 
@@ -86,8 +121,8 @@
         Self::default()
     }
 
-    /// Takes a slot of a host if one is free and the host is open.
-    pub fn begin(&self, host: &HostId, now: Instant) -> bool {
+    /// Takes a slot of an open host for a request that ends by `deadline`, if one is free.
+    pub fn begin(&self, host: &HostId, now: Instant, deadline: Instant) -> bool {
         let mut state = self.lock();
         if state.closed.contains(host) {
             return false;
@@ -95,7 +130,7 @@
         let Some(flights) = state.hosts.get_mut(host) else {
             return false;
         };
-        if flights.in_flight >= flights.usable(now) {
+        if flights.in_flight >= flights.usable(now, deadline) {
             return false;
         }
         flights.in_flight += 1;
@@ -109,12 +144,12 @@
         }
     }
 
-    /// Returns the requests in flight and the usable slots of a host.
-    pub fn load(&self, host: &HostId, now: Instant) -> (u32, u32) {
+    /// Returns the requests in flight and the slots that a request may use which ends by `deadline`.
+    pub fn load(&self, host: &HostId, now: Instant, deadline: Instant) -> (u32, u32) {
         let state = self.lock();
         match state.hosts.get(host) {
             Some(flights) if !state.closed.contains(host) => {
-                (flights.in_flight, flights.usable(now))
+                (flights.in_flight, flights.usable(now, deadline))
             }
             _ => (0, 0),
         }
@@ -130,17 +165,18 @@
     }
 
     /// Sets the share of each host's slots.
-    pub fn set_shares(&self, shares: &HashMap<HostId, u32>) {
+    pub fn set_shares(&self, shares: &HashMap<HostId, SlotShare>) {
         let mut state = self.lock();
-        for (host, flights) in &mut state.hosts {
-            flights.share = shares.get(host).copied().unwrap_or(0);
+        for flights in state.hosts.values_mut() {
+            flights.set_share(SlotShare::default());
         }
         for (host, share) in shares {
-            state.hosts.entry(host.clone()).or_default().share = *share;
+            let flights = state.hosts.entry(host.clone()).or_default();
+            flights.set_share(*share);
         }
-        state
-            .hosts
-            .retain(|host, flights| flights.in_flight > 0 || shares.contains_key(host));
+        state.hosts.retain(|host, flights| {
+            flights.in_flight > 0 || !flights.borrowed.is_empty() || shares.contains_key(host)
+        });
     }
 
     /// Tells whether no host has more in flight than its usable slots.
@@ -149,7 +185,7 @@
         state
             .hosts
             .values()
-            .all(|flights| flights.in_flight <= flights.usable(now))
+            .all(|flights| flights.is_within_share(now))
     }
 
     /// Reports what is in flight at a host.
@@ -164,7 +200,9 @@
 
     /// Lends up to `slots` free slots of a host to a peer for `time`.
     ///
-    /// Half of what is free stays here. A repeated loan replaces the earlier one.
+    /// Half of what is free stays here. A repeated loan takes the place of the
+    /// earlier one and is never smaller, since its slots may be in use; a loan
+    /// of no slots ends it.
     pub fn lend(
         &self,
         host: &HostId,
@@ -174,19 +212,17 @@
         now: Instant,
     ) -> u32 {
         let mut state = self.lock();
-        if state.closed.contains(host) {
-            return 0;
-        }
+        let closed = state.closed.contains(host) || state.lending_ended;
         let Some(flights) = state.hosts.get_mut(host) else {
             return 0;
         };
         flights.forget_ended(now);
         let held = loan_of(&flights.lent, borrower);
-        let free = flights.usable(now).saturating_sub(flights.in_flight);
-        let granted = slots
-            .min(held + free.div_ceil(2))
-            .min(held + free)
-            .max(held);
+        let more = if closed { 0 } else { flights.lendable(now) };
+        let granted = match slots {
+            0 => 0,
+            wanted => wanted.min(held + more).max(held),
+        };
         flights.lent.retain(|loan| loan.other != *borrower);
         if granted > 0 {
             flights.lent.push(SlotLoan {
@@ -198,17 +234,59 @@
         granted
     }
 
-    /// Notes slots of a host that a peer has lent until a time.
+    /// Lends no further slots.
+    pub fn end_lending(&self) {
+        self.lock().lending_ended = true;
+    }
+
+    /// Tells whether any slot is lent.
+    pub fn has_lent(&self, now: Instant) -> bool {
+        let state = self.lock();
+        let mut hosts = state.hosts.values();
+        hosts.any(|flights| active_slots(&flights.lent, now) > 0)
+    }
+
+    /// Ends a loan from a peer if no request in flight needs it, and returns whether it has ended.
+    pub fn give_back(&self, host: &HostId, lender: &EntryId) -> bool {
+        let mut state = self.lock();
+        let Some(flights) = state.hosts.get_mut(host) else {
+            return true;
+        };
+        let unneeded = flights.in_flight <= flights.share;
+        if unneeded {
+            flights.borrowed.retain(|loan| loan.other != *lender);
+        }
+        unneeded
+    }
+
+    /// Notes slots of a host that a peer has lent until a time; no slots end the loan.
     pub fn borrow(&self, host: &HostId, lender: &EntryId, slots: u32, until: Instant) {
         let mut state = self.lock();
         let flights = state.hosts.entry(host.clone()).or_default();
-        flights.forget_ended(Instant::now());
         flights.borrowed.retain(|loan| loan.other != *lender);
-        flights.borrowed.push(SlotLoan {
-            other: lender.clone(),
-            slots,
-            until,
-        });
+        if slots > 0 {
+            flights.borrowed.push(SlotLoan {
+                other: lender.clone(),
+                slots,
+                until,
+            });
+        }
+    }
+
+    /// Returns the loans from peers that end before `time`.
+    pub fn loans_ending_before(&self, time: Instant) -> Vec<BorrowedHost> {
+        let mut state = self.lock();
+        let mut ending = Vec::new();
+        for (host, flights) in &mut state.hosts {
+            flights.forget_ended(Instant::now());
+            let loans = flights.borrowed.iter().filter(|loan| loan.until < time);
+            ending.extend(loans.map(|loan| BorrowedHost {
+                host: host.clone(),
+                lender: loan.other.clone(),
+                slots: loan.slots,
+            }));
+        }
+        ending
     }
 
     fn lock(&self) -> MutexGuard<'_, LedgerState> {
--- a/src/process/member_keeper.rs
+++ b/src/process/member_keeper.rs
@@ -50,9 +50,12 @@
     pub(crate) async fn look(&self) -> Result<()> {
         let members = self.state.members();
         let own = &self.state.identity;
-        let joined = members.get(&own.entry) == Some(&own.member());
+        let held = members.get(&own.entry);
+        let joined = held.is_some_and(|held| held.incarnation == own.incarnation && !held.lost);
         if !joined && !self.is_superseded() {
-            let joined = members.with_member(own.entry.clone(), own.member());
+            let replaces =
+                held.is_some_and(|held| held.incarnation != own.incarnation || held.replaces);
+            let joined = members.with_member(own.entry.clone(), own.member(replaces));
             return self.change(joined, "member join", &own.entry).await;
         }
         let Some((entry, member)) = self.misjudged(&members) else {
--- a/src/process/member_set.rs
+++ b/src/process/member_set.rs
@@ -20,6 +20,9 @@
     pub data_centre: DataCentreId,
     /// Where it talks to its peers.
     pub peer: SocketAddr,
+    /// Whether this run took the place of another one, which may have lent slots.
+    #[serde(default)]
+    pub replaces: bool,
     /// Whether others have stopped hearing it; it may still run, cut off.
     #[serde(default)]
     pub lost: bool,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -21,6 +21,7 @@
 mod server_picker;
 mod share_keeper;
 mod shutdown;
+mod slot_borrower;
 mod slot_share;
 
 pub use admission_queue::AdmissionQueue;
@@ -39,6 +40,7 @@
 pub use daemon_metrics::EventLabels;
 pub use daemon_settings::DaemonSettings;
 pub use entry_identity::EntryIdentity;
+pub use flight_ledger::BorrowedHost;
 pub use flight_ledger::DrainReport;
 pub use flight_ledger::FlightLedger;
 pub use freeze_guard::FreezeGuard;
--- a/src/process/peer_state.rs
+++ b/src/process/peer_state.rs
@@ -61,9 +61,9 @@
     /// Returns the peer that is called.
     pub fn entry(&self) -> &EntryId {
         match self {
-            Self::CatchUp { entry }
-            | Self::Drain { entry, .. }
-            | Self::Borrow { entry, .. } => entry,
+            Self::CatchUp { entry } | Self::Drain { entry, .. } | Self::Borrow { entry, .. } => {
+                entry
+            }
         }
     }
 }
@@ -125,7 +125,11 @@
     pub fn hear_sent(&self, beat: &PeerBeat) {
         self.hear(beat);
         let held = self.facts.digest();
-        let newer = beat.facts.iter().zip(&held).any(|(shown, held)| shown > held);
+        let newer = beat
+            .facts
+            .iter()
+            .zip(&held)
+            .any(|(shown, held)| shown > held);
         if newer || beat.hosts > self.hosts().revision() {
             let entry = beat.entry.clone();
             // The links end before this state only when the process does.
--- a/src/process/server_picker.rs
+++ b/src/process/server_picker.rs
@@ -23,6 +23,7 @@
     ledger: &'p FlightLedger,
     health: &'p ServerHealth,
     now: Instant,
+    deadline: Instant,
 }
 
 /// The groups of servers that are tried in turn.
@@ -60,12 +61,18 @@
 }
 
 impl<'p> ServerPicker<'p> {
-    /// Creates a picker for one moment.
-    pub fn new(ledger: &'p FlightLedger, health: &'p ServerHealth, now: Instant) -> Self {
+    /// Creates a picker for one moment, for a request that ends by `deadline`.
+    pub fn new(
+        ledger: &'p FlightLedger,
+        health: &'p ServerHealth,
+        now: Instant,
+        deadline: Instant,
+    ) -> Self {
         Self {
             ledger,
             health,
             now,
+            deadline,
         }
     }
 
@@ -99,13 +106,12 @@
         !self.health.is_ejected(host, self.now) && (repeatable || !self.health.is_on_trial(host))
     }
 
-    /// Tells whether ejection leaves enough servers; otherwise all are tried.
+    /// Tells whether ejection leaves enough servers with slots for us; otherwise all are tried.
     fn may_eject(&self, servers: &[Arc<BackendServer>]) -> bool {
-        let ejected = servers
-            .iter()
-            .filter(|server| self.health.is_ejected(&server.host, self.now))
-            .count();
-        ejected <= servers.len() / EJECTED_DIVISOR
+        let usable = servers.iter().filter(|server| self.load(server).1 > 0);
+        let (ejected, trusted): (Vec<_>, Vec<_>) =
+            usable.partition(|server| self.health.is_ejected(&server.host, self.now));
+        ejected.len() <= (ejected.len() + trusted.len()) / EJECTED_DIVISOR
     }
 
     fn pick_of_two<'s>(
@@ -122,15 +128,19 @@
             let cheaper = candidates[second].cost < candidates[first].cost;
             let chosen = if cheaper { second } else { first };
             let server = candidates.swap_remove(chosen).server;
-            if self.ledger.begin(&server.host, self.now) {
+            if self.ledger.begin(&server.host, self.now, self.deadline) {
                 return Some(server);
             }
         }
         None
     }
 
+    fn load(&self, server: &BackendServer) -> (u32, u32) {
+        self.ledger.load(&server.host, self.now, self.deadline)
+    }
+
     fn candidate<'s>(&self, server: &'s Arc<BackendServer>) -> Option<Candidate<'s>> {
-        let (in_flight, usable) = self.ledger.load(&server.host, self.now);
+        let (in_flight, usable) = self.load(server);
         if in_flight >= usable {
             return None;
         }
--- a/src/process/share_keeper.rs
+++ b/src/process/share_keeper.rs
@@ -12,12 +12,16 @@
 use crate::process::EntryIdentity;
 use crate::process::MemberSet;
 use crate::process::MemberTracker;
+use crate::process::SlotShare;
 
 /// How long full shares hold without a sign that the member set is current.
 const CONFIRMATION: Duration = Duration::from_secs(3);
 /// How long others wait for a lost member's shares to have fallen back.
 const TAKEOVER: Duration = Duration::from_secs(4);
 
+/// How long slots that an earlier run has lent may still be in use.
+const EARLIER_LOANS: Duration = Duration::from_millis(6_500);
+
 /// A backend server's place and slots, as far as shares depend on them.
 #[derive(Clone, Debug)]
 pub struct SharedServer {
@@ -42,6 +46,7 @@
     current_since: Instant,
     in_force: MemberSet,
     confirmed_at: Instant,
+    started: Instant,
 }
 
 impl ShareKeeper {
@@ -54,6 +59,7 @@
             current_since: now,
             in_force: MemberSet::new(),
             confirmed_at: now,
+            started: now,
         }
     }
 
@@ -97,22 +103,33 @@
     }
 
     /// Returns the slots of each server that may be used now.
-    pub fn shares(&self, servers: &[SharedServer], now: Instant) -> HashMap<HostId, u32> {
+    pub fn shares(&self, servers: &[SharedServer], now: Instant) -> HashMap<HostId, SlotShare> {
         let isolated = now.saturating_duration_since(self.confirmed_at) > CONFIRMATION;
+        let careful = isolated || self.may_have_lent(now);
         servers
             .iter()
             .map(|server| {
                 let current = self.share(&self.current, server);
                 let in_force = self.share(&self.in_force, server);
-                let slots = match isolated {
-                    true => current.reserve.min(in_force.reserve),
+                let reserve = current.reserve.min(in_force.reserve);
+                let full = match careful {
+                    true => reserve,
                     false => current.full.min(in_force.full),
                 };
-                (server.host.clone(), slots)
+                (server.host.clone(), SlotShare { reserve, full })
             })
             .collect()
     }
 
+    /// Tells whether slots may still be in use that an earlier run of this entry host has lent.
+    fn may_have_lent(&self, now: Instant) -> bool {
+        let own = self.current.get(&self.identity.entry);
+        let replaces = own.is_some_and(|member| {
+            member.replaces || member.incarnation != self.identity.incarnation
+        });
+        replaces && now.saturating_duration_since(self.started) < EARLIER_LOANS
+    }
+
     /// Returns the other members of this data centre and whether they are lost.
     fn mates(&self) -> Vec<(EntryId, bool)> {
         self.current
@@ -122,7 +139,7 @@
             .collect()
     }
 
-    fn share(&self, members: &MemberSet, server: &SharedServer) -> crate::process::SlotShare {
+    fn share(&self, members: &MemberSet, server: &SharedServer) -> SlotShare {
         let entry = &self.identity.entry;
         slot_share(
             members,
--- a/src/request/request_router.rs
+++ b/src/request/request_router.rs
@@ -85,6 +85,7 @@
     data_centre: DataCentreId,
     avoided: Vec<HostId>,
     repeatable: bool,
+    deadline: Instant,
 }
 
 /// The queue and the average times of one service.
@@ -194,6 +195,11 @@
             .map_or(0, |queue| queue.queue.len())
     }
 
+    /// Tells whether any request waits for a slot.
+    pub fn has_waiting(&self) -> bool {
+        self.waiting.get() > 0
+    }
+
     /// Gives free slots to waiting requests of every service.
     pub fn dispatch_all(&self) {
         if self.waiting.get() == 0 {
@@ -319,10 +325,11 @@
     }
 
     fn answer_running(&self, held: &ClaimRow) -> Refusal {
-        let members = self.state.members();
-        let running = members
-            .get(&held.entry)
-            .is_some_and(|owner| !owner.lost && owner.incarnation == held.incarnation);
+        let own = &self.state.identity;
+        let running = match held.entry == own.entry {
+            true => held.incarnation == own.incarnation,
+            false => self.is_member_run(held),
+        };
         if running {
             return Refusal {
                 status: StatusCode::CONFLICT,
@@ -335,6 +342,13 @@
         Refusal::unknown(StatusCode::CONFLICT, reason)
     }
 
+    /// Tells whether the run that made a claim is still a member.
+    fn is_member_run(&self, held: &ClaimRow) -> bool {
+        let members = self.state.members();
+        let owner = members.get(&held.entry);
+        owner.is_some_and(|owner| !owner.lost && owner.incarnation == held.incarnation)
+    }
+
     /// Sends a request until an answer is whole or no further attempt is allowed.
     async fn attempt(
         &self,
@@ -490,6 +504,7 @@
             data_centre,
             avoided: avoided.to_vec(),
             repeatable: meta.repeatable,
+            deadline: meta.deadline,
         };
         if self.waiting(&route.service.id) == 0 {
             if let Some(grant) = self.pick(&waiter, route) {
@@ -577,11 +592,13 @@
         meta: &RequestMeta,
     ) -> Duration {
         let now = std::time::Instant::now();
+        let deadline = meta.deadline.into_std();
+        let ledger = &self.state.ledger;
         let slots = self
             .current(route)
             .servers
             .iter()
-            .map(|server| self.state.ledger.load(&server.host, now).1)
+            .map(|server| ledger.load(&server.host, now, deadline).1)
             .sum::<u32>()
             .max(1);
         let ahead = service.queue.ahead_of(meta.urgent, &meta.customer) as f64;
@@ -631,7 +648,8 @@
             return None;
         }
         let health = self.health.borrow();
-        let picker = ServerPicker::new(&self.state.ledger, &health, now);
+        let picker =
+            ServerPicker::new(&self.state.ledger, &health, now, waiter.deadline.into_std());
         let current = self.current(route);
         let server = picker.pick(
             &current.servers,
--- /dev/null
+++ b/tests/hostile_input.rs
@@ -0,0 +1,192 @@
+//! Messages at the callers' port that no honest caller sends.
+
+mod common;
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io::Write;
+use std::net::TcpStream;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Version;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+
+use zincpier::connection::check_framing;
+use zincpier::connection::BodyFraming;
+
+use crate::common::parse_answer;
+use crate::common::send_raw;
+use crate::common::small_text;
+use crate::common::System;
+
+/// The memory that hostile callers may make a daemon use, in kilobytes.
+const MEMORY_BOUND_KB: u64 = 64 * 1024;
+
+#[test]
+fn each_malformed_message_gets_its_refusal_and_a_close() {
+    let system = System::start_ready(&small_text(), "1", &[("entry-1", "east")]);
+    let callers = system.daemons[0].callers;
+    let long = "x".repeat(40_000);
+    let chunk = "y".repeat(2_000_000);
+    let messages: Vec<(&str, Vec<u8>)> = vec![
+        ("head without end", format!("GET /notices HTTP/1.1\r\nlong: {long}").into_bytes()),
+        ("two lengths", b"POST /notices HTTP/1.1\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\n{}x".to_vec()),
+        ("same length twice", b"POST /notices HTTP/1.1\r\ncontent-length: 2\r\ncontent-length: 2\r\n\r\n{}".to_vec()),
+        ("list of lengths", b"POST /notices HTTP/1.1\r\ncontent-length: 2, 2\r\n\r\n{}".to_vec()),
+        ("negative length", b"POST /notices HTTP/1.1\r\ncontent-length: -2\r\n\r\n{}".to_vec()),
+        ("length with sign", b"POST /notices HTTP/1.1\r\ncontent-length: +2\r\n\r\n{}".to_vec()),
+        ("length and chunks", b"POST /notices HTTP/1.1\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_vec()),
+        ("unknown coding", b"POST /notices HTTP/1.1\r\ntransfer-encoding: gzip\r\n\r\n".to_vec()),
+        ("coding twice", b"POST /notices HTTP/1.1\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_vec()),
+        ("coding in 1.0", b"POST /notices HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_vec()),
+        ("two hosts", b"GET /notices HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n".to_vec()),
+        ("huge length", b"POST /notices HTTP/1.1\r\ncontent-length: 99999999999\r\n\r\n{}".to_vec()),
+        ("huge chunk", format!("POST /notices HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{chunk}", chunk.len()).into_bytes()),
+        ("bad chunk size", b"POST /notices HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n\r\n".to_vec()),
+        ("not UTF-8", b"GET /\xff\xfe HTTP/1.1\r\n\r\n".to_vec()),
+        ("no method", b"\r\n\r\n\r\n /notices\r\n\r\n".to_vec()),
+        ("expectation", b"POST /notices HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n{}".to_vec()),
+        ("head method", b"HEAD /notices HTTP/1.1\r\n\r\n".to_vec()),
+    ];
+
+    let mut session = String::new();
+    for (name, message) in &messages {
+        let wire = send_raw(callers, message).unwrap();
+        let answer = parse_answer(&wire);
+        let shown = answer.map_or("closed".to_owned(), |answer| {
+            format!("{} {}", answer.status, answer.header("zincpier-outcome"))
+        });
+        writeln!(session, "{name}: {shown}").unwrap();
+    }
+
+    insta::assert_snapshot!(session);
+    assert_eq!(system.daemons[0].get("/notices").status, 200);
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_turn() {
+    let system = System::start_ready(&small_text(), "1", &[("entry-1", "east")]);
+    let mut wire = String::new();
+    for number in 0..5 {
+        let close = if number == 4 {
+            "connection: close\r\n"
+        } else {
+            ""
+        };
+        write!(
+            wire,
+            "GET /notices HTTP/1.1\r\nx-caller-id: pipe-{number}\r\n{close}\r\n"
+        )
+        .unwrap();
+    }
+
+    let answers = send_raw(system.daemons[0].callers, wire.as_bytes()).unwrap();
+
+    let answers = String::from_utf8(answers).unwrap();
+    let places = (0..5)
+        .map(|number| answers.find(&format!("\"pipe-{number}\"")).unwrap())
+        .collect::<Vec<_>>();
+    assert!(places.is_sorted());
+}
+
+#[test]
+fn stalled_and_idle_callers_leave_memory_bounded_and_others_served() {
+    let system = System::start_ready(&small_text(), "1", &[("entry-1", "east")]);
+    let daemon = &system.daemons[0];
+
+    let stalled = (0..2_000)
+        .map(|number| {
+            let mut stream = TcpStream::connect(daemon.callers).unwrap();
+            if number % 2 == 0 {
+                stream
+                    .write_all(b"POST /notices HTTP/1.1\r\ncontent-length: 900000\r\n\r\nxx")
+                    .unwrap();
+            }
+            stream
+        })
+        .collect::<Vec<_>>();
+    let answer = daemon.get("/notices");
+    let status = fs::read_to_string(format!("/proc/{}/status", daemon.program.child.id())).unwrap();
+
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS"))
+        .unwrap();
+    let resident = line
+        .split_whitespace()
+        .nth(1)
+        .unwrap()
+        .parse::<u64>()
+        .unwrap();
+    assert_eq!(stalled.len(), 2_000);
+    assert_eq!(answer.status, 200);
+    assert!(resident < MEMORY_BOUND_KB, "{resident} kB resident");
+}
+
+/// Any mix of framing headers is read in one way or refused.
+#[test]
+fn framing_is_unambiguous_for_random_heads() {
+    let lengths = [
+        "0",
+        "7",
+        "07",
+        "7,7",
+        "-1",
+        "+1",
+        " 7",
+        "",
+        "0x7",
+        "18446744073709551616",
+    ];
+    let codings = [
+        "chunked",
+        "Chunked",
+        "gzip",
+        "gzip, chunked",
+        "chunked, chunked",
+        "identity",
+        "",
+    ];
+    let mut random = SmallRng::seed_from_u64(7);
+
+    for _ in 0..20_000 {
+        let mut headers = HeaderMap::new();
+        for _ in 0..random.random_range(0..3) {
+            let length = lengths[random.random_range(0..lengths.len())];
+            headers.append("content-length", HeaderValue::from_static(length));
+        }
+        for _ in 0..random.random_range(0..3) {
+            let coding = codings[random.random_range(0..codings.len())];
+            headers.append("transfer-encoding", HeaderValue::from_static(coding));
+        }
+
+        let framing = check_framing(Version::HTTP_11, &headers);
+
+        let all_lengths = headers.get_all("content-length").iter().collect::<Vec<_>>();
+        let all_codings = headers
+            .get_all("transfer-encoding")
+            .iter()
+            .collect::<Vec<_>>();
+        match framing {
+            Ok(BodyFraming::Empty) => assert!(all_lengths.is_empty() && all_codings.is_empty()),
+            Ok(BodyFraming::Length(length)) => {
+                assert_eq!((all_lengths.len(), all_codings.len()), (1, 0));
+                assert_eq!(
+                    all_lengths[0].to_str().unwrap().parse::<u64>().unwrap(),
+                    length
+                );
+            }
+            Ok(BodyFraming::Chunked) => {
+                assert_eq!((all_lengths.len(), all_codings.len()), (0, 1));
+                assert!(all_codings[0]
+                    .to_str()
+                    .unwrap()
+                    .eq_ignore_ascii_case("chunked"));
+            }
+            Err(_) => assert!(all_lengths.len() + all_codings.len() > 0),
+        }
+    }
+}
