Run maintenance waves, moves and role leases

Cause of what the new tests showed: - six operators who raced started three waves over the same hosts: each start wrote its own row only; - two members' slot shares summed to 10 of 8: a heartbeat of a mate that knew of a newer member set still confirmed the older one.

Conclusion: a start changes a common row; only a mate that holds the same member set confirms it.

--- a/src/bin/zincpier/arguments.rs
+++ b/src/bin/zincpier/arguments.rs
@@ -20,6 +20,10 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Text(TextArguments),
+    Wave(WaveArguments),
+    Host(HostArguments),
+    Entry(EntryArguments),
+    Budget(BudgetArguments),
     Status(StatusArguments),
     Audit(AuditArguments),
     Load(LoadArguments),
@@ -163,3 +167,180 @@
     #[argh(option, default = "8.0")]
     pub(crate) seconds: f64,
 }
+
+/// Preview, start, hold, resume, abort or show maintenance waves.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "wave")]
+pub(crate) struct WaveArguments {
+    #[argh(subcommand)]
+    pub(crate) command: WaveCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum WaveCommand {
+    Preview(PreviewArguments),
+    Start(StartArguments),
+    Hold(HoldArguments),
+    Resume(ResumeArguments),
+    Abort(AbortArguments),
+    Show(WaveShowArguments),
+}
+
+/// Print the steps of a wave before anything is stopped.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "preview")]
+pub(crate) struct PreviewArguments {
+    /// pool:NAME, service:NAME, rack:NAME or data-centre:NAME
+    #[argh(positional)]
+    pub(crate) scope: String,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Start a wave over a part of the fleet.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "start")]
+pub(crate) struct StartArguments {
+    /// pool:NAME, service:NAME, rack:NAME or data-centre:NAME
+    #[argh(positional)]
+    pub(crate) scope: String,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+    /// wait until the wave is over or held
+    #[argh(switch)]
+    pub(crate) wait: bool,
+}
+
+/// Stop no further host of a wave.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hold")]
+pub(crate) struct HoldArguments {
+    /// the wave
+    #[argh(positional)]
+    pub(crate) wave: String,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+}
+
+/// Let a held wave go on.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "resume")]
+pub(crate) struct ResumeArguments {
+    /// the wave
+    #[argh(positional)]
+    pub(crate) wave: String,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+}
+
+/// Give a wave up; hosts that are restarting still come back.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "abort")]
+pub(crate) struct AbortArguments {
+    /// the wave
+    #[argh(positional)]
+    pub(crate) wave: String,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+}
+
+/// Print the waves.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct WaveShowArguments {
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// List the hosts, or move one to another pool.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "host")]
+pub(crate) struct HostArguments {
+    #[argh(subcommand)]
+    pub(crate) command: HostCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum HostCommand {
+    List(HostListArguments),
+    Move(HostMoveArguments),
+}
+
+/// Print every host with its pool, place and condition.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub(crate) struct HostListArguments {
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Drain a host and make it a member of another pool.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "move")]
+pub(crate) struct HostMoveArguments {
+    /// the host
+    #[argh(positional)]
+    pub(crate) host: String,
+    /// the pool
+    #[argh(positional)]
+    pub(crate) pool: String,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+}
+
+/// Forget an entry host that is lost and known not to run any more.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub(crate) struct EntryArguments {
+    #[argh(subcommand)]
+    pub(crate) command: EntryCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum EntryCommand {
+    Forget(EntryForgetArguments),
+}
+
+/// Wait for it in no wave any more.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "forget")]
+pub(crate) struct EntryForgetArguments {
+    /// the entry host
+    #[argh(positional)]
+    pub(crate) entry: String,
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+}
+
+/// Print the availability budgets and what is left of them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "budget")]
+pub(crate) struct BudgetArguments {
+    /// the operator address of a daemon
+    #[argh(option)]
+    pub(crate) server: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
--- a/src/bin/zincpier/commands.rs
+++ b/src/bin/zincpier/commands.rs
@@ -26,6 +26,7 @@
 use crate::arguments::LoadArguments;
 use crate::arguments::StatusArguments;
 use crate::arguments::TextCommand;
+use crate::fleet_commands;
 use crate::printer::end_progress;
 use crate::printer::print_progress;
 use crate::printer::print_table;
@@ -49,6 +50,10 @@
                 Ok(true)
             }
         },
+        Command::Wave(wave) => fleet_commands::run_wave(wave.command).await,
+        Command::Host(host) => fleet_commands::run_host(host.command).await,
+        Command::Entry(entry) => fleet_commands::run_entry(entry.command).await,
+        Command::Budget(budget) => fleet_commands::show_budgets(&budget).await,
         Command::Status(status) => show_status(&status).await,
         Command::Audit(audit) => show_audit(&audit).await,
         Command::Load(load) => send_load(&load).await,
@@ -69,7 +74,7 @@
     Ok((source, text))
 }
 
-fn operator(server: std::net::SocketAddr) -> OperatorClient {
+pub(crate) fn operator(server: std::net::SocketAddr) -> OperatorClient {
     let token = std::env::var(TOKEN_VARIABLE).unwrap_or_default();
     let who = std::env::var(USER_VARIABLE).unwrap_or_else(|_| "operator".to_owned());
     OperatorClient::new(server).with_token(&token, &who)
--- /dev/null
+++ b/src/bin/zincpier/fleet_commands.rs
@@ -0,0 +1,210 @@
+//! The commands about waves, hosts, entry hosts and budgets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use serde_json::json;
+use serde_json::Value;
+
+use zincpier::error::Result;
+use zincpier::operator::BudgetStatus;
+use zincpier::operator::HostStatus;
+use zincpier::operator::OperatorClient;
+use zincpier::wave::WavePreview;
+use zincpier::wave::WaveRecord;
+use zincpier::wave::WaveState;
+
+use crate::arguments::BudgetArguments;
+use crate::arguments::EntryCommand;
+use crate::arguments::HostCommand;
+use crate::arguments::WaveCommand;
+use crate::commands::operator;
+use crate::printer::end_progress;
+use crate::printer::print_progress;
+use crate::printer::print_table;
+
+const WAIT_POLL: Duration = Duration::from_millis(200);
+
+/// Runs a command about waves.
+pub(crate) async fn run_wave(command: WaveCommand) -> Result<bool> {
+    match command {
+        WaveCommand::Preview(preview) => {
+            let path = format!("/preview?scope={}", preview.scope);
+            let found = operator(preview.server).get::<WavePreview>(&path).await?;
+            print_preview(&found, preview.json);
+            Ok(found.obstacle.is_none())
+        }
+        WaveCommand::Start(start) => {
+            let operator = operator(start.server);
+            let order = json!({ "scope": start.scope });
+            let wave = operator.post::<WaveRecord>("/wave/start", &order).await?;
+            println!("{}", wave.id);
+            match start.wait {
+                true => wait_for_wave(&operator, &wave).await,
+                false => Ok(true),
+            }
+        }
+        WaveCommand::Hold(hold) => steer(hold.server, &hold.wave, "hold").await,
+        WaveCommand::Resume(resume) => steer(resume.server, &resume.wave, "resume").await,
+        WaveCommand::Abort(abort) => steer(abort.server, &abort.wave, "abort").await,
+        WaveCommand::Show(show) => {
+            let waves = operator(show.server)
+                .get::<Vec<WaveRecord>>("/waves")
+                .await?;
+            print_waves(&waves, show.json);
+            Ok(true)
+        }
+    }
+}
+
+async fn steer(server: SocketAddr, wave: &str, order: &str) -> Result<bool> {
+    let path = format!("/wave/{wave}/{order}");
+    let wave = operator(server)
+        .post::<WaveRecord>(&path, &Value::Null)
+        .await?;
+    println!("{} {}", wave.id, wave.state);
+    Ok(true)
+}
+
+async fn wait_for_wave(operator: &OperatorClient, started: &WaveRecord) -> Result<bool> {
+    loop {
+        let waves = operator.get::<Vec<WaveRecord>>("/waves").await?;
+        let wave = waves.iter().find(|wave| wave.id == started.id);
+        let Some(wave) = wave else {
+            return Ok(false);
+        };
+        if wave.state != WaveState::Running {
+            end_progress();
+            println!("{}", wave.state);
+            return Ok(wave.state == WaveState::Finished);
+        }
+        let all = wave.pending.len() + wave.stopped.len() + wave.done.len();
+        print_progress(&format!(
+            "{} of {all} hosts, {}",
+            wave.done.len(),
+            wave.waiting_for
+        ));
+        sleep(WAIT_POLL).await;
+    }
+}
+
+fn print_preview(preview: &WavePreview, as_json: bool) {
+    if as_json {
+        println!("{}", json!(preview));
+        return;
+    }
+    let rows = preview.steps.iter().enumerate().map(|(number, step)| {
+        let hosts = step.hosts.iter().map(ToString::to_string);
+        let hosts = hosts.collect::<Vec<_>>().join(", ");
+        vec![
+            (number + 1).to_string(),
+            step.hosts.len().to_string(),
+            hosts,
+        ]
+    });
+    print_table(&["STEP", "COUNT", "HOSTS"], &rows.collect::<Vec<_>>());
+    println!("about {} s, {} moves", preview.seconds, preview.moves);
+    if let Some(obstacle) = &preview.obstacle {
+        println!("it would then wait for {obstacle}");
+    }
+}
+
+fn print_waves(waves: &[WaveRecord], as_json: bool) {
+    if as_json {
+        println!("{}", json!(waves));
+        return;
+    }
+    let rows = waves.iter().map(|wave| {
+        vec![
+            wave.id.to_string(),
+            wave.scope.to_string(),
+            wave.state.to_string(),
+            wave.pending.len().to_string(),
+            wave.stopped.len().to_string(),
+            wave.done.len().to_string(),
+            wave.waiting_for.clone(),
+        ]
+    });
+    let headings = [
+        "WAVE",
+        "SCOPE",
+        "STATE",
+        "PENDING",
+        "STOPPED",
+        "DONE",
+        "WAITING FOR",
+    ];
+    print_table(&headings, &rows.collect::<Vec<_>>());
+}
+
+/// Runs a command about hosts.
+pub(crate) async fn run_host(command: HostCommand) -> Result<bool> {
+    match command {
+        HostCommand::List(list) => {
+            let hosts = operator(list.server)
+                .get::<Vec<HostStatus>>("/hosts")
+                .await?;
+            if list.json {
+                println!("{}", json!(hosts));
+                return Ok(true);
+            }
+            let rows = hosts.iter().map(|host| {
+                vec![
+                    host.host.to_string(),
+                    host.pool.to_string(),
+                    host.data_centre.to_string(),
+                    host.rack.to_string(),
+                    host.condition.clone(),
+                    host.phase.clone(),
+                ]
+            });
+            let headings = ["HOST", "POOL", "DATA CENTRE", "RACK", "CONDITION", "PHASE"];
+            print_table(&headings, &rows.collect::<Vec<_>>());
+            Ok(true)
+        }
+        HostCommand::Move(order) => {
+            let path = format!("/host/{}/move", order.host);
+            let body = json!({ "pool": order.pool });
+            operator(order.server).post::<Value>(&path, &body).await?;
+            println!("{} leaves for {}", order.host, order.pool);
+            Ok(true)
+        }
+    }
+}
+
+/// Runs a command about entry hosts.
+pub(crate) async fn run_entry(command: EntryCommand) -> Result<bool> {
+    match command {
+        EntryCommand::Forget(forget) => {
+            let path = format!("/entry/{}/forget", forget.entry);
+            operator(forget.server)
+                .post::<Value>(&path, &Value::Null)
+                .await?;
+            println!("{} is forgotten", forget.entry);
+            Ok(true)
+        }
+    }
+}
+
+/// Prints the availability budgets.
+pub(crate) async fn show_budgets(arguments: &BudgetArguments) -> Result<bool> {
+    let budgets = operator(arguments.server)
+        .get::<Vec<BudgetStatus>>("/budgets")
+        .await?;
+    if arguments.json {
+        println!("{}", json!(budgets));
+        return Ok(true);
+    }
+    let rows = budgets.iter().map(|budget| {
+        vec![
+            budget.service.to_string(),
+            budget.availability.clone(),
+            budget.allowance_seconds.to_string(),
+            budget.left_seconds.to_string(),
+        ]
+    });
+    let headings = ["SERVICE", "AVAILABILITY", "ALLOWED S", "LEFT S"];
+    print_table(&headings, &rows.collect::<Vec<_>>());
+    Ok(true)
+}
--- a/src/bin/zincpier/main.rs
+++ b/src/bin/zincpier/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod commands;
+mod fleet_commands;
 mod printer;
 
 use std::process::ExitCode;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! host daemon), `zincpier` (the operator's tool) and `zincpier-standin` (a
 //! small platform and backend server for tests and demonstrations).
 //!
-//! Modules are laid out by life span: [`request`], [`connection`], [`version`]
-//! and [`process`].
+//! Modules are laid out by life span: [`request`], [`connection`], [`version`],
+//! [`process`] and [`wave`].
 
 pub mod connection;
 pub mod error;
@@ -19,3 +19,4 @@
 pub mod standin;
 pub mod toml_reader;
 pub mod version;
+pub mod wave;
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -16,6 +16,7 @@
 use crate::connection::RequestHandler;
 use crate::error::Error;
 use crate::id::Revision;
+use crate::operator::control_api::ControlApi;
 use crate::operator::EntryStatus;
 use crate::operator::ServiceStatus;
 use crate::operator::StatusReport;
@@ -42,13 +43,18 @@
 /// Answers operators and monitoring.
 pub struct OperatorApi {
     parts: Rc<DaemonParts>,
+    control: ControlApi,
     token: String,
 }
 
 impl OperatorApi {
     /// Creates the listener's handler; changes need `token`.
     pub fn new(parts: Rc<DaemonParts>, token: String) -> Self {
-        Self { parts, token }
+        Self {
+            control: ControlApi::new(Rc::clone(&parts)),
+            parts,
+            token,
+        }
     }
 
     async fn answer(&self, request: &Request<Bytes>) -> Response<Bytes> {
@@ -61,13 +67,19 @@
             (&Method::GET, ["status"]) => json_response(&self.status()),
             (&Method::GET, ["text"]) => self.show_text(),
             (&Method::GET, ["audit"]) => self.audit(request).await,
-            (&Method::GET, _) => problem_response(StatusCode::NOT_FOUND, "no such page"),
+            (&Method::GET, segments) => {
+                let answer = self.control.read(request, segments).await;
+                answer.unwrap_or_else(|| problem_response(StatusCode::NOT_FOUND, "no such page"))
+            }
             _ if !self.is_allowed(request) => {
                 let reason = "changes need the operators' token";
                 problem_response(StatusCode::FORBIDDEN, reason)
             }
             (&Method::POST, ["text"]) => self.apply_text(request).await,
-            _ => problem_response(StatusCode::NOT_FOUND, "no such call"),
+            (_, segments) => {
+                let answer = self.control.change(request, segments).await;
+                answer.unwrap_or_else(|| problem_response(StatusCode::NOT_FOUND, "no such call"))
+            }
         }
     }
 
@@ -219,7 +231,7 @@
     }
 }
 
-fn header_text(request: &Request<Bytes>, name: &str) -> String {
+pub(crate) fn header_text(request: &Request<Bytes>, name: &str) -> String {
     let value = request.headers().get(name);
     value
         .and_then(|value| value.to_str().ok())
@@ -236,7 +248,7 @@
     response
 }
 
-fn json_response(value: &impl Serialize) -> Response<Bytes> {
+pub(crate) fn json_response(value: &impl Serialize) -> Response<Bytes> {
     match serde_json::to_vec(value) {
         Ok(body) => {
             let mut response = Response::new(Bytes::from(body));
@@ -249,7 +261,7 @@
     }
 }
 
-fn error_response(error: &Error) -> Response<Bytes> {
+pub(crate) fn error_response(error: &Error) -> Response<Bytes> {
     let status = match error {
         Error::Findings(_) => StatusCode::UNPROCESSABLE_ENTITY,
         _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod client;
+mod control_api;
 mod demo;
 mod load_plan;
 mod load_report;
@@ -15,7 +16,9 @@
 pub use demo::DemoReport;
 pub use load_plan::LoadPlan;
 pub use load_report::LoadReport;
+pub use status_report::BudgetStatus;
 pub use status_report::EntryStatus;
+pub use status_report::HostStatus;
 pub use status_report::ServiceStatus;
 pub use status_report::StatusReport;
 pub use text_fact::TextFact;
--- a/src/operator/status_report.rs
+++ b/src/operator/status_report.rs
@@ -5,7 +5,10 @@
 
 use crate::id::DataCentreId;
 use crate::id::EntryId;
+use crate::id::HostId;
 use crate::id::Incarnation;
+use crate::id::PoolId;
+use crate::id::RackId;
 use crate::id::Revision;
 use crate::id::ServiceId;
 
@@ -55,3 +58,33 @@
     /// The services.
     pub services: Vec<ServiceStatus>,
 }
+
+/// One host of the fleet.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct HostStatus {
+    /// Its name.
+    pub host: HostId,
+    /// The pool that it belongs to.
+    pub pool: PoolId,
+    /// Its rack.
+    pub rack: RackId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Whether it serves: `up`, `closed` or `lost`.
+    pub condition: String,
+    /// How far its stop or move has come.
+    pub phase: String,
+}
+
+/// One service's availability budget.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct BudgetStatus {
+    /// The service.
+    pub service: ServiceId,
+    /// The availability that it is promised.
+    pub availability: String,
+    /// The time it may be unavailable within its window, in seconds.
+    pub allowance_seconds: u64,
+    /// What is left of that, in seconds.
+    pub left_seconds: u64,
+}
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -40,6 +40,7 @@
 use crate::process::PeerCall;
 use crate::process::PeerState;
 use crate::process::Placement;
+use crate::process::RoleLease;
 use crate::process::ShareKeeper;
 use crate::process::SharedServer;
 use crate::process::ShutdownSignal;
@@ -49,8 +50,11 @@
 use crate::version::FactKind;
 use crate::version::RoutingTable;
 use crate::version::ServiceText;
+use crate::wave::WaveController;
 
 const TICK: Duration = Duration::from_millis(50);
+const CONTROL_PAUSE: Duration = Duration::from_secs(1);
+const CONTROL_PAUSE_BUSY: Duration = Duration::from_millis(100);
 const MEMBER_PAUSE: Duration = Duration::from_millis(500);
 const LOANS_TIME: Duration = Duration::from_millis(6_500);
 const LEAVE_TIME: Duration = Duration::from_secs(2);
@@ -185,6 +189,9 @@
     pub metrics: Rc<DaemonMetrics>,
     /// How far the shutdown has come.
     pub shutdown: ShutdownSignal,
+    /// The lease of the controller of waves.
+    pub lease: Rc<RoleLease<HttpPlatform>>,
+    controller: WaveController<HttpPlatform>,
     claims: Rc<ClaimKeeper<HttpPlatform>>,
     guard: Rc<FreezeGuard>,
     members: MemberKeeper<HttpPlatform>,
@@ -210,7 +217,17 @@
             settings.queue,
             state.identity.incarnation.get(),
         );
+        let identity = state.identity.clone();
+        let lease = Rc::new(RoleLease::new(Rc::clone(&platform), identity, "controller"));
+        let controller = WaveController::new(
+            Rc::clone(&platform),
+            Arc::clone(&state),
+            Rc::clone(&audit),
+            Rc::clone(&lease),
+        );
         Self {
+            lease,
+            controller,
             members: MemberKeeper::new(Arc::clone(&state), Rc::clone(&audit)),
             sync: FactSync::new(Rc::clone(&platform), Arc::clone(&state)),
             router: Rc::new(router),
@@ -235,6 +252,7 @@
         monoio::spawn(Rc::clone(self).look_at_platform(poll));
         monoio::spawn(Rc::clone(self).keep_membership());
         monoio::spawn(Rc::clone(self).tick());
+        monoio::spawn(Rc::clone(self).control());
         monoio::spawn(Rc::clone(self).sweep());
         let borrower = SlotBorrower::new(Arc::clone(&self.state), Rc::clone(&self.router));
         monoio::spawn(borrower.run());
@@ -316,6 +334,32 @@
         }
     }
 
+    /// Holds the controller's lease when it can, and drives waves and moves.
+    async fn control(self: Rc<Self>) {
+        while self.shutdown.is_running() {
+            let mut busy = false;
+            if self.is_member() && self.lease.look().await.is_ok() {
+                // A silent platform is noticed and reported by the look at its rows.
+                busy = self.controller.look().await.unwrap_or(false);
+            }
+            pause(if busy {
+                CONTROL_PAUSE_BUSY
+            } else {
+                CONTROL_PAUSE
+            })
+            .await;
+        }
+        let _ = self.lease.give_up().await;
+    }
+
+    fn is_member(&self) -> bool {
+        let own = &self.state.identity;
+        let members = self.state.members();
+        members
+            .get(&own.entry)
+            .is_some_and(|member| member.incarnation == own.incarnation)
+    }
+
     /// Follows pauses, shares and free slots.
     async fn tick(self: Rc<Self>) {
         let mut keeper = ShareKeeper::new(self.state.identity.clone(), Instant::now());
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -9,6 +9,7 @@
 use crate::id::Incarnation;
 use crate::id::Revision;
 use crate::process::MemberSet;
+use crate::version::FactKind;
 
 /// The silence after which a peer counts as lost.
 pub(crate) const LOST_AFTER: Duration = Duration::from_secs(3);
@@ -19,6 +20,7 @@
     incarnation: Incarnation,
     settled: Revision,
     text_in_force: Revision,
+    members: Revision,
     at: Instant,
 }
 
@@ -48,6 +50,7 @@
             incarnation: beat.incarnation,
             settled: beat.settled,
             text_in_force: beat.text_in_force,
+            members: beat.facts[FactKind::Members.index()],
             at: now,
         };
         self.heard.insert(beat.entry.clone(), heard);
@@ -77,6 +80,13 @@
             .map_or(Revision::new(0), |heard| heard.settled)
     }
 
+    /// Returns the newest member set that a peer knows of, 0 if it was not heard.
+    pub fn members_known(&self, entry: &EntryId) -> Revision {
+        self.heard
+            .get(entry)
+            .map_or(Revision::new(0), |heard| heard.members)
+    }
+
     /// Returns the service text that a peer routes by, 0 if it was not heard.
     pub fn text_in_force(&self, entry: &EntryId) -> Revision {
         self.heard
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -19,8 +19,6 @@
     Active,
     /// It gets no new work; entry hosts finish what is in flight.
     Leaving,
-    /// Every entry host has acknowledged; it may be stopped or moved.
-    Drained,
     /// The platform restarts it.
     Restarting,
 }
@@ -30,7 +28,6 @@
         formatter.pad(match self {
             Self::Active => "active",
             Self::Leaving => "leaving",
-            Self::Drained => "drained",
             Self::Restarting => "restarting",
         })
     }
--- a/src/process/share_keeper.rs
+++ b/src/process/share_keeper.rs
@@ -91,11 +91,14 @@
         let settled = live
             .clone()
             .all(|(entry, _)| tracker.settled(entry) >= self.current_revision);
-        let heard = live.clone().all(|(entry, _)| tracker.is_alive(entry, now));
-        let any_lost = mates.iter().any(|(_, lost)| *lost);
-        if settled && heard && live.count() > 0 {
+        // A mate that knows a newer set may have marked this member as lost.
+        let agreed = live.clone().all(|(entry, _)| {
+            tracker.is_alive(entry, now) && tracker.members_known(entry) == self.current_revision
+        });
+        if agreed && live.count() > 0 {
             self.confirmed_at = now;
         }
+        let any_lost = mates.iter().any(|(_, lost)| *lost);
         let waited = now.saturating_duration_since(self.current_since) >= TAKEOVER;
         if settled && (waited || !any_lost) {
             self.in_force = self.current.clone();
--- /dev/null
+++ b/src/wave/budget_book.rs
@@ -0,0 +1,96 @@
+//! The availability budgets and what has been charged to them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::ServiceId;
+use crate::version::Service;
+use crate::version::ServiceText;
+
+/// The prefix of the keys of budgets.
+pub const BUDGET_PREFIX: &str = "budget/";
+
+const HOUR_MS: u64 = 3_600_000;
+
+/// The row of one service's budget: the time charged in each hour.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ServiceBudget {
+    /// The milliseconds of unavailability charged, by hour since the Unix epoch.
+    pub hours: BTreeMap<u64, u64>,
+    /// Up to when loss has been charged, in milliseconds since the Unix epoch.
+    pub charged_until_ms: u64,
+}
+
+impl ServiceBudget {
+    /// Returns the key of a service's row.
+    pub fn row_key(service: &ServiceId) -> String {
+        format!("{BUDGET_PREFIX}{service}")
+    }
+
+    /// Charges the time from the last charge to `now_ms` at a shortfall.
+    pub fn charge_until(&mut self, now_ms: u64, shortfall: f64, window: Duration) {
+        let since = match self.charged_until_ms {
+            0 => now_ms,
+            until => until,
+        };
+        let lost = now_ms.saturating_sub(since) as f64 * shortfall;
+        if lost >= 1.0 {
+            *self.hours.entry(now_ms / HOUR_MS).or_default() += lost as u64;
+        }
+        self.charged_until_ms = now_ms.max(self.charged_until_ms);
+        let oldest = now_ms.saturating_sub(window.as_millis() as u64) / HOUR_MS;
+        self.hours.retain(|hour, _| *hour >= oldest);
+    }
+
+    /// Returns what is left of the budget within the window that ends at `now_ms`.
+    pub fn left(&self, service: &Service, now_ms: u64) -> Duration {
+        let window_ms = service.window.as_millis() as u64;
+        let oldest = now_ms.saturating_sub(window_ms) / HOUR_MS;
+        let charged = self.hours.range(oldest..).map(|(_, lost)| lost).sum();
+        let allowance = service.availability.allowance(service.window);
+        allowance.saturating_sub(Duration::from_millis(charged))
+    }
+}
+
+/// What is left of each service's budget.
+#[derive(Clone, Debug, Default)]
+pub struct BudgetBook {
+    left: BTreeMap<ServiceId, Duration>,
+}
+
+impl BudgetBook {
+    /// Creates a book of budgets of which nothing has been charged.
+    pub fn full(text: &ServiceText) -> Self {
+        Self::from_rows(text, &BTreeMap::new(), 0)
+    }
+
+    /// Creates a book out of the budgets' rows.
+    pub fn from_rows(
+        text: &ServiceText,
+        rows: &BTreeMap<ServiceId, ServiceBudget>,
+        now_ms: u64,
+    ) -> Self {
+        let left = text.services.values().map(|service| {
+            let row = rows.get(&service.id).cloned().unwrap_or_default();
+            (service.id.clone(), row.left(service, now_ms))
+        });
+        Self {
+            left: left.collect(),
+        }
+    }
+
+    /// Returns what is left of a service's budget.
+    pub fn left(&self, service: &ServiceId) -> Duration {
+        self.left.get(service).copied().unwrap_or_default()
+    }
+
+    /// Takes time off a service's budget.
+    pub fn charge(&mut self, service: &ServiceId, lost: Duration) {
+        if let Some(left) = self.left.get_mut(service) {
+            *left = left.saturating_sub(lost);
+        }
+    }
+}
--- /dev/null
+++ b/src/wave/drain_watch.rs
@@ -0,0 +1,70 @@
+//! Whether every entry host has acknowledged that a host is closed.
+
+use std::sync::Arc;
+
+use crate::id::EntryId;
+use crate::id::HostId;
+use crate::id::Revision;
+use crate::process::MemberSet;
+use crate::process::PeerState;
+
+/// What the members say of hosts that are to be stopped.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DrainAnswer {
+    /// The hosts that nobody has work in flight at, nor will send any.
+    pub(crate) drained: Vec<HostId>,
+    /// The members that have not answered, or not as needed.
+    pub(crate) missing: Vec<EntryId>,
+}
+
+/// Asks every member, lost ones included, about closed hosts.
+///
+/// A member counts only if it acts on a placement at least as new as
+/// `placement`, and answers in the run that the member set names or a later one.
+pub(crate) async fn ask_members(
+    state: &Arc<PeerState>,
+    members: &MemberSet,
+    hosts: &[HostId],
+    placement: Revision,
+) -> DrainAnswer {
+    let mut clear = vec![true; hosts.len()];
+    let mut missing = Vec::new();
+    for (entry, member) in members.members() {
+        let answer = match *entry == state.identity.entry {
+            true => Some(own_answer(state, hosts)),
+            false => state.drain_of(entry, hosts).await,
+        };
+        let answer = answer.filter(|(incarnation, _)| *incarnation >= member.incarnation);
+        let Some((_, reports)) = answer else {
+            missing.push(entry.clone());
+            continue;
+        };
+        let current = reports.iter().all(|report| report.placement >= placement);
+        if !current || reports.len() != hosts.len() {
+            missing.push(entry.clone());
+            continue;
+        }
+        for (clear, report) in clear.iter_mut().zip(&reports) {
+            *clear &= report.in_flight == 0;
+        }
+    }
+    let all = missing.is_empty();
+    let drained = hosts
+        .iter()
+        .zip(clear)
+        .filter(|(_, clear)| *clear && all)
+        .map(|(host, _)| host.clone())
+        .collect();
+    DrainAnswer { drained, missing }
+}
+
+fn own_answer(
+    state: &PeerState,
+    hosts: &[HostId],
+) -> (crate::id::Incarnation, Vec<crate::process::DrainReport>) {
+    let reports = hosts
+        .iter()
+        .map(|host| state.ledger.drain_report(host))
+        .collect();
+    (state.identity.incarnation, reports)
+}
--- /dev/null
+++ b/src/wave/wave_planner.rs
@@ -0,0 +1,258 @@
+//! The choice of the hosts that a wave stops next.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::id::HostId;
+use crate::id::PoolId;
+use crate::id::RackId;
+use crate::id::ServiceId;
+use crate::version::LossDomain;
+use crate::wave::fleet_view::missing_share;
+use crate::wave::fleet_view::spread;
+use crate::wave::BudgetBook;
+use crate::wave::FleetView;
+use crate::wave::HostCondition;
+use crate::wave::HostView;
+use crate::wave::WaveRecord;
+
+/// How long the loss of a domain is assumed to last until capacity is back.
+const ASSUMED_LOSS: Duration = Duration::from_secs(600);
+/// The maintained hosts that may be lost at the same time before the wave is held.
+const LOST_AFTER_MAINTENANCE: usize = 1;
+
+/// What a wave does next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StepDecision {
+    /// These hosts are stopped.
+    Stop(Vec<HostId>),
+    /// Nothing is stopped until something changes.
+    Wait(String),
+    /// The wave is held until an operator resumes it.
+    Hold(String),
+    /// Every host has been maintained.
+    Finished,
+}
+
+/// Decides steps for one view of the fleet and one state of the budgets.
+///
+/// No step takes a pool below its need, and no step breaks a budget if the
+/// largest failure domain of the service is lost while the step runs.
+#[derive(Debug)]
+pub struct WavePlanner<'v> {
+    view: &'v FleetView,
+    book: &'v BudgetBook,
+    up: BTreeMap<&'v PoolId, usize>,
+    domains: BTreeMap<(&'v PoolId, &'v str), usize>,
+    largest: BTreeMap<&'v PoolId, usize>,
+}
+
+impl<'v> WavePlanner<'v> {
+    /// Creates a planner for one moment.
+    pub fn new(view: &'v FleetView, book: &'v BudgetBook) -> Self {
+        let mut planner = Self {
+            view,
+            book,
+            up: view.up_counts(),
+            domains: BTreeMap::new(),
+            largest: view.largest_losses(),
+        };
+        for host in view.serving() {
+            let key = (&host.pool, planner.domain_of(host));
+            *planner.domains.entry(key).or_default() += 1;
+        }
+        planner
+    }
+
+    /// Decides the next step of a wave.
+    pub fn next_step(&mut self, wave: &WaveRecord) -> StepDecision {
+        if let Some(reason) = self.correlated_failure(wave) {
+            return StepDecision::Hold(reason);
+        }
+        if !wave.stopped.is_empty() {
+            let hosts = names(wave.stopped.iter());
+            return StepDecision::Wait(format!("{hosts} to come back"));
+        }
+        if wave.pending.is_empty() {
+            return StepDecision::Finished;
+        }
+        let group = self.pick_group(wave);
+        if group.is_empty() {
+            return StepDecision::Wait(self.obstacle(wave));
+        }
+        StepDecision::Stop(group)
+    }
+
+    /// Returns why the wave must be held, if hosts have failed together.
+    fn correlated_failure(&self, wave: &WaveRecord) -> Option<String> {
+        let lost = |host: &&HostId| self.condition(host) == Some(HostCondition::Lost);
+        let after = wave.done.iter().filter(lost).collect::<Vec<_>>();
+        if after.len() > LOST_AFTER_MAINTENANCE {
+            let hosts = names(after.into_iter());
+            return Some(format!("{hosts} failed after maintenance"));
+        }
+        let rack = self.lost_rack(wave)?;
+        Some(format!("rack {rack} is lost"))
+    }
+
+    /// Returns a rack of at least two hosts that are all lost, one of them the wave's.
+    fn lost_rack(&self, wave: &WaveRecord) -> Option<&'v RackId> {
+        let mut racks = BTreeMap::<&RackId, Vec<&HostView>>::new();
+        for host in self.view.hosts().values() {
+            racks.entry(&host.rack).or_default().push(host);
+        }
+        let lost = |hosts: &[&HostView]| {
+            let all = hosts
+                .iter()
+                .all(|host| host.condition == HostCondition::Lost);
+            all && hosts.len() > 1
+        };
+        let concerned = |hosts: &[&HostView]| {
+            hosts
+                .iter()
+                .any(|host| wave.pending.contains(&host.id) || wave.done.contains(&host.id))
+        };
+        racks
+            .into_iter()
+            .find(|(_, hosts)| lost(hosts) && concerned(hosts))
+            .map(|(rack, _)| rack)
+    }
+
+    /// Picks pending hosts within the group's limit, rack by rack.
+    fn pick_group(&mut self, wave: &WaveRecord) -> Vec<HostId> {
+        let mut group = Vec::new();
+        for host in self.by_rack(&wave.pending) {
+            if group.len() >= wave.group_limit {
+                break;
+            }
+            if self.allows(host) {
+                self.take(host);
+                group.push(host.id.clone());
+            }
+        }
+        group
+    }
+
+    /// Orders hosts so that those of a rack stand together; lost ones come first.
+    fn by_rack(&self, hosts: &BTreeSet<HostId>) -> Vec<&'v HostView> {
+        let mut views = hosts
+            .iter()
+            .filter_map(|host| self.view.hosts().get(host))
+            .filter(|host| host.condition != HostCondition::Closed)
+            .collect::<Vec<_>>();
+        views.sort_by_key(|host| (host.condition == HostCondition::Up, &host.rack, &host.id));
+        views
+    }
+
+    /// Tells whether a host may be stopped beside those already taken.
+    fn allows(&self, host: &HostView) -> bool {
+        if host.condition == HostCondition::Lost {
+            return true;
+        }
+        let Some(pool) = self.view.text().pools.get(&host.pool) else {
+            return false;
+        };
+        let up = self.up_of(&host.pool).saturating_sub(1);
+        if up < pool.needed {
+            return false;
+        }
+        let loss = self.loss_without(host);
+        let share = missing_share(pool, up.saturating_sub(loss));
+        self.budgets_bear(&pool.service, share)
+    }
+
+    /// Tells whether every dependant's budget bears a shortfall for the assumed time.
+    fn budgets_bear(&self, service: &ServiceId, share: f64) -> bool {
+        if share <= 0.0 {
+            return true;
+        }
+        let mut shortfalls = BTreeMap::new();
+        spread(&mut shortfalls, self.view.text(), service, share);
+        shortfalls
+            .iter()
+            .all(|(service, share)| ASSUMED_LOSS.mul_f64(*share) <= self.book.left(service))
+    }
+
+    /// Returns the most hosts that one loss takes from a host's pool once it is stopped.
+    fn loss_without(&self, host: &HostView) -> usize {
+        let largest = self.largest.get(&host.pool).copied().unwrap_or(0);
+        let own_domain = self.domain_of(host);
+        let own = self
+            .domains
+            .get(&(&host.pool, own_domain))
+            .copied()
+            .unwrap_or(0);
+        if own < largest {
+            return largest;
+        }
+        let others = self
+            .domains
+            .range((&host.pool, "")..)
+            .take_while(|((pool, _), _)| **pool == host.pool)
+            .filter(|((_, domain), _)| *domain != own_domain)
+            .map(|(_, count)| *count);
+        others.max().unwrap_or(0).max(own.saturating_sub(1))
+    }
+
+    /// Counts a host as stopped for the choices that follow.
+    fn take(&mut self, host: &'v HostView) {
+        if host.condition == HostCondition::Lost {
+            return;
+        }
+        let loss = self.loss_without(host);
+        self.largest.insert(&host.pool, loss);
+        if let Some(up) = self.up.get_mut(&host.pool) {
+            *up = up.saturating_sub(1);
+        }
+        let domain = self.domain_of(host);
+        if let Some(count) = self.domains.get_mut(&(&host.pool, domain)) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Says why no pending host can be stopped.
+    fn obstacle(&self, wave: &WaveRecord) -> String {
+        let pools = wave
+            .pending
+            .iter()
+            .filter_map(|host| self.view.hosts().get(host))
+            .map(|host| host.pool.to_string())
+            .collect::<BTreeSet<_>>();
+        let pools = pools.into_iter().collect::<Vec<_>>().join(", ");
+        format!("spare capacity or budget in {pools}")
+    }
+
+    fn up_of(&self, pool: &PoolId) -> usize {
+        self.up.get(pool).copied().unwrap_or(0)
+    }
+
+    fn condition(&self, host: &HostId) -> Option<HostCondition> {
+        self.view.hosts().get(host).map(|view| view.condition)
+    }
+
+    /// Returns the name of the failure domain that a host counts in.
+    fn domain_of<'h>(&self, host: &'h HostView) -> &'h str {
+        let text = self.view.text();
+        let service = text
+            .pools
+            .get(&host.pool)
+            .and_then(|pool| text.services.get(&pool.service));
+        match service.map(|service| service.loss_domain) {
+            Some(LossDomain::DataCentre) => host.data_centre.as_str(),
+            _ => host.rack.as_str(),
+        }
+    }
+}
+
+/// Lists a few hosts by name.
+fn names<'h>(hosts: impl Iterator<Item = &'h HostId>) -> String {
+    const SHOWN: usize = 4;
+    let hosts = hosts.collect::<Vec<_>>();
+    let shown = hosts.iter().take(SHOWN).map(|host| host.to_string());
+    let mut text = shown.collect::<Vec<_>>().join(", ");
+    if hosts.len() > SHOWN {
+        text += &format!(" and {} more", hosts.len() - SHOWN);
+    }
+    text
+}
--- /dev/null
+++ b/src/wave/wave_preview.rs
@@ -0,0 +1,80 @@
+//! What a wave would do if nothing failed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::HostId;
+use crate::wave::BudgetBook;
+use crate::wave::FleetView;
+use crate::wave::HostCondition;
+use crate::wave::StepDecision;
+use crate::wave::WavePlanner;
+use crate::wave::WaveRecord;
+use crate::wave::WaveScope;
+
+/// The time that a group is assumed to take.
+const ASSUMED_STEP: Duration = Duration::from_secs(300);
+
+/// One group of a previewed wave.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PreviewStep {
+    /// The hosts stopped together.
+    pub hosts: Vec<HostId>,
+}
+
+/// The steps of a wave, decided ahead.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WavePreview {
+    /// The groups, in their order.
+    pub steps: Vec<PreviewStep>,
+    /// What would keep the wave from its end.
+    pub obstacle: Option<String>,
+    /// The time it would take, in seconds.
+    pub seconds: u64,
+    /// The hosts that would change their pool.
+    pub moves: usize,
+}
+
+/// Decides every step of a wave over `scope`, as if each group came back in time.
+pub fn preview_wave(view: &FleetView, book: &BudgetBook, scope: WaveScope) -> WavePreview {
+    let mut view = view.clone();
+    let hosts = scope_hosts(&view, &scope);
+    let id = "preview"
+        .parse()
+        .unwrap_or_else(|_| unreachable!("a plain name"));
+    let mut wave = WaveRecord::new(id, scope, hosts, 0);
+    let mut steps = Vec::new();
+    let obstacle = loop {
+        match WavePlanner::new(&view, book).next_step(&wave) {
+            StepDecision::Finished => break None,
+            StepDecision::Wait(reason) | StepDecision::Hold(reason) => break Some(reason),
+            StepDecision::Stop(group) => {
+                for host in &group {
+                    wave.pending.remove(host);
+                    wave.done.insert(host.clone());
+                    view.set_condition(host, HostCondition::Up);
+                }
+                wave.group_limit *= 2;
+                steps.push(PreviewStep { hosts: group });
+            }
+        }
+    };
+    WavePreview {
+        seconds: ASSUMED_STEP.as_secs() * steps.len() as u64,
+        steps,
+        obstacle,
+        moves: 0,
+    }
+}
+
+/// Returns the hosts of a scope.
+pub(crate) fn scope_hosts(view: &FleetView, scope: &WaveScope) -> BTreeSet<HostId> {
+    view.hosts()
+        .values()
+        .filter(|host| scope.contains(view.text(), host))
+        .map(|host| host.id.clone())
+        .collect()
+}
--- /dev/null
+++ b/tests/common/fake_table.rs
@@ -0,0 +1,100 @@
+//! A small table in memory, with outages and lost answers.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use zincpier::error::Error;
+use zincpier::error::Result;
+use zincpier::id::Revision;
+use zincpier::platform::RowCheck;
+use zincpier::platform::TableRow;
+use zincpier::platform::TableService;
+use zincpier::platform::Transaction;
+use zincpier::platform::TransactionOutcome;
+
+#[derive(Default)]
+pub(crate) struct FakeTable {
+    rows: RefCell<BTreeMap<String, TableRow>>,
+    revision: Cell<u64>,
+    pub(crate) lost_answers: Cell<u32>,
+    pub(crate) silent: Cell<bool>,
+    pub(crate) transactions: Cell<u64>,
+}
+
+impl FakeTable {
+    pub(crate) fn row(&self, key: &str) -> Option<TableRow> {
+        self.rows.borrow().get(key).cloned()
+    }
+
+    fn revision_of(&self, key: &str) -> Revision {
+        self.row(key).map_or(Revision::new(0), |row| row.revision)
+    }
+
+    fn check_answers(&self) -> Result<()> {
+        match self.silent.get() {
+            true => Err(Error::PlatformSilent("outage".to_owned())),
+            false => Ok(()),
+        }
+    }
+}
+
+impl TableService for FakeTable {
+    async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
+        self.check_answers()?;
+        self.transactions.set(self.transactions.get() + 1);
+        let wrong = transaction
+            .checks
+            .iter()
+            .filter(|check| self.revision_of(&check.key) != check.revision);
+        let wrong = wrong.cloned().collect::<Vec<_>>();
+        if !wrong.is_empty() {
+            return Ok(TransactionOutcome::Conflict(wrong));
+        }
+        self.revision.set(self.revision.get() + 1);
+        let revision = Revision::new(self.revision.get());
+        for write in &transaction.writes {
+            let key = write.key.clone();
+            match write.value.clone() {
+                None => self.rows.borrow_mut().remove(&key),
+                Some(value) => self.rows.borrow_mut().insert(
+                    key.clone(),
+                    TableRow {
+                        key,
+                        revision,
+                        value,
+                    },
+                ),
+            };
+        }
+        if self.lost_answers.get() > 0 {
+            self.lost_answers.set(self.lost_answers.get() - 1);
+            return Err(Error::PlatformSilent("lost answer".to_owned()));
+        }
+        Ok(TransactionOutcome::Committed(revision))
+    }
+
+    async fn read(&self, keys: &[&str]) -> Result<Vec<TableRow>> {
+        self.check_answers()?;
+        Ok(keys.iter().filter_map(|key| self.row(key)).collect())
+    }
+
+    async fn revisions(&self, keys: &[&str]) -> Result<Vec<RowCheck>> {
+        let rows = self.read(keys).await?.into_iter();
+        Ok(rows
+            .map(|row| RowCheck {
+                key: row.key,
+                revision: row.revision,
+            })
+            .collect())
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<TableRow>> {
+        self.check_answers()?;
+        let rows = self.rows.borrow();
+        let found = rows
+            .values()
+            .filter(|row| row.key.starts_with(prefix) && row.key.as_str() > after);
+        Ok(found.take(limit).cloned().collect())
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -406,3 +406,64 @@
 "#
     .to_owned()
 }
+
+/// A text with two services on ten hosts in four racks.
+pub(crate) fn wave_text() -> String {
+    r#"deployment = "test"
+
+[[data_centres]]
+name = "east"
+region = "one"
+
+[[data_centres]]
+name = "west"
+region = "one"
+
+[[services]]
+name = "notices"
+path = "/notices"
+availability = "99.9"
+depends_on = ["digests"]
+at_most_once = ["/notices/bills"]
+
+[[services]]
+name = "digests"
+path = "/digests"
+availability = "99.5"
+
+[[racks]]
+name = "east-r1"
+data_centre = "east"
+hosts = ["e1", "e2", "d1"]
+
+[[racks]]
+name = "east-r2"
+data_centre = "east"
+hosts = ["e3", "e4"]
+
+[[racks]]
+name = "west-r1"
+data_centre = "west"
+hosts = ["w1", "w2", "d2"]
+
+[[racks]]
+name = "west-r2"
+data_centre = "west"
+hosts = ["w3", "w4"]
+
+[[pools]]
+name = "notices-pool"
+service = "notices"
+role = "executor"
+needed = 4
+hosts = ["e1", "e2", "e3", "e4", "w1", "w2", "w3", "w4"]
+
+[[pools]]
+name = "digests-pool"
+service = "digests"
+role = "executor"
+needed = 1
+hosts = ["d1", "d2"]
+"#
+    .to_owned()
+}
