Share spare hosts between pools, by budgets

Conclusion: own spare only where ordinary losses would use up half of a budget, the rest shared in a data centre; hosts return when no wave runs.

--- /dev/null
+++ b/benches/requests.rs
@@ -0,0 +1,181 @@
+//! Added latency, rate, overload, slots and claims of one and three daemons.
+//!
+//! Daemons and stand-ins are processes of their own. Run with
+//! `cargo bench --bench requests`.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+use serde_json::json;
+
+use zincpier::operator::LoadPlan;
+use zincpier::operator::LoadReport;
+
+use crate::common::small_text;
+use crate::common::System;
+
+const TIME: Duration = Duration::from_secs(5);
+const IDLE_TIME: Duration = Duration::from_secs(10);
+const TICKS_PER_SECOND: f64 = 100.0;
+const SERVICE_MS: f64 = 5.0;
+const TWO: [(&str, &str); 2] = [("entry-1", "east"), ("entry-2", "west")];
+
+fn run(plan: &LoadPlan) -> LoadReport {
+    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
+    runtime.unwrap().block_on(plan.run())
+}
+
+fn plan(targets: &[SocketAddr], rate: f64) -> LoadPlan {
+    LoadPlan::new(targets.to_vec(), "/notices", rate, TIME)
+}
+
+fn line(name: &str, report: &LoadReport) {
+    println!(
+        "{name:<34} sent {:>6} ok {:>6} refused {:>6} p50 {:>6} us p99 {:>6} us refusal p99 {:>6} us",
+        report.sent(),
+        report.count("ok"),
+        report.sent() - report.count("ok"),
+        report.latency_micros(50.0),
+        report.latency_micros(99.0),
+        report.refusal_micros(99.0)
+    );
+}
+
+/// Resident memory in kilobytes and processor time in ticks.
+fn process_cost(system: &System, daemon: usize) -> (u64, u64) {
+    let id = system.daemons[daemon].program.child.id();
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+    let resident = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS"))
+        .unwrap();
+    let resident = resident.split_whitespace().nth(1).unwrap().parse().unwrap();
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+    let fields = stat
+        .rsplit(')')
+        .next()
+        .unwrap()
+        .split_whitespace()
+        .collect::<Vec<_>>();
+    let ticks = fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap();
+    (resident, ticks)
+}
+
+fn idle(system: &System) {
+    let (_, before) = process_cost(system, 0);
+    thread::sleep(IDLE_TIME);
+    let (resident, after) = process_cost(system, 0);
+    let share = (after - before) as f64 / TICKS_PER_SECOND / IDLE_TIME.as_secs_f64();
+    println!(
+        "idle daemon: {resident} kB resident, {:.2}% of a core",
+        share * 100.0
+    );
+}
+
+fn added_latency() {
+    let system = System::start_ready(
+        &small_text(),
+        &SERVICE_MS.to_string(),
+        &[("entry-1", "east")],
+    );
+    idle(&system);
+    let backends = ["e1", "e2"].map(|host| system.backends[host]);
+    // Two local servers with eight slots each.
+    let capacity = 16.0 / (SERVICE_MS / 1_000.0);
+    line(
+        "backend servers at half load",
+        &run(&plan(&backends, capacity / 2.0)),
+    );
+    line(
+        "through a daemon at half load",
+        &run(&plan(&[system.daemons[0].callers], capacity / 2.0)),
+    );
+}
+
+fn overload() {
+    let system = System::start_ready(&small_text(), &SERVICE_MS.to_string(), &TWO);
+    let targets = [system.daemons[0].callers, system.daemons[1].callers];
+    let capacity = 32.0 / (SERVICE_MS / 1_000.0);
+    for (name, share) in [
+        ("peak (95% of capacity)", 0.95),
+        ("twice the capacity", 2.0),
+    ] {
+        line(
+            name,
+            &run(&plan(&targets, capacity * share).with_deadline(Duration::from_millis(500))),
+        );
+    }
+    let urgent = LoadPlan::new(targets.to_vec(), "/notices/red-tags", 100.0, TIME);
+    let flood = plan(&targets, capacity * 2.0).with_seed(5);
+    let flooded = thread::spawn(move || run(&flood));
+    line("urgent beside twice the capacity", &run(&urgent));
+    drop(flooded.join());
+    let small = plan(&targets, capacity * 0.3)
+        .with_customer("small")
+        .with_seed(6);
+    let large = plan(&targets, capacity * 3.0)
+        .with_customer("large")
+        .with_seed(7);
+    let flooded = thread::spawn(move || run(&large));
+    line("customer within its fair share", &run(&small));
+    line(
+        "customer that sends ten times that",
+        &flooded.join().unwrap(),
+    );
+    for host in system.backends.keys() {
+        assert_eq!(system.stats(host)["over_slots"], 0);
+    }
+}
+
+/// All load comes to one of two daemons: with static equal shares it could use half of the slots.
+fn slots() {
+    let system = System::start_ready(&small_text(), &SERVICE_MS.to_string(), &TWO);
+    let capacity = 32.0 / (SERVICE_MS / 1_000.0);
+    let report = run(&plan(&[system.daemons[0].callers], capacity * 0.7));
+    line("70% of all capacity at one daemon", &report);
+    let used = report.rate() / capacity;
+    println!(
+        "slots used: {:.0}% (own data centre's share alone: 50%)",
+        used * 100.0
+    );
+}
+
+fn claims() {
+    let system = System::start_ready(&small_text(), "1", &TWO);
+    let targets = [system.daemons[0].callers, system.daemons[1].callers];
+    for rate in [200.0, 1_000.0, 2_000.0] {
+        let load = LoadPlan::new(targets.to_vec(), "/notices/bills", rate, TIME);
+        let report = run(&load.with_keys().with_seed(rate as u64));
+        line(&format!("{rate} claims a second"), &report);
+    }
+    println!("(the stand-in's table takes 400 transactions a second)");
+    let counts = common::call(system.platform, "GET", "/counts", &[], "").json();
+    println!("transactions {}", counts["writes"]);
+}
+
+fn bad_server() {
+    let system = System::start_ready(&small_text(), &SERVICE_MS.to_string(), &TWO);
+    let targets = [system.daemons[0].callers, system.daemons[1].callers];
+    system.backend_faults("e1", &json!({ "fail_all": true }));
+    let report = run(&plan(&targets, 1_000.0));
+    line("one of four servers fails fast", &report);
+    println!(
+        "share of requests that got its failure: {:.2}%",
+        report.count("error") as f64 / report.sent() as f64 * 100.0
+    );
+}
+
+fn main() {
+    added_latency();
+    overload();
+    slots();
+    claims();
+    bad_server();
+}
--- /dev/null
+++ b/benches/support/fleet.rs
@@ -0,0 +1,258 @@
+//! Generated fleets of the letter's size.
+
+#![allow(dead_code)] // Each bench uses some of the fixtures.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use zincpier::id::DataCentreId;
+use zincpier::id::HostId;
+use zincpier::version::Availability;
+use zincpier::version::DataCentre;
+use zincpier::version::LossDomain;
+use zincpier::version::MeasureWeights;
+use zincpier::version::Pool;
+use zincpier::version::PoolRole;
+use zincpier::version::Rack;
+use zincpier::version::Service;
+use zincpier::version::ServiceText;
+use zincpier::wave::own_spares;
+use zincpier::wave::shared_spares;
+use zincpier::wave::FailureRates;
+use zincpier::wave::FleetView;
+use zincpier::wave::HostCondition;
+use zincpier::wave::HostView;
+
+pub(crate) const LETTER_WORKERS: usize = 830;
+pub(crate) const LETTER_POOLS: usize = 186;
+pub(crate) const LETTER_DATA_CENTRES: usize = 5;
+pub(crate) const FAILURES_PER_DAY: f64 = 9.0;
+pub(crate) const RESTARTS_PER_DAY: f64 = 260.0;
+const POOLS_PER_SERVICE: usize = 3;
+const HOSTS_PER_RACK: usize = 4;
+const WINDOW: Duration = Duration::from_secs(720 * 3_600);
+const STEP: Duration = Duration::from_secs(900);
+const CYCLE: Duration = Duration::from_secs(14 * 86_400);
+/// The share of the letter's hosts that their load needs, if each pool has two to spare.
+const SPARE_PER_POOL: usize = 2;
+
+/// The failure rates of the letter for one host.
+pub(crate) fn letter_rates() -> FailureRates {
+    FailureRates {
+        failures: FAILURES_PER_DAY / LETTER_WORKERS as f64,
+        restarts: RESTARTS_PER_DAY / LETTER_WORKERS as f64,
+        move_time: Duration::from_secs(1_200),
+        restart_time: Duration::from_secs(300),
+    }
+}
+
+/// The weights of Granite Bay's example.
+pub(crate) fn granite_bay() -> MeasureWeights {
+    MeasureWeights {
+        buffer_cost: 4.0,
+        roll_out: 1.0,
+        moves: 1.0,
+    }
+}
+
+/// The weights of the Guild's example.
+pub(crate) fn guild() -> MeasureWeights {
+    MeasureWeights {
+        buffer_cost: 1.0,
+        roll_out: 4.0,
+        moves: 1.0,
+    }
+}
+
+/// What a fleet's pools need, before any spare.
+pub(crate) struct FleetNeed {
+    needed: Vec<usize>,
+    data_centres: usize,
+}
+
+impl FleetNeed {
+    /// The need that fills the letter's workers with two spare hosts in each pool.
+    pub(crate) fn letter() -> Self {
+        let total = LETTER_WORKERS - SPARE_PER_POOL * LETTER_POOLS;
+        Self::new(LETTER_POOLS, total, LETTER_DATA_CENTRES)
+    }
+
+    pub(crate) fn new(pools: usize, total: usize, data_centres: usize) -> Self {
+        let base = total / pools;
+        let extra = total % pools;
+        let needed = (0..pools)
+            .map(|pool| base + usize::from(pool < extra))
+            .collect();
+        Self {
+            needed,
+            data_centres,
+        }
+    }
+
+    /// The fleet with as many own spare hosts in each pool.
+    pub(crate) fn with_fixed_spare(&self, spare: usize) -> ServiceText {
+        self.build(&BTreeMap::new(), spare, 0)
+    }
+
+    /// The fleet with own spare hosts where budgets ask for them, and shared ones in each data centre.
+    pub(crate) fn with_shared_spare(
+        &self,
+        rates: &FailureRates,
+        weights: &MeasureWeights,
+    ) -> ServiceText {
+        let bare = self.build(&BTreeMap::new(), 0, 0);
+        let own = own_spares(&bare, rates);
+        let own = own
+            .into_iter()
+            .map(|(pool, own)| (pool.to_string(), own))
+            .collect();
+        let needed = self.needed.iter().sum::<usize>() / self.data_centres;
+        let spares = shared_spares(needed, needed, STEP, CYCLE, weights);
+        self.build(&own, 0, spares + HOSTS_PER_RACK)
+    }
+
+    fn build(&self, own: &BTreeMap<String, usize>, fixed: usize, shared: usize) -> ServiceText {
+        let mut builder = TextBuilder::new(self.data_centres);
+        for (number, needed) in self.needed.iter().enumerate() {
+            let name = format!("pool-{number:03}");
+            let service = format!("service-{:02}", number / POOLS_PER_SERVICE);
+            let spare = own.get(&name).copied().unwrap_or(0) + fixed;
+            builder.add_service(&service, number / POOLS_PER_SERVICE);
+            builder.add_pool(&name, &service, number % self.data_centres, *needed, spare);
+        }
+        for data_centre in 0..self.data_centres {
+            if shared > 0 {
+                let name = format!("spare-{data_centre}");
+                builder.add_pool(&name, "service-00", data_centre, 0, shared);
+            }
+        }
+        builder.finish()
+    }
+}
+
+struct TextBuilder {
+    text: ServiceText,
+    hosts: Vec<Vec<HostId>>,
+}
+
+impl TextBuilder {
+    fn new(data_centres: usize) -> Self {
+        let names = (0..data_centres).map(|number| {
+            let id: DataCentreId = format!("dc-{number}").parse().unwrap();
+            let region = if number < 3 { "one" } else { "two" };
+            (
+                id.clone(),
+                DataCentre {
+                    id,
+                    region: region.to_owned(),
+                    caller_micros: 1_000,
+                },
+            )
+        });
+        Self {
+            text: ServiceText {
+                deployment: "generated".to_owned(),
+                link_micros: 500,
+                weights: MeasureWeights::default(),
+                data_centres: names.collect(),
+                services: BTreeMap::new(),
+                pools: BTreeMap::new(),
+                racks: BTreeMap::new(),
+            },
+            hosts: vec![Vec::new(); data_centres],
+        }
+    }
+
+    fn add_service(&mut self, name: &str, number: usize) {
+        let percent = [99.9, 99.5, 99.0][number % 3];
+        let service = Service {
+            id: name.parse().unwrap(),
+            path: format!("/{name}"),
+            depends_on: Vec::new(),
+            availability: Availability::from_percent(percent).unwrap(),
+            window: WINDOW,
+            loss_domain: LossDomain::Rack,
+            deadline: Duration::from_secs(2),
+            attempt: None,
+            at_most_once: Vec::new(),
+            urgent: Vec::new(),
+            slots: 8,
+            connections: 64,
+            echoes_request_id: true,
+        };
+        self.text.services.insert(service.id.clone(), service);
+    }
+
+    fn add_pool(
+        &mut self,
+        name: &str,
+        service: &str,
+        data_centre: usize,
+        needed: usize,
+        spare: usize,
+    ) {
+        let hosts = (0..needed + spare)
+            .map(|number| format!("{name}-h{number:02}").parse::<HostId>().unwrap())
+            .collect::<Vec<_>>();
+        self.hosts[data_centre].extend(hosts.iter().cloned());
+        let pool = Pool {
+            id: name.parse().unwrap(),
+            service: service.parse().unwrap(),
+            role: PoolRole::Executor,
+            needed,
+            cores: 64,
+            memory_gb: 128,
+            accelerators: 0,
+            hosts,
+        };
+        self.text.pools.insert(pool.id.clone(), pool);
+    }
+
+    /// Racks the hosts of each data centre by four, those of a pool in racks of their own.
+    fn finish(mut self) -> ServiceText {
+        for (number, hosts) in self.hosts.iter().enumerate() {
+            let racks = hosts.len().div_ceil(HOSTS_PER_RACK);
+            for rack in 0..racks {
+                let id = format!("dc-{number}-r{rack:02}")
+                    .parse::<zincpier::id::RackId>()
+                    .unwrap();
+                let held = hosts.iter().skip(rack).step_by(racks).cloned().collect();
+                let data_centre = format!("dc-{number}").parse().unwrap();
+                self.text.racks.insert(
+                    id.clone(),
+                    Rack {
+                        id,
+                        data_centre,
+                        hosts: held,
+                    },
+                );
+            }
+        }
+        self.text
+    }
+}
+
+/// The fleet of a text with every host serving.
+pub(crate) fn view_of(text: &ServiceText) -> FleetView {
+    let racks = text.rack_of_hosts();
+    let hosts = text
+        .pool_of_hosts()
+        .into_iter()
+        .map(|(host, pool)| HostView {
+            id: host.clone(),
+            pool: pool.id.clone(),
+            rack: racks[host].id.clone(),
+            data_centre: racks[host].data_centre.clone(),
+            condition: HostCondition::Up,
+        });
+    FleetView::new(text.clone(), hosts.collect())
+}
+
+/// The data centre that a pool's first host stands in.
+pub(crate) fn data_centre_of<'t>(text: &'t ServiceText, pool: &Pool) -> Option<&'t DataCentreId> {
+    let first = pool.hosts.first()?;
+    let mut racks = text.racks.values();
+    racks
+        .find(|rack| rack.hosts.contains(first))
+        .map(|rack| &rack.data_centre)
+}
--- a/src/operator/control_api.rs
+++ b/src/operator/control_api.rs
@@ -312,6 +312,7 @@
         let leaving = HostPlacement {
             pool: placement.pool_of(&host).cloned(),
             moving_to: Some(order.pool.clone()),
+            pinned: true,
             phase: HostPhase::Leaving,
             wave: None,
             boots: 0,
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -125,7 +125,10 @@
             entry: self.settings.name.clone(),
             incarnation: Incarnation::new(now_ms()),
             data_centre: self.settings.data_centre.clone(),
-            peer: self.addresses.peers,
+            peer: self
+                .settings
+                .peers_advertised
+                .unwrap_or(self.addresses.peers),
         };
         let (state, calls) = PeerState::new(identity);
         let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
--- a/src/process/daemon_settings.rs
+++ b/src/process/daemon_settings.rs
@@ -37,6 +37,8 @@
     pub operators: SocketAddr,
     /// Where peers are answered.
     pub peers: SocketAddr,
+    /// The address that peers are told to call, if not `peers`.
+    pub peers_advertised: Option<SocketAddr>,
     /// The peers that are asked when the platform does not answer.
     pub known_peers: Vec<SocketAddr>,
     /// The platform.
@@ -78,6 +80,7 @@
             callers: any,
             operators: any,
             peers: any,
+            peers_advertised: None,
             known_peers: Vec::new(),
             platform,
             platform_timeout: Duration::from_millis(DEFAULT_PLATFORM_TIMEOUT_MS),
@@ -141,6 +144,7 @@
     let platform = table.required("platform", findings);
     let token = table.required::<String>("operator_token", findings);
     let operators = table.optional("operators", findings);
+    let peers_advertised = table.optional("peers_advertised", findings);
     let known_peers = table.list("known_peers", findings);
     let platform_timeout =
         table.or_default("platform_timeout_ms", DEFAULT_PLATFORM_TIMEOUT_MS, findings);
@@ -169,6 +173,7 @@
             None => DEFAULT_OPERATOR.parse().ok()?,
         },
         peers: peers?.value,
+        peers_advertised: peers_advertised.map(|peers| peers.value),
         known_peers: known_peers.into_iter().map(|peer| peer.value).collect(),
         platform: platform?.value,
         platform_timeout: Duration::from_millis(platform_timeout),
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -42,6 +42,9 @@
     /// The pool it is to belong to, while a move is under way.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub moving_to: Option<PoolId>,
+    /// Whether an operator has moved it, so that the planner does not move it back.
+    #[serde(default)]
+    pub pinned: bool,
     /// How far its stop or move has come.
     pub phase: HostPhase,
     /// The wave that closed it.
@@ -80,6 +83,11 @@
         self.hosts.get(host).and_then(|held| held.pool.as_ref())
     }
 
+    /// Tells whether an operator has moved a host.
+    pub fn is_pinned(&self, host: &HostId) -> bool {
+        self.hosts.get(host).is_some_and(|held| held.pinned)
+    }
+
     /// Tells whether a host must get no new work.
     pub fn is_closed(&self, host: &HostId) -> bool {
         self.hosts
--- a/src/wave/budget_book.rs
+++ b/src/wave/budget_book.rs
@@ -14,6 +14,8 @@
 pub const BUDGET_PREFIX: &str = "budget/";
 
 const HOUR_MS: u64 = 3_600_000;
+/// The part of a budget that planned steps never risk, as a divisor.
+const KEPT_DIVISOR: u32 = 4;
 
 /// The row of one service's budget: the time charged in each hour.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -59,6 +61,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct BudgetBook {
     left: BTreeMap<ServiceId, Duration>,
+    kept: BTreeMap<ServiceId, Duration>,
 }
 
 impl BudgetBook {
@@ -77,11 +80,22 @@
             let row = rows.get(&service.id).cloned().unwrap_or_default();
             (service.id.clone(), row.left(service, now_ms))
         });
+        let kept = text.services.values().map(|service| {
+            let allowance = service.availability.allowance(service.window);
+            (service.id.clone(), allowance / KEPT_DIVISOR)
+        });
         Self {
             left: left.collect(),
+            kept: kept.collect(),
         }
     }
 
+    /// Returns what may be risked by planned steps, beyond the part kept for unplanned loss.
+    pub fn spendable(&self, service: &ServiceId) -> Duration {
+        let kept = self.kept.get(service).copied().unwrap_or_default();
+        self.left(service).saturating_sub(kept)
+    }
+
     /// Returns what is left of a service's budget.
     pub fn left(&self, service: &ServiceId) -> Duration {
         self.left.get(service).copied().unwrap_or_default()
--- a/src/wave/fleet_view.rs
+++ b/src/wave/fleet_view.rs
@@ -1,6 +1,7 @@
 //! The fleet at one moment, as the planner sees it.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::id::DataCentreId;
 use crate::id::HostId;
@@ -13,6 +14,10 @@
 use crate::version::LossDomain;
 use crate::version::Pool;
 use crate::version::ServiceText;
+use crate::wave::BudgetBook;
+
+/// How long the loss of a domain is assumed to last until capacity is back.
+const ASSUMED_LOSS: Duration = Duration::from_secs(600);
 
 /// Whether a host serves its pool.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -45,17 +50,25 @@
 pub struct FleetView {
     text: ServiceText,
     hosts: BTreeMap<HostId, HostView>,
+    arriving: BTreeMap<PoolId, usize>,
+    sizes: BTreeMap<PoolId, usize>,
 }
 
 impl FleetView {
     /// Creates a view of hosts.
     pub fn new(text: ServiceText, hosts: Vec<HostView>) -> Self {
+        let sizes = text
+            .pools
+            .values()
+            .map(|pool| (pool.id.clone(), pool.hosts.len()));
         Self {
+            sizes: sizes.collect(),
             text,
             hosts: hosts
                 .into_iter()
                 .map(|host| (host.id.clone(), host))
                 .collect(),
+            arriving: BTreeMap::new(),
         }
     }
 
@@ -81,7 +94,47 @@
                 condition,
             })
         });
-        Self::new(text.clone(), views.collect())
+        let mut view = Self::new(text.clone(), views.collect());
+        for (host, held) in placement.hosts() {
+            if let Some(pool) = &held.moving_to {
+                view.add_arriving(pool.clone());
+            }
+            let pool = held.moving_to.as_ref().or(held.pool.as_ref());
+            if let (true, Some(pool), Some(first)) = (held.pinned, pool, first_pools.get(host)) {
+                view.resize(&first.id, pool);
+            }
+        }
+        view
+    }
+
+    /// Counts a host for good in another pool than the text does.
+    fn resize(&mut self, from: &PoolId, to: &PoolId) {
+        if let Some(size) = self.sizes.get_mut(from) {
+            *size = size.saturating_sub(1);
+        }
+        *self.sizes.entry(to.clone()).or_default() += 1;
+    }
+
+    /// Returns the number of hosts that a pool has by the text and by operators' moves.
+    pub fn listed_size(&self, pool: &PoolId) -> usize {
+        self.sizes.get(pool).copied().unwrap_or(0)
+    }
+
+    /// Counts a host as on its way to a pool.
+    pub fn add_arriving(&mut self, pool: PoolId) {
+        *self.arriving.entry(pool).or_default() += 1;
+    }
+
+    /// Forgets a host that was on its way to a pool.
+    pub fn remove_arriving(&mut self, pool: &PoolId) {
+        if let Some(count) = self.arriving.get_mut(pool) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Returns the number of hosts on their way to a pool.
+    pub fn arriving(&self, pool: &PoolId) -> usize {
+        self.arriving.get(pool).copied().unwrap_or(0)
     }
 
     /// Returns the service text.
@@ -140,6 +193,19 @@
         shortfalls
     }
 
+    /// Tells whether the budgets of a service and its dependants bear the loss of
+    /// `share` of its need for the time that a lost domain is assumed to be missing.
+    pub(crate) fn is_borne(&self, book: &BudgetBook, service: &ServiceId, share: f64) -> bool {
+        if share <= 0.0 {
+            return true;
+        }
+        let mut shortfalls = BTreeMap::new();
+        spread(&mut shortfalls, &self.text, service, share);
+        shortfalls
+            .iter()
+            .all(|(service, share)| ASSUMED_LOSS.mul_f64(*share) <= book.spendable(service))
+    }
+
     /// Returns the most serving hosts of each pool that one loss can take.
     pub fn largest_losses(&self) -> BTreeMap<&PoolId, usize> {
         let mut counts = BTreeMap::<(&PoolId, &str), usize>::new();
--- a/src/wave/wave_controller.rs
+++ b/src/wave/wave_controller.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -35,7 +36,11 @@
 use crate::wave::wave_key;
 use crate::wave::BudgetBook;
 use crate::wave::FleetView;
+use crate::wave::HostCondition;
+use crate::wave::HostMove;
+use crate::wave::HostView;
 use crate::wave::ServiceBudget;
+use crate::wave::SparePlanner;
 use crate::wave::StepDecision;
 use crate::wave::WavePlanner;
 use crate::wave::WaveRecord;
@@ -47,6 +52,8 @@
 const ROW_LIMIT: usize = 1_000;
 /// How long a restarted host may take to come back before its wave is held.
 const RESTART_LIMIT: Duration = Duration::from_secs(900);
+/// How long a lost host is expected to come back by itself.
+const EXPECTED_BACK: Duration = Duration::from_secs(600);
 /// The time between two charges of unplanned loss.
 const CHARGE_PAUSE: Duration = Duration::from_secs(5);
 /// The growth of a wave's group after each group that came back.
@@ -92,6 +99,7 @@
     lease: Rc<RoleLease<P>>,
     ordered: RefCell<HashSet<String>>,
     restarted_at: RefCell<HashMap<HostId, Instant>>,
+    lost_since: RefCell<HashMap<HostId, Instant>>,
     charged_at: RefCell<Option<Instant>>,
 }
 
@@ -110,6 +118,7 @@
             lease,
             ordered: RefCell::default(),
             restarted_at: RefCell::default(),
+            lost_since: RefCell::default(),
             charged_at: RefCell::default(),
         }
     }
@@ -134,6 +143,7 @@
             self.advance(wave, &view).await?;
         }
         self.reopen_ended(&waves, &view).await?;
+        self.repair(&view, busy).await?;
         Ok(busy)
     }
 
@@ -230,7 +240,12 @@
     /// Decides the next group and closes its hosts.
     async fn decide(&self, wave: &HeldWave, view: &ControlView) -> Result<()> {
         let book = view.book();
-        let decision = WavePlanner::new(&view.fleet, &book).next_step(&wave.record);
+        let mut planner = WavePlanner::new(&view.fleet, &book);
+        let host_moves = planner.next_moves(&wave.record);
+        if !host_moves.is_empty() {
+            return self.begin_moves(view, &host_moves).await;
+        }
+        let decision = planner.next_step(&wave.record);
         let mut record = wave.record.clone();
         let mut placement = view.placement.clone();
         let action = match decision {
@@ -265,6 +280,7 @@
         HostPlacement {
             pool: view.placement.pool_of(host).cloned(),
             moving_to: None,
+            pinned: view.placement.is_pinned(host),
             phase: HostPhase::Leaving,
             wave: Some(wave.record.id.clone()),
             boots: hosts.get(host).map_or(0, |record| record.boots),
@@ -433,6 +449,76 @@
         Ok(())
     }
 
+    /// Closes hosts so that they can change their pools.
+    async fn begin_moves(&self, view: &ControlView, host_moves: &[HostMove]) -> Result<()> {
+        let mut placement = view.placement.clone();
+        let mut hosts = Vec::new();
+        for host_move in host_moves {
+            let leaving = HostPlacement {
+                pool: view.placement.pool_of(&host_move.host).cloned(),
+                moving_to: Some(host_move.to.clone()),
+                pinned: false,
+                phase: HostPhase::Leaving,
+                wave: None,
+                boots: 0,
+            };
+            placement.set(host_move.host.clone(), leaving);
+            hosts.push(format!(
+                "{} from {} to {}",
+                host_move.host, host_move.from, host_move.to
+            ));
+        }
+        let note = self.note("host move", hosts.join(", "));
+        log::info!(target: "zincpier::wave", "moves: {}", note.subject);
+        let transaction = self.placement_transaction(view, &placement);
+        self.commit(transaction, &placement, note).await
+    }
+
+    /// Moves hosts to pools that lack some and, while nothing else is under
+    /// way, back to the pools that the text lists them for.
+    async fn repair(&self, view: &ControlView, busy: bool) -> Result<()> {
+        let book = view.book();
+        let fleet = self.with_expected(view);
+        let mut planner = SparePlanner::new(&fleet, &book);
+        let mut host_moves = planner.repairs();
+        if !busy {
+            host_moves.extend(planner.restores());
+        }
+        match host_moves.is_empty() {
+            true => Ok(()),
+            false => self.begin_moves(view, &host_moves).await,
+        }
+    }
+
+    /// Returns the fleet with the hosts counted that will come back by themselves.
+    fn with_expected(&self, view: &ControlView) -> FleetView {
+        let fleet = &view.fleet;
+        let mut expected = fleet.clone();
+        let placed = view.placement.hosts().iter();
+        let moving = placed
+            .filter(|(_, held)| held.moving_to.is_some())
+            .map(|(host, _)| host)
+            .collect::<BTreeSet<_>>();
+        let mut lost_since = self.lost_since.borrow_mut();
+        let lost = |host: &&HostView| host.condition == HostCondition::Lost;
+        lost_since.retain(|host, _| fleet.hosts().get(host).is_some_and(|host| lost(&host)));
+        for host in fleet.hosts().values() {
+            // A host that a wave has closed comes back to its pool.
+            if host.condition == HostCondition::Closed && !moving.contains(&host.id) {
+                expected.add_arriving(host.pool.clone());
+            }
+        }
+        for host in fleet.hosts().values().filter(lost) {
+            let since = lost_since
+                .entry(host.id.clone())
+                .or_insert_with(Instant::now);
+            if since.elapsed() < EXPECTED_BACK {
+                expected.add_arriving(host.pool.clone());
+            }
+        }
+        expected
+    }
+
     /// Takes hosts that change their pool from leaving to active in the other pool.
     async fn advance_moves(&self, view: &ControlView) -> Result<bool> {
         let moving = view
--- a/src/wave/wave_planner.rs
+++ b/src/wave/wave_planner.rs
@@ -2,23 +2,22 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use crate::id::HostId;
 use crate::id::PoolId;
 use crate::id::RackId;
-use crate::id::ServiceId;
 use crate::version::LossDomain;
 use crate::wave::fleet_view::missing_share;
-use crate::wave::fleet_view::spread;
 use crate::wave::BudgetBook;
+use crate::wave::DonorFloor;
 use crate::wave::FleetView;
 use crate::wave::HostCondition;
+use crate::wave::HostMove;
 use crate::wave::HostView;
+use crate::wave::SparePlanner;
 use crate::wave::WaveRecord;
+use crate::wave::WaveState;
 
-/// How long the loss of a domain is assumed to last until capacity is back.
-const ASSUMED_LOSS: Duration = Duration::from_secs(600);
 /// The maintained hosts that may be lost at the same time before the wave is held.
 const LOST_AFTER_MAINTENANCE: usize = 1;
 
@@ -78,10 +77,41 @@
             return StepDecision::Finished;
         }
         let group = self.pick_group(wave);
-        if group.is_empty() {
-            return StepDecision::Wait(self.obstacle(wave));
+        match group.is_empty() {
+            true => StepDecision::Wait(self.obstacle(wave)),
+            false => StepDecision::Stop(group),
         }
-        StepDecision::Stop(group)
+    }
+
+    /// Returns the moves that let pending hosts be stopped later, one for each
+    /// pool that can stop none of its own.
+    pub fn next_moves(&self, wave: &WaveRecord) -> Vec<HostMove> {
+        if wave.state != WaveState::Running {
+            return Vec::new();
+        }
+        let pending = self.by_rack(&wave.pending);
+        let mut kept = pending
+            .iter()
+            .map(|host| &host.pool)
+            .collect::<BTreeSet<_>>();
+        kept.extend(self.pools_of(&wave.stopped));
+        let mut planner = SparePlanner::new(self.view, self.book);
+        let mut seen = BTreeSet::new();
+        let stopped = self.pools_of(&wave.stopped);
+        let moves = pending.into_iter().filter_map(|host| {
+            let waits = stopped.contains(&host.pool) || self.view.arriving(&host.pool) > 0;
+            if waits || !seen.insert(&host.pool) || self.allows(host) {
+                return None;
+            }
+            let pool = self.view.text().pools.get(&host.pool)?;
+            planner.move_to(pool, Some(&host.data_centre), DonorFloor::Listed, &kept)
+        });
+        moves.collect()
+    }
+
+    fn pools_of(&self, hosts: &BTreeSet<HostId>) -> BTreeSet<&'v PoolId> {
+        let views = hosts.iter().filter_map(|host| self.view.hosts().get(host));
+        views.map(|host| &host.pool).collect()
     }
 
     /// Returns why the wave must be held, if hosts have failed together.
@@ -159,19 +189,7 @@
         }
         let loss = self.loss_without(host);
         let share = missing_share(pool, up.saturating_sub(loss));
-        self.budgets_bear(&pool.service, share)
-    }
-
-    /// Tells whether every dependant's budget bears a shortfall for the assumed time.
-    fn budgets_bear(&self, service: &ServiceId, share: f64) -> bool {
-        if share <= 0.0 {
-            return true;
-        }
-        let mut shortfalls = BTreeMap::new();
-        spread(&mut shortfalls, self.view.text(), service, share);
-        shortfalls
-            .iter()
-            .all(|(service, share)| ASSUMED_LOSS.mul_f64(*share) <= self.book.left(service))
+        self.view.is_borne(self.book, &pool.service, share)
     }
 
     /// Returns the most hosts that one loss takes from a host's pool once it is stopped.
--- a/src/wave/wave_preview.rs
+++ b/src/wave/wave_preview.rs
@@ -47,10 +47,15 @@
         .unwrap_or_else(|_| unreachable!("a plain name"));
     let mut wave = WaveRecord::new(id, scope, hosts, 0);
     let mut steps = Vec::new();
+    let mut moves = 0;
     let obstacle = loop {
-        match WavePlanner::new(&view, book).next_step(&wave) {
+        let mut planner = WavePlanner::new(&view, book);
+        let host_moves = planner.next_moves(&wave);
+        match planner.next_step(&wave) {
             StepDecision::Finished => break None,
-            StepDecision::Wait(reason) | StepDecision::Hold(reason) => break Some(reason),
+            StepDecision::Hold(reason) => break Some(reason),
+            StepDecision::Wait(reason) if host_moves.is_empty() => break Some(reason),
+            StepDecision::Wait(_) => {}
             StepDecision::Stop(group) => {
                 for host in &group {
                     wave.pending.remove(host);
@@ -61,12 +66,19 @@
                 steps.push(PreviewStep { hosts: group });
             }
         }
+        for host_move in host_moves {
+            moves += 1;
+            view.set_pool(&host_move.host, host_move.to);
+        }
+        if moves > view.hosts().len() {
+            break Some("hosts that would move for ever".to_owned());
+        }
     };
     WavePreview {
         seconds: ASSUMED_STEP.as_secs() * steps.len() as u64,
         steps,
         obstacle,
-        moves: 0,
+        moves,
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -251,23 +251,31 @@
         data_centre: &str,
         known_peers: &[SocketAddr],
     ) -> DaemonProgram {
-        let path = self.folder.path().join(format!("{name}.toml"));
         let known = known_peers
             .iter()
             .map(|peer| format!("{:?}", peer.to_string()));
+        let known = known.collect::<Vec<_>>().join(", ");
+        let lines = format!("peers = \"127.0.0.1:0\"\nknown_peers = [{known}]\n");
+        self.start_daemon_with(name, data_centre, self.platform, &lines)
+    }
+
+    /// Starts a daemon that reaches the platform at `platform`, with further lines of settings.
+    pub(crate) fn start_daemon_with(
+        &self,
+        name: &str,
+        data_centre: &str,
+        platform: SocketAddr,
+        lines: &str,
+    ) -> DaemonProgram {
+        let path = self.folder.path().join(format!("{name}.toml"));
         let settings = format!(
-            "name = {name:?}\ndata_centre = {data_centre:?}\nplatform = \"{}\"\n\
-             callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             operator_token = {TOKEN:?}\nnotice_ms = 100\npoll_ms = 300\nknown_peers = [{}]\n",
-            self.platform,
-            known.collect::<Vec<_>>().join(", ")
+            "name = {name:?}\ndata_centre = {data_centre:?}\nplatform = \"{platform}\"\n\
+             callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n\
+             operator_token = {TOKEN:?}\nnotice_ms = 100\npoll_ms = 300\n{lines}"
         );
         std::fs::write(&path, settings).unwrap();
-        let program = Program::start(
-            env!("CARGO_BIN_EXE_zincpierd"),
-            &[path.to_str().unwrap()],
-            1,
-        );
+        let arguments = [path.to_str().unwrap()];
+        let program = Program::start(env!("CARGO_BIN_EXE_zincpierd"), &arguments, 1);
         let address = |role: &str| {
             let line = &program.lines[0];
             let start = line.find(&format!("{role}=")).unwrap() + role.len() + 1;
--- a/tests/waves.rs
+++ b/tests/waves.rs
@@ -438,6 +438,12 @@
         &json!({ "pool": "notices-pool" }),
     );
     wait_for("the host has moved", || pool_of("e1") == "digests-pool");
+    thread::sleep(Duration::from_secs(3));
+    assert_eq!(
+        pool_of("e1"),
+        "digests-pool",
+        "an operator's move is not undone"
+    );
     let text = wave_text().replace("needed = 4", "needed = 3");
     let held = system.daemons[0].status()["text_in_force"]
         .as_u64()
