Keep beating to peers while slots are borrowed; spend less when idle

Cause: under overload a backend server got up to 305 requests over its 8 slots. Each borrowing call restarted the pause before the next heartbeat, so a busy link never beat; after 15 s the peer marked the member as lost and took its slots. Idle daemons spent 0.80% of a core on working out the same slot shares 20 times a second and on looking at empty queues 50 times a second.

Before: a peer silent for 4234 ms after 4 s of overload; 305 and 267 requests over the slots; 0.80% of a core idle.

Conclusion: the time of the next heartbeat is kept across calls, and shares are worked out only when the member set or the servers change.

--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,419 @@
+//! Slopes of the cost of control, and the table of docs/CAPACITY.md.
+//!
+//! Runs the real code with small stand-ins at growing sizes, fits a line for
+//! each driver and prints the cost at the letter's size. Run with
+//! `cargo bench --bench capacity`.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::collections::HashMap;
+use std::fs;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use zincpier::connection::PeerBeat;
+use zincpier::id::EntryId;
+use zincpier::id::Incarnation;
+use zincpier::id::Revision;
+use zincpier::platform::HostChanges;
+use zincpier::process::slot_share;
+use zincpier::process::EntryIdentity;
+use zincpier::process::FlightLedger;
+use zincpier::process::MemberSet;
+use zincpier::process::Placement;
+use zincpier::process::ServerHealth;
+use zincpier::process::ServerPicker;
+use zincpier::process::SlotShare;
+use zincpier::standin::host_records;
+use zincpier::version::HostList;
+use zincpier::version::RoutingTable;
+use zincpier::version::ServiceText;
+use zincpier::wave::BudgetBook;
+use zincpier::wave::FleetView;
+use zincpier::wave::SparePlanner;
+
+use crate::common::small_text;
+use crate::common::System;
+use crate::fleet::FleetNeed;
+
+/// The entry hosts that the page works out the letter's size for.
+const ENTRY_HOSTS: f64 = 35.0;
+const TICKS_PER_SECOND: f64 = 100.0;
+const IDLE_TIME: Duration = Duration::from_secs(8);
+const CHANGES_PER_DAY: f64 = 1_800.0;
+const HOST_CHANGES_PER_DAY: f64 = 2.0 * (9.0 + 260.0 + 830.0 / 14.0);
+const SECONDS_PER_DAY: f64 = 86_400.0;
+
+/// A line fitted to measured points.
+struct Slope {
+    base: f64,
+    each: f64,
+    residual: f64,
+}
+
+impl Slope {
+    /// Fits a line by least squares; the residual is the largest miss as a share of the value.
+    fn fit(points: &[(f64, f64)]) -> Self {
+        let count = points.len() as f64;
+        let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+        let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+        let covariance = points
+            .iter()
+            .map(|(x, y)| (x - mean_x) * (y - mean_y))
+            .sum::<f64>();
+        let variance = points
+            .iter()
+            .map(|(x, _)| (x - mean_x).powi(2))
+            .sum::<f64>();
+        let each = covariance / variance;
+        let base = mean_y - each * mean_x;
+        let misses = points
+            .iter()
+            .map(|(x, y)| ((base + each * x - y) / y).abs());
+        Self {
+            base,
+            each,
+            residual: misses.fold(0.0, f64::max),
+        }
+    }
+
+    fn at(&self, x: f64) -> f64 {
+        self.base + self.each * x
+    }
+}
+
+fn print_slope(what: &str, driver: &str, points: &[(f64, f64)], at: f64) -> f64 {
+    let slope = Slope::fit(points);
+    let shown = points.iter().map(|(x, y)| format!("{x:.0}: {y:.4}"));
+    println!(
+        "{what}: {:.4} + {:.6} per {driver}, residual {:.0}%, at {at:.0}: {:.4}  ({})",
+        slope.base,
+        slope.each,
+        slope.residual * 100.0,
+        slope.at(at),
+        shown.collect::<Vec<_>>().join(", ")
+    );
+    slope.at(at)
+}
+
+fn text_of(pools: usize) -> ServiceText {
+    FleetNeed::new(pools, pools * 458 / 186, 5).with_fixed_spare(2)
+}
+
+/// The plain text of a generated fleet, about as an operator would write it.
+fn source_of(text: &ServiceText) -> String {
+    let mut source = "deployment = \"generated\"\n".to_owned();
+    for id in text.data_centres.keys() {
+        source += &format!("\n[[data_centres]]\nname = \"{id}\"\nregion = \"one\"\n");
+    }
+    for service in text.services.values() {
+        source += &format!(
+            "\n[[services]]\nname = \"{}\"\npath = \"{}\"\navailability = \"{}\"\n",
+            service.id, service.path, service.availability
+        );
+    }
+    let list = |hosts: &[zincpier::id::HostId]| {
+        let quoted = hosts.iter().map(|host| format!("\"{host}\""));
+        quoted.collect::<Vec<_>>().join(", ")
+    };
+    for rack in text.racks.values() {
+        source += &format!(
+            "\n[[racks]]\nname = \"{}\"\ndata_centre = \"{}\"\nhosts = [{}]\n",
+            rack.id,
+            rack.data_centre,
+            list(&rack.hosts)
+        );
+    }
+    for pool in text.pools.values() {
+        source += &format!(
+            "\n[[pools]]\nname = \"{}\"\nservice = \"{}\"\nrole = \"executor\"\nneeded = {}\nhosts = [{}]\n",
+            pool.id, pool.service, pool.needed, list(&pool.hosts)
+        );
+    }
+    source
+}
+
+fn list_of(text: &ServiceText) -> HostList {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut list = HostList::new();
+    list.merge(HostChanges {
+        revision: Revision::new(1),
+        hosts: host_records(text, |_| Some(address)),
+    });
+    list
+}
+
+/// Returns the time of one call in microseconds, the least of several runs.
+fn micros(mut call: impl FnMut()) -> f64 {
+    let run = |call: &mut dyn FnMut()| {
+        let started = Instant::now();
+        let mut calls = 0;
+        while started.elapsed() < Duration::from_millis(60) {
+            call();
+            calls += 1;
+        }
+        started.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
+    };
+    (0..3).map(|_| run(&mut call)).fold(f64::MAX, f64::min)
+}
+
+fn text_slopes() -> (f64, f64) {
+    let (mut bytes, mut parse, mut build, mut memory) = (vec![], vec![], vec![], vec![]);
+    for pools in [46, 93, 186, 372] {
+        let text = text_of(pools);
+        let hosts = text.pool_of_hosts().len() as f64;
+        let source = source_of(&text);
+        let list = list_of(&text);
+        let placement = Placement::new();
+        bytes.push((hosts, source.len() as f64));
+        parse.push((
+            hosts,
+            micros(|| drop(black_box(ServiceText::parse("bench", &source)))),
+        ));
+        build.push((
+            hosts,
+            micros(|| drop(black_box(RoutingTable::new(&text, &placement, &list)))),
+        ));
+        memory.push((
+            hosts,
+            serde_json::to_vec(&list.changed_since(Revision::new(0)))
+                .unwrap()
+                .len() as f64,
+        ));
+    }
+    let at = 830.0;
+    let size = print_slope("service text, bytes", "host", &bytes, at);
+    let parse = print_slope("parse of the text, us", "host", &parse, at);
+    let build = print_slope("routing table, us", "host", &build, at);
+    print_slope("whole host list, bytes as JSON", "host", &memory, at);
+    (size, parse + build)
+}
+
+fn decision_slopes() {
+    let (mut pick, mut share, mut plan) = (vec![], vec![], vec![]);
+    for servers in [8, 32, 128, 512] {
+        let text = FleetNeed::new(1, servers, 1).with_fixed_spare(0);
+        let list = list_of(&text);
+        let table = RoutingTable::new(&text, &Placement::new(), &list);
+        let route = table.routes().next().unwrap();
+        let ledger = FlightLedger::new();
+        let full = SlotShare {
+            reserve: 4,
+            full: 8,
+        };
+        let shares = route
+            .servers
+            .iter()
+            .map(|server| (server.host.clone(), full));
+        ledger.set_shares(&shares.collect::<HashMap<_, _>>());
+        let health = ServerHealth::new();
+        let data_centre = route.servers[0].data_centre.clone();
+        let mut random = rand::rng();
+        let now = Instant::now();
+        let nanos = micros(|| {
+            let picker = ServerPicker::new(&ledger, &health, now, now);
+            let server = picker
+                .pick(&route.servers, &data_centre, &[], true, &mut random)
+                .unwrap();
+            ledger.end(&server.host);
+        });
+        pick.push((servers as f64, nanos * 1_000.0));
+    }
+    for pools in [46, 93, 186, 372] {
+        let text = text_of(pools);
+        let hosts = text.pool_of_hosts().len() as f64;
+        let view = FleetView::from_facts(&text, &Placement::new(), &list_of(&text));
+        let book = BudgetBook::full(&text);
+        plan.push((
+            hosts,
+            micros(|| drop(black_box(SparePlanner::new(&view, &book).repairs()))),
+        ));
+    }
+    for entries in [7, 35, 105] {
+        let members = members_of(entries);
+        let entry = "entry-000".parse::<EntryId>().unwrap();
+        let host = "h".parse().unwrap();
+        let data_centre = "dc-0".parse().unwrap();
+        let nanos = micros(|| {
+            black_box(slot_share(&members, &entry, &host, &data_centre, 8));
+        });
+        share.push((entries as f64, nanos * 1_000.0));
+    }
+    print_slope(
+        "pick of a backend server, ns",
+        "server of the service",
+        &pick,
+        50.0,
+    );
+    print_slope(
+        "slot share of one server, ns",
+        "entry host",
+        &share,
+        ENTRY_HOSTS,
+    );
+    print_slope("look for repairs, us", "host", &plan, 830.0);
+}
+
+fn members_of(entries: usize) -> MemberSet {
+    (0..entries).fold(MemberSet::new(), |set, number| {
+        let identity = EntryIdentity {
+            entry: format!("entry-{number:03}").parse().unwrap(),
+            incarnation: Incarnation::new(1),
+            data_centre: format!("dc-{}", number % 5).parse().unwrap(),
+            peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+        };
+        set.with_member(identity.entry.clone(), identity.member(false))
+    })
+}
+
+/// Processor time and beats of each daemon, and the table's reads, with so many entry hosts.
+fn membership_point(entries: usize) -> (f64, f64, f64, f64, f64) {
+    let names =
+        (0..entries).map(|number| (format!("entry-{number:03}"), ["east", "west"][number % 2]));
+    let names = names.collect::<Vec<_>>();
+    let mut system = System::start(&small_text(), "1", &[]);
+    for (name, data_centre) in &names {
+        let daemon = system.start_daemon_with(
+            name,
+            data_centre,
+            system.platform,
+            "peers = \"127.0.0.1:0\"\n",
+        );
+        system.daemons.push(daemon);
+    }
+    system.apply(&small_text(), 0);
+    common::wait_for("all are members", || {
+        let status = system.daemons[0].status();
+        status["entries"].as_array().unwrap().len() == entries
+    });
+    thread::sleep(Duration::from_secs(3));
+    let before = measure(&system);
+    thread::sleep(IDLE_TIME);
+    let after = measure(&system);
+    let seconds = IDLE_TIME.as_secs_f64();
+    let each = seconds * entries as f64;
+    let cpu = (after.0 - before.0) / TICKS_PER_SECOND / each;
+    let memory = after.1 / entries as f64;
+    let bytes = (after.2 - before.2) / each;
+    let reads = (after.3 - before.3) / each;
+    let writes = (after.4 - before.4) / seconds;
+    (cpu * 100.0, memory, bytes, reads, writes)
+}
+
+/// Ticks, resident kilobytes, bytes sent and received by peers, table reads and writes, all summed.
+fn measure(system: &System) -> (f64, f64, f64, f64, f64) {
+    let (mut ticks, mut memory, mut bytes) = (0.0, 0.0, 0.0);
+    for daemon in &system.daemons {
+        let id = daemon.program.child.id();
+        let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+        let fields = stat
+            .rsplit(')')
+            .next()
+            .unwrap()
+            .split_whitespace()
+            .collect::<Vec<_>>();
+        ticks += fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status
+            .lines()
+            .find(|line| line.starts_with("VmRSS"))
+            .unwrap();
+        memory += line
+            .split_whitespace()
+            .nth(1)
+            .unwrap()
+            .parse::<f64>()
+            .unwrap();
+        let metrics = daemon.metrics();
+        let beats = metrics
+            .lines()
+            .find(|line| line.starts_with("zincpier_peer_beats"));
+        let beats = beats
+            .and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .unwrap_or(0.0);
+        bytes += beats * beat_bytes();
+    }
+    let counts = common::call(system.platform, "GET", "/counts", &[], "").json();
+    let count = |name: &str| counts[name].as_f64().unwrap_or(0.0);
+    (
+        ticks,
+        memory,
+        bytes,
+        count("reads") + count("lists") + count("scans"),
+        count("writes"),
+    )
+}
+
+/// The bytes of one heartbeat heard, with the one sent for it.
+fn beat_bytes() -> f64 {
+    let beat = PeerBeat {
+        entry: "entry-000".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        facts: [Revision::new(1); 3],
+        hosts: Revision::new(1),
+        text_in_force: Revision::new(1),
+        settled: Revision::new(1),
+    };
+    // The frame's length, the call's number, deadline and trace context are about as long as the beat.
+    const ENVELOPE_BYTES: f64 = 64.0;
+    let body = 8.0 + beat.entry.as_str().len() as f64 + 8.0 * 7.0;
+    2.0 * (body + ENVELOPE_BYTES)
+}
+
+fn main() {
+    println!("== text, host list, routing");
+    let (text_bytes, install_us) = text_slopes();
+    println!("== decisions");
+    decision_slopes();
+    println!("== membership and looks at the platform (idle daemons, poll 1 s)");
+    let (mut cpu, mut memory, mut bytes, mut reads, mut writes) =
+        (vec![], vec![], vec![], vec![], vec![]);
+    for entries in [3, 7, 20, 40] {
+        let point = membership_point(entries);
+        let x = entries as f64;
+        cpu.push((x, point.0));
+        memory.push((x, point.1));
+        bytes.push((x, point.2));
+        reads.push((x, point.3));
+        writes.push((x, point.4));
+    }
+    print_slope(
+        "processor, % of a core each",
+        "entry host",
+        &cpu,
+        ENTRY_HOSTS,
+    );
+    print_slope("memory, kB each", "entry host", &memory, ENTRY_HOSTS);
+    print_slope(
+        "heartbeats, bytes a second each",
+        "entry host",
+        &bytes,
+        ENTRY_HOSTS,
+    );
+    print_slope(
+        "platform calls a second each",
+        "entry host",
+        &reads,
+        ENTRY_HOSTS,
+    );
+    println!("table writes a second, all: {writes:?}");
+    println!("== changes at the letter's rate");
+    let changes = CHANGES_PER_DAY / SECONDS_PER_DAY;
+    println!(
+        "text changes: {:.0} bytes/s and {:.3}% of a core each",
+        text_bytes * changes,
+        install_us * changes / 1e4
+    );
+    let host_changes = HOST_CHANGES_PER_DAY / SECONDS_PER_DAY;
+    println!(
+        "host changes: {:.5} a second, {:.4}% of a core each for routing tables",
+        host_changes,
+        install_us * host_changes / 1e4
+    );
+}
--- a/src/connection/peer_link.rs
+++ b/src/connection/peer_link.rs
@@ -10,7 +10,7 @@
 use tarpc::context::Context;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::connection::peer_service::PeerServiceClient;
@@ -60,8 +60,8 @@
         mut calls: mpsc::UnboundedReceiver<PeerCall>,
     ) {
         let mut changes = self.state.facts.subscribe();
+        let mut next_beat = tokio::time::Instant::now();
         loop {
-            let pause = BEAT_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1));
             tokio::select! {
                 call = calls.recv() => match call {
                     Some(call) => self.carry(call).await,
@@ -71,7 +71,9 @@
                     Ok(()) => self.beat().await,
                     Err(_) => return,
                 },
-                () = sleep(pause) => {
+                // The time is kept across calls, which may come all the time.
+                () = sleep_until(next_beat) => {
+                    next_beat += BEAT_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1));
                     if rand::rng().random_bool(plan.chance) {
                         self.beat().await;
                     }
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -63,7 +63,7 @@
         match (request.method(), segments.as_slice()) {
             (&Method::GET, ["live"]) => text_response("live\n"),
             (&Method::GET, ["ready"]) => self.ready(),
-            (&Method::GET, ["metrics"]) => text_response(&self.parts.metrics.to_text()),
+            (&Method::GET, ["metrics"]) => self.metrics(),
             (&Method::GET, ["status"]) => json_response(&self.status()),
             (&Method::GET, ["text"]) => self.show_text(),
             (&Method::GET, ["audit"]) => self.audit(request).await,
@@ -95,6 +95,12 @@
         problem_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
     }
 
+    fn metrics(&self) -> Response<Bytes> {
+        let metrics = &self.parts.metrics;
+        metrics.set_peer_beats(self.parts.state.beats());
+        text_response(&metrics.to_text())
+    }
+
     fn status(&self) -> StatusReport {
         let state = &self.parts.state;
         let router = &self.parts.router;
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -1,7 +1,6 @@
 //! An entry host's daemon, put together.
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -20,7 +19,6 @@
 use crate::connection::MessageLimits;
 use crate::error::Error;
 use crate::error::Result;
-use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::operator::OperatorApi;
 use crate::operator::TextFact;
@@ -41,10 +39,10 @@
 use crate::process::PeerState;
 use crate::process::Placement;
 use crate::process::RoleLease;
+use crate::process::ShareBasis;
 use crate::process::ShareKeeper;
 use crate::process::SharedServer;
 use crate::process::ShutdownSignal;
-use crate::process::SlotShare;
 use crate::request::ClaimKeeper;
 use crate::request::RequestRouter;
 use crate::version::FactKind;
@@ -52,7 +50,7 @@
 use crate::version::ServiceText;
 use crate::wave::WaveController;
 
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 const CONTROL_PAUSE: Duration = Duration::from_secs(1);
 const CONTROL_PAUSE_BUSY: Duration = Duration::from_millis(100);
 const MEMBER_PAUSE: Duration = Duration::from_millis(500);
@@ -178,6 +176,13 @@
     }
 }
 
+/// What the ledger's slot shares were last worked out from.
+#[derive(Default)]
+struct HeldShares {
+    basis: ShareBasis,
+    table: Option<Rc<RoutingTable>>,
+}
+
 /// The parts of a running daemon.
 pub struct DaemonParts {
     /// What both threads see.
@@ -367,7 +372,7 @@
     async fn tick(self: Rc<Self>) {
         let mut keeper = ShareKeeper::new(self.state.identity.clone(), Instant::now());
         let mut looks = 0;
-        let mut shares = HashMap::new();
+        let mut held = HeldShares::default();
         loop {
             let now = Instant::now();
             if self.guard.tick(now) {
@@ -380,48 +385,36 @@
                 looks = seen;
                 keeper.confirm(now);
             }
-            self.update_shares(&mut keeper, &mut shares, now);
+            self.update_shares(&mut keeper, &mut held, now);
             self.router.dispatch_all();
             sleep(TICK).await;
         }
     }
 
-    fn update_shares(
-        &self,
-        keeper: &mut ShareKeeper,
-        shares: &mut HashMap<HostId, SlotShare>,
-        now: Instant,
-    ) {
+    fn update_shares(&self, keeper: &mut ShareKeeper, held: &mut HeldShares, now: Instant) {
         let fact = self.state.facts.get(FactKind::Members);
         if fact.revision > keeper.revision() {
             keeper.follow(fact.revision, MemberSet::from_fact(&fact), now);
         }
         keeper.decide(&self.state.tracker(), now);
-        let servers = self.shared_servers();
-        let wanted = keeper.shares(&servers, now);
-        if wanted != *shares {
-            self.state.ledger.set_shares(&wanted);
-            *shares = wanted;
+        let table = self.router.table();
+        let basis = keeper.basis(now);
+        let same_table = held
+            .table
+            .as_ref()
+            .is_some_and(|held| Rc::ptr_eq(held, &table));
+        if basis != held.basis || !same_table {
+            let shares = keeper.shares(&shared_servers(&table), now);
+            self.state.ledger.set_shares(&shares);
+            held.basis = basis;
+            held.table = Some(table);
         }
-        if self.state.ledger.is_within_shares(now) {
+        let unsettled = self.state.settled() < keeper.revision();
+        if unsettled && self.state.ledger.is_within_shares(now) {
             self.state.settle(keeper.revision());
         }
     }
 
-    fn shared_servers(&self) -> Vec<SharedServer> {
-        let table = self.router.table();
-        table
-            .routes()
-            .flat_map(|route| {
-                route.servers.iter().map(|server| SharedServer {
-                    host: server.host.clone(),
-                    data_centre: server.data_centre.clone(),
-                    slots: route.service.slots,
-                })
-            })
-            .collect()
-    }
-
     async fn sweep(self: Rc<Self>) {
         loop {
             pause(SWEEP_PAUSE).await;
@@ -449,6 +442,17 @@
     }
 }
 
+fn shared_servers(table: &RoutingTable) -> Vec<SharedServer> {
+    let shared = table.routes().flat_map(|route| {
+        route.servers.iter().map(|server| SharedServer {
+            host: server.host.clone(),
+            data_centre: server.data_centre.clone(),
+            slots: route.service.slots,
+        })
+    });
+    shared.collect()
+}
+
 /// Waits while something holds, for `time` at most.
 async fn wait_while(time: Duration, holds: impl Fn() -> bool) {
     let deadline = Instant::now() + time;
--- a/src/process/daemon_metrics.rs
+++ b/src/process/daemon_metrics.rs
@@ -34,6 +34,7 @@
     answers: Family<AnswerLabels, Counter>,
     events: Family<EventLabels, Counter>,
     waiting: Gauge,
+    peer_beats: Gauge,
     latency: Histogram,
 }
 
@@ -49,11 +50,17 @@
         let answers = Family::default();
         let events = Family::default();
         let waiting = Gauge::default();
+        let peer_beats = Gauge::default();
         let latency = Histogram::new(exponential_buckets(0.000_25, 2.0, 16));
         let mut registry = Registry::with_prefix("zincpier");
         registry.register("answers", "Answers to callers", answers.clone());
         registry.register("events", "Events of the daemon", events.clone());
         registry.register("waiting", "Requests that wait for a slot", waiting.clone());
+        registry.register(
+            "peer_beats",
+            "Heartbeats heard from peers, replies included",
+            peer_beats.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time from request to answer",
@@ -64,6 +71,7 @@
             answers,
             events,
             waiting,
+            peer_beats,
             latency,
         }
     }
@@ -93,6 +101,11 @@
         self.waiting.set(waiting as i64);
     }
 
+    /// Sets the number of heartbeats heard.
+    pub fn set_peer_beats(&self, beats: u64) {
+        self.peer_beats.set(beats as i64);
+    }
+
     /// Returns all counters in the Prometheus text format.
     pub fn to_text(&self) -> String {
         let mut text = String::new();
--- a/src/process/flight_ledger.rs
+++ b/src/process/flight_ledger.rs
@@ -274,11 +274,11 @@
     }
 
     /// Returns the loans from peers that end before `time`.
-    pub fn loans_ending_before(&self, time: Instant) -> Vec<BorrowedHost> {
+    pub fn loans_ending_before(&self, time: Instant, now: Instant) -> Vec<BorrowedHost> {
         let mut state = self.lock();
         let mut ending = Vec::new();
         for (host, flights) in &mut state.hosts {
-            flights.forget_ended(Instant::now());
+            flights.forget_ended(now);
             let loans = flights.borrowed.iter().filter(|loan| loan.until < time);
             ending.extend(loans.map(|loan| BorrowedHost {
                 host: host.clone(),
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -58,6 +58,7 @@
 pub use role_lease::RoleLease;
 pub use server_health::ServerHealth;
 pub use server_picker::ServerPicker;
+pub use share_keeper::ShareBasis;
 pub use share_keeper::ShareKeeper;
 pub use share_keeper::SharedServer;
 pub use shutdown::BusyGuard;
--- a/src/process/share_keeper.rs
+++ b/src/process/share_keeper.rs
@@ -33,6 +33,14 @@
     pub slots: u32,
 }
 
+/// What slot shares depend on beside the servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ShareBasis {
+    current: Revision,
+    in_force: Revision,
+    careful: bool,
+}
+
 /// Follows the member set without ever using a slot that another may still use.
 ///
 /// Shares shrink as soon as a member set is known and grow once every other
@@ -45,6 +53,7 @@
     current_revision: Revision,
     current_since: Instant,
     in_force: MemberSet,
+    in_force_revision: Revision,
     confirmed_at: Instant,
     started: Instant,
 }
@@ -58,6 +67,7 @@
             current_revision: Revision::new(0),
             current_since: now,
             in_force: MemberSet::new(),
+            in_force_revision: Revision::new(0),
             confirmed_at: now,
             started: now,
         }
@@ -86,11 +96,8 @@
 
     /// Decides which member set is in force, after what was heard from peers.
     pub fn decide(&mut self, tracker: &MemberTracker, now: Instant) {
-        let mates = self.mates();
+        let mates = self.others(true);
         let live = mates.iter().filter(|(_, lost)| !lost);
-        let settled = live
-            .clone()
-            .all(|(entry, _)| tracker.settled(entry) >= self.current_revision);
         // A mate that knows a newer set may have marked this member as lost.
         let agreed = live.clone().all(|(entry, _)| {
             tracker.is_alive(entry, now) && tracker.members_known(entry) == self.current_revision
@@ -98,17 +105,43 @@
         if agreed && live.count() > 0 {
             self.confirmed_at = now;
         }
-        let any_lost = mates.iter().any(|(_, lost)| *lost);
-        let waited = now.saturating_duration_since(self.current_since) >= TAKEOVER;
-        if settled && (waited || !any_lost) {
+        let newer = self.in_force_revision < self.current_revision;
+        if newer && self.is_settled(tracker) && self.is_taken_over(now) {
             self.in_force = self.current.clone();
+            self.in_force_revision = self.current_revision;
+        }
+    }
+
+    /// Tells whether every member that may use the slots in question keeps within the current set.
+    ///
+    /// These are the members of this data centre, or all when some data
+    /// centre's slots were or are divided among the members of others.
+    fn is_settled(&self, tracker: &MemberTracker) -> bool {
+        let near = !has_orphans(&self.current) && !has_orphans(&self.in_force);
+        self.others(near)
+            .iter()
+            .filter(|(_, lost)| !lost)
+            .all(|(entry, _)| tracker.settled(entry) >= self.current_revision)
+    }
+
+    /// Tells whether lost members have had the time to fall back to their reserves.
+    fn is_taken_over(&self, now: Instant) -> bool {
+        let any_lost = self.current.members().values().any(|member| member.lost);
+        !any_lost || now.saturating_duration_since(self.current_since) >= TAKEOVER
+    }
+
+    /// Returns what the shares depend on beside the servers; while it stays the same, so do they.
+    pub fn basis(&self, now: Instant) -> ShareBasis {
+        ShareBasis {
+            current: self.current_revision,
+            in_force: self.in_force_revision,
+            careful: self.is_careful(now),
         }
     }
 
     /// Returns the slots of each server that may be used now.
     pub fn shares(&self, servers: &[SharedServer], now: Instant) -> HashMap<HostId, SlotShare> {
-        let isolated = now.saturating_duration_since(self.confirmed_at) > CONFIRMATION;
-        let careful = isolated || self.may_have_lent(now);
+        let careful = self.is_careful(now);
         servers
             .iter()
             .map(|server| {
@@ -124,6 +157,12 @@
             .collect()
     }
 
+    /// Tells whether only the reserve may be used now.
+    fn is_careful(&self, now: Instant) -> bool {
+        let isolated = now.saturating_duration_since(self.confirmed_at) > CONFIRMATION;
+        isolated || self.may_have_lent(now)
+    }
+
     /// Tells whether slots may still be in use that an earlier run of this entry host has lent.
     fn may_have_lent(&self, now: Instant) -> bool {
         let own = self.current.get(&self.identity.entry);
@@ -133,11 +172,13 @@
         replaces && now.saturating_duration_since(self.started) < EARLIER_LOANS
     }
 
-    /// Returns the other members of this data centre and whether they are lost.
-    fn mates(&self) -> Vec<(EntryId, bool)> {
-        self.current
-            .in_data_centre(&self.identity.data_centre)
-            .filter(|(entry, _)| **entry != self.identity.entry)
+    /// Returns the other members, of this data centre or of all, and whether they are lost.
+    fn others(&self, near: bool) -> Vec<(EntryId, bool)> {
+        let own = &self.identity;
+        let members = self.current.members().iter();
+        members
+            .filter(|(entry, _)| **entry != own.entry)
+            .filter(|(_, member)| !near || member.data_centre == own.data_centre)
             .map(|(entry, member)| (entry.clone(), member.lost))
             .collect()
     }
@@ -153,3 +194,11 @@
         )
     }
 }
+
+/// Tells whether some data centre has members, but no live one.
+fn has_orphans(members: &MemberSet) -> bool {
+    members.members().values().any(|member| {
+        let mut mates = members.in_data_centre(&member.data_centre);
+        mates.all(|(_, mate)| mate.lost)
+    })
+}
--- a/src/process/slot_borrower.rs
+++ b/src/process/slot_borrower.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use monoio::time::sleep;
+use monoio::time::timeout;
 
 use crate::connection::SlotRequest;
 use crate::id::EntryId;
@@ -19,7 +20,9 @@
 use crate::request::RequestRouter;
 use crate::version::ServiceRoute;
 
-/// The time between two looks at the queues.
+/// The time between two looks at the loans while nothing waits.
+const RENEWAL_LOOK: Duration = Duration::from_millis(500);
+/// The time between two looks at the queues while something waits.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 /// How long slots are borrowed.
 const LOAN_TIME: Duration = Duration::from_secs(6);
@@ -52,15 +55,21 @@
             self.renew().await;
             if self.router.has_waiting() {
                 self.borrow_for_waiting().await;
+                sleep(LOOK_PAUSE).await;
+            } else {
+                // An error is the end of the pause, after which loans are looked at.
+                let _ = timeout(RENEWAL_LOOK, self.router.waiting_begun()).await;
             }
-            sleep(LOOK_PAUSE).await;
         }
     }
 
     /// Renews the loans that requests in flight need and ends the others.
     async fn renew(&self) {
         let now = Instant::now();
-        let ending = self.state.ledger.loans_ending_before(now + RENEWAL_TIME);
+        let ending = self
+            .state
+            .ledger
+            .loans_ending_before(now + RENEWAL_TIME, now);
         for loan in ending {
             // The slots are out of use here before the lender has them again.
             let given_back = self.state.ledger.give_back(&loan.host, &loan.lender);
--- a/src/request/request_router.rs
+++ b/src/request/request_router.rs
@@ -13,10 +13,12 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use monoio::time::sleep;
 use monoio::time::timeout_at;
 use monoio::time::Instant;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use tokio::sync::Notify;
 
 use crate::connection::exchange::strip_hop_headers;
 use crate::connection::ExchangeError;
@@ -62,6 +64,8 @@
 const CLAIM_TIME: Duration = Duration::from_secs(1);
 /// The weight of the newest request in the average time of a service's requests.
 const NEWEST_WEIGHT: f64 = 0.05;
+/// How long a server is taken to work on a request that was given up here.
+const ABANDONED_TIME: Duration = Duration::from_millis(500);
 /// When to come back after a refusal for lack of capacity or of the platform.
 const COME_BACK: Duration = Duration::from_secs(1);
 /// When to come back while the same request is running.
@@ -140,6 +144,7 @@
     connections: RefCell<HashMap<HostId, ServerConnections>>,
     random: RefCell<SmallRng>,
     waiting: Cell<usize>,
+    waiting_begun: Notify,
 }
 
 impl<P: ObjectService + TableService> RequestRouter<P> {
@@ -166,6 +171,7 @@
             connections: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             waiting: Cell::new(0),
+            waiting_begun: Notify::new(),
         }
     }
 
@@ -200,6 +206,11 @@
         self.waiting.get() > 0
     }
 
+    /// Waits until a request waits for a slot.
+    pub async fn waiting_begun(&self) {
+        self.waiting_begun.notified().await;
+    }
+
     /// Gives free slots to waiting requests of every service.
     pub fn dispatch_all(&self) {
         if self.waiting.get() == 0 {
@@ -419,8 +430,9 @@
         let answer = self
             .exchange(request, route, meta, &grant.server, deadline)
             .await;
-        drop(grant);
         let time = started.elapsed();
+        let abandoned = answer.as_ref().is_err_and(ExchangeError::may_have_run);
+        release(grant, abandoned);
         match &answer {
             Ok(answer) if !answer.status().is_server_error() => {
                 self.health.borrow_mut().succeed(&host, time);
@@ -698,7 +710,9 @@
 
     fn add_waiting(&self, change: isize) {
         let waiting = self.waiting.get().saturating_add_signed(change);
-        self.waiting.set(waiting);
+        if self.waiting.replace(waiting) == 0 && waiting > 0 {
+            self.waiting_begun.notify_one();
+        }
         self.metrics.set_waiting(waiting);
     }
 }
@@ -709,6 +723,16 @@
     }
 }
 
+/// Gives a slot back, later if the server may still work on the request.
+fn release(grant: SlotGrant, abandoned: bool) {
+    if abandoned {
+        monoio::spawn(async move {
+            sleep(ABANDONED_TIME).await;
+            drop(grant);
+        });
+    }
+}
+
 /// Returns when an attempt is given up, so that another one may still be made.
 fn attempt_deadline(
     route: &ServiceRoute,
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -4,6 +4,7 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 
@@ -404,3 +405,32 @@
 
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+#[test]
+fn overloaded_daemon_is_still_heard_by_its_peers() {
+    let system = System::start_ready(&small_text(), "30", &TWO);
+    let stop = Instant::now() + Duration::from_secs(4);
+    let callers = (0..120)
+        .map(|number| {
+            let to = system.daemons[number % 2].callers;
+            thread::spawn(move || {
+                while Instant::now() < stop {
+                    let _ = try_call(to, "GET", "/notices", &[], "");
+                }
+            })
+        })
+        .collect::<Vec<_>>();
+    callers
+        .into_iter()
+        .for_each(|caller| caller.join().unwrap());
+
+    for (index, daemon) in system.daemons.iter().enumerate() {
+        let other = &daemon.status()["entries"][1 - index];
+        let silence = other["silence_ms"].as_u64().unwrap();
+        assert!(
+            silence < 3_000,
+            "{} is silent for {silence} ms",
+            other["entry"]
+        );
+    }
+}
