Make heartbeats cost a node the same in every set

Cause: every member beat to all of its data centre and to two others twice a second, from both ends.

Ruled out: the size of a heartbeat (137 bytes with its envelope, twice); looks at the platform (3 calls a second a node, in every set).

Conclusion: up to 8 members everybody beats to everybody, by the lower name; beyond that to the next two of the own data centre and to one at random, once a second. Only one link at a time fetches a fact. A new member looks at the rows before it uses a slot.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -366,6 +366,125 @@
     2.0 * (body + ENVELOPE_BYTES)
 }
 
+/// Changes a text of the letter's size on seven entry hosts, and measures what each fetches.
+fn change_texts() {
+    const CHANGES: u64 = 5;
+    let source = source_of(&text_of(186));
+    let names = ["a", "b", "c", "d", "e", "f", "g"];
+    let mut system = System::start(&small_text(), "1", &[]);
+    for name in names {
+        let lines = "peers = \"127.0.0.1:0\"\nbody_bytes = 4000000\n";
+        let daemon = system.start_daemon_with(name, "dc-0", system.platform, lines);
+        system.daemons.push(daemon);
+    }
+    let texts = |system: &System| {
+        let status = system.daemons.iter().map(|daemon| daemon.status());
+        let texts = status.map(|status| status["text_in_force"].as_u64().unwrap());
+        texts.min().unwrap()
+    };
+    let fetched = |system: &System| -> f64 {
+        let metrics = system.daemons.iter().map(common::DaemonProgram::metrics);
+        let bytes = metrics.map(|text| {
+            let line = text
+                .lines()
+                .find(|line| line.starts_with("zincpier_peer_fetched"));
+            line.unwrap()
+                .rsplit(' ')
+                .next()
+                .unwrap()
+                .parse::<f64>()
+                .unwrap()
+        });
+        bytes.sum()
+    };
+    let mut held = system.apply(&source, 0).json().as_u64().unwrap();
+    common::wait_for("the first text is in force", || texts(&system) >= held);
+    thread::sleep(Duration::from_secs(3));
+    let before = fetched(&system);
+    let mut longest = Duration::ZERO;
+    for _ in 0..CHANGES {
+        let started = Instant::now();
+        held = system.apply(&source, held).json().as_u64().unwrap();
+        common::wait_for("the text is in force", || texts(&system) >= held);
+        longest = longest.max(started.elapsed());
+        thread::sleep(Duration::from_millis(500));
+    }
+    let bytes = (fetched(&system) - before) / (CHANGES * 6) as f64;
+    println!(
+        "a text of {} bytes: {bytes:.0} bytes fetched from peers by each of six others, in force on all after {} ms at most",
+        source.len(),
+        longest.as_millis()
+    );
+}
+
+/// Restarts every entry host at once, and measures what that costs and how long it takes.
+fn restart_all() {
+    let names = ["a", "b", "c", "d", "e", "f", "g"];
+    let place = |index: usize| ["east", "west"][index % 2];
+    let daemons = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| (*name, place(index)));
+    let mut system = System::start_ready(&small_text(), "1", &daemons.collect::<Vec<_>>());
+    let calls = |system: &System| {
+        let counts = common::call(system.platform, "GET", "/counts", &[], "").json();
+        let count = |name: &str| counts[name].as_f64().unwrap_or(0.0);
+        (
+            count("reads") + count("lists") + count("scans"),
+            count("writes"),
+        )
+    };
+    let before = calls(&system);
+    let started = Instant::now();
+    for daemon in &system.daemons {
+        daemon.program.signal("-KILL");
+    }
+    system.daemons.clear();
+    for (index, name) in names.iter().enumerate() {
+        let daemon = system.start_daemon_with(
+            name,
+            place(index),
+            system.platform,
+            "peers = \"127.0.0.1:0\"\n",
+        );
+        system.daemons.push(daemon);
+    }
+    system.wait_ready();
+    let time = started.elapsed();
+    let after = calls(&system);
+    println!(
+        "restart of 7 entry hosts at once: all serve after {:.2} s, {:.0} reads and {:.0} writes",
+        time.as_secs_f64(),
+        after.0 - before.0,
+        after.1 - before.1
+    );
+}
+
+/// Kills the holder of the controller's lease and measures the time without one.
+fn take_over() {
+    let names = [("a", "east"), ("b", "west"), ("c", "east")];
+    let system = System::start_ready(&small_text(), "1", &names);
+    let lease = || {
+        let keys = r#"{"keys":["lease/controller"]}"#;
+        let rows = common::call(system.platform, "POST", "/table/read", &[], keys).json();
+        let holder = rows[0]["value"]["holder"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned();
+        (holder, rows[0]["value"]["epoch"].as_u64().unwrap_or(0))
+    };
+    common::wait_for("the lease is held", || lease().1 > 0);
+    let (holder, epoch) = lease();
+    let index = names.iter().position(|(name, _)| *name == holder).unwrap();
+    let started = Instant::now();
+    system.daemons[index].program.signal("-KILL");
+    common::wait_for("the lease is taken over", || lease().1 > epoch);
+    println!(
+        "time without a controller after a kill: {:.1} s",
+        started.elapsed().as_secs_f64()
+    );
+}
+
 fn main() {
     println!("== text, host list, routing");
     let (text_bytes, install_us) = text_slopes();
@@ -403,6 +522,10 @@
         ENTRY_HOSTS,
     );
     println!("table writes a second, all: {writes:?}");
+    println!("== recovery");
+    restart_all();
+    take_over();
+    change_texts();
     println!("== changes at the letter's rate");
     let changes = CHANGES_PER_DAY / SECONDS_PER_DAY;
     println!(
--- a/src/connection/peer_link.rs
+++ b/src/connection/peer_link.rs
@@ -21,7 +21,7 @@
 use crate::version::FACT_KINDS;
 
 /// The time between two heartbeats to a peer.
-pub(crate) const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const BEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// The time within which a call must be answered.
 const CALL_TIME: Duration = Duration::from_secs(1);
 /// The time within which a connection must be made.
@@ -103,8 +103,12 @@
             if reply.facts[index] <= held[index] {
                 continue;
             }
+            if !self.state.facts.begin_fetch(kind, reply.facts[index]) {
+                continue;
+            }
             let fetched = client.fetch_fact(call_context(), index as u8).await;
             if let Ok((revision, value)) = fetched {
+                self.state.count_fetched(value.len());
                 self.state.facts.offer(kind, revision, &value);
             }
         }
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -97,7 +97,8 @@
 
     fn metrics(&self) -> Response<Bytes> {
         let metrics = &self.parts.metrics;
-        metrics.set_peer_beats(self.parts.state.beats());
+        let state = &self.parts.state;
+        metrics.set_peers(state.beats(), state.fetched());
         text_response(&metrics.to_text())
     }
 
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -1,5 +1,6 @@
 //! An entry host's daemon, put together.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -204,7 +205,9 @@
     guard: Rc<FreezeGuard>,
     members: MemberKeeper<HttpPlatform>,
     sync: FactSync<HttpPlatform>,
-    thaw: Notify,
+    /// Whether the rows have been looked at since this run became a member.
+    informed: Cell<bool>,
+    look_now: Notify,
 }
 
 impl DaemonParts {
@@ -239,7 +242,8 @@
             members: MemberKeeper::new(Arc::clone(&state), Rc::clone(&audit)),
             sync: FactSync::new(Rc::clone(&platform), Arc::clone(&state)),
             router: Rc::new(router),
-            thaw: Notify::new(),
+            informed: Cell::new(false),
+            look_now: Notify::new(),
             state,
             platform,
             audit,
@@ -308,9 +312,12 @@
     async fn look_at_platform(self: Rc<Self>, poll: Duration) {
         let mut reachable = true;
         loop {
+            let member = self.is_member();
             let hosts = self.sync.look_at_hosts().await;
             let facts = self.sync.look_at_facts().await;
             self.guard.catch_up();
+            self.informed
+                .set(self.informed.get() || (member && facts.is_ok()));
             let answered = hosts.is_ok() && facts.is_ok();
             if answered != reachable {
                 reachable = answered;
@@ -323,7 +330,7 @@
                 true => "platform_look",
                 false => "platform_silence",
             });
-            select(Box::pin(pause(poll)), Box::pin(self.thaw.notified())).await;
+            select(Box::pin(pause(poll)), Box::pin(self.look_now.notified())).await;
         }
     }
 
@@ -338,6 +345,9 @@
                 // A silent platform is noticed and reported by the look at its rows.
                 let _ = self.members.look().await;
             }
+            if self.is_member() && !self.informed.get() {
+                self.look_now.notify_one();
+            }
             pause(MEMBER_PAUSE).await;
         }
     }
@@ -378,7 +388,7 @@
             if self.guard.tick(now) {
                 self.metrics.count_event("thaw");
                 self.state.tracker().restart(now);
-                self.thaw.notify_one();
+                self.look_now.notify_one();
             }
             let seen = self.metrics.events("platform_look");
             if seen > looks {
@@ -403,6 +413,11 @@
             .table
             .as_ref()
             .is_some_and(|held| Rc::ptr_eq(held, &table));
+        // A wave may have closed hosts just before this run became a member.
+        let uninformed = self.is_member() && !self.informed.get();
+        if uninformed {
+            return;
+        }
         if basis != held.basis || !same_table {
             let shares = keeper.shares(&shared_servers(&table), now);
             self.state.ledger.set_shares(&shares);
--- a/src/process/daemon_metrics.rs
+++ b/src/process/daemon_metrics.rs
@@ -35,6 +35,7 @@
     events: Family<EventLabels, Counter>,
     waiting: Gauge,
     peer_beats: Gauge,
+    peer_fetched: Gauge,
     latency: Histogram,
 }
 
@@ -51,6 +52,7 @@
         let events = Family::default();
         let waiting = Gauge::default();
         let peer_beats = Gauge::default();
+        let peer_fetched = Gauge::default();
         let latency = Histogram::new(exponential_buckets(0.000_25, 2.0, 16));
         let mut registry = Registry::with_prefix("zincpier");
         registry.register("answers", "Answers to callers", answers.clone());
@@ -61,6 +63,11 @@
             "Heartbeats heard from peers, replies included",
             peer_beats.clone(),
         );
+        registry.register(
+            "peer_fetched_bytes",
+            "Bytes of facts fetched from peers",
+            peer_fetched.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time from request to answer",
@@ -72,6 +79,7 @@
             events,
             waiting,
             peer_beats,
+            peer_fetched,
             latency,
         }
     }
@@ -101,9 +109,10 @@
         self.waiting.set(waiting as i64);
     }
 
-    /// Sets the number of heartbeats heard.
-    pub fn set_peer_beats(&self, beats: u64) {
+    /// Sets the number of heartbeats heard and the bytes of facts fetched.
+    pub fn set_peers(&self, beats: u64, fetched: u64) {
         self.peer_beats.set(beats as i64);
+        self.peer_fetched.set(fetched as i64);
     }
 
     /// Returns all counters in the Prometheus text format.
--- a/src/process/member_keeper.rs
+++ b/src/process/member_keeper.rs
@@ -21,6 +21,9 @@
 /// The silence after which a member of a data centre without live members is lost.
 const LOST_AFTER_FAR: Duration = Duration::from_secs(15);
 
+/// The same for each member of the set, since beats to far members are rarer in a large set.
+const LOST_AFTER_FAR_EACH: Duration = Duration::from_secs(2);
+
 /// Joins, leaves and marks lost members by transactions on the one row of members.
 pub(crate) struct MemberKeeper<P> {
     state: Arc<PeerState>,
@@ -91,7 +94,7 @@
             .iter()
             .filter(|(entry, _)| **entry != own.entry)
             .find_map(|(entry, member)| {
-                let bound = self.silence_bound(members, member)?;
+                let bound = self.silence_bound(members, entry, member)?;
                 let silent = tracker.silence(entry, now) >= bound;
                 let heard = tracker.incarnation(entry) == Some(member.incarnation);
                 let wrong = (silent && !member.lost) || (!silent && heard && member.lost);
@@ -102,15 +105,25 @@
     }
 
     /// Returns the silence that marks a member as lost, if it is for us to judge.
-    fn silence_bound(&self, members: &MemberSet, member: &Member) -> Option<Duration> {
+    ///
+    /// Members are judged by their neighbours in their own data centre, or by
+    /// all others once it has no live member.
+    fn silence_bound(
+        &self,
+        members: &MemberSet,
+        entry: &EntryId,
+        member: &Member,
+    ) -> Option<Duration> {
         let own = &self.state.identity;
         if member.data_centre == own.data_centre {
-            return Some(LOST_AFTER);
+            let neighbours = members.are_neighbours(&own.entry, entry);
+            return neighbours.then_some(LOST_AFTER);
         }
         let has_live_mates = members
             .in_data_centre(&member.data_centre)
             .any(|(_, mate)| mate != member && !mate.lost);
-        (!has_live_mates || member.lost).then_some(LOST_AFTER_FAR)
+        let far = LOST_AFTER_FAR_EACH * members.members().len() as u32;
+        (!has_live_mates || member.lost).then_some(LOST_AFTER_FAR.max(far))
     }
 
     async fn change(
--- a/src/process/member_set.rs
+++ b/src/process/member_set.rs
@@ -11,6 +11,11 @@
 use crate::id::Incarnation;
 use crate::version::Fact;
 
+/// The number of members up to which everybody beats to everybody.
+const FULL_MESH: usize = 8;
+/// The members of the own data centre that each member of a large set beats to.
+const RING_BEATS: usize = 2;
+
 /// One entry host that may send work to backend servers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -70,6 +75,42 @@
         self
     }
 
+    /// Tells whether everybody beats to everybody.
+    pub fn is_small(&self) -> bool {
+        self.members.len() <= FULL_MESH
+    }
+
+    /// Tells whether a member beats to another at each interval.
+    ///
+    /// In a small set each pair does, by the lower name; in a large one each
+    /// member beats to the next ones of its data centre, in the order of names.
+    pub fn beats_to(&self, from: &EntryId, to: &EntryId) -> bool {
+        if self.is_small() {
+            return from < to;
+        }
+        let follows = self.is_next(from, to);
+        follows && !(to < from && self.is_next(to, from))
+    }
+
+    /// Tells whether two members hear each other at each interval.
+    pub fn are_neighbours(&self, one: &EntryId, other: &EntryId) -> bool {
+        self.beats_to(one, other) || self.beats_to(other, one)
+    }
+
+    /// Tells whether `to` is among the next members after `from` in the ring of its data centre.
+    fn is_next(&self, from: &EntryId, to: &EntryId) -> bool {
+        let Some(own) = self.members.get(from) else {
+            return false;
+        };
+        let ring = self
+            .in_data_centre(&own.data_centre)
+            .map(|(entry, _)| entry);
+        let ring = ring.collect::<Vec<_>>();
+        let start = ring.iter().position(|entry| *entry == from).unwrap_or(0);
+        let next = ring.iter().cycle().skip(start + 1).take(RING_BEATS);
+        from != to && next.into_iter().any(|entry| *entry == to)
+    }
+
     /// Returns the members of a data centre.
     pub fn in_data_centre<'s>(
         &'s self,
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -12,7 +12,7 @@
 use crate::version::FactKind;
 
 /// The silence after which a peer counts as lost.
-pub(crate) const LOST_AFTER: Duration = Duration::from_secs(3);
+pub(crate) const LOST_AFTER: Duration = Duration::from_secs(4);
 
 /// The last heartbeat of a peer.
 #[derive(Clone, Debug)]
--- a/src/process/peer_state.rs
+++ b/src/process/peer_state.rs
@@ -82,6 +82,7 @@
     settled: AtomicU64,
     text_in_force: AtomicU64,
     beats: AtomicU64,
+    fetched: AtomicU64,
     calls: mpsc::UnboundedSender<PeerCall>,
 }
 
@@ -98,6 +99,7 @@
             settled: AtomicU64::new(0),
             text_in_force: AtomicU64::new(0),
             beats: AtomicU64::new(0),
+            fetched: AtomicU64::new(0),
             calls,
         };
         (state, receiver)
@@ -142,6 +144,16 @@
         self.beats.load(Ordering::Relaxed)
     }
 
+    /// Counts bytes of facts fetched from peers.
+    pub fn count_fetched(&self, bytes: usize) {
+        self.fetched.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Returns the bytes of facts fetched from peers.
+    pub fn fetched(&self) -> u64 {
+        self.fetched.load(Ordering::Relaxed)
+    }
+
     /// Returns the agreed members.
     pub fn members(&self) -> MemberSet {
         MemberSet::from_fact(&self.facts.get(FactKind::Members))
--- a/src/process/peer_thread.rs
+++ b/src/process/peer_thread.rs
@@ -23,12 +23,8 @@
 use crate::process::PeerState;
 use crate::version::FactKind;
 
-/// The number of members up to which everybody beats to everybody.
-const FULL_MESH: usize = 8;
-/// The heartbeats to members of other data centres that each interval has, on average.
-const FAR_BEATS: f64 = 2.0;
-/// The heartbeats to members of the own data centre that each interval has at most.
-const NEAR_BEATS: f64 = 8.0;
+/// The heartbeats to members picked at random that each interval has, on average.
+const FAR_BEATS: f64 = 1.0;
 /// The pause between two rounds of asking the known peers.
 const SEED_PAUSE: Duration = Duration::from_millis(500);
 
@@ -164,26 +160,23 @@
 
 /// Returns how often a peer is beaten to.
 ///
-/// Of two members the one with the lower name beats at each interval; the other
-/// one hears and is heard by the reply. In a large set beats to other data
-/// centres go to a few members picked at random, so that a member's cost does
-/// not grow with the set.
+/// Neighbours exchange heartbeats at each interval. Beside that each member of
+/// a large set beats to about one other at each interval, picked at random, so
+/// that its cost does not grow with the set.
 fn plan_of(state: &PeerState, members: &MemberSet, entry: &EntryId) -> BeatPlan {
     let own = &state.identity;
     let near = members
         .get(entry)
         .is_some_and(|member| member.data_centre == own.data_centre);
-    let near_count = members.in_data_centre(&own.data_centre).count();
-    let far_count = members.members().len() - near_count;
-    let small = members.members().len() <= FULL_MESH;
-    let chance = match near {
-        _ if small => 1.0,
-        true => (NEAR_BEATS / near_count as f64).min(1.0),
-        false => (FAR_BEATS / far_count as f64).min(1.0),
+    let others = members.members().len().saturating_sub(1);
+    let small = members.is_small();
+    let chance = match members.beats_to(&own.entry, entry) {
+        true => 1.0,
+        false if small => 0.0,
+        false => (FAR_BEATS / others as f64).min(1.0),
     };
-    let first = own.entry < *entry;
     BeatPlan {
-        chance: if first || !small { chance } else { 0.0 },
+        chance,
         push: small || near,
     }
 }
--- a/src/version/fact_store.rs
+++ b/src/version/fact_store.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use tokio::sync::watch;
@@ -12,6 +14,16 @@
 use crate::version::FactKind;
 use crate::version::FACT_KINDS;
 
+/// How long a fetch may keep others from fetching the same version.
+const FETCH_TIME: Duration = Duration::from_secs(1);
+
+/// A version that is being fetched from a peer.
+#[derive(Clone, Copy, Debug)]
+struct RunningFetch {
+    revision: Revision,
+    since: Instant,
+}
+
 /// Keeps the highest version seen of each fact, so that none ever reverts.
 ///
 /// Offers come from the platform, from peers and from this process's own
@@ -19,6 +31,7 @@
 #[derive(Debug, Default)]
 pub struct FactStore {
     facts: Mutex<[Fact; FACT_KINDS.len()]>,
+    fetches: Mutex<[Option<RunningFetch>; FACT_KINDS.len()]>,
     changes: watch::Sender<u64>,
 }
 
@@ -42,6 +55,21 @@
         true
     }
 
+    /// Tells whether a version is to be fetched, since no other fetch of it is running.
+    pub fn begin_fetch(&self, kind: FactKind, revision: Revision) -> bool {
+        let mut fetches = self.fetches.lock().unwrap_or_else(PoisonError::into_inner);
+        let fetch = &mut fetches[kind.index()];
+        let running = fetch
+            .is_some_and(|fetch| fetch.revision >= revision && fetch.since.elapsed() < FETCH_TIME);
+        if !running {
+            *fetch = Some(RunningFetch {
+                revision,
+                since: Instant::now(),
+            });
+        }
+        !running
+    }
+
     /// Returns the version held.
     pub fn get(&self, kind: FactKind) -> Fact {
         self.lock()[kind.index()].clone()
