--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -486,6 +486,12 @@
 }
 
 fn main() {
+    if std::env::args().any(|argument| argument == "--recovery") {
+        restart_all();
+        take_over();
+        change_texts();
+        return;
+    }
     println!("== text, host list, routing");
     let (text_bytes, install_us) = text_slopes();
     println!("== decisions");
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -8,6 +8,7 @@
 mod http_client;
 mod limited_reader;
 mod message_limits;
+mod packed_value;
 mod peer_link;
 mod peer_server;
 mod peer_service;
--- a/src/connection/peer_link.rs
+++ b/src/connection/peer_link.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use crate::connection::packed_value::unpack;
 use crate::connection::peer_service::PeerServiceClient;
 use crate::connection::peer_transport::peer_transport;
 use crate::connection::PeerReply;
@@ -107,8 +108,12 @@
                 continue;
             }
             let fetched = client.fetch_fact(call_context(), index as u8).await;
-            if let Ok((revision, value)) = fetched {
-                self.state.count_fetched(value.len());
+            let Ok((revision, packed)) = fetched else {
+                continue;
+            };
+            self.state.count_fetched(packed.len());
+            // A value that cannot be unpacked is fetched again from another peer.
+            if let Ok(value) = unpack(&packed) {
                 self.state.facts.offer(kind, revision, &value);
             }
         }
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -10,6 +10,7 @@
 use tarpc::server::Channel;
 use tokio::net::TcpListener;
 
+use crate::connection::packed_value::pack;
 use crate::connection::peer_service::PeerService;
 use crate::connection::peer_transport::peer_transport;
 use crate::connection::PeerBeat;
@@ -43,7 +44,7 @@
         match FACT_KINDS.get(usize::from(index)) {
             Some(kind) => {
                 let fact = self.state.facts.get(*kind);
-                (fact.revision, fact.value.to_vec())
+                (fact.revision, pack(&fact.value).unwrap_or_default())
             }
             None => (Revision::new(0), Vec::new()),
         }
--- a/src/connection/peer_service.rs
+++ b/src/connection/peer_service.rs
@@ -45,7 +45,7 @@
 pub(crate) trait PeerService {
     /// Exchanges heartbeats.
     async fn beat(beat: PeerBeat) -> PeerReply;
-    /// Returns the version held of a fact, by its place in the digest.
+    /// Returns the version held of a fact, by its place in the digest, packed.
     async fn fetch_fact(index: u8) -> (Revision, Vec<u8>);
     /// Returns the hosts that changed after a revision.
     async fn fetch_hosts(since: Revision) -> HostChanges;
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -53,6 +53,8 @@
 
 const TICK: Duration = Duration::from_millis(100);
 const CONTROL_PAUSE: Duration = Duration::from_secs(1);
+/// While nothing is under way, waves are looked for at every third look at the lease.
+const IDLE_PASSES: u32 = 3;
 const CONTROL_PAUSE_BUSY: Duration = Duration::from_millis(100);
 const MEMBER_PAUSE: Duration = Duration::from_millis(500);
 const LOANS_TIME: Duration = Duration::from_millis(6_500);
@@ -354,9 +356,14 @@
 
     /// Holds the controller's lease when it can, and drives waves and moves.
     async fn control(self: Rc<Self>) {
-        while self.shutdown.is_running() {
-            let mut busy = false;
-            if self.is_member() && self.lease.look().await.is_ok() {
+        let mut busy = false;
+        for pass in 0_u32.. {
+            if !self.shutdown.is_running() {
+                break;
+            }
+            let held = self.is_member() && self.lease.look().await.is_ok();
+            let due = busy || pass % IDLE_PASSES == 0;
+            if held && due {
                 // A silent platform is noticed and reported by the look at its rows.
                 busy = self.controller.look().await.unwrap_or(false);
             }
