Show a maintenance wave under load in the demonstration

Cause: the demonstration drained one host and ran no wave, which is the main job. Ruled out: a wave on a pool without load (it would show nothing). Before: text change and drain only. Conclusion: one command shows the whole.

--- a/src/bin/zincpier/arguments.rs
+++ b/src/bin/zincpier/arguments.rs
@@ -155,8 +155,8 @@
     pub(crate) json: bool,
 }
 
-/// Run platform, backend servers and three daemons in this process, change the
-/// text and drain a host under load, and print a report.
+/// Run platform, backend servers and three daemons in this process; change the
+/// text, run a wave and drain a host under load; print a report.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
 pub(crate) struct DemoArguments {
@@ -164,7 +164,7 @@
     #[argh(positional)]
     pub(crate) file: Option<PathBuf>,
     /// how long the load lasts, in seconds
-    #[argh(option, default = "8.0")]
+    #[argh(option, default = "15.0")]
     pub(crate) seconds: f64,
 }
 
--- a/src/operator/demo.rs
+++ b/src/operator/demo.rs
@@ -18,6 +18,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::id::HostId;
+use crate::id::PoolId;
 use crate::id::Revision;
 use crate::operator::LoadPlan;
 use crate::operator::LoadReport;
@@ -29,12 +30,16 @@
 use crate::standin::BackendStats;
 use crate::standin::FleetPlan;
 use crate::standin::LocalFleet;
+use crate::version::PoolRole;
 use crate::version::ServiceText;
+use crate::wave::WaveRecord;
+use crate::wave::WaveState;
 
 const TOKEN: &str = "demonstration";
 const DAEMONS: usize = 3;
 const RATE: f64 = 300.0;
 const READY_TIME: Duration = Duration::from_secs(10);
+const WAVE_TIME: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(20);
 /// The time from the platform's word that a host leaves until it gets no new work.
 const LEAVING_TIME: Duration = Duration::from_secs(3);
@@ -49,6 +54,10 @@
     pub writes: LoadReport,
     /// How long a change of the text took to be in force everywhere.
     pub text_time: Duration,
+    /// How long a wave over the pool under load took, and how many hosts it restarted.
+    pub wave_time: Duration,
+    /// The hosts that the wave has restarted.
+    pub wave_hosts: usize,
     /// The requests that a leaving host got more than 3 s after the word.
     pub late_work: usize,
     /// The requests that ran twice although they must not.
@@ -74,6 +83,12 @@
             "text change in force everywhere after {} ms",
             self.text_time.as_millis()
         )?;
+        writeln!(
+            formatter,
+            "wave over {} hosts finished after {:.1} s",
+            self.wave_hosts,
+            self.wave_time.as_secs_f64()
+        )?;
         writeln!(formatter, "requests run twice: {}", self.doubled)?;
         write!(
             formatter,
@@ -188,8 +203,10 @@
     let pool = text
         .pools
         .values()
-        .find(|pool| pool.service == service.id && pool.role == crate::version::PoolRole::Executor);
-    let leaving = pool.and_then(|pool| pool.hosts.first());
+        .find(|pool| pool.service == service.id && pool.role == PoolRole::Executor);
+    let pool = pool.ok_or_else(|| demo_error("the service has no backend servers"))?;
+    let (wave_time, wave_hosts) = run_wave(&operators[0], &pool.id).await?;
+    let leaving = pool.hosts.first();
     let leaving = leaving.ok_or_else(|| demo_error("the service has no host"))?;
     let late_work = leave(fleet, leaving, time).await?;
     let (reads, writes) = (reads.await, writes.await);
@@ -197,6 +214,8 @@
         reads,
         writes,
         text_time,
+        wave_time,
+        wave_hosts,
         late_work,
         doubled: count_doubled(fleet).await?,
     })
@@ -215,6 +234,22 @@
     Ok(started.elapsed())
 }
 
+/// Runs a wave over a pool and returns how long it took and how many hosts it restarted.
+async fn run_wave(operator: &OperatorClient, pool: &PoolId) -> Result<(Duration, usize)> {
+    let started = Instant::now();
+    let order = json!({ "scope": format!("pool:{pool}") });
+    let wave = operator.post::<WaveRecord>("/wave/start", &order).await?;
+    while started.elapsed() < WAVE_TIME {
+        let waves = operator.get::<Vec<WaveRecord>>("/waves").await?;
+        let held = waves.into_iter().find(|held| held.id == wave.id);
+        if let Some(held) = held.filter(|held| held.state == WaveState::Finished) {
+            return Ok((started.elapsed(), held.done.len()));
+        }
+        sleep(POLL).await;
+    }
+    Err(demo_error("the wave is not finished in time"))
+}
+
 /// Lets the platform say that a host leaves, and counts the work it gets too late.
 async fn leave(fleet: &LocalFleet, host: &HostId, time: Duration) -> Result<usize> {
     let platform = HttpClient::new(fleet.platform);
