Split the large files by what they are for

Ruled out: splitting by length alone. An unused method of ServerHealth is gone. Conclusion: one matter a file.

--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -106,12 +106,13 @@
         let state = &self.parts.state;
         let router = &self.parts.router;
         let services = router
+            .slots()
             .table()
             .routes()
             .map(|route| ServiceStatus {
                 service: route.service.id.clone(),
                 servers: route.servers.len(),
-                waiting: router.waiting(&route.service.id),
+                waiting: router.slots().waiting(&route.service.id),
             })
             .collect();
         StatusReport {
--- a/src/process/server_health.rs
+++ b/src/process/server_health.rs
@@ -117,11 +117,6 @@
             .get(host)
             .map_or(0.0, |record| record.latency_micros)
     }
-
-    /// Forgets a server, since its host has restarted.
-    pub fn forget(&mut self, host: &HostId) {
-        self.records.remove(host);
-    }
 }
 
 impl HealthRecord {
--- a/src/process/slot_borrower.rs
+++ b/src/process/slot_borrower.rs
@@ -53,12 +53,12 @@
     pub(crate) async fn run(mut self) {
         loop {
             self.renew().await;
-            if self.router.has_waiting() {
+            if self.router.slots().has_waiting() {
                 self.borrow_for_waiting().await;
                 sleep(LOOK_PAUSE).await;
             } else {
                 // An error is the end of the pause, after which loans are looked at.
-                let _ = timeout(RENEWAL_LOOK, self.router.waiting_begun()).await;
+                let _ = timeout(RENEWAL_LOOK, self.router.slots().waiting_begun()).await;
             }
         }
     }
@@ -85,9 +85,9 @@
     async fn borrow_for_waiting(&mut self) {
         let now = Instant::now();
         let members = self.state.members();
-        let table = self.router.table();
+        let table = self.router.slots().table();
         for route in table.routes() {
-            let waiting = self.router.waiting(&route.service.id);
+            let waiting = self.router.slots().waiting(&route.service.id);
             if waiting == 0 {
                 continue;
             }
@@ -143,7 +143,7 @@
         }
         let total = granted.iter().map(|grant| grant.slots).sum();
         if total > 0 {
-            self.router.dispatch_all();
+            self.router.slots().dispatch_all();
         }
         total
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -5,8 +5,10 @@
 mod claim_keeper;
 pub mod header;
 mod problem;
+mod refusal;
 mod request_meta;
 mod request_router;
+mod slot_dispatcher;
 
 pub use answer_outcome::AnswerOutcome;
 pub use claim::request_fingerprint;
@@ -20,3 +22,4 @@
 pub use problem::refusal_response;
 pub use request_meta::RequestMeta;
 pub use request_router::RequestRouter;
+pub use slot_dispatcher::SlotDispatcher;
--- /dev/null
+++ b/src/request/refusal.rs
@@ -0,0 +1,44 @@
+//! Why a request was refused.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+
+use crate::request::refusal_response;
+use crate::request::AnswerOutcome;
+
+/// When to come back after a refusal for lack of capacity or of the platform.
+pub(super) const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Why a request was refused.
+pub(super) struct Refusal {
+    pub(super) status: StatusCode,
+    pub(super) outcome: AnswerOutcome,
+    pub(super) reason: String,
+    pub(super) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    pub(super) fn not_run(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self {
+            status,
+            outcome: AnswerOutcome::NotRun,
+            reason: reason.into(),
+            retry_after: Some(COME_BACK),
+        }
+    }
+
+    pub(super) fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self {
+            outcome: AnswerOutcome::Unknown,
+            retry_after: None,
+            ..Self::not_run(status, reason)
+        }
+    }
+
+    pub(super) fn into_response(self) -> Response<Bytes> {
+        refusal_response(self.status, self.outcome, &self.reason, self.retry_after)
+    }
+}
--- a/src/request/request_router.rs
+++ b/src/request/request_router.rs
@@ -1,6 +1,5 @@
 //! The way of a request from its caller to a backend server and back.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -8,17 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::channel::oneshot;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use monoio::time::sleep;
-use monoio::time::timeout_at;
 use monoio::time::Instant;
-use rand::rngs::SmallRng;
-use rand::SeedableRng;
-use tokio::sync::Notify;
 
 use crate::connection::exchange::strip_hop_headers;
 use crate::connection::ExchangeError;
@@ -26,27 +19,21 @@
 use crate::connection::MessageLimits;
 use crate::connection::RequestHandler;
 use crate::connection::ServerConnections;
-use crate::id::DataCentreId;
 use crate::id::HostId;
-use crate::id::ServiceId;
 use crate::platform::ObjectService;
 use crate::platform::TableService;
 use crate::process::new_token;
 use crate::process::now_ms;
-use crate::process::AdmissionQueue;
 use crate::process::DaemonMetrics;
 use crate::process::FreezeGuard;
 use crate::process::PeerState;
-use crate::process::QueueAnswer;
-use crate::process::QueueEntry;
-use crate::process::QueuePlace;
 use crate::process::RetryBudget;
-use crate::process::ServerHealth;
-use crate::process::ServerPicker;
 use crate::request::header;
 use crate::request::problem_response;
-use crate::request::refusal_response;
+use crate::request::refusal::Refusal;
+use crate::request::refusal::COME_BACK;
 use crate::request::request_fingerprint;
+use crate::request::slot_dispatcher::SlotGrant;
 use crate::request::AnswerOutcome;
 use crate::request::ClaimKeeper;
 use crate::request::ClaimKey;
@@ -54,6 +41,7 @@
 use crate::request::ClaimRow;
 use crate::request::ClaimState;
 use crate::request::RequestMeta;
+use crate::request::SlotDispatcher;
 use crate::version::BackendServer;
 use crate::version::RoutingTable;
 use crate::version::ServiceRoute;
@@ -62,73 +50,9 @@
 const MOST_ATTEMPTS: u32 = 3;
 /// The time that a claim may take.
 const CLAIM_TIME: Duration = Duration::from_secs(1);
-/// The weight of the newest request in the average time of a service's requests.
-const NEWEST_WEIGHT: f64 = 0.05;
-/// How long a server is taken to work on a request that was given up here.
-const ABANDONED_TIME: Duration = Duration::from_millis(500);
-/// When to come back after a refusal for lack of capacity or of the platform.
-const COME_BACK: Duration = Duration::from_secs(1);
 /// When to come back while the same request is running.
 const COME_BACK_RUNNING: Duration = Duration::from_secs(1);
 
-/// A slot that a request holds at a backend server.
-struct SlotGrant {
-    server: Arc<BackendServer>,
-    state: Arc<PeerState>,
-}
-
-impl Drop for SlotGrant {
-    fn drop(&mut self) {
-        self.state.ledger.end(&self.server.host);
-    }
-}
-
-/// A request that waits for a slot.
-struct Waiter {
-    grant: oneshot::Sender<SlotGrant>,
-    data_centre: DataCentreId,
-    avoided: Vec<HostId>,
-    repeatable: bool,
-    deadline: Instant,
-}
-
-/// The queue and the average times of one service.
-struct ServiceQueue {
-    queue: AdmissionQueue<Waiter>,
-    average_micros: f64,
-}
-
-/// Why a request was refused.
-struct Refusal {
-    status: StatusCode,
-    outcome: AnswerOutcome,
-    reason: String,
-    retry_after: Option<Duration>,
-}
-
-impl Refusal {
-    fn not_run(status: StatusCode, reason: impl Into<String>) -> Self {
-        Self {
-            status,
-            outcome: AnswerOutcome::NotRun,
-            reason: reason.into(),
-            retry_after: Some(COME_BACK),
-        }
-    }
-
-    fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
-        Self {
-            outcome: AnswerOutcome::Unknown,
-            retry_after: None,
-            ..Self::not_run(status, reason)
-        }
-    }
-
-    fn into_response(self) -> Response<Bytes> {
-        refusal_response(self.status, self.outcome, &self.reason, self.retry_after)
-    }
-}
-
 /// Routes requests to backend servers within slots, deadlines and budgets.
 pub struct RequestRouter<P> {
     state: Arc<PeerState>,
@@ -136,15 +60,9 @@
     metrics: Rc<DaemonMetrics>,
     guard: Rc<FreezeGuard>,
     limits: MessageLimits,
-    queue_limit: usize,
-    table: RefCell<Rc<RoutingTable>>,
-    queues: RefCell<HashMap<ServiceId, ServiceQueue>>,
-    health: RefCell<ServerHealth>,
+    slots: SlotDispatcher,
     budget: RefCell<RetryBudget>,
     connections: RefCell<HashMap<HostId, ServerConnections>>,
-    random: RefCell<SmallRng>,
-    waiting: Cell<usize>,
-    waiting_begun: Notify,
 }
 
 impl<P: ObjectService + TableService> RequestRouter<P> {
@@ -157,24 +75,30 @@
         queue_limit: usize,
         seed: u64,
     ) -> Self {
+        let slots = SlotDispatcher::new(
+            Arc::clone(&state),
+            Rc::clone(&metrics),
+            Rc::clone(&guard),
+            queue_limit,
+            seed,
+        );
         Self {
             state,
             claims,
             metrics,
             guard,
             limits: MessageLimits::default(),
-            queue_limit,
-            table: RefCell::default(),
-            queues: RefCell::default(),
-            health: RefCell::default(),
+            slots,
             budget: RefCell::default(),
             connections: RefCell::default(),
-            random: RefCell::new(SmallRng::seed_from_u64(seed)),
-            waiting: Cell::new(0),
-            waiting_begun: Notify::new(),
         }
     }
 
+    /// Returns the slots and the requests that wait for them.
+    pub fn slots(&self) -> &SlotDispatcher {
+        &self.slots
+    }
+
     /// Puts new routes in force.
     pub fn install(&self, table: RoutingTable) {
         let table = Rc::new(table);
@@ -185,39 +109,7 @@
             .map(|server| (&server.host, server.address))
             .collect::<HashMap<_, _>>();
         connections.retain(|host, held| servers.get(host) == Some(&held.address()));
-        self.table.replace(Rc::clone(&table));
-    }
-
-    /// Returns the routes in force.
-    pub fn table(&self) -> Rc<RoutingTable> {
-        Rc::clone(&self.table.borrow())
-    }
-
-    /// Returns the number of requests that wait for a slot of a service.
-    pub fn waiting(&self, service: &ServiceId) -> usize {
-        self.queues
-            .borrow()
-            .get(service)
-            .map_or(0, |queue| queue.queue.len())
-    }
-
-    /// Tells whether any request waits for a slot.
-    pub fn has_waiting(&self) -> bool {
-        self.waiting.get() > 0
-    }
-
-    /// Waits until a request waits for a slot.
-    pub async fn waiting_begun(&self) {
-        self.waiting_begun.notified().await;
-    }
-
-    /// Gives free slots to waiting requests of every service.
-    pub fn dispatch_all(&self) {
-        if self.waiting.get() == 0 {
-            return;
-        }
-        let table = self.table();
-        table.routes().for_each(|route| self.dispatch(route));
+        self.slots.install(Rc::clone(&table));
     }
 
     /// Closes connections that have been idle for long.
@@ -230,7 +122,7 @@
 
     async fn route(&self, request: Request<Bytes>) -> Response<Bytes> {
         let started = Instant::now();
-        let Some(route) = self.table().route_for(request.uri().path()).cloned() else {
+        let Some(route) = self.slots.table().route_for(request.uri().path()).cloned() else {
             return problem_response(StatusCode::NOT_FOUND, "no service has this path");
         };
         let answer = match RequestMeta::new(&request, &route.service) {
@@ -371,7 +263,7 @@
         let mut avoided = Vec::new();
         let mut ran = false;
         for attempt in 1.. {
-            let grant = match self.acquire(route, meta, &avoided).await {
+            let grant = match self.slots.acquire(route, meta, &avoided).await {
                 Ok(grant) => grant,
                 Err(refusal) if ran => {
                     return Err(Refusal {
@@ -383,7 +275,7 @@
             };
             let server = Arc::clone(&grant.server);
             let outcome = self.send(&request, route, meta, grant, attempt).await;
-            self.dispatch(route);
+            self.slots.dispatch(route);
             let failure = match outcome {
                 Ok(answer) if answer.status() != StatusCode::SERVICE_UNAVAILABLE => {
                     return Ok(answer)
@@ -426,25 +318,24 @@
         let started = Instant::now();
         let deadline = attempt_deadline(route, meta, started, attempt);
         self.metrics.count_event("attempt");
-        self.health.borrow_mut().begin(&host);
+        self.slots.note_sent(&host);
         let answer = self
             .exchange(request, route, meta, &grant.server, deadline)
             .await;
         let time = started.elapsed();
         let abandoned = answer.as_ref().is_err_and(ExchangeError::may_have_run);
-        release(grant, abandoned);
+        grant.release(abandoned);
         match &answer {
             Ok(answer) if !answer.status().is_server_error() => {
-                self.health.borrow_mut().succeed(&host, time);
-                self.note_time(route, time);
+                self.slots.note_success(route, &host, time);
             }
-            Ok(_) => self.note_failure(&host),
-            Err(ExchangeError::Paused) => self.health.borrow_mut().abandon(&host),
+            Ok(_) => self.slots.note_failure(&host),
+            Err(ExchangeError::Paused) => self.slots.note_nothing(&host),
             Err(error) => {
                 if error.may_have_run() {
                     self.suspect(&host);
                 }
-                self.note_failure(&host);
+                self.slots.note_failure(&host);
             }
         }
         answer
@@ -501,220 +392,12 @@
         }
     }
 
-    /// Takes a slot of a server, or waits for one.
-    async fn acquire(
-        &self,
-        route: &Arc<ServiceRoute>,
-        meta: &RequestMeta,
-        avoided: &[HostId],
-    ) -> Result<SlotGrant, Refusal> {
-        let wanted = meta.data_centre.as_ref();
-        let data_centre = wanted.unwrap_or(&self.state.identity.data_centre).clone();
-        let (grant, granted) = oneshot::channel();
-        let waiter = Waiter {
-            grant,
-            data_centre,
-            avoided: avoided.to_vec(),
-            repeatable: meta.repeatable,
-            deadline: meta.deadline,
-        };
-        if self.waiting(&route.service.id) == 0 {
-            if let Some(grant) = self.pick(&waiter, route) {
-                return Ok(grant);
-            }
-        }
-        let place = self.enqueue(route, meta, waiter)?;
-        self.dispatch(route);
-        let granted = timeout_at(meta.deadline, granted).await;
-        match granted {
-            Ok(Ok(grant)) => Ok(grant),
-            Ok(Err(_)) => Err(Refusal::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "others were served first",
-            )),
-            Err(_) => {
-                self.leave_queue(route, &place);
-                Err(Refusal::not_run(
-                    StatusCode::GATEWAY_TIMEOUT,
-                    "no backend server was free in time",
-                ))
-            }
-        }
-    }
-
-    fn enqueue(
-        &self,
-        route: &Arc<ServiceRoute>,
-        meta: &RequestMeta,
-        waiter: Waiter,
-    ) -> Result<QueuePlace, Refusal> {
-        if self.current(route).servers.is_empty() {
-            let reason = "no backend server serves this now";
-            return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason));
-        }
-        let mut queues = self.queues.borrow_mut();
-        let service = queues
-            .entry(route.service.id.clone())
-            .or_insert_with(|| ServiceQueue {
-                queue: AdmissionQueue::new(self.queue_limit),
-                average_micros: 0.0,
-            });
-        let wait = self.expected_wait(route, service, meta);
-        let left = meta.deadline.saturating_duration_since(Instant::now());
-        if wait > left {
-            self.metrics.count_event("refused_late");
-            return Err(Refusal {
-                retry_after: Some(wait),
-                ..Refusal::not_run(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "its turn would come after its deadline",
-                )
-            });
-        }
-        let entry = QueueEntry {
-            urgent: meta.urgent,
-            customer: meta.customer.clone(),
-            deadline: meta.deadline.into_std(),
-        };
-        match service.queue.push(entry, waiter) {
-            QueueAnswer::Waiting(place) => {
-                self.add_waiting(1);
-                Ok(place)
-            }
-            QueueAnswer::Displaced(place, displaced) => {
-                self.metrics.count_event("displaced");
-                drop(displaced);
-                Ok(place)
-            }
-            QueueAnswer::Full(_) => {
-                self.metrics.count_event("refused_full");
-                Err(Refusal {
-                    retry_after: Some(wait.max(COME_BACK)),
-                    ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "too many requests wait")
-                })
-            }
-        }
-    }
-
-    /// Returns the time until a new request's own answer, if others take the average time.
-    fn expected_wait(
-        &self,
-        route: &Arc<ServiceRoute>,
-        service: &ServiceQueue,
-        meta: &RequestMeta,
-    ) -> Duration {
-        let now = std::time::Instant::now();
-        let deadline = meta.deadline.into_std();
-        let ledger = &self.state.ledger;
-        let slots = self
-            .current(route)
-            .servers
-            .iter()
-            .map(|server| ledger.load(&server.host, now, deadline).1)
-            .sum::<u32>()
-            .max(1);
-        let ahead = service.queue.ahead_of(meta.urgent, &meta.customer) as f64;
-        let rounds = ahead / f64::from(slots) + 1.0;
-        Duration::from_micros((rounds * service.average_micros) as u64)
-    }
-
-    fn leave_queue(&self, route: &Arc<ServiceRoute>, place: &QueuePlace) {
-        let mut queues = self.queues.borrow_mut();
-        let removed = queues
-            .get_mut(&route.service.id)
-            .and_then(|service| service.queue.remove(place));
-        drop(queues);
-        if removed.is_some() {
-            self.add_waiting(-1);
-        }
-    }
-
-    /// Gives free slots to waiting requests of a service.
-    fn dispatch(&self, route: &Arc<ServiceRoute>) {
-        while let Some((place, waiter)) = self.pop_waiter(route) {
-            if waiter.grant.is_canceled() {
-                self.add_waiting(-1);
-                continue;
-            }
-            let Some(grant) = self.pick(&waiter, route) else {
-                let mut queues = self.queues.borrow_mut();
-                if let Some(service) = queues.get_mut(&route.service.id) {
-                    service.queue.put_back(place, waiter);
-                }
-                return;
-            };
-            self.add_waiting(-1);
-            // A grant that nobody waits for any more gives its slot back.
-            drop(waiter.grant.send(grant));
-        }
-    }
-
-    fn pop_waiter(&self, route: &Arc<ServiceRoute>) -> Option<(QueuePlace, Waiter)> {
-        let mut queues = self.queues.borrow_mut();
-        queues.get_mut(&route.service.id)?.queue.pop()
-    }
-
-    fn pick(&self, waiter: &Waiter, route: &Arc<ServiceRoute>) -> Option<SlotGrant> {
-        let now = std::time::Instant::now();
-        if self.guard.is_stale(now) {
-            return None;
-        }
-        let health = self.health.borrow();
-        let picker =
-            ServerPicker::new(&self.state.ledger, &health, now, waiter.deadline.into_std());
-        let current = self.current(route);
-        let server = picker.pick(
-            &current.servers,
-            &waiter.data_centre,
-            &waiter.avoided,
-            waiter.repeatable,
-            &mut *self.random.borrow_mut(),
-        )?;
-        Some(SlotGrant {
-            server: Arc::clone(server),
-            state: Arc::clone(&self.state),
-        })
-    }
-
-    /// Returns the route of the same service that is in force now.
-    fn current(&self, route: &Arc<ServiceRoute>) -> Arc<ServiceRoute> {
-        let table = self.table.borrow();
-        table
-            .route_of(&route.service.id)
-            .cloned()
-            .unwrap_or_else(|| Arc::clone(route))
-    }
-
-    fn note_time(&self, route: &Arc<ServiceRoute>, time: Duration) {
-        let mut queues = self.queues.borrow_mut();
-        if let Some(service) = queues.get_mut(&route.service.id) {
-            let micros = time.as_micros() as f64;
-            service.average_micros += (micros - service.average_micros) * NEWEST_WEIGHT;
-        }
-    }
-
-    fn note_failure(&self, host: &HostId) {
-        let now = std::time::Instant::now();
-        if self.health.borrow_mut().fail(host, now) {
-            self.metrics.count_event("ejection");
-            log::info!(target: "zincpier::servers", "{host} is ejected");
-        }
-    }
-
     /// Distrusts the idle connections of a server, since one has gone silent or broken.
     fn suspect(&self, host: &HostId) {
         if let Some(held) = self.connections.borrow_mut().get_mut(host) {
             held.suspect();
         }
     }
-
-    fn add_waiting(&self, change: isize) {
-        let waiting = self.waiting.get().saturating_add_signed(change);
-        if self.waiting.replace(waiting) == 0 && waiting > 0 {
-            self.waiting_begun.notify_one();
-        }
-        self.metrics.set_waiting(waiting);
-    }
 }
 
 impl<P: ObjectService + TableService> RequestHandler for RequestRouter<P> {
@@ -723,16 +406,6 @@
     }
 }
 
-/// Gives a slot back, later if the server may still work on the request.
-fn release(grant: SlotGrant, abandoned: bool) {
-    if abandoned {
-        monoio::spawn(async move {
-            sleep(ABANDONED_TIME).await;
-            drop(grant);
-        });
-    }
-}
-
 /// Returns when an attempt is given up, so that another one may still be made.
 fn attempt_deadline(
     route: &ServiceRoute,
--- /dev/null
+++ b/src/wave/control_view.rs
@@ -0,0 +1,69 @@
+//! Everything that one look of the controller decides by.
+
+use std::collections::BTreeMap;
+
+use crate::error::Result;
+use crate::id::Revision;
+use crate::id::ServiceId;
+use crate::operator::TextFact;
+use crate::platform::TableService;
+use crate::process::now_ms;
+use crate::process::PeerState;
+use crate::process::Placement;
+use crate::version::FactKind;
+use crate::version::ServiceText;
+use crate::wave::BudgetBook;
+use crate::wave::FleetView;
+use crate::wave::ServiceBudget;
+use crate::wave::BUDGET_PREFIX;
+
+/// The most budgets that are read.
+const ROW_LIMIT: usize = 1_000;
+
+/// Everything that one look decides by.
+pub(super) struct ControlView {
+    pub(super) text: ServiceText,
+    pub(super) placement: Placement,
+    pub(super) placement_revision: Revision,
+    pub(super) members_revision: Revision,
+    pub(super) fleet: FleetView,
+    pub(super) budgets: BTreeMap<ServiceId, (Revision, ServiceBudget)>,
+}
+
+impl ControlView {
+    /// Returns what is left of the budgets.
+    pub(super) fn book(&self) -> BudgetBook {
+        let rows = self
+            .budgets
+            .iter()
+            .map(|(service, (_, row))| (service.clone(), row.clone()))
+            .collect();
+        BudgetBook::from_rows(&self.text, &rows, now_ms())
+    }
+
+    /// Reads the rows and facts of this moment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer or no text is in force.
+    pub(super) async fn read<P: TableService>(platform: &P, state: &PeerState) -> Result<Self> {
+        let text = TextFact::from_fact(&state.facts.get(FactKind::Text))?.parse()?;
+        let fact = state.facts.get(FactKind::Placement);
+        let placement = Placement::from_fact(&fact);
+        let fleet = FleetView::from_facts(&text, &placement, &state.hosts());
+        let rows = platform.scan(BUDGET_PREFIX, "", ROW_LIMIT).await?;
+        let budgets = rows.into_iter().filter_map(|row| {
+            let service = row.key.strip_prefix(BUDGET_PREFIX)?.parse().ok()?;
+            let budget = serde_json::from_value(row.value).ok()?;
+            Some((service, (row.revision, budget)))
+        });
+        Ok(Self {
+            text,
+            placement,
+            placement_revision: fact.revision,
+            members_revision: state.facts.get(FactKind::Members).revision,
+            fleet,
+            budgets: budgets.collect(),
+        })
+    }
+}
--- a/src/wave/mod.rs
+++ b/src/wave/mod.rs
@@ -1,8 +1,10 @@
 //! What lives as long as a maintenance wave, beyond every process.
 
 mod budget_book;
+mod control_view;
 mod drain_watch;
 mod fleet_view;
+mod loss_charger;
 mod spare_planner;
 mod wave_controller;
 mod wave_planner;
--- a/src/wave/wave_controller.rs
+++ b/src/wave/wave_controller.rs
@@ -1,7 +1,6 @@
 //! The progress of waves and moves, driven by the holder of the controller's lease.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -14,8 +13,6 @@
 use crate::error::Result;
 use crate::id::HostId;
 use crate::id::Revision;
-use crate::id::ServiceId;
-use crate::operator::TextFact;
 use crate::platform::HostService;
 use crate::platform::RebootOrder;
 use crate::platform::TableService;
@@ -31,31 +28,27 @@
 use crate::process::RoleLease;
 use crate::version::FactKind;
 use crate::version::HostState;
-use crate::version::ServiceText;
+use crate::wave::control_view::ControlView;
 use crate::wave::drain_watch::ask_members;
+use crate::wave::loss_charger::LossCharger;
 use crate::wave::wave_key;
-use crate::wave::BudgetBook;
 use crate::wave::FleetView;
 use crate::wave::HostCondition;
 use crate::wave::HostMove;
 use crate::wave::HostView;
-use crate::wave::ServiceBudget;
 use crate::wave::SparePlanner;
 use crate::wave::StepDecision;
 use crate::wave::WavePlanner;
 use crate::wave::WaveRecord;
 use crate::wave::WaveState;
-use crate::wave::BUDGET_PREFIX;
 use crate::wave::WAVE_PREFIX;
 
-/// The most waves and budgets that are read at a time.
+/// The most waves that are read at a time.
 const ROW_LIMIT: usize = 1_000;
 /// How long a restarted host may take to come back before its wave is held.
 const RESTART_LIMIT: Duration = Duration::from_secs(900);
 /// How long a lost host is expected to come back by itself.
 const EXPECTED_BACK: Duration = Duration::from_secs(600);
-/// The time between two charges of unplanned loss.
-const CHARGE_PAUSE: Duration = Duration::from_secs(5);
 /// The growth of a wave's group after each group that came back.
 const GROUP_GROWTH: usize = 2;
 
@@ -66,27 +59,6 @@
     revision: Revision,
 }
 
-/// Everything that one look decides by.
-struct ControlView {
-    text: ServiceText,
-    placement: Placement,
-    placement_revision: Revision,
-    members_revision: Revision,
-    fleet: FleetView,
-    budgets: BTreeMap<ServiceId, (Revision, ServiceBudget)>,
-}
-
-impl ControlView {
-    fn book(&self) -> BudgetBook {
-        let rows = self
-            .budgets
-            .iter()
-            .map(|(service, (_, row))| (service.clone(), row.clone()))
-            .collect();
-        BudgetBook::from_rows(&self.text, &rows, now_ms())
-    }
-}
-
 /// Moves waves and hosts from step to step by transactions.
 ///
 /// Each step is one transaction that checks the lease's epoch, the wave, the
@@ -100,7 +72,7 @@
     ordered: RefCell<HashSet<String>>,
     restarted_at: RefCell<HashMap<HostId, Instant>>,
     lost_since: RefCell<HashMap<HostId, Instant>>,
-    charged_at: RefCell<Option<Instant>>,
+    charger: LossCharger<P>,
 }
 
 impl<P: HostService + TableService> WaveController<P> {
@@ -112,6 +84,7 @@
         lease: Rc<RoleLease<P>>,
     ) -> Self {
         Self {
+            charger: LossCharger::new(Rc::clone(&platform)),
             platform,
             state,
             audit,
@@ -119,7 +92,6 @@
             ordered: RefCell::default(),
             restarted_at: RefCell::default(),
             lost_since: RefCell::default(),
-            charged_at: RefCell::default(),
         }
     }
 
@@ -135,8 +107,8 @@
             return Ok(false);
         }
         let waves = self.read_waves().await?;
-        let view = self.view().await?;
-        self.charge_losses(&view).await?;
+        let view = ControlView::read(self.platform.as_ref(), &self.state).await?;
+        self.charger.charge(&view, &self.lease).await?;
         let mut busy = self.advance_moves(&view).await?;
         for wave in waves.iter().filter(|wave| !wave.record.state.is_over()) {
             busy = true;
@@ -159,65 +131,6 @@
         Ok(waves.collect())
     }
 
-    async fn view(&self) -> Result<ControlView> {
-        let text = TextFact::from_fact(&self.state.facts.get(FactKind::Text))?.parse()?;
-        let fact = self.state.facts.get(FactKind::Placement);
-        let placement = Placement::from_fact(&fact);
-        let fleet = FleetView::from_facts(&text, &placement, &self.state.hosts());
-        let rows = self.platform.scan(BUDGET_PREFIX, "", ROW_LIMIT).await?;
-        let budgets = rows.into_iter().filter_map(|row| {
-            let service = row.key.strip_prefix(BUDGET_PREFIX)?.parse().ok()?;
-            let budget = serde_json::from_value(row.value).ok()?;
-            Some((service, (row.revision, budget)))
-        });
-        Ok(ControlView {
-            text,
-            placement,
-            placement_revision: fact.revision,
-            members_revision: self.state.facts.get(FactKind::Members).revision,
-            fleet,
-            budgets: budgets.collect(),
-        })
-    }
-
-    /// Charges the capacity that is missing now to every service that misses it.
-    async fn charge_losses(&self, view: &ControlView) -> Result<()> {
-        let due = self
-            .charged_at
-            .borrow()
-            .is_none_or(|charged| charged.elapsed() >= CHARGE_PAUSE);
-        if !due {
-            return Ok(());
-        }
-        self.charged_at.replace(Some(Instant::now()));
-        let shortfalls = view.fleet.shortfalls();
-        let mut transaction = self.lease.fence(Transaction::new());
-        let mut charged = false;
-        for service in view.text.services.values() {
-            let shortfall = shortfalls.get(&service.id).copied().unwrap_or(0.0);
-            let held = view.budgets.get(&service.id);
-            let (revision, mut row) = held.cloned().unwrap_or_default();
-            let was_short = row.charged_until_ms > 0;
-            if shortfall <= 0.0 && !was_short {
-                continue;
-            }
-            row.charge_until(now_ms(), shortfall, service.window);
-            if shortfall <= 0.0 {
-                row.charged_until_ms = 0;
-            }
-            charged = true;
-            let key = ServiceBudget::row_key(&service.id);
-            let value = serde_json::to_value(&row).unwrap_or_default();
-            transaction = transaction
-                .with_check(key.as_str(), revision)
-                .with_write(key, value);
-        }
-        if charged {
-            self.platform.transact(&transaction).await?;
-        }
-        Ok(())
-    }
-
     async fn advance(&self, wave: &HeldWave, view: &ControlView) -> Result<()> {
         let closed = self.closed_by(wave, view);
         let leaving = in_phase(&closed, HostPhase::Leaving);
