Remove what stood twice or was dead

The look-up of a row's revision stood in two files and in a third by hand; ServiceText::service_for, two parts of ServerConnections and a parameter of the controller were used by nothing; an error was matched to be returned as it was. A controller that lost its lease while a wave ran kept looking at the lease five times a second, since its busy flag was never cleared.

Ruled out: merging the fixtures of the tests' two texts (each is read whole).

Conclusion: RowCheck::revision_in serves all three; busy is worked out anew in each pass.

--- a/src/connection/backend_pool.rs
+++ b/src/connection/backend_pool.rs
@@ -5,9 +5,7 @@
 
 use monoio::time::Instant;
 
-use crate::connection::ExchangeError;
 use crate::connection::HttpConnection;
-use crate::connection::MessageLimits;
 
 /// How long an idle connection is kept.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
@@ -22,17 +20,15 @@
 /// of them than slots in use and idle ones together.
 pub struct ServerConnections {
     address: SocketAddr,
-    limits: MessageLimits,
     idle: Vec<HttpConnection>,
     trusted_since: Instant,
 }
 
 impl ServerConnections {
     /// Creates an empty set of connections to `address`.
-    pub fn new(address: SocketAddr, limits: MessageLimits) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            limits,
             idle: Vec::new(),
             trusted_since: Instant::now(),
         }
@@ -43,11 +39,6 @@
         self.address
     }
 
-    /// Returns the bounds on the server's messages.
-    pub fn limits(&self) -> MessageLimits {
-        self.limits
-    }
-
     /// Takes an idle connection that is open, silent and recently used.
     pub fn take(&mut self, repeatable: bool) -> Option<HttpConnection> {
         let now = Instant::now();
@@ -92,17 +83,4 @@
         self.idle
             .retain(|connection| now - connection.last_used() <= IDLE_LIMIT);
     }
-
-    /// Connects to a server.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ExchangeError::NotConnected`].
-    pub async fn dial(
-        address: SocketAddr,
-        limits: MessageLimits,
-        deadline: Instant,
-    ) -> Result<HttpConnection, ExchangeError> {
-        HttpConnection::dial(address, limits, deadline).await
-    }
 }
--- a/src/operator/control_api.rs
+++ b/src/operator/control_api.rs
@@ -27,6 +27,7 @@
 use crate::operator::BudgetStatus;
 use crate::operator::HostStatus;
 use crate::operator::TextFact;
+use crate::platform::RowCheck;
 use crate::platform::TableService;
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
@@ -227,7 +228,7 @@
             ));
         }
         let starts = self.parts.platform.revisions(&[STARTS_KEY]).await?;
-        let starts = starts.first().map_or(Revision::new(0), |row| row.revision);
+        let starts = RowCheck::revision_in(&starts, STARTS_KEY);
         let waves = self.waves().await?;
         let running = waves.iter().filter(|wave| !wave.state.is_over());
         let busy = running.flat_map(|wave| wave.pending.iter().chain(&wave.stopped));
--- a/src/platform/transaction.rs
+++ b/src/platform/transaction.rs
@@ -15,6 +15,16 @@
     pub revision: Revision,
 }
 
+impl RowCheck {
+    /// Returns the revision of a row out of those that exist, 0 if it does not.
+    pub fn revision_in(shown: &[Self], key: &str) -> Revision {
+        shown
+            .iter()
+            .find(|check| check.key == key)
+            .map_or(Revision::new(0), |check| check.revision)
+    }
+}
+
 /// A row's new value.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RowWrite {
--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -235,10 +235,8 @@
             }
             let held = self.is_member() && self.lease.look().await.is_ok();
             let due = busy || pass % IDLE_PASSES == 0;
-            if held && due {
-                // A silent platform is noticed and reported by the look at its rows.
-                busy = self.controller.look().await.unwrap_or(false);
-            }
+            // A silent platform is noticed and reported by the look at its rows.
+            busy = held && due && self.controller.look().await.unwrap_or(false);
             pause(if busy {
                 CONTROL_PAUSE_BUSY
             } else {
--- a/src/process/fact_sync.rs
+++ b/src/process/fact_sync.rs
@@ -8,7 +8,6 @@
 use rand::Rng;
 
 use crate::error::Result;
-use crate::id::Revision;
 use crate::platform::HostService;
 use crate::platform::RowCheck;
 use crate::platform::TableService;
@@ -42,7 +41,7 @@
         let held = self.state.facts.digest();
         let newer = FACT_KINDS
             .iter()
-            .filter(|kind| revision_of(&shown, kind.row_key()) > held[kind.index()])
+            .filter(|kind| RowCheck::revision_in(&shown, kind.row_key()) > held[kind.index()])
             .map(|kind| kind.row_key())
             .collect::<Vec<_>>();
         if newer.is_empty() {
@@ -75,10 +74,3 @@
     let factor = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
     sleep(time.mul_f64(factor)).await;
 }
-
-fn revision_of(shown: &[RowCheck], key: &str) -> Revision {
-    shown
-        .iter()
-        .find(|check| check.key == key)
-        .map_or(Revision::new(0), |check| check.revision)
-}
--- a/src/process/role_lease.rs
+++ b/src/process/role_lease.rs
@@ -97,9 +97,11 @@
         }
         let keys = [self.lease_key.as_str(), self.renewal_key.as_str()];
         let shown = self.platform.revisions(&keys).await?;
-        let renewal = revision_of(&shown, &self.renewal_key);
+        let renewal = RowCheck::revision_in(&shown, &self.renewal_key);
         if self.has_lapsed(renewal, Instant::now()) {
-            return self.take(revision_of(&shown, &self.lease_key)).await;
+            return self
+                .take(RowCheck::revision_in(&shown, &self.lease_key))
+                .await;
         }
         Ok(())
     }
@@ -182,10 +184,3 @@
         Ok(())
     }
 }
-
-fn revision_of(shown: &[RowCheck], key: &str) -> Revision {
-    shown
-        .iter()
-        .find(|check| check.key == key)
-        .map_or(Revision::new(0), |check| check.revision)
-}
--- a/src/request/request_router.rs
+++ b/src/request/request_router.rs
@@ -383,7 +383,7 @@
             let mut connections = self.connections.borrow_mut();
             let held = connections
                 .entry(server.host.clone())
-                .or_insert_with(|| ServerConnections::new(server.address, self.limits));
+                .or_insert_with(|| ServerConnections::new(server.address));
             held.take(repeatable)
         };
         match idle {
--- a/src/version/service_text.rs
+++ b/src/version/service_text.rs
@@ -71,14 +71,6 @@
         findings.into_result(text).map_err(Error::Findings)
     }
 
-    /// Returns the service whose path prefix is the longest that fits `path`.
-    pub fn service_for(&self, path: &str) -> Option<&Service> {
-        self.services
-            .values()
-            .filter(|service| super::service::path_has_prefix(path, &service.path))
-            .max_by_key(|service| service.path.len())
-    }
-
     /// Returns the services that need `service` to work, itself included.
     pub fn dependants_of(&self, service: &ServiceId) -> BTreeSet<ServiceId> {
         let mut dependants = BTreeSet::from([service.clone()]);
--- a/src/wave/wave_controller.rs
+++ b/src/wave/wave_controller.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::error::Error;
 use crate::error::Result;
 use crate::id::HostId;
 use crate::id::Revision;
@@ -180,7 +179,7 @@
         let mut record = wave.record.clone();
         let mut placement = view.placement.clone();
         let action = match decision {
-            StepDecision::Wait(reason) => return self.note_waiting(wave, view, reason).await,
+            StepDecision::Wait(reason) => return self.note_waiting(wave, reason).await,
             StepDecision::Hold(reason) => {
                 record.state = WaveState::Held(reason);
                 "wave hold"
@@ -232,11 +231,11 @@
             let missing = answer.missing.iter().map(ToString::to_string);
             let missing = missing.collect::<Vec<_>>().join(", ");
             let reason = format!("the acknowledgement of {missing}");
-            return self.note_waiting(wave, view, reason).await;
+            return self.note_waiting(wave, reason).await;
         }
         if answer.drained.is_empty() {
             return self
-                .note_waiting(wave, view, "requests in flight to finish".to_owned())
+                .note_waiting(wave, "requests in flight to finish".to_owned())
                 .await;
         }
         let mut placement = view.placement.clone();
@@ -356,7 +355,7 @@
             _ => {
                 let hosts = restarting.iter().map(ToString::to_string);
                 let hosts = hosts.collect::<Vec<_>>().join(", ");
-                self.note_waiting(wave, view, format!("{hosts} to come back"))
+                self.note_waiting(wave, format!("{hosts} to come back"))
                     .await
             }
         }
@@ -497,12 +496,7 @@
     }
 
     /// Records what a wave waits for, when that has changed.
-    async fn note_waiting(
-        &self,
-        wave: &HeldWave,
-        view: &ControlView,
-        reason: String,
-    ) -> Result<()> {
+    async fn note_waiting(&self, wave: &HeldWave, reason: String) -> Result<()> {
         if wave.record.waiting_for == reason {
             return Ok(());
         }
@@ -515,7 +509,6 @@
             .fence(Transaction::new())
             .with_check(key.as_str(), wave.revision)
             .with_write(key, value);
-        let _ = view;
         self.platform.transact(&transaction).await.map(drop)
     }
 
@@ -557,18 +550,13 @@
         placement: &Placement,
         note: AuditNote,
     ) -> Result<()> {
-        match self.audit.commit_quietly(transaction, note).await {
-            Ok(TransactionOutcome::Committed(revision)) => {
-                let value = serde_json::to_vec(placement).unwrap_or_default();
-                self.state
-                    .facts
-                    .offer(FactKind::Placement, revision, &value);
-                Ok(())
-            }
-            Ok(TransactionOutcome::Conflict(_)) => Ok(()),
-            Err(Error::PlatformSilent(reason)) => Err(Error::PlatformSilent(reason)),
-            Err(error) => Err(error),
+        let outcome = self.audit.commit_quietly(transaction, note).await?;
+        if let TransactionOutcome::Committed(revision) = outcome {
+            let value = serde_json::to_vec(placement).unwrap_or_default();
+            let facts = &self.state.facts;
+            facts.offer(FactKind::Placement, revision, &value);
         }
+        Ok(())
     }
 
     fn note(&self, action: &'static str, subject: String) -> AuditNote {
