Share the parsed service text within a daemon

Cause: routes, the controller and each operator's call parsed the same text on their own, and the controller kept a cache of its own for it. Beside that, a text that this daemon could not parse was reported as in force while the older one was routed by.

Ruled out: one more cache in the operators' calls. All tests pass; the wrong report was found by reading and has no test of its own, since texts are checked before they are committed.

Conclusion: PeerState holds the text in force; a revision is in force only once it was parsed.

--- a/src/operator/control_api.rs
+++ b/src/operator/control_api.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde_json::json;
 
+use crate::error::Error;
 use crate::error::Result;
 use crate::id::EntryId;
 use crate::id::HostId;
@@ -26,7 +27,6 @@
 use crate::operator::api::WHO_HEADER;
 use crate::operator::BudgetStatus;
 use crate::operator::HostStatus;
-use crate::operator::TextFact;
 use crate::platform::RowCheck;
 use crate::platform::TableService;
 use crate::platform::Transaction;
@@ -81,11 +81,11 @@
     /// The change makes no sense as things stand.
     Refused(StatusCode, String),
     /// The platform did not answer.
-    Failed(crate::error::Error),
+    Failed(Error),
 }
 
-impl From<crate::error::Error> for ChangeError {
-    fn from(error: crate::error::Error) -> Self {
+impl From<Error> for ChangeError {
+    fn from(error: Error) -> Self {
         Self::Failed(error)
     }
 }
@@ -392,8 +392,9 @@
         }
     }
 
-    fn text(&self) -> Result<ServiceText> {
-        TextFact::from_fact(&self.parts.state.facts.get(FactKind::Text))?.parse()
+    fn text(&self) -> Result<Arc<ServiceText>> {
+        let text = self.parts.state.text();
+        text.ok_or_else(|| Error::PlatformSilent("no text is in force".to_owned()))
     }
 
     fn placement(&self) -> (Revision, Placement) {
@@ -402,7 +403,7 @@
     }
 
     fn fleet(&self) -> Result<FleetView> {
-        let text = Arc::new(self.text()?);
+        let text = self.text()?;
         let placement = self.placement().1;
         let hosts = self.parts.state.hosts();
         Ok(FleetView::from_facts(&text, &placement, &hosts))
--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -11,6 +11,7 @@
 use monoio::time::sleep;
 use tokio::sync::Notify;
 
+use crate::id::Revision;
 use crate::operator::TextFact;
 use crate::platform::HttpPlatform;
 use crate::process::fact_sync::pause;
@@ -149,12 +150,16 @@
     /// Puts every newer text, placement and host list in force.
     async fn follow_facts(self: Rc<Self>) {
         let mut changes = self.state.facts.subscribe();
-        let mut text: Option<ServiceText> = None;
+        let mut text: Option<Arc<ServiceText>> = None;
+        let mut parsed_revision = Revision::new(0);
         loop {
             let fact = self.state.facts.get(FactKind::Text);
             if fact.revision > self.state.text_in_force() {
                 match TextFact::from_fact(&fact).and_then(|fact| fact.parse()) {
-                    Ok(parsed) => text = Some(parsed),
+                    Ok(parsed) => {
+                        text = Some(Arc::new(parsed));
+                        parsed_revision = fact.revision;
+                    }
                     Err(error) => {
                         log::error!(target: "zincpier::text", "revision {} cannot be used: {error}", fact.revision);
                     }
@@ -162,9 +167,9 @@
             }
             if let Some(text) = &text {
                 self.install(text);
-                if fact.revision > self.state.text_in_force() {
-                    self.state.put_in_force(fact.revision);
-                    log::info!(target: "zincpier::text", "revision {} is in force", fact.revision);
+                if parsed_revision > self.state.text_in_force() {
+                    self.state.put_in_force(parsed_revision, Arc::clone(text));
+                    log::info!(target: "zincpier::text", "revision {parsed_revision} is in force");
                 }
             }
             if changes.changed().await.is_err() {
--- a/src/process/peer_state.rs
+++ b/src/process/peer_state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -26,6 +27,7 @@
 use crate::version::FactKind;
 use crate::version::FactStore;
 use crate::version::HostList;
+use crate::version::ServiceText;
 
 /// A call to one peer, made on behalf of the caller side.
 #[derive(Debug)]
@@ -81,6 +83,7 @@
     tracker: Mutex<MemberTracker>,
     settled: AtomicU64,
     text_in_force: AtomicU64,
+    text: Mutex<Option<Arc<ServiceText>>>,
     beats: AtomicU64,
     fetched: AtomicU64,
     calls: mpsc::UnboundedSender<PeerCall>,
@@ -98,6 +101,7 @@
             tracker: Mutex::new(MemberTracker::new(Instant::now())),
             settled: AtomicU64::new(0),
             text_in_force: AtomicU64::new(0),
+            text: Mutex::default(),
             beats: AtomicU64::new(0),
             fetched: AtomicU64::new(0),
             calls,
@@ -192,9 +196,18 @@
         Revision::new(self.text_in_force.load(Ordering::Acquire))
     }
 
+    /// Returns the service text that requests are routed by, once there is one.
+    pub fn text(&self) -> Option<Arc<ServiceText>> {
+        let text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+        text.clone()
+    }
+
     /// Notes that requests are routed by a revision of the service text.
-    pub fn put_in_force(&self, text: Revision) {
-        self.text_in_force.fetch_max(text.get(), Ordering::AcqRel);
+    pub fn put_in_force(&self, revision: Revision, text: Arc<ServiceText>) {
+        let mut held = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+        *held = Some(text);
+        self.text_in_force
+            .fetch_max(revision.get(), Ordering::AcqRel);
     }
 
     /// Asks a peer what it has in flight at hosts.
--- a/src/wave/wave_controller.rs
+++ b/src/wave/wave_controller.rs
@@ -12,7 +12,6 @@
 use crate::error::Result;
 use crate::id::HostId;
 use crate::id::Revision;
-use crate::operator::TextFact;
 use crate::platform::HostService;
 use crate::platform::RebootOrder;
 use crate::platform::TableService;
@@ -28,7 +27,6 @@
 use crate::process::RoleLease;
 use crate::version::FactKind;
 use crate::version::HostState;
-use crate::version::ServiceText;
 use crate::wave::control_view::ControlView;
 use crate::wave::drain_watch::ask_members;
 use crate::wave::loss_charger::LossCharger;
@@ -70,7 +68,6 @@
     state: Arc<PeerState>,
     audit: Rc<AuditLog<P>>,
     lease: Rc<RoleLease<P>>,
-    parsed: RefCell<Option<(Revision, Arc<ServiceText>)>>,
     ordered: RefCell<HashSet<String>>,
     restarted_at: RefCell<HashMap<HostId, Instant>>,
     lost_since: RefCell<HashMap<HostId, Instant>>,
@@ -91,7 +88,6 @@
             state,
             audit,
             lease,
-            parsed: RefCell::default(),
             ordered: RefCell::default(),
             restarted_at: RefCell::default(),
             lost_since: RefCell::default(),
@@ -106,11 +102,11 @@
     ///
     /// Returns an error if the platform does not answer.
     pub async fn look(&self) -> Result<bool> {
-        if self.lease.epoch().is_none() || self.state.text_in_force().get() == 0 {
+        let (Some(_), Some(text)) = (self.lease.epoch(), self.state.text()) else {
             return Ok(false);
-        }
+        };
         let waves = self.read_waves().await?;
-        let view = ControlView::read(self.platform.as_ref(), &self.state, self.text()?).await?;
+        let view = ControlView::read(self.platform.as_ref(), &self.state, text).await?;
         self.charger.charge(&view, &self.lease).await?;
         let mut busy = self.advance_moves(&view).await?;
         for wave in waves.iter().filter(|wave| !wave.record.state.is_over()) {
@@ -122,20 +118,6 @@
         Ok(busy)
     }
 
-    /// Returns the service text, which is parsed once for each revision.
-    fn text(&self) -> Result<Arc<ServiceText>> {
-        let fact = self.state.facts.get(FactKind::Text);
-        if let Some((revision, text)) = self.parsed.borrow().as_ref() {
-            if *revision == fact.revision {
-                return Ok(Arc::clone(text));
-            }
-        }
-        let text = Arc::new(TextFact::from_fact(&fact)?.parse()?);
-        self.parsed
-            .replace(Some((fact.revision, Arc::clone(&text))));
-        Ok(text)
-    }
-
     async fn read_waves(&self) -> Result<Vec<HeldWave>> {
         let rows = self.platform.scan(WAVE_PREFIX, "", ROW_LIMIT).await?;
         let waves = rows.into_iter().filter_map(|row| {
