Retry on a fresh connection, and tell silence from an end

A trace of the attempts showed three failures in a row, each on an idle connection of another server. Three faults stood behind it: 1. Retries took idle connections again, so a fault that ends or silences every idle connection at once used up all three attempts. 2. The stand-in's silent connection was none: its task waited on a future that nothing wakes, was dropped, and the connection closed. The test thus proved less than its name said. 3. The deadline of the answer before stayed in force for the look at an idle connection, so that idle ones were thrown away after that deadline, and the reader's own timer sometimes named a silence "not whole" (502), not 504.

Ruled out: slots, budget (10 retries saved, 2 needed), ejection, dial failures.

Conclusion: an idle connection may carry a first attempt only.

--- a/src/connection/backend_pool.rs
+++ b/src/connection/backend_pool.rs
@@ -14,6 +14,27 @@
 /// The greatest number of idle connections kept.
 const IDLE_COUNT: usize = 8;
 
+/// Which idle connections may carry a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReuseRule {
+    /// Any, since the request can be sent again.
+    Idle,
+    /// One that was in use a moment ago.
+    JustUsed,
+    /// None, since a fault that broke one may have broken the others as well.
+    Never,
+}
+
+impl ReuseRule {
+    fn idle_limit(self) -> Option<Duration> {
+        match self {
+            Self::Idle => Some(IDLE_LIMIT),
+            Self::JustUsed => Some(IDLE_LIMIT_ONCE),
+            Self::Never => None,
+        }
+    }
+}
+
 /// The idle connections to one backend server.
 ///
 /// Connections are in use one request at a time, so that there are never more
@@ -40,13 +61,9 @@
     }
 
     /// Takes an idle connection that is open, silent and recently used.
-    pub fn take(&mut self, repeatable: bool) -> Option<HttpConnection> {
+    pub fn take(&mut self, reuse: ReuseRule) -> Option<HttpConnection> {
         let now = Instant::now();
-        let limit = if repeatable {
-            IDLE_LIMIT
-        } else {
-            IDLE_LIMIT_ONCE
-        };
+        let limit = reuse.idle_limit()?;
         while let Some(mut connection) = self.idle.pop() {
             let used = connection.last_used();
             if used < self.trusted_since || now - used > IDLE_LIMIT {
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -33,6 +33,7 @@
 use crate::connection::check_framing;
 use crate::connection::limited_reader::LimitedReader;
 use crate::connection::limited_reader::ReadBudget;
+use crate::connection::limited_reader::ReadRefusal;
 use crate::connection::BodyFraming;
 use crate::connection::MessageLimits;
 
@@ -150,7 +151,7 @@
             .map_err(|error| ExchangeError::NotWhole(error.to_string()))?;
         let answer = self.decoder.next().await;
         let answer = answer
-            .ok_or_else(|| ExchangeError::NotWhole("the connection ended".to_owned()))?
+            .ok_or_else(|| self.decode_error("the connection ended"))?
             .map_err(|error| self.decode_error(&error.to_string()))?;
         let framing = check_framing(answer.version(), answer.headers())
             .map_err(|error| ExchangeError::NotWhole(error.to_string()))?;
@@ -170,6 +171,7 @@
 
     fn decode_error(&self, reason: &str) -> ExchangeError {
         match self.budget.refusal() {
+            Some(ReadRefusal::TooSlow(_)) => ExchangeError::TimedOut,
             Some(refusal) => ExchangeError::NotWhole(format!("{refusal:?}")),
             None => ExchangeError::NotWhole(reason.to_owned()),
         }
--- a/src/connection/limited_reader.rs
+++ b/src/connection/limited_reader.rs
@@ -62,13 +62,18 @@
 
     /// Starts waiting for the next message.
     pub(crate) fn start_idle(&self) {
+        self.answer_deadline.set(None);
+        self.start_message();
+    }
+
+    fn start_message(&self) {
         self.start(MessagePart::Idle, self.limits.head_bytes, self.limits.idle);
     }
 
     /// Starts waiting for an answer, all of which must come before `deadline`.
     pub(crate) fn start_answer(&self, deadline: Instant) {
         self.answer_deadline.set(Some(deadline));
-        self.start_idle();
+        self.start_message();
     }
 
     /// Starts reading a body.
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -14,6 +14,7 @@
 mod peer_service;
 mod peer_transport;
 
+pub use backend_pool::ReuseRule;
 pub use backend_pool::ServerConnections;
 pub use caller::accept_connections;
 pub use caller::close_without_answer;
--- a/src/request/request_router.rs
+++ b/src/request/request_router.rs
@@ -18,6 +18,7 @@
 use crate::connection::HttpConnection;
 use crate::connection::MessageLimits;
 use crate::connection::RequestHandler;
+use crate::connection::ReuseRule;
 use crate::connection::ServerConnections;
 use crate::id::HostId;
 use crate::platform::ObjectService;
@@ -320,7 +321,7 @@
         self.metrics.count_event("attempt");
         self.slots.note_sent(&host);
         let answer = self
-            .exchange(request, route, meta, &grant.server, deadline)
+            .exchange(request, route, meta, &grant.server, attempt, deadline)
             .await;
         let time = started.elapsed();
         let abandoned = answer.as_ref().is_err_and(ExchangeError::may_have_run);
@@ -347,9 +348,15 @@
         route: &Arc<ServiceRoute>,
         meta: &RequestMeta,
         server: &Arc<BackendServer>,
+        attempt: u32,
         deadline: Instant,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let mut connection = self.connect(server, meta.repeatable, deadline).await?;
+        let reuse = match (meta.repeatable, attempt) {
+            (true, 1) => ReuseRule::Idle,
+            (false, 1) => ReuseRule::JustUsed,
+            _ => ReuseRule::Never,
+        };
+        let mut connection = self.connect(server, reuse, deadline).await?;
         if self.guard.is_stale(std::time::Instant::now()) {
             return Err(ExchangeError::Paused);
         }
@@ -376,7 +383,7 @@
     async fn connect(
         &self,
         server: &Arc<BackendServer>,
-        repeatable: bool,
+        reuse: ReuseRule,
         deadline: Instant,
     ) -> Result<HttpConnection, ExchangeError> {
         let idle = {
@@ -384,7 +391,7 @@
             let held = connections
                 .entry(server.host.clone())
                 .or_insert_with(|| ServerConnections::new(server.address));
-            held.take(repeatable)
+            held.take(reuse)
         };
         match idle {
             Some(connection) => Ok(connection),
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -35,6 +35,8 @@
 
 const CONTROL_PREFIX: &str = "/-/";
 const OVERSIZED_BYTES: usize = 64 * 1024 * 1024;
+/// How long a silent connection stays open.
+const SILENCE_TIME: Duration = Duration::from_secs(3_600);
 
 /// What a backend server stand-in has seen.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -63,6 +65,7 @@
     stats: RefCell<BackendStats>,
     connections: Cell<u32>,
     silence_before: Cell<u64>,
+    close_before: Cell<u64>,
     accepted: Cell<u64>,
 }
 
@@ -78,6 +81,7 @@
             stats: RefCell::default(),
             connections: Cell::new(0),
             silence_before: Cell::new(0),
+            close_before: Cell::new(0),
             accepted: Cell::new(0),
         }
     }
@@ -121,7 +125,7 @@
                 break;
             };
             if connection.number <= self.silence_before.get() {
-                pending::<()>().await;
+                stay_silent().await;
             }
             let last = header_text(&request, "connection") == "close";
             if !connection.write(answer).await || last {
@@ -140,7 +144,10 @@
             return Some(self.control(call, request));
         }
         if connection.number <= self.silence_before.get() {
-            pending::<()>().await;
+            stay_silent().await;
+        }
+        if connection.number <= self.close_before.get() {
+            return None;
         }
         if self.faults.borrow().fail_all {
             return Some(WireAnswer::new(
@@ -227,6 +234,9 @@
                         if faults.silence_open {
                             self.silence_before.set(self.accepted.get() - 1);
                         }
+                        if faults.close_open {
+                            self.close_before.set(self.accepted.get() - 1);
+                        }
                         self.faults.replace(faults);
                         Ok("null".to_owned())
                     }
@@ -328,6 +338,13 @@
     }
 }
 
+/// Keeps a connection open without an answer.
+///
+/// A task that nothing can wake would be dropped, and its connection closed.
+async fn stay_silent() {
+    sleep(SILENCE_TIME).await;
+}
+
 fn take(count: &mut u32) -> bool {
     let taken = *count > 0;
     *count -= u32::from(taken);
--- a/src/standin/backend_faults.rs
+++ b/src/standin/backend_faults.rs
@@ -19,6 +19,8 @@
     pub doubled_answers: u32,
     /// Connections that are open now carry nothing any more; new ones work.
     pub silence_open: bool,
+    /// Connections that are open now end at their next request; new ones work.
+    pub close_open: bool,
     /// So many next answers are larger than any caller accepts.
     pub oversized_answers: u32,
 }
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -351,11 +351,53 @@
     }
     set_all(&system, &json!({ "silence_open": true }));
 
-    let statuses = (0..40)
-        .map(|number| get_as(&system, number % 2, "/notices", "after").status)
+    let answers = (0..40)
+        .map(|number| get_as(&system, number % 2, "/notices", "after"))
         .collect::<Vec<_>>();
 
-    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    for answer in answers {
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+fn assert_idle_connections_cost_nothing(faults: &serde_json::Value) {
+    let text = small_text().replace("data_centre = \"west\"", "data_centre = \"east\"");
+    let system = System::start_ready(&text, "1", &[("entry-1", "east")]);
+    for _ in 0..100 {
+        get_as(&system, 0, "/notices", "warm");
+    }
+    set_all(&system, faults);
+
+    let answers = (0..20)
+        .map(|_| get_as(&system, 0, "/notices", "after"))
+        .collect::<Vec<_>>();
+
+    for answer in answers {
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+#[test]
+fn retries_use_no_connection_that_may_have_gone_silent() {
+    assert_idle_connections_cost_nothing(&json!({ "silence_open": true }));
+}
+
+#[test]
+fn retries_use_no_connection_that_may_be_closed() {
+    assert_idle_connections_cost_nothing(&json!({ "close_open": true }));
+}
+
+#[test]
+fn silence_to_the_deadline_is_named_as_such() {
+    let system = System::start_ready(&small_text(), "1", &TWO);
+    set_all(&system, &json!({ "delay_ms": 2_000 }));
+    let headers = [("zincpier-deadline-ms", "300")];
+
+    for _ in 0..10 {
+        let answer = call(system.daemons[0].callers, "POST", "/notices", &headers, "");
+        assert_eq!(answer.status, 504, "{answer:?}");
+        assert_eq!(answer.header("zincpier-outcome"), "unknown");
+    }
 }
 
 #[test]
