--- a/benches/support/fleet.rs
+++ b/benches/support/fleet.rs
@@ -245,6 +245,7 @@
             rack: racks[host].id.clone(),
             data_centre: racks[host].data_centre.clone(),
             condition: HostCondition::Up,
+            pinned: false,
         });
     FleetView::new(Arc::new(text.clone()), hosts.collect())
 }
--- a/src/operator/control_api.rs
+++ b/src/operator/control_api.rs
@@ -36,6 +36,7 @@
 use crate::process::DaemonParts;
 use crate::process::HostPhase;
 use crate::process::HostPlacement;
+use crate::process::MemberSet;
 use crate::process::Placement;
 use crate::request::problem_response;
 use crate::version::FactKind;
@@ -352,7 +353,7 @@
             }
             Some(_) => {}
         }
-        let members = members.without_member(&entry);
+        let members = MemberSet::clone(&members).without_member(&entry);
         let mut note = self.note(who, "entry forget", entry.to_string());
         note.before = "lost".to_owned();
         note.after = "absent".to_owned();
--- a/src/process/member_keeper.rs
+++ b/src/process/member_keeper.rs
@@ -58,7 +58,8 @@
         if !joined && !self.is_superseded() {
             let replaces =
                 held.is_some_and(|held| held.incarnation != own.incarnation || held.replaces);
-            let joined = members.with_member(own.entry.clone(), own.member(replaces));
+            let joined =
+                MemberSet::clone(&members).with_member(own.entry.clone(), own.member(replaces));
             return self.change(joined, "member join", &own.entry).await;
         }
         let Some((entry, member)) = self.misjudged(&members) else {
@@ -69,7 +70,7 @@
         } else {
             "member found"
         };
-        let changed = members.with_member(entry.clone(), member);
+        let changed = MemberSet::clone(&members).with_member(entry.clone(), member);
         self.change(changed, action, &entry).await
     }
 
@@ -80,7 +81,7 @@
     /// Returns an error if the platform stays silent.
     pub(crate) async fn leave(&self) -> Result<()> {
         let own = &self.state.identity;
-        let members = self.state.members().without_member(&own.entry);
+        let members = MemberSet::clone(&self.state.members()).without_member(&own.entry);
         self.change(members, "member leave", &own.entry).await
     }
 
--- a/src/process/peer_state.rs
+++ b/src/process/peer_state.rs
@@ -84,6 +84,7 @@
     settled: AtomicU64,
     text_in_force: AtomicU64,
     text: Mutex<Option<Arc<ServiceText>>>,
+    members: Mutex<(Revision, Arc<MemberSet>)>,
     beats: AtomicU64,
     fetched: AtomicU64,
     calls: mpsc::UnboundedSender<PeerCall>,
@@ -102,6 +103,7 @@
             settled: AtomicU64::new(0),
             text_in_force: AtomicU64::new(0),
             text: Mutex::default(),
+            members: Mutex::default(),
             beats: AtomicU64::new(0),
             fetched: AtomicU64::new(0),
             calls,
@@ -159,8 +161,13 @@
     }
 
     /// Returns the agreed members.
-    pub fn members(&self) -> MemberSet {
-        MemberSet::from_fact(&self.facts.get(FactKind::Members))
+    pub fn members(&self) -> Arc<MemberSet> {
+        let fact = self.facts.get(FactKind::Members);
+        let mut held = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        if held.0 != fact.revision {
+            *held = (fact.revision, Arc::new(MemberSet::from_fact(&fact)));
+        }
+        Arc::clone(&held.1)
     }
 
     /// Locks the host list.
--- a/src/wave/fleet_view.rs
+++ b/src/wave/fleet_view.rs
@@ -44,6 +44,8 @@
     pub data_centre: DataCentreId,
     /// Whether it serves.
     pub condition: HostCondition,
+    /// Whether an operator has moved it, so that the planner leaves it where it is.
+    pub pinned: bool,
 }
 
 /// The hosts of a fleet with the text that says what they are for.
@@ -93,6 +95,7 @@
                 rack: rack.id.clone(),
                 data_centre: rack.data_centre.clone(),
                 condition,
+                pinned: placement.is_pinned(host),
             })
         });
         let mut view = Self::new(Arc::clone(text), views.collect());
--- a/src/wave/spare_planner.rs
+++ b/src/wave/spare_planner.rs
@@ -214,6 +214,7 @@
         let hosts = self.view.hosts().values();
         let donors = hosts
             .filter(|host| host.condition == HostCondition::Up && host.pool != pool.id)
+            .filter(|host| !host.pinned)
             .filter(|host| within.is_none_or(|within| host.data_centre == *within))
             .filter(|host| !kept.contains(&host.pool) && !self.taken.contains(&host.id))
             .filter_map(|host| Some((self.surplus(host, pool, floor)?, host)));
--- a/src/wave/wave_record.rs
+++ b/src/wave/wave_record.rs
@@ -91,4 +91,14 @@
             waiting_for: String::new(),
         }
     }
+    /// Returns the state and the number of hosts at each stage.
+    pub fn summary(&self) -> String {
+        format!(
+            "{}, {} pending, {} stopped, {} done",
+            self.state,
+            self.pending.len(),
+            self.stopped.len(),
+            self.done.len()
+        )
+    }
 }
--- a/tests/common/fake_table.rs
+++ b/tests/common/fake_table.rs
@@ -1,9 +1,13 @@
 //! A small table in memory, with outages and lost answers.
 
+#![allow(dead_code)] // Each test file uses some of the fixtures.
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
+use serde_json::Value;
+
 use zincpier::error::Error;
 use zincpier::error::Result;
 use zincpier::id::Revision;
@@ -27,6 +31,30 @@
         self.rows.borrow().get(key).cloned()
     }
 
+    /// Writes a row whatever it was.
+    pub(crate) fn store(&self, key: &str, value: Value) {
+        self.revision.set(self.revision.get() + 1);
+        let row = TableRow {
+            key: key.to_owned(),
+            revision: Revision::new(self.revision.get()),
+            value,
+        };
+        self.rows.borrow_mut().insert(key.to_owned(), row);
+    }
+
+    pub(crate) fn remove(&self, key: &str) {
+        self.rows.borrow_mut().remove(key);
+    }
+
+    /// Returns the rows below a prefix in the order of their changes.
+    pub(crate) fn rows_below(&self, prefix: &str) -> Vec<TableRow> {
+        let rows = self.rows.borrow();
+        let found = rows.values().filter(|row| row.key.starts_with(prefix));
+        let mut found = found.cloned().collect::<Vec<_>>();
+        found.sort_by_key(|row| row.revision);
+        found
+    }
+
     fn revision_of(&self, key: &str) -> Revision {
         self.row(key).map_or(Revision::new(0), |row| row.revision)
     }
--- /dev/null
+++ b/tests/controller_steps.rs
@@ -0,0 +1,290 @@
+//! The wave controller against a small platform, killed at each of its calls.
+
+#[path = "common/fake_platform.rs"]
+mod fake_platform;
+#[path = "common/fake_table.rs"]
+mod fake_table;
+
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future::select;
+use futures::future::Either;
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+
+use zincpier::id::HostId;
+use zincpier::id::Incarnation;
+use zincpier::id::Revision;
+use zincpier::id::WaveId;
+use zincpier::platform::AuditRecord;
+use zincpier::process::AuditLog;
+use zincpier::process::EntryIdentity;
+use zincpier::process::HostPhase;
+use zincpier::process::HostPlacement;
+use zincpier::process::MemberSet;
+use zincpier::process::PeerState;
+use zincpier::process::Placement;
+use zincpier::process::RoleLease;
+use zincpier::process::SlotShare;
+use zincpier::version::FactKind;
+use zincpier::version::ServiceText;
+use zincpier::wave::wave_key;
+use zincpier::wave::WaveController;
+use zincpier::wave::WaveRecord;
+use zincpier::wave::WaveState;
+use zincpier::wave::WAVE_PREFIX;
+
+use crate::fake_platform::CallFault;
+use crate::fake_platform::FakePlatform;
+
+const LOOKS: usize = 200;
+const RENEWAL_ROW: &str = "lease/controller/renewal";
+
+fn run<T>(future: impl std::future::Future<Output = T>) -> T {
+    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
+    runtime.unwrap().block_on(future)
+}
+
+/// One service whose pool needs one of its four hosts, each in a rack of its own.
+fn text() -> Arc<ServiceText> {
+    let racks = (1..=4).map(|number| {
+        format!(
+            "[[racks]]\nname = \"r{number}\"\ndata_centre = \"east\"\nhosts = [\"h{number}\"]\n"
+        )
+    });
+    let text = format!(
+        "deployment = \"test\"\n[[data_centres]]\nname = \"east\"\nregion = \"one\"\n\
+         [[services]]\nname = \"notices\"\npath = \"/notices\"\navailability = \"99.9\"\n{}\
+         [[pools]]\nname = \"executors\"\nservice = \"notices\"\nrole = \"executor\"\nneeded = 1\n\
+         hosts = [\"h1\", \"h2\", \"h3\", \"h4\"]\n",
+        racks.collect::<String>()
+    );
+    Arc::new(ServiceText::parse("text", &text).unwrap())
+}
+
+fn host(name: &str) -> HostId {
+    name.parse().unwrap()
+}
+
+/// An entry host that is the only member and may hold the controller's lease.
+struct Controller {
+    state: Arc<PeerState>,
+    lease: Rc<RoleLease<FakePlatform>>,
+    waves: WaveController<FakePlatform>,
+}
+
+impl Controller {
+    async fn new(platform: &Rc<FakePlatform>, incarnation: u64) -> Self {
+        let identity = EntryIdentity {
+            entry: "entry-1".parse().unwrap(),
+            incarnation: Incarnation::new(incarnation),
+            data_centre: "east".parse().unwrap(),
+            peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+        };
+        let member = identity.member(false);
+        let set = MemberSet::new().with_member(identity.entry.clone(), member);
+        platform.store(FactKind::Members.row_key(), &set);
+        let (state, _) = PeerState::new(identity.clone());
+        let state = Arc::new(state);
+        state.put_in_force(Revision::new(1), text());
+        let lease = RoleLease::new(Rc::clone(platform), identity, "controller");
+        let lease = Rc::new(lease);
+        let waves = WaveController::new(
+            Rc::clone(platform),
+            Arc::clone(&state),
+            Rc::new(AuditLog::new(Rc::clone(platform))),
+            Rc::clone(&lease),
+        );
+        Self {
+            state,
+            lease,
+            waves,
+        }
+    }
+
+    /// Takes over what the platform shows, as a daemon's other tasks do.
+    fn follow(&self, platform: &FakePlatform) {
+        for kind in [FactKind::Members, FactKind::Placement] {
+            if let Some(row) = platform.table.row(kind.row_key()) {
+                let value = serde_json::to_vec(&row.value).unwrap();
+                self.state.facts.offer(kind, row.revision, &value);
+            }
+        }
+        self.state.merge_hosts(platform.listed());
+        let fact = self.state.facts.get(FactKind::Placement);
+        let placement = Placement::from_fact(&fact);
+        let closed = placement.closed_hosts().cloned().collect::<BTreeSet<_>>();
+        self.state.ledger.install_placement(fact.revision, closed);
+    }
+
+    /// Looks once and returns whether the process has outlived it.
+    async fn look(&self, platform: &FakePlatform) -> bool {
+        self.follow(platform);
+        let looked = Box::pin(async {
+            self.lease.look().await.unwrap();
+            self.waves.look().await.unwrap();
+        });
+        matches!(
+            select(looked, Box::pin(platform.death())).await,
+            Either::Left(_)
+        )
+    }
+}
+
+fn start_wave(platform: &FakePlatform) -> String {
+    let text = text();
+    let hosts = text.pools.values().flat_map(|pool| pool.hosts.clone());
+    let id = "wave-1".parse().unwrap();
+    let key = wave_key(&id);
+    let scope = "pool:executors".parse().unwrap();
+    platform.store(&key, &WaveRecord::new(id, scope, hosts.collect(), 1));
+    key
+}
+
+fn wave_in(platform: &FakePlatform, key: &str) -> WaveRecord {
+    serde_json::from_value(platform.table.row(key).unwrap().value).unwrap()
+}
+
+fn placement_in(platform: &FakePlatform) -> Placement {
+    let row = platform.table.row(FactKind::Placement.row_key());
+    row.map_or_else(Placement::new, |row| {
+        serde_json::from_value(row.value).unwrap()
+    })
+}
+
+fn assert_capacity_is_kept(platform: &FakePlatform) {
+    let closed = placement_in(platform).closed_hosts().count();
+    // One serves, and the loss of one more rack must be borne.
+    assert!(closed <= 2, "{closed} hosts are closed");
+}
+
+fn audit_of(platform: &FakePlatform) -> String {
+    let mut session = String::new();
+    for row in platform.table.rows_below("audit/") {
+        let record = serde_json::from_value::<AuditRecord>(row.value).unwrap();
+        writeln!(session, "{}: {}", record.action, record.after).unwrap();
+    }
+    session
+}
+
+/// Runs a wave whose first controller fails at one call, and returns the platform.
+async fn wave_with_fault(fault: Option<CallFault>) -> Rc<FakePlatform> {
+    let platform = Rc::new(FakePlatform::new(&["h1", "h2", "h3", "h4"]));
+    let key = start_wave(&platform);
+    let mut incarnation = 1;
+    let mut controller = Controller::new(&platform, incarnation).await;
+    platform.set_fault(fault);
+    for _ in 0..LOOKS {
+        if !controller.look(&platform).await {
+            incarnation += 1;
+            platform.table.remove(RENEWAL_ROW);
+            controller = Controller::new(&platform, incarnation).await;
+        }
+        assert_capacity_is_kept(&platform);
+        if wave_in(&platform, &key).state == WaveState::Finished {
+            break;
+        }
+    }
+    assert_eq!(wave_in(&platform, &key).state, WaveState::Finished);
+    platform
+}
+
+#[test]
+fn quiet_wave_goes_step_by_step() {
+    run(async {
+        let platform = wave_with_fault(None).await;
+
+        insta::assert_snapshot!(audit_of(&platform));
+        assert_eq!(platform.boots(), [1, 1, 1, 1]);
+    });
+}
+
+#[test]
+fn controller_killed_at_any_call_leaves_a_wave_that_the_next_one_finishes() {
+    run(async {
+        let calls = wave_with_fault(None).await.calls();
+        for call in 1..=calls {
+            for fault in [CallFault::NoEffect(call), CallFault::LostAnswer(call)] {
+                let platform = wave_with_fault(Some(fault)).await;
+
+                assert_eq!(platform.boots(), [1, 1, 1, 1], "{fault:?}");
+                assert!(placement_in(&platform).hosts().is_empty(), "{fault:?}");
+            }
+        }
+    });
+}
+
+#[test]
+fn stopped_host_is_restarted_while_another_one_drains() {
+    run(async {
+        let platform = Rc::new(FakePlatform::new(&["h1", "h2", "h3", "h4"]));
+        let key = start_wave(&platform);
+        let mut record = wave_in(&platform, &key);
+        let mut placement = Placement::new();
+        for (name, phase) in [("h1", HostPhase::Leaving), ("h2", HostPhase::Restarting)] {
+            record.pending.remove(&host(name));
+            record.stopped.insert(host(name));
+            let held = HostPlacement {
+                pool: None,
+                moving_to: None,
+                pinned: false,
+                phase,
+                wave: Some(record.id.clone()),
+                boots: 0,
+            };
+            placement.set(host(name), held);
+        }
+        platform.store(&key, &record);
+        platform.store(FactKind::Placement.row_key(), &placement);
+        let controller = Controller::new(&platform, 1).await;
+        let whole = SlotShare {
+            reserve: 8,
+            full: 8,
+        };
+        let shares = [(host("h1"), whole)].into_iter().collect();
+        controller.state.ledger.set_shares(&shares);
+        let now = Instant::now();
+        let begun = controller
+            .state
+            .ledger
+            .begin(&host("h1"), now, now + Duration::from_secs(60));
+
+        for _ in 0..4 {
+            assert!(controller.look(&platform).await);
+        }
+
+        assert!(begun);
+        assert_eq!(platform.boots(), [0, 1, 0, 0]);
+        assert!(!placement_in(&platform).is_closed(&host("h2")));
+        assert!(placement_in(&platform).is_closed(&host("h1")));
+    });
+}
+
+#[test]
+fn rows_of_long_ended_waves_are_removed() {
+    run(async {
+        let platform = Rc::new(FakePlatform::new(&["h1", "h2", "h3", "h4"]));
+        for number in 0..130 {
+            let id = format!("wave-{number}").parse::<WaveId>().unwrap();
+            let scope = "pool:executors".parse().unwrap();
+            let mut record = WaveRecord::new(id.clone(), scope, BTreeSet::new(), number);
+            record.state = WaveState::Aborted;
+            record.ended_ms = Some(number);
+            platform.store(&wave_key(&id), &record);
+        }
+        let controller = Controller::new(&platform, 1).await;
+
+        assert!(controller.look(&platform).await);
+
+        let kept = platform.table.rows_below(WAVE_PREFIX);
+        let ended = kept.iter().map(|row| row.value["ended_ms"].as_u64());
+        assert_eq!(kept.len(), 100);
+        assert_eq!(ended.min(), Some(Some(30)));
+    });
+}
--- /dev/null
+++ b/tests/planner.rs
@@ -0,0 +1,150 @@
+//! Decisions of the planners over small fleets.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use zincpier::id::HostId;
+use zincpier::version::ServiceText;
+use zincpier::wave::BudgetBook;
+use zincpier::wave::FleetView;
+use zincpier::wave::HostCondition;
+use zincpier::wave::HostView;
+use zincpier::wave::ServiceBudget;
+use zincpier::wave::SparePlanner;
+use zincpier::wave::StepDecision;
+use zincpier::wave::WavePlanner;
+use zincpier::wave::WaveRecord;
+
+const HOUR_MS: u64 = 3_600_000;
+const NOW_MS: u64 = 1_000 * HOUR_MS;
+
+/// Two services with a pool each that need two hosts, of three and of four.
+fn text() -> Arc<ServiceText> {
+    let racks = (1..=7).map(|number| {
+        format!(
+            "[[racks]]\nname = \"r{number}\"\ndata_centre = \"east\"\nhosts = [\"h{number}\"]\n"
+        )
+    });
+    let services = ["notices", "reports"].map(|name| {
+        format!("[[services]]\nname = \"{name}\"\npath = \"/{name}\"\navailability = \"99.9\"\n")
+    });
+    let pools = [
+        ("notices", "\"h1\", \"h2\", \"h3\""),
+        ("reports", "\"h4\", \"h5\", \"h6\", \"h7\""),
+    ];
+    let pools = pools.map(|(service, hosts)| {
+        format!(
+            "[[pools]]\nname = \"{service}-pool\"\nservice = \"{service}\"\nrole = \"executor\"\n\
+             needed = 2\nhosts = [{hosts}]\n"
+        )
+    });
+    let text = format!(
+        "deployment = \"test\"\n[[data_centres]]\nname = \"east\"\nregion = \"one\"\n{}{}{}",
+        services.concat(),
+        racks.collect::<String>(),
+        pools.concat()
+    );
+    Arc::new(ServiceText::parse("text", &text).unwrap())
+}
+
+fn host(name: &str) -> HostId {
+    name.parse().unwrap()
+}
+
+/// The fleet of the text; `change` alters each host.
+fn fleet(text: &Arc<ServiceText>, change: impl Fn(&mut HostView)) -> FleetView {
+    let racks = text.rack_of_hosts();
+    let hosts = text.pool_of_hosts().into_iter().map(|(host, pool)| {
+        let mut view = HostView {
+            id: host.clone(),
+            pool: pool.id.clone(),
+            rack: racks[host].id.clone(),
+            data_centre: racks[host].data_centre.clone(),
+            condition: HostCondition::Up,
+            pinned: false,
+        };
+        change(&mut view);
+        view
+    });
+    FleetView::new(Arc::clone(text), hosts.collect())
+}
+
+/// The budgets of a text, of which `used_ms` are used up in one service.
+fn book(text: &Arc<ServiceText>, used: Option<(&str, u64)>) -> BudgetBook {
+    let rows = used.map(|(service, lost_ms)| {
+        let mut budget = ServiceBudget::default();
+        budget.hours.insert(NOW_MS / HOUR_MS, lost_ms);
+        (service.parse().unwrap(), budget)
+    });
+    let rows = rows.into_iter().collect::<BTreeMap<_, _>>();
+    BudgetBook::from_rows(text, &rows, NOW_MS)
+}
+
+fn wave(hosts: &[&str]) -> WaveRecord {
+    let hosts = hosts.iter().map(|name| host(name)).collect::<BTreeSet<_>>();
+    let scope = "pool:reports-pool".parse().unwrap();
+    let mut record = WaveRecord::new("wave-1".parse().unwrap(), scope, hosts, NOW_MS);
+    record.group_limit = 8;
+    record
+}
+
+fn lose_two(host: &mut HostView) {
+    if ["h1", "h2"].contains(&host.id.as_str()) {
+        host.condition = HostCondition::Lost;
+    }
+}
+
+#[test]
+fn lost_host_is_replaced_from_a_pool_that_can_spare_one() {
+    let text = text();
+    let fleet = fleet(&text, lose_two);
+    let book = book(&text, None);
+
+    let moves = SparePlanner::new(&fleet, &book).repairs();
+
+    assert_eq!(moves.len(), 1);
+    assert_eq!(moves[0].from.as_str(), "reports-pool");
+    assert_eq!(moves[0].to.as_str(), "notices-pool");
+}
+
+#[test]
+fn hosts_that_an_operator_moved_are_left_where_they_are() {
+    let text = text();
+    let fleet = fleet(&text, |host| {
+        lose_two(host);
+        host.pinned = true;
+    });
+    let book = book(&text, None);
+
+    let moves = SparePlanner::new(&fleet, &book).repairs();
+
+    assert!(moves.is_empty(), "{moves:?}");
+}
+
+#[test]
+fn used_up_budget_leaves_room_for_the_loss_of_a_rack() {
+    let text = text();
+    let fleet = fleet(&text, |_| {});
+    let wave = wave(&["h4", "h5", "h6", "h7"]);
+
+    let whole = book(&text, None);
+    let free = WavePlanner::new(&fleet, &whole).next_step(&wave);
+    let spent = book(&text, Some(("reports", 24 * HOUR_MS)));
+    let careful = WavePlanner::new(&fleet, &spent).next_step(&wave);
+
+    // Four serve and two are needed: without budget, one more rack must be bearable.
+    assert!(matches!(free, StepDecision::Stop(hosts) if hosts.len() == 2));
+    assert!(matches!(careful, StepDecision::Stop(hosts) if hosts.len() == 1));
+}
+
+#[test]
+fn pool_below_its_need_is_never_stopped() {
+    let text = text();
+    let fleet = fleet(&text, lose_two);
+    let book = book(&text, None);
+
+    let decision = WavePlanner::new(&fleet, &book).next_step(&wave(&["h3"]));
+
+    assert!(matches!(decision, StepDecision::Wait(_)), "{decision:?}");
+}
