First member of a data centre waits for the users of its slots

While a data centre has no member, the others divide its slots; its first member asked only mates of its own data centre, of which there were none, and took all slots at once while the others still used them. 2. lost_answer_of_a_claim_is_settled_by_its_token: one silence of the platform refused every claim for the next 200 ms, also those that the next try would have committed.

Ruled out: loans (the ledger ends them before the lender has them back), requests given up (abandoned is 0), the killed run's requests (20 ms each).

A member of a new data centre waits for all others to keep within the new set, or 4 s, in which those that do not hear of it fall back by themselves. Claims are refused at once from the second silence in a row.

--- a/src/process/share_keeper.rs
+++ b/src/process/share_keeper.rs
@@ -1,5 +1,6 @@
 //! How many slots of each backend server this entry host may use now.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -106,7 +107,7 @@
             self.confirmed_at = now;
         }
         let newer = self.in_force_revision < self.current_revision;
-        if newer && self.is_settled(tracker) && self.is_taken_over(now) {
+        if newer && self.is_settled(tracker, now) && self.is_taken_over(now) {
             self.in_force = self.current.clone();
             self.in_force_revision = self.current_revision;
         }
@@ -114,16 +115,27 @@
 
     /// Tells whether every member that may use the slots in question keeps within the current set.
     ///
-    /// These are the members of this data centre, or all when some data
-    /// centre's slots were or are divided among the members of others.
-    fn is_settled(&self, tracker: &MemberTracker) -> bool {
-        let near = !has_orphans(&self.current) && !has_orphans(&self.in_force);
-        self.others(near)
+    /// These are the members of this data centre, and all others when some data
+    /// centre's slots were or are divided among them. Of a data centre that is
+    /// new, others have fallen back by themselves after a while.
+    fn is_settled(&self, tracker: &MemberTracker, now: Instant) -> bool {
+        let fallen_back = now.saturating_duration_since(self.current_since) >= TAKEOVER;
+        let orphans = has_orphans(&self.current) || has_orphans(&self.in_force);
+        let far_count = orphans || (self.has_new_data_centre() && !fallen_back);
+        self.others(!far_count)
             .iter()
             .filter(|(_, lost)| !lost)
             .all(|(entry, _)| tracker.settled(entry) >= self.current_revision)
     }
 
+    /// Tells whether a data centre has its first live member, or may have.
+    fn has_new_data_centre(&self) -> bool {
+        let earlier = live_data_centres(&self.in_force);
+        live_data_centres(&self.current)
+            .iter()
+            .any(|data_centre| !earlier.contains(data_centre))
+    }
+
     /// Tells whether lost members have had the time to fall back to their reserves.
     fn is_taken_over(&self, now: Instant) -> bool {
         let any_lost = self.current.members().values().any(|member| member.lost);
@@ -195,6 +207,12 @@
     }
 }
 
+/// Returns the data centres that have a live member.
+fn live_data_centres(members: &MemberSet) -> BTreeSet<&DataCentreId> {
+    let live = members.members().values().filter(|member| !member.lost);
+    live.map(|member| &member.data_centre).collect()
+}
+
 /// Tells whether some data centre has members, but no live one.
 fn has_orphans(members: &MemberSet) -> bool {
     members.members().values().any(|member| {
--- a/src/request/claim.rs
+++ b/src/request/claim.rs
@@ -12,6 +12,7 @@
 use siphasher::sip128::Hasher128;
 use siphasher::sip128::SipHasher13;
 
+use crate::id::CustomerId;
 use crate::id::EntryId;
 use crate::id::Incarnation;
 use crate::id::ServiceId;
@@ -35,7 +36,12 @@
 impl ClaimKey {
     /// Creates the key of a service's request; keys of two customers never meet.
     pub fn new(service: &ServiceId, meta: &RequestMeta, key: &[u8]) -> Self {
-        let customer = meta.customer.as_ref().map_or("", |id| id.as_str());
+        Self::with_parts(service, meta.customer.as_ref(), key)
+    }
+
+    /// Creates the key of a customer's request, named by `key`.
+    pub fn with_parts(service: &ServiceId, customer: Option<&CustomerId>, key: &[u8]) -> Self {
+        let customer = customer.map_or("", |id| id.as_str());
         let hash = hash_parts(&[customer.as_bytes(), key]);
         Self {
             row: format!("claim/{service}/{hash}"),
--- a/src/request/claim_keeper.rs
+++ b/src/request/claim_keeper.rs
@@ -37,6 +37,8 @@
 const QUEUE_LIMIT: usize = 4_096;
 /// The pause before a group is sent again to a silent platform.
 const SILENCE_PAUSE: Duration = Duration::from_millis(200);
+/// The silences in a row after which claims are refused at once.
+const SILENCES_TO_REFUSE: u32 = 2;
 /// The longest body that is kept in the row itself.
 const ROW_BODY_BYTES: usize = 8 * 1024;
 
@@ -73,7 +75,8 @@
     platform: Rc<P>,
     queue: RefCell<VecDeque<ClaimChange>>,
     wake: Notify,
-    silent: Cell<bool>,
+    /// The silences in a row.
+    silences: Cell<u32>,
     transactions: Cell<u64>,
 }
 
@@ -84,7 +87,7 @@
             platform,
             queue: RefCell::default(),
             wake: Notify::new(),
-            silent: Cell::new(false),
+            silences: Cell::new(0),
             transactions: Cell::new(0),
         }
     }
@@ -97,7 +100,7 @@
     /// Claims a key and waits for the outcome until `deadline`.
     pub async fn claim(&self, key: &ClaimKey, row: &ClaimRow, deadline: Instant) -> ClaimOutcome {
         let full = self.queue.borrow().len() >= QUEUE_LIMIT;
-        if self.silent.get() || full {
+        if self.silences.get() >= SILENCES_TO_REFUSE || full {
             return ClaimOutcome::Unavailable;
         }
         let Ok(value) = serde_json::to_value(row) else {
@@ -163,17 +166,17 @@
         loop {
             let group = self.take_group();
             if group.is_empty() {
-                self.silent.set(false);
+                self.silences.set(0);
                 self.wake.notified().await;
                 continue;
             }
             if let Err(group) = self.commit(group).await {
-                self.silent.set(true);
+                self.silences.set(self.silences.get() + 1);
                 self.put_back(group);
                 sleep(SILENCE_PAUSE).await;
                 continue;
             }
-            self.silent.set(false);
+            self.silences.set(0);
         }
     }
 
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::FutureExt;
 use monoio::time::sleep;
 use monoio::LegacyDriver;
 use monoio::RuntimeBuilder;
@@ -28,6 +29,11 @@
 use zincpier::process::RoleLease;
 use zincpier::process::ShareKeeper;
 use zincpier::process::SharedServer;
+use zincpier::request::ClaimKeeper;
+use zincpier::request::ClaimKey;
+use zincpier::request::ClaimOutcome;
+use zincpier::request::ClaimRow;
+use zincpier::request::ClaimState;
 use zincpier::version::FactKind;
 use zincpier::version::FactStore;
 
@@ -170,6 +176,65 @@
     });
 }
 
+fn claim_row(token: &str) -> ClaimRow {
+    ClaimRow {
+        token: token.to_owned(),
+        fingerprint: "same".to_owned(),
+        entry: "a".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        at_ms: 0,
+        state: ClaimState::Claimed,
+    }
+}
+
+fn claim_key(key: &str) -> ClaimKey {
+    ClaimKey::with_parts(&"notices".parse().unwrap(), None, key.as_bytes())
+}
+
+#[test]
+fn lost_answer_of_one_claim_refuses_no_other() {
+    run(async {
+        let table = Rc::new(FakeTable::default());
+        let keeper = Rc::new(ClaimKeeper::new(Rc::clone(&table)));
+        let running = Rc::clone(&keeper);
+        monoio::spawn(async move { running.run().await });
+        table.lost_answers.set(1);
+        let deadline = monoio::time::Instant::now() + Duration::from_secs(1);
+
+        let (one, other) = (claim_key("one"), claim_key("other"));
+        let (one_row, other_row) = (claim_row("1"), claim_row("2"));
+        let first = keeper.claim(&one, &one_row, deadline);
+        let second = async {
+            sleep(Duration::from_millis(50)).await;
+            keeper.claim(&other, &other_row, deadline).await
+        };
+        let outcomes = futures::future::join(first, second).await;
+
+        assert!(matches!(outcomes.0, ClaimOutcome::Granted(_)));
+        assert!(matches!(outcomes.1, ClaimOutcome::Granted(_)));
+    });
+}
+
+#[test]
+fn lasting_silence_refuses_claims_at_once() {
+    run(async {
+        let table = Rc::new(FakeTable::default());
+        let keeper = Rc::new(ClaimKeeper::new(Rc::clone(&table)));
+        let running = Rc::clone(&keeper);
+        monoio::spawn(async move { running.run().await });
+        table.silent.set(true);
+        let deadline = || monoio::time::Instant::now() + Duration::from_secs(1);
+        keeper
+            .claim(&claim_key("one"), &claim_row("1"), deadline())
+            .await;
+
+        let (key, row) = (claim_key("other"), claim_row("2"));
+        let outcome = keeper.claim(&key, &row, deadline()).now_or_never();
+
+        assert!(matches!(outcome, Some(ClaimOutcome::Unavailable)));
+    });
+}
+
 #[test]
 fn facts_never_revert_whatever_order_they_come_in() {
     let store = FactStore::new();
@@ -248,6 +313,42 @@
     );
 }
 
+#[test]
+fn first_member_of_a_data_centre_waits_for_those_who_used_its_slots() {
+    let start = Instant::now();
+    let set = members(&[("a", "west", false), ("b", "east", false)]);
+    let mut keeper = ShareKeeper::new(identity("b", "east"), start);
+    let mut tracker = MemberTracker::new(start);
+    keeper.follow(Revision::new(2), set, start);
+
+    tracker.hear(&beat("a", 1), start);
+    keeper.decide(&tracker, start);
+    let before = share(&keeper, "h1", start);
+    tracker.hear(&beat("a", 2), start);
+    keeper.decide(&tracker, start);
+    let after = share(&keeper, "h1", start);
+
+    assert_eq!((before, after), (0, SLOTS));
+}
+
+#[test]
+fn first_member_of_a_data_centre_waits_no_longer_than_others_need_to_fall_back() {
+    let start = Instant::now();
+    let set = members(&[("a", "west", false), ("b", "east", false)]);
+    let mut keeper = ShareKeeper::new(identity("b", "east"), start);
+    let tracker = MemberTracker::new(start);
+    keeper.follow(Revision::new(2), set, start);
+
+    let shares = [3_900, 4_000].map(|ms| {
+        let now = start + Duration::from_millis(ms);
+        keeper.confirm(now);
+        keeper.decide(&tracker, now);
+        share(&keeper, "h1", now)
+    });
+
+    assert_eq!(shares, [0, SLOTS]);
+}
+
 #[test]
 fn member_without_a_sign_falls_back_to_its_reserve() {
     let start = Instant::now();
--- a/tests/common/fake_table.rs
+++ b/tests/common/fake_table.rs
@@ -6,11 +6,13 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use serde_json::Value;
 
 use zincpier::error::Error;
 use zincpier::error::Result;
 use zincpier::id::Revision;
+use zincpier::platform::ObjectService;
 use zincpier::platform::RowCheck;
 use zincpier::platform::TableRow;
 use zincpier::platform::TableService;
@@ -126,3 +128,13 @@
         Ok(found.take(limit).cloned().collect())
     }
 }
+
+impl ObjectService for FakeTable {
+    async fn put_object(&self, _name: &str, _content: Bytes) -> Result<()> {
+        self.check_answers()
+    }
+
+    async fn get_object(&self, _name: &str) -> Result<Option<Bytes>> {
+        self.check_answers().map(|()| None)
+    }
+}
