--- a/benches/support/fleet.rs
+++ b/benches/support/fleet.rs
@@ -158,6 +158,7 @@
                 data_centres: names.collect(),
                 services: BTreeMap::new(),
                 pools: BTreeMap::new(),
+                teams: BTreeMap::new(),
                 racks: BTreeMap::new(),
             },
             hosts: vec![Vec::new(); data_centres],
--- a/src/connection/peer_link.rs
+++ b/src/connection/peer_link.rs
@@ -132,6 +132,11 @@
         };
         match call {
             PeerCall::CatchUp { .. } => self.beat().await,
+            PeerCall::WakeJobs { .. } => {
+                if client.wake_jobs(call_context()).await.is_err() {
+                    self.client = None;
+                }
+            }
             PeerCall::Drain { hosts, reply, .. } => {
                 match client.drain(call_context(), hosts).await {
                     Ok(report) => drop(reply.send(report)),
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -62,6 +62,10 @@
         (self.state.identity.incarnation, reports)
     }
 
+    async fn wake_jobs(self, _: Context) {
+        self.state.wake_jobs();
+    }
+
     async fn lend(
         self,
         _: Context,
--- a/src/connection/peer_service.rs
+++ b/src/connection/peer_service.rs
@@ -51,6 +51,8 @@
     async fn fetch_hosts(since: Revision) -> HostChanges;
     /// Reports what is in flight at hosts that are to be stopped.
     async fn drain(hosts: Vec<HostId>) -> (Incarnation, Vec<DrainReport>);
+    /// Tells that callers have submitted or cancelled jobs.
+    async fn wake_jobs();
     /// Lends slots for a time in milliseconds and returns how many.
     async fn lend(borrower: EntryId, wanted: Vec<SlotRequest>, time_ms: u64) -> Vec<SlotRequest>;
 }
--- a/src/id/name_error.rs
+++ b/src/id/name_error.rs
@@ -10,6 +10,13 @@
 #[error("a name has 1 to {NAME_LIMIT} letters, digits, '-', '_' or '.', unlike {0:?}")]
 pub struct NameError(String);
 
+impl NameError {
+    /// Creates the error about a text.
+    pub(crate) fn new(text: &str) -> Self {
+        Self(text.to_owned())
+    }
+}
+
 /// Checks that `text` can be a name.
 pub(crate) fn check_name(text: &str) -> Result<(), NameError> {
     let sized = (1..=NAME_LIMIT).contains(&text.len());
--- /dev/null
+++ b/src/id/task_id.rs
@@ -0,0 +1,58 @@
+//! The name of one run of a job.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::JobId;
+use crate::id::NameError;
+
+/// Names one run of a job; the platform never starts a run twice.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// The number of the run, from 1.
+    pub run: u32,
+}
+
+impl TaskId {
+    /// Creates the name of a job's run.
+    pub fn new(job: JobId, run: u32) -> Self {
+        Self { job, run }
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.job, self.run)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (job, run) = text.rsplit_once('.').unwrap_or((text, ""));
+        let job = job.parse()?;
+        let run = run.parse().map_err(|_| NameError::new(text))?;
+        Ok(Self { job, run })
+    }
+}
+
+impl From<TaskId> for String {
+    fn from(task: TaskId) -> Self {
+        task.to_string()
+    }
+}
+
+impl TryFrom<String> for TaskId {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/src/job/job_book.rs
@@ -0,0 +1,143 @@
+//! The jobs that have not ended, as the job controller holds them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::id::HostId;
+use crate::id::JobId;
+use crate::id::Revision;
+use crate::job::ended_key;
+use crate::job::host_jobs_key;
+use crate::job::open_key;
+use crate::job::HeldJob;
+use crate::job::JobRecord;
+use crate::job::HOST_JOBS_PREFIX;
+use crate::job::OPEN_PREFIX;
+use crate::platform::TableRow;
+use crate::platform::Transaction;
+
+/// The jobs on one worker, as the worker's row lists them.
+#[derive(Clone, Debug, Default)]
+struct HostJobs {
+    revision: Revision,
+    jobs: BTreeSet<JobId>,
+}
+
+/// The rows of jobs that have not ended, and of the workers that they are on.
+#[derive(Clone, Debug, Default)]
+pub(super) struct JobBook {
+    jobs: BTreeMap<JobId, HeldJob>,
+    hosts: BTreeMap<HostId, HostJobs>,
+}
+
+impl JobBook {
+    /// Takes in a row as it is now.
+    pub(super) fn take(&mut self, row: TableRow) {
+        if let Some(host) = row.key.strip_prefix(HOST_JOBS_PREFIX) {
+            let (Ok(host), Ok(jobs)) = (host.parse(), serde_json::from_value(row.value)) else {
+                return;
+            };
+            let revision = row.revision;
+            self.hosts.insert(host, HostJobs { revision, jobs });
+            return;
+        }
+        if let Some(held) = HeldJob::from_row(row) {
+            self.jobs.insert(held.record.id.clone(), held);
+        }
+    }
+
+    /// Forgets the row of a key, since it is absent.
+    pub(super) fn forget(&mut self, key: &str) {
+        if let Some(host) = key.strip_prefix(HOST_JOBS_PREFIX) {
+            self.hosts.retain(|held, _| held.as_str() != host);
+        }
+        if let Some(job) = key.strip_prefix(OPEN_PREFIX) {
+            self.jobs.retain(|held, _| held.as_str() != job);
+        }
+    }
+
+    pub(super) fn get(&self, job: &JobId) -> Option<&JobRecord> {
+        self.jobs.get(job).map(|held| &held.record)
+    }
+
+    pub(super) fn records(&self) -> impl Iterator<Item = &JobRecord> {
+        self.jobs.values().map(|held| &held.record)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Adds the change of jobs to a transaction that fails if any of their rows has changed.
+    pub(super) fn write(&self, mut transaction: Transaction, changed: &[JobRecord]) -> Transaction {
+        for record in changed {
+            let key = open_key(&record.id);
+            let held = self.jobs.get(&record.id);
+            let revision = held.map_or(Revision::new(0), |held| held.revision);
+            let value = serde_json::to_value(record).unwrap_or_default();
+            transaction = transaction.with_check(key.as_str(), revision);
+            transaction = match record.state.is_over() {
+                true => transaction
+                    .with_delete(key)
+                    .with_write(ended_key(&record.id), value),
+                false => transaction.with_write(key, value),
+            };
+        }
+        for (host, jobs) in self.host_changes(changed) {
+            let key = host_jobs_key(&host);
+            let held = self.hosts.get(&host);
+            let revision = held.map_or(Revision::new(0), |held| held.revision);
+            transaction = transaction.with_check(key.as_str(), revision);
+            transaction = match jobs.is_empty() {
+                true => transaction.with_delete(key),
+                false => {
+                    let value = serde_json::to_value(jobs).unwrap_or_default();
+                    transaction.with_write(key, value)
+                }
+            };
+        }
+        transaction
+    }
+
+    /// Notes that a change was committed.
+    pub(super) fn commit(&mut self, changed: Vec<JobRecord>, revision: Revision) {
+        for (host, jobs) in self.host_changes(&changed) {
+            match jobs.is_empty() {
+                true => self.hosts.remove(&host),
+                false => self.hosts.insert(host, HostJobs { revision, jobs }),
+            };
+        }
+        for record in changed {
+            let id = record.id.clone();
+            match record.state.is_over() {
+                true => self.jobs.remove(&id),
+                false => self.jobs.insert(id, HeldJob { record, revision }),
+            };
+        }
+    }
+
+    /// Returns the jobs on each worker that a change touches, as they are after it.
+    fn host_changes(&self, changed: &[JobRecord]) -> BTreeMap<HostId, BTreeSet<JobId>> {
+        let mut hosts = BTreeMap::<HostId, BTreeSet<JobId>>::new();
+        let listed = |host: &HostId| {
+            let held = self.hosts.get(host);
+            held.map_or_else(BTreeSet::new, |held| held.jobs.clone())
+        };
+        for record in changed {
+            let before = self.get(&record.id).and_then(|held| held.state.host());
+            let after = record.state.host();
+            if before == after {
+                continue;
+            }
+            if let Some(host) = before {
+                let jobs = hosts.entry(host.clone()).or_insert_with(|| listed(host));
+                jobs.remove(&record.id);
+            }
+            if let Some(host) = after {
+                let jobs = hosts.entry(host.clone()).or_insert_with(|| listed(host));
+                jobs.insert(record.id.clone());
+            }
+        }
+        hosts
+    }
+}
--- /dev/null
+++ b/src/job/job_planner.rs
@@ -0,0 +1,288 @@
+//! Which job goes to which worker, and which makes room for it.
+
+use std::collections::BTreeSet;
+
+use crate::id::HostId;
+use crate::id::JobId;
+use crate::id::ServiceId;
+use crate::id::TeamId;
+use crate::job::job_fleet::WorkerRoom;
+use crate::job::JobFleet;
+use crate::job::JobSize;
+use crate::job::TaskView;
+use crate::job::TeamBook;
+use crate::job::WorkerTrust;
+
+/// The longest run, in milliseconds, of a job that cannot move, on a worker that a wave closes soon.
+const SHORT_RUN_MS: u64 = 60_000;
+/// How much worse a worker with accelerators suits a job that uses none.
+const ACCELERATOR_PENALTY: f64 = 2.0;
+/// The jobs within their quotas for which room is kept while they wait.
+const RESERVATIONS: usize = 8;
+
+/// A job that waits for a worker.
+#[derive(Clone, Debug)]
+pub struct WaitingJob {
+    /// Its name.
+    pub id: JobId,
+    /// The team on whose quota it runs.
+    pub team: TeamId,
+    /// The service whose workers run it.
+    pub service: ServiceId,
+    /// What it is expected to use.
+    pub size: JobSize,
+    /// How long it is expected to run yet, in milliseconds.
+    pub run_ms: u64,
+    /// When it must be done, in milliseconds since the Unix epoch.
+    pub deadline_ms: u64,
+    /// Whether it goes before all others.
+    pub urgent: bool,
+    /// Whether its run can be stopped without the job being lost.
+    pub can_move: bool,
+    /// The workers that have failed it.
+    pub avoided: BTreeSet<HostId>,
+}
+
+/// What is to be done with a job.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum JobDecision {
+    /// A waiting job goes to a worker.
+    Place {
+        /// The job.
+        job: JobId,
+        /// The worker.
+        host: HostId,
+    },
+    /// A running job makes room for another.
+    Stop {
+        /// The job that is stopped.
+        job: JobId,
+        /// The worker.
+        host: HostId,
+        /// The job that needs the room.
+        for_job: JobId,
+    },
+    /// No worker can ever hold the job.
+    Refuse {
+        /// The job.
+        job: JobId,
+        /// Why it can never run.
+        reason: String,
+    },
+}
+
+/// Decides for all waiting jobs at one moment.
+///
+/// Urgent jobs come first, then by the time left until they would be late. A
+/// job goes to the worker on which it leaves the least room unused. Teams use
+/// what others leave of their quotas; a job within its team's quota gets room
+/// back from teams beyond theirs, and an urgent one from any job that is not,
+/// those first that lose the least work.
+#[derive(Debug)]
+pub struct JobPlanner {
+    fleet: JobFleet,
+    book: TeamBook,
+    no_room: Vec<(ServiceId, bool, JobSize)>,
+    reservations: usize,
+}
+
+impl JobPlanner {
+    /// Creates a planner; `book` counts what the tasks of `fleet` use.
+    pub fn new(fleet: JobFleet, book: TeamBook) -> Self {
+        Self {
+            fleet,
+            book,
+            no_room: Vec::new(),
+            reservations: 0,
+        }
+    }
+
+    /// Returns the decisions for the jobs that wait.
+    pub fn plan(&mut self, mut waiting: Vec<WaitingJob>) -> Vec<JobDecision> {
+        waiting.sort_by_key(|job| {
+            let latest_start = job.deadline_ms.saturating_sub(job.run_ms);
+            (!job.urgent, latest_start, job.id.clone())
+        });
+        let mut decisions = Vec::new();
+        let mut borrowers = Vec::new();
+        for job in waiting {
+            if let Some(reason) = self.obstacle(&job) {
+                let job = job.id;
+                decisions.push(JobDecision::Refuse { job, reason });
+            } else if self.book.allows(&job.team, &job.size) {
+                self.decide(&job, &mut decisions);
+            } else {
+                borrowers.push(job);
+            }
+        }
+        for job in borrowers {
+            if let Some(host) = self.pick(&job) {
+                self.place(&job, host, &mut decisions);
+            }
+        }
+        decisions
+    }
+
+    /// Decides for a job within its team's quota.
+    fn decide(&mut self, job: &WaitingJob, decisions: &mut Vec<JobDecision>) {
+        if let Some(host) = self.pick(job) {
+            return self.place(job, host, decisions);
+        }
+        if let Some((host, victims)) = self.victims(job) {
+            for victim in victims {
+                self.fleet.stop(&host, &victim.job);
+                self.book.remove(&victim.team, &victim.size);
+                decisions.push(JobDecision::Stop {
+                    job: victim.job,
+                    host: host.clone(),
+                    for_job: job.id.clone(),
+                });
+            }
+            self.book.add(&job.team, &job.size);
+            self.fleet.reserve(&host, &job.size);
+            return;
+        }
+        self.keep_room(job);
+    }
+
+    /// Keeps the worker that will suit a job soonest from jobs that only borrow.
+    fn keep_room(&mut self, job: &WaitingJob) {
+        if self.reservations == RESERVATIONS {
+            return;
+        }
+        let rooms = self.fleet.rooms();
+        let suiting = rooms.filter(|room| room.suits(job) && job.size.fits(&room.view.size));
+        let best = suiting.max_by(|one, other| {
+            let share = |room: &WorkerRoom| room.free.plus(&room.coming).share_of(&room.view.size);
+            share(one).total_cmp(&share(other))
+        });
+        if let Some(host) = best.map(|room| room.view.host.clone()) {
+            self.reservations += 1;
+            self.fleet.reserve(&host, &job.size);
+        }
+    }
+
+    fn place(&mut self, job: &WaitingJob, host: HostId, decisions: &mut Vec<JobDecision>) {
+        self.book.add(&job.team, &job.size);
+        self.fleet.add(TaskView {
+            job: job.id.clone(),
+            host: host.clone(),
+            team: job.team.clone(),
+            size: job.size,
+            urgent: job.urgent,
+            stopping: false,
+            loss_ms: None,
+        });
+        let job = job.id.clone();
+        decisions.push(JobDecision::Place { job, host });
+    }
+
+    /// Picks the worker on which a job leaves the least room unused.
+    fn pick(&mut self, job: &WaitingJob) -> Option<HostId> {
+        let hopeless = self.no_room.iter().any(|(service, can_move, size)| {
+            *service == job.service && *can_move == job.can_move && size.fits(&job.size)
+        });
+        if hopeless {
+            return None;
+        }
+        let rooms = self.fleet.rooms();
+        let fitting = rooms.filter(|room| room.suits(job) && job.size.fits(&room.free));
+        let best = fitting.min_by(|one, other| {
+            let cost = |room: &WorkerRoom| room.cost_of(job);
+            cost(one).total_cmp(&cost(other))
+        });
+        let host = best.map(|room| room.view.host.clone());
+        if host.is_none() && job.avoided.is_empty() {
+            let full = (job.service.clone(), job.can_move, job.size);
+            self.no_room.push(full);
+        }
+        host
+    }
+
+    /// Returns a worker and the tasks there that make room with the least loss of work.
+    ///
+    /// No tasks are returned for a worker where enough room is coming already.
+    fn victims(&self, job: &WaitingJob) -> Option<(HostId, Vec<TaskView>)> {
+        let rooms = self.fleet.rooms().filter(|room| room.suits(job));
+        let plans = rooms.filter_map(|room| {
+            let victims = self.victims_on(room, job)?;
+            let loss = victims.iter().filter_map(|task| task.loss_ms).sum::<u64>();
+            Some((loss, victims.len(), room, victims))
+        });
+        let (_, _, room, victims) =
+            plans.min_by_key(|(loss, count, room, _)| (*loss, *count, room.view.host.clone()))?;
+        Some((room.view.host.clone(), victims))
+    }
+
+    fn victims_on(&self, room: &WorkerRoom, job: &WaitingJob) -> Option<Vec<TaskView>> {
+        let yields = |task: &&TaskView| {
+            !task.stopping
+                && !task.urgent
+                && task.loss_ms.is_some()
+                && (job.urgent || self.book.is_borrowing(&task.team))
+        };
+        let mut candidates = room.tasks.iter().filter(yields).collect::<Vec<_>>();
+        candidates.sort_by_key(|task| task.loss_ms);
+        let mut room_then = room.free.plus(&room.coming);
+        let mut victims = Vec::<&TaskView>::new();
+        for task in candidates {
+            if job.size.fits(&room_then) {
+                break;
+            }
+            room_then = room_then.plus(&task.size);
+            victims.push(task);
+        }
+        if !job.size.fits(&room_then) {
+            return None;
+        }
+        // A task taken early may not be needed beside a larger one taken later.
+        for index in (0..victims.len()).rev() {
+            let without = room_then.minus(&victims[index].size);
+            if job.size.fits(&without) {
+                room_then = without;
+                victims.remove(index);
+            }
+        }
+        Some(victims.into_iter().cloned().collect())
+    }
+
+    /// Returns why no worker can ever hold a job.
+    fn obstacle(&self, job: &WaitingJob) -> Option<String> {
+        let mut workers = self
+            .fleet
+            .rooms()
+            .filter(|room| room.view.service == job.service)
+            .peekable();
+        // A text without workers may be followed by one that has some.
+        workers.peek()?;
+        let held = workers.any(|room| job.size.fits(&room.view.size));
+        (!held).then(|| format!("no worker of {} holds {}", job.service, job.size))
+    }
+}
+
+impl WorkerRoom {
+    /// Tells whether a job may be put here, if there is room.
+    fn suits(&self, job: &WaitingJob) -> bool {
+        let trusted = match self.view.trust {
+            WorkerTrust::Trusted => true,
+            WorkerTrust::OnTrial => self.tasks.is_empty() && job.can_move,
+            WorkerTrust::Quarantined => false,
+        };
+        let stays = !self.view.leaves_soon || job.can_move || job.run_ms <= SHORT_RUN_MS;
+        trusted
+            && stays
+            && self.view.open
+            && self.view.service == job.service
+            && !job.avoided.contains(&self.view.host)
+    }
+
+    /// Returns how much room a job leaves unused here; less is better.
+    fn cost_of(&self, job: &WaitingJob) -> f64 {
+        let left = self.free.minus(&job.size).share_of(&self.view.size);
+        let wasted = job.size.accelerators == 0 && self.view.size.accelerators > 0;
+        match wasted {
+            true => left + ACCELERATOR_PENALTY,
+            false => left,
+        }
+    }
+}
--- /dev/null
+++ b/src/job/job_size.rs
@@ -0,0 +1,137 @@
+//! What a job uses of a worker.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// The thousandths of a processor that one core has.
+const MILLIS_PER_CORE: u32 = 1_000;
+
+/// Processors, memory and accelerators.
+///
+/// As text it reads `2.5/4096/1`: cores, megabytes, accelerators.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct JobSize {
+    /// Thousandths of a core.
+    pub cores_milli: u32,
+    /// Megabytes.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+/// A size that cannot be read.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{0:?} is not CORES/MEGABYTES/ACCELERATORS")]
+pub struct SizeError(String);
+
+impl JobSize {
+    /// Creates a size of whole cores, megabytes and accelerators.
+    pub const fn new(cores: u32, memory_mb: u32, accelerators: u32) -> Self {
+        Self {
+            cores_milli: cores * MILLIS_PER_CORE,
+            memory_mb,
+            accelerators,
+        }
+    }
+
+    /// Tells whether this much fits into `room`.
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cores_milli <= room.cores_milli
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns the sum.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.saturating_add(other.cores_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns what is left without `other`, at least nothing.
+    #[must_use]
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.saturating_sub(other.cores_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Returns the greater of each part.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.max(other.cores_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the lesser of each part.
+    #[must_use]
+    pub fn min(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.min(other.cores_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Returns processors and memory times `factor`; accelerators are whole and stay.
+    #[must_use]
+    pub fn scaled(&self, factor: f64) -> Self {
+        Self {
+            cores_milli: (f64::from(self.cores_milli) * factor) as u32,
+            memory_mb: (f64::from(self.memory_mb) * factor) as u32,
+            accelerators: self.accelerators,
+        }
+    }
+
+    /// Returns the sum of the shares that this is of each part of `whole`.
+    pub fn share_of(&self, whole: &Self) -> f64 {
+        let share = |part: u32, whole: u32| f64::from(part) / f64::from(whole.max(1));
+        share(self.cores_milli, whole.cores_milli)
+            + share(self.memory_mb, whole.memory_mb)
+            + share(self.accelerators, whole.accelerators)
+    }
+}
+
+impl fmt::Display for JobSize {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let cores = f64::from(self.cores_milli) / f64::from(MILLIS_PER_CORE);
+        write!(
+            formatter,
+            "{cores}/{}/{}",
+            self.memory_mb, self.accelerators
+        )
+    }
+}
+
+impl FromStr for JobSize {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let invalid = || SizeError(text.to_owned());
+        let mut parts = text.split('/');
+        let cores = parts.next().and_then(|part| part.parse::<f64>().ok());
+        let memory_mb = parts.next().and_then(|part| part.parse().ok());
+        let accelerators = parts.next().map_or(Some(0), |part| part.parse().ok());
+        let cores = cores.filter(|cores| cores.is_finite() && *cores >= 0.0);
+        match parts.next() {
+            Some(_) => Err(invalid()),
+            None => Ok(Self {
+                cores_milli: (cores.ok_or_else(invalid)? * f64::from(MILLIS_PER_CORE)) as u32,
+                memory_mb: memory_mb.ok_or_else(invalid)?,
+                accelerators: accelerators.ok_or_else(invalid)?,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/src/job/mod.rs
@@ -0,0 +1,44 @@
+//! What lives as long as a job, beyond every process.
+
+mod fault_judge;
+mod host_jobs;
+mod job_book;
+mod job_controller;
+mod job_fleet;
+mod job_planner;
+mod job_record;
+mod job_size;
+mod job_spec;
+mod job_store;
+mod size_estimator;
+mod task_follower;
+mod team_book;
+
+pub use fault_judge::FaultJudge;
+pub use fault_judge::WorkerTrust;
+pub use host_jobs::host_jobs_key;
+pub(crate) use host_jobs::jobs_on;
+pub use host_jobs::HOST_JOBS_PREFIX;
+pub use job_controller::JobActivity;
+pub use job_controller::JobController;
+pub use job_fleet::JobFleet;
+pub use job_fleet::TaskView;
+pub use job_fleet::WorkerView;
+pub use job_planner::JobDecision;
+pub use job_planner::JobPlanner;
+pub use job_planner::WaitingJob;
+pub use job_record::ended_key;
+pub use job_record::inbox_key;
+pub use job_record::open_key;
+pub use job_record::HeldJob;
+pub use job_record::JobRecord;
+pub use job_record::JobState;
+pub use job_record::ENDED_PREFIX;
+pub use job_record::INBOX_PREFIX;
+pub use job_record::OPEN_PREFIX;
+pub use job_size::JobSize;
+pub use job_size::SizeError;
+pub use job_spec::JobSpec;
+pub use job_store::JobStore;
+pub use size_estimator::SizeEstimator;
+pub use team_book::TeamBook;
--- /dev/null
+++ b/src/job/task_follower.rs
@@ -0,0 +1,142 @@
+//! What reports of tasks mean for their jobs.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use crate::id::HostId;
+use crate::id::TaskId;
+use crate::job::FaultJudge;
+use crate::job::JobRecord;
+use crate::job::JobSize;
+use crate::job::JobSpec;
+use crate::job::JobState;
+use crate::job::SizeEstimator;
+use crate::job::WorkerTrust;
+use crate::platform::TaskReport;
+use crate::platform::TaskState;
+
+/// Follows the reports of tasks and learns from them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TaskFollower {
+    judge: FaultJudge,
+    estimator: SizeEstimator,
+    usage: HashMap<TaskId, JobSize>,
+}
+
+impl TaskFollower {
+    /// Returns what becomes of a job by a report about its current run, if it changes.
+    pub(super) fn follow(
+        &mut self,
+        record: &JobRecord,
+        report: &TaskReport,
+        now: Instant,
+        now_ms: u64,
+    ) -> Option<JobRecord> {
+        let host = record.state.host()?;
+        if report.task != record.task() {
+            return None;
+        }
+        if report.state == TaskState::Running {
+            if let Some(usage) = report.usage {
+                self.usage.insert(report.task.clone(), usage);
+            }
+            return None;
+        }
+        self.usage.remove(&report.task);
+        Some(match &report.state {
+            TaskState::Running => return None,
+            TaskState::Finished => {
+                self.judge.succeed(host);
+                self.learn(record, report);
+                record.with_end(JobState::Finished, now_ms)
+            }
+            TaskState::Failed(reason) => self.fail(record, host, reason, now, now_ms),
+            TaskState::Stopped => self.stop(record, report, now_ms),
+            TaskState::Lapsed => lapse(record, report, now_ms),
+            TaskState::NeverStarted => again(record, record.saved_ms, now_ms),
+        })
+    }
+
+    /// Returns the room that a job is expected to take.
+    pub(super) fn size(&self, record: &JobRecord) -> JobSize {
+        let expected = self.estimator.size(&record.spec);
+        match self.usage.get(&record.task()) {
+            Some(usage) => expected.max(usage),
+            None => expected,
+        }
+    }
+
+    /// Returns how long a job is expected to run in all, in milliseconds.
+    pub(super) fn run_ms(&self, spec: &JobSpec) -> u64 {
+        self.estimator.run_ms(spec)
+    }
+
+    /// Returns whether a worker gets jobs now.
+    pub(super) fn trust(&self, host: &HostId, now: Instant) -> WorkerTrust {
+        self.judge.trust(host, now)
+    }
+
+    fn learn(&mut self, record: &JobRecord, report: &TaskReport) {
+        if let Some(usage) = report.usage {
+            let whole_ms = record.saved_ms + report.ran_ms;
+            self.estimator.note(&record.spec, usage, whole_ms);
+        }
+    }
+
+    fn fail(
+        &mut self,
+        record: &JobRecord,
+        host: &HostId,
+        reason: &str,
+        now: Instant,
+        now_ms: u64,
+    ) -> JobRecord {
+        if self.judge.fail(host, &record.id, now) {
+            log::warn!(target: "zincpier::jobs", "worker {host} fails every job and is left alone");
+        }
+        let mut failed = record.clone();
+        failed.failed_on.insert(host.clone());
+        if !record.spec.repeatable {
+            return failed.with_end(JobState::Failed(reason.to_owned()), now_ms);
+        }
+        if self.judge.is_at_fault(&failed, now) {
+            let hosts = failed.failed_on.len();
+            let reason = format!("{reason}, on {hosts} workers");
+            return failed.with_end(JobState::Failed(reason), now_ms);
+        }
+        again(&failed, failed.saved_ms, now_ms)
+    }
+
+    fn stop(&self, record: &JobRecord, report: &TaskReport, now_ms: u64) -> JobRecord {
+        if record.can_move() || record.cancelled {
+            return again(record, report.saved_ms, now_ms);
+        }
+        let reason = "it was stopped in the middle".to_owned();
+        record.with_end(JobState::Unknown(reason), now_ms)
+    }
+
+    /// Forgets what was seen of a run.
+    pub(super) fn forget(&mut self, task: &TaskId) {
+        self.usage.remove(task);
+    }
+}
+
+/// Returns a job whose run was lost in the middle.
+fn lapse(record: &JobRecord, report: &TaskReport, now_ms: u64) -> JobRecord {
+    if record.spec.repeatable {
+        return again(record, report.saved_ms, now_ms);
+    }
+    let reason = "its lease or its worker was lost while it ran".to_owned();
+    record.with_end(JobState::Unknown(reason), now_ms)
+}
+
+/// Returns a job that may run again, unless it is to be cancelled.
+fn again(record: &JobRecord, saved_ms: u64, now_ms: u64) -> JobRecord {
+    if record.cancelled {
+        return record.with_end(JobState::Cancelled, now_ms);
+    }
+    JobRecord {
+        saved_ms,
+        ..record.with_state(JobState::Waiting)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod finding;
 pub mod id;
+pub mod job;
 pub mod operator;
 pub mod platform;
 pub mod process;
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -18,6 +18,7 @@
 use crate::id::Revision;
 use crate::operator::control_api::ControlApi;
 use crate::operator::EntryStatus;
+use crate::operator::JobApi;
 use crate::operator::ServiceStatus;
 use crate::operator::StatusReport;
 use crate::operator::TextFact;
@@ -44,6 +45,7 @@
 pub struct OperatorApi {
     parts: Rc<DaemonParts>,
     control: ControlApi,
+    jobs: JobApi,
     token: String,
 }
 
@@ -52,6 +54,7 @@
     pub fn new(parts: Rc<DaemonParts>, token: String) -> Self {
         Self {
             control: ControlApi::new(Rc::clone(&parts)),
+            jobs: JobApi::new(Rc::clone(&parts)),
             parts,
             token,
         }
@@ -67,6 +70,7 @@
             (&Method::GET, ["status"]) => json_response(&self.status()),
             (&Method::GET, ["text"]) => self.show_text(),
             (&Method::GET, ["audit"]) => self.audit(request).await,
+            (&Method::GET, ["jobs", rest @ ..]) => self.jobs.answer(request, rest).await,
             (&Method::GET, segments) => {
                 let answer = self.control.read(request, segments).await;
                 answer.unwrap_or_else(|| problem_response(StatusCode::NOT_FOUND, "no such page"))
@@ -76,6 +80,7 @@
                 problem_response(StatusCode::FORBIDDEN, reason)
             }
             (&Method::POST, ["text"]) => self.apply_text(request).await,
+            (&Method::POST, ["jobs", rest @ ..]) => self.jobs.answer(request, rest).await,
             (_, segments) => {
                 let answer = self.control.change(request, segments).await;
                 answer.unwrap_or_else(|| problem_response(StatusCode::NOT_FOUND, "no such call"))
--- /dev/null
+++ b/src/operator/job_api.rs
@@ -0,0 +1,168 @@
+//! The calls about jobs, for callers and operators alike.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::id::JobId;
+use crate::job::JobRecord;
+use crate::job::JobSpec;
+use crate::job::ENDED_PREFIX;
+use crate::job::OPEN_PREFIX;
+use crate::operator::api::error_response;
+use crate::operator::api::header_text;
+use crate::operator::api::json_response;
+use crate::process::DaemonParts;
+use crate::request::hash_parts;
+use crate::request::header;
+use crate::request::problem_response;
+use crate::request::refusal_response;
+use crate::request::AnswerOutcome;
+
+/// The most jobs that one page lists.
+const LIST_LIMIT: usize = 1_000;
+/// When to come back while the platform is silent.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// The most jobs that one call cancels.
+const CANCEL_LIMIT: usize = 10_000;
+
+#[derive(Deserialize)]
+struct CancelOrder {
+    jobs: Vec<JobId>,
+}
+
+/// Answers the calls about jobs.
+pub struct JobApi {
+    parts: Rc<DaemonParts>,
+}
+
+impl JobApi {
+    /// Creates the calls' handler.
+    pub fn new(parts: Rc<DaemonParts>) -> Self {
+        Self { parts }
+    }
+
+    /// Answers a call whose path has these segments after `jobs`.
+    pub async fn answer(&self, request: &Request<Bytes>, segments: &[&str]) -> Response<Bytes> {
+        let answer = match (request.method(), segments) {
+            (&Method::POST, []) => self.submit(request).await,
+            (&Method::POST, ["cancel"]) => self.cancel(request).await,
+            (&Method::GET, ["open"]) => self.list(request, OPEN_PREFIX).await,
+            (&Method::GET, ["ended"]) => self.list(request, ENDED_PREFIX).await,
+            (&Method::GET, [id]) => self.show(id).await,
+            _ => Ok(problem_response(StatusCode::NOT_FOUND, "no such call")),
+        };
+        answer.unwrap_or_else(|error| error_response(&error))
+    }
+
+    async fn submit(&self, request: &Request<Bytes>) -> Result<Response<Bytes>> {
+        let key = header_text(request, header::IDEMPOTENCY_KEY);
+        if key.is_empty() {
+            return Ok(bad_request("the idempotency key is missing"));
+        }
+        let spec = match serde_json::from_slice::<JobSpec>(request.body()) {
+            Ok(spec) => spec,
+            Err(error) => return Ok(bad_request(&error.to_string())),
+        };
+        let Ok(id) = hash_parts(&[spec.team.as_str().as_bytes(), key.as_bytes()]).parse() else {
+            return Ok(bad_request("the idempotency key cannot be used"));
+        };
+        let outcome = self.parts.jobs.submit(id, spec).await;
+        let record = match outcome {
+            Ok(Some(record)) => record,
+            Ok(None) => {
+                let reason = "the idempotency key was used for another job";
+                return Ok(problem_response(StatusCode::UNPROCESSABLE_ENTITY, reason));
+            }
+            Err(error) => return Ok(unsettled(&error)),
+        };
+        self.wake().await;
+        let mut answer = json_response(&summary(&record));
+        *answer.status_mut() = StatusCode::ACCEPTED;
+        Ok(answer)
+    }
+
+    async fn cancel(&self, request: &Request<Bytes>) -> Result<Response<Bytes>> {
+        let order = match serde_json::from_slice::<CancelOrder>(request.body()) {
+            Ok(order) if order.jobs.len() <= CANCEL_LIMIT => order,
+            Ok(_) => return Ok(bad_request("too many jobs for one call")),
+            Err(error) => return Ok(bad_request(&error.to_string())),
+        };
+        let cancelled = self.parts.jobs.cancel(&order.jobs).await?;
+        self.wake().await;
+        Ok(json_response(&json!({ "cancelled": cancelled })))
+    }
+
+    async fn show(&self, id: &str) -> Result<Response<Bytes>> {
+        let Ok(id) = id.parse() else {
+            return Ok(bad_request("this is no job's name"));
+        };
+        let held = self.parts.jobs.show(&id).await?;
+        Ok(match held {
+            Some(record) => json_response(&summary(&record)),
+            None => problem_response(StatusCode::NOT_FOUND, "no such job"),
+        })
+    }
+
+    async fn list(&self, request: &Request<Bytes>, prefix: &str) -> Result<Response<Bytes>> {
+        let query = request.uri().query().unwrap_or_default();
+        let after = query.strip_prefix("after=").unwrap_or_default();
+        let after = match after {
+            "" => String::new(),
+            id => format!("{prefix}{id}"),
+        };
+        let listed = self.parts.jobs.list(prefix, &after, LIST_LIMIT).await?;
+        let listed = listed.iter().map(summary).collect::<Vec<_>>();
+        Ok(json_response(&listed))
+    }
+
+    /// Tells the job controller that there is something new, if it can be told.
+    ///
+    /// It finds out by itself a little later otherwise.
+    async fn wake(&self) {
+        let state = &self.parts.state;
+        if self.parts.lease.epoch().is_some() {
+            return state.wake_jobs();
+        }
+        if let Ok(Some(holder)) = self.parts.lease.holder().await {
+            state.wake_jobs_at(&holder);
+        }
+    }
+}
+
+/// Returns what callers see of a job.
+fn summary(record: &JobRecord) -> serde_json::Value {
+    json!({
+        "id": record.id,
+        "team": record.spec.team,
+        "kind": record.spec.kind,
+        "urgent": record.spec.urgent,
+        "state": record.state.to_string(),
+        "over": record.state.is_over(),
+        "runs": record.run,
+        "submitted_ms": record.submitted_ms,
+        "placed_ms": record.placed_ms,
+        "ended_ms": record.ended_ms,
+        "deadline_ms": record.spec.deadline_ms,
+    })
+}
+
+/// Refuses a submission that may have been recorded; repeating it is safe.
+fn unsettled(error: &Error) -> Response<Bytes> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let reason = error.to_string();
+    refusal_response(status, AnswerOutcome::Unknown, &reason, Some(COME_BACK))
+}
+
+fn bad_request(reason: &str) -> Response<Bytes> {
+    problem_response(StatusCode::BAD_REQUEST, reason)
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,9 +1,11 @@
 //! The operators' side: the daemon's operator listener and the tools that call it.
 
 mod api;
+mod caller_api;
 mod client;
 mod control_api;
 mod demo;
+mod job_api;
 mod load_plan;
 mod load_report;
 mod status_report;
@@ -11,9 +13,11 @@
 
 pub use api::OperatorApi;
 pub use api::TOKEN_HEADER;
+pub use caller_api::CallerApi;
 pub use client::OperatorClient;
 pub use demo::run_demo;
 pub use demo::DemoReport;
+pub use job_api::JobApi;
 pub use load_plan::LoadPlan;
 pub use load_report::LoadReport;
 pub use status_report::BudgetStatus;
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -24,8 +24,12 @@
 use crate::platform::RowCheck;
 use crate::platform::TableRow;
 use crate::platform::TableService;
+use crate::platform::TaskChanges;
+use crate::platform::TaskLease;
+use crate::platform::TaskOrder;
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
+use crate::platform::WorkerService;
 
 /// Calls the platform's HTTP interface.
 pub struct HttpPlatform {
@@ -121,6 +125,24 @@
     }
 }
 
+impl WorkerService for HttpPlatform {
+    async fn order_tasks(&self, orders: &[TaskOrder]) -> Result<()> {
+        let answer = self.post::<_, serde_json::Value>("/tasks/orders", &orders);
+        answer.await.map(drop)
+    }
+
+    async fn changed_tasks(&self, since: Revision) -> Result<TaskChanges> {
+        let path = format!("/tasks?since={since}");
+        let answer = self.call(Method::GET, &path, Bytes::new()).await?;
+        decode(&answer)
+    }
+
+    async fn renew_tasks(&self, lease: &TaskLease) -> Result<()> {
+        let answer = self.post::<_, serde_json::Value>("/tasks/lease", lease);
+        answer.await.map(drop)
+    }
+}
+
 fn decode<A: DeserializeOwned>(answer: &Response<Bytes>) -> Result<A> {
     serde_json::from_slice(answer.body()).map_err(|error| silent(&error))
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,4 +1,4 @@
-//! The platform's table, objects and hosts, as zincpier calls them.
+//! The platform's table, objects, hosts and workers, as zincpier calls them.
 //!
 //! The traits are the whole of what zincpier asks of a platform; tests
 //! implement them with small fakes, and [`HttpPlatform`] speaks to a real one.
@@ -9,6 +9,7 @@
 mod platform_service;
 mod settle;
 mod table_row;
+mod task;
 mod transaction;
 
 pub use audit_record::audit_key;
@@ -20,8 +21,16 @@
 pub use platform_service::HostService;
 pub use platform_service::ObjectService;
 pub use platform_service::TableService;
+pub use platform_service::WorkerService;
 pub use settle::transact_once;
 pub use table_row::TableRow;
+pub use task::TaskAction;
+pub use task::TaskChanges;
+pub use task::TaskLease;
+pub use task::TaskOrder;
+pub use task::TaskReport;
+pub use task::TaskStart;
+pub use task::TaskState;
 pub use transaction::RowCheck;
 pub use transaction::RowWrite;
 pub use transaction::Transaction;
--- a/src/platform/platform_service.rs
+++ b/src/platform/platform_service.rs
@@ -11,6 +11,9 @@
 use crate::platform::RebootOrder;
 use crate::platform::RowCheck;
 use crate::platform::TableRow;
+use crate::platform::TaskChanges;
+use crate::platform::TaskLease;
+use crate::platform::TaskOrder;
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
 
@@ -58,3 +61,15 @@
     /// Orders a restart; repeating the order has no further effect.
     fn reboot(&self, host: &HostId, order: &RebootOrder) -> impl Future<Output = Result<()>>;
 }
+
+/// The tasks on workers.
+pub trait WorkerService {
+    /// Carries out orders for tasks; repeating one has no further effect.
+    fn order_tasks(&self, orders: &[TaskOrder]) -> impl Future<Output = Result<()>>;
+
+    /// Returns the tasks that changed after `since`.
+    fn changed_tasks(&self, since: Revision) -> impl Future<Output = Result<TaskChanges>>;
+
+    /// Takes a lease on tasks or renews it.
+    fn renew_tasks(&self, lease: &TaskLease) -> impl Future<Output = Result<()>>;
+}
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -14,6 +14,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::id::Incarnation;
+use crate::operator::CallerApi;
 use crate::operator::OperatorApi;
 use crate::process::now_ms;
 use crate::process::peer_thread::start_peer_thread;
@@ -120,7 +121,7 @@
         let connections = self.settings.connections;
         monoio::spawn(accept_connections(
             callers,
-            Rc::clone(&parts.router),
+            Rc::new(CallerApi::new(Rc::clone(&parts))),
             limits,
             connections,
             self.shutdown.clone(),
--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -8,10 +8,14 @@
 use std::time::Instant;
 
 use futures::future::select;
+use futures::future::Either;
 use monoio::time::sleep;
 use tokio::sync::Notify;
 
 use crate::id::Revision;
+use crate::job::JobActivity;
+use crate::job::JobController;
+use crate::job::JobStore;
 use crate::operator::TextFact;
 use crate::platform::HttpPlatform;
 use crate::process::fact_sync::pause;
@@ -42,6 +46,9 @@
 /// While nothing is under way, waves are looked for at every third look at the lease.
 const IDLE_PASSES: u32 = 3;
 const CONTROL_PAUSE_BUSY: Duration = Duration::from_millis(200);
+const JOB_PAUSE_IDLE: Duration = Duration::from_secs(1);
+const JOB_PAUSE_RUNNING: Duration = Duration::from_millis(500);
+const JOB_PAUSE_MOVING: Duration = Duration::from_millis(100);
 const MEMBER_PAUSE: Duration = Duration::from_millis(500);
 const LOANS_TIME: Duration = Duration::from_millis(6_500);
 const LEAVE_TIME: Duration = Duration::from_secs(2);
@@ -70,7 +77,10 @@
     pub shutdown: ShutdownSignal,
     /// The lease of the controller of waves.
     pub lease: Rc<RoleLease<HttpPlatform>>,
+    /// The jobs.
+    pub jobs: JobStore<HttpPlatform>,
     controller: WaveController<HttpPlatform>,
+    job_controller: JobController<HttpPlatform>,
     claims: Rc<ClaimKeeper<HttpPlatform>>,
     guard: Rc<FreezeGuard>,
     members: MemberKeeper<HttpPlatform>,
@@ -110,9 +120,13 @@
             Rc::clone(&audit),
             Rc::clone(&lease),
         );
+        let job_controller =
+            JobController::new(Rc::clone(&platform), Arc::clone(&state), Rc::clone(&lease));
         Self {
             lease,
             controller,
+            jobs: JobStore::new(Rc::clone(&platform)),
+            job_controller,
             members: MemberKeeper::new(Arc::clone(&state), Rc::clone(&audit)),
             sync: FactSync::new(Rc::clone(&platform), Arc::clone(&state)),
             router: Rc::new(router),
@@ -140,6 +154,7 @@
         monoio::spawn(Rc::clone(self).keep_membership());
         monoio::spawn(Rc::clone(self).tick());
         monoio::spawn(Rc::clone(self).control());
+        monoio::spawn(Rc::clone(self).place_jobs());
         monoio::spawn(Rc::clone(self).sweep());
         let borrower = SlotBorrower::new(Arc::clone(&self.state), Rc::clone(&self.router));
         monoio::spawn(borrower.run());
@@ -252,6 +267,23 @@
         let _ = self.lease.give_up().await;
     }
 
+    /// Places jobs while the controller's lease is held.
+    async fn place_jobs(self: Rc<Self>) {
+        let mut woken = false;
+        while self.shutdown.is_running() {
+            // A silent platform is noticed and reported by the look at its rows.
+            let activity = self.job_controller.look(woken).await;
+            let time = match activity {
+                Ok(JobActivity::Moving) | Err(_) => JOB_PAUSE_MOVING,
+                Ok(JobActivity::Running) => JOB_PAUSE_RUNNING,
+                Ok(JobActivity::Idle) => JOB_PAUSE_IDLE,
+            };
+            let paused = Box::pin(pause(time));
+            let wake = Box::pin(self.state.jobs_changed());
+            woken = matches!(select(paused, wake).await, Either::Right(_));
+        }
+    }
+
     fn is_member(&self) -> bool {
         let own = &self.state.identity;
         let members = self.state.members();
--- a/src/process/peer_state.rs
+++ b/src/process/peer_state.rs
@@ -11,6 +11,7 @@
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::Notify;
 
 use crate::connection::PeerBeat;
 use crate::connection::SlotRequest;
@@ -37,6 +38,11 @@
         /// The peer.
         entry: EntryId,
     },
+    /// Tells that callers have submitted or cancelled jobs.
+    WakeJobs {
+        /// The peer.
+        entry: EntryId,
+    },
     /// Asks what is in flight at hosts.
     Drain {
         /// The peer.
@@ -63,9 +69,10 @@
     /// Returns the peer that is called.
     pub fn entry(&self) -> &EntryId {
         match self {
-            Self::CatchUp { entry } | Self::Drain { entry, .. } | Self::Borrow { entry, .. } => {
-                entry
-            }
+            Self::CatchUp { entry }
+            | Self::WakeJobs { entry }
+            | Self::Drain { entry, .. }
+            | Self::Borrow { entry, .. } => entry,
         }
     }
 }
@@ -87,6 +94,7 @@
     members: Mutex<(Revision, Arc<MemberSet>)>,
     beats: AtomicU64,
     fetched: AtomicU64,
+    jobs_changed: Notify,
     calls: mpsc::UnboundedSender<PeerCall>,
 }
 
@@ -106,6 +114,7 @@
             members: Mutex::default(),
             beats: AtomicU64::new(0),
             fetched: AtomicU64::new(0),
+            jobs_changed: Notify::new(),
             calls,
         };
         (state, receiver)
@@ -217,6 +226,23 @@
             .fetch_max(revision.get(), Ordering::AcqRel);
     }
 
+    /// Tells the job controller of this process that callers have changed jobs.
+    pub fn wake_jobs(&self) {
+        self.jobs_changed.notify_one();
+    }
+
+    /// Waits until callers have changed jobs.
+    pub async fn jobs_changed(&self) {
+        self.jobs_changed.notified().await;
+    }
+
+    /// Tells the job controller of a peer that callers have changed jobs.
+    pub fn wake_jobs_at(&self, entry: &EntryId) {
+        let entry = entry.clone();
+        // The links end before this state only when the process does.
+        let _ = self.calls.send(PeerCall::WakeJobs { entry });
+    }
+
     /// Asks a peer what it has in flight at hosts.
     pub async fn drain_of(
         &self,
--- a/src/process/role_lease.rs
+++ b/src/process/role_lease.rs
@@ -86,6 +86,21 @@
         transaction.with_check(self.lease_key.as_str(), revision)
     }
 
+    /// Returns who holds the lease, by the platform's row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub async fn holder(&self) -> Result<Option<EntryId>> {
+        Ok(self.read_row().await?.map(|row| row.holder))
+    }
+
+    async fn read_row(&self) -> Result<Option<LeaseRow>> {
+        let rows = self.platform.read(&[&self.lease_key]).await?;
+        let row = rows.into_iter().next();
+        Ok(row.and_then(|row| serde_json::from_value(row.value).ok()))
+    }
+
     /// Renews the lease, or takes it if its time is over.
     ///
     /// # Errors
@@ -159,10 +174,7 @@
     }
 
     async fn take(&self, revision: Revision) -> Result<()> {
-        let rows = self.platform.read(&[&self.lease_key]).await?;
-        let held = rows
-            .first()
-            .and_then(|row| serde_json::from_value::<LeaseRow>(row.value.clone()).ok());
+        let held = self.read_row().await?;
         let row = LeaseRow {
             holder: self.identity.entry.clone(),
             incarnation: self.identity.incarnation,
--- a/src/request/claim.rs
+++ b/src/request/claim.rs
@@ -142,7 +142,7 @@
     ])
 }
 
-fn hash_parts(parts: &[&[u8]]) -> String {
+pub(crate) fn hash_parts(parts: &[&[u8]]) -> String {
     let mut hasher = SipHasher13::new();
     for part in parts {
         hasher.write_usize(part.len());
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod slot_dispatcher;
 
 pub use answer_outcome::AnswerOutcome;
+pub(crate) use claim::hash_parts;
 pub use claim::request_fingerprint;
 pub use claim::ClaimKey;
 pub use claim::ClaimRow;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod platform_faults;
 mod platform_state;
+mod task_board;
 
 pub use backend::BackendStandin;
 pub use backend::BackendStats;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -20,18 +20,22 @@
 use crate::connection::close_without_answer;
 use crate::connection::RequestHandler;
 use crate::id::HostId;
+use crate::id::Revision;
 use crate::platform::RebootOrder;
+use crate::platform::TaskOrder;
 use crate::platform::Transaction;
 use crate::standin::platform_state::PlatformState;
+use crate::standin::task_board::TaskBoard;
 use crate::standin::PlatformFaults;
 use crate::version::HostRecord;
 use crate::version::HostState;
 
 const SCAN_LIMIT: usize = 1_000;
 
-/// Plays the platform's table, objects and host list.
+/// Plays the platform's table, objects, host list and workers.
 pub struct PlatformStandin {
     state: Rc<RefCell<PlatformState>>,
+    tasks: RefCell<TaskBoard>,
     faults: Rc<RefCell<PlatformFaults>>,
     counts: RefCell<HashMap<&'static str, u64>>,
     reboot_time: Duration,
@@ -62,6 +66,7 @@
     pub fn new(reboot_time: Duration, writes_per_second: u32) -> Self {
         Self {
             state: Rc::default(),
+            tasks: RefCell::default(),
             faults: Rc::default(),
             counts: RefCell::default(),
             reboot_time,
@@ -95,6 +100,7 @@
             (&Method::GET, ["counts"]) => to_json(&*self.counts.borrow()),
             (&Method::PUT, ["hosts"]) => self.add_host(request.body()),
             (&Method::PUT, ["hosts", host, "state"]) => self.change_host(host, request.body()),
+            (&Method::GET, ["tasks", "starts"]) => to_json(&self.tasks.borrow().starts()),
             _ => self.answer_service(request, &segments).await,
         }
     }
@@ -133,6 +139,14 @@
                 })
             }
             (&Method::GET, ["hosts"]) => self.list_hosts(request),
+            (&Method::GET, ["tasks"]) => self.list_tasks(request),
+            (&Method::POST, ["tasks", "orders"]) => self.order_tasks(request.body()),
+            (&Method::POST, ["tasks", "lease"]) => self.with_body(request.body(), |lease| {
+                self.tasks
+                    .borrow_mut()
+                    .renew(lease, std::time::Instant::now());
+                to_json(&())
+            }),
             (&Method::POST, ["hosts", host, "reboot"]) => self.reboot(host, request.body()),
             (&Method::PUT, ["objects", name @ ..]) => {
                 self.count("object_writes");
@@ -158,12 +172,7 @@
         self.count("writes");
         self.wait_for_write().await;
         let outcome = self.state.borrow_mut().transact(&transaction);
-        let mut faults = self.faults.borrow_mut();
-        if faults.lost_answers > 0 {
-            faults.lost_answers -= 1;
-            return close_without_answer();
-        }
-        to_json(&outcome)
+        self.lose_or(&outcome)
     }
 
     /// Holds a transaction back until the table's rate allows it.
@@ -178,13 +187,48 @@
 
     fn list_hosts(&self, request: &Request<Bytes>) -> Response<Bytes> {
         self.count("lists");
-        let since = request
-            .uri()
-            .query()
-            .and_then(|query| query.strip_prefix("since="))
-            .and_then(|since| since.parse().ok())
-            .unwrap_or_default();
-        to_json(&self.state.borrow().changed_hosts(since))
+        to_json(&self.state.borrow().changed_hosts(since_of(request)))
+    }
+
+    fn list_tasks(&self, request: &Request<Bytes>) -> Response<Bytes> {
+        self.count("task_lists");
+        self.advance_tasks();
+        to_json(&self.tasks.borrow().changed(since_of(request)))
+    }
+
+    fn order_tasks(&self, body: &Bytes) -> Response<Bytes> {
+        self.count("task_orders");
+        self.with_body(body, |orders: Vec<TaskOrder>| {
+            self.advance_tasks();
+            let now = std::time::Instant::now();
+            let state = self.state.borrow();
+            for order in orders {
+                let up = state.is_live(&order.host);
+                self.tasks.borrow_mut().order(order, up, now);
+            }
+            self.lose_or(&())
+        })
+    }
+
+    fn advance_tasks(&self) {
+        let state = self.state.borrow();
+        let bad_workers = &self.faults.borrow().bad_workers;
+        let now = std::time::Instant::now();
+        let mut tasks = self.tasks.borrow_mut();
+        if self.faults.borrow().end_leases {
+            tasks.end_leases();
+        }
+        tasks.advance(now, |host| state.is_live(host), bad_workers);
+    }
+
+    /// Returns an answer, unless it is to be lost.
+    fn lose_or(&self, answer: &impl Serialize) -> Response<Bytes> {
+        let mut faults = self.faults.borrow_mut();
+        if faults.lost_answers > 0 {
+            faults.lost_answers -= 1;
+            return close_without_answer();
+        }
+        to_json(answer)
     }
 
     fn reboot(&self, host: &str, body: &Bytes) -> Response<Bytes> {
@@ -196,12 +240,7 @@
                 self.count("reboots");
                 self.restart(host);
             }
-            let mut faults = self.faults.borrow_mut();
-            if faults.lost_answers > 0 {
-                faults.lost_answers -= 1;
-                return close_without_answer();
-            }
-            to_json(&())
+            self.lose_or(&())
         })
     }
 
@@ -270,6 +309,14 @@
     }
 }
 
+fn since_of(request: &Request<Bytes>) -> Revision {
+    let query = request.uri().query();
+    let since = query.and_then(|query| query.strip_prefix("since="));
+    since
+        .and_then(|since| since.parse().ok())
+        .unwrap_or_default()
+}
+
 fn to_json(value: &impl Serialize) -> Response<Bytes> {
     match serde_json::to_vec(value) {
         Ok(body) => Response::new(Bytes::from(body)),
--- a/src/standin/platform_faults.rs
+++ b/src/standin/platform_faults.rs
@@ -1,8 +1,12 @@
 //! Faults of the platform stand-in.
 
+use std::collections::BTreeSet;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::HostId;
+
 /// The faults that are switched on.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -19,4 +23,8 @@
     pub stale_reads: bool,
     /// Restarted hosts stay down.
     pub stuck_reboots: bool,
+    /// Leases on tasks end at once.
+    pub end_leases: bool,
+    /// Workers that fail every task that they start.
+    pub bad_workers: BTreeSet<HostId>,
 }
--- a/src/standin/platform_state.rs
+++ b/src/standin/platform_state.rs
@@ -114,6 +114,12 @@
         self.hosts.get(host)
     }
 
+    /// Tells whether a host is up; one that leaves still is.
+    pub(super) fn is_live(&self, host: &HostId) -> bool {
+        self.host(host)
+            .is_some_and(|record| record.state != HostState::Down)
+    }
+
     pub(super) fn set_host_state(&mut self, host: &HostId, state: HostState) -> bool {
         let Some(mut record) = self.host(host).cloned() else {
             return false;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -11,6 +11,7 @@
 mod routing_table;
 mod service;
 mod service_text;
+mod team;
 mod weights;
 
 pub use budget::Availability;
@@ -31,4 +32,5 @@
 pub use service::LossDomain;
 pub use service::Service;
 pub use service_text::ServiceText;
+pub use team::Team;
 pub use weights::MeasureWeights;
--- a/src/version/pool.rs
+++ b/src/version/pool.rs
@@ -6,6 +6,10 @@
 use crate::id::HostId;
 use crate::id::PoolId;
 use crate::id::ServiceId;
+use crate::job::JobSize;
+
+/// The megabytes of a gigabyte.
+const MB_PER_GB: u32 = 1_024;
 
 /// What the hosts of a pool do.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -57,3 +61,10 @@
     /// The hosts it has at first; moves are kept by the platform's table.
     pub hosts: Vec<HostId>,
 }
+
+impl Pool {
+    /// Returns what each host offers to jobs.
+    pub fn worker_size(&self) -> JobSize {
+        JobSize::new(self.cores, self.memory_gb * MB_PER_GB, self.accelerators)
+    }
+}
--- a/src/version/service_text.rs
+++ b/src/version/service_text.rs
@@ -15,6 +15,8 @@
 use crate::id::PoolId;
 use crate::id::RackId;
 use crate::id::ServiceId;
+use crate::id::TeamId;
+use crate::job::JobSize;
 use crate::toml_reader::TableReader;
 use crate::version::Availability;
 use crate::version::DataCentre;
@@ -23,6 +25,7 @@
 use crate::version::Pool;
 use crate::version::Rack;
 use crate::version::Service;
+use crate::version::Team;
 
 const DEFAULT_WINDOW_HOURS: u64 = 720;
 const DEFAULT_DEADLINE_MS: u64 = 2_000;
@@ -49,6 +52,8 @@
     pub pools: BTreeMap<PoolId, Pool>,
     /// The racks, by name.
     pub racks: BTreeMap<RackId, Rack>,
+    /// The teams whose jobs run on workers, by name.
+    pub teams: BTreeMap<TeamId, Team>,
 }
 
 impl ServiceText {
@@ -138,6 +143,7 @@
         let services = self.read_services(&mut root);
         let racks = self.read_racks(&mut root, &data_centres);
         let pools = self.read_pools(&mut root);
+        let teams = self.read_teams(&mut root);
         root.finish(self.findings);
         let text = ServiceText {
             deployment,
@@ -147,6 +153,7 @@
             services,
             pools,
             racks,
+            teams,
         };
         self.check_dependencies(&text);
         self.check_capacity(&text);
@@ -325,6 +332,26 @@
         pools
     }
 
+    fn read_teams(&mut self, root: &mut TableReader<'t>) -> BTreeMap<TeamId, Team> {
+        let mut teams = BTreeMap::new();
+        for mut table in root.tables("teams", self.findings) {
+            let name = table.required::<TeamId>("name", self.findings);
+            let quota = table.required::<JobSize>("quota", self.findings);
+            table.finish(self.findings);
+            let (Some(name), Some(quota)) = (name, quota) else {
+                continue;
+            };
+            let team = Team {
+                id: name.value.clone(),
+                quota: quota.value,
+            };
+            if teams.insert(name.value, team).is_some() {
+                self.find(name.span, "this team is listed twice");
+            }
+        }
+        teams
+    }
+
     fn check_pooled(&mut self, host: HostId, span: Range<usize>) {
         if !self.racked.contains(&host) {
             self.find(span.clone(), "this host is in no rack");
--- a/src/wave/step_writer.rs
+++ b/src/wave/step_writer.rs
@@ -1,14 +1,22 @@
 //! The writing of a controller's steps, fenced by its lease.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use crate::error::Result;
+use crate::id::HostId;
+use crate::id::JobId;
+use crate::id::Revision;
+use crate::job::host_jobs_key;
+use crate::job::jobs_on;
 use crate::platform::TableService;
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
 use crate::process::AuditLog;
 use crate::process::AuditNote;
+use crate::process::HostPhase;
 use crate::process::PeerState;
 use crate::process::Placement;
 use crate::process::RoleLease;
@@ -108,15 +116,36 @@
         self.commit(transaction, placement, note).await
     }
 
+    /// Returns the jobs on hosts, leaving out hosts that have none.
+    ///
+    /// Once a host is closed no job is placed there any more.
+    pub(super) async fn jobs_on(
+        &self,
+        hosts: &[HostId],
+    ) -> Result<BTreeMap<HostId, BTreeSet<JobId>>> {
+        match hosts.is_empty() {
+            true => Ok(BTreeMap::new()),
+            false => jobs_on(self.platform.as_ref(), hosts).await,
+        }
+    }
+
     /// Returns a transaction that replaces the placement under the lease and the member set.
+    ///
+    /// It fails if a host that is stopped or moved by it has jobs.
     fn placement_transaction(&self, view: &ControlView, placement: &Placement) -> Transaction {
         let value = serde_json::to_value(placement).unwrap_or_default();
         let key = FactKind::Placement.row_key();
-        self.lease
+        let transaction = self
+            .lease
             .fence(Transaction::new())
             .with_check(FactKind::Members.row_key(), view.members_revision)
             .with_check(key, view.placement_revision)
-            .with_write(key, value)
+            .with_write(key, value);
+        given_up(&view.placement, placement)
+            .map(host_jobs_key)
+            .fold(transaction, |transaction, key| {
+                transaction.with_check(key, Revision::new(0))
+            })
     }
 
     async fn commit(
@@ -146,3 +175,13 @@
         }
     }
 }
+
+/// Returns the hosts that one placement closes and another stops or moves.
+fn given_up<'p>(before: &'p Placement, after: &'p Placement) -> impl Iterator<Item = &'p HostId> {
+    before.hosts().iter().filter_map(|(host, held)| {
+        let then = after.hosts().get(host);
+        let stopped = then.is_some_and(|then| then.phase == HostPhase::Restarting);
+        let moved = held.moving_to.is_some() && then.is_none_or(|then| then.moving_to.is_none());
+        (held.phase == HostPhase::Leaving && (stopped || moved)).then_some(host)
+    })
+}
--- a/src/wave/wave_controller.rs
+++ b/src/wave/wave_controller.rs
@@ -1,10 +1,13 @@
 //! The progress of waves and moves, driven by the holder of the controller's lease.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use crate::error::Result;
 use crate::id::HostId;
+use crate::id::JobId;
 use crate::platform::HostService;
 use crate::platform::TableService;
 use crate::process::now_ms;
@@ -196,8 +199,17 @@
                 .note_waiting(wave, "requests in flight to finish".to_owned())
                 .await;
         }
+        let jobs = self.writer.jobs_on(&answer.drained).await?;
+        let free = answer
+            .drained
+            .iter()
+            .filter(|host| !jobs.contains_key(host));
+        let free = free.collect::<Vec<_>>();
+        if free.is_empty() {
+            return self.writer.note_waiting(wave, jobs_reason(&jobs)).await;
+        }
         let mut placement = view.placement.clone();
-        for host in &answer.drained {
+        for host in free {
             if let Some(held) = view.placement.hosts().get(host) {
                 let mut held = held.clone();
                 held.phase = HostPhase::Restarting;
@@ -327,3 +339,12 @@
         placement.set(host.clone(), opened);
     }
 }
+
+/// Says which jobs hold a wave up.
+fn jobs_reason(jobs: &BTreeMap<HostId, BTreeSet<JobId>>) -> String {
+    let hosts = jobs.iter().map(|(host, jobs)| {
+        let jobs = jobs.iter().map(ToString::to_string);
+        format!("{} on {host}", jobs.collect::<Vec<_>>().join(", "))
+    });
+    format!("jobs to end: {}", hosts.collect::<Vec<_>>().join("; "))
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -215,9 +215,10 @@
                 )
             })
             .collect::<BTreeMap<_, _>>();
-        for record in
-            zincpier::standin::host_records(&parsed, |host| backends.get(host.as_str()).copied())
-        {
+        for record in zincpier::standin::host_records(&parsed, |host| {
+            // A worker is reached through the platform only.
+            backends.get(host.as_str()).copied().or(Some(platform))
+        }) {
             let body = serde_json::to_string(&record).unwrap();
             assert_eq!(call(platform, "PUT", "/hosts", &[], &body).status, 200);
         }
@@ -475,3 +476,18 @@
 "#
     .to_owned()
 }
+
+/// A text with a pool of four workers, each in a rack of its own, and two teams.
+pub(crate) fn worker_text() -> String {
+    let racks = (1..=4).map(|number| {
+        format!(
+            "[[racks]]\nname = \"k{number}\"\ndata_centre = \"east\"\nhosts = [\"k{number}\"]\n"
+        )
+    });
+    let pool = "[[pools]]\nname = \"workers\"\nservice = \"notices\"\nrole = \"worker\"\n\
+                needed = 2\ncores = 4\nmemory_gb = 8\nhosts = [\"k1\", \"k2\", \"k3\", \"k4\"]\n";
+    let teams = ["bays", "digests"]
+        .map(|team| format!("[[teams]]\nname = \"{team}\"\nquota = \"8/16384/0\"\n"));
+    let racks = racks.collect::<String>();
+    format!("{}{racks}{pool}{}", small_text(), teams.concat())
+}
--- a/tests/common/relay.rs
+++ b/tests/common/relay.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::thread;
 use std::time::Duration;
 
@@ -16,23 +17,45 @@
 
 pub(crate) struct Relay {
     pub(crate) address: SocketAddr,
+    target: Arc<OnceLock<SocketAddr>>,
     cut: Arc<AtomicBool>,
 }
 
 impl Relay {
     /// Starts a relay to an address.
     pub(crate) fn start(target: SocketAddr) -> Self {
+        let relay = Self::start_without_target();
+        relay.set_target(target);
+        relay
+    }
+
+    /// Starts a relay whose target is yet to be told; until then it closes what it accepts.
+    pub(crate) fn start_without_target() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let cut = Arc::new(AtomicBool::new(false));
         let silent = Arc::clone(&cut);
+        let target = Arc::new(OnceLock::<SocketAddr>::new());
+        let told = Arc::clone(&target);
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
+                let Some(target) = told.get().copied() else {
+                    continue;
+                };
                 let silent = Arc::clone(&silent);
                 thread::spawn(move || carry(near, target, &silent));
             }
         });
-        Self { address, cut }
+        Self {
+            address,
+            target,
+            cut,
+        }
+    }
+
+    /// Tells where connections go from now on.
+    pub(crate) fn set_target(&self, target: SocketAddr) {
+        self.target.set(target).unwrap();
     }
 
     /// Keeps everything back, without closing anything, or lets it through again.
--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -4,8 +4,6 @@
 #[path = "common/relay.rs"]
 mod relay;
 
-use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
 
@@ -25,26 +23,20 @@
     peers: [Relay; 2],
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 fn start_cut_system() -> CutSystem {
     let mut system = System::start(&wave_text(), "1", &[]);
     let platform = Relay::start(system.platform);
-    let listens = [free_address(), free_address()];
-    let peers = listens.map(Relay::start);
+    let peers = [(), ()].map(|()| Relay::start_without_target());
     let lines = |index: usize| {
         format!(
-            "poll_ms = 300\npeers = \"{}\"\npeers_advertised = \"{}\"\n",
-            listens[index], peers[index].address
+            "poll_ms = 300\npeers = \"127.0.0.1:0\"\npeers_advertised = \"{}\"\n",
+            peers[index].address
         )
     };
     let east = system.start_daemon_with("entry-1", "east", system.platform, &lines(0));
     let west = system.start_daemon_with("entry-2", "west", platform.address, &lines(1));
+    peers[0].set_target(east.peers);
+    peers[1].set_target(west.peers);
     system.daemons = vec![east, west];
     assert_eq!(system.apply(&wave_text(), 0).status, 200);
     system.wait_ready();
--- /dev/null
+++ b/tests/job_planner.rs
@@ -0,0 +1,293 @@
+//! Decisions about jobs over small fleets.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use zincpier::id::HostId;
+use zincpier::id::JobId;
+use zincpier::job::FaultJudge;
+use zincpier::job::JobDecision;
+use zincpier::job::JobFleet;
+use zincpier::job::JobPlanner;
+use zincpier::job::JobRecord;
+use zincpier::job::JobSize;
+use zincpier::job::JobSpec;
+use zincpier::job::SizeEstimator;
+use zincpier::job::TaskView;
+use zincpier::job::TeamBook;
+use zincpier::job::WaitingJob;
+use zincpier::job::WorkerTrust;
+use zincpier::job::WorkerView;
+use zincpier::version::ServiceText;
+
+const DEADLINE_MS: u64 = 1_000_000;
+
+/// A text with a team whose quota is four cores.
+fn text() -> Arc<ServiceText> {
+    let text = "deployment = \"test\"\n\
+        [[data_centres]]\nname = \"east\"\nregion = \"one\"\n\
+        [[services]]\nname = \"notices\"\npath = \"/notices\"\navailability = \"99\"\n\
+        [[racks]]\nname = \"r1\"\ndata_centre = \"east\"\nhosts = [\"k1\"]\n\
+        [[pools]]\nname = \"workers\"\nservice = \"notices\"\nrole = \"worker\"\nneeded = 0\nhosts = [\"k1\"]\n\
+        [[teams]]\nname = \"bays\"\nquota = \"4/8192/1\"\n\
+        [[teams]]\nname = \"digests\"\nquota = \"4/8192/1\"\n";
+    Arc::new(ServiceText::parse("text", text).unwrap())
+}
+
+fn worker(host: &str) -> WorkerView {
+    WorkerView {
+        host: host.parse().unwrap(),
+        service: "notices".parse().unwrap(),
+        size: JobSize::new(4, 8_192, 0),
+        open: true,
+        leaves_soon: false,
+        trust: WorkerTrust::Trusted,
+    }
+}
+
+fn task(job: &str, host: &str, team: &str, loss_ms: Option<u64>) -> TaskView {
+    TaskView {
+        job: job.parse().unwrap(),
+        host: host.parse().unwrap(),
+        team: team.parse().unwrap(),
+        size: JobSize::new(4, 1_024, 0),
+        urgent: false,
+        stopping: false,
+        loss_ms,
+    }
+}
+
+fn waiting(job: &str, team: &str) -> WaitingJob {
+    WaitingJob {
+        id: job.parse().unwrap(),
+        team: team.parse().unwrap(),
+        service: "notices".parse().unwrap(),
+        size: JobSize::new(4, 1_024, 0),
+        run_ms: 1_000,
+        deadline_ms: DEADLINE_MS,
+        urgent: false,
+        can_move: true,
+        avoided: BTreeSet::new(),
+    }
+}
+
+fn plan(workers: Vec<WorkerView>, tasks: Vec<TaskView>, jobs: Vec<WaitingJob>) -> Vec<JobDecision> {
+    let mut fleet = JobFleet::new(workers);
+    let mut book = TeamBook::new(&text());
+    for task in tasks {
+        book.add(&task.team, &task.size);
+        fleet.add(task);
+    }
+    JobPlanner::new(fleet, book).plan(jobs)
+}
+
+fn place(job: &str, host: &str) -> JobDecision {
+    JobDecision::Place {
+        job: job.parse().unwrap(),
+        host: host.parse().unwrap(),
+    }
+}
+
+fn stop(job: &str, host: &str, for_job: &str) -> JobDecision {
+    JobDecision::Stop {
+        job: job.parse().unwrap(),
+        host: host.parse().unwrap(),
+        for_job: for_job.parse().unwrap(),
+    }
+}
+
+fn spec(kind: &str, size: JobSize, run_ms: u64) -> JobSpec {
+    JobSpec {
+        team: "bays".parse().unwrap(),
+        service: "notices".parse().unwrap(),
+        kind: kind.to_owned(),
+        size,
+        run_ms,
+        deadline_ms: DEADLINE_MS,
+        urgent: false,
+        repeatable: true,
+        checkpoints: false,
+        work: String::new(),
+    }
+}
+
+#[test]
+fn urgent_job_takes_the_room_of_the_one_that_loses_least() {
+    let tasks = vec![
+        task("long", "k1", "digests", Some(90_000)),
+        task("short", "k2", "digests", Some(3_000)),
+        task("once", "k3", "digests", None),
+    ];
+    let urgent = WaitingJob {
+        urgent: true,
+        ..waiting("red-tag", "bays")
+    };
+
+    let decisions = plan(
+        vec![worker("k1"), worker("k2"), worker("k3")],
+        tasks,
+        vec![urgent],
+    );
+
+    assert_eq!(decisions, [stop("short", "k2", "red-tag")]);
+}
+
+#[test]
+fn room_that_is_coming_is_not_made_twice() {
+    let mut stopping = task("short", "k2", "digests", Some(3_000));
+    stopping.stopping = true;
+    let tasks = vec![task("long", "k1", "digests", Some(1)), stopping];
+    let urgent = WaitingJob {
+        urgent: true,
+        ..waiting("red-tag", "bays")
+    };
+
+    let decisions = plan(vec![worker("k1"), worker("k2")], tasks, vec![urgent]);
+
+    assert_eq!(decisions, []);
+}
+
+#[test]
+fn team_within_its_quota_gets_room_back_from_one_beyond_it() {
+    let tasks = vec![
+        task("first", "k1", "digests", Some(10)),
+        task("second", "k2", "digests", Some(20)),
+    ];
+
+    let decisions = plan(
+        vec![worker("k1"), worker("k2")],
+        tasks,
+        vec![waiting("own", "bays")],
+    );
+
+    assert_eq!(decisions, [stop("first", "k1", "own")]);
+}
+
+#[test]
+fn nobody_yields_to_a_team_beyond_its_quota() {
+    let tasks = vec![
+        task("first", "k1", "bays", Some(10)),
+        task("second", "k2", "digests", Some(20)),
+    ];
+    let urgent = WaitingJob {
+        urgent: true,
+        ..waiting("more", "bays")
+    };
+
+    let decisions = plan(vec![worker("k1"), worker("k2")], tasks, vec![urgent]);
+
+    assert_eq!(decisions, []);
+}
+
+#[test]
+fn idle_room_is_lent_after_those_within_their_quotas() {
+    let tasks = vec![task("first", "k1", "digests", Some(10))];
+    let workers = vec![worker("k1"), worker("k2"), worker("k3")];
+    let jobs = vec![waiting("a-borrowed", "digests"), waiting("own", "bays")];
+
+    let decisions = plan(workers, tasks, jobs);
+
+    assert_eq!(decisions, [place("own", "k2"), place("a-borrowed", "k3")]);
+}
+
+#[test]
+fn job_that_no_worker_can_hold_is_refused() {
+    let mut large = waiting("large", "bays");
+    large.size = JobSize::new(1, 9_000, 0);
+
+    let decisions = plan(vec![worker("k1")], Vec::new(), vec![large]);
+
+    let [JobDecision::Refuse { reason, .. }] = decisions.as_slice() else {
+        panic!("{decisions:?}");
+    };
+    assert_eq!(reason, "no worker of notices holds 1/9000/0");
+}
+
+#[test]
+fn workers_with_accelerators_are_left_to_jobs_that_use_them() {
+    let mut rich = worker("k1");
+    rich.size.accelerators = 1;
+    let mut framed = waiting("framed", "bays");
+    framed.size.accelerators = 1;
+
+    let decisions = plan(
+        vec![rich, worker("k2")],
+        Vec::new(),
+        vec![waiting("a-plain", "digests"), framed],
+    );
+
+    assert_eq!(decisions, [place("a-plain", "k2"), place("framed", "k1")]);
+}
+
+#[test]
+fn job_that_cannot_move_is_kept_from_hosts_that_a_wave_closes_soon() {
+    let mut leaving = worker("k1");
+    leaving.leaves_soon = true;
+    let mut bound = waiting("bound", "bays");
+    bound.can_move = false;
+    bound.run_ms = 600_000;
+
+    let decisions = plan(
+        vec![leaving],
+        Vec::new(),
+        vec![bound, waiting("movable", "digests")],
+    );
+
+    assert_eq!(decisions, [place("movable", "k1")]);
+}
+
+#[test]
+fn worker_that_fails_several_jobs_is_left_alone_and_tried_again() {
+    let now = Instant::now();
+    let host = "k1".parse::<HostId>().unwrap();
+    let mut judge = FaultJudge::new();
+
+    let left_alone = ["a", "a", "b", "c"].map(|job| {
+        let job = job.parse::<JobId>().unwrap();
+        judge.fail(&host, &job, now)
+    });
+    let at_once = judge.trust(&host, now);
+    let later = judge.trust(&host, now + Duration::from_secs(30));
+    judge.succeed(&host);
+
+    assert_eq!(left_alone, [false, false, false, true]);
+    assert_eq!(at_once, WorkerTrust::Quarantined);
+    assert_eq!(later, WorkerTrust::OnTrial);
+    assert_eq!(judge.trust(&host, now), WorkerTrust::Trusted);
+}
+
+#[test]
+fn failures_on_broken_workers_are_not_held_against_a_job() {
+    let now = Instant::now();
+    let mut judge = FaultJudge::new();
+    let spec = spec("frames", JobSize::new(1, 1, 0), 1);
+    let mut record = JobRecord::new("job".parse().unwrap(), spec, String::new(), 0);
+    record.failed_on = ["k1", "k2", "k3"].map(|host| host.parse().unwrap()).into();
+
+    let sound = judge.is_at_fault(&record, now);
+    for job in ["a", "b", "c"] {
+        judge.fail(&"k1".parse().unwrap(), &job.parse().unwrap(), now);
+    }
+    let broken = judge.is_at_fault(&record, now);
+
+    assert!(sound);
+    assert!(!broken);
+}
+
+#[test]
+fn observed_sizes_and_times_take_the_place_of_declared_ones() {
+    let declared = spec("frames", JobSize::new(32, 65_536, 1), 1_000);
+    let mut estimator = SizeEstimator::new();
+
+    let before = (estimator.size(&declared), estimator.run_ms(&declared));
+    for ran_ms in [9_000, 10_000, 12_000] {
+        estimator.note(&declared, JobSize::new(2, 1_000, 1), ran_ms);
+    }
+    let after = (estimator.size(&declared), estimator.run_ms(&declared));
+
+    assert_eq!(before, (declared.size, 1_000));
+    assert_eq!(after.0.to_string(), "2.2/1100/1");
+    assert_eq!(after.1, 10_000);
+}
--- /dev/null
+++ b/tests/jobs.rs
@@ -0,0 +1,377 @@
+//! Whole sessions of jobs on workers with real processes, under faults.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use serde_json::json;
+use serde_json::Value;
+
+use crate::common::call;
+use crate::common::try_call;
+use crate::common::wait_for;
+use crate::common::worker_text;
+use crate::common::Answer;
+use crate::common::System;
+use crate::common::TOKEN;
+
+const TWO: [(&str, &str); 2] = [("entry-1", "east"), ("entry-2", "east")];
+const DEADLINE_MS: u64 = 4_000_000_000_000;
+
+fn start() -> System {
+    System::start_ready(&worker_text(), "1", &TWO)
+}
+
+/// A job of one core that runs for a time and may run again.
+fn job(kind: &str, run_ms: u64) -> Value {
+    json!({
+        "team": "bays",
+        "service": "notices",
+        "kind": kind,
+        "size": { "cores_milli": 1_000, "memory_mb": 512, "accelerators": 0 },
+        "run_ms": run_ms,
+        "deadline_ms": DEADLINE_MS,
+        "repeatable": true,
+        "work": json!({ "run_ms": run_ms }).to_string(),
+    })
+}
+
+fn with(mut job: Value, key: &str, value: Value) -> Value {
+    job[key] = value;
+    job
+}
+
+/// A job that takes a whole worker.
+fn whole(job: Value) -> Value {
+    let size = json!({ "cores_milli": 4_000, "memory_mb": 512, "accelerators": 0 });
+    with(job, "size", size)
+}
+
+fn submit_at(system: &System, daemon: usize, key: &str, job: &Value) -> Option<Answer> {
+    let headers = [("idempotency-key", key)];
+    let to = system.daemons[daemon].callers;
+    try_call(to, "POST", "/zincpier/jobs", &headers, &job.to_string())
+}
+
+fn submit(system: &System, key: &str, job: &Value) -> String {
+    let answer = submit_at(system, key.len() % 2, key, job).unwrap();
+    assert_eq!(answer.status, 202, "{answer:?}");
+    answer.json()["id"].as_str().unwrap().to_owned()
+}
+
+fn show(system: &System, id: &str) -> Option<Value> {
+    let daemon = system.daemons.last().unwrap();
+    let answer = try_call(
+        daemon.callers,
+        "GET",
+        &format!("/zincpier/jobs/{id}"),
+        &[],
+        "",
+    )?;
+    (answer.status == 200).then(|| answer.json())
+}
+
+fn state(system: &System, id: &str) -> String {
+    show(system, id).map_or_else(String::new, |job| job["state"].as_str().unwrap().to_owned())
+}
+
+fn wait_for_state(system: &System, id: &str, wanted: &str) {
+    wait_for(&format!("{id} is {wanted}"), || {
+        state(system, id).starts_with(wanted)
+    });
+}
+
+fn cancel(system: &System, ids: &[String]) -> Answer {
+    let order = json!({ "jobs": ids }).to_string();
+    let to = system.daemons[0].callers;
+    call(to, "POST", "/zincpier/jobs/cancel", &[], &order)
+}
+
+/// How often the platform started each job.
+fn starts(system: &System) -> BTreeMap<String, usize> {
+    let tasks = call(system.platform, "GET", "/tasks/starts", &[], "").json();
+    let mut starts = BTreeMap::new();
+    for task in tasks.as_array().unwrap() {
+        let (job, _) = task.as_str().unwrap().rsplit_once('.').unwrap();
+        *starts.entry(job.to_owned()).or_default() += 1;
+    }
+    starts
+}
+
+fn start_wave(system: &System) -> String {
+    let headers = [("zincpier-token", TOKEN), ("zincpier-who", "tester")];
+    let to = system.daemons[0].operators;
+    let order = json!({ "scope": "pool:workers" }).to_string();
+    let answer = call(to, "POST", "/wave/start", &headers, &order);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    answer.json()["id"].as_str().unwrap().to_owned()
+}
+
+fn wave(system: &System, id: &str) -> Value {
+    let waves = call(system.daemons[0].operators, "GET", "/waves", &[], "").json();
+    let mut waves = waves.as_array().unwrap().iter();
+    waves.find(|wave| wave["id"] == id).unwrap().clone()
+}
+
+/// The daemon that holds the controller's lease.
+fn holder(system: &System) -> usize {
+    let order = json!({ "keys": ["lease/controller"] }).to_string();
+    let rows = call(system.platform, "POST", "/table/read", &[], &order).json();
+    usize::from(rows[0]["value"]["holder"] != "entry-1")
+}
+
+#[test]
+fn session_of_a_job() {
+    let system = start();
+    let mut session = String::new();
+    let mut note = |action: &str, answer: &Answer| {
+        let body = answer.json();
+        let detail = [&body["state"], &body["detail"], &body["cancelled"]];
+        let detail = detail.into_iter().find(|detail| !detail.is_null());
+        writeln!(session, "{action}: {} {}", answer.status, detail.unwrap()).unwrap();
+    };
+
+    let long = job("reports", 60_000);
+    let first = submit_at(&system, 0, "night", &long).unwrap();
+    note("submit", &first);
+    let id = first.json()["id"].as_str().unwrap().to_owned();
+    wait_for("the job runs", || starts(&system).contains_key(&id));
+    let again = submit_at(&system, 1, "night", &long).unwrap();
+    let other = submit_at(&system, 1, "night", &job("reports", 1)).unwrap();
+    let unnamed = call(
+        system.daemons[0].callers,
+        "POST",
+        "/zincpier/jobs",
+        &[],
+        "{}",
+    );
+    let cancelled = cancel(&system, std::slice::from_ref(&id));
+    wait_for_state(&system, &id, "cancelled");
+    let late = cancel(&system, std::slice::from_ref(&id));
+    let quick = submit(&system, "quick", &job("reports", 50));
+    wait_for_state(&system, &quick, "finished");
+
+    assert_eq!(again.json()["id"], id.as_str());
+    assert_eq!(again.status, 202);
+    note("submit another with the same key", &other);
+    note("submit without a key", &unnamed);
+    assert_eq!(cancelled.json()["cancelled"], json!([id]));
+    note("cancel again", &late);
+    let path = format!("/zincpier/jobs/{quick}");
+    note(
+        "show",
+        &call(system.daemons[1].callers, "GET", &path, &[], ""),
+    );
+    note(
+        "show an unknown one",
+        &call(
+            system.daemons[1].callers,
+            "GET",
+            "/zincpier/jobs/none",
+            &[],
+            "",
+        ),
+    );
+    assert_eq!(starts(&system), BTreeMap::from([(id, 1), (quick, 1)]));
+    insta::assert_snapshot!(session);
+}
+
+#[test]
+fn urgent_job_starts_on_full_workers_and_the_other_goes_on_later() {
+    let system = start();
+    let long = whole(with(job("digests", 3_000), "checkpoints", json!(true)));
+    let others = (0..4)
+        .map(|number| {
+            let team = ["bays", "digests"][number % 2];
+            let spec = with(long.clone(), "team", json!(team));
+            submit(&system, &format!("long-{number}"), &spec)
+        })
+        .collect::<Vec<_>>();
+    wait_for("every worker is full", || starts(&system).len() == 4);
+
+    // The teams use all of their quotas, of which an urgent job needs a part.
+    cancel(&system, &others[..1]);
+    let urgent = with(job("red-tags", 100), "urgent", json!(true));
+    let urgent = submit(&system, "urgent", &whole(urgent));
+    wait_for_state(&system, &urgent, "finished");
+    for id in &others[1..] {
+        wait_for_state(&system, id, "finished");
+    }
+
+    assert_eq!(starts(&system)[&urgent], 1);
+}
+
+#[test]
+fn job_that_must_not_be_repeated_is_unknown_after_its_worker_was_lost() {
+    let system = start();
+    let once = with(job("bills", 60_000), "repeatable", json!(false));
+    let id = submit(&system, "once", &once);
+    wait_for("the job runs", || starts(&system).contains_key(&id));
+    let host = state(&system, &id).replace("on ", "");
+
+    system.host_state(&host, "down");
+    wait_for_state(&system, &id, "unknown");
+
+    assert_eq!(starts(&system)[&id], 1);
+}
+
+#[test]
+fn lapsed_leases_end_the_one_and_repeat_the_other() {
+    let system = start();
+    let once = with(job("bills", 60_000), "repeatable", json!(false));
+    let once = submit(&system, "once", &once);
+    let again = submit(&system, "again", &job("reports", 1_500));
+    wait_for("both run", || starts(&system).len() == 2);
+
+    system.platform_faults(&json!({ "end_leases": true }));
+    wait_for_state(&system, &once, "unknown");
+    system.platform_faults(&json!({}));
+    wait_for_state(&system, &again, "finished");
+
+    assert_eq!(starts(&system)[&once], 1);
+    assert!(starts(&system)[&again] >= 2);
+}
+
+#[test]
+fn killed_controller_leaves_jobs_that_the_next_one_follows() {
+    let mut system = start();
+    let once = with(job("bills", 3_000), "repeatable", json!(false));
+    let ids = (0..6)
+        .map(|number| submit(&system, &format!("once-{number}"), &once))
+        .collect::<Vec<_>>();
+    wait_for("some run", || !starts(&system).is_empty());
+
+    let holder = holder(&system);
+    system.daemons[holder].program.signal("-KILL");
+    system.daemons.remove(holder);
+    for id in &ids {
+        wait_for_state(&system, id, "finished");
+    }
+
+    assert!(starts(&system).values().all(|count| *count == 1));
+}
+
+#[test]
+fn lost_answers_and_an_outage_start_no_job_twice() {
+    let system = start();
+    let once = with(job("bills", 100), "repeatable", json!(false));
+    let mut ids = Vec::new();
+
+    for number in 0..6 {
+        let key = format!("once-{number}");
+        system.platform_faults(&json!({ "lost_answers": 3 }));
+        wait_for("the job is recorded", || {
+            let answer = submit_at(&system, number % 2, &key, &once).unwrap();
+            assert!([202, 503].contains(&answer.status), "{answer:?}");
+            let recorded = answer.status == 202;
+            ids.extend(recorded.then(|| answer.json()["id"].as_str().unwrap().to_owned()));
+            recorded
+        });
+        system.platform_faults(&json!({ "outage": true }));
+        let refused = submit_at(&system, 0, "refused", &once).unwrap();
+        assert_eq!(refused.status, 503);
+        assert_ne!(refused.header("retry-after"), "");
+        system.platform_faults(&json!({}));
+    }
+    for id in &ids {
+        wait_for_state(&system, id, "finished");
+    }
+
+    for id in &ids {
+        assert_eq!(starts(&system)[id], 1, "{id}");
+    }
+}
+
+#[test]
+fn broken_worker_and_broken_job_are_told_apart() {
+    let system = start();
+    system.platform_faults(&json!({ "bad_workers": ["k1"] }));
+    let broken = with(
+        job("broken", 20),
+        "work",
+        json!("{\"run_ms\":20,\"fails\":true}"),
+    );
+    let broken = submit(&system, "broken", &broken);
+    let sound = (0..30)
+        .map(|number| submit(&system, &format!("sound-{number}"), &job("sound", 60)))
+        .collect::<Vec<_>>();
+
+    for id in &sound {
+        wait_for_state(&system, id, "finished");
+    }
+    wait_for_state(&system, &broken, "failed");
+
+    let started = starts(&system);
+    let repeats = sound.iter().map(|id| started[id] - 1).sum::<usize>();
+    // Three jobs show that a worker is broken; others may be on it by then, four at a time.
+    assert!(
+        repeats <= 7,
+        "{repeats} runs were lost to the broken worker"
+    );
+    assert!(started[&broken] <= 4);
+}
+
+#[test]
+fn cancelled_jobs_never_start_afterwards() {
+    let system = start();
+    let ids = (0..300)
+        .map(|number| {
+            submit(
+                &system,
+                &format!("many-{number}"),
+                &whole(job("many", 60_000)),
+            )
+        })
+        .collect::<Vec<_>>();
+
+    let answer = cancel(&system, &ids);
+    let before = starts(&system);
+    let left = answer.json()["cancelled"].as_array().unwrap().len();
+    for id in &ids {
+        wait_for(&format!("{id} has ended"), || {
+            show(&system, id).is_some_and(|job| job["over"] == true)
+        });
+    }
+
+    let after = starts(&system);
+    assert_eq!(answer.status, 200);
+    assert_eq!(left, 300);
+    // A start that was ordered before the cancellation may still be on its way.
+    assert!(after.len() <= before.len() + 4, "{before:?} {after:?}");
+}
+
+#[test]
+fn wave_lets_jobs_save_their_progress_and_waits_for_one_that_cannot() {
+    let system = start();
+    let saves = with(job("digests", 8_000), "checkpoints", json!(true));
+    let bound = with(job("bills", 9_000), "repeatable", json!(false));
+    let moved = (0..4)
+        .map(|number| submit(&system, &format!("saves-{number}"), &saves))
+        .collect::<Vec<_>>();
+    let bound = (0..8)
+        .map(|number| submit(&system, &format!("bound-{number}"), &bound))
+        .collect::<Vec<_>>();
+    wait_for("all run", || starts(&system).len() == 12);
+
+    let id = start_wave(&system);
+    wait_for("the wave says which job it waits for", || {
+        let wave = wave(&system, &id);
+        let reason = wave["waiting_for"].as_str().unwrap_or_default().to_owned();
+        bound.iter().any(|job| reason.contains(job.as_str()))
+    });
+    for job in bound.iter().chain(&moved) {
+        wait_for_state(&system, job, "finished");
+    }
+    wait_for("the wave is finished", || {
+        wave(&system, &id)["state"] == "finished"
+    });
+
+    let started = starts(&system);
+    assert!(bound.iter().all(|job| started[job] == 1), "{started:?}");
+    let list = call(system.platform, "GET", "/hosts?since=0", &[], "").json();
+    for host in list["hosts"].as_array().unwrap() {
+        let worker = host["id"].as_str().unwrap().starts_with('k');
+        assert_eq!(host["boots"], u64::from(worker), "{host}");
+    }
+}
