--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -10,7 +10,6 @@
 mod fleet;
 
 use std::collections::HashMap;
-use std::fs;
 use std::hint::black_box;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -323,26 +322,9 @@
 fn measure(system: &System) -> (f64, f64, f64, f64, f64) {
     let (mut ticks, mut memory, mut bytes) = (0.0, 0.0, 0.0);
     for daemon in &system.daemons {
-        let id = daemon.program.child.id();
-        let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
-        let fields = stat
-            .rsplit(')')
-            .next()
-            .unwrap()
-            .split_whitespace()
-            .collect::<Vec<_>>();
-        ticks += fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
-        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-        let line = status
-            .lines()
-            .find(|line| line.starts_with("VmRSS"))
-            .unwrap();
-        memory += line
-            .split_whitespace()
-            .nth(1)
-            .unwrap()
-            .parse::<f64>()
-            .unwrap();
+        let (resident_kb, used_ticks) = daemon.program.cost();
+        ticks += used_ticks as f64;
+        memory += resident_kb as f64;
         let metrics = daemon.metrics();
         let beats = metrics
             .lines()
--- /dev/null
+++ b/benches/faults.rs
@@ -0,0 +1,367 @@
+//! The matrix of faults and promises, with real processes.
+//!
+//! Each fault strikes at a seeded moment while callers send requests of every
+//! kind through all daemons. Run with `cargo bench --bench faults`; the runs of
+//! each fault may be given after `--`, 3 by default.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+use serde_json::json;
+use serde_json::Value;
+
+use crate::common::small_text;
+use crate::common::try_call;
+use crate::common::System;
+
+const THREE: [(&str, &str); 3] = [
+    ("entry-1", "east"),
+    ("entry-2", "west"),
+    ("entry-3", "east"),
+];
+const CALLERS: usize = 12;
+const LOAD_TIME: Duration = Duration::from_millis(4_500);
+const FAULT_TIME: Duration = Duration::from_millis(2_000);
+const SLOTS: u64 = 8;
+const LAST_REQUESTS: usize = 30;
+const RUNS: u64 = 3;
+const RUNS_AT_ONCE: usize = 4;
+
+/// What strikes while callers send.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Nothing,
+    DaemonKilled,
+    DaemonFrozen,
+    DaemonStopped,
+    TwoDaemonsRestarted,
+    ServerFailsAll,
+    ServerSlow,
+    ServerLeaving,
+    AnswersHalf,
+    AnswersCrossed,
+    AnswersDoubled,
+    ConnectionsSilent,
+    ConnectionsClosed,
+    PlatformOutage,
+    PlatformSlow,
+    PlatformAnswersLost,
+    OutageAndDaemonKilled,
+    SilentAndServerLeaving,
+}
+
+const FAULTS: [Fault; 18] = [
+    Fault::Nothing,
+    Fault::DaemonKilled,
+    Fault::DaemonFrozen,
+    Fault::DaemonStopped,
+    Fault::TwoDaemonsRestarted,
+    Fault::ServerFailsAll,
+    Fault::ServerSlow,
+    Fault::ServerLeaving,
+    Fault::AnswersHalf,
+    Fault::AnswersCrossed,
+    Fault::AnswersDoubled,
+    Fault::ConnectionsSilent,
+    Fault::ConnectionsClosed,
+    Fault::PlatformOutage,
+    Fault::PlatformSlow,
+    Fault::PlatformAnswersLost,
+    Fault::OutageAndDaemonKilled,
+    Fault::SilentAndServerLeaving,
+];
+
+/// What one caller got for one request.
+struct Outcome {
+    caller: String,
+    once: bool,
+    answer: Option<(u16, String, bool)>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    sent: usize,
+    served: usize,
+    refused: usize,
+    cut_off: usize,
+    not_whole: usize,
+    untrue_not_run: usize,
+    run_twice: usize,
+    over_slots: usize,
+    without_outcome: usize,
+    late_failures: usize,
+}
+
+impl Counts {
+    fn add(&mut self, other: &Self) {
+        self.sent += other.sent;
+        self.served += other.served;
+        self.refused += other.refused;
+        self.cut_off += other.cut_off;
+        self.not_whole += other.not_whole;
+        self.untrue_not_run += other.untrue_not_run;
+        self.run_twice += other.run_twice;
+        self.over_slots += other.over_slots;
+        self.without_outcome += other.without_outcome;
+        self.late_failures += other.late_failures;
+    }
+
+    fn violations(&self) -> usize {
+        self.not_whole
+            + self.untrue_not_run
+            + self.run_twice
+            + self.over_slots
+            + self.without_outcome
+            + self.late_failures
+    }
+}
+
+fn send_until(
+    stop: &AtomicBool,
+    targets: &Mutex<Vec<std::net::SocketAddr>>,
+    caller: usize,
+) -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    for number in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let target = {
+            let targets = targets.lock().unwrap();
+            targets[(caller + number) % targets.len()]
+        };
+        let caller = format!("caller-{caller}-{number}");
+        let key = format!("key-{caller}");
+        let headers = [("x-caller-id", caller.as_str()), ("idempotency-key", &key)];
+        let (method, path, headers) = match number % 3 {
+            0 => ("GET", "/notices?ms=5", &headers[..1]),
+            1 => ("POST", "/notices?ms=5", &headers[..1]),
+            _ => ("POST", "/notices/bills?ms=5", &headers[..]),
+        };
+        let answer = try_call(target, method, path, headers, "");
+        let answer = answer.map(|answer| {
+            let body = serde_json::from_str::<Value>(&answer.body).unwrap_or_default();
+            let own = body["caller"] == caller.as_str();
+            (
+                answer.status,
+                answer.header("zincpier-outcome").to_owned(),
+                own,
+            )
+        });
+        outcomes.push(Outcome {
+            caller,
+            once: method == "POST",
+            answer,
+        });
+    }
+    outcomes
+}
+
+/// Switches a fault on, waits, and switches it off.
+fn strike(system: &mut System, fault: Fault, random: &mut SmallRng) {
+    let hosts = ["e1", "e2", "w1", "w2"];
+    let host = hosts[random.random_range(0..hosts.len())];
+    let daemon = random.random_range(0..THREE.len());
+    let set_all = |system: &System, faults: Value| {
+        hosts
+            .iter()
+            .for_each(|host| system.backend_faults(host, &faults));
+    };
+    match fault {
+        Fault::Nothing => thread::sleep(FAULT_TIME),
+        Fault::DaemonKilled => restart(system, &[daemon], "-KILL"),
+        Fault::DaemonStopped => restart(system, &[daemon], "-TERM"),
+        Fault::TwoDaemonsRestarted => restart(system, &[daemon, (daemon + 1) % 3], "-KILL"),
+        Fault::DaemonFrozen => {
+            system.daemons[daemon].program.signal("-STOP");
+            thread::sleep(FAULT_TIME);
+            system.daemons[daemon].program.signal("-CONT");
+        }
+        Fault::ServerFailsAll => {
+            system.backend_faults(host, &json!({ "fail_all": true }));
+            thread::sleep(FAULT_TIME);
+            system.backend_faults(host, &json!({}));
+        }
+        Fault::ServerSlow => {
+            system.backend_faults(host, &json!({ "delay_ms": 600 }));
+            thread::sleep(FAULT_TIME);
+            system.backend_faults(host, &json!({}));
+        }
+        Fault::ServerLeaving => leave(system, host),
+        Fault::AnswersHalf => set_all(system, json!({ "half_answers": 5 })),
+        Fault::AnswersCrossed => set_all(system, json!({ "crossed_answers": 5 })),
+        Fault::AnswersDoubled => set_all(system, json!({ "doubled_answers": 5 })),
+        Fault::ConnectionsSilent => set_all(system, json!({ "silence_open": true })),
+        Fault::ConnectionsClosed => set_all(system, json!({ "close_open": true })),
+        Fault::PlatformOutage => outage(system),
+        Fault::PlatformSlow => {
+            system.platform_faults(&json!({ "delay_ms": 400 }));
+            thread::sleep(FAULT_TIME);
+            system.platform_faults(&json!({}));
+        }
+        Fault::PlatformAnswersLost => system.platform_faults(&json!({ "lost_answers": 20 })),
+        Fault::OutageAndDaemonKilled => {
+            system.platform_faults(&json!({ "outage": true }));
+            system.daemons[daemon].program.signal("-KILL");
+            thread::sleep(FAULT_TIME);
+            system.platform_faults(&json!({}));
+            restart(system, &[daemon], "-KILL");
+        }
+        Fault::SilentAndServerLeaving => {
+            set_all(system, json!({ "silence_open": true }));
+            leave(system, host);
+        }
+    }
+}
+
+fn leave(system: &System, host: &str) {
+    system.host_state(host, "leaving");
+    thread::sleep(FAULT_TIME);
+    system.host_state(host, "live");
+}
+
+fn outage(system: &System) {
+    system.platform_faults(&json!({ "outage": true }));
+    thread::sleep(FAULT_TIME);
+    system.platform_faults(&json!({}));
+}
+
+/// Ends daemons by a signal and starts them again under their names.
+fn restart(system: &mut System, daemons: &[usize], signal: &str) {
+    for daemon in daemons {
+        let _ = system.daemons[*daemon].program.child.try_wait();
+        if system.daemons[*daemon].is_ready() {
+            system.daemons[*daemon].program.signal(signal);
+        }
+    }
+    thread::sleep(FAULT_TIME / 4);
+    for daemon in daemons {
+        let (name, data_centre) = THREE[*daemon];
+        let _ = system.daemons[*daemon].program.child.wait();
+        system.daemons[*daemon] = system.start_daemon(name, data_centre, &[]);
+    }
+}
+
+fn run(fault: Fault, seed: u64) -> Counts {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut system = System::start_ready(&small_text(), "5", &THREE);
+    let addresses = system.daemons.iter().map(|daemon| daemon.callers);
+    let targets = Arc::new(Mutex::new(addresses.collect::<Vec<_>>()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let started = Instant::now();
+    let callers = (0..CALLERS).map(|caller| {
+        let (stop, targets) = (Arc::clone(&stop), Arc::clone(&targets));
+        thread::spawn(move || send_until(&stop, &targets, caller))
+    });
+    let callers = callers.collect::<Vec<_>>();
+    thread::sleep(Duration::from_millis(random.random_range(300..900)));
+    strike(&mut system, fault, &mut random);
+    *targets.lock().unwrap() = system.daemons.iter().map(|daemon| daemon.callers).collect();
+    thread::sleep(LOAD_TIME.saturating_sub(started.elapsed()));
+    stop.store(true, Ordering::Relaxed);
+    let outcomes = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().unwrap());
+    let outcomes = outcomes.collect::<Vec<_>>();
+    system.wait_ready();
+    let mut counts = judge(&system, &outcomes);
+    for number in 0..LAST_REQUESTS {
+        let answer = system.daemons[number % THREE.len()].get("/notices");
+        counts.late_failures += usize::from(answer.status != 200);
+    }
+    counts
+}
+
+fn judge(system: &System, outcomes: &[Outcome]) -> Counts {
+    let runs = system.runs();
+    let mut counts = Counts {
+        sent: outcomes.len(),
+        ..Counts::default()
+    };
+    for outcome in outcomes {
+        let ran = runs.get(&outcome.caller).copied().unwrap_or(0);
+        counts.run_twice += usize::from(outcome.once && ran > 1);
+        match &outcome.answer {
+            None => counts.cut_off += 1,
+            Some((200, _, own)) => {
+                counts.served += 1;
+                counts.not_whole += usize::from(!own);
+            }
+            Some((status, said, _)) => {
+                counts.refused += 1;
+                // A server's own failure is passed on as it is.
+                counts.without_outcome += usize::from(said.is_empty() && *status != 500);
+                counts.untrue_not_run += usize::from(said == "not-run" && ran > 0);
+            }
+        }
+    }
+    for host in system.backends.keys() {
+        let stats = system.stats(host);
+        counts.over_slots += stats["over_slots"].as_u64().unwrap() as usize;
+        counts.over_slots += usize::from(stats["most_in_flight"].as_u64().unwrap() > SLOTS);
+    }
+    counts
+}
+
+fn main() {
+    let runs = std::env::args().filter_map(|argument| argument.parse().ok());
+    let runs = runs.fold(RUNS, |_, given| given);
+    let work = FAULTS
+        .iter()
+        .enumerate()
+        .flat_map(|(index, fault)| (1..=runs).map(move |seed| (index, *fault, seed)));
+    let work = Arc::new(Mutex::new(work.collect::<Vec<_>>()));
+    let results = Arc::new(Mutex::new(BTreeMap::<usize, Counts>::new()));
+    let threads = (0..RUNS_AT_ONCE).map(|_| {
+        let (work, results) = (Arc::clone(&work), Arc::clone(&results));
+        thread::spawn(move || loop {
+            let next = work.lock().unwrap().pop();
+            let Some((index, fault, seed)) = next else {
+                break;
+            };
+            let counts = run(fault, seed);
+            if counts.violations() > 0 {
+                println!("{fault:?} with seed {seed}: {counts:?}");
+            }
+            results
+                .lock()
+                .unwrap()
+                .entry(index)
+                .or_default()
+                .add(&counts);
+        })
+    });
+    for thread in threads.collect::<Vec<_>>() {
+        thread.join().unwrap();
+    }
+    println!("{runs} runs of each fault; the columns from 'not whole' on are violations");
+    println!("fault                     sent  served refused cut off | not whole  untrue not-run  run twice  over slots  no outcome  late");
+    for (index, counts) in results.lock().unwrap().iter() {
+        println!(
+            "{:<24} {:>5} {:>7} {:>7} {:>7} | {:>9} {:>15} {:>10} {:>11} {:>11} {:>5}",
+            format!("{:?}", FAULTS[*index]),
+            counts.sent,
+            counts.served,
+            counts.refused,
+            counts.cut_off,
+            counts.not_whole,
+            counts.untrue_not_run,
+            counts.run_twice,
+            counts.over_slots,
+            counts.without_outcome,
+            counts.late_failures
+        );
+    }
+}
--- a/benches/jobs.rs
+++ b/benches/jobs.rs
@@ -52,6 +52,7 @@
 const CHECKPOINT_SHARE: f64 = 0.5;
 const CHECKPOINT_MS: u64 = 200;
 const RUNNING_URGENT: usize = 40;
+const QUIET_TIME: Duration = Duration::from_secs(10);
 
 /// How jobs are placed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -519,6 +520,15 @@
         );
     }
     thread::sleep(Duration::from_secs(4));
+    let before = platform_counts(&system);
+    thread::sleep(QUIET_TIME);
+    let quiet = platform_counts(&system);
+    print_counts(
+        "a second while every job runs",
+        &before,
+        &quiet,
+        QUIET_TIME.as_secs_f64(),
+    );
     let mut waits = Vec::new();
     for number in 0..RUNNING_URGENT {
         let urgent = job("bays", "red-tags", 4, 300, true);
@@ -530,6 +540,13 @@
         waits.push(asked.elapsed().as_millis() as u64);
         thread::sleep(Duration::from_millis(900));
     }
+    let after = platform_counts(&system);
+    print_counts(
+        "an urgent job that makes others stop",
+        &quiet,
+        &after,
+        RUNNING_URGENT as f64,
+    );
     println!(
         "urgent start with 94% of cores in use, {RUNNING_URGENT} jobs: p50 {} ms p99 {} ms",
         percentile(&mut waits, 0.5),
@@ -537,6 +554,28 @@
     );
 }
 
+/// The calls that the platform has answered, by kind.
+fn platform_counts(system: &System) -> BTreeMap<String, u64> {
+    let answer = call(system.platform, "GET", "/counts", &[], "");
+    serde_json::from_str(&answer.body).unwrap()
+}
+
+fn print_counts(
+    what: &str,
+    before: &BTreeMap<String, u64>,
+    after: &BTreeMap<String, u64>,
+    parts: f64,
+) {
+    let counts = after.iter().map(|(kind, count)| {
+        let earlier = before.get(kind).copied().unwrap_or(0);
+        format!("{kind} {:.1}", (count - earlier) as f64 / parts)
+    });
+    println!(
+        "calls of both daemons, {what}: {}",
+        counts.collect::<Vec<_>>().join(", ")
+    );
+}
+
 fn main() {
     if std::env::args().any(|argument| argument == "--running") {
         return running();
--- a/benches/requests.rs
+++ b/benches/requests.rs
@@ -6,7 +6,6 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use std::fs;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
@@ -48,30 +47,10 @@
     );
 }
 
-/// Resident memory in kilobytes and processor time in ticks.
-fn process_cost(system: &System, daemon: usize) -> (u64, u64) {
-    let id = system.daemons[daemon].program.child.id();
-    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-    let resident = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS"))
-        .unwrap();
-    let resident = resident.split_whitespace().nth(1).unwrap().parse().unwrap();
-    let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
-    let fields = stat
-        .rsplit(')')
-        .next()
-        .unwrap()
-        .split_whitespace()
-        .collect::<Vec<_>>();
-    let ticks = fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap();
-    (resident, ticks)
-}
-
 fn idle(system: &System) {
-    let (_, before) = process_cost(system, 0);
+    let (_, before) = system.daemons[0].program.cost();
     thread::sleep(IDLE_TIME);
-    let (resident, after) = process_cost(system, 0);
+    let (resident, after) = system.daemons[0].program.cost();
     let share = (after - before) as f64 / TICKS_PER_SECOND / IDLE_TIME.as_secs_f64();
     println!(
         "idle daemon: {resident} kB resident, {:.2}% of a core",
--- a/src/job/host_jobs.rs
+++ b/src/job/host_jobs.rs
@@ -11,6 +11,9 @@
 /// The prefix of the rows that list a worker's jobs.
 pub const HOST_JOBS_PREFIX: &str = "host-jobs/";
 
+/// The jobs on each host that has any.
+pub(crate) type HostJobs = BTreeMap<HostId, BTreeSet<JobId>>;
+
 /// Returns the key of the row that lists a worker's jobs; it is absent when there are none.
 pub fn host_jobs_key(host: &HostId) -> String {
     format!("{HOST_JOBS_PREFIX}{host}")
@@ -21,10 +24,7 @@
 /// # Errors
 ///
 /// Returns an error if the platform does not answer.
-pub(crate) async fn jobs_on<P: TableService>(
-    platform: &P,
-    hosts: &[HostId],
-) -> Result<BTreeMap<HostId, BTreeSet<JobId>>> {
+pub(crate) async fn jobs_on<P: TableService>(platform: &P, hosts: &[HostId]) -> Result<HostJobs> {
     let keys = hosts.iter().map(host_jobs_key).collect::<Vec<_>>();
     let keys = keys.iter().map(String::as_str).collect::<Vec<_>>();
     let rows = platform.read(&keys).await?;
--- a/src/job/job_book.rs
+++ b/src/job/job_book.rs
@@ -18,7 +18,7 @@
 
 /// The jobs on one worker, as the worker's row lists them.
 #[derive(Clone, Debug, Default)]
-struct HostJobs {
+struct ListedJobs {
     revision: Revision,
     jobs: BTreeSet<JobId>,
 }
@@ -27,7 +27,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct JobBook {
     jobs: BTreeMap<JobId, HeldJob>,
-    hosts: BTreeMap<HostId, HostJobs>,
+    hosts: BTreeMap<HostId, ListedJobs>,
 }
 
 impl JobBook {
@@ -38,7 +38,7 @@
                 return;
             };
             let revision = row.revision;
-            self.hosts.insert(host, HostJobs { revision, jobs });
+            self.hosts.insert(host, ListedJobs { revision, jobs });
             return;
         }
         if let Some(held) = HeldJob::from_row(row) {
@@ -104,7 +104,7 @@
         for (host, jobs) in self.host_changes(&changed) {
             match jobs.is_empty() {
                 true => self.hosts.remove(&host),
-                false => self.hosts.insert(host, HostJobs { revision, jobs }),
+                false => self.hosts.insert(host, ListedJobs { revision, jobs }),
             };
         }
         for record in changed {
--- a/src/job/job_controller.rs
+++ b/src/job/job_controller.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,19 +10,12 @@
 
 use crate::error::Error;
 use crate::error::Result;
-use crate::id::HostId;
 use crate::id::Revision;
-use crate::id::TaskId;
+use crate::job::controller_state::ControllerState;
+use crate::job::controller_state::TASK_LEASE;
 use crate::job::job_book::JobBook;
-use crate::job::task_follower::TaskFollower;
-use crate::job::JobDecision;
-use crate::job::JobFleet;
-use crate::job::JobPlanner;
 use crate::job::JobRecord;
 use crate::job::JobState;
-use crate::job::TaskView;
-use crate::job::TeamBook;
-use crate::job::WaitingJob;
 use crate::job::WorkerView;
 use crate::job::HOST_JOBS_PREFIX;
 use crate::job::INBOX_PREFIX;
@@ -31,10 +23,7 @@
 use crate::platform::RowCheck;
 use crate::platform::TableRow;
 use crate::platform::TableService;
-use crate::platform::TaskAction;
 use crate::platform::TaskLease;
-use crate::platform::TaskOrder;
-use crate::platform::TaskStart;
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
 use crate::platform::WorkerService;
@@ -56,18 +45,12 @@
 const GROUP_LIMIT: usize = 64;
 /// The most orders that one call carries.
 const ORDER_LIMIT: usize = 256;
-/// The lease under which tasks run.
-const TASK_LEASE: &str = "zincpier";
 /// How long tasks run without a renewal.
 const LEASE_TIME: Duration = Duration::from_secs(30);
 /// The time between two renewals.
 const LEASE_RENEWAL: Duration = Duration::from_secs(5);
 /// The time between two looks at which hosts waves will close.
 const WAVE_LOOK: Duration = Duration::from_secs(5);
-/// The work lost, in milliseconds, when a job saves its progress and stops.
-const CHECKPOINT_LOSS_MS: u64 = 200;
-/// How much longer a job that only can be repeated may run on a host that is to be stopped.
-const DRAIN_PATIENCE_MS: u64 = 30_000;
 
 /// How long the inbox is left unread when nobody says that there is something.
 const INBOX_LOOK: Duration = Duration::from_secs(5);
@@ -83,20 +66,6 @@
     Moving,
 }
 
-/// What the controller holds in memory under one epoch of its lease.
-#[derive(Default)]
-struct ControllerState {
-    epoch: u64,
-    book: JobBook,
-    follower: TaskFollower,
-    tasks_seen: Revision,
-    ordered: HashMap<TaskId, JobState>,
-    inbox_read: Option<Instant>,
-    renewed: Option<Instant>,
-    waves_read: Option<Instant>,
-    leaving_soon: BTreeSet<HostId>,
-}
-
 /// Places jobs on workers, follows their tasks and stops those that must make room.
 ///
 /// Each change of a job is a transaction under the lease that checks the job's
@@ -149,7 +118,11 @@
         self.read_waves().await?;
         let placement = self.shared.facts.get(FactKind::Placement);
         let hosts = Placement::from_fact(&placement);
-        let planned = self.plan(&text, &hosts);
+        let planned = {
+            let state = self.state.borrow();
+            let workers = self.workers(&text, &hosts, &state);
+            state.plan(&text, &hosts, workers, now_ms())
+        };
         let some_planned = !planned.is_empty();
         self.commit_placed(planned, placement.revision).await?;
         self.order().await?;
@@ -282,45 +255,6 @@
         Ok(())
     }
 
-    /// Returns the jobs that change by decisions of this moment.
-    fn plan(&self, text: &ServiceText, placement: &Placement) -> Vec<JobRecord> {
-        let state = self.state.borrow();
-        let now_ms = now_ms();
-        let mut changed = Vec::new();
-        let mut fleet = JobFleet::new(self.workers(text, placement, &state));
-        let mut book = TeamBook::new(text);
-        let mut waiting = Vec::new();
-        for record in state.book.records() {
-            if let Some(ended) = cancel(record, now_ms) {
-                changed.push(ended);
-            } else if let Some(stopping) = drain(record, placement, &state.follower, now_ms) {
-                changed.push(stopping);
-            } else if record.state == JobState::Waiting {
-                waiting.push(state.waiting(record));
-            } else if let Some(task) = state.task(record, now_ms) {
-                if !task.stopping {
-                    book.add(&task.team, &task.size);
-                }
-                fleet.add(task);
-            }
-        }
-        let decisions = JobPlanner::new(fleet, book).plan(waiting);
-        let decided = decisions.into_iter().filter_map(|decision| match decision {
-            JobDecision::Place { job, host } => {
-                Some(state.book.get(&job)?.with_run_on(host, now_ms))
-            }
-            JobDecision::Stop { job, host, .. } => {
-                Some(state.book.get(&job)?.with_state(JobState::Stopping(host)))
-            }
-            JobDecision::Refuse { job, reason } => {
-                let record = state.book.get(&job)?;
-                Some(record.with_end(JobState::Failed(reason), now_ms))
-            }
-        });
-        changed.extend(decided);
-        changed
-    }
-
     fn workers(
         &self,
         text: &ServiceText,
@@ -405,7 +339,7 @@
 
     /// Orders what the committed rows say, until the platform has answered once.
     async fn order(&self) -> Result<()> {
-        let mut due = self.due_orders();
+        let mut due = self.state.borrow().due_orders();
         due.truncate(ORDER_LIMIT);
         if due.is_empty() {
             return Ok(());
@@ -425,98 +359,4 @@
             Err(error) => Err(error),
         }
     }
-
-    fn due_orders(&self) -> Vec<(TaskOrder, JobState)> {
-        let state = self.state.borrow();
-        let due = state.book.records().filter_map(|record| {
-            let host = record.state.host()?.clone();
-            if state.ordered.get(&record.task()) == Some(&record.state) {
-                return None;
-            }
-            let action = match (&record.state, record.spec.checkpoints) {
-                (JobState::Placed(_), _) => TaskAction::Start(TaskStart {
-                    size: state.follower.size(record),
-                    work: record.spec.work.clone(),
-                    resume_ms: record.saved_ms,
-                    lease: TASK_LEASE.to_owned(),
-                }),
-                (_, true) if !record.cancelled => TaskAction::Checkpoint,
-                _ => TaskAction::Stop,
-            };
-            let task = record.task();
-            let order = TaskOrder { task, host, action };
-            Some((order, record.state.clone()))
-        });
-        due.collect()
-    }
-}
-
-impl ControllerState {
-    fn waiting(&self, record: &JobRecord) -> WaitingJob {
-        let spec = &record.spec;
-        WaitingJob {
-            id: record.id.clone(),
-            team: spec.team.clone(),
-            service: spec.service.clone(),
-            size: self.follower.size(record),
-            run_ms: self.follower.run_ms(spec).saturating_sub(record.saved_ms),
-            deadline_ms: spec.deadline_ms,
-            urgent: spec.urgent,
-            can_move: record.can_move(),
-            avoided: record.failed_on.clone(),
-        }
-    }
-
-    fn task(&self, record: &JobRecord, now_ms: u64) -> Option<TaskView> {
-        let ran_ms = now_ms.saturating_sub(record.placed_ms);
-        let spec = &record.spec;
-        Some(TaskView {
-            job: record.id.clone(),
-            host: record.state.host()?.clone(),
-            team: spec.team.clone(),
-            size: self.follower.size(record),
-            urgent: spec.urgent,
-            stopping: matches!(record.state, JobState::Stopping(_)),
-            loss_ms: match (spec.checkpoints, spec.repeatable) {
-                (true, _) => Some(CHECKPOINT_LOSS_MS),
-                (false, true) => Some(ran_ms),
-                (false, false) => None,
-            },
-        })
-    }
-}
-
-/// Returns what becomes of a job that is to be cancelled.
-fn cancel(record: &JobRecord, now_ms: u64) -> Option<JobRecord> {
-    if !record.cancelled {
-        return None;
-    }
-    match &record.state {
-        JobState::Waiting => Some(record.with_end(JobState::Cancelled, now_ms)),
-        JobState::Placed(host) => Some(record.with_state(JobState::Stopping(host.clone()))),
-        _ => None,
-    }
-}
-
-/// Returns what becomes of a job on a host that is to be stopped or moved.
-///
-/// A job that can save its progress does so. One that can only be repeated may
-/// finish if that takes not long; one that can do neither always may.
-fn drain(
-    record: &JobRecord,
-    placement: &Placement,
-    follower: &TaskFollower,
-    now_ms: u64,
-) -> Option<JobRecord> {
-    let JobState::Placed(host) = &record.state else {
-        return None;
-    };
-    if !placement.is_closed(host) {
-        return None;
-    }
-    let ran_ms = now_ms.saturating_sub(record.placed_ms) + record.saved_ms;
-    let left_ms = follower.run_ms(&record.spec).saturating_sub(ran_ms);
-    let long = record.spec.repeatable && left_ms > DRAIN_PATIENCE_MS;
-    let stops = record.spec.checkpoints || long;
-    stops.then(|| record.with_state(JobState::Stopping(host.clone())))
 }
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a job, beyond every process.
 
+mod controller_state;
 mod fault_judge;
 mod host_jobs;
 mod job_book;
@@ -18,6 +19,7 @@
 pub use fault_judge::WorkerTrust;
 pub use host_jobs::host_jobs_key;
 pub(crate) use host_jobs::jobs_on;
+pub(crate) use host_jobs::HostJobs;
 pub use host_jobs::HOST_JOBS_PREFIX;
 pub use job_controller::JobActivity;
 pub use job_controller::JobController;
--- a/src/process/daemon_settings.rs
+++ b/src/process/daemon_settings.rs
@@ -4,15 +4,14 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use log::LevelFilter;
-use toml::de::DeTable;
-
 use crate::error::Error;
 use crate::error::Result;
 use crate::finding::FindingList;
 use crate::id::DataCentreId;
 use crate::id::EntryId;
+use crate::toml_reader::open_toml;
 use crate::toml_reader::TableReader;
+use log::LevelFilter;
 
 const DEFAULT_OPERATOR: &str = "127.0.0.1:7402";
 const DEFAULT_NOTICE_MS: u64 = 2_000;
@@ -103,12 +102,8 @@
     /// Returns every finding, with its place.
     pub fn parse(file: &str, source: &str) -> Result<Self> {
         let mut findings = FindingList::new(file);
-        let root = match DeTable::parse(source) {
-            Ok(root) => root,
-            Err(error) => {
-                findings.add(source, error.span().unwrap_or(0..0), error.message());
-                return Err(Error::Findings(findings));
-            }
+        let Some(root) = open_toml(source, &mut findings) else {
+            return Err(Error::Findings(findings));
         };
         let reader = TableReader::new(source, root.get_ref(), root.span());
         let settings = read_settings(reader, source, &mut findings);
--- a/src/toml_reader.rs
+++ b/src/toml_reader.rs
@@ -28,6 +28,15 @@
     known: BTreeSet<&'static str>,
 }
 
+/// Opens a TOML text; one that is no TOML becomes a finding.
+pub fn open_toml<'t>(source: &'t str, findings: &mut FindingList) -> Option<Spanned<DeTable<'t>>> {
+    let opened = DeTable::parse(source);
+    let find = |error: &toml::de::Error| {
+        findings.add(source, error.span().unwrap_or(0..0), error.message());
+    };
+    opened.inspect_err(find).ok()
+}
+
 impl<'t> TableReader<'t> {
     /// Creates a reader of `table`, which stands at `span` of `source`.
     pub fn new(source: &'t str, table: &'t DeTable<'t>, span: Range<usize>) -> Self {
--- a/src/version/service_text.rs
+++ b/src/version/service_text.rs
@@ -5,8 +5,6 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use toml::de::DeTable;
-
 use crate::error::Error;
 use crate::error::Result;
 use crate::finding::FindingList;
@@ -17,6 +15,7 @@
 use crate::id::ServiceId;
 use crate::id::TeamId;
 use crate::job::JobSize;
+use crate::toml_reader::open_toml;
 use crate::toml_reader::TableReader;
 use crate::version::Availability;
 use crate::version::DataCentre;
@@ -66,12 +65,8 @@
     /// Returns every finding, with its place.
     pub fn parse(file: &str, source: &str) -> Result<Self> {
         let mut findings = FindingList::new(file);
-        let root = match DeTable::parse(source) {
-            Ok(root) => root,
-            Err(error) => {
-                findings.add(source, error.span().unwrap_or(0..0), error.message());
-                return Err(Error::Findings(findings));
-            }
+        let Some(root) = open_toml(source, &mut findings) else {
+            return Err(Error::Findings(findings));
         };
         let mut reader = TextReader::new(source, &mut findings);
         let text = reader.read(TableReader::new(source, root.get_ref(), root.span()));
--- a/src/wave/host_mover.rs
+++ b/src/wave/host_mover.rs
@@ -133,21 +133,16 @@
         let members = self.state.members();
         let revision = view.placement_revision;
         let answer = ask_members(&self.state, &members, &moving, revision).await;
-        let jobs = self.writer.jobs_on(&answer.drained).await?;
-        let free = answer
-            .drained
-            .iter()
-            .filter(|host| !jobs.contains_key(host));
-        let free = free.collect::<Vec<_>>();
+        let (free, _) = self.writer.split_by_jobs(answer.drained).await?;
         let mut placement = view.placement.clone();
         for host in &free {
-            let Some(held) = view.placement.hosts().get(*host) else {
+            let Some(held) = view.placement.hosts().get(host) else {
                 continue;
             };
             let first = view
                 .text
                 .pool_of_hosts()
-                .get(*host)
+                .get(host)
                 .map(|pool| pool.id.clone());
             let pool = held
                 .moving_to
@@ -159,7 +154,7 @@
                 phase: HostPhase::Active,
                 ..held.clone()
             };
-            placement.set((*host).clone(), moved);
+            placement.set(host.clone(), moved);
         }
         if !free.is_empty() {
             let hosts = free.iter().map(ToString::to_string);
--- a/src/wave/step_writer.rs
+++ b/src/wave/step_writer.rs
@@ -1,16 +1,14 @@
 //! The writing of a controller's steps, fenced by its lease.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use crate::error::Result;
 use crate::id::HostId;
-use crate::id::JobId;
 use crate::id::Revision;
 use crate::job::host_jobs_key;
 use crate::job::jobs_on;
+use crate::job::HostJobs;
 use crate::platform::TableService;
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
@@ -116,17 +114,19 @@
         self.commit(transaction, placement, note).await
     }
 
-    /// Returns the jobs on hosts, leaving out hosts that have none.
+    /// Returns the hosts that have no jobs, and the jobs on the others.
     ///
     /// Once a host is closed no job is placed there any more.
-    pub(super) async fn jobs_on(
+    pub(super) async fn split_by_jobs(
         &self,
-        hosts: &[HostId],
-    ) -> Result<BTreeMap<HostId, BTreeSet<JobId>>> {
-        match hosts.is_empty() {
-            true => Ok(BTreeMap::new()),
-            false => jobs_on(self.platform.as_ref(), hosts).await,
+        hosts: Vec<HostId>,
+    ) -> Result<(Vec<HostId>, HostJobs)> {
+        if hosts.is_empty() {
+            return Ok((hosts, HostJobs::new()));
         }
+        let jobs = jobs_on(self.platform.as_ref(), &hosts).await?;
+        let free = hosts.into_iter().filter(|host| !jobs.contains_key(host));
+        Ok((free.collect(), jobs))
     }
 
     /// Returns a transaction that replaces the placement under the lease and the member set.
--- a/src/wave/wave_controller.rs
+++ b/src/wave/wave_controller.rs
@@ -1,13 +1,11 @@
 //! The progress of waves and moves, driven by the holder of the controller's lease.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use crate::error::Result;
 use crate::id::HostId;
-use crate::id::JobId;
+use crate::job::HostJobs;
 use crate::platform::HostService;
 use crate::platform::TableService;
 use crate::process::now_ms;
@@ -199,21 +197,16 @@
                 .note_waiting(wave, "requests in flight to finish".to_owned())
                 .await;
         }
-        let jobs = self.writer.jobs_on(&answer.drained).await?;
-        let free = answer
-            .drained
-            .iter()
-            .filter(|host| !jobs.contains_key(host));
-        let free = free.collect::<Vec<_>>();
+        let (free, jobs) = self.writer.split_by_jobs(answer.drained).await?;
         if free.is_empty() {
             return self.writer.note_waiting(wave, jobs_reason(&jobs)).await;
         }
         let mut placement = view.placement.clone();
         for host in free {
-            if let Some(held) = view.placement.hosts().get(host) {
+            if let Some(held) = view.placement.hosts().get(&host) {
                 let mut held = held.clone();
                 held.phase = HostPhase::Restarting;
-                placement.set(host.clone(), held);
+                placement.set(host, held);
             }
         }
         let record = wave.record.clone();
@@ -341,7 +334,7 @@
 }
 
 /// Says which jobs hold a wave up.
-fn jobs_reason(jobs: &BTreeMap<HostId, BTreeSet<JobId>>) -> String {
+fn jobs_reason(jobs: &HostJobs) -> String {
     let hosts = jobs.iter().map(|(host, jobs)| {
         let jobs = jobs.iter().map(ToString::to_string);
         format!("{} on {host}", jobs.collect::<Vec<_>>().join(", "))
--- a/tests/common/fake_platform.rs
+++ b/tests/common/fake_platform.rs
@@ -41,6 +41,7 @@
 pub(crate) struct FakePlatform {
     pub(crate) table: FakeTable,
     boots: RefCell<BTreeMap<HostId, u64>>,
+    down: RefCell<BTreeSet<HostId>>,
     tokens: RefCell<BTreeSet<String>>,
     revision: Cell<u64>,
     calls: Cell<u64>,
@@ -71,6 +72,16 @@
         self.boots.borrow().values().copied().collect()
     }
 
+    /// Takes a host down, or brings it up without a restart.
+    pub(crate) fn set_down(&self, host: &str, down: bool) {
+        let host = host.parse().unwrap();
+        match down {
+            true => self.down.borrow_mut().insert(host),
+            false => self.down.borrow_mut().remove(&host),
+        };
+        self.revision.set(self.revision.get() + 1);
+    }
+
     /// Writes a row whatever it was.
     pub(crate) fn store(&self, key: &str, value: &impl Serialize) {
         self.table.store(key, serde_json::to_value(value).unwrap());
@@ -88,7 +99,10 @@
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "east".parse().unwrap(),
             rack: "r1".parse().unwrap(),
-            state: HostState::Live,
+            state: match self.down.borrow().contains(host) {
+                true => HostState::Down,
+                false => HostState::Live,
+            },
             boots: *boots,
         };
         HostChanges {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -48,6 +48,21 @@
         Self { child, lines }
     }
 
+    /// Returns resident memory in kilobytes and processor time in ticks.
+    pub(crate) fn cost(&self) -> (u64, u64) {
+        let id = self.child.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let mut lines = status.lines();
+        let resident = lines.find(|line| line.starts_with("VmRSS")).unwrap();
+        let resident = resident.split_whitespace().nth(1).unwrap().parse().unwrap();
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+        let fields = stat.rsplit(')').next().unwrap().split_whitespace();
+        // User and system time stand 12th and 13th after the program's name.
+        let ticks = fields.skip(11).take(2);
+        let ticks = ticks.map(|ticks| ticks.parse::<u64>().unwrap()).sum();
+        (resident, ticks)
+    }
+
     pub(crate) fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
--- a/tests/controller_steps.rs
+++ b/tests/controller_steps.rs
@@ -72,6 +72,15 @@
     name.parse().unwrap()
 }
 
+fn identity(name: &str, incarnation: u64) -> EntryIdentity {
+    EntryIdentity {
+        entry: name.parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        data_centre: "east".parse().unwrap(),
+        peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+    }
+}
+
 /// An entry host that is the only member and may hold the controller's lease.
 struct Controller {
     state: Arc<PeerState>,
@@ -81,12 +90,7 @@
 
 impl Controller {
     async fn new(platform: &Rc<FakePlatform>, incarnation: u64) -> Self {
-        let identity = EntryIdentity {
-            entry: "entry-1".parse().unwrap(),
-            incarnation: Incarnation::new(incarnation),
-            data_centre: "east".parse().unwrap(),
-            peer: SocketAddr::from(([127, 0, 0, 1], 1)),
-        };
+        let identity = identity("entry-1", incarnation);
         let member = identity.member(false);
         let set = MemberSet::new().with_member(identity.entry.clone(), member);
         platform.store(FactKind::Members.row_key(), &set);
@@ -220,6 +224,111 @@
     });
 }
 
+/// Looks until the wave's row passes a check.
+async fn look_until(
+    platform: &FakePlatform,
+    controller: &Controller,
+    key: &str,
+    reached: impl Fn(&WaveRecord) -> bool,
+) {
+    for _ in 0..LOOKS {
+        if reached(&wave_in(platform, key)) {
+            return;
+        }
+        assert!(controller.look(platform).await);
+    }
+    panic!("never reached: {:?}", wave_in(platform, key));
+}
+
+/// Changes the wave's row as an operator's call does.
+fn steer(platform: &FakePlatform, key: &str, state: WaveState) {
+    let mut record = wave_in(platform, key);
+    record.state = state;
+    platform.store(key, &record);
+}
+
+#[test]
+fn session_of_hosts_that_fail_after_maintenance() {
+    run(async {
+        let platform = Rc::new(FakePlatform::new(&["h1", "h2", "h3", "h4"]));
+        let key = start_wave(&platform);
+        let controller = Controller::new(&platform, 1).await;
+        look_until(&platform, &controller, &key, |wave| wave.done.len() == 3).await;
+
+        platform.set_down("h1", true);
+        platform.set_down("h2", true);
+        let held = |wave: &WaveRecord| matches!(wave.state, WaveState::Held(_));
+        look_until(&platform, &controller, &key, held).await;
+        let boots = platform.boots();
+        for _ in 0..LOOKS {
+            controller.look(&platform).await;
+        }
+        let later = platform.boots();
+        platform.set_down("h1", false);
+        platform.set_down("h2", false);
+        steer(&platform, &key, WaveState::Running);
+        let over = |wave: &WaveRecord| wave.state == WaveState::Finished;
+        look_until(&platform, &controller, &key, over).await;
+
+        assert_eq!(boots, later);
+        assert_eq!(platform.boots(), [1, 1, 1, 1]);
+        insta::assert_snapshot!(audit_of(&platform));
+    });
+}
+
+#[test]
+fn session_of_a_hold_before_the_stop() {
+    run(async {
+        let platform = Rc::new(FakePlatform::new(&["h1", "h2", "h3", "h4"]));
+        let key = start_wave(&platform);
+        let controller = Controller::new(&platform, 1).await;
+        look_until(&platform, &controller, &key, |wave| wave.stopped.len() == 1).await;
+
+        steer(&platform, &key, WaveState::Held("an operator".to_owned()));
+        for _ in 0..LOOKS {
+            controller.look(&platform).await;
+        }
+        let held = (platform.boots(), placement_in(&platform));
+        steer(&platform, &key, WaveState::Running);
+        let over = |wave: &WaveRecord| wave.state == WaveState::Finished;
+        look_until(&platform, &controller, &key, over).await;
+
+        assert_eq!(held.0, [0, 0, 0, 0]);
+        assert!(held.1.hosts().is_empty());
+        insta::assert_snapshot!(audit_of(&platform));
+    });
+}
+
+#[test]
+fn member_that_joins_before_a_stop_is_asked_as_well() {
+    run(async {
+        let platform = Rc::new(FakePlatform::new(&["h1", "h2", "h3", "h4"]));
+        let key = start_wave(&platform);
+        let controller = Controller::new(&platform, 1).await;
+        look_until(&platform, &controller, &key, |wave| wave.stopped.len() == 1).await;
+        controller.follow(&platform);
+
+        // It joins after the controller has seen the members, before it writes.
+        let joined = identity("entry-2", 1);
+        let set = MemberSet::from_fact(&controller.state.facts.get(FactKind::Members));
+        let set = set.with_member(joined.entry.clone(), joined.member(false));
+        platform.store(FactKind::Members.row_key(), &set);
+        controller.waves.look().await.unwrap();
+        let boots = platform.boots();
+        let phases = placement_in(&platform)
+            .hosts()
+            .values()
+            .map(|held| held.phase)
+            .collect::<Vec<_>>();
+        controller.look(&platform).await;
+
+        assert_eq!(boots, [0, 0, 0, 0]);
+        assert_eq!(phases, [HostPhase::Leaving]);
+        let waits = wave_in(&platform, &key).waiting_for;
+        assert!(waits.contains("entry-2"), "{waits}");
+    });
+}
+
 #[test]
 fn stopped_host_is_restarted_while_another_one_drains() {
     run(async {
