Pace job looks by their cost; split the service text's reader from the text

Cause: a look at 13,000 running jobs plans for milliseconds ten times a second while any job moves, which alone may pass the 1.7% of a core that control may cost. Looks now pause a hundred times as long as planning took, at least 100 ms and at most 700 ms, so that an urgent job that needs two looks still starts in 1.1 s, and nothing is planned while every job runs by the same placement. Ruled out: fewer looks for all (an urgent job needs two).

--- a/benches/jobs.rs
+++ b/benches/jobs.rs
@@ -1,7 +1,8 @@
 //! Placement of jobs over data at the letter's size, and urgent starts with real processes.
 //!
 //! Each policy gets the same seeded arrivals, whose declared sizes and times are
-//! wrong. Run with `cargo bench --bench jobs`; `-- --running` starts processes.
+//! wrong. Run with `cargo bench --bench jobs`; `-- --running` starts
+//! processes, `-- --slopes` measures planning times only.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -487,6 +488,32 @@
     }
 }
 
+/// The time of one look against the number of running jobs, with ten that wait.
+fn running_slope() {
+    for running in [1_000, 4_000, 13_000] {
+        let mut bench = Bench::new(Policy::Declared, arrivals(7));
+        let hosts = workers();
+        for number in 0..running {
+            let run = Run {
+                job: number,
+                host: hosts[number % WORKERS].host.clone(),
+                given: JobSize::new(1, 1_024, 0),
+                began_ms: 0,
+                ends_ms: SPAN_MS,
+                stopping: false,
+            };
+            bench.runs.insert(number, run);
+        }
+        bench.waiting = (running..running + 10).collect();
+        let started = Instant::now();
+        let decisions = bench.decide(0).len();
+        println!(
+            "{running:>6} running, 10 waiting: {decisions} decisions in {:.1} ms",
+            started.elapsed().as_secs_f64() * 1_000.0
+        );
+    }
+}
+
 /// Times from the submission of an urgent job to the platform's start, on full workers.
 fn running() {
     let system = System::start_ready(
@@ -580,6 +607,9 @@
     if std::env::args().any(|argument| argument == "--running") {
         return running();
     }
-    compare();
+    if !std::env::args().any(|argument| argument == "--slopes") {
+        compare();
+    }
     slopes();
+    running_slope();
 }
--- a/benches/requests.rs
+++ b/benches/requests.rs
@@ -1,7 +1,7 @@
 //! Added latency, rate, overload, slots and claims of one and three daemons.
 //!
 //! Daemons and stand-ins are processes of their own. Run with
-//! `cargo bench --bench requests`.
+//! `cargo bench --bench requests`; `-- --silence` measures the silent connections only.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use monoio::LegacyDriver;
 use monoio::RuntimeBuilder;
@@ -24,6 +25,9 @@
 const IDLE_TIME: Duration = Duration::from_secs(10);
 const TICKS_PER_SECOND: f64 = 100.0;
 const SERVICE_MS: f64 = 20.0;
+const SILENCE_CALLERS: usize = 24;
+const SILENCE_TIME: Duration = Duration::from_secs(8);
+const AFFECTED: Duration = Duration::from_millis(300);
 const TWO: [(&str, &str); 2] = [("entry-1", "east"), ("entry-2", "west")];
 
 fn run(plan: &LoadPlan) -> LoadReport {
@@ -130,6 +134,72 @@
     );
 }
 
+/// Load at 90% of capacity, three quarters of it at one of two daemons.
+fn uneven_slots() {
+    let system = System::start_ready(&small_text(), &SERVICE_MS.to_string(), &TWO);
+    let capacity = 32.0 / (SERVICE_MS / 1_000.0);
+    let share = |daemon: usize, part: f64, seed: u64| {
+        let load = plan(&[system.daemons[daemon].callers], capacity * 0.9 * part);
+        load.with_deadline(Duration::from_millis(500))
+            .with_seed(seed)
+    };
+    let (large, small) = (share(0, 0.75, 3), share(1, 0.25, 4));
+    let beside = thread::spawn(move || run(&small));
+    let large = run(&large);
+    let small = beside.join().unwrap();
+    line("three quarters of 90% of capacity", &large);
+    line("one quarter of 90% of capacity", &small);
+    let answered =
+        |report: &LoadReport| report.rate() * report.count("ok") as f64 / report.sent() as f64;
+    let used = (answered(&large) + answered(&small)) / capacity;
+    // With equal static shares the first daemon has half of the slots.
+    println!(
+        "slots used by whole answers: {:.0}% (static equal shares allow {:.0}%)",
+        used * 100.0,
+        (0.5 + 0.9 * 0.25) * 100.0
+    );
+}
+
+/// Every idle connection goes silent at once, under load.
+fn silence() {
+    let system = System::start_ready(&small_text(), "5", &TWO);
+    let started = Instant::now();
+    let targets = [system.daemons[0].callers, system.daemons[1].callers];
+    let callers = (0..SILENCE_CALLERS).map(|caller| {
+        thread::spawn(move || {
+            let mut affected = Vec::new();
+            while started.elapsed() < SILENCE_TIME {
+                let sent = Instant::now();
+                let answer = common::try_call(targets[caller % 2], "GET", "/notices", &[], "");
+                let served = answer.is_some_and(|answer| answer.status == 200);
+                if !served || sent.elapsed() > AFFECTED {
+                    affected.push((sent - started, served));
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+            affected
+        })
+    });
+    let callers = callers.collect::<Vec<_>>();
+    thread::sleep(Duration::from_secs(1));
+    let silenced = started.elapsed();
+    for host in system.backends.keys() {
+        system.backend_faults(host, &json!({ "silence_open": true }));
+    }
+    let affected = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().unwrap());
+    let affected = affected.filter(|(sent, _)| *sent >= silenced);
+    let affected = affected.collect::<Vec<_>>();
+    let last = affected.iter().map(|(sent, _)| *sent - silenced).max();
+    println!(
+        "all connections silent at once: {} requests took over {AFFECTED:?}, {} of them failed, the last was sent {:?} after",
+        affected.len(),
+        affected.iter().filter(|(_, served)| !served).count(),
+        last.unwrap_or_default()
+    );
+}
+
 fn claims() {
     let system = System::start_ready(&small_text(), "1", &TWO);
     let targets = [system.daemons[0].callers, system.daemons[1].callers];
@@ -156,9 +226,14 @@
 }
 
 fn main() {
+    if std::env::args().any(|argument| argument == "--silence") {
+        return silence();
+    }
     added_latency();
     overload();
     slots();
+    uneven_slots();
+    silence();
     claims();
     bad_server();
 }
--- a/src/job/controller_state.rs
+++ b/src/job/controller_state.rs
@@ -42,10 +42,18 @@
     pub(super) inbox_read: Option<Instant>,
     pub(super) renewed: Option<Instant>,
     pub(super) waves_read: Option<Instant>,
+    /// The placement of hosts by which nothing was left to decide while every job ran.
+    pub(super) settled_placement: Option<Revision>,
     pub(super) leaving_soon: BTreeSet<HostId>,
 }
 
 impl ControllerState {
+    /// Tells whether every job runs and none is to be cancelled.
+    pub(super) fn is_settled(&self) -> bool {
+        let mut records = self.book.records();
+        records.all(|record| matches!(record.state, JobState::Placed(_)) && !record.cancelled)
+    }
+
     /// Returns the jobs that change by decisions of this moment.
     pub(super) fn plan(
         &self,
--- a/src/job/job_controller.rs
+++ b/src/job/job_controller.rs
@@ -15,7 +15,6 @@
 use crate::job::controller_state::TASK_LEASE;
 use crate::job::job_book::JobBook;
 use crate::job::JobRecord;
-use crate::job::JobState;
 use crate::job::WorkerView;
 use crate::job::HOST_JOBS_PREFIX;
 use crate::job::INBOX_PREFIX;
@@ -31,6 +30,7 @@
 use crate::process::PeerState;
 use crate::process::Placement;
 use crate::process::RoleLease;
+use crate::version::Fact;
 use crate::version::FactKind;
 use crate::version::HostState;
 use crate::version::PoolRole;
@@ -55,6 +55,14 @@
 /// How long the inbox is left unread when nobody says that there is something.
 const INBOX_LOOK: Duration = Duration::from_secs(5);
 
+const PAUSE_IDLE: Duration = Duration::from_secs(1);
+const PAUSE_RUNNING: Duration = Duration::from_millis(500);
+const PAUSE_MOVING_LEAST: Duration = Duration::from_millis(100);
+/// An urgent job that makes room for itself takes two looks, which must end in 1.1 s.
+const PAUSE_MOVING_MOST: Duration = Duration::from_millis(700);
+/// The part of a core that planning may take, as a divisor.
+const PLAN_DIVISOR: u32 = 100;
+
 /// How soon the next look is worthwhile.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobActivity {
@@ -78,6 +86,7 @@
     lease: Rc<RoleLease<P>>,
     state: RefCell<ControllerState>,
     reload: Cell<bool>,
+    plan_time: Cell<Duration>,
 }
 
 impl<P: TableService + WorkerService> JobController<P> {
@@ -89,6 +98,7 @@
             lease,
             state: RefCell::default(),
             reload: Cell::new(true),
+            plan_time: Cell::new(Duration::ZERO),
         }
     }
 
@@ -117,24 +127,50 @@
         self.commit(ended).await?;
         self.read_waves().await?;
         let placement = self.shared.facts.get(FactKind::Placement);
-        let hosts = Placement::from_fact(&placement);
-        let planned = {
-            let state = self.state.borrow();
-            let workers = self.workers(&text, &hosts, &state);
-            state.plan(&text, &hosts, workers, now_ms())
-        };
-        let some_planned = !planned.is_empty();
-        self.commit_placed(planned, placement.revision).await?;
+        let some_planned = self.decide(&text, &placement).await?;
         self.order().await?;
-        let records = self.state.borrow();
-        let mut records = records.book.records();
-        let runs = |record: &JobRecord| matches!(record.state, JobState::Placed(_));
-        Ok(match some_ended || some_planned || !records.all(runs) {
+        let settled = self.state.borrow().is_settled();
+        Ok(match some_ended || some_planned || !settled {
             true => JobActivity::Moving,
             false => JobActivity::Running,
         })
     }
 
+    /// Decides what becomes of the jobs and returns whether anything does.
+    ///
+    /// Nothing can while every job runs and the placement of hosts is the same.
+    async fn decide(&self, text: &ServiceText, placement: &Fact) -> Result<bool> {
+        let planned = {
+            let mut state = self.state.borrow_mut();
+            if state.is_settled() && state.settled_placement == Some(placement.revision) {
+                return Ok(false);
+            }
+            let hosts = Placement::from_fact(placement);
+            let workers = self.workers(text, &hosts, &state);
+            let started = Instant::now();
+            let planned = state.plan(text, &hosts, workers, now_ms());
+            self.plan_time.set(started.elapsed());
+            let settled = state.is_settled() && planned.is_empty();
+            state.settled_placement = settled.then_some(placement.revision);
+            planned
+        };
+        let some = !planned.is_empty();
+        self.commit_placed(planned, placement.revision).await?;
+        Ok(some)
+    }
+
+    /// Returns the time to the next look that keeps planning to a small part of a core.
+    pub fn pause_after(&self, activity: JobActivity) -> Duration {
+        match activity {
+            JobActivity::Idle => PAUSE_IDLE,
+            JobActivity::Running => PAUSE_RUNNING,
+            JobActivity::Moving => {
+                let pause = self.plan_time.get() * PLAN_DIVISOR;
+                pause.clamp(PAUSE_MOVING_LEAST, PAUSE_MOVING_MOST)
+            }
+        }
+    }
+
     /// Reads every row, since a new epoch began or a change is not settled.
     async fn load(&self, epoch: u64) -> Result<()> {
         let mut book = JobBook::default();
--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -46,9 +46,8 @@
 /// While nothing is under way, waves are looked for at every third look at the lease.
 const IDLE_PASSES: u32 = 3;
 const CONTROL_PAUSE_BUSY: Duration = Duration::from_millis(200);
-const JOB_PAUSE_IDLE: Duration = Duration::from_secs(1);
-const JOB_PAUSE_RUNNING: Duration = Duration::from_millis(500);
-const JOB_PAUSE_MOVING: Duration = Duration::from_millis(100);
+/// The time between two looks at jobs, however often callers change some.
+const JOB_LEAST_PAUSE: Duration = Duration::from_millis(100);
 const MEMBER_PAUSE: Duration = Duration::from_millis(500);
 const LOANS_TIME: Duration = Duration::from_millis(6_500);
 const LEAVE_TIME: Duration = Duration::from_secs(2);
@@ -273,11 +272,10 @@
         while self.shutdown.is_running() {
             // A silent platform is noticed and reported by the look at its rows.
             let activity = self.job_controller.look(woken).await;
-            let time = match activity {
-                Ok(JobActivity::Moving) | Err(_) => JOB_PAUSE_MOVING,
-                Ok(JobActivity::Running) => JOB_PAUSE_RUNNING,
-                Ok(JobActivity::Idle) => JOB_PAUSE_IDLE,
-            };
+            let activity = activity.unwrap_or(JobActivity::Moving);
+            let time = self.job_controller.pause_after(activity);
+            sleep(JOB_LEAST_PAUSE.min(time)).await;
+            let time = time.saturating_sub(JOB_LEAST_PAUSE);
             let paused = Box::pin(pause(time));
             let wake = Box::pin(self.state.jobs_changed());
             woken = matches!(select(paused, wake).await, Either::Right(_));
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -12,6 +12,7 @@
 mod service;
 mod service_text;
 mod team;
+mod text_reader;
 mod weights;
 
 pub use budget::Availability;
--- /dev/null
+++ b/src/version/text_reader.rs
@@ -0,0 +1,370 @@
+//! The reading and checking of a service text's tables.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::ops::Range;
+use std::time::Duration;
+
+use crate::finding::FindingList;
+use crate::id::DataCentreId;
+use crate::id::HostId;
+use crate::id::PoolId;
+use crate::id::RackId;
+use crate::id::ServiceId;
+use crate::id::TeamId;
+use crate::job::JobSize;
+use crate::toml_reader::TableReader;
+use crate::version::Availability;
+use crate::version::DataCentre;
+use crate::version::LossDomain;
+use crate::version::MeasureWeights;
+use crate::version::Pool;
+use crate::version::Rack;
+use crate::version::Service;
+use crate::version::ServiceText;
+use crate::version::Team;
+
+const DEFAULT_WINDOW_HOURS: u64 = 720;
+const DEFAULT_DEADLINE_MS: u64 = 2_000;
+const DEFAULT_CALLER_MS: f64 = 1.0;
+const DEFAULT_LINK_MS: f64 = 1.0;
+const MICROS_PER_MS: f64 = 1_000.0;
+/// The path under which daemons answer callers by themselves.
+const OWN_PATH: &str = "/zincpier";
+const DEFAULT_SLOTS: u32 = 8;
+const DEFAULT_CONNECTIONS: u32 = 64;
+
+/// Reads the tables of a text and remembers where things stand.
+pub(super) struct TextReader<'t, 'f> {
+    source: &'t str,
+    findings: &'f mut FindingList,
+    service_names: BTreeSet<ServiceId>,
+    service_spans: BTreeMap<ServiceId, Range<usize>>,
+    racked: BTreeSet<HostId>,
+    pooled: BTreeSet<HostId>,
+}
+
+impl<'t, 'f> TextReader<'t, 'f> {
+    /// Creates a reader that collects what it finds wrong.
+    pub(super) fn new(source: &'t str, findings: &'f mut FindingList) -> Self {
+        Self {
+            source,
+            findings,
+            service_names: BTreeSet::new(),
+            service_spans: BTreeMap::new(),
+            racked: BTreeSet::new(),
+            pooled: BTreeSet::new(),
+        }
+    }
+
+    /// Reads a whole text; its findings say whether it may be used.
+    pub(super) fn read(&mut self, mut root: TableReader<'t>) -> ServiceText {
+        let deployment = root
+            .required::<String>("deployment", self.findings)
+            .map_or_else(String::new, |placed| placed.value);
+        let link_ms = root.or_default("link_ms", DEFAULT_LINK_MS, self.findings);
+        let weights = self.read_weights(&mut root);
+        let data_centres = self.read_data_centres(&mut root);
+        let services = self.read_services(&mut root);
+        let racks = self.read_racks(&mut root, &data_centres);
+        let pools = self.read_pools(&mut root);
+        let teams = self.read_teams(&mut root);
+        root.finish(self.findings);
+        let text = ServiceText {
+            deployment,
+            link_micros: (link_ms * MICROS_PER_MS) as u64,
+            weights,
+            data_centres,
+            services,
+            pools,
+            racks,
+            teams,
+        };
+        self.check_dependencies(&text);
+        self.check_capacity(&text);
+        text
+    }
+
+    fn read_weights(&mut self, root: &mut TableReader<'t>) -> MeasureWeights {
+        let default = MeasureWeights::default();
+        MeasureWeights {
+            buffer_cost: root.or_default("weight_buffer_cost", default.buffer_cost, self.findings),
+            roll_out: root.or_default("weight_roll_out", default.roll_out, self.findings),
+            moves: root.or_default("weight_moves", default.moves, self.findings),
+        }
+    }
+
+    fn read_data_centres(
+        &mut self,
+        root: &mut TableReader<'t>,
+    ) -> BTreeMap<DataCentreId, DataCentre> {
+        let mut data_centres = BTreeMap::new();
+        for mut table in root.tables("data_centres", self.findings) {
+            let name = table.required::<DataCentreId>("name", self.findings);
+            let region = table.required::<String>("region", self.findings);
+            let caller_ms = table.or_default("caller_ms", DEFAULT_CALLER_MS, self.findings);
+            table.finish(self.findings);
+            let (Some(name), Some(region)) = (name, region) else {
+                continue;
+            };
+            let data_centre = DataCentre {
+                id: name.value.clone(),
+                region: region.value,
+                caller_micros: (caller_ms * MICROS_PER_MS) as u64,
+            };
+            if data_centres.insert(name.value, data_centre).is_some() {
+                self.find(name.span, "this data centre is listed twice");
+            }
+        }
+        data_centres
+    }
+
+    fn read_services(&mut self, root: &mut TableReader<'t>) -> BTreeMap<ServiceId, Service> {
+        let mut services = BTreeMap::new();
+        let mut paths = BTreeSet::new();
+        for table in root.tables("services", self.findings) {
+            let Some((service, span)) = self.read_service(table) else {
+                continue;
+            };
+            if !paths.insert(service.path.clone()) {
+                self.find(span.clone(), "another service has this path");
+            }
+            self.service_spans.insert(service.id.clone(), span.clone());
+            if services.insert(service.id.clone(), service).is_some() {
+                self.find(span, "this service is listed twice");
+            }
+        }
+        if self.service_names.is_empty() {
+            self.find(root.span(), "no service is listed");
+        }
+        services
+    }
+
+    fn read_service(&mut self, mut table: TableReader<'t>) -> Option<(Service, Range<usize>)> {
+        let name = table.required::<ServiceId>("name", self.findings);
+        self.service_names
+            .extend(name.as_ref().map(|name| name.value.clone()));
+        let availability = table.required::<Availability>("availability", self.findings);
+        let path = table.required::<String>("path", self.findings);
+        let depends_on = table.list::<ServiceId>("depends_on", self.findings);
+        let at_most_once = table.list::<String>("at_most_once", self.findings);
+        let urgent = table.list::<String>("urgent", self.findings);
+        let window = table.or_default("window_hours", DEFAULT_WINDOW_HOURS, self.findings);
+        let loss_domain = table.or_default("loss_domain", LossDomain::Rack, self.findings);
+        let deadline = table.or_default("deadline_ms", DEFAULT_DEADLINE_MS, self.findings);
+        let attempt = table.optional::<u64>("attempt_ms", self.findings);
+        let slots = table.or_default("slots", DEFAULT_SLOTS, self.findings);
+        let connections = table.or_default("connections", DEFAULT_CONNECTIONS, self.findings);
+        let echoes = table.or_default("echoes_request_id", true, self.findings);
+        let span = table.span();
+        table.finish(self.findings);
+        if slots == 0 || connections == 0 {
+            self.find(span.clone(), "'slots' and 'connections' are at least 1");
+        }
+        if let Some(path) = path.as_ref().filter(|path| !path.value.starts_with('/')) {
+            self.find(path.span.clone(), "'path' starts with '/'");
+        }
+        if let Some(path) = path
+            .as_ref()
+            .filter(|path| path.value.starts_with(OWN_PATH))
+        {
+            let reason = format!("paths under '{OWN_PATH}' are zincpier's own");
+            self.find(path.span.clone(), reason);
+        }
+        let name = name?;
+        let service = Service {
+            id: name.value,
+            path: path?.value,
+            depends_on: values(depends_on),
+            availability: availability?.value,
+            window: Duration::from_secs(window * 3_600),
+            loss_domain,
+            deadline: Duration::from_millis(deadline),
+            attempt: attempt.map(|placed| Duration::from_millis(placed.value)),
+            at_most_once: values(at_most_once),
+            urgent: values(urgent),
+            slots,
+            connections,
+            echoes_request_id: echoes,
+        };
+        Some((service, name.span))
+    }
+
+    fn read_racks(
+        &mut self,
+        root: &mut TableReader<'t>,
+        data_centres: &BTreeMap<DataCentreId, DataCentre>,
+    ) -> BTreeMap<RackId, Rack> {
+        let mut racks = BTreeMap::new();
+        for mut table in root.tables("racks", self.findings) {
+            let name = table.required::<RackId>("name", self.findings);
+            let data_centre = table.required::<DataCentreId>("data_centre", self.findings);
+            let hosts = table.list::<HostId>("hosts", self.findings);
+            table.finish(self.findings);
+            let (Some(name), Some(data_centre)) = (name, data_centre) else {
+                continue;
+            };
+            if !data_centres.contains_key(&data_centre.value) {
+                self.find(data_centre.span, "no such data centre is listed");
+            }
+            for host in &hosts {
+                if !self.racked.insert(host.value.clone()) {
+                    self.find(host.span.clone(), "this host is in two racks");
+                }
+            }
+            let rack = Rack {
+                id: name.value.clone(),
+                data_centre: data_centre.value,
+                hosts: values(hosts),
+            };
+            if racks.insert(name.value, rack).is_some() {
+                self.find(name.span, "this rack is listed twice");
+            }
+        }
+        racks
+    }
+
+    fn read_pools(&mut self, root: &mut TableReader<'t>) -> BTreeMap<PoolId, Pool> {
+        let mut pools = BTreeMap::new();
+        for mut table in root.tables("pools", self.findings) {
+            let name = table.required::<PoolId>("name", self.findings);
+            let service = table.required::<ServiceId>("service", self.findings);
+            let role = table.required("role", self.findings);
+            let needed = table.required::<usize>("needed", self.findings);
+            let cores = table.or_default("cores", 0, self.findings);
+            let memory_gb = table.or_default("memory_gb", 0, self.findings);
+            let accelerators = table.or_default("accelerators", 0, self.findings);
+            let hosts = table.list::<HostId>("hosts", self.findings);
+            table.finish(self.findings);
+            for host in &hosts {
+                self.check_pooled(host.value.clone(), host.span.clone());
+            }
+            let (Some(name), Some(service), Some(role), Some(needed)) =
+                (name, service, role, needed)
+            else {
+                continue;
+            };
+            if !self.service_names.contains(&service.value) {
+                self.find(service.span, "no such service is listed");
+            }
+            let pool = Pool {
+                id: name.value.clone(),
+                service: service.value,
+                role: role.value,
+                needed: needed.value,
+                cores,
+                memory_gb,
+                accelerators,
+                hosts: values(hosts),
+            };
+            if pools.insert(name.value, pool).is_some() {
+                self.find(name.span, "this pool is listed twice");
+            }
+        }
+        pools
+    }
+
+    fn read_teams(&mut self, root: &mut TableReader<'t>) -> BTreeMap<TeamId, Team> {
+        let mut teams = BTreeMap::new();
+        for mut table in root.tables("teams", self.findings) {
+            let name = table.required::<TeamId>("name", self.findings);
+            let quota = table.required::<JobSize>("quota", self.findings);
+            table.finish(self.findings);
+            let (Some(name), Some(quota)) = (name, quota) else {
+                continue;
+            };
+            let team = Team {
+                id: name.value.clone(),
+                quota: quota.value,
+            };
+            if teams.insert(name.value, team).is_some() {
+                self.find(name.span, "this team is listed twice");
+            }
+        }
+        teams
+    }
+
+    fn check_pooled(&mut self, host: HostId, span: Range<usize>) {
+        if !self.racked.contains(&host) {
+            self.find(span.clone(), "this host is in no rack");
+        }
+        if !self.pooled.insert(host) {
+            self.find(span, "this host is in two pools");
+        }
+    }
+
+    fn check_dependencies(&mut self, text: &ServiceText) {
+        for service in text.services.values() {
+            let span = self.span_of(&service.id);
+            for wanted in &service.depends_on {
+                if !self.service_names.contains(wanted) {
+                    self.find(
+                        span.clone(),
+                        format!("it depends on '{wanted}', which is not listed"),
+                    );
+                }
+            }
+            let cyclic = service
+                .depends_on
+                .iter()
+                .any(|wanted| text.dependants_of(&service.id).contains(wanted));
+            if cyclic {
+                self.find(
+                    span,
+                    format!("'{}' depends on itself, directly or not", service.id),
+                );
+            }
+        }
+    }
+
+    fn check_capacity(&mut self, text: &ServiceText) {
+        let racks = text.rack_of_hosts();
+        for service in text.services.values() {
+            let span = self.span_of(&service.id);
+            let pools = text
+                .pools
+                .values()
+                .filter(|pool| pool.service == service.id);
+            let mut pooled = false;
+            for pool in pools {
+                pooled = true;
+                let left = pool.hosts.len() - largest_domain(pool, service.loss_domain, &racks);
+                if left < pool.needed {
+                    let reason = format!(
+                        "the budget of '{}' cannot be met: pool '{}' needs {} hosts and has {left} after the loss of one {}",
+                        service.id, pool.id, pool.needed, service.loss_domain
+                    );
+                    self.find(span.clone(), reason);
+                }
+            }
+            if !pooled {
+                self.find(span, format!("'{}' has no pool", service.id));
+            }
+        }
+    }
+
+    fn span_of(&self, service: &ServiceId) -> Range<usize> {
+        self.service_spans.get(service).cloned().unwrap_or(0..0)
+    }
+
+    fn find(&mut self, span: Range<usize>, reason: impl Into<String>) {
+        self.findings.add(self.source, span, reason);
+    }
+}
+
+/// Returns the number of the pool's hosts in the domain that holds the most of them.
+fn largest_domain(pool: &Pool, domain: LossDomain, racks: &BTreeMap<&HostId, &Rack>) -> usize {
+    let mut counts = BTreeMap::<&str, usize>::new();
+    for rack in pool.hosts.iter().filter_map(|host| racks.get(host)) {
+        let name = match domain {
+            LossDomain::Rack => rack.id.as_str(),
+            LossDomain::DataCentre => rack.data_centre.as_str(),
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts.into_values().max().unwrap_or(0)
+}
+
+fn values<T>(placed: Vec<crate::toml_reader::Placed<T>>) -> Vec<T> {
+    placed.into_iter().map(|item| item.value).collect()
+}
