Tell peers at once that a member keeps within a new set

Cause: since the first member of a data centre waits for the others, its servers' slots stayed unused until the next heartbeats, up to a second or two; the load that started then was refused. Conclusion: a member's settling now beats like a new fact.

--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -34,6 +34,7 @@
 
 use crate::fleet::FleetNeed;
 
+const SEEDS: [u64; 3] = [11, 12, 13];
 const SLOT: Duration = Duration::from_secs(300);
 const SLOTS_PER_DAY: usize = 288;
 const STEP_SLOTS: usize = 3;
@@ -353,13 +354,17 @@
     );
 }
 
-fn main() {
-    let seed = 11;
-    println!("two weeks, every host maintained once, seed {seed}");
+fn head(title: &str) {
+    println!("{title}");
     println!(
         "{:<26} {:>5} {:>9} {:>14} {:>7} {:>10} {:>9} {:>12}",
         "policy", "hosts", "buffer", "roll-out", "moves", "violations", "most used", "longest step"
     );
+}
+
+/// Every policy over a generated fleet of the letter's size.
+fn generated(seed: u64) {
+    head(&format!("generated, two weeks, seed {seed}"));
     let need = FleetNeed::letter();
     let rates = fleet::letter_rates();
     for (name, weights) in [
@@ -370,21 +375,42 @@
         print(name, &Run::new(&text, Policy::Shared).run(seed));
     }
     let fixed = need.with_fixed_spare(2);
-    print(
-        "fixed spare in each pool",
-        &Run::new(&fixed, Policy::FixedSpare).run(seed),
-    );
     let shared = need.with_shared_spare(&rates, &MeasureWeights::default());
-    print(
-        "shared, equal weights",
-        &Run::new(&shared, Policy::Shared).run(seed),
-    );
-    print(
-        "one host at a time",
-        &Run::new(&fixed, Policy::OneAtATime).run(seed),
-    );
-    print(
-        "assignment from scratch",
-        &Run::new(&shared, Policy::FromScratch).run(seed),
-    );
+    for (name, text, policy) in [
+        ("fixed spare in each pool", &fixed, Policy::FixedSpare),
+        ("shared, equal weights", &shared, Policy::Shared),
+        ("one host at a time", &fixed, Policy::OneAtATime),
+        ("assignment from scratch", &shared, Policy::FromScratch),
+    ] {
+        print(name, &Run::new(text, policy).run(seed));
+    }
+}
+
+/// The policies over the hosts that an example lists.
+fn example(name: &str, source: &str, seed: u64) {
+    head(&format!("{name}, two weeks, seed {seed}"));
+    let text = ServiceText::parse(name, source).unwrap();
+    for (name, policy) in [
+        ("shared", Policy::Shared),
+        ("fixed spare in each pool", Policy::FixedSpare),
+        ("one host at a time", Policy::OneAtATime),
+        ("assignment from scratch", Policy::FromScratch),
+    ] {
+        print(name, &Run::new(&text, policy).run(seed));
+    }
+}
+
+fn main() {
+    for seed in SEEDS {
+        generated(seed);
+    }
+    for seed in SEEDS {
+        let granite_bay = include_str!("../examples/granite-bay.toml");
+        example("examples/granite-bay.toml", granite_bay, seed);
+        example(
+            "examples/guild.toml",
+            include_str!("../examples/guild.toml"),
+            seed,
+        );
+    }
 }
--- a/src/process/peer_state.rs
+++ b/src/process/peer_state.rs
@@ -202,9 +202,12 @@
         Revision::new(self.settled.load(Ordering::Acquire))
     }
 
-    /// Notes that this entry host keeps within the shares of a member set.
+    /// Notes that this entry host keeps within the shares of a member set, and tells peers.
     pub fn settle(&self, revision: Revision) {
-        self.settled.fetch_max(revision.get(), Ordering::AcqRel);
+        let before = self.settled.fetch_max(revision.get(), Ordering::AcqRel);
+        if before < revision.get() {
+            self.facts.touch();
+        }
     }
 
     /// Returns the revision of the service text that requests are routed by.
--- /dev/null
+++ b/src/request/claim_answerer.rs
@@ -0,0 +1,104 @@
+//! Answers to requests whose idempotency key is claimed already.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+
+use crate::platform::ObjectService;
+use crate::platform::TableService;
+use crate::process::DaemonMetrics;
+use crate::process::PeerState;
+use crate::request::refusal::Refusal;
+use crate::request::refusal::COME_BACK;
+use crate::request::AnswerOutcome;
+use crate::request::ClaimKeeper;
+use crate::request::ClaimRow;
+use crate::request::ClaimState;
+
+/// When to come back while the same request is running.
+const COME_BACK_RUNNING: Duration = Duration::from_secs(1);
+
+/// Answers a request by the claim that another attempt holds.
+pub(super) struct ClaimAnswerer<P> {
+    state: Arc<PeerState>,
+    claims: Rc<ClaimKeeper<P>>,
+    metrics: Rc<DaemonMetrics>,
+}
+
+impl<P: ObjectService + TableService> ClaimAnswerer<P> {
+    /// Creates an answerer that reads stored answers through `claims`.
+    pub(super) fn new(
+        state: Arc<PeerState>,
+        claims: Rc<ClaimKeeper<P>>,
+        metrics: Rc<DaemonMetrics>,
+    ) -> Self {
+        Self {
+            state,
+            claims,
+            metrics,
+        }
+    }
+
+    /// Answers a request whose key another attempt has claimed.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal unless the request has finished and its answer can be had.
+    pub(super) async fn answer(
+        &self,
+        own: &ClaimRow,
+        held: ClaimRow,
+    ) -> Result<Response<Bytes>, Refusal> {
+        if held.fingerprint != own.fingerprint {
+            return Err(Refusal {
+                retry_after: None,
+                ..Refusal::not_run(
+                    StatusCode::UNPROCESSABLE_ENTITY,
+                    "the idempotency key was used for another request",
+                )
+            });
+        }
+        let ClaimState::Finished(stored) = &held.state else {
+            return Err(self.answer_running(&held));
+        };
+        self.metrics.count_event("stored_answer");
+        let stored = self.claims.stored_answer(stored).await;
+        stored.ok_or_else(|| {
+            let reason = "the request has run, its answer cannot be read now";
+            Refusal {
+                retry_after: Some(COME_BACK),
+                ..Refusal::unknown(StatusCode::SERVICE_UNAVAILABLE, reason)
+            }
+        })
+    }
+
+    /// Says what is known of a request that has not finished.
+    fn answer_running(&self, held: &ClaimRow) -> Refusal {
+        let own = &self.state.identity;
+        let running = match held.entry == own.entry {
+            true => held.incarnation == own.incarnation,
+            false => self.is_member_run(held),
+        };
+        if running {
+            return Refusal {
+                status: StatusCode::CONFLICT,
+                outcome: AnswerOutcome::InProgress,
+                reason: "a request with this key is running".to_owned(),
+                retry_after: Some(COME_BACK_RUNNING),
+            };
+        }
+        let reason = "the entry host that ran a request with this key is gone";
+        Refusal::unknown(StatusCode::CONFLICT, reason)
+    }
+
+    /// Tells whether the run that made a claim is still a member.
+    fn is_member_run(&self, held: &ClaimRow) -> bool {
+        let members = self.state.members();
+        let owner = members.get(&held.entry);
+        owner.is_some_and(|owner| !owner.lost && owner.incarnation == held.incarnation)
+    }
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_outcome;
 mod claim;
+mod claim_answerer;
 mod claim_keeper;
 pub mod header;
 mod problem;
--- a/src/request/request_router.rs
+++ b/src/request/request_router.rs
@@ -29,10 +29,10 @@
 use crate::process::FreezeGuard;
 use crate::process::PeerState;
 use crate::process::RetryBudget;
+use crate::request::claim_answerer::ClaimAnswerer;
 use crate::request::header;
 use crate::request::problem_response;
 use crate::request::refusal::Refusal;
-use crate::request::refusal::COME_BACK;
 use crate::request::request_fingerprint;
 use crate::request::slot_dispatcher::SlotGrant;
 use crate::request::AnswerOutcome;
@@ -51,13 +51,12 @@
 const MOST_ATTEMPTS: u32 = 3;
 /// The time that a claim may take.
 const CLAIM_TIME: Duration = Duration::from_secs(1);
-/// When to come back while the same request is running.
-const COME_BACK_RUNNING: Duration = Duration::from_secs(1);
 
 /// Routes requests to backend servers within slots, deadlines and budgets.
 pub struct RequestRouter<P> {
     state: Arc<PeerState>,
     claims: Rc<ClaimKeeper<P>>,
+    answerer: ClaimAnswerer<P>,
     metrics: Rc<DaemonMetrics>,
     guard: Rc<FreezeGuard>,
     limits: MessageLimits,
@@ -83,9 +82,12 @@
             queue_limit,
             seed,
         );
+        let answerer =
+            ClaimAnswerer::new(Arc::clone(&state), Rc::clone(&claims), Rc::clone(&metrics));
         Self {
             state,
             claims,
+            answerer,
             metrics,
             guard,
             limits: MessageLimits::default(),
@@ -182,7 +184,7 @@
         let deadline = meta.deadline.min(Instant::now() + CLAIM_TIME);
         let revision = match self.claims.claim(key, &row, deadline).await {
             ClaimOutcome::Granted(revision) => revision,
-            ClaimOutcome::Held(held) => return self.answer_held(&row, held).await,
+            ClaimOutcome::Held(held) => return self.answerer.answer(&row, held).await,
             ClaimOutcome::Unavailable => {
                 let reason = "the platform cannot record the request now";
                 return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason));
@@ -199,60 +201,6 @@
         answer
     }
 
-    /// Answers a request whose key another attempt has claimed.
-    async fn answer_held(
-        &self,
-        own: &ClaimRow,
-        held: ClaimRow,
-    ) -> Result<Response<Bytes>, Refusal> {
-        if held.fingerprint != own.fingerprint {
-            return Err(Refusal {
-                retry_after: None,
-                ..Refusal::not_run(
-                    StatusCode::UNPROCESSABLE_ENTITY,
-                    "the idempotency key was used for another request",
-                )
-            });
-        }
-        let ClaimState::Finished(stored) = &held.state else {
-            return Err(self.answer_running(&held));
-        };
-        self.metrics.count_event("stored_answer");
-        let stored = self.claims.stored_answer(stored).await;
-        stored.ok_or_else(|| {
-            let reason = "the request has run, its answer cannot be read now";
-            Refusal {
-                retry_after: Some(COME_BACK),
-                ..Refusal::unknown(StatusCode::SERVICE_UNAVAILABLE, reason)
-            }
-        })
-    }
-
-    fn answer_running(&self, held: &ClaimRow) -> Refusal {
-        let own = &self.state.identity;
-        let running = match held.entry == own.entry {
-            true => held.incarnation == own.incarnation,
-            false => self.is_member_run(held),
-        };
-        if running {
-            return Refusal {
-                status: StatusCode::CONFLICT,
-                outcome: AnswerOutcome::InProgress,
-                reason: "a request with this key is running".to_owned(),
-                retry_after: Some(COME_BACK_RUNNING),
-            };
-        }
-        let reason = "the entry host that ran a request with this key is gone";
-        Refusal::unknown(StatusCode::CONFLICT, reason)
-    }
-
-    /// Tells whether the run that made a claim is still a member.
-    fn is_member_run(&self, held: &ClaimRow) -> bool {
-        let members = self.state.members();
-        let owner = members.get(&held.entry);
-        owner.is_some_and(|owner| !owner.lost && owner.incarnation == held.incarnation)
-    }
-
     /// Sends a request until an answer is whole or no further attempt is allowed.
     async fn attempt(
         &self,
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -26,6 +26,7 @@
 use zincpier::process::EntryIdentity;
 use zincpier::process::MemberSet;
 use zincpier::process::MemberTracker;
+use zincpier::process::PeerState;
 use zincpier::process::RoleLease;
 use zincpier::process::ShareKeeper;
 use zincpier::process::SharedServer;
@@ -349,6 +350,22 @@
     assert_eq!(shares, [0, SLOTS]);
 }
 
+#[test]
+fn peers_are_told_at_once_that_a_member_keeps_within_a_set() {
+    let (state, _) = PeerState::new(identity("a", "east"));
+    let mut changes = state.facts.subscribe();
+    changes.borrow_and_update();
+
+    state.settle(Revision::new(3));
+    let told = changes.has_changed().unwrap();
+    changes.borrow_and_update();
+    state.settle(Revision::new(3));
+    let told_again = changes.has_changed().unwrap();
+
+    assert!(told);
+    assert!(!told_again);
+}
+
 #[test]
 fn member_without_a_sign_falls_back_to_its_reserve() {
     let start = Instant::now();
