--- a/src/job/controller_state.rs
+++ b/src/job/controller_state.rs
@@ -54,6 +54,12 @@
         records.all(|record| matches!(record.state, JobState::Placed(_)) && !record.cancelled)
     }
 
+    /// Tells whether any job is being stopped.
+    pub(super) fn has_stopping(&self) -> bool {
+        let mut records = self.book.records();
+        records.any(|record| matches!(record.state, JobState::Stopping(_)))
+    }
+
     /// Returns the jobs that change by decisions of this moment.
     pub(super) fn plan(
         &self,
--- a/src/job/job_controller.rs
+++ b/src/job/job_controller.rs
@@ -56,7 +56,7 @@
 const INBOX_LOOK: Duration = Duration::from_secs(5);
 
 const PAUSE_IDLE: Duration = Duration::from_secs(1);
-const PAUSE_RUNNING: Duration = Duration::from_millis(500);
+const PAUSE_RUNNING: Duration = Duration::from_secs(1);
 const PAUSE_MOVING_LEAST: Duration = Duration::from_millis(100);
 /// An urgent job that makes room for itself takes two looks, which must end in 1.1 s.
 const PAUSE_MOVING_MOST: Duration = Duration::from_millis(700);
@@ -68,9 +68,9 @@
 pub enum JobActivity {
     /// No job is known.
     Idle,
-    /// Every job runs.
+    /// Jobs run or wait, and nothing has just changed.
     Running,
-    /// Some job waits, is being started or is being stopped.
+    /// Some job has just been placed or has ended, or is being started or stopped.
     Moving,
 }
 
@@ -128,12 +128,14 @@
         self.read_waves().await?;
         let placement = self.shared.facts.get(FactKind::Placement);
         let some_planned = self.decide(&text, &placement).await?;
-        self.order().await?;
-        let settled = self.state.borrow().is_settled();
-        Ok(match some_ended || some_planned || !settled {
-            true => JobActivity::Moving,
-            false => JobActivity::Running,
-        })
+        let all_ordered = self.order().await?;
+        let stopping = self.state.borrow().has_stopping();
+        Ok(
+            match some_ended || some_planned || stopping || !all_ordered {
+                true => JobActivity::Moving,
+                false => JobActivity::Running,
+            },
+        )
     }
 
     /// Decides what becomes of the jobs and returns whether anything does.
@@ -374,11 +376,14 @@
     }
 
     /// Orders what the committed rows say, until the platform has answered once.
-    async fn order(&self) -> Result<()> {
+    ///
+    /// Returns whether it has answered all.
+    async fn order(&self) -> Result<bool> {
         let mut due = self.state.borrow().due_orders();
+        let all = due.len() <= ORDER_LIMIT;
         due.truncate(ORDER_LIMIT);
         if due.is_empty() {
-            return Ok(());
+            return Ok(true);
         }
         let orders = due.iter().map(|(order, _)| order.clone());
         let answered = self.platform.order_tasks(&orders.collect::<Vec<_>>()).await;
@@ -386,11 +391,11 @@
             Ok(()) => {
                 let ordered = due.into_iter().map(|(order, state)| (order.task, state));
                 self.state.borrow_mut().ordered.extend(ordered);
-                Ok(())
+                Ok(all)
             }
             Err(Error::PlatformSilent(reason)) => {
                 log::debug!(target: "zincpier::jobs", "orders are repeated: {reason}");
-                Ok(())
+                Ok(false)
             }
             Err(error) => Err(error),
         }
