Split the operators' calls and the router; test a text that cannot be parsed

A row that holds no service text is neither reported in force nor served by: the two daemons go on with the text before (the case had no test; nothing had to change).

--- a/src/operator/control_api.rs
+++ b/src/operator/control_api.rs
@@ -25,6 +25,11 @@
 use crate::operator::api::header_text;
 use crate::operator::api::json_response;
 use crate::operator::api::WHO_HEADER;
+use crate::operator::change_error::decode;
+use crate::operator::change_error::refused;
+use crate::operator::change_error::ChangeError;
+use crate::operator::change_error::ChangeResult;
+use crate::operator::wave_order::WaveOrder;
 use crate::operator::BudgetStatus;
 use crate::operator::HostStatus;
 use crate::platform::RowCheck;
@@ -49,7 +54,6 @@
 use crate::wave::ServiceBudget;
 use crate::wave::WaveRecord;
 use crate::wave::WaveScope;
-use crate::wave::WaveState;
 use crate::wave::BUDGET_PREFIX;
 use crate::wave::WAVE_PREFIX;
 
@@ -69,28 +73,6 @@
     pool: PoolId,
 }
 
-/// What an operator wants of a wave that has started.
-#[derive(Clone, Copy, Debug)]
-enum WaveOrder {
-    Hold,
-    Resume,
-    Abort,
-}
-
-/// Why a change was not made.
-enum ChangeError {
-    /// The change makes no sense as things stand.
-    Refused(StatusCode, String),
-    /// The platform did not answer.
-    Failed(Error),
-}
-
-impl From<Error> for ChangeError {
-    fn from(error: Error) -> Self {
-        Self::Failed(error)
-    }
-}
-
 /// Answers the calls that steer the fleet.
 pub(crate) struct ControlApi {
     parts: Rc<DaemonParts>,
@@ -210,11 +192,7 @@
         Ok(json_response(&preview_wave(&view, &book, scope)))
     }
 
-    async fn start(
-        &self,
-        who: &str,
-        body: &Bytes,
-    ) -> std::result::Result<Response<Bytes>, ChangeError> {
+    async fn start(&self, who: &str, body: &Bytes) -> ChangeResult<Response<Bytes>> {
         let order = decode::<StartOrder>(body)?;
         let scope = order
             .scope
@@ -261,7 +239,7 @@
         who: &str,
         wave: &str,
         order: WaveOrder,
-    ) -> std::result::Result<Response<Bytes>, ChangeError> {
+    ) -> ChangeResult<Response<Bytes>> {
         let key = format!("{WAVE_PREFIX}{wave}");
         for _ in 0..CHANGE_TRIES {
             let rows = self.parts.platform.read(&[&key]).await?;
@@ -271,7 +249,7 @@
             };
             let mut record = serde_json::from_value::<WaveRecord>(row.value)
                 .map_err(|error| refused(&error.to_string()))?;
-            let (action, state) = steered(&record, order)?;
+            let (action, state) = order.apply_to(&record)?;
             let mut note = self.note(who, action, wave.to_owned());
             note.before = record.state.to_string();
             note.after = state.to_string();
@@ -297,7 +275,7 @@
         who: &str,
         host: &str,
         body: &Bytes,
-    ) -> std::result::Result<Response<Bytes>, ChangeError> {
+    ) -> ChangeResult<Response<Bytes>> {
         let order = decode::<MoveOrder>(body)?;
         let host = host
             .parse::<HostId>()
@@ -336,11 +314,7 @@
         ))
     }
 
-    async fn forget(
-        &self,
-        who: &str,
-        entry: &str,
-    ) -> std::result::Result<Response<Bytes>, ChangeError> {
+    async fn forget(&self, who: &str, entry: &str) -> ChangeResult<Response<Bytes>> {
         let entry = entry
             .parse::<EntryId>()
             .map_err(|error| refused(&error.to_string()))?;
@@ -367,11 +341,7 @@
         Ok(json_response(&json!({ "entry": entry })))
     }
 
-    async fn commit(
-        &self,
-        transaction: Transaction,
-        note: AuditNote,
-    ) -> std::result::Result<Revision, ChangeError> {
+    async fn commit(&self, transaction: Transaction, note: AuditNote) -> ChangeResult<Revision> {
         match self.parts.audit.commit(transaction, note).await? {
             TransactionOutcome::Committed(revision) => Ok(revision),
             TransactionOutcome::Conflict(_) => Err(refused("another change came first")),
@@ -410,27 +380,3 @@
         Ok(FleetView::from_facts(&text, &placement, &hosts))
     }
 }
-
-/// Returns the audit action and the state that an order leads to.
-fn steered(
-    record: &WaveRecord,
-    order: WaveOrder,
-) -> std::result::Result<(&'static str, WaveState), ChangeError> {
-    if record.state.is_over() {
-        return Err(refused(&format!("the wave is {}", record.state)));
-    }
-    Ok(match order {
-        WaveOrder::Hold => ("wave hold", WaveState::Held("by an operator".to_owned())),
-        WaveOrder::Resume => ("wave resume", WaveState::Running),
-        WaveOrder::Abort => ("wave abort", WaveState::Aborted),
-    })
-}
-
-fn decode<T: for<'de> Deserialize<'de>>(body: &Bytes) -> std::result::Result<T, ChangeError> {
-    serde_json::from_slice(body)
-        .map_err(|error| ChangeError::Refused(StatusCode::BAD_REQUEST, error.to_string()))
-}
-
-fn refused(reason: &str) -> ChangeError {
-    ChangeError::Refused(StatusCode::CONFLICT, reason.to_owned())
-}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod caller_api;
+mod change_error;
 mod client;
 mod control_api;
 mod demo;
@@ -11,6 +12,7 @@
 mod load_report;
 mod status_report;
 mod text_fact;
+mod wave_order;
 
 pub use api::OperatorApi;
 pub use api::TOKEN_HEADER;
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use http::StatusCode;
 
+use crate::connection::ExchangeError;
 use crate::request::refusal_response;
 use crate::request::AnswerOutcome;
 
@@ -38,6 +39,19 @@
         }
     }
 
+    /// Refuses a request whose last attempt failed; `ran` says whether any may have run.
+    pub(super) fn failed(error: &ExchangeError, ran: bool) -> Self {
+        let status = match error {
+            ExchangeError::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            ExchangeError::Paused => StatusCode::SERVICE_UNAVAILABLE,
+            ExchangeError::NotConnected(_) | ExchangeError::NotWhole(_) => StatusCode::BAD_GATEWAY,
+        };
+        match ran {
+            true => Self::unknown(status, error.to_string()),
+            false => Self::not_run(status, error.to_string()),
+        }
+    }
+
     pub(super) fn into_response(self) -> Response<Bytes> {
         refusal_response(self.status, self.outcome, &self.reason, self.retry_after)
     }
--- a/src/request/request_router.rs
+++ b/src/request/request_router.rs
@@ -248,7 +248,7 @@
             }
             return match failure {
                 Err(answer) => Ok(answer),
-                Ok(error) => Err(failed(&error, ran)),
+                Ok(error) => Err(Refusal::failed(&error, ran)),
             };
         }
         unreachable!("attempts end by their limit")
@@ -389,15 +389,3 @@
     }
     sent
 }
-
-fn failed(error: &ExchangeError, ran: bool) -> Refusal {
-    let status = match error {
-        ExchangeError::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-        ExchangeError::Paused => StatusCode::SERVICE_UNAVAILABLE,
-        ExchangeError::NotConnected(_) | ExchangeError::NotWhole(_) => StatusCode::BAD_GATEWAY,
-    };
-    if ran {
-        return Refusal::unknown(status, error.to_string());
-    }
-    Refusal::not_run(status, error.to_string())
-}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -5,6 +5,10 @@
 use std::fs;
 use std::path::Path;
 
+use serde_json::json;
+
+use zincpier::version::FactKind;
+
 use crate::common::call;
 use crate::common::small_text;
 use crate::common::System;
@@ -176,6 +180,39 @@
     assert_eq!(ended.code(), Some(0));
 }
 
+#[test]
+fn text_that_cannot_be_parsed_is_not_reported_in_force() {
+    let names = [("entry-1", "east"), ("entry-2", "west")];
+    let system = System::start_ready(&small_text(), "1", &names);
+    let in_force = |daemon: usize| system.daemons[daemon].status()["text_in_force"].clone();
+    let shown = |daemon: usize| {
+        let answer = call(system.daemons[daemon].operators, "GET", "/text", &[], "");
+        answer.header("zincpier-replaces").to_owned()
+    };
+    let (held, before) = (in_force(0), shown(1));
+
+    // Nobody but a faulty tool writes such a row, since an applied text is checked.
+    let write =
+        json!({ "key": FactKind::Text.row_key(), "value": { "source": "no = [", "who": "" } });
+    let order = json!({ "checks": [], "writes": [write] }).to_string();
+    let written = call(system.platform, "POST", "/table/transact", &[], &order);
+    common::wait_for("both have the row", || {
+        (0..2).all(|daemon| shown(daemon) != before)
+    });
+    let statuses = (0..4).map(|number| system.daemons[number % 2].get("/notices").status);
+    let statuses = statuses.collect::<Vec<_>>();
+    let reported = [in_force(0), in_force(1)];
+    let restored = system.apply(&small_text(), shown(0).parse().unwrap());
+    common::wait_for("the next text is in force", || {
+        (0..2).all(|daemon| in_force(daemon) == restored.json())
+    });
+
+    assert_eq!(written.status, 200);
+    assert_eq!(reported, [held.clone(), held.clone()]);
+    assert_eq!(statuses, [200; 4]);
+    assert_ne!(restored.json(), held);
+}
+
 #[test]
 fn operators_without_the_token_change_nothing() {
     let system = System::start_ready(&small_text(), "1", &[("entry-1", "east")]);
