Tell a rival's submission from one's own after a silence

Cause: a submission used its own row as the receipt of a lost answer, but another caller with the same key may have written that row meanwhile; the first caller was then told that its job was recorded (found by reading; the new test fails with the job of the wrong caller). A conflict now always reads the row and compares what was asked for, so the token that named a submission is gone. Before: Some(mine) although the row holds the rival's.

--- a/src/job/job_record.rs
+++ b/src/job/job_record.rs
@@ -92,8 +92,6 @@
     /// Whether it is to be cancelled.
     #[serde(default)]
     pub cancelled: bool,
-    /// Names the submission, so that a lost answer can be settled.
-    pub token: String,
     /// When it was submitted, in milliseconds since the Unix epoch.
     pub submitted_ms: u64,
     /// When its last run was placed, in milliseconds since the Unix epoch.
@@ -106,7 +104,7 @@
 
 impl JobRecord {
     /// Creates the row of a job that was just submitted.
-    pub fn new(id: JobId, spec: JobSpec, token: String, submitted_ms: u64) -> Self {
+    pub fn new(id: JobId, spec: JobSpec, submitted_ms: u64) -> Self {
         Self {
             id,
             spec,
@@ -115,7 +113,6 @@
             saved_ms: 0,
             failed_on: BTreeSet::new(),
             cancelled: false,
-            token,
             submitted_ms,
             placed_ms: 0,
             ended_ms: None,
--- a/src/job/job_store.rs
+++ b/src/job/job_store.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use monoio::time::sleep;
 use monoio::time::Instant;
 
 use crate::error::Error;
@@ -15,16 +16,16 @@
 use crate::job::HeldJob;
 use crate::job::JobRecord;
 use crate::job::JobSpec;
-use crate::platform::transact_once;
 use crate::platform::TableRow;
 use crate::platform::TableService;
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
-use crate::process::new_token;
 use crate::process::now_ms;
 
 /// How long a change may take to be settled with the platform.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// The pause before a submission is sent again to a silent platform.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// The most jobs that one transaction cancels.
 const CANCEL_GROUP: usize = 128;
 /// The times that a group of cancellations is tried when others come first.
@@ -49,7 +50,7 @@
     ///
     /// Returns an error if the platform stays silent; the job may then be recorded.
     pub async fn submit(&self, id: JobId, spec: JobSpec) -> Result<Option<JobRecord>> {
-        let record = JobRecord::new(id.clone(), spec, new_token(), now_ms());
+        let record = JobRecord::new(id.clone(), spec, now_ms());
         let value = serde_json::to_value(&record).unwrap_or_default();
         let open = open_key(&id);
         let never = Revision::new(0);
@@ -59,10 +60,17 @@
             .with_write(open.as_str(), value)
             .with_write(inbox_key(&id), serde_json::Value::Bool(true));
         let deadline = Instant::now() + SETTLE_TIME;
-        let outcome = transact_once(self.platform.as_ref(), &transaction, &open, deadline);
-        if let TransactionOutcome::Committed(_) = outcome.await? {
-            return Ok(Some(record));
+        loop {
+            match self.platform.transact(&transaction).await {
+                Ok(TransactionOutcome::Committed(_)) => return Ok(Some(record)),
+                Ok(TransactionOutcome::Conflict(_)) => break,
+                Err(Error::PlatformSilent(_)) if Instant::now() < deadline => {
+                    sleep(RETRY_PAUSE).await;
+                }
+                Err(error) => return Err(error),
+            }
         }
+        // The row may be this submission's own, whose answer was lost.
         let held = self.show(&id).await?;
         Ok(held.filter(|held| held.spec.is_same(&record.spec)))
     }
--- a/tests/job_planner.rs
+++ b/tests/job_planner.rs
@@ -263,7 +263,7 @@
     let now = Instant::now();
     let mut judge = FaultJudge::new();
     let spec = spec("frames", JobSize::new(1, 1, 0), 1);
-    let mut record = JobRecord::new("job".parse().unwrap(), spec, String::new(), 0);
+    let mut record = JobRecord::new("job".parse().unwrap(), spec, 0);
     record.failed_on = ["k1", "k2", "k3"].map(|host| host.parse().unwrap()).into();
 
     let sound = judge.is_at_fault(&record, now);
--- /dev/null
+++ b/tests/job_store.rs
@@ -0,0 +1,76 @@
+//! Submissions of jobs against a small table.
+
+#[path = "common/fake_table.rs"]
+mod fake_table;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+
+use zincpier::id::JobId;
+use zincpier::job::open_key;
+use zincpier::job::JobRecord;
+use zincpier::job::JobSize;
+use zincpier::job::JobSpec;
+use zincpier::job::JobStore;
+
+use crate::fake_table::FakeTable;
+
+fn run<T>(future: impl std::future::Future<Output = T>) -> T {
+    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
+    runtime.unwrap().block_on(future)
+}
+
+fn spec(kind: &str) -> JobSpec {
+    JobSpec {
+        team: "bays".parse().unwrap(),
+        service: "notices".parse().unwrap(),
+        kind: kind.to_owned(),
+        size: JobSize::new(1, 1, 0),
+        run_ms: 1,
+        deadline_ms: 1,
+        urgent: false,
+        repeatable: false,
+        checkpoints: false,
+        work: String::new(),
+    }
+}
+
+#[test]
+fn rival_with_the_same_key_is_not_taken_for_ones_own_submission() {
+    run(async {
+        let table = Rc::new(FakeTable::default());
+        let store = JobStore::new(Rc::clone(&table));
+        let id = "same".parse::<JobId>().unwrap();
+        table.silent.set(true);
+        let rival = async {
+            sleep(Duration::from_millis(150)).await;
+            let record = JobRecord::new(id.clone(), spec("theirs"), 1);
+            table.store(&open_key(&id), serde_json::to_value(record).unwrap());
+            table.silent.set(false);
+        };
+
+        let submitted = store.submit(id.clone(), spec("mine"));
+        let (submitted, ()) = futures::future::join(submitted, rival).await;
+
+        assert_eq!(submitted.unwrap(), None);
+    });
+}
+
+#[test]
+fn submission_whose_answer_is_lost_is_recorded_once() {
+    run(async {
+        let table = Rc::new(FakeTable::default());
+        let store = JobStore::new(Rc::clone(&table));
+        let id = "lost".parse::<JobId>().unwrap();
+        table.lost_answers.set(1);
+
+        let submitted = store.submit(id.clone(), spec("mine")).await.unwrap();
+
+        assert_eq!(submitted.map(|record| record.id), Some(id.clone()));
+        assert_eq!(table.rows_below("job/open/").len(), 1);
+    });
+}
