--- a/src/job/job_controller.rs
+++ b/src/job/job_controller.rs
@@ -14,6 +14,7 @@
 use crate::job::controller_state::ControllerState;
 use crate::job::controller_state::TASK_LEASE;
 use crate::job::job_book::JobBook;
+use crate::job::JobActivity;
 use crate::job::JobRecord;
 use crate::job::WorkerView;
 use crate::job::HOST_JOBS_PREFIX;
@@ -55,25 +56,6 @@
 /// How long the inbox is left unread when nobody says that there is something.
 const INBOX_LOOK: Duration = Duration::from_secs(5);
 
-const PAUSE_IDLE: Duration = Duration::from_secs(1);
-const PAUSE_RUNNING: Duration = Duration::from_secs(1);
-const PAUSE_MOVING_LEAST: Duration = Duration::from_millis(100);
-/// An urgent job that makes room for itself takes two looks, which must end in 1.1 s.
-const PAUSE_MOVING_MOST: Duration = Duration::from_millis(700);
-/// The part of a core that planning may take, as a divisor.
-const PLAN_DIVISOR: u32 = 100;
-
-/// How soon the next look is worthwhile.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum JobActivity {
-    /// No job is known.
-    Idle,
-    /// Jobs run or wait, and nothing has just changed.
-    Running,
-    /// Some job has just been placed or has ended, or is being started or stopped.
-    Moving,
-}
-
 /// Places jobs on workers, follows their tasks and stops those that must make room.
 ///
 /// Each change of a job is a transaction under the lease that checks the job's
@@ -163,14 +145,7 @@
 
     /// Returns the time to the next look that keeps planning to a small part of a core.
     pub fn pause_after(&self, activity: JobActivity) -> Duration {
-        match activity {
-            JobActivity::Idle => PAUSE_IDLE,
-            JobActivity::Running => PAUSE_RUNNING,
-            JobActivity::Moving => {
-                let pause = self.plan_time.get() * PLAN_DIVISOR;
-                pause.clamp(PAUSE_MOVING_LEAST, PAUSE_MOVING_MOST)
-            }
-        }
+        activity.pause(self.plan_time.get())
     }
 
     /// Reads every row, since a new epoch began or a change is not settled.
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -3,6 +3,7 @@
 mod controller_state;
 mod fault_judge;
 mod host_jobs;
+mod job_activity;
 mod job_book;
 mod job_controller;
 mod job_fleet;
@@ -21,7 +22,7 @@
 pub(crate) use host_jobs::jobs_on;
 pub(crate) use host_jobs::HostJobs;
 pub use host_jobs::HOST_JOBS_PREFIX;
-pub use job_controller::JobActivity;
+pub use job_activity::JobActivity;
 pub use job_controller::JobController;
 pub use job_fleet::JobFleet;
 pub use job_fleet::TaskView;
