End a wave whose last hosts the text has dropped

Ruled out: closed hosts that are dropped (they are followed by the placement). Before: the wave waits for "spare capacity or budget in " nothing. After: it ends with the hosts that are left.

--- a/src/wave/wave_controller.rs
+++ b/src/wave/wave_controller.rs
@@ -143,6 +143,7 @@
             }
             StepDecision::Finished => {
                 record.state = WaveState::Finished;
+                record.pending.clear();
                 record.ended_ms = Some(now_ms());
                 record.waiting_for.clear();
                 "wave finish"
--- a/src/wave/wave_planner.rs
+++ b/src/wave/wave_planner.rs
@@ -73,7 +73,9 @@
             let hosts = names(wave.stopped.iter());
             return StepDecision::Wait(format!("{hosts} to come back"));
         }
-        if wave.pending.is_empty() {
+        // Hosts that the text lists no more are nobody's to maintain.
+        let listed = |host: &HostId| self.view.hosts().contains_key(host);
+        if !wave.pending.iter().any(listed) {
             return StepDecision::Finished;
         }
         let group = self.pick_group(wave);
--- a/tests/controller_steps.rs
+++ b/tests/controller_steps.rs
@@ -53,7 +53,14 @@
 
 /// One service whose pool needs one of its four hosts, each in a rack of its own.
 fn text() -> Arc<ServiceText> {
-    let racks = (1..=4).map(|number| {
+    text_of(4)
+}
+
+/// The same text with the first hosts only.
+fn text_of(hosts: usize) -> Arc<ServiceText> {
+    let names = (1..=hosts).map(|number| format!("\"h{number}\""));
+    let names = names.collect::<Vec<_>>().join(", ");
+    let racks = (1..=hosts).map(|number| {
         format!(
             "[[racks]]\nname = \"r{number}\"\ndata_centre = \"east\"\nhosts = [\"h{number}\"]\n"
         )
@@ -62,7 +69,7 @@
         "deployment = \"test\"\n[[data_centres]]\nname = \"east\"\nregion = \"one\"\n\
          [[services]]\nname = \"notices\"\npath = \"/notices\"\navailability = \"99.9\"\n{}\
          [[pools]]\nname = \"executors\"\nservice = \"notices\"\nrole = \"executor\"\nneeded = 1\n\
-         hosts = [\"h1\", \"h2\", \"h3\", \"h4\"]\n",
+         hosts = [{names}]\n",
         racks.collect::<String>()
     );
     Arc::new(ServiceText::parse("text", &text).unwrap())
@@ -299,6 +306,23 @@
     });
 }
 
+#[test]
+fn session_of_a_text_that_drops_a_host_in_the_middle() {
+    run(async {
+        let platform = Rc::new(FakePlatform::new(&["h1", "h2", "h3", "h4"]));
+        let key = start_wave(&platform);
+        let controller = Controller::new(&platform, 1).await;
+        look_until(&platform, &controller, &key, |wave| wave.done.len() == 1).await;
+
+        controller.state.put_in_force(Revision::new(2), text_of(3));
+        let over = |wave: &WaveRecord| wave.state == WaveState::Finished;
+        look_until(&platform, &controller, &key, over).await;
+
+        assert_eq!(platform.boots(), [1, 1, 1, 0]);
+        insta::assert_snapshot!(audit_of(&platform));
+    });
+}
+
 #[test]
 fn member_that_joins_before_a_stop_is_asked_as_well() {
     run(async {
