Keep one piece of code where the change had written two

Found by reading the whole change again; behaviour is the same. - Names in one line: name_list serves the planner, the wave controller and the mover, which each joined them by hand (seven places). - A host that is to change its pool: Placement::begin_move serves the planner's moves and the operators'. - header_text stood in the operators' API and in the backend stand-in; the time to come back after a silence of the platform stood in two files. - The mover built the map of every host's first pool once for each moved host; now once a look. The job book went through all its rows to forget one; it now removes it by its name. The job controller asked twice in one look whether every job runs. - The callers' listener checked a path for its own in two ways; now in one.

--- a/src/job/job_book.rs
+++ b/src/job/job_book.rs
@@ -48,11 +48,13 @@
 
     /// Forgets the row of a key, since it is absent.
     pub(super) fn forget(&mut self, key: &str) {
-        if let Some(host) = key.strip_prefix(HOST_JOBS_PREFIX) {
-            self.hosts.retain(|held, _| held.as_str() != host);
+        let host = key.strip_prefix(HOST_JOBS_PREFIX);
+        if let Some(Ok(host)) = host.map(str::parse::<HostId>) {
+            self.hosts.remove(&host);
         }
-        if let Some(job) = key.strip_prefix(OPEN_PREFIX) {
-            self.jobs.retain(|held, _| held.as_str() != job);
+        let job = key.strip_prefix(OPEN_PREFIX);
+        if let Some(Ok(job)) = job.map(str::parse::<JobId>) {
+            self.jobs.remove(&job);
         }
     }
 
--- a/src/job/job_controller.rs
+++ b/src/job/job_controller.rs
@@ -126,7 +126,8 @@
     async fn decide(&self, text: &ServiceText, placement: &Fact) -> Result<bool> {
         let planned = {
             let mut state = self.state.borrow_mut();
-            if state.is_settled() && state.settled_placement == Some(placement.revision) {
+            let settled = state.is_settled();
+            if settled && state.settled_placement == Some(placement.revision) {
                 return Ok(false);
             }
             let hosts = Placement::from_fact(placement);
@@ -134,8 +135,8 @@
             let started = Instant::now();
             let planned = state.plan(text, &hosts, workers, now_ms());
             self.plan_time.set(started.elapsed());
-            let settled = state.is_settled() && planned.is_empty();
-            state.settled_placement = settled.then_some(placement.revision);
+            let undecided = settled && planned.is_empty();
+            state.settled_placement = undecided.then_some(placement.revision);
             planned
         };
         let some = !planned.is_empty();
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -28,6 +28,7 @@
 use crate::platform::AUDIT_PREFIX;
 use crate::process::AuditNote;
 use crate::process::DaemonParts;
+use crate::request::header::header_text;
 use crate::request::problem_response;
 use crate::version::FactKind;
 use crate::version::ServiceText;
@@ -244,14 +245,6 @@
     }
 }
 
-pub(crate) fn header_text(request: &Request<Bytes>, name: &str) -> String {
-    let value = request.headers().get(name);
-    value
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default()
-        .to_owned()
-}
-
 fn text_response(text: &str) -> Response<Bytes> {
     let mut response = Response::new(Bytes::copy_from_slice(text.as_bytes()));
     response.headers_mut().insert(
--- a/src/operator/caller_api.rs
+++ b/src/operator/caller_api.rs
@@ -10,8 +10,8 @@
 use crate::operator::JobApi;
 use crate::process::DaemonParts;
 
-/// The first segments of the paths that are zincpier's own.
-const OWN_PATH: [&str; 2] = ["zincpier", "jobs"];
+/// The first segments of the paths of calls about jobs.
+const JOBS_PATH: [&str; 2] = ["zincpier", "jobs"];
 
 /// Answers callers: calls about jobs by itself, all others by backend servers.
 pub struct CallerApi {
@@ -32,13 +32,11 @@
 impl RequestHandler for CallerApi {
     async fn handle(&self, request: Request<Bytes>) -> Response<Bytes> {
         let path = request.uri().path().trim_matches('/');
-        if !path.starts_with(OWN_PATH[0]) {
+        let mut segments = path.split('/');
+        if !JOBS_PATH.iter().all(|name| segments.next() == Some(*name)) {
             return self.parts.router.handle(request).await;
         }
-        let segments = path.split('/').collect::<Vec<_>>();
-        match segments.strip_prefix(&OWN_PATH) {
-            Some(rest) => self.jobs.answer(&request, rest).await,
-            None => self.parts.router.handle(request).await,
-        }
+        let rest = segments.collect::<Vec<_>>();
+        self.jobs.answer(&request, &rest).await
     }
 }
--- a/src/operator/control_api.rs
+++ b/src/operator/control_api.rs
@@ -22,7 +22,6 @@
 use crate::id::ServiceId;
 use crate::id::WaveId;
 use crate::operator::api::error_response;
-use crate::operator::api::header_text;
 use crate::operator::api::json_response;
 use crate::operator::api::WHO_HEADER;
 use crate::operator::change_error::decode;
@@ -40,9 +39,9 @@
 use crate::process::AuditNote;
 use crate::process::DaemonParts;
 use crate::process::HostPhase;
-use crate::process::HostPlacement;
 use crate::process::MemberSet;
 use crate::process::Placement;
+use crate::request::header::header_text;
 use crate::request::problem_response;
 use crate::version::FactKind;
 use crate::version::ServiceText;
@@ -290,15 +289,7 @@
         if placement.is_closed(&host) {
             return Err(refused(&format!("{host} is closed by a wave or a move")));
         }
-        let leaving = HostPlacement {
-            pool: placement.pool_of(&host).cloned(),
-            moving_to: Some(order.pool.clone()),
-            pinned: true,
-            phase: HostPhase::Leaving,
-            wave: None,
-            boots: 0,
-        };
-        placement.set(host.clone(), leaving);
+        placement.begin_move(&host, &order.pool, true);
         let mut note = self.note(who, "host move", host.to_string());
         note.before = held.pool.to_string();
         note.after = order.pool.to_string();
--- a/src/operator/job_api.rs
+++ b/src/operator/job_api.rs
@@ -1,7 +1,6 @@
 //! The calls about jobs, for callers and operators alike.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
@@ -18,20 +17,19 @@
 use crate::job::ENDED_PREFIX;
 use crate::job::OPEN_PREFIX;
 use crate::operator::api::error_response;
-use crate::operator::api::header_text;
 use crate::operator::api::json_response;
 use crate::operator::JobSummary;
 use crate::process::DaemonParts;
 use crate::request::hash_parts;
 use crate::request::header;
+use crate::request::header::header_text;
 use crate::request::problem_response;
 use crate::request::refusal_response;
 use crate::request::AnswerOutcome;
+use crate::request::COME_BACK;
 
 /// The most jobs that one page lists.
 const LIST_LIMIT: usize = 1_000;
-/// When to come back while the platform is silent.
-const COME_BACK: Duration = Duration::from_secs(1);
 /// The most jobs that one call cancels.
 const CANCEL_LIMIT: usize = 10_000;
 
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -100,6 +100,19 @@
         self.hosts.keys().filter(|host| self.is_closed(host))
     }
 
+    /// Closes a host that is to change its pool; `pinned` says that an operator wants it.
+    pub fn begin_move(&mut self, host: &HostId, to: &PoolId, pinned: bool) {
+        let leaving = HostPlacement {
+            pool: self.pool_of(host).cloned(),
+            moving_to: Some(to.clone()),
+            pinned,
+            phase: HostPhase::Leaving,
+            wave: None,
+            boots: 0,
+        };
+        self.set(host.clone(), leaving);
+    }
+
     /// Changes what is agreed about a host.
     pub fn set(&mut self, host: HostId, placement: HostPlacement) {
         if placement.phase == HostPhase::Active && placement.pool.is_none() {
--- a/src/request/header.rs
+++ b/src/request/header.rs
@@ -1,5 +1,8 @@
 //! The names of the headers that zincpier reads and writes.
 
+use bytes::Bytes;
+use http::Request;
+
 /// Names a request across its caller's retries.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Names the attempt towards a backend server, which echoes it.
@@ -14,3 +17,12 @@
 pub const OUTCOME: &str = "zincpier-outcome";
 /// The data centre of the caller, when it is not the entry host's.
 pub const DATA_CENTRE: &str = "zincpier-data-centre";
+
+/// Returns a header as text, empty if it is absent or is no text.
+pub(crate) fn header_text(request: &Request<Bytes>, name: &str) -> String {
+    let value = request.headers().get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -22,6 +22,7 @@
 pub use claim_keeper::ClaimOutcome;
 pub use problem::problem_response;
 pub use problem::refusal_response;
+pub(crate) use refusal::COME_BACK;
 pub use request_meta::RequestMeta;
 pub use request_router::RequestRouter;
 pub use slot_dispatcher::SlotDispatcher;
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -11,7 +11,7 @@
 use crate::request::AnswerOutcome;
 
 /// When to come back after a refusal for lack of capacity or of the platform.
-pub(super) const COME_BACK: Duration = Duration::from_secs(1);
+pub(crate) const COME_BACK: Duration = Duration::from_secs(1);
 
 /// Why a request was refused.
 pub(super) struct Refusal {
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -31,6 +31,7 @@
 use crate::connection::exchange::collect;
 use crate::id::HostId;
 use crate::request::header;
+use crate::request::header::header_text;
 use crate::standin::BackendFaults;
 
 const CONTROL_PREFIX: &str = "/-/";
@@ -359,14 +360,6 @@
     header_text(request, header::CALLER_ID)
 }
 
-fn header_text(request: &Request<Bytes>, name: &str) -> String {
-    let value = request.headers().get(name);
-    value
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default()
-        .to_owned()
-}
-
 fn query_number(request: &Request<Bytes>, key: &str) -> Option<u64> {
     let query = request.uri().query()?;
     query
--- a/src/wave/host_mover.rs
+++ b/src/wave/host_mover.rs
@@ -16,6 +16,7 @@
 use crate::process::PeerState;
 use crate::wave::control_view::ControlView;
 use crate::wave::drain_watch::ask_members;
+use crate::wave::name_list::name_list;
 use crate::wave::step_writer::StepWriter;
 use crate::wave::FleetView;
 use crate::wave::HostCondition;
@@ -52,21 +53,13 @@
         let mut placement = view.placement.clone();
         let mut hosts = Vec::new();
         for host_move in host_moves {
-            let leaving = HostPlacement {
-                pool: view.placement.pool_of(&host_move.host).cloned(),
-                moving_to: Some(host_move.to.clone()),
-                pinned: false,
-                phase: HostPhase::Leaving,
-                wave: None,
-                boots: 0,
-            };
-            placement.set(host_move.host.clone(), leaving);
+            placement.begin_move(&host_move.host, &host_move.to, false);
             hosts.push(format!(
                 "{} from {} to {}",
                 host_move.host, host_move.from, host_move.to
             ));
         }
-        let note = self.writer.note("host move", hosts.join(", "));
+        let note = self.writer.note("host move", name_list(hosts));
         log::info!(target: "zincpier::wave", "moves: {}", note.subject);
         self.writer.commit_placement(view, &placement, note).await
     }
@@ -134,20 +127,14 @@
         let revision = view.placement_revision;
         let answer = ask_members(&self.state, &members, &moving, revision).await;
         let (free, _) = self.writer.split_by_jobs(answer.drained).await?;
+        let first_pools = view.text.pool_of_hosts();
         let mut placement = view.placement.clone();
         for host in &free {
             let Some(held) = view.placement.hosts().get(host) else {
                 continue;
             };
-            let first = view
-                .text
-                .pool_of_hosts()
-                .get(host)
-                .map(|pool| pool.id.clone());
-            let pool = held
-                .moving_to
-                .clone()
-                .filter(|pool| Some(pool) != first.as_ref());
+            let first = first_pools.get(host).map(|pool| &pool.id);
+            let pool = held.moving_to.clone().filter(|pool| Some(pool) != first);
             let moved = HostPlacement {
                 pool,
                 moving_to: None,
@@ -157,10 +144,7 @@
             placement.set(host.clone(), moved);
         }
         if !free.is_empty() {
-            let hosts = free.iter().map(ToString::to_string);
-            let note = self
-                .writer
-                .note("host moved", hosts.collect::<Vec<_>>().join(", "));
+            let note = self.writer.note("host moved", name_list(&free));
             self.writer.commit_placement(view, &placement, note).await?;
         }
         Ok(true)
--- a/src/wave/mod.rs
+++ b/src/wave/mod.rs
@@ -8,6 +8,7 @@
 mod host_mover;
 mod host_restarter;
 mod loss_charger;
+mod name_list;
 mod spare_planner;
 mod step_writer;
 mod wave_controller;
--- a/src/wave/wave_controller.rs
+++ b/src/wave/wave_controller.rs
@@ -21,6 +21,7 @@
 use crate::wave::host_mover::HostMover;
 use crate::wave::host_restarter::HostRestarter;
 use crate::wave::loss_charger::LossCharger;
+use crate::wave::name_list::name_list;
 use crate::wave::step_writer::StepWriter;
 use crate::wave::StepDecision;
 use crate::wave::WavePlanner;
@@ -187,9 +188,7 @@
         let revision = view.placement_revision;
         let answer = ask_members(&self.state, &members, leaving, revision).await;
         if !answer.missing.is_empty() {
-            let missing = answer.missing.iter().map(ToString::to_string);
-            let missing = missing.collect::<Vec<_>>().join(", ");
-            let reason = format!("the acknowledgement of {missing}");
+            let reason = format!("the acknowledgement of {}", name_list(&answer.missing));
             return self.writer.note_waiting(wave, reason).await;
         }
         if answer.drained.is_empty() {
@@ -282,11 +281,8 @@
                     .await
             }
             _ => {
-                let hosts = restarting.iter().map(ToString::to_string);
-                let hosts = hosts.collect::<Vec<_>>().join(", ");
-                self.writer
-                    .note_waiting(wave, format!("{hosts} to come back"))
-                    .await
+                let reason = format!("{} to come back", name_list(restarting));
+                self.writer.note_waiting(wave, reason).await
             }
         }
     }
@@ -336,9 +332,8 @@
 
 /// Says which jobs hold a wave up.
 fn jobs_reason(jobs: &HostJobs) -> String {
-    let hosts = jobs.iter().map(|(host, jobs)| {
-        let jobs = jobs.iter().map(ToString::to_string);
-        format!("{} on {host}", jobs.collect::<Vec<_>>().join(", "))
-    });
+    let hosts = jobs
+        .iter()
+        .map(|(host, jobs)| format!("{} on {host}", name_list(jobs)));
     format!("jobs to end: {}", hosts.collect::<Vec<_>>().join("; "))
 }
--- a/src/wave/wave_planner.rs
+++ b/src/wave/wave_planner.rs
@@ -8,6 +8,7 @@
 use crate::id::RackId;
 use crate::version::LossDomain;
 use crate::wave::fleet_view::missing_share;
+use crate::wave::name_list::name_list;
 use crate::wave::BudgetBook;
 use crate::wave::DonorFloor;
 use crate::wave::FleetView;
@@ -237,10 +238,9 @@
             .pending
             .iter()
             .filter_map(|host| self.view.hosts().get(host))
-            .map(|host| host.pool.to_string())
+            .map(|host| &host.pool)
             .collect::<BTreeSet<_>>();
-        let pools = pools.into_iter().collect::<Vec<_>>().join(", ");
-        format!("spare capacity or budget in {pools}")
+        format!("spare capacity or budget in {}", name_list(pools))
     }
 
     fn up_of(&self, pool: &PoolId) -> usize {
@@ -269,8 +269,7 @@
 fn names<'h>(hosts: impl Iterator<Item = &'h HostId>) -> String {
     const SHOWN: usize = 4;
     let hosts = hosts.collect::<Vec<_>>();
-    let shown = hosts.iter().take(SHOWN).map(|host| host.to_string());
-    let mut text = shown.collect::<Vec<_>>().join(", ");
+    let mut text = name_list(hosts.iter().take(SHOWN));
     if hosts.len() > SHOWN {
         text += &format!(" and {} more", hosts.len() - SHOWN);
     }
