Print lists in one place, and share the fixtures of tests

The tool printed items as JSON or as a table in four copies; print_list serves them. Three test files had the same runtime, and two texts the same two data centres at their head; each stands once. Left as it is: settings files of constants that only look alike, the arrangement of single tests, and the placement's pool of a host, a single line in three places.

--- a/src/bin/zincpier/fleet_commands.rs
+++ b/src/bin/zincpier/fleet_commands.rs
@@ -23,6 +23,7 @@
 use crate::arguments::WaveCommand;
 use crate::commands::operator;
 use crate::printer::end_progress;
+use crate::printer::print_list;
 use crate::printer::print_progress;
 use crate::printer::print_table;
 
@@ -115,11 +116,16 @@
 }
 
 fn print_waves(waves: &[WaveRecord], as_json: bool) {
-    if as_json {
-        println!("{}", json!(waves));
-        return;
-    }
-    let rows = waves.iter().map(|wave| {
+    let headings = [
+        "WAVE",
+        "SCOPE",
+        "STATE",
+        "PENDING",
+        "STOPPED",
+        "DONE",
+        "WAITING FOR",
+    ];
+    print_list(waves, as_json, &headings, |wave| {
         vec![
             wave.id.to_string(),
             wave.scope.to_string(),
@@ -130,16 +136,6 @@
             wave.waiting_for.clone(),
         ]
     });
-    let headings = [
-        "WAVE",
-        "SCOPE",
-        "STATE",
-        "PENDING",
-        "STOPPED",
-        "DONE",
-        "WAITING FOR",
-    ];
-    print_table(&headings, &rows.collect::<Vec<_>>());
 }
 
 /// Runs a command about hosts.
@@ -149,11 +145,8 @@
             let hosts = operator(list.server)
                 .get::<Vec<HostStatus>>("/hosts")
                 .await?;
-            if list.json {
-                println!("{}", json!(hosts));
-                return Ok(true);
-            }
-            let rows = hosts.iter().map(|host| {
+            let headings = ["HOST", "POOL", "DATA CENTRE", "RACK", "CONDITION", "PHASE"];
+            print_list(&hosts, list.json, &headings, |host| {
                 vec![
                     host.host.to_string(),
                     host.pool.to_string(),
@@ -163,8 +156,6 @@
                     host.phase.clone(),
                 ]
             });
-            let headings = ["HOST", "POOL", "DATA CENTRE", "RACK", "CONDITION", "PHASE"];
-            print_table(&headings, &rows.collect::<Vec<_>>());
             Ok(true)
         }
         HostCommand::Move(order) => {
@@ -220,11 +211,8 @@
     let budgets = operator(arguments.server)
         .get::<Vec<BudgetStatus>>("/budgets")
         .await?;
-    if arguments.json {
-        println!("{}", json!(budgets));
-        return Ok(true);
-    }
-    let rows = budgets.iter().map(|budget| {
+    let headings = ["SERVICE", "AVAILABILITY", "ALLOWED S", "LEFT S"];
+    print_list(&budgets, arguments.json, &headings, |budget| {
         vec![
             budget.service.to_string(),
             budget.availability.clone(),
@@ -232,7 +220,5 @@
             budget.left_seconds.to_string(),
         ]
     });
-    let headings = ["SERVICE", "AVAILABILITY", "ALLOWED S", "LEFT S"];
-    print_table(&headings, &rows.collect::<Vec<_>>());
     Ok(true)
 }
--- a/src/bin/zincpier/job_commands.rs
+++ b/src/bin/zincpier/job_commands.rs
@@ -20,8 +20,8 @@
 use crate::job_arguments::JobListArguments;
 use crate::job_arguments::SubmitArguments;
 use crate::printer::end_progress;
+use crate::printer::print_list;
 use crate::printer::print_progress;
-use crate::printer::print_table;
 
 const WAIT_POLL: Duration = Duration::from_millis(200);
 
@@ -101,11 +101,8 @@
 }
 
 fn print_jobs(jobs: &[JobSummary], as_json: bool) {
-    if as_json {
-        println!("{}", json!(jobs));
-        return;
-    }
-    let rows = jobs.iter().map(|job| {
+    let headings = ["JOB", "TEAM", "KIND", "RUNS", "STATE"];
+    print_list(jobs, as_json, &headings, |job| {
         vec![
             job.id.to_string(),
             job.team.to_string(),
@@ -114,6 +111,4 @@
             job.state.clone(),
         ]
     });
-    let headings = ["JOB", "TEAM", "KIND", "RUNS", "STATE"];
-    print_table(&headings, &rows.collect::<Vec<_>>());
 }
--- a/src/bin/zincpier/printer.rs
+++ b/src/bin/zincpier/printer.rs
@@ -3,6 +3,9 @@
 use std::io::IsTerminal;
 use std::io::Write;
 
+use serde::Serialize;
+use serde_json::json;
+
 /// Prints rows, aligned under their headings on a terminal, tab-separated in a pipe.
 pub(crate) fn print_table(headings: &[&str], rows: &[Vec<String>]) {
     let mut output = std::io::stdout().lock();
@@ -17,6 +20,21 @@
     }
 }
 
+/// Prints items as JSON, or as a table with a row for each.
+pub(crate) fn print_list<T: Serialize>(
+    items: &[T],
+    as_json: bool,
+    headings: &[&str],
+    row: impl Fn(&T) -> Vec<String>,
+) {
+    if as_json {
+        println!("{}", json!(items));
+        return;
+    }
+    let rows = items.iter().map(row).collect::<Vec<_>>();
+    print_table(headings, &rows);
+}
+
 /// Prints a line of progress on a terminal, over the one before.
 pub(crate) fn print_progress(line: &str) {
     let mut output = std::io::stderr().lock();
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -2,6 +2,8 @@
 
 #[path = "common/fake_table.rs"]
 mod fake_table;
+#[path = "common/runtime.rs"]
+mod runtime;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,8 +12,6 @@
 
 use futures::FutureExt;
 use monoio::time::sleep;
-use monoio::LegacyDriver;
-use monoio::RuntimeBuilder;
 use serde_json::json;
 
 use zincpier::connection::PeerBeat;
@@ -39,15 +39,11 @@
 use zincpier::version::FactStore;
 
 use crate::fake_table::FakeTable;
+use crate::runtime::run;
 
 const LEASE_LAPSE: Duration = Duration::from_millis(4_300);
 const SLOTS: u32 = 8;
 
-fn run<T>(future: impl std::future::Future<Output = T>) -> T {
-    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
-    runtime.unwrap().block_on(future)
-}
-
 fn identity(name: &str, data_centre: &str) -> EntryIdentity {
     EntryIdentity {
         entry: name.parse().unwrap(),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,6 +22,17 @@
 use zincpier::version::ServiceText;
 
 pub(crate) const TOKEN: &str = "test-token";
+const TWO_DATA_CENTRES: &str = r#"deployment = "test"
+
+[[data_centres]]
+name = "east"
+region = "one"
+
+[[data_centres]]
+name = "west"
+region = "one"
+
+"#;
 const START_TIME: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(20);
 
@@ -394,17 +405,7 @@
 
 /// A text with one service on four hosts in two data centres.
 pub(crate) fn small_text() -> String {
-    r#"deployment = "test"
-
-[[data_centres]]
-name = "east"
-region = "one"
-
-[[data_centres]]
-name = "west"
-region = "one"
-
-[[services]]
+    let rest = r#"[[services]]
 name = "notices"
 path = "/notices"
 availability = "99.9"
@@ -427,23 +428,13 @@
 role = "executor"
 needed = 2
 hosts = ["e1", "e2", "w1", "w2"]
-"#
-    .to_owned()
+"#;
+    format!("{TWO_DATA_CENTRES}{rest}")
 }
 
 /// A text with two services on ten hosts in four racks.
 pub(crate) fn wave_text() -> String {
-    r#"deployment = "test"
-
-[[data_centres]]
-name = "east"
-region = "one"
-
-[[data_centres]]
-name = "west"
-region = "one"
-
-[[services]]
+    let rest = r#"[[services]]
 name = "notices"
 path = "/notices"
 availability = "99.9"
@@ -488,8 +479,8 @@
 role = "executor"
 needed = 1
 hosts = ["d1", "d2"]
-"#
-    .to_owned()
+"#;
+    format!("{TWO_DATA_CENTRES}{rest}")
 }
 
 /// A text with a pool of four workers, each in a rack of its own, and two teams.
--- /dev/null
+++ b/tests/common/runtime.rs
@@ -0,0 +1,11 @@
+//! The runtime of tests within one thread.
+
+use std::future::Future;
+
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+
+pub(crate) fn run<T>(future: impl Future<Output = T>) -> T {
+    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
+    runtime.unwrap().block_on(future)
+}
--- a/tests/controller_steps.rs
+++ b/tests/controller_steps.rs
@@ -4,6 +4,8 @@
 mod fake_platform;
 #[path = "common/fake_table.rs"]
 mod fake_table;
+#[path = "common/runtime.rs"]
+mod runtime;
 
 use std::collections::BTreeSet;
 use std::fmt::Write as _;
@@ -15,8 +17,6 @@
 
 use futures::future::select;
 use futures::future::Either;
-use monoio::LegacyDriver;
-use monoio::RuntimeBuilder;
 
 use zincpier::id::HostId;
 use zincpier::id::Incarnation;
@@ -42,15 +42,11 @@
 
 use crate::fake_platform::CallFault;
 use crate::fake_platform::FakePlatform;
+use crate::runtime::run;
 
 const LOOKS: usize = 200;
 const RENEWAL_ROW: &str = "lease/controller/renewal";
 
-fn run<T>(future: impl std::future::Future<Output = T>) -> T {
-    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
-    runtime.unwrap().block_on(future)
-}
-
 /// One service whose pool needs one of its four hosts, each in a rack of its own.
 fn text() -> Arc<ServiceText> {
     text_of(4)
--- a/tests/job_store.rs
+++ b/tests/job_store.rs
@@ -2,13 +2,13 @@
 
 #[path = "common/fake_table.rs"]
 mod fake_table;
+#[path = "common/runtime.rs"]
+mod runtime;
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use monoio::time::sleep;
-use monoio::LegacyDriver;
-use monoio::RuntimeBuilder;
 
 use zincpier::id::JobId;
 use zincpier::job::open_key;
@@ -18,11 +18,7 @@
 use zincpier::job::JobStore;
 
 use crate::fake_table::FakeTable;
-
-fn run<T>(future: impl std::future::Future<Output = T>) -> T {
-    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
-    runtime.unwrap().block_on(future)
-}
+use crate::runtime::run;
 
 fn spec(kind: &str) -> JobSpec {
     JobSpec {
