--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -48,6 +48,7 @@
 mod task_id;
 mod team_id;
 mod wave_id;
+mod worker_id;
 
 pub use customer_id::CustomerId;
 pub use data_centre_id::DataCentreId;
@@ -64,3 +65,4 @@
 pub use task_id::TaskId;
 pub use team_id::TeamId;
 pub use wave_id::WaveId;
+pub use worker_id::WorkerId;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod toml_reader;
 pub mod version;
 pub mod wave;
+pub mod workflow;
--- /dev/null
+++ b/src/workflow/controller_term.rs
@@ -0,0 +1,125 @@
+//! One term of a controller: what its tasks share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use tokio::sync::oneshot;
+use tokio::sync::Notify;
+
+use crate::id::WorkerId;
+use crate::platform::RowWrite;
+use crate::process::boot_ms;
+use crate::workflow::JobEngine;
+use crate::workflow::LeaseLost;
+
+/// How long leases of workers are renewed without a confirmed lease of the controller, in
+/// ms: outages of the table up to about this long cost no running work.
+const RENEW_UNCONFIRMED_MS: u64 = 12_000;
+
+/// What the tasks of one term share; it ends when the lease is lost.
+pub struct ControllerTerm {
+    /// The term's epoch.
+    pub epoch: u64,
+    /// The state of jobs and workers.
+    pub engine: RefCell<JobEngine>,
+    /// Wakes the planner.
+    pub plan: Notify,
+    /// Wakes the committer.
+    pub commit: Notify,
+    ended: Cell<bool>,
+    confirmed_ms: Cell<u64>,
+    worker_wakes: RefCell<HashMap<WorkerId, Rc<Notify>>>,
+    queued_rows: RefCell<Vec<QueuedRow>>,
+}
+
+/// A row that waits for the next commit, and who waits for it.
+pub(crate) struct QueuedRow {
+    pub(crate) write: RowWrite,
+    pub(crate) done: Option<oneshot::Sender<()>>,
+}
+
+impl ControllerTerm {
+    /// Creates a term that begins with `engine`.
+    pub fn new(epoch: u64, engine: JobEngine) -> Rc<Self> {
+        Rc::new(Self {
+            epoch,
+            engine: RefCell::new(engine),
+            plan: Notify::new(),
+            commit: Notify::new(),
+            ended: Cell::new(false),
+            confirmed_ms: Cell::new(boot_ms()),
+            worker_wakes: RefCell::default(),
+            queued_rows: RefCell::default(),
+        })
+    }
+
+    /// Tells whether the term goes on.
+    pub fn is_active(&self) -> bool {
+        !self.ended.get()
+    }
+
+    /// Ends the term.
+    pub fn end(&self, reason: &str) {
+        if !self.ended.replace(true) {
+            log::warn!("event=term_ended epoch={} reason={reason:?}", self.epoch);
+        }
+        self.plan.notify_one();
+        self.commit.notify_one();
+    }
+
+    /// Notes that the lease was the controller's own at `confirmed_ms`.
+    pub fn confirm(&self, confirmed_ms: u64) {
+        self.confirmed_ms.set(confirmed_ms);
+    }
+
+    /// Notes the loss of the lease.
+    pub fn lose(&self, _: LeaseLost) {
+        self.end("another holder has the lease");
+    }
+
+    /// Returns for how long the lease has not been confirmed, in ms.
+    pub fn unconfirmed_ms(&self) -> u64 {
+        boot_ms().saturating_sub(self.confirmed_ms.get())
+    }
+
+    /// Tells whether workers' leases may be renewed.
+    pub fn may_renew(&self) -> bool {
+        self.is_active() && self.unconfirmed_ms() < RENEW_UNCONFIRMED_MS
+    }
+
+    /// Returns what wakes a worker's lease task.
+    pub fn worker_wake(&self, worker: &WorkerId) -> Rc<Notify> {
+        let mut wakes = self.worker_wakes.borrow_mut();
+        Rc::clone(wakes.entry(worker.clone()).or_default())
+    }
+
+    /// Forgets what wakes a worker's tasks.
+    pub fn forget_worker(&self, worker: &WorkerId) {
+        self.worker_wakes.borrow_mut().remove(worker);
+    }
+
+    /// Lets a row be written with the next commit.
+    pub fn queue_rows(&self, write: RowWrite) {
+        self.enqueue(write, None);
+    }
+
+    /// Writes a row with the next commit and tells whether that took effect in this term.
+    pub async fn commit_rows(&self, write: RowWrite) -> bool {
+        let (done, waiting) = oneshot::channel();
+        self.enqueue(write, Some(done));
+        waiting.await.is_ok()
+    }
+
+    /// Takes the rows that wait for a commit.
+    pub(crate) fn take_rows(&self) -> Vec<QueuedRow> {
+        self.queued_rows.take()
+    }
+
+    fn enqueue(&self, write: RowWrite, done: Option<oneshot::Sender<()>>) {
+        let row = QueuedRow { write, done };
+        self.queued_rows.borrow_mut().push(row);
+        self.commit.notify_one();
+    }
+}
--- /dev/null
+++ b/src/workflow/host_keeper.rs
@@ -0,0 +1,273 @@
+//! Takes hosts down for maintenance waves, under the controller's lease.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use serde_json::Value;
+
+use crate::id::HostId;
+use crate::id::WaveId;
+use crate::platform::RowWrite;
+use crate::process::boot_ms;
+use crate::workflow::choose_upkeep;
+use crate::workflow::ControllerTerm;
+use crate::workflow::FleetPlatform;
+use crate::workflow::FleetView;
+use crate::workflow::HostEntry;
+use crate::workflow::HostOutcome;
+use crate::workflow::WaveHost;
+use crate::workflow::WaveProgress;
+use crate::workflow::WaveRequest;
+
+/// Where the progress of waves lies.
+const WAVE_PREFIX: &str = "waves/";
+
+/// The time before a new controller's first order for a host, in ms: the platform's bound
+/// for holders that take turns is 3 s from the earlier holder's last order.
+const TAKEOVER_PAUSE_MS: u64 = 3_600;
+
+/// The age that a decision may reach before its order is sent, in ms: it keeps orders of a
+/// paused controller apart from its successor's.
+const ORDER_AGE_MS: u64 = 1_000;
+
+/// The time between two looks at the hosts while a wave is under way.
+const LOOK_PAUSE: Duration = Duration::from_millis(300);
+
+/// The least time that a host counts as down after its upkeep began, in ms.
+const DOWN_MS: u64 = 1_000;
+
+/// The waves of one term.
+struct HostKeeper<P> {
+    platform: Rc<P>,
+    term: Rc<ControllerTerm>,
+    progress: RefCell<BTreeMap<WaveId, WaveProgress>>,
+    ordered_ms: RefCell<HashMap<HostId, u64>>,
+}
+
+/// Runs the waves for as long as the term goes on.
+pub async fn keep_hosts<P: FleetPlatform>(
+    platform: Rc<P>,
+    term: Rc<ControllerTerm>,
+    view: Rc<FleetView>,
+) {
+    let since_ms = boot_ms();
+    let keeper = HostKeeper {
+        platform,
+        term,
+        progress: RefCell::default(),
+        ordered_ms: RefCell::default(),
+    };
+    while keeper.term.is_active() {
+        sleep(LOOK_PAUSE).await;
+        for (request, seen_ms) in view.waves() {
+            if boot_ms() < since_ms + TAKEOVER_PAUSE_MS {
+                continue;
+            }
+            keeper.advance(&request, seen_ms).await;
+        }
+    }
+}
+
+impl<P: FleetPlatform> HostKeeper<P> {
+    async fn advance(&self, request: &WaveRequest, seen_ms: u64) {
+        let wave = &request.wave;
+        if !self.load(wave).await || self.progress.borrow()[wave].complete {
+            return;
+        }
+        let listed_ms = boot_ms();
+        let hosts = match self.platform.list_hosts().await {
+            Ok(hosts) => hosts,
+            Err(error) => {
+                log::warn!("event=hosts_unknown reason=\"{error}\"");
+                return;
+            }
+        };
+        let wave_hosts = self.wave_hosts(request, &hosts, listed_ms);
+        self.resend(request).await;
+        let age_ms = boot_ms().saturating_sub(seen_ms);
+        let left_ms = request.deadline_ms.saturating_sub(age_ms);
+        let choice = choose_upkeep(&wave_hosts, request.max_down, left_ms);
+        self.drain(&choice.cordon, &hosts, choice.force);
+        for host in choice.begin {
+            self.begin(request, &host, &hosts).await;
+        }
+        self.finish(request, &hosts).await;
+    }
+
+    /// Reads a wave's progress once a term; returns whether it is known.
+    async fn load(&self, wave: &WaveId) -> bool {
+        if self.progress.borrow().contains_key(wave) {
+            return true;
+        }
+        let key = format!("{WAVE_PREFIX}{wave}");
+        let rows = match self.platform.read(&[&key]).await {
+            Ok(rows) => rows,
+            Err(error) => {
+                log::warn!("event=wave_unknown wave={wave} reason=\"{error}\"");
+                return false;
+            }
+        };
+        let progress = match rows.first() {
+            Some(row) => serde_json::from_value(row.value.clone()).unwrap_or_default(),
+            None => WaveProgress::default(),
+        };
+        if !progress.complete {
+            if let Err(error) = self.platform.publish_wave(wave, false).await {
+                log::warn!("event=wave_unpublished wave={wave} reason=\"{error}\"");
+            }
+        }
+        self.progress.borrow_mut().insert(wave.clone(), progress);
+        true
+    }
+
+    fn wave_hosts(
+        &self,
+        request: &WaveRequest,
+        hosts: &[HostEntry],
+        listed_ms: u64,
+    ) -> Vec<WaveHost> {
+        let progress = self.progress.borrow();
+        let progress = &progress[&request.wave];
+        let engine = self.term.engine.borrow();
+        let ordered = self.ordered_ms.borrow();
+        let due = hosts
+            .iter()
+            .filter(|host| request.hosts.contains(&host.host));
+        let state = |host: &HostEntry| {
+            let worker = host.worker.as_ref().and_then(|id| engine.workers.get(id));
+            let begun = progress.begun.contains(&host.host);
+            let accepted = progress.accepted.contains(&host.host);
+            let recent = ordered
+                .get(&host.host)
+                .is_some_and(|&ordered_ms| listed_ms < ordered_ms + DOWN_MS);
+            WaveHost {
+                host: host.host.clone(),
+                up: host.up,
+                down: begun && (!host.up || !accepted || recent),
+                begun,
+                used_millis: worker.map_or(0, |worker| worker.used.cpu_millis),
+                cordoned: worker.is_some_and(|worker| worker.cordoned),
+                empty: worker.is_none_or(|worker| worker.tasks.is_empty()),
+            }
+        };
+        due.map(state).collect()
+    }
+
+    fn drain(&self, cordon: &[HostId], hosts: &[HostEntry], force: bool) {
+        let mut engine = self.term.engine.borrow_mut();
+        let now_ms = boot_ms();
+        for host in hosts.iter().filter(|host| cordon.contains(&host.host)) {
+            if let Some(worker) = &host.worker {
+                engine.set_cordoned(worker, true);
+                engine.drain_worker(worker, force, now_ms);
+            }
+        }
+        drop(engine);
+        self.term.plan.notify_one();
+    }
+
+    /// Decides a host's upkeep durably and orders it.
+    async fn begin(&self, request: &WaveRequest, host: &HostId, hosts: &[HostEntry]) {
+        let decided_ms = boot_ms();
+        self.change(&request.wave, |progress| {
+            progress.begun.insert(host.clone());
+        });
+        if !self.term.commit_rows(self.wave_row(&request.wave)).await {
+            return;
+        }
+        if boot_ms() > decided_ms + ORDER_AGE_MS {
+            log::warn!("event=upkeep_postponed host={host} reason=\"the decision is old\"");
+            return;
+        }
+        let worker = hosts.iter().find(|entry| entry.host == *host);
+        let worker = worker.and_then(|entry| entry.worker.clone());
+        if self.order(request, host).await {
+            if let Some(worker) = worker {
+                let mut engine = self.term.engine.borrow_mut();
+                engine.end_worker(&worker, "the upkeep of its host", boot_ms());
+                engine.unlist_worker(&worker);
+            }
+        }
+    }
+
+    /// Orders a host's upkeep and returns whether it was accepted.
+    async fn order(&self, request: &WaveRequest, host: &HostId) -> bool {
+        let wave = &request.wave;
+        self.ordered_ms.borrow_mut().insert(host.clone(), boot_ms());
+        let outcome = self
+            .platform
+            .begin_upkeep(host, wave, self.term.epoch)
+            .await;
+        log::info!(
+            "event=host_upkeep host={host} wave={wave} epoch={} outcome={outcome:?}",
+            self.term.epoch
+        );
+        self.ordered_ms.borrow_mut().insert(host.clone(), boot_ms());
+        let settled = matches!(outcome, HostOutcome::Accepted | HostOutcome::Rejected(_));
+        if settled {
+            self.change(wave, |progress| {
+                progress.accepted.insert(host.clone());
+            });
+            self.term.queue_rows(self.wave_row(wave));
+        }
+        settled
+    }
+
+    /// Orders again what was decided and not accepted.
+    async fn resend(&self, request: &WaveRequest) {
+        let open: Vec<_> = {
+            let progress = self.progress.borrow();
+            let progress = &progress[&request.wave];
+            progress
+                .begun
+                .difference(&progress.accepted)
+                .cloned()
+                .collect()
+        };
+        for host in open {
+            if self.term.unconfirmed_ms() < ORDER_AGE_MS {
+                self.order(request, &host).await;
+            }
+        }
+    }
+
+    async fn finish(&self, request: &WaveRequest, hosts: &[HostEntry]) {
+        let wave = &request.wave;
+        let done = {
+            let progress = self.progress.borrow();
+            let progress = &progress[wave];
+            let there = |host: &&HostId| hosts.iter().any(|entry| entry.host == **host);
+            let mut staying = request.hosts.iter().filter(there);
+            staying.all(|host| progress.accepted.contains(host))
+        };
+        if !done {
+            return;
+        }
+        match self.platform.publish_wave(wave, true).await {
+            Ok(()) => {
+                log::info!("event=wave_complete wave={wave}");
+                self.change(wave, |progress| progress.complete = true);
+                self.term.queue_rows(self.wave_row(wave));
+            }
+            Err(error) => log::warn!("event=wave_unpublished wave={wave} reason=\"{error}\""),
+        }
+    }
+
+    fn change<F: FnOnce(&mut WaveProgress)>(&self, wave: &WaveId, change: F) {
+        let mut progress = self.progress.borrow_mut();
+        change(progress.entry(wave.clone()).or_default());
+    }
+
+    fn wave_row(&self, wave: &WaveId) -> RowWrite {
+        let progress = self.progress.borrow();
+        let value = progress.get(wave).map(serde_json::to_value);
+        RowWrite {
+            key: format!("{WAVE_PREFIX}{wave}"),
+            value: Some(value.and_then(|value| value.ok()).unwrap_or(Value::Null)),
+        }
+    }
+}
--- /dev/null
+++ b/src/workflow/job_order.rs
@@ -0,0 +1,48 @@
+//! The order in which waiting jobs get room.
+//!
+//! Load: each queue in its turn asks for several times the room of its pool for some
+//! seconds. Order of arrival then makes every job late; jobs that can still meet their
+//! objective go first, by the slack that is left, and jobs past help take what remains.
+
+use crate::workflow::JobState;
+use crate::workflow::QueueConfig;
+
+/// How urgent a job is; smaller comes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct JobUrgency {
+    /// Long-running tasks come before jobs with an end, and jobs past help come last.
+    class: u8,
+    /// The queue's priority.
+    priority: u32,
+    /// The time that is left beyond the remaining work, in ms.
+    slack_ms: i64,
+}
+
+impl JobUrgency {
+    /// Returns a job's urgency at `now_ms`.
+    pub fn new(job: &JobState, queue: &QueueConfig, now_ms: u64) -> Self {
+        if job.is_long_running() {
+            return Self {
+                class: 0,
+                priority: queue.priority,
+                slack_ms: job.seen_ms as i64,
+            };
+        }
+        let stretched = job.spec.chain_ms() as f64 * queue.stretch;
+        let objective_ms = stretched as i64 + queue.objective_ms as i64;
+        let age_ms = now_ms.saturating_sub(job.seen_ms) as i64;
+        let remaining_ms = job.remaining_chain_ms() as i64;
+        let slack_ms = objective_ms - age_ms - remaining_ms;
+        let late_slack_ms = slack_ms + 2 * objective_ms;
+        let class = match (slack_ms >= 0, late_slack_ms >= 0) {
+            (true, _) => 1,
+            (false, true) => 2,
+            (false, false) => 3,
+        };
+        Self {
+            class,
+            priority: queue.priority,
+            slack_ms,
+        }
+    }
+}
--- /dev/null
+++ b/src/workflow/job_state.rs
@@ -0,0 +1,254 @@
+//! How far one job has come.
+
+use std::rc::Rc;
+
+use serde_json::json;
+use serde_json::Value;
+
+use crate::id::JobId;
+use crate::workflow::JobSpec;
+use crate::workflow::StepSpec;
+use crate::workflow::TaskName;
+use crate::workflow::TaskPhase;
+use crate::workflow::TaskState;
+
+/// What callers are told of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobPhase {
+    /// No task has started.
+    Queued,
+    /// Tasks have started.
+    Running,
+    /// All tasks are done.
+    Complete,
+    /// A task failed too often.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+impl JobPhase {
+    /// Tells whether the job has ended.
+    pub fn has_ended(self) -> bool {
+        matches!(self, Self::Complete | Self::Failed | Self::Cancelled)
+    }
+
+    /// Returns the name in durable rows.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Complete => "complete",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+
+    /// Reads the name in durable rows.
+    pub fn from_name(name: &str) -> Option<Self> {
+        let phases = [
+            Self::Queued,
+            Self::Running,
+            Self::Complete,
+            Self::Failed,
+            Self::Cancelled,
+        ];
+        phases.into_iter().find(|phase| phase.as_str() == name)
+    }
+}
+
+/// A job with the states of its tasks.
+#[derive(Clone, Debug)]
+pub struct JobState {
+    /// Its id.
+    pub id: JobId,
+    /// What was submitted.
+    pub spec: Rc<JobSpec>,
+    /// How far it has come.
+    pub phase: JobPhase,
+    /// When it was first seen, in ms.
+    pub seen_ms: u64,
+    /// When it ended, in ms.
+    pub ended_ms: u64,
+    tasks: Vec<TaskState>,
+    step_offsets: Vec<usize>,
+    done_counts: Vec<u32>,
+}
+
+impl JobState {
+    /// Creates the state of a job none of whose tasks was started.
+    pub fn new(id: JobId, spec: Rc<JobSpec>, now_ms: u64) -> Self {
+        let mut step_offsets = Vec::with_capacity(spec.steps.len());
+        let mut total = 0;
+        for step in &spec.steps {
+            step_offsets.push(total);
+            total += step.tasks as usize;
+        }
+        let occurrences = spec.occurrences() as usize;
+        let done_counts = vec![0; spec.steps.len() * occurrences];
+        let mut state = TaskState::new();
+        state.idle_since_ms = now_ms;
+        Self {
+            id,
+            phase: JobPhase::Queued,
+            seen_ms: now_ms,
+            ended_ms: 0,
+            tasks: vec![state; total * occurrences],
+            step_offsets,
+            done_counts,
+            spec,
+        }
+    }
+
+    /// Restores the state from a durable row; a row that cannot be read gives nothing.
+    pub fn restore(&mut self, value: &Value, now_ms: u64) -> Option<()> {
+        let phase = JobPhase::from_name(value.get("phase")?.as_str()?)?;
+        let rows = value.get("tasks")?.as_array()?;
+        if rows.len() != self.tasks.len() && !rows.is_empty() {
+            return None;
+        }
+        for (number, row) in rows.iter().enumerate() {
+            self.tasks[number] = TaskState::from_value(row, now_ms)?;
+        }
+        self.phase = phase;
+        if phase.has_ended() {
+            self.ended_ms = now_ms;
+        }
+        self.count_done();
+        Some(())
+    }
+
+    /// Returns the durable row.
+    pub fn to_value(&self) -> Value {
+        let settled = self.phase.has_ended() && self.placed_tasks().next().is_none();
+        let tasks = if settled {
+            Vec::new()
+        } else {
+            self.tasks.iter().map(TaskState::to_value).collect()
+        };
+        json!({ "phase": self.phase.as_str(), "tasks": tasks })
+    }
+
+    /// Returns the names of all tasks.
+    pub fn task_names(&self) -> impl Iterator<Item = TaskName> + '_ {
+        let occurrences = 0..self.spec.occurrences();
+        occurrences.flat_map(move |occurrence| {
+            let steps = self.spec.steps.iter().enumerate();
+            steps.flat_map(move |(step, spec)| {
+                (0..spec.tasks).map(move |index| TaskName {
+                    job: self.id.clone(),
+                    occurrence,
+                    step: step as u32,
+                    index,
+                })
+            })
+        })
+    }
+
+    /// Returns the tasks that are placed.
+    pub fn placed_tasks(&self) -> impl Iterator<Item = (TaskName, &TaskState)> + '_ {
+        let placed = |state: &TaskState| matches!(state.phase, TaskPhase::Placed { .. });
+        let named = self.task_names().zip(&self.tasks);
+        named.filter(move |(_, state)| placed(state))
+    }
+
+    /// Returns a task's state.
+    pub fn task(&self, name: &TaskName) -> Option<&TaskState> {
+        self.tasks.get(self.position(name)?)
+    }
+
+    /// Returns a task's state for a change.
+    pub fn task_mut(&mut self, name: &TaskName) -> Option<&mut TaskState> {
+        let position = self.position(name)?;
+        self.tasks.get_mut(position)
+    }
+
+    /// Returns a step.
+    pub fn step(&self, step: u32) -> Option<&StepSpec> {
+        self.spec.steps.get(step as usize)
+    }
+
+    /// Returns the states of the tasks of one occurrence of a step.
+    pub fn step_tasks(&self, occurrence: u32, step: u32) -> &[TaskState] {
+        let Some(spec) = self.step(step) else {
+            return &[];
+        };
+        let start = occurrence as usize * self.stride() + self.step_offsets[step as usize];
+        &self.tasks[start..start + spec.tasks as usize]
+    }
+
+    /// Tells whether all tasks of one occurrence of a step are done.
+    pub fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
+        let position = self.step_position(occurrence, step);
+        self.step(step)
+            .is_some_and(|spec| self.done_counts[position] == spec.tasks)
+    }
+
+    /// Tells whether the tasks of one occurrence of a step may start as far as earlier steps go.
+    pub fn is_step_open(&self, occurrence: u32, step: u32) -> bool {
+        let Some(spec) = self.step(step) else {
+            return false;
+        };
+        let done = |&before: &u32| self.is_step_done(occurrence, before);
+        !self.is_step_done(occurrence, step) && spec.after.iter().all(done)
+    }
+
+    /// Marks a task as done.
+    pub fn mark_done(&mut self, name: &TaskName) {
+        let Some(state) = self.task_mut(name) else {
+            return;
+        };
+        if state.phase == TaskPhase::Done {
+            return;
+        }
+        state.phase = TaskPhase::Done;
+        let position = self.step_position(name.occurrence, name.step);
+        self.done_counts[position] += 1;
+    }
+
+    /// Tells whether all tasks are done.
+    pub fn is_done(&self) -> bool {
+        let steps = self.spec.steps.len() as u32;
+        let done = |occurrence| (0..steps).all(|step| self.is_step_done(occurrence, step));
+        (0..self.spec.occurrences()).all(done)
+    }
+
+    /// Tells whether tasks run until the job is cancelled.
+    pub fn is_long_running(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.long_running)
+    }
+
+    /// Returns the estimates along the longest chain of steps that aren't done, in ms.
+    pub fn remaining_chain_ms(&self) -> u64 {
+        self.spec
+            .chain_from(|step| !self.is_step_done(0, step as u32))
+    }
+
+    fn count_done(&mut self) {
+        for occurrence in 0..self.spec.occurrences() {
+            for step in 0..self.spec.steps.len() as u32 {
+                let tasks = self.step_tasks(occurrence, step).iter();
+                let done = tasks.filter(|state| state.phase == TaskPhase::Done);
+                let count = done.count() as u32;
+                let position = self.step_position(occurrence, step);
+                self.done_counts[position] = count;
+            }
+        }
+    }
+
+    fn stride(&self) -> usize {
+        let steps = self.spec.steps.iter();
+        steps.map(|step| step.tasks as usize).sum()
+    }
+
+    fn step_position(&self, occurrence: u32, step: u32) -> usize {
+        occurrence as usize * self.spec.steps.len() + step as usize
+    }
+
+    fn position(&self, name: &TaskName) -> Option<usize> {
+        let offset = *self.step_offsets.get(name.step as usize)?;
+        let spec = self.step(name.step)?;
+        let known = name.index < spec.tasks && name.occurrence < self.spec.occurrences();
+        known.then(|| name.occurrence as usize * self.stride() + offset + name.index as usize)
+    }
+}
--- /dev/null
+++ b/src/workflow/task_name.rs
@@ -0,0 +1,52 @@
+//! The name of one task of a job.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::id::JobId;
+use crate::id::NameError;
+
+/// Names a task by its job, occurrence, step and index within the step.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TaskName {
+    /// The job.
+    pub job: JobId,
+    /// The occurrence of a scheduled job, 0 for one without a schedule.
+    pub occurrence: u32,
+    /// The step's number, from 0.
+    pub step: u32,
+    /// The task's number within the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(formatter, "{job}.{occurrence}.{step}.{index}")
+    }
+}
+
+impl FromStr for TaskName {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.rsplitn(4, '.');
+        let mut number = || parts.next().and_then(|part| part.parse().ok());
+        let (index, step, occurrence) = (number(), number(), number());
+        let job = parts.next().unwrap_or_default().parse()?;
+        match (occurrence, step, index) {
+            (Some(occurrence), Some(step), Some(index)) => Ok(Self {
+                job,
+                occurrence,
+                step,
+                index,
+            }),
+            _ => Err(NameError::new(text)),
+        }
+    }
+}
--- /dev/null
+++ b/src/workflow/task_placer.rs
@@ -0,0 +1,251 @@
+//! The choice of a worker for each task that may start.
+//!
+//! Load: wide steps of uneven tasks arrive together while the pool is nearly full. The
+//! worker that a task fills best keeps the larger gaps for larger tasks; tasks of
+//! long-running jobs spread, so that one lost worker or rack takes few of them.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use crate::id::JobId;
+use crate::id::ServiceId;
+use crate::id::WorkerId;
+use crate::workflow::Effect;
+use crate::workflow::FleetConfig;
+use crate::workflow::JobEngine;
+use crate::workflow::JobPhase;
+use crate::workflow::JobUrgency;
+use crate::workflow::OrderPhase;
+use crate::workflow::StepSpec;
+use crate::workflow::TaskName;
+use crate::workflow::TaskPhase;
+use crate::workflow::WorkerState;
+
+/// The steps in a row that find no room before the rest of a service waits for the next
+/// look: room that small serves few of those behind.
+const MISFIT_LIMIT: u32 = 24;
+
+impl JobEngine {
+    /// Places tasks that may start; `wall_ms` is the time since 1970.
+    pub fn place_tasks(&mut self, now_ms: u64, wall_ms: u64) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        for (service, jobs) in self.jobs_by_service(&config, now_ms) {
+            let mut misfits = 0;
+            for job in jobs {
+                if misfits >= MISFIT_LIMIT {
+                    break;
+                }
+                misfits += self.place_job(&job, &service, now_ms, wall_ms);
+            }
+        }
+    }
+
+    fn jobs_by_service(
+        &self,
+        config: &Rc<FleetConfig>,
+        now_ms: u64,
+    ) -> BTreeMap<ServiceId, Vec<JobId>> {
+        let mut sorted: BTreeMap<ServiceId, Vec<(JobUrgency, JobId)>> = BTreeMap::new();
+        for id in &self.open_jobs {
+            let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
+                continue;
+            };
+            let Some(queue) = config.queue(&job.spec.queue) else {
+                continue;
+            };
+            let urgency = JobUrgency::new(job, queue, now_ms);
+            let jobs = sorted.entry(queue.service.clone()).or_default();
+            jobs.push((urgency, id.clone()));
+        }
+        let order = |(service, mut jobs): (ServiceId, Vec<(JobUrgency, JobId)>)| {
+            jobs.sort();
+            (service, jobs.into_iter().map(|(_, id)| id).collect())
+        };
+        sorted.into_iter().map(order).collect()
+    }
+
+    /// Places what it can of a job and returns the number of steps without room.
+    fn place_job(&mut self, id: &JobId, service: &ServiceId, now_ms: u64, wall_ms: u64) -> u32 {
+        let Some(job) = self.jobs.get(id) else {
+            return 0;
+        };
+        let spec = Rc::clone(&job.spec);
+        let mut open = Vec::new();
+        for occurrence in 0..spec.occurrences() {
+            let due = spec.schedule.map_or(0, |schedule| {
+                schedule.first_ms + u64::from(occurrence) * schedule.interval_ms
+            });
+            if due > wall_ms {
+                break;
+            }
+            let steps = 0..spec.steps.len() as u32;
+            open.extend(steps.filter_map(|step| {
+                job.is_step_open(occurrence, step)
+                    .then_some((occurrence, step))
+            }));
+        }
+        let mut misfits = 0;
+        for (occurrence, step) in open {
+            let placed = if spec.steps[step as usize].gang {
+                self.place_gang(id, occurrence, step, service, now_ms)
+            } else {
+                self.place_step(id, occurrence, step, service, now_ms)
+            };
+            misfits += u32::from(!placed);
+        }
+        misfits
+    }
+
+    /// Places the waiting tasks of a step one by one; tells whether all found room.
+    fn place_step(
+        &mut self,
+        id: &JobId,
+        occurrence: u32,
+        step: u32,
+        service: &ServiceId,
+        now_ms: u64,
+    ) -> bool {
+        let waiting = self.waiting_tasks(id, occurrence, step);
+        for name in waiting {
+            let Some(worker) = self.choose_worker(&name, service, now_ms) else {
+                return false;
+            };
+            self.place_task(&name, &worker, now_ms);
+        }
+        true
+    }
+
+    /// Places all tasks of a gang or none, with one run number for all.
+    fn place_gang(
+        &mut self,
+        id: &JobId,
+        occurrence: u32,
+        step: u32,
+        service: &ServiceId,
+        now_ms: u64,
+    ) -> bool {
+        let waiting = self.waiting_tasks(id, occurrence, step);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return true;
+        };
+        let tasks = job.step_tasks(occurrence, step);
+        if waiting.is_empty() || waiting.len() < tasks.len() {
+            return true;
+        }
+        let last_run = tasks.iter().map(|state| state.last_run).max().unwrap_or(0);
+        let newest = tasks.iter().max_by_key(|state| state.last_run);
+        let checkpoint = newest.map_or(String::new(), |state| state.checkpoint.clone());
+        for name in &waiting {
+            if let Some(state) = job.task_mut(name) {
+                state.last_run = last_run;
+                state.checkpoint.clone_from(&checkpoint);
+            }
+        }
+        let mut placed = Vec::new();
+        for name in &waiting {
+            let Some(worker) = self.choose_worker(name, service, now_ms) else {
+                placed.iter().for_each(|name| self.undo_placement(name));
+                return false;
+            };
+            self.place_task(name, &worker, now_ms);
+            placed.push(name.clone());
+        }
+        true
+    }
+
+    fn waiting_tasks(&self, id: &JobId, occurrence: u32, step: u32) -> Vec<TaskName> {
+        let Some(job) = self.jobs.get(id) else {
+            return Vec::new();
+        };
+        let tasks = job.step_tasks(occurrence, step).iter().enumerate();
+        let waiting = tasks.filter(|(_, state)| state.phase == TaskPhase::Waiting);
+        let name = |index: usize| TaskName {
+            job: id.clone(),
+            occurrence,
+            step,
+            index: index as u32,
+        };
+        waiting.map(|(index, _)| name(index)).collect()
+    }
+
+    fn choose_worker(&self, name: &TaskName, service: &ServiceId, now_ms: u64) -> Option<WorkerId> {
+        let job = self.jobs.get(&name.job)?;
+        let step = job.step(name.step)?;
+        let reserved = step.reserved();
+        let fits = |worker: &&WorkerState| {
+            worker.entry.service == *service
+                && worker.takes_tasks(now_ms)
+                && reserved.fits(&worker.room())
+                && has_label(worker, step)
+                && self.has_place(worker, name, step)
+        };
+        let fitting = self.workers.values().filter(fits);
+        let best = fitting.min_by_key(|worker| self.placement_cost(worker, name, step));
+        best.map(|worker| worker.entry.id.clone())
+    }
+
+    /// Tells whether the step's bound on tasks of one worker leaves a place.
+    fn has_place(&self, worker: &WorkerState, name: &TaskName, step: &StepSpec) -> bool {
+        step.max_per_worker == 0 || self.siblings(worker, name) < step.max_per_worker
+    }
+
+    fn siblings(&self, worker: &WorkerState, name: &TaskName) -> u32 {
+        let same = |task: &&TaskName| {
+            task.job == name.job && task.occurrence == name.occurrence && task.step == name.step
+        };
+        worker.tasks.iter().filter(same).count() as u32
+    }
+
+    fn placement_cost(&self, worker: &WorkerState, name: &TaskName, step: &StepSpec) -> (u64, u64) {
+        let room = worker.room().cpu_millis;
+        if step.backfill {
+            return (0, u64::MAX - room);
+        }
+        if step.long_running {
+            return (u64::from(self.siblings(worker, name)), u64::MAX - room);
+        }
+        let far = step.data_rack.is_some() && step.data_rack.as_deref() != worker.rack();
+        (u64::from(far), room)
+    }
+
+    fn place_task(&mut self, name: &TaskName, worker_id: &WorkerId, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        let spec = Rc::clone(&job.spec);
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+        }
+        let Some(state) = job.task_mut(name) else {
+            return;
+        };
+        state.last_run += 1;
+        state.phase = TaskPhase::Placed {
+            worker: worker_id.clone(),
+            order: OrderPhase::Committing,
+            since_ms: now_ms,
+        };
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.add_task(name.clone(), &spec.steps[name.step as usize]);
+        }
+        self.changed.insert(name.job.clone());
+        self.effects.push(Effect::Start(name.clone()));
+    }
+
+    fn undo_placement(&mut self, name: &TaskName) {
+        self.release_task(name, 0);
+        self.effects
+            .retain(|effect| !matches!(effect, Effect::Start(task) if task == name));
+        let job = self.jobs.get_mut(&name.job);
+        if let Some(state) = job.and_then(|job| job.task_mut(name)) {
+            state.last_run -= 1;
+        }
+    }
+}
+
+fn has_label(worker: &WorkerState, step: &StepSpec) -> bool {
+    let needed = step.required_label.as_ref();
+    needed.is_none_or(|label| worker.entry.labels.contains(label))
+}
--- /dev/null
+++ b/src/workflow/worker_drain.rs
@@ -0,0 +1,59 @@
+//! Emptying a worker before an order ends all that runs there.
+
+use crate::id::WorkerId;
+use crate::workflow::JobEngine;
+use crate::workflow::OrderPhase;
+use crate::workflow::TaskName;
+
+impl JobEngine {
+    /// Keeps new tasks off a worker, or lets them come again.
+    pub fn set_cordoned(&mut self, id: &WorkerId, cordoned: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            if worker.cordoned != cordoned {
+                log::info!("event=worker_cordoned worker={id} cordoned={cordoned}");
+            }
+            worker.cordoned = cordoned;
+        }
+    }
+
+    /// Moves long-running tasks off a worker as far as their steps can spare them, and with
+    /// `force` stops the others too; returns whether the worker is empty.
+    pub fn drain_worker(&mut self, id: &WorkerId, force: bool, now_ms: u64) -> bool {
+        let Some(worker) = self.workers.get(id) else {
+            return true;
+        };
+        let tasks: Vec<_> = worker.tasks.iter().cloned().collect();
+        for name in &tasks {
+            let long_running = self.is_long_running(name);
+            if long_running && self.can_spare(name) {
+                self.request_stop(name, "its worker is emptied", now_ms);
+            } else if !long_running && force {
+                self.request_stop(name, "its worker is emptied, late", now_ms);
+            }
+        }
+        tasks.is_empty()
+    }
+
+    fn is_long_running(&self, name: &TaskName) -> bool {
+        let job = self.jobs.get(&name.job);
+        job.and_then(|job| job.step(name.step))
+            .is_some_and(|step| step.long_running)
+    }
+
+    /// Tells whether an order may end a task as far as its step's bound goes.
+    pub fn can_spare(&self, name: &TaskName) -> bool {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return true;
+        };
+        let Some(limit) = job.step(name.step).and_then(|step| step.max_unavailable) else {
+            return true;
+        };
+        let at_work = job.task(name).is_some_and(|state| state.is_at_work());
+        let tasks = job.step_tasks(name.occurrence, name.step).iter();
+        let away = tasks.filter(|state| !state.is_at_work()).count();
+        let stopping = job
+            .task(name)
+            .is_some_and(|state| state.order() == Some(OrderPhase::Stopping));
+        !stopping && at_work && (away as u32) < limit
+    }
+}
--- /dev/null
+++ b/src/workflow/worker_resources.rs
@@ -0,0 +1,48 @@
+//! What a worker has and a task asks for.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Processor, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WorkerResources {
+    /// Thousandths of a core.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cpu_millis: u64,
+    /// Memory, in MB.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub gpus: u64,
+}
+
+impl WorkerResources {
+    /// Tells whether `self` fits into `room`.
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mb <= room.memory_mb
+            && self.gpus <= room.gpus
+    }
+
+    /// Adds `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.cpu_millis += other.cpu_millis;
+        self.memory_mb += other.memory_mb;
+        self.gpus += other.gpus;
+    }
+
+    /// Returns what is left of `self` beside `used`, at least nothing.
+    #[must_use]
+    pub fn minus(&self, used: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(used.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(used.memory_mb),
+            gpus: self.gpus.saturating_sub(used.gpus),
+        }
+    }
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
--- /dev/null
+++ b/src/workflow/worker_state.rs
@@ -0,0 +1,153 @@
+//! What the controller believes of one worker.
+
+use std::collections::BTreeSet;
+
+use crate::workflow::StepSpec;
+use crate::workflow::TaskName;
+use crate::workflow::WorkerEntry;
+use crate::workflow::WorkerResources;
+
+/// A worker's clock may be this much slower than ours, in thousandths; the platform states 2%.
+const CLOCK_SLACK_PER_MILLE: u64 = 25;
+
+/// The failures in a row after which a worker is left alone: two may be one faulty job.
+const DISTRUST_FAILURES: u32 = 4;
+
+/// How long a distrusted worker gets no new tasks, in ms: about twice a usual task.
+const DISTRUST_MS: u64 = 4_000;
+
+/// A worker that has not answered for this long gets no new tasks, in ms: over one long poll.
+const SILENCE_MS: u64 = 1_600;
+
+/// A worker with what runs on it.
+#[derive(Clone, Debug)]
+pub struct WorkerState {
+    /// How the platform lists it.
+    pub entry: WorkerEntry,
+    /// The platform lists it.
+    pub listed: bool,
+    /// It has accepted the controller's epoch.
+    pub fenced: bool,
+    /// What its tasks take.
+    pub used: WorkerResources,
+    /// The tasks placed on it.
+    pub tasks: BTreeSet<TaskName>,
+    /// The last end that was applied.
+    pub applied_end: u64,
+    /// The last end that is recorded durably.
+    pub durable_end: u64,
+    /// The end of its lease, on its own clock in ms.
+    pub lease_ms: u64,
+    /// Since when it has not answered, in ms; 0 while it answers.
+    pub silent_since_ms: u64,
+    /// When it last answered, in ms.
+    pub answered_ms: u64,
+    /// It is emptied for an order on its host.
+    pub cordoned: bool,
+    clock: Option<(u64, u64)>,
+    failures: u32,
+    distrusted_until_ms: u64,
+}
+
+impl WorkerState {
+    /// Creates the state of a worker that runs nothing, as far as is known.
+    pub fn new(entry: WorkerEntry) -> Self {
+        Self {
+            entry,
+            listed: true,
+            fenced: false,
+            used: WorkerResources::default(),
+            tasks: BTreeSet::new(),
+            applied_end: 0,
+            durable_end: 0,
+            lease_ms: 0,
+            silent_since_ms: 0,
+            answered_ms: 0,
+            cordoned: false,
+            clock: None,
+            failures: 0,
+            distrusted_until_ms: 0,
+        }
+    }
+
+    /// Returns the room that is left.
+    pub fn room(&self) -> WorkerResources {
+        self.entry.capacity.minus(&self.used)
+    }
+
+    /// Places a task.
+    pub fn add_task(&mut self, task: TaskName, step: &StepSpec) {
+        if self.tasks.insert(task) {
+            self.used.add(&step.reserved());
+        }
+    }
+
+    /// Takes a task off.
+    pub fn remove_task(&mut self, task: &TaskName, step: &StepSpec) {
+        if self.tasks.remove(task) {
+            self.used = self.used.minus(&step.reserved());
+        }
+    }
+
+    /// Notes an answer that showed the worker's clock.
+    pub fn note_answer(&mut self, clock_ms: u64, now_ms: u64) {
+        self.clock = Some((clock_ms, now_ms));
+        self.silent_since_ms = 0;
+        self.answered_ms = now_ms;
+    }
+
+    /// Notes a call without an answer.
+    pub fn note_silence(&mut self, now_ms: u64) {
+        if self.silent_since_ms == 0 {
+            self.silent_since_ms = now_ms;
+        }
+    }
+
+    /// Returns the worker's clock, if it was ever seen.
+    pub fn clock_ms(&self, now_ms: u64) -> Option<u64> {
+        self.clock
+            .map(|(clock, seen)| clock + now_ms.saturating_sub(seen))
+    }
+
+    /// Tells whether the lease of all that runs there has surely ended.
+    pub fn is_lease_over(&self, now_ms: u64) -> bool {
+        let Some((clock, seen)) = self.clock else {
+            return false;
+        };
+        let passed = now_ms.saturating_sub(seen);
+        let sure = passed - passed * CLOCK_SLACK_PER_MILLE / 1_000;
+        clock + sure > self.lease_ms
+    }
+
+    /// Tells whether new tasks may be placed there.
+    pub fn takes_tasks(&self, now_ms: u64) -> bool {
+        let in_touch = self.silent_since_ms == 0 || now_ms < self.silent_since_ms + SILENCE_MS / 4;
+        self.listed
+            && self.fenced
+            && !self.entry.draining
+            && !self.cordoned
+            && in_touch
+            && now_ms >= self.distrusted_until_ms
+    }
+
+    /// Notes that a run failed there; returns whether the worker is now left alone for a while.
+    pub fn note_failure(&mut self, now_ms: u64) -> bool {
+        self.failures += 1;
+        if self.failures < DISTRUST_FAILURES {
+            return false;
+        }
+        self.failures = DISTRUST_FAILURES - 1;
+        self.distrusted_until_ms = now_ms + DISTRUST_MS;
+        true
+    }
+
+    /// Notes that a run ended well there.
+    pub fn note_success(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Returns the worker's rack, the label after its kind.
+    pub fn rack(&self) -> Option<&str> {
+        self.entry.labels.get(1).map(String::as_str)
+    }
+}
--- /dev/null
+++ b/src/workflow/worker_tasks.rs
@@ -0,0 +1,234 @@
+//! The tasks that speak to one worker: its lease and its orders.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use monoio::time::timeout;
+
+use crate::id::WorkerId;
+use crate::process::boot_ms;
+use crate::workflow::ControllerTerm;
+use crate::workflow::HoldOutcome;
+use crate::workflow::LeaseRenewal;
+use crate::workflow::OrderOutcome;
+use crate::workflow::OrderPhase;
+use crate::workflow::OrderRefusal;
+use crate::workflow::StartOrder;
+use crate::workflow::StopRequest;
+use crate::workflow::TaskName;
+use crate::workflow::WorkerEntry;
+use crate::workflow::WorkerGateway;
+
+/// How long a renewal lasts, in ms: a change of the controller takes up to 2 s, one lost
+/// call and its repetition 2 s more.
+const WORKER_LEASE_MS: u64 = 4_800;
+
+/// How long a worker may wait for an end before it answers a renewal.
+const END_WAIT: Duration = Duration::from_millis(900);
+
+/// The pause after an answer: ends within it share the next answer.
+const GATHER_PAUSE: Duration = Duration::from_millis(25);
+
+/// The pause after a call without an answer.
+const SILENCE_PAUSE: Duration = Duration::from_millis(150);
+
+/// How often an idle worker's task looks whether there is something to do.
+const IDLE_LOOK: Duration = Duration::from_millis(500);
+
+/// Keeps the lease of a worker and takes note of what ends there, for as long as it is known.
+pub async fn keep_worker<G: WorkerGateway>(gateway: Rc<G>, term: Rc<ControllerTerm>, id: WorkerId) {
+    let wake = term.worker_wake(&id);
+    let mut acknowledged = 0;
+    while term.is_active() {
+        let Some(next) = next_renewal(&term, &id, acknowledged) else {
+            break;
+        };
+        let Some((entry, renewal)) = next else {
+            // A missed wake only delays the next look.
+            let _ = timeout(IDLE_LOOK, wake.notified()).await;
+            continue;
+        };
+        let asked_ms = boot_ms();
+        if let Some(lease_ms) = renewal.lease_ms {
+            raise_lease(&term, &id, lease_ms);
+        }
+        let outcome = gateway.renew_lease(&entry, &renewal).await;
+        let pause = if apply_renewal(&term, &id, &outcome, asked_ms) {
+            acknowledged = acknowledged.max(renewal.acknowledged);
+            GATHER_PAUSE
+        } else {
+            SILENCE_PAUSE
+        };
+        sleep(pause).await;
+    }
+    term.forget_worker(&id);
+}
+
+/// Returns the next renewal, an inner nothing if none is due, or nothing for an unknown worker.
+fn next_renewal(
+    term: &ControllerTerm,
+    id: &WorkerId,
+    acknowledged: u64,
+) -> Option<Option<(WorkerEntry, LeaseRenewal)>> {
+    let engine = term.engine.borrow();
+    let worker = engine.workers.get(id)?;
+    let busy = !worker.tasks.is_empty();
+    let due = busy || !worker.fenced || worker.durable_end > acknowledged;
+    if !due || !term.may_renew() {
+        return Some(None);
+    }
+    let clock_ms = worker.clock_ms(boot_ms());
+    let renewal = LeaseRenewal {
+        epoch: term.epoch,
+        lease_ms: clock_ms
+            .filter(|_| busy)
+            .map(|clock| clock + WORKER_LEASE_MS),
+        acknowledged: worker.durable_end,
+        wait: if busy && worker.fenced {
+            END_WAIT
+        } else {
+            Duration::ZERO
+        },
+    };
+    Some(Some((worker.entry.clone(), renewal)))
+}
+
+/// Applies a renewal's outcome; returns whether the worker answered.
+fn apply_renewal(
+    term: &ControllerTerm,
+    id: &WorkerId,
+    outcome: &HoldOutcome,
+    asked_ms: u64,
+) -> bool {
+    let now_ms = boot_ms();
+    let mut engine = term.engine.borrow_mut();
+    let answered = match outcome {
+        HoldOutcome::Report(report) => {
+            engine.apply_report(id, report, asked_ms, now_ms);
+            true
+        }
+        HoldOutcome::Refused(OrderRefusal::Fenced) => {
+            term.end("a worker has seen a higher epoch");
+            false
+        }
+        HoldOutcome::Refused(OrderRefusal::OtherLife) => {
+            engine.end_worker(id, "another life answers", now_ms);
+            false
+        }
+        HoldOutcome::Refused(_) | HoldOutcome::Unknown(_) => {
+            if let Some(worker) = engine.workers.get_mut(id) {
+                worker.note_silence(now_ms);
+            }
+            log::warn!("event=worker_silent worker={id} outcome={outcome:?}");
+            false
+        }
+    };
+    term.plan.notify_one();
+    answered
+}
+
+fn raise_lease(term: &ControllerTerm, id: &WorkerId, lease_ms: u64) {
+    if let Some(worker) = term.engine.borrow_mut().workers.get_mut(id) {
+        worker.lease_ms = worker.lease_ms.max(lease_ms);
+    }
+}
+
+/// Sends a task's start, unless it is not wanted any more.
+pub async fn send_start<G: WorkerGateway>(
+    gateway: Rc<G>,
+    term: Rc<ControllerTerm>,
+    task: TaskName,
+) {
+    let Some((entry, order)) = prepare_start(&term, &task) else {
+        return;
+    };
+    let outcome = gateway.start_task(&entry, &order).await;
+    let (run, worker, epoch) = (order.run, &entry.id, order.epoch);
+    log::info!(
+        "event=task_start task={task} run={run} worker={worker} epoch={epoch} outcome={outcome:?}"
+    );
+    if outcome == OrderOutcome::Refused(OrderRefusal::Fenced) {
+        term.end("a worker has seen a higher epoch");
+        return;
+    }
+    let mut engine = term.engine.borrow_mut();
+    engine.apply_start(&task, run, &outcome, boot_ms());
+    drop(engine);
+    term.worker_wake(worker).notify_one();
+    term.plan.notify_one();
+}
+
+fn prepare_start(term: &ControllerTerm, task: &TaskName) -> Option<(WorkerEntry, StartOrder)> {
+    if !term.is_active() {
+        return None;
+    }
+    let now_ms = boot_ms();
+    let mut engine = term.engine.borrow_mut();
+    let engine = &mut *engine;
+    let job = engine.jobs.get_mut(&task.job)?;
+    let spec = Rc::clone(&job.spec);
+    let state = job.task_mut(task)?;
+    if state.order() != Some(OrderPhase::Committing) {
+        return None;
+    }
+    let worker = state
+        .worker()
+        .and_then(|worker| engine.workers.get_mut(worker));
+    let ready = worker.filter(|worker| worker.takes_tasks(now_ms));
+    let clocked = ready.and_then(|worker| Some((worker.clock_ms(now_ms)?, worker)));
+    let Some((clock_ms, worker)) = clocked else {
+        log::info!("event=start_withdrawn task={task} reason=\"the worker is not ready\"");
+        engine.release_task(task, now_ms);
+        return None;
+    };
+    let lease_ms = clock_ms + WORKER_LEASE_MS;
+    worker.lease_ms = worker.lease_ms.max(lease_ms);
+    let entry = worker.entry.clone();
+    let order = StartOrder {
+        task: task.clone(),
+        run: state.last_run,
+        payload: spec.payload.clone(),
+        lease_ms,
+        epoch: term.epoch,
+        checkpoint: state.checkpoint.clone(),
+    };
+    state.set_order(OrderPhase::Sent);
+    Some((entry, order))
+}
+
+/// Sends a stop.
+pub async fn send_stop<G: WorkerGateway>(
+    gateway: Rc<G>,
+    term: Rc<ControllerTerm>,
+    request: StopRequest,
+) {
+    let entry = {
+        let engine = term.engine.borrow();
+        engine
+            .workers
+            .get(&request.worker)
+            .map(|worker| worker.entry.clone())
+    };
+    let Some(entry) = entry else {
+        return;
+    };
+    let StopRequest {
+        worker,
+        task,
+        run,
+        reason,
+    } = &request;
+    let outcome = gateway.stop_task(&entry, task, *run, term.epoch).await;
+    log::info!(
+        "event=task_stop task={task} run={run} worker={worker} reason={reason:?} outcome={outcome:?}"
+    );
+    if !matches!(outcome, OrderOutcome::Accepted(_)) {
+        sleep(SILENCE_PAUSE).await;
+    }
+    let mut engine = term.engine.borrow_mut();
+    engine.apply_stop(&request, &outcome, boot_ms());
+    drop(engine);
+    term.worker_wake(worker).notify_one();
+    term.plan.notify_one();
+}
