Keep a stopped run out of the count of tasks at work

Ruled out: a wrong bound; the submission allowed one task away. After: tests/workflow_engine.rs holds the sequence; it failed before.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -10,12 +10,17 @@
 use crate::workflow::OrderOutcome;
 use crate::workflow::OrderPhase;
 use crate::workflow::OrderRefusal;
+use crate::workflow::RunningTask;
 use crate::workflow::StopRequest;
 use crate::workflow::TaskEnd;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::WorkerReport;
 
+/// The time after a stop's answer in which the run may still be listed, in ms: the platform
+/// states 400 ms, and a report may be as old as a long poll.
+const STOP_MS: u64 = 1_500;
+
 impl JobEngine {
     /// Applies a worker's report to a call that was sent at `asked_ms`.
     pub fn apply_report(
@@ -199,7 +204,7 @@
     fn match_running(&mut self, id: &WorkerId, report: &WorkerReport, asked_ms: u64, now_ms: u64) {
         let mut seen = HashSet::with_capacity(report.running.len());
         for running in &report.running {
-            let known = self.note_running(id, running);
+            let known = self.note_running(id, running, now_ms);
             if known {
                 seen.insert(&running.task);
             } else {
@@ -224,7 +229,7 @@
         }
     }
 
-    fn note_running(&mut self, id: &WorkerId, running: &crate::workflow::RunningTask) -> bool {
+    fn note_running(&mut self, id: &WorkerId, running: &RunningTask, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get_mut(&running.task.job) else {
             return false;
         };
@@ -240,22 +245,18 @@
         }
         state.percent = running.percent;
         state.load = running.load;
-        let order = state.order();
-        if !matches!(order, Some(OrderPhase::Stopping | OrderPhase::Committing)) {
-            let stopped_before = matches!(order, Some(OrderPhase::Stopped(_)));
-            if ended && !stopped_before {
-                self.request_stop(&running.task.clone(), "the job has ended", 0);
-            } else if ended {
-                state.set_order(OrderPhase::Stopping);
-                let request = StopRequest {
-                    worker: id.clone(),
-                    task: running.task.clone(),
-                    run: running.run,
-                    reason: "the job has ended",
-                };
-                self.stops.push(request);
-            } else {
+        match state.order() {
+            Some(OrderPhase::Stopping | OrderPhase::Committing) => {}
+            Some(OrderPhase::Stopped(at)) if now_ms < at + STOP_MS => {}
+            Some(OrderPhase::Stopped(_)) => {
+                state.set_order(OrderPhase::Running);
+                self.request_stop(&running.task, "it runs on after its stop", now_ms);
+            }
+            _ => {
                 state.set_order(OrderPhase::Running);
+                if ended {
+                    self.request_stop(&running.task, "the job has ended", now_ms);
+                }
             }
         }
         true
@@ -270,7 +271,7 @@
             return;
         };
         match order {
-            OrderPhase::Stopped(at) if at <= asked_ms => {
+            OrderPhase::Inherited(at) | OrderPhase::Stopped(at) if at <= asked_ms => {
                 log::info!("event=task_released task={name} reason=\"it did not start\"");
                 self.release_task(name, now_ms);
             }
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -18,6 +18,8 @@
     Running,
     /// The start or the placement may or may not have come to effect.
     Unknown(u64),
+    /// An earlier controller placed it; this one has known that since this time in ms.
+    Inherited(u64),
     /// A stop was sent.
     Stopping,
     /// The stop was answered at this time in ms, so the run cannot start any more.
@@ -134,7 +136,7 @@
                 if let Some(worker) = parts.get(3) {
                     state.phase = TaskPhase::Placed {
                         worker: worker.as_str()?.parse().ok()?,
-                        order: OrderPhase::Stopped(now_ms),
+                        order: OrderPhase::Inherited(now_ms),
                         since_ms: now_ms,
                     };
                 }
--- /dev/null
+++ b/tests/common/workflow.rs
@@ -0,0 +1,331 @@
+//! A workflow engine with workers that the test plays.
+
+#![allow(dead_code)] // Each test file uses some of the fixtures.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use zincpier::id::JobId;
+use zincpier::id::WorkerId;
+use zincpier::workflow::EndKind;
+use zincpier::workflow::FleetConfig;
+use zincpier::workflow::JobEngine;
+use zincpier::workflow::JobPhase;
+use zincpier::workflow::JobSpec;
+use zincpier::workflow::OrderOutcome;
+use zincpier::workflow::OrderPhase;
+use zincpier::workflow::PoolConfig;
+use zincpier::workflow::QueueConfig;
+use zincpier::workflow::RunningTask;
+use zincpier::workflow::StepSpec;
+use zincpier::workflow::TaskEnd;
+use zincpier::workflow::TaskName;
+use zincpier::workflow::TaskPhase;
+use zincpier::workflow::WorkerEntry;
+use zincpier::workflow::WorkerReport;
+use zincpier::workflow::WorkerResources;
+
+pub(crate) const JOB: &str = "00000000000000a1";
+pub(crate) const ATTEMPTS: u32 = 3;
+pub(crate) const LEASE_MS: u64 = 4_000;
+pub(crate) const QUEUE: &str = "r-one";
+pub(crate) const SERVICE: &str = "grading";
+
+pub(crate) struct EngineFleet {
+    pub(crate) engine: JobEngine,
+    pub(crate) now_ms: u64,
+    workers: Vec<WorkerEntry>,
+    ends: BTreeMap<WorkerId, u64>,
+}
+
+impl EngineFleet {
+    pub(crate) fn new(workers: usize) -> Self {
+        let workers: Vec<_> = (0..workers).map(worker_entry).collect();
+        let now_ms = 1_000_000;
+        let mut fleet = Self {
+            engine: JobEngine::new(now_ms),
+            now_ms,
+            workers,
+            ends: BTreeMap::new(),
+        };
+        fleet.enlist();
+        fleet
+    }
+
+    fn enlist(&mut self) {
+        self.engine.config = Some(Rc::new(config()));
+        for worker in &self.workers {
+            self.engine.set_worker(worker.clone());
+        }
+        self.report_empty();
+    }
+
+    pub(crate) fn submit(&mut self, id: &str, steps: Vec<StepSpec>) {
+        let spec = JobSpec {
+            queue: QUEUE.to_owned(),
+            payload: "text".to_owned(),
+            steps,
+            schedule: None,
+        };
+        let id = id.parse().unwrap();
+        self.engine.add_job(id, spec, None, self.now_ms);
+    }
+
+    pub(crate) fn pass(&mut self, time_ms: u64) {
+        self.now_ms += time_ms;
+    }
+
+    /// Places what can be placed, without sending any start.
+    pub(crate) fn place(&mut self) -> Vec<TaskName> {
+        let before = self.placed_names();
+        self.engine.place_tasks(self.now_ms, 0);
+        self.engine.take_changes();
+        let after = self.placed_names();
+        after
+            .into_iter()
+            .filter(|name| !before.contains(name))
+            .collect()
+    }
+
+    /// Places what can be placed, with starts that all succeed.
+    pub(crate) fn start_all(&mut self) -> usize {
+        let placed = self.place();
+        for name in &placed {
+            let run = self.state(name).last_run;
+            let outcome = OrderOutcome::Accepted(self.now_ms);
+            let worker = self.worker_of(name);
+            let worker = self.engine.workers.get_mut(&worker).unwrap();
+            worker.lease_ms = self.now_ms + LEASE_MS;
+            self.engine.apply_start(name, run, &outcome, self.now_ms);
+        }
+        placed.len()
+    }
+
+    /// Ends every placed task.
+    pub(crate) fn end_all(&mut self, kind: EndKind) {
+        for name in self.placed_names() {
+            self.end(&name, kind);
+        }
+    }
+
+    /// Ends the first placed task.
+    pub(crate) fn end_first(&mut self, kind: EndKind) {
+        let name = self.placed_names().into_iter().next().unwrap();
+        self.end(&name, kind);
+    }
+
+    pub(crate) fn end(&mut self, name: &TaskName, kind: EndKind) {
+        self.pass(10);
+        let worker = self.worker_of(name);
+        let number = self.ends.entry(worker.clone()).or_default();
+        *number += 1;
+        let end = TaskEnd {
+            number: *number,
+            task: name.clone(),
+            run: self.engine.jobs[&name.job].task(name).unwrap().last_run,
+            kind,
+            checkpoint: String::new(),
+        };
+        let mut report = self.running_report(&worker);
+        report.running.retain(|running| running.task != *name);
+        report.ends.push(end);
+        self.engine
+            .apply_report(&worker, &report, self.now_ms, self.now_ms);
+    }
+
+    /// Reports every placed task as running.
+    pub(crate) fn report_all(&mut self) {
+        self.pass(10);
+        for worker in self.workers.clone() {
+            let report = self.running_report(&worker.id);
+            self.engine
+                .apply_report(&worker.id, &report, self.now_ms, self.now_ms);
+        }
+    }
+
+    /// Reports that nothing runs anywhere.
+    pub(crate) fn report_empty(&mut self) {
+        self.pass(10);
+        for worker in self.workers.clone() {
+            let report = WorkerReport {
+                clock_ms: self.now_ms,
+                ..WorkerReport::default()
+            };
+            self.engine
+                .apply_report(&worker.id, &report, self.now_ms, self.now_ms);
+        }
+    }
+
+    fn running_report(&self, worker: &WorkerId) -> WorkerReport {
+        let names = self.placed_names().into_iter();
+        let here = names.filter(|name| self.state(name).worker() == Some(worker));
+        let running = here.map(|name| RunningTask {
+            run: self.state(&name).last_run,
+            task: name,
+            checkpoint: String::new(),
+            percent: 100,
+            load: 0,
+        });
+        WorkerReport {
+            clock_ms: self.now_ms,
+            running: running.collect(),
+            ends: Vec::new(),
+            has_more_ends: false,
+        }
+    }
+
+    pub(crate) fn stop(&mut self, name: &TaskName) {
+        let worker = self.worker_of(name);
+        self.engine.drain_worker(&worker, false, self.now_ms);
+        let stops = self.engine.take_stops();
+        let stop = stops.iter().find(|stop| stop.task == *name).unwrap();
+        self.engine
+            .apply_stop(stop, &OrderOutcome::Accepted(1), self.now_ms);
+    }
+
+    pub(crate) fn lose_worker(&mut self, index: usize) {
+        let id = self.workers[index].id.clone();
+        let worker = self.engine.workers.get_mut(&id).unwrap();
+        worker.note_silence(self.now_ms);
+    }
+
+    /// Builds the engine of the next controller from the durable rows.
+    pub(crate) fn successor(&mut self) -> Self {
+        let mut next = Self {
+            engine: JobEngine::new(self.now_ms),
+            now_ms: self.now_ms,
+            workers: self.workers.clone(),
+            ends: self.ends.clone(),
+        };
+        for job in self.engine.jobs.values() {
+            let progress = job.to_value();
+            let spec = job.spec.as_ref().clone();
+            let id = job.id.clone();
+            next.engine.add_job(id, spec, Some(&progress), self.now_ms);
+        }
+        next.engine.config = Some(Rc::new(config()));
+        for worker in &next.workers {
+            next.engine.set_worker(worker.clone());
+        }
+        next
+    }
+
+    pub(crate) fn phase(&self, id: &str) -> JobPhase {
+        let id: JobId = id.parse().unwrap();
+        self.engine.jobs[&id].phase
+    }
+
+    pub(crate) fn states(&self, id: &str) -> Vec<TaskPhase> {
+        let id: JobId = id.parse().unwrap();
+        let job = &self.engine.jobs[&id];
+        let names = job.task_names();
+        names
+            .map(|name| job.task(&name).unwrap().phase.clone())
+            .collect()
+    }
+
+    pub(crate) fn state(&self, name: &TaskName) -> &zincpier::workflow::TaskState {
+        self.engine.jobs[&name.job].task(name).unwrap()
+    }
+
+    pub(crate) fn order(&self, name: &TaskName) -> Option<OrderPhase> {
+        self.state(name).order()
+    }
+
+    pub(crate) fn is_placed(&self, name: &TaskName) -> bool {
+        self.state(name).worker().is_some()
+    }
+
+    pub(crate) fn worker_of(&self, name: &TaskName) -> WorkerId {
+        self.state(name).worker().unwrap().clone()
+    }
+
+    pub(crate) fn placed_names(&self) -> Vec<TaskName> {
+        let jobs = self.engine.jobs.values();
+        jobs.flat_map(|job| job.placed_tasks().map(|(name, _)| name))
+            .collect()
+    }
+
+    pub(crate) fn placed(&self) -> Vec<String> {
+        self.placed_names()
+            .iter()
+            .map(TaskName::to_string)
+            .collect()
+    }
+}
+
+pub(crate) fn worker_entry(index: usize) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("w-{index}").parse().unwrap(),
+        service: SERVICE.parse().unwrap(),
+        address: format!("127.0.0.1:{}", 9_000 + index).parse().unwrap(),
+        data_centre: "hall-a".parse().unwrap(),
+        draining: false,
+        capacity: WorkerResources {
+            cpu_millis: 8_000,
+            memory_mb: 16_000,
+            gpus: 0,
+        },
+        labels: vec!["a".to_owned(), format!("rack-{index}")],
+    }
+}
+
+pub(crate) fn config() -> FleetConfig {
+    FleetConfig {
+        version: 1,
+        queues: vec![QueueConfig {
+            name: QUEUE.to_owned(),
+            host: "grading.example".to_owned(),
+            prefix: "/jobs/".to_owned(),
+            service: SERVICE.parse().unwrap(),
+            priority: 0,
+            attempts: ATTEMPTS,
+            stretch: 1.6,
+            objective_ms: 600,
+        }],
+        pools: vec![PoolConfig {
+            service: SERVICE.parse().unwrap(),
+            rejects_overload: true,
+            standby: false,
+        }],
+        limits: None,
+    }
+}
+
+pub(crate) fn step(tasks: u32) -> StepSpec {
+    StepSpec {
+        tasks,
+        demand: WorkerResources {
+            cpu_millis: 1_000,
+            memory_mb: 1_000,
+            gpus: 0,
+        },
+        estimate_ms: 500,
+        ..StepSpec::default()
+    }
+}
+
+pub(crate) fn step_after(tasks: u32, before: u32) -> StepSpec {
+    StepSpec {
+        after: vec![before],
+        ..step(tasks)
+    }
+}
+
+pub(crate) fn long_running(tasks: u32, max_unavailable: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        max_per_worker: 1,
+        max_unavailable: Some(max_unavailable),
+        ..step(tasks)
+    }
+}
+
+pub(crate) fn task(id: &str, index: u32) -> TaskName {
+    TaskName {
+        job: id.parse().unwrap(),
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
--- /dev/null
+++ b/tests/workflow_engine.rs
@@ -0,0 +1,112 @@
+//! Decisions of the workflow engine, without any I/O.
+
+#[path = "common/workflow.rs"]
+mod fixtures;
+
+use fixtures::*;
+use zincpier::workflow::EndKind;
+use zincpier::workflow::JobPhase;
+use zincpier::workflow::OrderOutcome;
+use zincpier::workflow::OrderPhase;
+use zincpier::workflow::TaskPhase;
+
+#[test]
+fn a_finished_step_opens_the_next() {
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![step(2), step_after(1, 0)]);
+
+    fleet.start_all();
+    fleet.end_all(EndKind::Done);
+    fleet.start_all();
+
+    assert_eq!(fleet.placed(), vec![format!("{JOB}.0.1.0")]);
+    fleet.end_all(EndKind::Done);
+    assert_eq!(fleet.phase(JOB), JobPhase::Complete);
+}
+
+#[test]
+fn a_stopped_run_that_is_still_listed_does_not_count_as_at_work() {
+    let mut fleet = EngineFleet::new(3);
+    fleet.submit(JOB, vec![long_running(2, 1)]);
+    fleet.start_all();
+    fleet.report_all();
+    let first = task(JOB, 0);
+    let second = task(JOB, 1);
+    assert!(fleet.engine.can_spare(&second));
+    fleet.stop(&first);
+
+    fleet.report_all();
+
+    assert!(matches!(fleet.order(&first), Some(OrderPhase::Stopped(_))));
+    assert!(!fleet.engine.can_spare(&second), "its sibling is away");
+}
+
+#[test]
+fn a_start_without_an_answer_is_stopped_before_the_task_goes_elsewhere() {
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![step(1)]);
+    let name = task(JOB, 0);
+    fleet.place();
+    let lost = OrderOutcome::Unknown("no answer".to_owned());
+    fleet.engine.apply_start(&name, 1, &lost, fleet.now_ms);
+
+    fleet.pass(100);
+    fleet.report_empty();
+    let stops = fleet.engine.take_stops();
+
+    assert_eq!(stops.len(), 1);
+    assert!(fleet.is_placed(&name), "the run may still begin");
+    fleet
+        .engine
+        .apply_stop(&stops[0], &OrderOutcome::Accepted(1), fleet.now_ms);
+    fleet.pass(100);
+    fleet.report_empty();
+    assert!(!fleet.is_placed(&name));
+}
+
+#[test]
+fn a_task_that_failed_too_often_fails_its_job() {
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![step(1)]);
+
+    for _ in 0..ATTEMPTS {
+        assert_eq!(fleet.start_all(), 1);
+        fleet.end_all(EndKind::Failed);
+    }
+
+    assert_eq!(fleet.phase(JOB), JobPhase::Failed);
+    assert_eq!(fleet.start_all(), 0);
+}
+
+#[test]
+fn progress_survives_a_change_of_the_controller() {
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![step(2), step_after(1, 0)]);
+    fleet.start_all();
+    fleet.end_first(EndKind::Done);
+
+    let mut next = fleet.successor();
+    next.report_empty();
+
+    let states: Vec<_> = next.states(JOB);
+    assert_eq!(states[0], TaskPhase::Done);
+    assert_eq!(states[1], TaskPhase::Waiting, "its start was never sent");
+}
+
+#[test]
+fn a_lost_worker_keeps_its_tasks_until_its_lease_is_over() {
+    let mut fleet = EngineFleet::new(1);
+    fleet.submit(JOB, vec![step(1)]);
+    fleet.start_all();
+    fleet.report_all();
+    let name = task(JOB, 0);
+    fleet.lose_worker(0);
+
+    fleet.pass(LEASE_MS - 500);
+    fleet.engine.expire_workers(fleet.now_ms);
+    assert!(fleet.is_placed(&name), "the worker may run on behind a cut");
+
+    fleet.pass(800);
+    fleet.engine.expire_workers(fleet.now_ms);
+    assert!(!fleet.is_placed(&name));
+}
