--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -169,7 +169,7 @@
     pub fn expire_workers(&mut self, now_ms: u64) {
         let waited = now_ms > self.started_ms + INHERITED_RUN_MS;
         let over = |worker: &WorkerState| {
-            let silent = worker.silent_since_ms > 0 || !worker.listed;
+            let silent = worker.silent_since_ms > 0;
             let unseen = waited && !worker.fenced;
             silent && !worker.tasks.is_empty() && (worker.is_lease_over(now_ms) || unseen)
         };
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -19,6 +19,9 @@
 /// A worker that has not answered for this long gets no new tasks, in ms: over one long poll.
 const SILENCE_MS: u64 = 1_600;
 
+/// The longest lease that a worker grants, in ms; the platform's bound.
+const LONGEST_LEASE_MS: u64 = 10_000;
+
 /// A worker with what runs on it.
 #[derive(Clone, Debug)]
 pub struct WorkerState {
@@ -91,6 +94,10 @@
 
     /// Notes an answer that showed the worker's clock.
     pub fn note_answer(&mut self, clock_ms: u64, now_ms: u64) {
+        if self.clock.is_none() && !self.tasks.is_empty() {
+            // An earlier controller gave the lease, at an unknown time.
+            self.lease_ms = self.lease_ms.max(clock_ms + LONGEST_LEASE_MS);
+        }
         self.clock = Some((clock_ms, now_ms));
         self.silent_since_ms = 0;
         self.answered_ms = now_ms;
@@ -103,6 +110,15 @@
         }
     }
 
+    /// Returns the end of the next lease to ask for, on the worker's clock in ms. A worker
+    /// that doesn't answer is only looked at, since each lease delays the proof of its end.
+    pub fn next_lease_ms(&self, length_ms: u64, now_ms: u64) -> Option<u64> {
+        if self.tasks.is_empty() || self.silent_since_ms > 0 {
+            return None;
+        }
+        Some(self.clock_ms(now_ms)? + length_ms)
+    }
+
     /// Returns the worker's clock, if it was ever seen.
     pub fn clock_ms(&self, now_ms: u64) -> Option<u64> {
         self.clock
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -30,9 +30,12 @@
 /// The pause after an answer: ends within it share the next answer.
 const GATHER_PAUSE: Duration = Duration::from_millis(25);
 
-/// The pause after a call without an answer.
+/// The pause after the first call without an answer; it doubles with each further one.
 const SILENCE_PAUSE: Duration = Duration::from_millis(150);
 
+/// The longest pause between calls to a worker that doesn't answer.
+const SILENCE_PAUSE_MOST: Duration = Duration::from_millis(1_200);
+
 /// How often an idle worker's task looks whether there is something to do.
 const IDLE_LOOK: Duration = Duration::from_millis(500);
 
@@ -40,6 +43,7 @@
 pub async fn keep_worker<G: WorkerGateway>(gateway: Rc<G>, term: Rc<ControllerTerm>, id: WorkerId) {
     let wake = term.worker_wake(&id);
     let mut acknowledged = 0;
+    let mut silence_pause = SILENCE_PAUSE;
     while term.is_active() {
         let Some(next) = next_renewal(&term, &id, acknowledged) else {
             break;
@@ -56,9 +60,12 @@
         let outcome = gateway.renew_lease(&entry, &renewal).await;
         let pause = if apply_renewal(&term, &id, &outcome, asked_ms) {
             acknowledged = acknowledged.max(renewal.acknowledged);
+            silence_pause = SILENCE_PAUSE;
             GATHER_PAUSE
         } else {
-            SILENCE_PAUSE
+            let pause = silence_pause;
+            silence_pause = (pause * 2).min(SILENCE_PAUSE_MOST);
+            pause
         };
         sleep(pause).await;
     }
@@ -78,14 +85,11 @@
     if !due || !term.may_renew() {
         return Some(None);
     }
-    let clock_ms = worker.clock_ms(boot_ms());
     let renewal = LeaseRenewal {
         epoch: term.epoch,
-        lease_ms: clock_ms
-            .filter(|_| busy)
-            .map(|clock| clock + WORKER_LEASE_MS),
+        lease_ms: worker.next_lease_ms(WORKER_LEASE_MS, boot_ms()),
         acknowledged: worker.durable_end,
-        wait: if busy && worker.fenced {
+        wait: if busy && worker.fenced && worker.silent_since_ms == 0 {
             END_WAIT
         } else {
             Duration::ZERO
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -189,6 +189,16 @@
         worker.note_silence(self.now_ms);
     }
 
+    pub(crate) fn unlist_worker(&mut self, index: usize) {
+        let id = self.workers[index].id.clone();
+        self.engine.unlist_worker(&id);
+    }
+
+    pub(crate) fn next_lease(&self, index: usize) -> Option<u64> {
+        let worker = &self.engine.workers[&self.workers[index].id];
+        worker.next_lease_ms(LEASE_MS, self.now_ms)
+    }
+
     /// Builds the engine of the next controller from the durable rows.
     pub(crate) fn successor(&mut self) -> Self {
         let mut next = Self {
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -110,3 +110,31 @@
     fleet.engine.expire_workers(fleet.now_ms);
     assert!(!fleet.is_placed(&name));
 }
+
+#[test]
+fn an_unlisted_worker_that_answers_keeps_its_tasks() {
+    let mut fleet = EngineFleet::new(1);
+    fleet.submit(JOB, vec![long_running(1, 0)]);
+    fleet.start_all();
+    let mut next = fleet.successor();
+    next.lose_worker(0);
+    next.unlist_worker(0);
+
+    next.report_all();
+    next.engine.expire_workers(next.now_ms);
+
+    assert!(next.is_placed(&task(JOB, 0)), "the run goes on there");
+}
+
+#[test]
+fn a_silent_worker_gets_no_further_lease() {
+    let mut fleet = EngineFleet::new(1);
+    fleet.submit(JOB, vec![step(1)]);
+    fleet.start_all();
+    fleet.report_all();
+    assert!(fleet.next_lease(0).is_some());
+
+    fleet.lose_worker(0);
+
+    assert_eq!(fleet.next_lease(0), None);
+}
