Let hosts follow the queues' turns, and keep upkeep off busy pools

Cause: each queue asks for five times its mean in its turn, more than its pool holds, while the other pools and the standby hosts are idle.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -18,6 +18,10 @@
 /// ms: outages of the table up to about this long cost no running work.
 const RENEW_UNCONFIRMED_MS: u64 = 12_000;
 
+/// How long after the lease was last confirmed orders for hosts are sent, in ms; it keeps
+/// the orders of a paused controller apart from its successor's.
+const ORDER_UNCONFIRMED_MS: u64 = 1_000;
+
 /// What the tasks of one term share; it ends when the lease is lost.
 pub struct ControllerTerm {
     /// The term's epoch.
@@ -89,6 +93,12 @@
         self.is_active() && self.unconfirmed_ms() < RENEW_UNCONFIRMED_MS
     }
 
+    /// Tells whether orders for hosts may be sent: a successor waits for longer than the
+    /// lease may stay unconfirmed here.
+    pub fn may_order(&self) -> bool {
+        self.is_active() && self.unconfirmed_ms() < ORDER_UNCONFIRMED_MS
+    }
+
     /// Returns what wakes a worker's lease task.
     pub fn worker_wake(&self, worker: &WorkerId) -> Rc<Notify> {
         let mut wakes = self.worker_wakes.borrow_mut();
--- /dev/null
+++ b/src/workflow/duration_book.rs
@@ -0,0 +1,56 @@
+//! How long tasks take, learnt from those that have ended.
+//!
+//! Load: callers' estimates are off by up to 90%, so that an order by stated work serves
+//! the wrong jobs first; the mean of a queue's tasks is the better half of the guess.
+
+use std::collections::BTreeMap;
+
+/// The weight of a task's own estimate beside its queue's mean.
+const ESTIMATE_WEIGHT: f64 = 0.35;
+
+/// The tasks after which a queue's mean is used.
+const LEAST_TASKS: u32 = 8;
+
+/// The weight of each further task in the mean.
+const NEW_WEIGHT: f64 = 0.03;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct QueueDurations {
+    tasks: u32,
+    mean_ms: f64,
+    mean_estimate_ms: f64,
+}
+
+/// The mean durations of the tasks of each queue.
+#[derive(Clone, Debug, Default)]
+pub struct DurationBook {
+    queues: BTreeMap<String, QueueDurations>,
+}
+
+impl DurationBook {
+    /// Creates a book that knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes a task that was done.
+    pub fn note(&mut self, queue: &str, estimate_ms: u64, took_ms: u64) {
+        let durations = self.queues.entry(queue.to_owned()).or_default();
+        durations.tasks += 1;
+        let weight = NEW_WEIGHT.max(1.0 / f64::from(durations.tasks));
+        durations.mean_ms += (took_ms as f64 - durations.mean_ms) * weight;
+        durations.mean_estimate_ms += (estimate_ms as f64 - durations.mean_estimate_ms) * weight;
+    }
+
+    /// Returns what is expected of a task of a queue, in ms.
+    pub fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
+        match self.queues.get(queue) {
+            Some(durations) if durations.tasks >= LEAST_TASKS => {
+                let own = estimate_ms as f64 * ESTIMATE_WEIGHT;
+                let learnt = durations.mean_ms * (1.0 - ESTIMATE_WEIGHT);
+                (own + learnt) as u64
+            }
+            _ => estimate_ms,
+        }
+    }
+}
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -8,6 +8,7 @@
 
 use crate::id::JobId;
 use crate::id::WorkerId;
+use crate::workflow::DurationBook;
 use crate::workflow::FleetConfig;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
@@ -15,6 +16,7 @@
 use crate::workflow::OrderPhase;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
+use crate::workflow::TurnForecast;
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerState;
 
@@ -59,6 +61,8 @@
     pub(crate) effects: Vec<Effect>,
     pub(crate) stops: Vec<StopRequest>,
     pub(crate) open_jobs: BTreeSet<JobId>,
+    pub(crate) forecast: TurnForecast,
+    pub(crate) durations: DurationBook,
     started_ms: u64,
 }
 
@@ -73,6 +77,8 @@
             effects: Vec::new(),
             stops: Vec::new(),
             open_jobs: BTreeSet::new(),
+            forecast: TurnForecast::new(),
+            durations: DurationBook::new(),
             started_ms: now_ms,
         }
     }
@@ -83,6 +89,9 @@
             return;
         }
         let mut job = JobState::new(id.clone(), Rc::new(spec), now_ms);
+        if progress.is_none() {
+            self.note_arrival(&Rc::clone(&job.spec), now_ms);
+        }
         if let Some(progress) = progress {
             if job.restore(progress, now_ms).is_none() {
                 log::error!("event=progress_unreadable job={id}");
--- /dev/null
+++ b/src/workflow/engine_demand.rs
@@ -0,0 +1,80 @@
+//! What each pool's tasks need, as the engine sees it.
+
+use std::collections::BTreeMap;
+
+use crate::id::ServiceId;
+use crate::workflow::JobEngine;
+use crate::workflow::JobSpec;
+use crate::workflow::TaskPhase;
+
+/// The time within which waiting work should start, in ms: it delays a job by less than
+/// half of the usual objective.
+const BACKLOG_MS: u64 = 1_200;
+
+impl JobEngine {
+    /// Notes a new job's work for the forecast.
+    pub(crate) fn note_arrival(&mut self, spec: &JobSpec, now_ms: u64) {
+        let queue = self
+            .config
+            .as_ref()
+            .and_then(|config| config.queue(&spec.queue).cloned());
+        let Some(queue) = queue else {
+            return;
+        };
+        if spec.steps.iter().any(|step| step.long_running) {
+            return;
+        }
+        let work: f64 = spec
+            .steps
+            .iter()
+            .map(|step| {
+                let expected = self.durations.expected_ms(&queue.name, step.estimate_ms);
+                f64::from(step.tasks) * step.reserved().cpu_millis as f64 * expected as f64
+            })
+            .sum();
+        self.forecast.note_arrival(&queue.service, work, now_ms);
+    }
+
+    /// Returns the processor time that each pool needs soon, in thousandths of a core.
+    pub fn pool_demands(&mut self, now_ms: u64) -> BTreeMap<ServiceId, u64> {
+        self.forecast.tick(now_ms);
+        let mut demands = BTreeMap::new();
+        let Some(config) = self.config.clone() else {
+            return demands;
+        };
+        let mut waiting: BTreeMap<&ServiceId, u64> = BTreeMap::new();
+        for id in &self.open_jobs {
+            let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
+                continue;
+            };
+            let Some(queue) = config.queue(&job.spec.queue) else {
+                continue;
+            };
+            if job.is_long_running() {
+                continue;
+            }
+            for (number, step) in job.spec.steps.iter().enumerate() {
+                if !job.is_step_open(0, number as u32) {
+                    continue;
+                }
+                let tasks = job.step_tasks(0, number as u32).iter();
+                let idle = tasks.filter(|state| state.phase == TaskPhase::Waiting);
+                let expected = self.durations.expected_ms(&queue.name, step.estimate_ms);
+                *waiting.entry(&queue.service).or_default() +=
+                    idle.count() as u64 * step.reserved().cpu_millis * expected;
+            }
+        }
+        let mut used: BTreeMap<&ServiceId, u64> = BTreeMap::new();
+        for worker in self.workers.values() {
+            *used.entry(&worker.entry.service).or_default() += worker.used.cpu_millis;
+        }
+        for pool in &config.pools {
+            let service = &pool.service;
+            let expected = self.forecast.demand(service, now_ms) as u64;
+            let busy = used.get(service).copied().unwrap_or(0);
+            let backlog = waiting.get(service).copied().unwrap_or(0) / BACKLOG_MS;
+            demands.insert(service.clone(), expected.max(busy) + backlog);
+        }
+        demands
+    }
+}
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -129,6 +129,7 @@
     }
 
     fn finish_task(&mut self, name: &TaskName, now_ms: u64) {
+        self.note_duration(name, now_ms);
         self.release_task(name, now_ms);
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
@@ -148,6 +149,21 @@
         }
     }
 
+    fn note_duration(&mut self, name: &TaskName, now_ms: u64) {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return;
+        };
+        let since_ms = job.task(name).and_then(|state| match state.phase {
+            TaskPhase::Placed { since_ms, .. } => Some(since_ms),
+            _ => None,
+        });
+        if let (Some(since_ms), Some(step)) = (since_ms, job.step(name.step)) {
+            let took_ms = now_ms.saturating_sub(since_ms);
+            self.durations
+                .note(&job.spec.queue, step.estimate_ms, took_ms);
+        }
+    }
+
     /// Marks all members of a gang as done, since they end together.
     fn finish_gang(&mut self, name: &TaskName, now_ms: u64) {
         for member in self.gang_members(name) {
--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -14,6 +14,7 @@
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerFact;
 use crate::workflow::WorkerReport;
+use crate::workflow::WorkerResources;
 
 /// What changed after a revision.
 #[derive(Clone, Debug, PartialEq)]
@@ -199,6 +200,8 @@
     pub pool: String,
     /// It is up.
     pub up: bool,
+    /// What it has for tasks.
+    pub capacity: WorkerResources,
     /// The worker that lives on it, if one does.
     pub worker: Option<WorkerId>,
 }
--- a/src/workflow/host_keeper.rs
+++ b/src/workflow/host_keeper.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,10 +16,13 @@
 use crate::process::boot_ms;
 use crate::workflow::choose_upkeep;
 use crate::workflow::ControllerTerm;
+use crate::workflow::CordonReason;
 use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
 use crate::workflow::HostEntry;
+use crate::workflow::HostMover;
 use crate::workflow::HostOutcome;
+use crate::workflow::PoolView;
 use crate::workflow::WaveHost;
 use crate::workflow::WaveProgress;
 use crate::workflow::WaveRequest;
@@ -30,13 +34,13 @@
 /// for holders that take turns is 3 s from the earlier holder's last order.
 const TAKEOVER_PAUSE_MS: u64 = 3_600;
 
-/// The age that a decision may reach before its order is sent, in ms: it keeps orders of a
-/// paused controller apart from its successor's.
-const ORDER_AGE_MS: u64 = 1_000;
-
 /// The time between two looks at the hosts while a wave is under way.
 const LOOK_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long a host is kept from moves after its upkeep was ordered, in ms: the platform
+/// states 2 s for an upkeep.
+const UPKEEP_MS: u64 = 3_000;
+
 /// The least time that a host counts as down after its upkeep began, in ms.
 const DOWN_MS: u64 = 1_000;
 
@@ -55,6 +59,7 @@
     view: Rc<FleetView>,
 ) {
     let since_ms = boot_ms();
+    let mover = HostMover::new(Rc::clone(&platform), Rc::clone(&term), Rc::clone(&view));
     let keeper = HostKeeper {
         platform,
         term,
@@ -63,39 +68,63 @@
     };
     while keeper.term.is_active() {
         sleep(LOOK_PAUSE).await;
-        for (request, seen_ms) in view.waves() {
-            if boot_ms() < since_ms + TAKEOVER_PAUSE_MS {
+        if boot_ms() < since_ms + TAKEOVER_PAUSE_MS {
+            continue;
+        }
+        let listed_ms = boot_ms();
+        let hosts = match keeper.platform.list_hosts().await {
+            Ok(hosts) => hosts,
+            Err(error) => {
+                log::warn!("event=hosts_unknown reason=\"{error}\"");
                 continue;
             }
-            keeper.advance(&request, seen_ms).await;
+        };
+        let pools = mover.pools(&hosts, &keeper.upkeep_hosts());
+        for (request, seen_ms) in view.waves() {
+            keeper
+                .advance(&request, seen_ms, &hosts, &pools, listed_ms)
+                .await;
         }
+        let pools = mover.pools(&hosts, &keeper.upkeep_hosts());
+        mover.advance(&pools, &hosts).await;
     }
 }
 
 impl<P: FleetPlatform> HostKeeper<P> {
-    async fn advance(&self, request: &WaveRequest, seen_ms: u64) {
+    /// Returns the hosts whose upkeep was decided and that may be down for it.
+    fn upkeep_hosts(&self) -> BTreeSet<HostId> {
+        let ordered = self.ordered_ms.borrow();
+        let now_ms = boot_ms();
+        let recent = ordered.iter().filter(|(_, &at)| now_ms < at + UPKEEP_MS);
+        let mut hosts: BTreeSet<_> = recent.map(|(host, _)| host.clone()).collect();
+        for progress in self.progress.borrow().values() {
+            hosts.extend(progress.begun.difference(&progress.accepted).cloned());
+        }
+        hosts
+    }
+
+    async fn advance(
+        &self,
+        request: &WaveRequest,
+        seen_ms: u64,
+        hosts: &[HostEntry],
+        pools: &[PoolView],
+        listed_ms: u64,
+    ) {
         let wave = &request.wave;
         if !self.load(wave).await || self.progress.borrow()[wave].complete {
             return;
         }
-        let listed_ms = boot_ms();
-        let hosts = match self.platform.list_hosts().await {
-            Ok(hosts) => hosts,
-            Err(error) => {
-                log::warn!("event=hosts_unknown reason=\"{error}\"");
-                return;
-            }
-        };
-        let wave_hosts = self.wave_hosts(request, &hosts, listed_ms);
+        let wave_hosts = self.wave_hosts(request, hosts, pools, listed_ms);
         self.resend(request).await;
         let age_ms = boot_ms().saturating_sub(seen_ms);
         let left_ms = request.deadline_ms.saturating_sub(age_ms);
         let choice = choose_upkeep(&wave_hosts, request.max_down, left_ms);
-        self.drain(&choice.cordon, &hosts, choice.force);
+        self.drain(&choice.cordon, hosts, choice.force);
         for host in choice.begin {
-            self.begin(request, &host, &hosts).await;
+            self.begin(request, &host, hosts).await;
         }
-        self.finish(request, &hosts).await;
+        self.finish(request, hosts).await;
     }
 
     /// Reads a wave's progress once a term; returns whether it is known.
@@ -128,6 +157,7 @@
         &self,
         request: &WaveRequest,
         hosts: &[HostEntry],
+        pools: &[PoolView],
         listed_ms: u64,
     ) -> Vec<WaveHost> {
         let progress = self.progress.borrow();
@@ -150,7 +180,10 @@
                 down: begun && (!host.up || !accepted || recent),
                 begun,
                 used_millis: worker.map_or(0, |worker| worker.used.cpu_millis),
-                cordoned: worker.is_some_and(|worker| worker.cordoned),
+                cordoned: worker.is_some_and(|worker| worker.cordon == Some(CordonReason::Upkeep)),
+                pool_busy: pools
+                    .iter()
+                    .any(|pool| pool.name == host.pool && !pool.standby && pool.spare_ms == 0),
                 empty: worker.is_none_or(|worker| worker.tasks.is_empty()),
             }
         };
@@ -162,7 +195,7 @@
         let now_ms = boot_ms();
         for host in hosts.iter().filter(|host| cordon.contains(&host.host)) {
             if let Some(worker) = &host.worker {
-                engine.set_cordoned(worker, true);
+                engine.set_cordon(worker, Some(CordonReason::Upkeep));
                 engine.drain_worker(worker, force, now_ms);
             }
         }
@@ -172,15 +205,14 @@
 
     /// Decides a host's upkeep durably and orders it.
     async fn begin(&self, request: &WaveRequest, host: &HostId, hosts: &[HostEntry]) {
-        let decided_ms = boot_ms();
         self.change(&request.wave, |progress| {
             progress.begun.insert(host.clone());
         });
         if !self.term.commit_rows(self.wave_row(&request.wave)).await {
             return;
         }
-        if boot_ms() > decided_ms + ORDER_AGE_MS {
-            log::warn!("event=upkeep_postponed host={host} reason=\"the decision is old\"");
+        if !self.term.may_order() {
+            log::warn!("event=upkeep_postponed host={host} reason=\"the lease is not confirmed\"");
             return;
         }
         let worker = hosts.iter().find(|entry| entry.host == *host);
@@ -229,7 +261,7 @@
                 .collect()
         };
         for host in open {
-            if self.term.unconfirmed_ms() < ORDER_AGE_MS {
+            if self.term.may_order() {
                 self.order(request, &host).await;
             }
         }
--- /dev/null
+++ b/src/workflow/host_mover.rs
@@ -0,0 +1,192 @@
+//! Moves hosts between pools as the capacity plan says.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::id::HostId;
+use crate::process::boot_ms;
+use crate::workflow::choose_moves;
+use crate::workflow::ControllerTerm;
+use crate::workflow::CordonReason;
+use crate::workflow::FleetPlatform;
+use crate::workflow::FleetView;
+use crate::workflow::HostEntry;
+use crate::workflow::HostMove;
+use crate::workflow::HostOutcome;
+use crate::workflow::PoolHost;
+use crate::workflow::PoolView;
+
+/// How long a moved host counts for its new pool before its worker is seen there, in ms:
+/// twice what the platform states for a move.
+const ARRIVAL_MS: u64 = 3_500;
+
+/// The share of a pool's room above which it has none to spare, in percent.
+const SPARE_SHARE: u64 = 75;
+
+/// Carries out the capacity plan of one term.
+pub(crate) struct HostMover<P> {
+    platform: Rc<P>,
+    term: Rc<ControllerTerm>,
+    view: Rc<FleetView>,
+    arriving: RefCell<HashMap<HostId, (String, u64)>>,
+    spare_since: RefCell<BTreeMap<String, u64>>,
+    barred: RefCell<BTreeSet<(HostId, String)>>,
+}
+
+impl<P: FleetPlatform> HostMover<P> {
+    pub(crate) fn new(platform: Rc<P>, term: Rc<ControllerTerm>, view: Rc<FleetView>) -> Self {
+        Self {
+            platform,
+            term,
+            view,
+            arriving: RefCell::default(),
+            spare_since: RefCell::default(),
+            barred: RefCell::default(),
+        }
+    }
+
+    /// Builds the pools from the list of hosts; hosts of `busy` are not to be moved.
+    pub(crate) fn pools(&self, hosts: &[HostEntry], busy: &BTreeSet<HostId>) -> Vec<PoolView> {
+        let Some(config) = self.view.config() else {
+            return Vec::new();
+        };
+        let now_ms = boot_ms();
+        self.arriving
+            .borrow_mut()
+            .retain(|_, (_, moved_ms)| now_ms < *moved_ms + ARRIVAL_MS);
+        let demands = self.term.engine.borrow_mut().pool_demands(now_ms);
+        let pool = |pool: &crate::workflow::PoolConfig| {
+            let name = pool.service.to_string();
+            let here = hosts.iter().filter(|host| self.pool_of(host) == name);
+            let members: Vec<_> = here
+                .map(|host| self.pool_host(host, pool.standby, busy))
+                .collect();
+            let demand_millis = demands.get(&pool.service).copied().unwrap_or(0);
+            let room: u64 = members.iter().map(|host| host.room_millis).sum();
+            let spare = demand_millis < room * SPARE_SHARE / 100;
+            PoolView {
+                spare_ms: self.spare_ms(&name, spare, now_ms),
+                name,
+                standby: pool.standby,
+                demand_millis,
+                hosts: members,
+            }
+        };
+        config.pools.iter().map(pool).collect()
+    }
+
+    fn pool_of(&self, host: &HostEntry) -> String {
+        let arriving = self.arriving.borrow();
+        arriving
+            .get(&host.host)
+            .map_or_else(|| host.pool.clone(), |(pool, _)| pool.clone())
+    }
+
+    fn spare_ms(&self, pool: &str, spare: bool, now_ms: u64) -> u64 {
+        let mut since = self.spare_since.borrow_mut();
+        if !spare {
+            since.remove(pool);
+            return 0;
+        }
+        now_ms - *since.entry(pool.to_owned()).or_insert(now_ms)
+    }
+
+    fn pool_host(&self, host: &HostEntry, standby: bool, busy: &BTreeSet<HostId>) -> PoolHost {
+        let engine = self.term.engine.borrow();
+        let worker = host.worker.as_ref();
+        let state = worker.and_then(|id| engine.workers.get(id));
+        let arriving = self.arriving.borrow().contains_key(&host.host);
+        let long_running = worker.is_some_and(|id| engine.has_long_running(id));
+        let cordon = state.and_then(|state| state.cordon.clone());
+        let silent = state.is_some_and(|state| state.silent_since_ms > 0 || state.entry.draining);
+        let known = standby || state.is_some();
+        let upkeep = cordon == Some(CordonReason::Upkeep) || busy.contains(&host.host);
+        PoolHost {
+            host: host.host.clone(),
+            room_millis: host.capacity.cpu_millis,
+            used_millis: state.map_or(0, |state| state.used.cpu_millis),
+            pinned: !host.up || !known || arriving || long_running || upkeep || silent,
+            counts: arriving || (host.up && known && !silent && !upkeep),
+            leaving_to: match cordon {
+                Some(CordonReason::Move(to)) => Some(to),
+                _ => None,
+            },
+        }
+    }
+
+    /// Chooses moves, empties the hosts, and moves those that are empty.
+    pub(crate) async fn advance(&self, pools: &[PoolView], hosts: &[HostEntry]) {
+        let moves = choose_moves(pools);
+        let ready = self.cordon(pools, hosts, &moves);
+        for chosen in ready {
+            if !self.term.may_order() {
+                return;
+            }
+            self.order(&chosen, hosts).await;
+        }
+    }
+
+    /// Cordons the hosts that are to move and returns those that are empty.
+    fn cordon(&self, pools: &[PoolView], hosts: &[HostEntry], moves: &[HostMove]) -> Vec<HostMove> {
+        let mut engine = self.term.engine.borrow_mut();
+        let mut ready = Vec::new();
+        for host in pools.iter().flat_map(|pool| &pool.hosts) {
+            let entry = hosts.iter().find(|entry| entry.host == host.host);
+            let worker = entry.and_then(|entry| entry.worker.as_ref());
+            let chosen = moves.iter().find(|chosen| chosen.host == host.host);
+            match (chosen, worker) {
+                (Some(chosen), _) if self.is_barred(chosen) => {}
+                (Some(chosen), Some(worker)) => {
+                    engine.set_cordon(worker, Some(CordonReason::Move(chosen.to.clone())));
+                    let state = engine.workers.get(worker);
+                    if state.is_none_or(|state| state.tasks.is_empty()) {
+                        ready.push(chosen.clone());
+                    }
+                }
+                (Some(chosen), None) => ready.push(chosen.clone()),
+                (None, Some(worker)) if host.leaving_to.is_some() => {
+                    engine.set_cordon(worker, None);
+                }
+                (None, _) => {}
+            }
+        }
+        ready
+    }
+
+    fn is_barred(&self, chosen: &HostMove) -> bool {
+        let key = (chosen.host.clone(), chosen.to.clone());
+        self.barred.borrow().contains(&key)
+    }
+
+    async fn order(&self, chosen: &HostMove, hosts: &[HostEntry]) {
+        let HostMove { host, to } = chosen;
+        let epoch = self.term.epoch;
+        let outcome = self.platform.move_host(host, to, epoch).await;
+        log::info!("event=host_moved host={host} to={to} epoch={epoch} outcome={outcome:?}");
+        match outcome {
+            HostOutcome::Accepted | HostOutcome::Unknown(_) => {
+                let mut arriving = self.arriving.borrow_mut();
+                arriving.insert(host.clone(), (to.clone(), boot_ms()));
+            }
+            HostOutcome::Rejected(_) => {
+                let key = (host.clone(), to.clone());
+                self.barred.borrow_mut().insert(key);
+            }
+            HostOutcome::Busy(_) => {}
+        }
+        let entry = hosts.iter().find(|entry| entry.host == *host);
+        let worker = entry.and_then(|entry| entry.worker.as_ref());
+        let mut engine = self.term.engine.borrow_mut();
+        match (outcome, worker) {
+            (HostOutcome::Accepted, Some(worker)) => {
+                engine.end_worker(worker, "the move of its host", boot_ms());
+                engine.unlist_worker(worker);
+            }
+            (HostOutcome::Rejected(_), Some(worker)) => engine.set_cordon(worker, None),
+            _ => {}
+        }
+    }
+}
--- a/src/workflow/job_order.rs
+++ b/src/workflow/job_order.rs
@@ -4,8 +4,10 @@
 //! seconds. Order of arrival then makes every job late; jobs that can still meet their
 //! objective go first, by the slack that is left, and jobs past help take what remains.
 
+use crate::workflow::DurationBook;
 use crate::workflow::JobState;
 use crate::workflow::QueueConfig;
+use crate::workflow::StepSpec;
 
 /// How urgent a job is; smaller comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -20,7 +22,7 @@
 
 impl JobUrgency {
     /// Returns a job's urgency at `now_ms`.
-    pub fn new(job: &JobState, queue: &QueueConfig, now_ms: u64) -> Self {
+    pub fn new(job: &JobState, queue: &QueueConfig, durations: &DurationBook, now_ms: u64) -> Self {
         if job.is_long_running() {
             return Self {
                 class: 0,
@@ -28,11 +30,16 @@
                 slack_ms: job.seen_ms as i64,
             };
         }
-        let stretched = job.spec.chain_ms() as f64 * queue.stretch;
+        let expected = |step: &StepSpec| durations.expected_ms(&queue.name, step.estimate_ms);
+        let chain_ms = job.spec.longest_chain(|_, step| expected(step));
+        let open = |number| !job.is_step_done(0, number as u32);
+        let remaining_ms =
+            job.spec
+                .longest_chain(|number, step| if open(number) { expected(step) } else { 0 });
+        let stretched = chain_ms as f64 * queue.stretch;
         let objective_ms = stretched as i64 + queue.objective_ms as i64;
         let age_ms = now_ms.saturating_sub(job.seen_ms) as i64;
-        let remaining_ms = job.remaining_chain_ms() as i64;
-        let slack_ms = objective_ms - age_ms - remaining_ms;
+        let slack_ms = objective_ms - age_ms - remaining_ms as i64;
         let late_slack_ms = slack_ms + 2 * objective_ms;
         let class = match (slack_ms >= 0, late_slack_ms >= 0) {
             (true, _) => 1,
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -104,11 +104,11 @@
 
     /// Returns the longest chain of estimates through the steps, in ms.
     pub fn chain_ms(&self) -> u64 {
-        self.chain_from(|_| true)
+        self.longest_chain(|_, step| step.estimate_ms)
     }
 
-    /// Returns the longest chain of estimates through the steps that `counts` holds for, in ms.
-    pub fn chain_from(&self, counts: impl Fn(usize) -> bool) -> u64 {
+    /// Returns the longest chain through the steps, each of which takes what `length` says, in ms.
+    pub fn longest_chain(&self, length: impl Fn(usize, &StepSpec) -> u64) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for (number, step) in self.steps.iter().enumerate() {
             let before = step
@@ -116,8 +116,7 @@
                 .iter()
                 .filter_map(|&step| ends.get(step as usize));
             let start = before.copied().max().unwrap_or(0);
-            let own = if counts(number) { step.estimate_ms } else { 0 };
-            ends.push(start + own);
+            ends.push(start + length(number, step));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -218,12 +218,6 @@
         self.spec.steps.iter().any(|step| step.long_running)
     }
 
-    /// Returns the estimates along the longest chain of steps that aren't done, in ms.
-    pub fn remaining_chain_ms(&self) -> u64 {
-        self.spec
-            .chain_from(|step| !self.is_step_done(0, step as u32))
-    }
-
     fn count_done(&mut self) {
         for occurrence in 0..self.spec.occurrences() {
             for step in 0..self.spec.steps.len() as u32 {
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -55,7 +55,7 @@
             let Some(queue) = config.queue(&job.spec.queue) else {
                 continue;
             };
-            let urgency = JobUrgency::new(job, queue, now_ms);
+            let urgency = JobUrgency::new(job, queue, &self.durations, now_ms);
             let jobs = sorted.entry(queue.service.clone()).or_default();
             jobs.push((urgency, id.clone()));
         }
--- a/src/workflow/upkeep_plan.rs
+++ b/src/workflow/upkeep_plan.rs
@@ -47,6 +47,8 @@
     pub cordoned: bool,
     /// Nothing runs on it.
     pub empty: bool,
+    /// Its pool needs all the room it has.
+    pub pool_busy: bool,
 }
 
 /// What to do for a wave now.
@@ -64,19 +66,31 @@
 pub fn choose_upkeep(hosts: &[WaveHost], max_down: usize, left_ms: u64) -> UpkeepChoice {
     let down = hosts.iter().filter(|host| host.down).count();
     let due: Vec<_> = hosts.iter().filter(|host| !host.begun && host.up).collect();
-    let free = max_down.saturating_sub(down);
-    let rounds = (due.len() as u64).div_ceil(max_down.max(1) as u64);
-    let force = rounds * HOST_TURN_MS > left_ms * PLANNED_SHARE / 100;
-    let mut order: BTreeMap<(bool, u64, &HostId), &WaveHost> = BTreeMap::new();
+    let cap = max_down.max(1);
+    let planned_ms = (left_ms * PLANNED_SHARE / 100).max(1);
+    let work_ms = due.len() as u64 * HOST_TURN_MS;
+    let pace = (work_ms.div_ceil(planned_ms) as usize).clamp(1, cap);
+    let rounds_ms = work_ms.div_ceil(cap as u64);
+    let hurried = rounds_ms * 2 > planned_ms;
+    let force = rounds_ms > planned_ms;
+    let mut order: BTreeMap<(bool, bool, u64, &HostId), &WaveHost> = BTreeMap::new();
     for host in due {
-        order.insert((!host.cordoned, host.used_millis, &host.host), host);
+        let key = (host.pool_busy, !host.cordoned, host.used_millis, &host.host);
+        order.insert(key, host);
     }
-    let next: Vec<_> = order.into_values().take(max_down.max(1)).collect();
-    let ready = next.iter().filter(|host| host.empty);
-    let begin: Vec<_> = ready.take(free).map(|host| host.host.clone()).collect();
-    UpkeepChoice {
-        begin,
-        cordon: next.iter().map(|host| host.host.clone()).collect(),
+    let allowed = order
+        .into_values()
+        .filter(|host| hurried || !host.pool_busy || host.cordoned);
+    let mut choice = UpkeepChoice {
         force,
+        ..UpkeepChoice::default()
+    };
+    for host in allowed {
+        if host.empty && down + choice.begin.len() < cap {
+            choice.begin.push(host.host.clone());
+        } else if down + choice.begin.len() + choice.cordon.len() < pace {
+            choice.cordon.push(host.host.clone());
+        }
     }
+    choice
 }
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -1,21 +1,28 @@
 //! Emptying a worker before an order ends all that runs there.
 
 use crate::id::WorkerId;
+use crate::workflow::CordonReason;
 use crate::workflow::JobEngine;
 use crate::workflow::OrderPhase;
 use crate::workflow::TaskName;
 
 impl JobEngine {
-    /// Keeps new tasks off a worker, or lets them come again.
-    pub fn set_cordoned(&mut self, id: &WorkerId, cordoned: bool) {
+    /// Keeps new tasks off a worker for a reason, or lets them come again.
+    pub fn set_cordon(&mut self, id: &WorkerId, cordon: Option<CordonReason>) {
         if let Some(worker) = self.workers.get_mut(id) {
-            if worker.cordoned != cordoned {
-                log::info!("event=worker_cordoned worker={id} cordoned={cordoned}");
+            if worker.cordon != cordon {
+                log::info!("event=worker_cordoned worker={id} reason={cordon:?}");
+                worker.cordon = cordon;
             }
-            worker.cordoned = cordoned;
         }
     }
 
+    /// Tells whether long-running tasks are on a worker.
+    pub fn has_long_running(&self, id: &WorkerId) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| worker.tasks.iter().any(|task| self.is_long_running(task)))
+    }
+
     /// Moves long-running tasks off a worker as far as their steps can spare them, and with
     /// `force` stops the others too; returns whether the worker is empty.
     pub fn drain_worker(&mut self, id: &WorkerId, force: bool, now_ms: u64) -> bool {
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -22,6 +22,15 @@
 /// The longest lease that a worker grants, in ms; the platform's bound.
 const LONGEST_LEASE_MS: u64 = 10_000;
 
+/// Why a worker is emptied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CordonReason {
+    /// Its host is due for upkeep.
+    Upkeep,
+    /// Its host is to move to this pool.
+    Move(String),
+}
+
 /// A worker with what runs on it.
 #[derive(Clone, Debug)]
 pub struct WorkerState {
@@ -45,8 +54,8 @@
     pub silent_since_ms: u64,
     /// When it last answered, in ms.
     pub answered_ms: u64,
-    /// It is emptied for an order on its host.
-    pub cordoned: bool,
+    /// Why it gets no new tasks, if it is emptied for an order on its host.
+    pub cordon: Option<CordonReason>,
     clock: Option<(u64, u64)>,
     failures: u32,
     distrusted_until_ms: u64,
@@ -66,7 +75,7 @@
             lease_ms: 0,
             silent_since_ms: 0,
             answered_ms: 0,
-            cordoned: false,
+            cordon: None,
             clock: None,
             failures: 0,
             distrusted_until_ms: 0,
@@ -141,7 +150,7 @@
         self.listed
             && self.fenced
             && !self.entry.draining
-            && !self.cordoned
+            && self.cordon.is_none()
             && in_touch
             && now_ms >= self.distrusted_until_ms
     }
