--- a/src/workflow/capacity_plan.rs
+++ b/src/workflow/capacity_plan.rs
@@ -69,8 +69,9 @@
 }
 
 /// Chooses the hosts that leave their pool, in the order of need. Moves that were chosen
-/// before and whose need has passed are not chosen again.
-pub fn choose_moves(pools: &[PoolView]) -> Vec<HostMove> {
+/// before and whose need has passed are not chosen again. Hosts are switched off only beyond
+/// `reserve_millis` of room that no pool needs now.
+pub fn choose_moves(pools: &[PoolView], reserve_millis: u64) -> Vec<HostMove> {
     let mut rooms: BTreeMap<&str, u64> = BTreeMap::new();
     for pool in pools {
         let arriving = pools
@@ -102,7 +103,7 @@
             });
         }
     }
-    moves.extend(switch_off(pools, &mut rooms, &taken));
+    moves.extend(switch_off(pools, &mut rooms, &taken, reserve_millis));
     moves
 }
 
@@ -154,7 +155,12 @@
     pools: &'p [PoolView],
     rooms: &mut BTreeMap<&'p str, u64>,
     taken: &[HostId],
+    reserve_millis: u64,
 ) -> Vec<HostMove> {
+    let on = pools.iter().filter(|pool| !pool.standby);
+    let mut spare: u64 = on
+        .map(|pool| rooms[pool.name.as_str()].saturating_sub(wanted(pool)))
+        .sum();
     let Some(standby) = pools.iter().find(|pool| pool.standby) else {
         return Vec::new();
     };
@@ -168,9 +174,11 @@
             let room = rooms[pool.name.as_str()];
             let idle = !host.pinned && host.counts && host.used_millis == 0;
             let free = idle && host.leaving_to.is_none() && !taken.contains(&host.host);
-            if !free || room < keep + host.room_millis {
+            let needed = spare < reserve_millis + host.room_millis;
+            if !free || needed || room < keep + host.room_millis {
                 continue;
             }
+            spare -= host.room_millis;
             *rooms.entry(&pool.name).or_default() -= host.room_millis;
             moves.push(HostMove {
                 host: host.host.clone(),
--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -35,13 +35,21 @@
         self.forecast.note_arrival(&queue.service, work, now_ms);
     }
 
+    /// Returns what the busiest pool has needed, in thousandths of a core.
+    pub fn highest_demand(&self) -> u64 {
+        self.forecast.highest_peak() as u64
+    }
+
     /// Returns the processor time that each pool needs soon, in thousandths of a core.
     pub fn pool_demands(&mut self, now_ms: u64) -> BTreeMap<ServiceId, u64> {
-        self.forecast.tick(now_ms);
         let mut demands = BTreeMap::new();
         let Some(config) = self.config.clone() else {
             return demands;
         };
+        for pool in config.pools.iter().filter(|pool| !pool.standby) {
+            self.forecast.note_pool(&pool.service);
+        }
+        self.forecast.tick(now_ms);
         let mut waiting: BTreeMap<&ServiceId, u64> = BTreeMap::new();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -119,7 +119,10 @@
 
     /// Chooses moves, empties the hosts, and moves those that are empty.
     pub(crate) async fn advance(&self, pools: &[PoolView], hosts: &[HostEntry]) {
-        let moves = choose_moves(pools);
+        let highest = self.term.engine.borrow().highest_demand();
+        // Before any peak is known nothing is switched off.
+        let reserve = if highest == 0 { u64::MAX / 2 } else { highest };
+        let moves = choose_moves(pools, reserve);
         let ready = self.cordon(pools, hosts, &moves);
         for chosen in ready {
             if !self.term.may_order() {
--- a/src/workflow/job_order.rs
+++ b/src/workflow/job_order.rs
@@ -33,9 +33,9 @@
         let expected = |step: &StepSpec| durations.expected_ms(&queue.name, step.estimate_ms);
         let chain_ms = job.spec.longest_chain(|_, step| expected(step));
         let open = |number| !job.is_step_done(0, number as u32);
-        let remaining_ms =
-            job.spec
-                .longest_chain(|number, step| if open(number) { expected(step) } else { 0 });
+        let remaining_ms = job
+            .spec
+            .longest_chain(|number, step| if open(number) { expected(step) } else { 0 });
         let stretched = chain_ms as f64 * queue.stretch;
         let objective_ms = stretched as i64 + queue.objective_ms as i64;
         let age_ms = now_ms.saturating_sub(job.seen_ms) as i64;
