--- a/src/workflow/capacity_plan.rs
+++ b/src/workflow/capacity_plan.rs
@@ -52,6 +52,11 @@
 }
 
 impl PoolView {
+    /// Tells whether the pool's room is below its demand.
+    pub fn is_short(&self) -> bool {
+        !self.standby && self.room() < self.demand_millis
+    }
+
     fn room(&self) -> u64 {
         let counted = self.hosts.iter().filter(|host| host.counts);
         let staying = counted.filter(|host| host.leaving_to.is_none());
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -143,7 +143,7 @@
 
     /// Runs one term to its end.
     async fn control(&self, mut seat: LeaderSeat) {
-        let engine = JobEngine::new(boot_ms());
+        let engine = JobEngine::new(boot_ms(), seat.inherited_ms());
         let term = ControllerTerm::new(seat.epoch(), engine);
         let loaded = self.while_renewing(&mut seat, self.load(&term)).await;
         let Some(job_revision) = loaded else {
@@ -248,6 +248,7 @@
             // Without a wake the commit only renews the lease.
             let _ = timeout(RENEWAL_PAUSE, term.commit.notified()).await;
             let (rows, effects) = term.engine.borrow_mut().take_changes();
+            seat.set_inherited_ms(term.engine.borrow().inherited_ms(boot_ms()));
             let mut writes: Vec<_> = rows
                 .into_iter()
                 .map(|(id, value)| row_write(format!("{PROGRESS_PREFIX}{id}"), value))
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -20,10 +20,14 @@
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerState;
 
-/// How long a run that an earlier controller placed may go on unseen, in ms: the time for
-/// which a controller renews leases without the table, and the longest lease that it asks for.
+/// How long a run of an earlier controller that gave no lease up may go on unseen, in ms:
+/// the time for which it renews leases without the table, and the longest lease it asks for.
 pub const INHERITED_RUN_MS: u64 = 17_000;
 
+/// How long a run of a controller that gave its lease up may go on unseen, in ms: the
+/// longest lease that it asks for, on a slow clock, and a renewal that was under way.
+pub const RELEASED_RUN_MS: u64 = 6_000;
+
 /// How long ended jobs are remembered, in ms: the platform's callers may ask for 120 s.
 const RETENTION_MS: u64 = 150_000;
 
@@ -63,12 +67,14 @@
     pub(crate) open_jobs: BTreeSet<JobId>,
     pub(crate) forecast: TurnForecast,
     pub(crate) durations: DurationBook,
-    started_ms: u64,
+    pub(crate) waiting: bool,
+    inherited_until_ms: u64,
 }
 
 impl JobEngine {
-    /// Creates the engine of a controller that began at `now_ms`.
-    pub fn new(now_ms: u64) -> Self {
+    /// Creates the engine of a controller that began at `now_ms`, with runs of earlier
+    /// controllers that may go on unseen for `inherited_ms`.
+    pub fn new(now_ms: u64, inherited_ms: u64) -> Self {
         Self {
             config: None,
             jobs: BTreeMap::new(),
@@ -79,7 +85,8 @@
             open_jobs: BTreeSet::new(),
             forecast: TurnForecast::new(),
             durations: DurationBook::new(),
-            started_ms: now_ms,
+            waiting: false,
+            inherited_until_ms: now_ms + inherited_ms,
         }
     }
 
@@ -176,7 +183,7 @@
 
     /// Releases the tasks of workers whose leases are surely over.
     pub fn expire_workers(&mut self, now_ms: u64) {
-        let waited = now_ms > self.started_ms + INHERITED_RUN_MS;
+        let waited = now_ms > self.inherited_until_ms;
         let over = |worker: &WorkerState| {
             let silent = worker.silent_since_ms > 0;
             let unseen = waited && !worker.fenced;
@@ -274,6 +281,16 @@
         !self.changed.is_empty() || !self.effects.is_empty()
     }
 
+    /// Tells whether the last look found tasks without room.
+    pub fn has_waiting_tasks(&self) -> bool {
+        self.waiting
+    }
+
+    /// Returns how long runs of earlier controllers may still go on unseen, in ms.
+    pub fn inherited_ms(&self, now_ms: u64) -> u64 {
+        self.inherited_until_ms.saturating_sub(now_ms)
+    }
+
     /// Takes the stops that are to be sent.
     pub fn take_stops(&mut self) -> Vec<StopRequest> {
         std::mem::take(&mut self.stops)
--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -35,9 +35,10 @@
         self.forecast.note_arrival(&queue.service, work, now_ms);
     }
 
-    /// Returns what the busiest pool has needed, in thousandths of a core.
-    pub fn highest_demand(&self) -> u64 {
-        self.forecast.highest_peak() as u64
+    /// Returns what the busiest pool has needed in its turn, in thousandths of a core, once
+    /// a whole turn was seen.
+    pub fn highest_demand(&self) -> Option<u64> {
+        self.forecast.highest_peak().map(|peak| peak as u64)
     }
 
     /// Returns the processor time that each pool needs soon, in thousandths of a core.
--- a/src/workflow/host_keeper.rs
+++ b/src/workflow/host_keeper.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use monoio::time::sleep;
 use serde_json::Value;
 
@@ -35,7 +36,7 @@
 const TAKEOVER_PAUSE_MS: u64 = 3_600;
 
 /// The time between two looks at the hosts while a wave is under way.
-const LOOK_PAUSE: Duration = Duration::from_millis(300);
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
 
 /// How long a host is kept from moves after its upkeep was ordered, in ms: the platform
 /// states 2 s for an upkeep.
@@ -119,10 +120,12 @@
         self.resend(request).await;
         let age_ms = boot_ms().saturating_sub(seen_ms);
         let left_ms = request.deadline_ms.saturating_sub(age_ms);
-        let choice = choose_upkeep(&wave_hosts, request.max_down, left_ms);
+        let room_short = pools.iter().any(|pool| pool.is_short());
+        let choice = choose_upkeep(&wave_hosts, request.max_down, left_ms, room_short);
+        self.mark_due(&wave_hosts, hosts);
         self.drain(&choice.cordon, hosts, choice.force);
-        for host in choice.begin {
-            self.begin(request, &host, hosts).await;
+        if !choice.begin.is_empty() {
+            self.begin(request, &choice.begin, hosts).await;
         }
         self.finish(request, hosts).await;
     }
@@ -203,20 +206,37 @@
         self.term.plan.notify_one();
     }
 
-    /// Decides a host's upkeep durably and orders it.
-    async fn begin(&self, request: &WaveRequest, host: &HostId, hosts: &[HostEntry]) {
+    /// Marks the workers whose hosts the wave will take down.
+    fn mark_due(&self, wave_hosts: &[WaveHost], hosts: &[HostEntry]) {
+        let mut engine = self.term.engine.borrow_mut();
+        for host in wave_hosts {
+            let entry = hosts.iter().find(|entry| entry.host == host.host);
+            let worker = entry.and_then(|entry| entry.worker.as_ref());
+            if let Some(worker) = worker.and_then(|id| engine.workers.get_mut(id)) {
+                worker.upkeep_due = !host.begun;
+            }
+        }
+    }
+
+    /// Decides the upkeep of hosts durably and orders it.
+    async fn begin(&self, request: &WaveRequest, due: &[HostId], hosts: &[HostEntry]) {
         self.change(&request.wave, |progress| {
-            progress.begun.insert(host.clone());
+            progress.begun.extend(due.iter().cloned());
         });
         if !self.term.commit_rows(self.wave_row(&request.wave)).await {
             return;
         }
+        let orders = due.iter().map(|host| self.begin_one(request, host, hosts));
+        join_all(orders).await;
+    }
+
+    async fn begin_one(&self, request: &WaveRequest, host: &HostId, hosts: &[HostEntry]) {
         if !self.term.may_order() {
             log::warn!("event=upkeep_postponed host={host} reason=\"the lease is not confirmed\"");
             return;
         }
-        let worker = hosts.iter().find(|entry| entry.host == *host);
-        let worker = worker.and_then(|entry| entry.worker.clone());
+        let entry = hosts.iter().find(|entry| entry.host == *host);
+        let worker = entry.and_then(|entry| entry.worker.clone());
         if self.order(request, host).await {
             if let Some(worker) = worker {
                 let mut engine = self.term.engine.borrow_mut();
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -1,11 +1,14 @@
 //! Moves hosts between pools as the capacity plan says.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use futures::future::join_all;
+
 use crate::id::HostId;
 use crate::process::boot_ms;
 use crate::workflow::choose_moves;
@@ -26,6 +29,9 @@
 /// The share of a pool's room above which it has none to spare, in percent.
 const SPARE_SHARE: u64 = 75;
 
+/// The time between two lines about each pool, in ms.
+const POOL_LINES_MS: u64 = 1_000;
+
 /// Carries out the capacity plan of one term.
 pub(crate) struct HostMover<P> {
     platform: Rc<P>,
@@ -34,6 +40,7 @@
     arriving: RefCell<HashMap<HostId, (String, u64)>>,
     spare_since: RefCell<BTreeMap<String, u64>>,
     barred: RefCell<BTreeSet<(HostId, String)>>,
+    logged_ms: Cell<u64>,
 }
 
 impl<P: FleetPlatform> HostMover<P> {
@@ -45,6 +52,7 @@
             arriving: RefCell::default(),
             spare_since: RefCell::default(),
             barred: RefCell::default(),
+            logged_ms: Cell::new(0),
         }
     }
 
@@ -117,18 +125,36 @@
         }
     }
 
+    /// Writes a line for each pool, now and then.
+    fn log_pools(&self, pools: &[PoolView]) {
+        let now_ms = boot_ms();
+        if now_ms < self.logged_ms.get() + POOL_LINES_MS {
+            return;
+        }
+        self.logged_ms.set(now_ms);
+        for pool in pools {
+            let room: u64 = pool.hosts.iter().map(|host| host.room_millis).sum();
+            let used: u64 = pool.hosts.iter().map(|host| host.used_millis).sum();
+            let pinned = pool.hosts.iter().filter(|host| host.pinned).count();
+            log::info!(
+                "event=pool name={} hosts={} pinned={pinned} room_millis={room} used_millis={used} demand_millis={}",
+                pool.name,
+                pool.hosts.len(),
+                pool.demand_millis
+            );
+        }
+    }
+
     /// Chooses moves, empties the hosts, and moves those that are empty.
     pub(crate) async fn advance(&self, pools: &[PoolView], hosts: &[HostEntry]) {
+        self.log_pools(pools);
         let highest = self.term.engine.borrow().highest_demand();
-        // Before any peak is known nothing is switched off.
-        let reserve = if highest == 0 { u64::MAX / 2 } else { highest };
+        // Before a whole turn was seen nothing is switched off.
+        let reserve = highest.unwrap_or(u64::MAX / 2);
         let moves = choose_moves(pools, reserve);
         let ready = self.cordon(pools, hosts, &moves);
-        for chosen in ready {
-            if !self.term.may_order() {
-                return;
-            }
-            self.order(&chosen, hosts).await;
+        if self.term.may_order() {
+            join_all(ready.iter().map(|chosen| self.order(chosen, hosts))).await;
         }
     }
 
--- a/src/workflow/leader_seat.rs
+++ b/src/workflow/leader_seat.rs
@@ -16,6 +16,8 @@
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
 use crate::process::boot_ms;
+use crate::workflow::INHERITED_RUN_MS;
+use crate::workflow::RELEASED_RUN_MS;
 
 /// The row that names the controller.
 pub const LEADER_KEY: &str = "control/leader";
@@ -34,6 +36,20 @@
     pub commit: u64,
     /// The holder has given the lease up.
     pub released: bool,
+    /// How long runs of the holder's predecessors may still go on unseen, in ms.
+    #[serde(default)]
+    pub inherited_ms: u64,
+}
+
+impl LeaderRecord {
+    /// Returns how long runs of this holder and those before may go on unseen after it, in ms.
+    fn unseen_ms(&self) -> u64 {
+        match (self.epoch, self.released) {
+            (0, _) => 0,
+            (_, true) => self.inherited_ms.max(RELEASED_RUN_MS),
+            (_, false) => INHERITED_RUN_MS,
+        }
+    }
 }
 
 /// The lease of the one controller; each commit renews it.
@@ -63,6 +79,7 @@
             holder: holder.to_owned(),
             commit: 0,
             released: false,
+            inherited_ms: before.unseen_ms(),
         };
         let revision = current.map_or(Revision::new(0), |row| row.revision);
         let mut seat = Self {
@@ -94,6 +111,16 @@
         self.record.epoch
     }
 
+    /// Returns how long runs of earlier holders may go on unseen, in ms.
+    pub fn inherited_ms(&self) -> u64 {
+        self.record.inherited_ms
+    }
+
+    /// Sets how long runs of earlier holders may go on unseen, in ms.
+    pub fn set_inherited_ms(&mut self, inherited_ms: u64) {
+        self.record.inherited_ms = inherited_ms;
+    }
+
     /// Returns when the holder last knew that the lease was its own, in ms.
     pub fn confirmed_ms(&self) -> u64 {
         self.confirmed_ms.get()
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -46,6 +46,7 @@
 pub use engine::JobEngine;
 pub use engine::StopRequest;
 pub use engine::INHERITED_RUN_MS;
+pub use engine::RELEASED_RUN_MS;
 pub use fleet_config::CallerLimits;
 pub use fleet_config::FleetConfig;
 pub use fleet_config::PoolConfig;
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -31,6 +31,7 @@
         let Some(config) = self.config.clone() else {
             return;
         };
+        self.waiting = false;
         for (service, jobs) in self.jobs_by_service(&config, now_ms) {
             let mut misfits = 0;
             for job in jobs {
@@ -39,6 +40,7 @@
                 }
                 misfits += self.place_job(&job, &service, now_ms, wall_ms);
             }
+            self.waiting |= misfits > 0;
         }
     }
 
@@ -198,16 +200,34 @@
         worker.tasks.iter().filter(same).count() as u32
     }
 
-    fn placement_cost(&self, worker: &WorkerState, name: &TaskName, step: &StepSpec) -> (u64, u64) {
+    /// Ranks the workers that a task fits on; the least is chosen.
+    fn placement_cost(&self, worker: &WorkerState, name: &TaskName, step: &StepSpec) -> [u64; 4] {
         let room = worker.room().cpu_millis;
         if step.backfill {
-            return (0, u64::MAX - room);
+            return [0, 0, 0, u64::MAX - room];
         }
         if step.long_running {
-            return (u64::from(self.siblings(worker, name)), u64::MAX - room);
+            // Few hosts carry long-running tasks, so that the others can change their pool;
+            // those of one step keep to different racks.
+            let bare = !self.has_long_running(&worker.entry.id);
+            let neighbours = self.rack_siblings(worker, name);
+            let due = u64::from(worker.upkeep_due);
+            return [due, neighbours, u64::from(bare), u64::MAX - room];
         }
         let far = step.data_rack.is_some() && step.data_rack.as_deref() != worker.rack();
-        (u64::from(far), room)
+        [u64::from(far), 0, 0, room]
+    }
+
+    /// Counts the tasks of a step on a worker's rack.
+    fn rack_siblings(&self, worker: &WorkerState, name: &TaskName) -> u64 {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return 0;
+        };
+        let tasks = job.step_tasks(name.occurrence, name.step).iter();
+        let workers = tasks.filter_map(|state| self.workers.get(state.worker()?));
+        workers
+            .filter(|other| other.rack() == worker.rack())
+            .count() as u64
     }
 
     fn place_task(&mut self, name: &TaskName, worker_id: &WorkerId, now_ms: u64) {
--- a/src/workflow/turn_forecast.rs
+++ b/src/workflow/turn_forecast.rs
@@ -115,9 +115,11 @@
         }
     }
 
-    /// Returns the highest demand seen of any pool, in thousandths of a core.
-    pub fn highest_peak(&self) -> f64 {
-        self.peak
+    /// Returns the highest demand seen of any pool, in thousandths of a core, once a pool's
+    /// turn has ended.
+    pub fn highest_peak(&self) -> Option<f64> {
+        let ended = |pool: &PoolArrivals| pool.turns > 0 && !pool.high;
+        self.pools.values().any(ended).then_some(self.peak)
     }
 
     /// Returns the demand to be ready for, in thousandths of a core, beside what waits; the
--- a/src/workflow/upkeep_plan.rs
+++ b/src/workflow/upkeep_plan.rs
@@ -16,8 +16,9 @@
 /// itself and the look that shows it.
 const HOST_TURN_MS: u64 = 3_200;
 
-/// The share of a wave's time that is planned with, in percent; the rest is for trouble.
-const PLANNED_SHARE: u64 = 80;
+/// The share of a wave's time that is planned with, in percent; the rest is for a change of
+/// the controller and for hosts that are away.
+const PLANNED_SHARE: u64 = 55;
 
 /// How far a wave has come; durable.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -63,7 +64,13 @@
 }
 
 /// Chooses what to do for a wave of which `left_ms` are left and `max_down` may be down.
-pub fn choose_upkeep(hosts: &[WaveHost], max_down: usize, left_ms: u64) -> UpkeepChoice {
+/// While room is short, no more hosts are down at once than the wave's time asks for.
+pub fn choose_upkeep(
+    hosts: &[WaveHost],
+    max_down: usize,
+    left_ms: u64,
+    room_short: bool,
+) -> UpkeepChoice {
     let down = hosts.iter().filter(|host| host.down).count();
     let due: Vec<_> = hosts.iter().filter(|host| !host.begun && host.up).collect();
     let cap = max_down.max(1);
@@ -86,7 +93,8 @@
         ..UpkeepChoice::default()
     };
     for host in allowed {
-        if host.empty && down + choice.begin.len() < cap {
+        let limit = if room_short { pace } else { cap };
+        if host.empty && down + choice.begin.len() < limit {
             choice.begin.push(host.host.clone());
         } else if down + choice.begin.len() + choice.cordon.len() < pace {
             choice.cordon.push(host.host.clone());
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -3,8 +3,8 @@
 use crate::id::WorkerId;
 use crate::workflow::CordonReason;
 use crate::workflow::JobEngine;
-use crate::workflow::OrderPhase;
 use crate::workflow::TaskName;
+use crate::workflow::TaskState;
 
 impl JobEngine {
     /// Keeps new tasks off a worker for a reason, or lets them come again.
@@ -55,12 +55,15 @@
         let Some(limit) = job.step(name.step).and_then(|step| step.max_unavailable) else {
             return true;
         };
-        let at_work = job.task(name).is_some_and(|state| state.is_at_work());
+        let at_work = |state: &TaskState| state.is_at_work() && self.is_in_touch(state.worker());
         let tasks = job.step_tasks(name.occurrence, name.step).iter();
-        let away = tasks.filter(|state| !state.is_at_work()).count();
-        let stopping = job
-            .task(name)
-            .is_some_and(|state| state.order() == Some(OrderPhase::Stopping));
-        !stopping && at_work && (away as u32) < limit
+        let away = tasks.filter(|state| !at_work(state)).count();
+        job.task(name).is_some_and(at_work) && (away as u32) < limit
+    }
+
+    /// Tells whether a worker answers; what runs on one that doesn't may be lost.
+    fn is_in_touch(&self, worker: Option<&WorkerId>) -> bool {
+        let worker = worker.and_then(|id| self.workers.get(id));
+        worker.is_some_and(|worker| worker.silent_since_ms == 0)
     }
 }
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -56,6 +56,8 @@
     pub answered_ms: u64,
     /// Why it gets no new tasks, if it is emptied for an order on its host.
     pub cordon: Option<CordonReason>,
+    /// Its host is due for upkeep, so that it will be emptied soon.
+    pub upkeep_due: bool,
     clock: Option<(u64, u64)>,
     failures: u32,
     distrusted_until_ms: u64,
@@ -76,6 +78,7 @@
             silent_since_ms: 0,
             answered_ms: 0,
             cordon: None,
+            upkeep_due: false,
             clock: None,
             failures: 0,
             distrusted_until_ms: 0,
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -5,6 +5,9 @@
 
 use monoio::time::sleep;
 use monoio::time::timeout;
+use monoio::time::timeout_at;
+use monoio::time::Instant;
+use tokio::sync::Notify;
 
 use crate::id::WorkerId;
 use crate::process::boot_ms;
@@ -27,8 +30,15 @@
 /// How long a worker may wait for an end before it answers a renewal.
 const END_WAIT: Duration = Duration::from_millis(900);
 
-/// The pause after an answer: ends within it share the next answer.
-const GATHER_PAUSE: Duration = Duration::from_millis(25);
+/// The pause after an answer while tasks wait for room: ends within it share the next answer.
+const GATHER_PAUSE: Duration = Duration::from_millis(20);
+
+/// The pause after an answer while no task waits, so that ends free nothing that is needed.
+const CALM_PAUSE: Duration = Duration::from_millis(70);
+
+/// How long the next renewal waits for the commit of the ends in the last answer, since a
+/// worker answers at once with ends that aren't acknowledged.
+const COMMIT_WAIT: Duration = Duration::from_millis(250);
 
 /// The pause after the first call without an answer; it doubles with each further one.
 const SILENCE_PAUSE: Duration = Duration::from_millis(150);
@@ -61,7 +71,12 @@
         let pause = if apply_renewal(&term, &id, &outcome, asked_ms) {
             acknowledged = acknowledged.max(renewal.acknowledged);
             silence_pause = SILENCE_PAUSE;
-            GATHER_PAUSE
+            wait_for_commit(&term, &id, &wake).await;
+            if term.engine.borrow().has_waiting_tasks() {
+                GATHER_PAUSE
+            } else {
+                CALM_PAUSE
+            }
         } else {
             let pause = silence_pause;
             silence_pause = (pause * 2).min(SILENCE_PAUSE_MOST);
@@ -72,6 +87,23 @@
     term.forget_worker(&id);
 }
 
+/// Waits until the ends that were applied are durable.
+async fn wait_for_commit(term: &ControllerTerm, id: &WorkerId, wake: &Notify) {
+    let deadline = Instant::now() + COMMIT_WAIT;
+    while term.is_active() && Instant::now() < deadline {
+        let settled = {
+            let engine = term.engine.borrow();
+            let worker = engine.workers.get(id);
+            worker.is_none_or(|worker| worker.durable_end >= worker.applied_end)
+        };
+        if settled {
+            return;
+        }
+        // Without a wake the deadline ends the wait.
+        let _ = timeout_at(deadline, wake.notified()).await;
+    }
+}
+
 /// Returns the next renewal, an inner nothing if none is due, or nothing for an unknown worker.
 fn next_renewal(
     term: &ControllerTerm,
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -24,6 +24,7 @@
 use zincpier::workflow::WorkerEntry;
 use zincpier::workflow::WorkerReport;
 use zincpier::workflow::WorkerResources;
+use zincpier::workflow::INHERITED_RUN_MS;
 
 pub(crate) const JOB: &str = "00000000000000a1";
 pub(crate) const ATTEMPTS: u32 = 3;
@@ -43,7 +44,7 @@
         let workers: Vec<_> = (0..workers).map(worker_entry).collect();
         let now_ms = 1_000_000;
         let mut fleet = Self {
-            engine: JobEngine::new(now_ms),
+            engine: JobEngine::new(now_ms, 0),
             now_ms,
             workers,
             ends: BTreeMap::new(),
@@ -185,7 +186,11 @@
 
     pub(crate) fn lose_worker(&mut self, index: usize) {
         let id = self.workers[index].id.clone();
-        let worker = self.engine.workers.get_mut(&id).unwrap();
+        self.lose_worker_named(&id);
+    }
+
+    pub(crate) fn lose_worker_named(&mut self, id: &WorkerId) {
+        let worker = self.engine.workers.get_mut(id).unwrap();
         worker.note_silence(self.now_ms);
     }
 
@@ -202,7 +207,7 @@
     /// Builds the engine of the next controller from the durable rows.
     pub(crate) fn successor(&mut self) -> Self {
         let mut next = Self {
-            engine: JobEngine::new(self.now_ms),
+            engine: JobEngine::new(self.now_ms, INHERITED_RUN_MS),
             now_ms: self.now_ms,
             workers: self.workers.clone(),
             ends: self.ends.clone(),
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -138,3 +138,18 @@
 
     assert_eq!(fleet.next_lease(0), None);
 }
+
+#[test]
+fn a_task_on_a_silent_worker_does_not_count_as_at_work() {
+    let mut fleet = EngineFleet::new(3);
+    fleet.submit(JOB, vec![long_running(2, 1)]);
+    fleet.start_all();
+    fleet.report_all();
+    let first = task(JOB, 0);
+    let second = task(JOB, 1);
+    let silent = fleet.worker_of(&first);
+
+    fleet.lose_worker_named(&silent);
+
+    assert!(!fleet.engine.can_spare(&second), "its sibling may be lost");
+}
