Spread submissions over parts of the table by their ids

Cause: one part takes one transaction after the other; while the table is slow (180 ms each) submissions filled it, the controller's commits got 429 and no entry host could take the lease over for 3.6 s. Ruled out: the length of the lease; claims were refused, not late.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -12,14 +12,18 @@
 use serde_json::Value;
 
 use crate::error::Result;
-use crate::id::JobId;
 use crate::id::Revision;
 use crate::platform::RowWrite;
 use crate::platform::TableRow;
 use crate::platform::TableService;
+use crate::platform::Transaction;
 use crate::process::boot_ms;
 use crate::process::now_ms;
 use crate::process::ShutdownSignal;
+use crate::workflow::cancel_key;
+use crate::workflow::job_key;
+use crate::workflow::job_key::parse_job_key;
+use crate::workflow::job_key::JOB_TABLE;
 use crate::workflow::keep_worker;
 use crate::workflow::send_start;
 use crate::workflow::send_stop;
@@ -38,18 +42,12 @@
 use crate::workflow::WorkerGateway;
 use crate::workflow::LEADER_KEY;
 
-/// Where submitted jobs and their cancellations lie.
-pub const JOB_PREFIX: &str = "jobs/";
-
 /// Where jobs' progress lies.
 pub const PROGRESS_PREFIX: &str = "progress/";
 
 /// Where the counts of waiting jobs lie.
 pub const QUEUE_PREFIX: &str = "queues/";
 
-/// What follows a job's id in the key of its cancellation.
-pub const CANCEL_SUFFIX: &str = ".cancel";
-
 /// How often an entry host without the lease looks at the leader row.
 const WATCH_PAUSE: Duration = Duration::from_millis(350);
 
@@ -81,6 +79,12 @@
 /// The least time between two looks at the list of workers: each beat changes it.
 const WORKER_LOOK: Duration = Duration::from_millis(250);
 
+/// The time between two looks for jobs that ended long ago.
+const SWEEP_PAUSE: Duration = Duration::from_secs(5);
+
+/// The most jobs removed in one look: more than come in the time between two.
+const SWEEP_JOBS: usize = 400;
+
 /// How old the published counts of waiting jobs may get, in ms; callers accept 2 s.
 const PENDING_MS: u64 = 800;
 
@@ -165,6 +169,7 @@
             Rc::clone(&term),
             Rc::clone(&self.view),
         ));
+        monoio::spawn(sweep_jobs(Rc::clone(&self.platform), Rc::clone(&term)));
         self.commit_changes(&mut seat, &term).await;
         term.end("the commits ended");
     }
@@ -191,22 +196,19 @@
 
     /// Reads all jobs and their progress.
     async fn load(&self, term: &ControllerTerm) -> Revision {
-        let (jobs, revision) = self.read_all(JOB_PREFIX).await;
+        let (jobs, revision) = self.read_all(JOB_TABLE).await;
         let (progress, _) = self.read_all(PROGRESS_PREFIX).await;
         let progress: BTreeMap<String, Value> = progress
             .into_iter()
             .map(|row| (row.key[PROGRESS_PREFIX.len()..].to_owned(), row.value))
             .collect();
         let mut engine = term.engine.borrow_mut();
-        let (cancels, jobs): (Vec<_>, Vec<_>) = jobs
-            .into_iter()
-            .partition(|row| row.key.ends_with(CANCEL_SUFFIX));
-        for row in &jobs {
-            let id = &row.key[JOB_PREFIX.len()..];
-            add_job(&mut engine, row, progress.get(id));
-        }
-        for row in &cancels {
-            cancel_job(&mut engine, row);
+        // Submissions come before cancellations, which say nothing without them.
+        let is_cancel = |row: &&TableRow| parse_job_key(&row.key).is_some_and(|(_, cancel)| cancel);
+        let (cancels, jobs): (Vec<_>, Vec<_>) = jobs.iter().partition(is_cancel);
+        for row in jobs.iter().chain(&cancels) {
+            let id = row.key.rsplit('/').next().unwrap_or_default();
+            apply_job_row(&mut engine, row, progress.get(id));
         }
         let (jobs, open) = (engine.jobs.len(), engine.open_jobs.len());
         log::info!(
@@ -264,7 +266,6 @@
             if now_ms > pending_ms + PENDING_MS {
                 pending_ms = now_ms;
                 writes.extend(changed_counts(term, &mut published));
-                writes.extend(forgotten_rows(term, now_ms));
             }
             for writes in split_writes(writes) {
                 if let Err(lost) = seat.commit(self.platform.as_ref(), writes).await {
@@ -321,16 +322,27 @@
     writes
 }
 
-fn forgotten_rows(term: &ControllerTerm, now_ms: u64) -> Vec<RowWrite> {
-    let forgotten = term.engine.borrow_mut().forget_jobs(now_ms);
-    let keys = forgotten.into_iter().flat_map(|id| {
-        [
-            format!("{JOB_PREFIX}{id}"),
-            format!("{JOB_PREFIX}{id}{CANCEL_SUFFIX}"),
-            format!("{PROGRESS_PREFIX}{id}"),
-        ]
-    });
-    keys.map(|key| RowWrite { key, value: None }).collect()
+/// Removes jobs that ended long ago: first what was submitted, so that no controller takes
+/// it for a new job, then the progress.
+async fn sweep_jobs<P: FleetPlatform>(platform: Rc<P>, term: Rc<ControllerTerm>) {
+    while term.is_active() {
+        sleep(SWEEP_PAUSE).await;
+        let old = term.engine.borrow().forgettable_jobs(boot_ms());
+        for id in old.into_iter().take(SWEEP_JOBS) {
+            let removal = Transaction::new()
+                .with_delete(job_key(&id))
+                .with_delete(cancel_key(&id));
+            if let Err(error) = platform.transact(&removal).await {
+                log::warn!("event=sweep_postponed job={id} reason=\"{error}\"");
+                break;
+            }
+            term.engine.borrow_mut().forget_job(&id);
+            term.queue_rows(RowWrite {
+                key: format!("{PROGRESS_PREFIX}{id}"),
+                value: None,
+            });
+        }
+    }
 }
 
 /// Splits writes into transactions that the platform takes; at least one, maybe empty.
@@ -365,11 +377,12 @@
     }
 }
 
-fn add_job(engine: &mut JobEngine, row: &TableRow, progress: Option<&Value>) {
-    let id = row.key[JOB_PREFIX.len()..].parse::<JobId>();
+/// Takes a submission or a cancellation in.
+fn apply_job_row(engine: &mut JobEngine, row: &TableRow, progress: Option<&Value>) {
     let spec = serde_json::from_value::<JobSpec>(row.value.clone());
-    match (id, spec) {
-        (Ok(id), Ok(spec)) => {
+    match (parse_job_key(&row.key), spec) {
+        (Some((id, true)), _) => engine.cancel_job(&id, boot_ms()),
+        (Some((id, false)), Ok(spec)) => {
             log::info!("event=job_seen job={id} queue={}", spec.queue);
             engine.add_job(id, spec, progress, boot_ms());
         }
@@ -377,14 +390,6 @@
     }
 }
 
-fn cancel_job(engine: &mut JobEngine, row: &TableRow) {
-    let id = row.key[JOB_PREFIX.len()..].trim_end_matches(CANCEL_SUFFIX);
-    match id.parse::<JobId>() {
-        Ok(id) => engine.cancel_job(&id, boot_ms()),
-        Err(error) => log::error!("event=cancel_unreadable key={} reason=\"{error}\"", row.key),
-    }
-}
-
 /// Follows submissions and cancellations.
 async fn follow_jobs<P: FleetPlatform>(
     platform: Rc<P>,
@@ -392,7 +397,7 @@
     mut since: Revision,
 ) {
     while term.is_active() {
-        let changes = platform.row_changes(JOB_PREFIX, since, FEED_WAIT).await;
+        let changes = platform.row_changes(JOB_TABLE, since, FEED_WAIT).await;
         let Some((changes, revision)) = accept_changes("jobs", changes, &mut since) else {
             sleep(FEED_PAUSE).await;
             continue;
@@ -401,11 +406,7 @@
         let mut engine = term.engine.borrow_mut();
         for change in &changes {
             if let TableChange::Written(row) = change {
-                if row.key.ends_with(CANCEL_SUFFIX) {
-                    cancel_job(&mut engine, row);
-                } else {
-                    add_job(&mut engine, row, None);
-                }
+                apply_job_row(&mut engine, row, None);
             }
         }
         if !changes.is_empty() {
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -310,18 +310,19 @@
         counts
     }
 
-    /// Forgets jobs that ended long ago and returns their ids.
-    pub fn forget_jobs(&mut self, now_ms: u64) -> Vec<JobId> {
-        let old = |job: &JobState| job.phase.has_ended() && now_ms > job.ended_ms + RETENTION_MS;
-        let jobs = self.jobs.values().filter(|job| old(job));
-        let forgotten: Vec<_> = jobs
-            .filter(|job| !self.open_jobs.contains(&job.id))
-            .map(|job| job.id.clone())
-            .collect();
-        for id in &forgotten {
-            self.jobs.remove(id);
-        }
-        forgotten
+    /// Returns the jobs that ended long ago.
+    pub fn forgettable_jobs(&self, now_ms: u64) -> Vec<JobId> {
+        let old = |job: &&JobState| {
+            let settled = !self.open_jobs.contains(&job.id);
+            settled && job.phase.has_ended() && now_ms > job.ended_ms + RETENTION_MS
+        };
+        let jobs = self.jobs.values().filter(old);
+        jobs.map(|job| job.id.clone()).collect()
+    }
+
+    /// Forgets a job that ended.
+    pub fn forget_job(&mut self, id: &JobId) {
+        self.jobs.remove(id);
     }
 
     fn close_if_settled(&mut self, id: &JobId) {
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -13,10 +13,10 @@
 use crate::platform::TableService;
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
+use crate::workflow::cancel_key;
+use crate::workflow::job_key;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
-use crate::workflow::CANCEL_SUFFIX;
-use crate::workflow::JOB_PREFIX;
 use crate::workflow::PROGRESS_PREFIX;
 use crate::workflow::QUEUE_PREFIX;
 
@@ -78,7 +78,7 @@
         let Ok(value) = serde_json::to_value(spec) else {
             return SubmitOutcome::NotStored;
         };
-        let key = format!("{JOB_PREFIX}{id}");
+        let key = job_key(id);
         let insert = Transaction::new()
             .with_check(key.as_str(), Revision::new(0))
             .with_write(key.as_str(), value);
@@ -97,7 +97,7 @@
             Some(false) => return CancelOutcome::NoJob,
             None => return CancelOutcome::Unknown,
         }
-        let key = format!("{JOB_PREFIX}{id}{CANCEL_SUFFIX}");
+        let key = cancel_key(id);
         let insert = Transaction::new()
             .with_check(key.as_str(), Revision::new(0))
             .with_write(key.as_str(), Value::Bool(true));
@@ -144,7 +144,7 @@
     }
 
     async fn is_stored(&self, id: &JobId) -> Option<bool> {
-        let key = format!("{JOB_PREFIX}{id}");
+        let key = job_key(id);
         match self.table.read(&[&key]).await {
             Ok(rows) => Some(!rows.is_empty()),
             Err(error) => {
