End what ran on hosts that list another life, and stop inherited runs of cancelled jobs

After a takeover tasks of a crashed rack waited up to 17 s although the list of hosts showed them down within 0.2 s. After: tests/workflow_engine.rs holds three sequences; the first failed before.

--- /dev/null
+++ b/src/workflow/committer.rs
@@ -0,0 +1,212 @@
+//! Makes what the engine decided durable, and then lets it take effect.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use monoio::time::timeout;
+use serde_json::json;
+use serde_json::Value;
+
+use crate::platform::RowWrite;
+use crate::platform::Transaction;
+use crate::process::boot_ms;
+use crate::process::ShutdownSignal;
+use crate::workflow::cancel_key;
+use crate::workflow::job_key;
+use crate::workflow::send_start;
+use crate::workflow::ControllerTerm;
+use crate::workflow::Effect;
+use crate::workflow::FleetPlatform;
+use crate::workflow::LeaderSeat;
+use crate::workflow::LeaseLost;
+
+/// Where jobs' progress lies.
+pub(crate) const PROGRESS_PREFIX: &str = "progress/";
+
+/// Where the counts of waiting jobs lie.
+pub(crate) const QUEUE_PREFIX: &str = "queues/";
+
+/// The most rows of one transaction beside the leader row: the platform takes 100.
+const COMMIT_ROWS: usize = 90;
+
+/// The bytes of rows after which a transaction is full: half of what the platform takes,
+/// since its encoding adds a third.
+const COMMIT_BYTES: usize = 400_000;
+
+/// The least time between two commits: what changes within it shares one.
+const COMMIT_PAUSE: Duration = Duration::from_millis(15);
+
+/// The time after which the lease is renewed without any change.
+const RENEWAL_PAUSE: Duration = Duration::from_millis(400);
+
+/// The time between two looks for jobs that ended long ago.
+const SWEEP_PAUSE: Duration = Duration::from_secs(5);
+
+/// The most jobs removed in one look: more than come in the time between two.
+const SWEEP_JOBS: usize = 400;
+
+/// How old the published counts of waiting jobs may get, in ms; callers accept 2 s.
+const PENDING_MS: u64 = 800;
+
+/// Commits the changes of one term.
+pub(crate) struct Committer<P> {
+    platform: Rc<P>,
+    term: Rc<ControllerTerm>,
+    published: BTreeMap<String, u64>,
+    published_ms: u64,
+}
+
+impl<P: FleetPlatform> Committer<P> {
+    /// Creates the committer of `term`.
+    pub(crate) fn new(platform: Rc<P>, term: Rc<ControllerTerm>) -> Self {
+        Self {
+            platform,
+            term,
+            published: BTreeMap::new(),
+            published_ms: 0,
+        }
+    }
+
+    /// Commits until the term ends, or gives the lease up when shutdown begins.
+    pub(crate) async fn run(&mut self, seat: &mut LeaderSeat, shutdown: &ShutdownSignal) {
+        while self.term.is_active() {
+            if !shutdown.is_running() {
+                seat.release(self.platform.as_ref()).await;
+                return;
+            }
+            // Without a wake the commit only renews the lease.
+            let _ = timeout(RENEWAL_PAUSE, self.term.commit.notified()).await;
+            if let Err(lost) = self.commit_once(seat).await {
+                self.term.lose(lost);
+                return;
+            }
+            sleep(COMMIT_PAUSE).await;
+        }
+    }
+
+    async fn commit_once(&mut self, seat: &mut LeaderSeat) -> Result<(), LeaseLost> {
+        let (rows, effects) = self.term.engine.borrow_mut().take_changes();
+        seat.set_inherited_ms(self.term.engine.borrow().inherited_ms(boot_ms()));
+        let row = |(id, value)| row_write(format!("{PROGRESS_PREFIX}{id}"), value);
+        let mut writes: Vec<_> = rows.into_iter().map(row).collect();
+        let mut waiting = Vec::new();
+        for row in self.term.take_rows() {
+            // A later write of the same row replaces the earlier one.
+            writes.retain(|write: &RowWrite| write.key != row.write.key);
+            writes.push(row.write);
+            waiting.extend(row.done);
+        }
+        writes.extend(self.changed_counts());
+        for writes in split_writes(writes) {
+            seat.commit(self.platform.as_ref(), writes).await?;
+            self.term.confirm(seat.confirmed_ms());
+        }
+        self.carry_out(effects);
+        for done in waiting {
+            // A waiter that has gone needs no answer.
+            let _ = done.send(());
+        }
+        Ok(())
+    }
+
+    /// Returns the counts of waiting jobs that callers would find out of date.
+    fn changed_counts(&mut self) -> Vec<RowWrite> {
+        let now_ms = boot_ms();
+        if now_ms <= self.published_ms + PENDING_MS {
+            return Vec::new();
+        }
+        self.published_ms = now_ms;
+        let counts = self.term.engine.borrow().pending_counts();
+        let changed = counts
+            .iter()
+            .filter(|(queue, count)| self.published.get(*queue) != Some(count));
+        let writes = changed
+            .map(|(queue, count)| row_write(format!("{QUEUE_PREFIX}{queue}"), json!(count)))
+            .collect();
+        self.published = counts;
+        writes
+    }
+
+    fn carry_out(&self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Start(task) => {
+                    let platform = Rc::clone(&self.platform);
+                    monoio::spawn(send_start(platform, Rc::clone(&self.term), task));
+                }
+                Effect::Acknowledge(worker, number) => {
+                    let mut engine = self.term.engine.borrow_mut();
+                    if let Some(state) = engine.workers.get_mut(&worker) {
+                        state.durable_end = state.durable_end.max(number);
+                    }
+                    drop(engine);
+                    self.term.worker_wake(&worker).notify_one();
+                }
+            }
+        }
+    }
+}
+
+fn row_write(key: String, value: Value) -> RowWrite {
+    RowWrite {
+        key,
+        value: Some(value),
+    }
+}
+
+/// Removes jobs that ended long ago: first what was submitted, so that no controller takes
+/// it for a new job, then the progress.
+pub(crate) async fn sweep_jobs<P: FleetPlatform>(platform: Rc<P>, term: Rc<ControllerTerm>) {
+    while term.is_active() {
+        sleep(SWEEP_PAUSE).await;
+        let old = term.engine.borrow().forgettable_jobs(boot_ms());
+        for id in old.into_iter().take(SWEEP_JOBS) {
+            let removal = Transaction::new()
+                .with_delete(job_key(&id))
+                .with_delete(cancel_key(&id));
+            if let Err(error) = platform.transact(&removal).await {
+                log::warn!("event=sweep_postponed job={id} reason=\"{error}\"");
+                break;
+            }
+            term.engine.borrow_mut().forget_job(&id);
+            term.queue_rows(RowWrite {
+                key: format!("{PROGRESS_PREFIX}{id}"),
+                value: None,
+            });
+        }
+    }
+}
+
+/// Splits writes into transactions that the platform takes; at least one, maybe empty.
+fn split_writes(writes: Vec<RowWrite>) -> Vec<Vec<RowWrite>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    for write in writes {
+        let size = write.value.as_ref().map_or(0, value_size) + write.key.len();
+        let part = parts.last().map_or(0, Vec::len);
+        if part >= COMMIT_ROWS || (part > 0 && bytes + size > COMMIT_BYTES) {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(part) = parts.last_mut() {
+            part.push(write);
+        }
+    }
+    parts
+}
+
+/// Estimates the encoded size of a value, in bytes.
+fn value_size(value: &Value) -> usize {
+    match value {
+        Value::Array(parts) => parts.iter().map(|part| value_size(part) + 1).sum(),
+        Value::Object(fields) => fields
+            .iter()
+            .map(|(key, value)| key.len() + 4 + value_size(value))
+            .sum(),
+        Value::String(text) => text.len() + 2,
+        _ => 8,
+    }
+}
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -68,6 +68,7 @@
     pub(crate) forecast: TurnForecast,
     pub(crate) durations: DurationBook,
     pub(crate) waiting: bool,
+    ended_lives: BTreeSet<WorkerId>,
     inherited_until_ms: u64,
 }
 
@@ -86,6 +87,7 @@
             forecast: TurnForecast::new(),
             durations: DurationBook::new(),
             waiting: false,
+            ended_lives: BTreeSet::new(),
             inherited_until_ms: now_ms + inherited_ms,
         }
     }
@@ -135,6 +137,9 @@
     /// Notes a worker as the platform lists it.
     pub fn set_worker(&mut self, entry: WorkerEntry) {
         let id = entry.id.clone();
+        if self.ended_lives.contains(&id) {
+            return;
+        }
         match self.workers.get_mut(&id) {
             Some(worker) => {
                 if entry.draining && !worker.entry.draining {
@@ -164,8 +169,19 @@
         }
     }
 
-    /// Takes note that a worker's life is over: nothing runs there any more.
-    pub fn end_worker(&mut self, id: &WorkerId, reason: &str, now_ms: u64) {
+    /// Takes note that a worker's life is over for good.
+    pub fn end_life(&mut self, id: &WorkerId, reason: &str, now_ms: u64) {
+        if !self.ended_lives.insert(id.clone()) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.listed = false;
+        }
+        self.end_worker(id, reason, now_ms);
+    }
+
+    /// Takes note that nothing runs on a worker any more, though it may come back.
+    fn end_worker(&mut self, id: &WorkerId, reason: &str, now_ms: u64) {
         let Some(worker) = self.workers.remove(id) else {
             return;
         };
@@ -250,7 +266,8 @@
         };
         match order {
             OrderPhase::Committing => self.release_task(name, now_ms),
-            OrderPhase::Stopping | OrderPhase::Stopped(_) => {}
+            // What an earlier controller started is stopped once its worker reports it.
+            OrderPhase::Inherited(_) | OrderPhase::Stopping | OrderPhase::Stopped(_) => {}
             _ => {
                 *order = OrderPhase::Stopping;
                 let worker = worker.clone();
@@ -348,7 +365,28 @@
         }
     }
 
-    fn release_orphans(&mut self, now_ms: u64) {
+    /// Notes the workers that hosts listed just now; what an earlier controller placed on
+    /// workers of which neither hosts nor the list of workers know has ended.
+    pub fn note_hosted(&mut self, hosted: &BTreeSet<WorkerId>, now_ms: u64) {
+        let unseen = self.workers.iter().filter(|(id, worker)| {
+            !worker.fenced && !worker.tasks.is_empty() && !hosted.contains(id)
+        });
+        let unseen: Vec<_> = unseen.map(|(id, _)| id.clone()).collect();
+        for id in unseen {
+            self.end_life(&id, "no host lists it", now_ms);
+        }
+        for name in self.orphans() {
+            let job = self.jobs.get(&name.job);
+            let worker = job.and_then(|job| job.task(&name)?.worker());
+            if worker.is_some_and(|worker| !hosted.contains(worker)) {
+                log::warn!("event=task_orphaned task={name} reason=\"no host lists its worker\"");
+                self.release_task(&name, now_ms);
+            }
+        }
+    }
+
+    /// Returns the placed tasks whose workers aren't known.
+    fn orphans(&self) -> Vec<TaskName> {
         let mut orphans = Vec::new();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get(id) else {
@@ -361,7 +399,11 @@
             });
             orphans.extend(lost.map(|(name, _)| name));
         }
-        for name in orphans {
+        orphans
+    }
+
+    fn release_orphans(&mut self, now_ms: u64) {
+        for name in self.orphans() {
             log::warn!("event=task_orphaned task={name}");
             self.release_task(&name, now_ms);
         }
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -80,7 +80,7 @@
                 self.set_order(&request.task, OrderPhase::Stopped(now_ms));
             }
             OrderOutcome::Refused(OrderRefusal::OtherLife) => {
-                self.end_worker(&request.worker, "another life answers", now_ms);
+                self.end_life(&request.worker, "another life answers", now_ms);
             }
             _ => self.stops.push(request.clone()),
         }
--- /dev/null
+++ b/src/workflow/follower.rs
@@ -0,0 +1,140 @@
+//! What the controller learns from the platform's feeds.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use serde_json::Value;
+
+use crate::error::Result;
+use crate::id::Revision;
+use crate::platform::TableRow;
+use crate::process::boot_ms;
+use crate::workflow::job_key::parse_job_key;
+use crate::workflow::job_key::JOB_TABLE;
+use crate::workflow::keep_worker;
+use crate::workflow::ChangeSet;
+use crate::workflow::ControllerTerm;
+use crate::workflow::FleetPlatform;
+use crate::workflow::JobEngine;
+use crate::workflow::JobSpec;
+use crate::workflow::TableChange;
+use crate::workflow::WorkerFact;
+
+/// How long a feed waits for changes before it is asked again.
+const FEED_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The pause after a failed call of a feed.
+const FEED_PAUSE: Duration = Duration::from_millis(200);
+
+/// The least time between two looks at the list of workers: each beat changes it.
+const WORKER_LOOK: Duration = Duration::from_millis(250);
+
+/// Takes a submission or a cancellation in.
+pub(crate) fn apply_job_row(engine: &mut JobEngine, row: &TableRow, progress: Option<&Value>) {
+    let spec = serde_json::from_value::<JobSpec>(row.value.clone());
+    match (parse_job_key(&row.key), spec) {
+        (Some((id, true)), _) => engine.cancel_job(&id, boot_ms()),
+        (Some((id, false)), Ok(spec)) => {
+            log::info!("event=job_seen job={id} queue={}", spec.queue);
+            engine.add_job(id, spec, progress, boot_ms());
+        }
+        _ => log::error!("event=job_unreadable key={}", row.key),
+    }
+}
+
+/// Follows submissions and cancellations.
+pub(crate) async fn follow_jobs<P: FleetPlatform>(
+    platform: Rc<P>,
+    term: Rc<ControllerTerm>,
+    mut since: Revision,
+) {
+    while term.is_active() {
+        let changes = platform.row_changes(JOB_TABLE, since, FEED_WAIT).await;
+        let Some((changes, revision)) = accept_changes("jobs", changes, &mut since) else {
+            sleep(FEED_PAUSE).await;
+            continue;
+        };
+        since = revision;
+        let mut engine = term.engine.borrow_mut();
+        for change in &changes {
+            if let TableChange::Written(row) = change {
+                apply_job_row(&mut engine, row, None);
+            }
+        }
+        if !changes.is_empty() {
+            term.plan.notify_one();
+        }
+    }
+}
+
+/// Follows the list of workers.
+pub(crate) async fn follow_workers<P: FleetPlatform>(platform: Rc<P>, term: Rc<ControllerTerm>) {
+    let mut since = Revision::new(0);
+    let mut tended = HashSet::new();
+    while term.is_active() {
+        let whole = since == Revision::new(0);
+        let changes = platform.worker_changes(since, FEED_WAIT).await;
+        let Some((changes, revision)) = accept_changes("workers", changes, &mut since) else {
+            sleep(FEED_PAUSE).await;
+            continue;
+        };
+        since = revision;
+        apply_workers(&term, changes, whole);
+        let listed: Vec<_> = term.engine.borrow().workers.keys().cloned().collect();
+        for id in listed {
+            if tended.insert(id.clone()) {
+                let platform = Rc::clone(&platform);
+                monoio::spawn(keep_worker(platform, Rc::clone(&term), id));
+            }
+        }
+        term.plan.notify_one();
+        sleep(WORKER_LOOK).await;
+    }
+}
+
+fn apply_workers(term: &ControllerTerm, changes: Vec<WorkerFact>, whole: bool) {
+    let mut engine = term.engine.borrow_mut();
+    if whole {
+        let present = |id| {
+            let is_it =
+                |fact: &WorkerFact| matches!(fact, WorkerFact::Present(entry) if entry.id == id);
+            changes.iter().any(is_it)
+        };
+        let known: Vec<_> = engine.workers.keys().cloned().collect();
+        for id in known.into_iter().filter(|id| !present(id.clone())) {
+            engine.unlist_worker(&id);
+        }
+    }
+    for change in changes {
+        match change {
+            WorkerFact::Present(entry) => engine.set_worker(entry),
+            WorkerFact::Gone(id) => engine.unlist_worker(&id),
+            WorkerFact::Unreadable(id) => {
+                log::warn!("event=worker_unreadable worker={id}");
+                engine.unlist_worker(&id);
+            }
+        }
+    }
+}
+
+/// Returns the changes of a feed's answer; after lost history all is read anew.
+fn accept_changes<T>(
+    feed: &str,
+    answer: Result<ChangeSet<T>>,
+    since: &mut Revision,
+) -> Option<(Vec<T>, Revision)> {
+    match answer {
+        Ok(ChangeSet::Changes(changes, revision)) => Some((changes, revision)),
+        Ok(ChangeSet::HistoryLost) => {
+            log::warn!("event=history_lost feed={feed} since={since}");
+            *since = Revision::new(0);
+            None
+        }
+        Err(error) => {
+            log::warn!("event=feed_failed feed={feed} reason=\"{error}\"");
+            None
+        }
+    }
+}
--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -9,6 +9,7 @@
 use crate::id::WaveId;
 use crate::id::WorkerId;
 use crate::platform::TableRow;
+use crate::platform::TableService;
 use crate::workflow::FleetConfig;
 use crate::workflow::TaskName;
 use crate::workflow::WorkerEntry;
@@ -191,6 +192,19 @@
     pub wait: Duration,
 }
 
+/// What a host does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HostState {
+    /// It runs tasks, or could.
+    Up,
+    /// It changes its pool.
+    Moving,
+    /// It is down for upkeep.
+    Upkeep,
+    /// It is down for another reason, or the platform doesn't say.
+    Down,
+}
+
 /// A host as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HostEntry {
@@ -198,14 +212,30 @@
     pub host: HostId,
     /// The service whose pool it is in.
     pub pool: String,
-    /// It is up.
-    pub up: bool,
+    /// What it does.
+    pub state: HostState,
     /// What it has for tasks.
     pub capacity: WorkerResources,
     /// The worker that lives on it, if one does.
     pub worker: Option<WorkerId>,
 }
 
+impl HostEntry {
+    /// Tells whether it is up.
+    pub fn is_up(&self) -> bool {
+        self.state == HostState::Up
+    }
+}
+
+/// The list of hosts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HostList {
+    /// The hosts.
+    pub hosts: Vec<HostEntry>,
+    /// Some entries could not be read, so that a host that is missing may be there.
+    pub has_gaps: bool,
+}
+
 /// How an order for a host went.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HostOutcome {
@@ -222,7 +252,7 @@
 /// Lists hosts and gives orders for them.
 pub trait HostGateway {
     /// Returns all hosts.
-    fn list_hosts(&self) -> impl Future<Output = Result<Vec<HostEntry>>>;
+    fn list_hosts(&self) -> impl Future<Output = Result<HostList>>;
 
     /// Starts a host's upkeep for a wave.
     fn begin_upkeep(
@@ -236,3 +266,8 @@
     fn move_host(&self, host: &HostId, pool: &str, epoch: u64)
         -> impl Future<Output = HostOutcome>;
 }
+
+/// All that the controller asks of the platform.
+pub trait FleetPlatform: ChangeFeed + HostGateway + TableService + WorkerGateway + 'static {}
+
+impl<P: ChangeFeed + HostGateway + TableService + WorkerGateway + 'static> FleetPlatform for P {}
--- a/src/workflow/host_keeper.rs
+++ b/src/workflow/host_keeper.rs
@@ -13,6 +13,7 @@
 
 use crate::id::HostId;
 use crate::id::WaveId;
+use crate::id::WorkerId;
 use crate::platform::RowWrite;
 use crate::process::boot_ms;
 use crate::workflow::choose_upkeep;
@@ -21,8 +22,10 @@
 use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
 use crate::workflow::HostEntry;
+use crate::workflow::HostList;
 use crate::workflow::HostMover;
 use crate::workflow::HostOutcome;
+use crate::workflow::HostState;
 use crate::workflow::PoolView;
 use crate::workflow::WaveHost;
 use crate::workflow::WaveProgress;
@@ -51,6 +54,7 @@
     term: Rc<ControllerTerm>,
     progress: RefCell<BTreeMap<WaveId, WaveProgress>>,
     ordered_ms: RefCell<HashMap<HostId, u64>>,
+    states: RefCell<HashMap<HostId, (HostState, Option<WorkerId>)>>,
 }
 
 /// Runs the waves for as long as the term goes on.
@@ -66,20 +70,23 @@
         term,
         progress: RefCell::default(),
         ordered_ms: RefCell::default(),
+        states: RefCell::default(),
     };
     while keeper.term.is_active() {
         sleep(LOOK_PAUSE).await;
-        if boot_ms() < since_ms + TAKEOVER_PAUSE_MS {
-            continue;
-        }
         let listed_ms = boot_ms();
-        let hosts = match keeper.platform.list_hosts().await {
-            Ok(hosts) => hosts,
+        let list = match keeper.platform.list_hosts().await {
+            Ok(list) => list,
             Err(error) => {
                 log::warn!("event=hosts_unknown reason=\"{error}\"");
                 continue;
             }
         };
+        keeper.note_states(&list);
+        if boot_ms() < since_ms + TAKEOVER_PAUSE_MS {
+            continue;
+        }
+        let hosts = list.hosts;
         let pools = mover.pools(&hosts, &keeper.upkeep_hosts());
         for (request, seen_ms) in view.waves() {
             keeper
@@ -92,6 +99,40 @@
 }
 
 impl<P: FleetPlatform> HostKeeper<P> {
+    /// Notes what has become of each host; a host that lists no worker or another one has
+    /// ended the life that it listed before.
+    fn note_states(&self, list: &HostList) {
+        if !list.has_gaps {
+            let hosted = list.hosts.iter().filter_map(|entry| entry.worker.clone());
+            let mut engine = self.term.engine.borrow_mut();
+            engine.note_hosted(&hosted.collect(), boot_ms());
+        }
+        let mut states = self.states.borrow_mut();
+        for entry in &list.hosts {
+            let state = (entry.state, entry.worker.clone());
+            if states.get(&entry.host) == Some(&state) {
+                continue;
+            }
+            let worker = entry
+                .worker
+                .as_ref()
+                .map_or("none", |worker| worker.as_str());
+            log::info!(
+                "event=host_state host={} state={:?} pool={} worker={worker}",
+                entry.host,
+                entry.state,
+                entry.pool
+            );
+            let before = states.insert(entry.host.clone(), state);
+            let ended = before.and_then(|(_, worker)| worker);
+            if let Some(ended) = ended.filter(|ended| Some(ended) != entry.worker.as_ref()) {
+                let mut engine = self.term.engine.borrow_mut();
+                engine.end_life(&ended, "its host lists it no more", boot_ms());
+                self.term.plan.notify_one();
+            }
+        }
+    }
+
     /// Returns the hosts whose upkeep was decided and that may be down for it.
     fn upkeep_hosts(&self) -> BTreeSet<HostId> {
         let ordered = self.ordered_ms.borrow();
@@ -179,8 +220,8 @@
                 .is_some_and(|&ordered_ms| listed_ms < ordered_ms + DOWN_MS);
             WaveHost {
                 host: host.host.clone(),
-                up: host.up,
-                down: begun && (!host.up || !accepted || recent),
+                up: host.is_up(),
+                down: begun && (!host.is_up() || !accepted || recent),
                 begun,
                 used_millis: worker.map_or(0, |worker| worker.used.cpu_millis),
                 cordoned: worker.is_some_and(|worker| worker.cordon == Some(CordonReason::Upkeep)),
@@ -240,8 +281,7 @@
         if self.order(request, host).await {
             if let Some(worker) = worker {
                 let mut engine = self.term.engine.borrow_mut();
-                engine.end_worker(&worker, "the upkeep of its host", boot_ms());
-                engine.unlist_worker(&worker);
+                engine.end_life(&worker, "the upkeep of its host", boot_ms());
             }
         }
     }
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -116,8 +116,8 @@
             host: host.host.clone(),
             room_millis: host.capacity.cpu_millis,
             used_millis: state.map_or(0, |state| state.used.cpu_millis),
-            pinned: !host.up || !known || arriving || long_running || upkeep || silent,
-            counts: arriving || (host.up && known && !silent && !upkeep),
+            pinned: !host.is_up() || !known || arriving || long_running || upkeep || silent,
+            counts: arriving || (host.is_up() && known && !silent && !upkeep),
             leaving_to: match cordon {
                 Some(CordonReason::Move(to)) => Some(to),
                 _ => None,
@@ -211,8 +211,7 @@
         let mut engine = self.term.engine.borrow_mut();
         match (outcome, worker) {
             (HostOutcome::Accepted, Some(worker)) => {
-                engine.end_worker(worker, "the move of its host", boot_ms());
-                engine.unlist_worker(worker);
+                engine.end_life(worker, "the move of its host", boot_ms());
             }
             (HostOutcome::Rejected(_), Some(worker)) => engine.set_cordon(worker, None),
             _ => {}
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -14,11 +14,11 @@
 use crate::platform::Transaction;
 use crate::platform::TransactionOutcome;
 use crate::workflow::cancel_key;
+use crate::workflow::committer::PROGRESS_PREFIX;
+use crate::workflow::committer::QUEUE_PREFIX;
 use crate::workflow::job_key;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
-use crate::workflow::PROGRESS_PREFIX;
-use crate::workflow::QUEUE_PREFIX;
 
 /// The pause before a call that the platform refused or lost is tried again: some round
 /// trips of the table.
--- a/src/workflow/leader_seat.rs
+++ b/src/workflow/leader_seat.rs
@@ -150,7 +150,10 @@
                         return settled;
                     }
                 }
-                Err(Error::PlatformRefused { status, reason }) if status == 400 => {
+                Err(Error::PlatformRefused {
+                    status: 400,
+                    reason,
+                }) => {
                     log::error!("event=commit_rejected reason={reason:?}");
                     return Err(LeaseLost);
                 }
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -149,7 +149,7 @@
             false
         }
         HoldOutcome::Refused(OrderRefusal::OtherLife) => {
-            engine.end_worker(id, "another life answers", now_ms);
+            engine.end_life(id, "another life answers", now_ms);
             false
         }
         HoldOutcome::Refused(_) | HoldOutcome::Unknown(_) => {
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -204,8 +204,25 @@
         worker.next_lease_ms(LEASE_MS, self.now_ms)
     }
 
+    /// Lists all workers and reports every placed task as running.
+    pub(crate) fn enlist_running(&mut self) {
+        for worker in &self.workers {
+            self.engine.set_worker(worker.clone());
+        }
+        self.report_all();
+    }
+
     /// Builds the engine of the next controller from the durable rows.
     pub(crate) fn successor(&mut self) -> Self {
+        let mut next = self.successor_without_workers();
+        for worker in &next.workers {
+            next.engine.set_worker(worker.clone());
+        }
+        next
+    }
+
+    /// Builds the engine of the next controller, which has not read the list of workers.
+    pub(crate) fn successor_without_workers(&mut self) -> Self {
         let mut next = Self {
             engine: JobEngine::new(self.now_ms, INHERITED_RUN_MS),
             now_ms: self.now_ms,
@@ -219,9 +236,6 @@
             next.engine.add_job(id, spec, Some(&progress), self.now_ms);
         }
         next.engine.config = Some(Rc::new(config()));
-        for worker in &next.workers {
-            next.engine.set_worker(worker.clone());
-        }
         next
     }
 
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -3,6 +3,8 @@
 #[path = "common/workflow.rs"]
 mod fixtures;
 
+use std::collections::BTreeSet;
+
 use fixtures::*;
 use zincpier::workflow::EndKind;
 use zincpier::workflow::JobPhase;
@@ -153,3 +155,51 @@
 
     assert!(!fleet.engine.can_spare(&second), "its sibling may be lost");
 }
+
+#[test]
+fn a_cancelled_job_is_stopped_by_a_controller_that_learns_of_its_workers_later() {
+    let mut fleet = EngineFleet::new(1);
+    fleet.submit(JOB, vec![long_running(1, 0)]);
+    fleet.start_all();
+    let mut next = fleet.successor_without_workers();
+    next.engine.cancel_job(&task(JOB, 0).job, next.now_ms);
+    next.engine.take_stops();
+
+    next.enlist_running();
+
+    let stops = next.engine.take_stops();
+    assert_eq!(stops.len(), 1, "the run goes on and has to be stopped");
+}
+
+#[test]
+fn a_host_that_lists_its_worker_no_more_ends_its_tasks() {
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![step(1)]);
+    fleet.start_all();
+    let name = task(JOB, 0);
+    let worker = fleet.worker_of(&name);
+
+    fleet.engine.end_life(&worker, "test", fleet.now_ms);
+
+    assert!(!fleet.is_placed(&name));
+    let entry = worker_entry(0);
+    fleet.engine.set_worker(entry.clone());
+    let back = fleet.engine.workers.contains_key(&entry.id);
+    assert_eq!(
+        back,
+        entry.id != worker,
+        "a life that ended does not return"
+    );
+}
+
+#[test]
+fn tasks_of_workers_that_no_host_lists_are_released_after_a_takeover() {
+    let mut fleet = EngineFleet::new(1);
+    fleet.submit(JOB, vec![step(1)]);
+    fleet.start_all();
+    let mut next = fleet.successor_without_workers();
+
+    next.engine.note_hosted(&BTreeSet::new(), next.now_ms);
+
+    assert!(!next.is_placed(&task(JOB, 0)));
+}
