--- a/src/workflow/capacity_plan.rs
+++ b/src/workflow/capacity_plan.rs
@@ -13,7 +13,13 @@
 
 /// The room that a pool must have to spare before it gives a host away, in percent of its
 /// demand.
-const SPARE_PERCENT: u64 = 135;
+const SPARE_PERCENT: u64 = 130;
+
+/// The same while another pool has far less than it needs.
+const SPARE_PERCENT_AMID_NEED: u64 = 106;
+
+/// The share of its demand below which a pool is in need, in percent.
+const NEED_PERCENT: u64 = 80;
 
 /// How long a pool must have had room to spare before a host is switched off, in ms: a move
 /// and its return cost about as much as a host does in this time.
@@ -137,12 +143,18 @@
     rooms: &BTreeMap<&str, u64>,
     taken: &[HostId],
 ) -> Option<(&'p PoolView, &'p PoolHost)> {
+    let in_need = rooms[needy.name.as_str()] * 100 < needy.demand_millis * NEED_PERCENT;
+    let percent = if in_need {
+        SPARE_PERCENT_AMID_NEED
+    } else {
+        SPARE_PERCENT
+    };
     let spare = |pool: &&PoolView| {
-        let keep = pool.demand_millis * SPARE_PERCENT / 100;
+        let keep = pool.demand_millis * percent / 100;
         pool.name != needy.name && (pool.standby || rooms[pool.name.as_str()] > keep)
     };
     let hosts = pools.iter().filter(spare).flat_map(|pool| {
-        let keep = pool.demand_millis * SPARE_PERCENT / 100;
+        let keep = pool.demand_millis * percent / 100;
         let room = rooms[pool.name.as_str()];
         let free = move |host: &&PoolHost| {
             let fits = pool.standby || room >= keep + host.room_millis;
--- a/src/workflow/host_keeper.rs
+++ b/src/workflow/host_keeper.rs
@@ -36,7 +36,7 @@
 
 /// The time before a new controller's first order for a host, in ms: the platform's bound
 /// for holders that take turns is 3 s from the earlier holder's last order.
-const TAKEOVER_PAUSE_MS: u64 = 3_600;
+const TAKEOVER_PAUSE_MS: u64 = 3_150;
 
 /// The time between two looks at the hosts while a wave is under way.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -153,6 +153,7 @@
         let reserve = highest.unwrap_or(u64::MAX / 2);
         let moves = choose_moves(pools, reserve);
         let ready = self.cordon(pools, hosts, &moves);
+        self.term.plan.notify_one();
         if self.term.may_order() {
             join_all(ready.iter().map(|chosen| self.order(chosen, hosts))).await;
         }
@@ -170,6 +171,12 @@
                 (Some(chosen), _) if self.is_barred(chosen) => {}
                 (Some(chosen), Some(worker)) => {
                     engine.set_cordon(worker, Some(CordonReason::Move(chosen.to.clone())));
+                    if pools
+                        .iter()
+                        .any(|pool| pool.name == chosen.to && pool.is_short())
+                    {
+                        engine.stop_resumable(worker, boot_ms());
+                    }
                     let state = engine.workers.get(worker);
                     if state.is_none_or(|state| state.tasks.is_empty()) {
                         ready.push(chosen.clone());
--- a/src/workflow/leader_seat.rs
+++ b/src/workflow/leader_seat.rs
@@ -22,9 +22,13 @@
 /// The row that names the controller.
 pub const LEADER_KEY: &str = "control/leader";
 
-/// The pause before a commit is tried again: a few round trips of the table.
+/// The pause before a commit is tried again: a few round trips of the table. It doubles
+/// with each further try.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
+/// The longest pause before a commit is tried again: half of a lease's rest.
+const RETRY_PAUSE_MOST: Duration = Duration::from_millis(400);
+
 /// Who controls, as the table shows it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaderRecord {
@@ -138,6 +142,7 @@
     ) -> Result<(), LeaseLost> {
         self.record.commit += 1;
         let transaction = self.transaction(writes);
+        let mut pause = RETRY_PAUSE;
         loop {
             let asked_ms = boot_ms();
             match table.transact(&transaction).await {
@@ -159,7 +164,8 @@
                 }
                 Err(error) => log::warn!("event=commit_retried reason=\"{error}\""),
             }
-            sleep(RETRY_PAUSE).await;
+            sleep(pause).await;
+            pause = (pause * 2).min(RETRY_PAUSE_MOST);
         }
     }
 
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -3,6 +3,7 @@
 use crate::id::WorkerId;
 use crate::workflow::CordonReason;
 use crate::workflow::JobEngine;
+use crate::workflow::OrderPhase;
 use crate::workflow::TaskName;
 use crate::workflow::TaskState;
 
@@ -47,6 +48,31 @@
             .is_some_and(|step| step.long_running)
     }
 
+    /// Stops the tasks of a worker that resume elsewhere from their checkpoints.
+    pub fn stop_resumable(&mut self, id: &WorkerId, now_ms: u64) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks = worker.tasks.iter().filter(|name| self.is_resumable(name));
+        let tasks: Vec<_> = tasks.cloned().collect();
+        for name in &tasks {
+            self.request_stop(name, "it resumes elsewhere", now_ms);
+        }
+    }
+
+    /// Tells whether a task runs and has a checkpoint to resume from.
+    fn is_resumable(&self, name: &TaskName) -> bool {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return false;
+        };
+        let step = job.step(name.step);
+        let kind = step.is_some_and(|step| step.checkpointable && !step.gang && !step.long_running);
+        let state = job.task(name);
+        kind && state.is_some_and(|state| {
+            state.order() == Some(OrderPhase::Running) && !state.checkpoint.is_empty()
+        })
+    }
+
     /// Tells whether an order may end a task as far as its step's bound goes.
     pub fn can_spare(&self, name: &TaskName) -> bool {
         let Some(job) = self.jobs.get(&name.job) else {
