--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -39,7 +39,7 @@
 const COMMIT_PAUSE: Duration = Duration::from_millis(15);
 
 /// The time after which the lease is renewed without any change.
-const RENEWAL_PAUSE: Duration = Duration::from_millis(400);
+const RENEWAL_PAUSE: Duration = Duration::from_millis(300);
 
 /// The time between two looks for jobs that ended long ago.
 const SWEEP_PAUSE: Duration = Duration::from_secs(5);
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -34,10 +34,10 @@
 use crate::workflow::LEADER_KEY;
 
 /// How often an entry host without the lease looks at the leader row.
-const WATCH_PAUSE: Duration = Duration::from_millis(350);
+const WATCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// The time after which the lease is renewed while the state is read.
-const RENEWAL_PAUSE: Duration = Duration::from_millis(400);
+const RENEWAL_PAUSE: Duration = Duration::from_millis(300);
 
 /// The pause before the state is read again after a failed call.
 const LOAD_PAUSE: Duration = Duration::from_millis(200);
@@ -70,8 +70,15 @@
     pub async fn run(&self) {
         let mut watch = LeaderWatch::new();
         while self.shutdown.is_running() {
+            let asked_ms = boot_ms();
             match self.platform.read(&[LEADER_KEY]).await {
-                Ok(rows) => self.consider(&mut watch, rows.first()).await,
+                Ok(rows) => {
+                    let look_ms = boot_ms().saturating_sub(asked_ms);
+                    if watch.may_claim(rows.first(), &self.name, look_ms, boot_ms()) {
+                        self.claim(rows.first()).await;
+                        watch.reset();
+                    }
+                }
                 Err(error) => {
                     log::warn!("event=leader_unknown reason=\"{error}\"");
                     watch.reset();
@@ -81,17 +88,12 @@
         }
     }
 
-    async fn consider(&self, watch: &mut LeaderWatch, row: Option<&TableRow>) {
-        if !watch.may_claim(row, &self.name, boot_ms()) {
-            return;
-        }
+    async fn claim(&self, row: Option<&TableRow>) {
         let seat = LeaderSeat::claim(self.platform.as_ref(), row, &self.name).await;
-        watch.reset();
-        let Some(seat) = seat else {
-            return;
-        };
-        log::info!("event=lease_gained epoch={}", seat.epoch());
-        self.control(seat).await;
+        if let Some(seat) = seat {
+            log::info!("event=lease_gained epoch={}", seat.epoch());
+            self.control(seat).await;
+        }
     }
 
     /// Runs one term to its end.
--- a/src/workflow/fleet_view.rs
+++ b/src/workflow/fleet_view.rs
@@ -21,6 +21,10 @@
 /// call's timeout, within the 2 s in which a change is in force.
 const LOOK_WAIT: Duration = Duration::from_millis(700);
 
+/// The silence after which the table counts as out of reach, in ms: a look that waited and
+/// its timeout.
+const CUT_OFF_MS: u64 = 1_450;
+
 /// The pause after a failed look.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 
@@ -53,12 +57,19 @@
         boot_ms().saturating_sub(self.heard_ms.get())
     }
 
+    /// Tells whether the platform's table is out of reach, so that nothing can be stored.
+    pub fn is_cut_off(&self) -> bool {
+        self.silence_ms() > CUT_OFF_MS
+    }
+
     /// Follows the operator's changes for ever.
     pub async fn follow<F: ChangeFeed>(&self, feed: &F) {
         let mut since = Revision::new(0);
         let mut answering = true;
         loop {
-            match feed.operator_changes(since, LOOK_WAIT).await {
+            // A platform that comes back is noticed at once, without waiting for a change.
+            let wait = if answering { LOOK_WAIT } else { Duration::ZERO };
+            match feed.operator_changes(since, wait).await {
                 Ok(ChangeSet::Changes(facts, revision)) => {
                     self.heard_ms.set(boot_ms());
                     since = revision;
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use monoio::time::sleep;
+use monoio::time::timeout_at;
 use monoio::time::Instant;
 use serde_json::Value;
 
@@ -159,7 +160,11 @@
         let mut refusals = 0;
         let mut silent = false;
         loop {
-            match self.table.transact(insert).await {
+            let answer = match timeout_at(deadline, self.table.transact(insert)).await {
+                Ok(answer) => answer,
+                Err(_) => return InsertOutcome::Unknown,
+            };
+            match answer {
                 Ok(TransactionOutcome::Committed(_)) => return InsertOutcome::Inserted,
                 Ok(TransactionOutcome::Conflict(_)) => return InsertOutcome::Exists,
                 Err(Error::PlatformRefused { status, reason }) => {
--- a/src/workflow/leader_watch.rs
+++ b/src/workflow/leader_watch.rs
@@ -5,8 +5,12 @@
 use crate::workflow::leader_seat::read_record;
 
 /// The lease ends when its row stays unchanged for this long, in ms: three renewals of a
-/// holder at 400 ms and a look of the watcher at 350 ms.
-const LEASE_MS: u64 = 1_500;
+/// holder at 300 ms.
+const LEASE_MS: u64 = 1_000;
+
+/// How many times the duration of a look is added to that: a renewal of a slow table takes
+/// about two looks, and the look that would show it another one.
+const LOOKS_ADDED: u64 = 5;
 
 /// Judges from looks at the leader row whether its holder is still there.
 #[derive(Debug, Default)]
@@ -20,8 +24,15 @@
         Self::default()
     }
 
-    /// Notes a look at the row and tells whether `own_name` may claim the lease.
-    pub fn may_claim(&mut self, row: Option<&TableRow>, own_name: &str, now_ms: u64) -> bool {
+    /// Notes a look at the row, which took `look_ms`, and tells whether `own_name` may claim
+    /// the lease.
+    pub fn may_claim(
+        &mut self,
+        row: Option<&TableRow>,
+        own_name: &str,
+        look_ms: u64,
+        now_ms: u64,
+    ) -> bool {
         let Some(row) = row else {
             return true;
         };
@@ -33,7 +44,9 @@
             return true;
         }
         match self.seen {
-            Some((revision, since_ms)) if revision == row.revision => now_ms > since_ms + LEASE_MS,
+            Some((revision, since_ms)) if revision == row.revision => {
+                now_ms > since_ms + LEASE_MS + LOOKS_ADDED * look_ms
+            }
             _ => {
                 self.seen = Some((row.revision, now_ms));
                 false
--- /dev/null
+++ b/tests/leader_watch.rs
@@ -0,0 +1,58 @@
+//! When the controller's lease may be claimed.
+
+use serde_json::json;
+use zincpier::id::Revision;
+use zincpier::platform::TableRow;
+use zincpier::workflow::LeaderWatch;
+use zincpier::workflow::LEADER_KEY;
+
+fn leader_row(revision: u64, holder: &str, released: bool) -> TableRow {
+    TableRow {
+        key: LEADER_KEY.to_owned(),
+        revision: Revision::new(revision),
+        value: json!({ "epoch": 1, "holder": holder, "commit": 3, "released": released }),
+    }
+}
+
+#[test]
+fn a_lease_that_is_renewed_may_not_be_claimed() {
+    let mut watch = LeaderWatch::new();
+
+    let claims = (0..20_u64).map(|look| {
+        let row = leader_row(look, "boston-2", false);
+        watch.may_claim(Some(&row), "boston-1", 5, look * 300)
+    });
+
+    assert_eq!(claims.filter(|&claim| claim).count(), 0);
+}
+
+#[test]
+fn a_lease_that_stays_unchanged_may_be_claimed() {
+    let mut watch = LeaderWatch::new();
+    let row = leader_row(7, "boston-2", false);
+    watch.may_claim(Some(&row), "boston-1", 5, 0);
+
+    assert!(!watch.may_claim(Some(&row), "boston-1", 5, 900));
+    assert!(watch.may_claim(Some(&row), "boston-1", 5, 1_200));
+}
+
+#[test]
+fn a_slow_table_gives_the_holder_more_time() {
+    let mut watch = LeaderWatch::new();
+    let row = leader_row(7, "boston-2", false);
+    watch.may_claim(Some(&row), "boston-1", 240, 0);
+
+    assert!(!watch.may_claim(Some(&row), "boston-1", 240, 2_000));
+    assert!(watch.may_claim(Some(&row), "boston-1", 240, 2_300));
+}
+
+#[test]
+fn a_released_lease_or_ones_own_may_be_claimed_at_once() {
+    let mut watch = LeaderWatch::new();
+    let released = leader_row(7, "boston-2", true);
+    let own = leader_row(7, "boston-1", false);
+
+    assert!(watch.may_claim(Some(&released), "boston-1", 5, 0));
+    assert!(watch.may_claim(Some(&own), "boston-1", 5, 0));
+    assert!(watch.may_claim(None, "boston-1", 5, 0));
+}
