--- /dev/null
+++ b/src/process/entry_metrics.rs
@@ -0,0 +1,123 @@
+//! The counters and histograms of an entry host that places jobs.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// The labels of a counted outcome.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct OutcomeLabels {
+    /// What was done.
+    pub action: &'static str,
+    /// What came of it.
+    pub outcome: String,
+}
+
+/// Every counter of an entry host, with its registry.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    registry: Registry,
+    outcomes: Family<OutcomeLabels, Counter>,
+    /// The time of calls to the table, in seconds.
+    pub table_seconds: Histogram,
+    /// The time of orders to workers, in seconds; renewals that wait for an end are left out.
+    pub order_seconds: Histogram,
+    /// The time of answers to callers, in seconds.
+    pub answer_seconds: Histogram,
+    /// The time from a job's arrival to the start of each of its tasks, in seconds.
+    pub start_seconds: Histogram,
+    /// The epoch of the lease that is held, 0 for none.
+    pub lease_epoch: Gauge,
+    /// The version of the configuration in force.
+    pub config_version: Gauge,
+    /// The jobs that have not ended, on the holder of the lease.
+    pub open_jobs: Gauge,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl EntryMetrics {
+    /// Creates counters at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("zincpier");
+        let outcomes = Family::default();
+        registry.register("outcomes", "Decisions by outcome", outcomes.clone());
+        let mut histogram = |name: &str, help: &str| {
+            let histogram = Histogram::new(exponential_buckets(0.000_5, 2.0, 16));
+            registry.register(name, help, histogram.clone());
+            histogram
+        };
+        let table_seconds = histogram("table_seconds", "Calls to the table");
+        let order_seconds = histogram("order_seconds", "Orders to workers");
+        let answer_seconds = histogram("answer_seconds", "Answers to callers");
+        let start_seconds = histogram("start_seconds", "From a job's arrival to its starts");
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let lease_epoch = gauge("lease_epoch", "Epoch of the lease held, 0 for none");
+        let config_version = gauge("config_version", "Version of the configuration in force");
+        let open_jobs = gauge(
+            "open_jobs",
+            "Jobs that have not ended, on the lease's holder",
+        );
+        Self {
+            registry,
+            outcomes,
+            table_seconds,
+            order_seconds,
+            answer_seconds,
+            start_seconds,
+            lease_epoch,
+            config_version,
+            open_jobs,
+        }
+    }
+
+    /// Counts an outcome.
+    pub fn count(&self, action: &'static str, outcome: &str) {
+        let labels = OutcomeLabels {
+            action,
+            outcome: outcome.to_owned(),
+        };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+
+    /// Returns how often an outcome was counted.
+    pub fn counted(&self, action: &'static str, outcome: &str) -> u64 {
+        let labels = OutcomeLabels {
+            action,
+            outcome: outcome.to_owned(),
+        };
+        self.outcomes.get_or_create(&labels).get()
+    }
+
+    /// Notes how long something took.
+    pub fn observe(histogram: &Histogram, time: Duration) {
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Returns all counters in the Prometheus text format.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => {
+                log::error!("event=metrics_unreadable reason=\"{error}\"");
+                String::new()
+            }
+        }
+    }
+}
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -12,6 +12,7 @@
 use crate::id::Revision;
 use crate::platform::TableRow;
 use crate::process::boot_ms;
+use crate::process::EntryMetrics;
 use crate::process::ShutdownSignal;
 use crate::workflow::committer::sweep_jobs;
 use crate::workflow::committer::Committer;
@@ -47,6 +48,7 @@
     platform: Rc<P>,
     view: Rc<FleetView>,
     name: String,
+    metrics: Rc<EntryMetrics>,
     shutdown: ShutdownSignal,
 }
 
@@ -56,12 +58,14 @@
         platform: Rc<P>,
         view: Rc<FleetView>,
         name: String,
+        metrics: Rc<EntryMetrics>,
         shutdown: ShutdownSignal,
     ) -> Self {
         Self {
             platform,
             view,
             name,
+            metrics,
             shutdown,
         }
     }
@@ -99,7 +103,7 @@
     /// Runs one term to its end.
     async fn control(&self, mut seat: LeaderSeat) {
         let engine = JobEngine::new(boot_ms(), seat.inherited_ms());
-        let term = ControllerTerm::new(seat.epoch(), engine);
+        let term = ControllerTerm::new(seat.epoch(), engine, Rc::clone(&self.metrics));
         let loaded = self.while_renewing(&mut seat, self.load(&term)).await;
         let Some(job_revision) = loaded else {
             return;
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -11,6 +11,7 @@
 use crate::id::WorkerId;
 use crate::platform::RowWrite;
 use crate::process::boot_ms;
+use crate::process::EntryMetrics;
 use crate::workflow::JobEngine;
 use crate::workflow::LeaseLost;
 
@@ -28,6 +29,8 @@
     pub epoch: u64,
     /// The state of jobs and workers.
     pub engine: RefCell<JobEngine>,
+    /// The entry host's counters.
+    pub metrics: Rc<EntryMetrics>,
     /// Wakes the planner.
     pub plan: Notify,
     /// Wakes the committer.
@@ -46,9 +49,11 @@
 
 impl ControllerTerm {
     /// Creates a term that begins with `engine`.
-    pub fn new(epoch: u64, engine: JobEngine) -> Rc<Self> {
+    pub fn new(epoch: u64, engine: JobEngine, metrics: Rc<EntryMetrics>) -> Rc<Self> {
+        metrics.lease_epoch.set(epoch as i64);
         Rc::new(Self {
             epoch,
+            metrics,
             engine: RefCell::new(engine),
             plan: Notify::new(),
             commit: Notify::new(),
@@ -67,6 +72,7 @@
     /// Ends the term.
     pub fn end(&self, reason: &str) {
         if !self.ended.replace(true) {
+            self.metrics.lease_epoch.set(0);
             log::warn!("event=term_ended epoch={} reason={reason:?}", self.epoch);
         }
         self.plan.notify_one();
--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -115,6 +115,18 @@
     Unknown(String),
 }
 
+impl OrderOutcome {
+    /// Returns the outcome's name, without its details.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted(_) => "accepted",
+            Self::Refused(refusal) => refusal.name(),
+            Self::NotSent(_) => "not-sent",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// Why a worker refused an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderRefusal {
@@ -132,6 +144,20 @@
     OtherLife,
 }
 
+impl OrderRefusal {
+    /// Returns the refusal's name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Fenced => "fenced",
+            Self::OldRun => "old-run",
+            Self::Late => "late",
+            Self::NoRoom => "no-room",
+            Self::Unhealthy => "unhealthy",
+            Self::OtherLife => "other-life",
+        }
+    }
+}
+
 /// The answer to a lease renewal.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HoldOutcome {
@@ -143,6 +169,17 @@
     Unknown(String),
 }
 
+impl HoldOutcome {
+    /// Returns the outcome's name, without its details.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Report(_) => "report",
+            Self::Refused(refusal) => refusal.name(),
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// Gives orders to workers.
 pub trait WorkerGateway {
     /// Starts a task.
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -42,6 +42,7 @@
     engine.config = view.config();
     engine.expire_workers(boot_ms());
     engine.place_tasks(boot_ms(), now_ms());
+    term.metrics.open_jobs.set(engine.open_jobs.len() as i64);
     if engine.has_changes() {
         term.commit.notify_one();
     }
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -11,6 +11,7 @@
 
 use crate::id::WorkerId;
 use crate::process::boot_ms;
+use crate::process::EntryMetrics;
 use crate::workflow::ControllerTerm;
 use crate::workflow::HoldOutcome;
 use crate::workflow::LeaseRenewal;
@@ -138,6 +139,7 @@
     asked_ms: u64,
 ) -> bool {
     let now_ms = boot_ms();
+    term.metrics.count("renewal", outcome.name());
     let mut engine = term.engine.borrow_mut();
     let answered = match outcome {
         HoldOutcome::Report(report) => {
@@ -188,6 +190,7 @@
         term.end("a worker has seen a higher epoch");
         return;
     }
+    count_start(&term, &task, run, &outcome);
     let mut engine = term.engine.borrow_mut();
     engine.apply_start(&task, run, &outcome, boot_ms());
     drop(engine);
@@ -195,6 +198,17 @@
     term.plan.notify_one();
 }
 
+fn count_start(term: &ControllerTerm, task: &TaskName, run: u64, outcome: &OrderOutcome) {
+    term.metrics.count("start", outcome.name());
+    let engine = term.engine.borrow();
+    let job = engine.jobs.get(&task.job);
+    if let (1, Some(job)) = (run, job) {
+        let waited_ms = boot_ms().saturating_sub(job.seen_ms);
+        let time = Duration::from_millis(waited_ms);
+        EntryMetrics::observe(&term.metrics.start_seconds, time);
+    }
+}
+
 fn prepare_start(term: &ControllerTerm, task: &TaskName) -> Option<(WorkerEntry, StartOrder)> {
     if !term.is_active() {
         return None;
@@ -259,6 +273,7 @@
     log::info!(
         "event=task_stop task={task} run={run} worker={worker} reason={reason:?} outcome={outcome:?}"
     );
+    term.metrics.count("stop", outcome.name());
     if !matches!(outcome, OrderOutcome::Accepted(_)) {
         sleep(SILENCE_PAUSE).await;
     }
