--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -72,7 +72,7 @@
 
     /// Watches the lease, and controls whenever it is won, until shutdown begins.
     pub async fn run(&self) {
-        let mut watch = LeaderWatch::new();
+        let mut watch = LeaderWatch::new(boot_ms());
         while self.shutdown.is_running() {
             let asked_ms = boot_ms();
             match self.platform.read(&[LEADER_KEY]).await {
--- a/src/workflow/leader_watch.rs
+++ b/src/workflow/leader_watch.rs
@@ -12,16 +12,27 @@
 /// about two looks, and the look that would show it another one.
 const LOOKS_ADDED: u64 = 5;
 
+/// A process of less than this age claims a released lease at once, in ms: in a rolling
+/// restart it is one that has been restarted already.
+const YOUNG_MS: u64 = 10_000;
+
+/// How long an older process leaves a released lease to younger ones, in ms: a look of each.
+const YIELD_MS: u64 = 400;
+
 /// Judges from looks at the leader row whether its holder is still there.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeaderWatch {
+    started_ms: u64,
     seen: Option<(Revision, u64)>,
 }
 
 impl LeaderWatch {
-    /// Creates a watch that has seen nothing.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates the watch of a process that started at `started_ms`.
+    pub fn new(started_ms: u64) -> Self {
+        Self {
+            started_ms,
+            seen: None,
+        }
     }
 
     /// Notes a look at the row, which took `look_ms`, and tells whether `own_name` may claim
@@ -40,18 +51,23 @@
             return true;
         };
         // The process that held it has ended: this one has its name and doesn't hold it.
-        if record.released || record.holder == own_name {
+        if record.holder == own_name {
             return true;
         }
-        match self.seen {
-            Some((revision, since_ms)) if revision == row.revision => {
-                now_ms > since_ms + LEASE_MS + LOOKS_ADDED * look_ms
-            }
+        let since_ms = match self.seen {
+            Some((revision, since_ms)) if revision == row.revision => since_ms,
             _ => {
                 self.seen = Some((row.revision, now_ms));
-                false
+                now_ms
             }
-        }
+        };
+        let young = now_ms < self.started_ms + YOUNG_MS;
+        let lease_ms = match (record.released, young) {
+            (true, true) => return true,
+            (true, false) => YIELD_MS,
+            (false, _) => LEASE_MS + LOOKS_ADDED * look_ms,
+        };
+        now_ms > since_ms + lease_ms
     }
 
     /// Forgets what was seen, after a time without looks.
--- a/src/workflow/upkeep_plan.rs
+++ b/src/workflow/upkeep_plan.rs
@@ -20,6 +20,13 @@
 /// the controller and for hosts that are away.
 const PLANNED_SHARE: u64 = 55;
 
+/// The time left below which busy pools give hosts too, in ms: three turns of a host, or one
+/// and a change of the controller.
+const HURRY_MS: u64 = 11_000;
+
+/// The time left below which tasks are stopped rather than waited for, in ms: two turns.
+const FORCE_MS: u64 = 6_500;
+
 /// How far a wave has come; durable.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct WaveProgress {
@@ -78,8 +85,8 @@
     let work_ms = due.len() as u64 * HOST_TURN_MS;
     let pace = (work_ms.div_ceil(planned_ms) as usize).clamp(1, cap);
     let rounds_ms = work_ms.div_ceil(cap as u64);
-    let hurried = rounds_ms * 2 > planned_ms;
-    let force = rounds_ms > planned_ms;
+    let hurried = rounds_ms * 2 > planned_ms || left_ms < HURRY_MS;
+    let force = rounds_ms > planned_ms || left_ms < FORCE_MS;
     let mut order: BTreeMap<(bool, bool, u64, &HostId), &WaveHost> = BTreeMap::new();
     for host in due {
         let key = (host.pool_busy, !host.cordoned, host.used_millis, &host.host);
--- a/tests/leader_watch.rs
+++ b/tests/leader_watch.rs
@@ -16,7 +16,7 @@
 
 #[test]
 fn a_lease_that_is_renewed_may_not_be_claimed() {
-    let mut watch = LeaderWatch::new();
+    let mut watch = LeaderWatch::new(0);
 
     let claims = (0..20_u64).map(|look| {
         let row = leader_row(look, "boston-2", false);
@@ -28,7 +28,7 @@
 
 #[test]
 fn a_lease_that_stays_unchanged_may_be_claimed() {
-    let mut watch = LeaderWatch::new();
+    let mut watch = LeaderWatch::new(0);
     let row = leader_row(7, "boston-2", false);
     watch.may_claim(Some(&row), "boston-1", 5, 0);
 
@@ -38,7 +38,7 @@
 
 #[test]
 fn a_slow_table_gives_the_holder_more_time() {
-    let mut watch = LeaderWatch::new();
+    let mut watch = LeaderWatch::new(0);
     let row = leader_row(7, "boston-2", false);
     watch.may_claim(Some(&row), "boston-1", 240, 0);
 
@@ -48,7 +48,7 @@
 
 #[test]
 fn a_released_lease_or_ones_own_may_be_claimed_at_once() {
-    let mut watch = LeaderWatch::new();
+    let mut watch = LeaderWatch::new(0);
     let released = leader_row(7, "boston-2", true);
     let own = leader_row(7, "boston-1", false);
 
@@ -56,3 +56,14 @@
     assert!(watch.may_claim(Some(&own), "boston-1", 5, 0));
     assert!(watch.may_claim(None, "boston-1", 5, 0));
 }
+
+#[test]
+fn an_older_process_leaves_a_released_lease_to_a_restarted_one() {
+    let mut old = LeaderWatch::new(0);
+    let mut young = LeaderWatch::new(95_000);
+    let row = leader_row(7, "boston-2", true);
+
+    assert!(!old.may_claim(Some(&row), "boston-1", 5, 100_000));
+    assert!(young.may_claim(Some(&row), "boston-3", 5, 100_000));
+    assert!(old.may_claim(Some(&row), "boston-1", 5, 100_500));
+}
--- /dev/null
+++ b/tests/upkeep_plan.rs
@@ -0,0 +1,65 @@
+//! Which hosts of a wave are taken down when.
+
+use zincpier::workflow::choose_upkeep;
+use zincpier::workflow::WaveHost;
+
+fn host(name: &str) -> WaveHost {
+    WaveHost {
+        host: name.parse().unwrap(),
+        up: true,
+        down: false,
+        begun: false,
+        used_millis: 1_000,
+        cordoned: false,
+        empty: false,
+        pool_busy: false,
+    }
+}
+
+#[test]
+fn no_more_hosts_are_down_than_the_wave_allows() {
+    let mut hosts: Vec<_> = (0..6).map(|number| host(&format!("h-{number}"))).collect();
+    hosts.iter_mut().for_each(|host| host.empty = true);
+    hosts[0].begun = true;
+    hosts[0].down = true;
+
+    let choice = choose_upkeep(&hosts, 3, 5_000, false);
+
+    assert_eq!(choice.begin.len(), 2);
+}
+
+#[test]
+fn a_busy_pool_keeps_its_hosts_while_there_is_time() {
+    let mut busy = host("h-busy");
+    busy.pool_busy = true;
+    let hosts = [busy, host("h-idle")];
+
+    let early = choose_upkeep(&hosts, 2, 25_000, true);
+    let late = choose_upkeep(&hosts[..1], 2, 10_000, true);
+
+    assert_eq!(early.cordon, vec!["h-idle".parse().unwrap()]);
+    assert_eq!(late.cordon, vec!["h-busy".parse().unwrap()]);
+}
+
+#[test]
+fn the_last_hosts_are_forced_before_the_wave_is_late() {
+    let hosts = [host("h-last")];
+
+    let calm = choose_upkeep(&hosts, 2, 20_000, false);
+    let late = choose_upkeep(&hosts, 2, 6_000, false);
+
+    assert!(!calm.force);
+    assert!(late.force);
+}
+
+#[test]
+fn while_room_is_short_only_the_pace_of_the_wave_is_kept() {
+    let mut hosts: Vec<_> = (0..8).map(|number| host(&format!("h-{number}"))).collect();
+    hosts.iter_mut().for_each(|host| host.empty = true);
+
+    let short = choose_upkeep(&hosts, 8, 26_000, true);
+    let ample = choose_upkeep(&hosts, 8, 26_000, false);
+
+    assert_eq!(short.begin.len(), 2);
+    assert_eq!(ample.begin.len(), 8);
+}
