--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -69,10 +69,12 @@
         }
     }
 
-    /// Commits until the term ends, or gives the lease up when shutdown begins.
+    /// Commits until the term ends, or gives the lease up when connections close: in a
+    /// rolling restart a later change of the holder skips those that are stopped next.
     pub(crate) async fn run(&mut self, seat: &mut LeaderSeat, shutdown: &ShutdownSignal) {
+        let _busy = shutdown.enter();
         while self.term.is_active() {
-            if !shutdown.is_running() {
+            if shutdown.is_closing() {
                 seat.release(self.platform.as_ref()).await;
                 return;
             }
