--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -46,6 +46,11 @@
 pub trait RequestHandler {
     /// Answers one request, whose body has come whole.
     fn handle(&self, request: Request<Bytes>) -> impl Future<Output = Response<Bytes>>;
+
+    /// Returns the bounds on new connections, if they differ from those of the listener.
+    fn limits(&self) -> Option<MessageLimits> {
+        None
+    }
 }
 
 /// Marks a response in whose place the connection is closed.
@@ -87,6 +92,7 @@
         let open = Rc::clone(&open);
         let handler = Rc::clone(&handler);
         let shutdown = shutdown.clone();
+        let limits = handler.limits().unwrap_or(limits);
         monoio::spawn(async move {
             serve_connection(stream, handler.as_ref(), limits, shutdown).await;
             open.set(open.get() - 1);
