Try tasks that fail or stand still on another worker

Cause: a failed task went back to the worker that had just failed it, since that has the best fitting room (a job failed four times on one worker within 1.2 s); tasks on stalled workers waited until those went on. Conclusion: kept for the jobs that would fail without a fault of their own.

--- a/src/workflow/duration_book.rs
+++ b/src/workflow/duration_book.rs
@@ -18,7 +18,6 @@
 struct QueueDurations {
     tasks: u32,
     mean_ms: f64,
-    mean_estimate_ms: f64,
 }
 
 /// The mean durations of the tasks of each queue.
@@ -34,23 +33,26 @@
     }
 
     /// Notes a task that was done.
-    pub fn note(&mut self, queue: &str, estimate_ms: u64, took_ms: u64) {
+    pub fn note(&mut self, queue: &str, took_ms: u64) {
         let durations = self.queues.entry(queue.to_owned()).or_default();
         durations.tasks += 1;
         let weight = NEW_WEIGHT.max(1.0 / f64::from(durations.tasks));
         durations.mean_ms += (took_ms as f64 - durations.mean_ms) * weight;
-        durations.mean_estimate_ms += (estimate_ms as f64 - durations.mean_estimate_ms) * weight;
     }
 
     /// Returns what is expected of a task of a queue, in ms.
     pub fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
-        match self.queues.get(queue) {
-            Some(durations) if durations.tasks >= LEAST_TASKS => {
-                let own = estimate_ms as f64 * ESTIMATE_WEIGHT;
-                let learnt = durations.mean_ms * (1.0 - ESTIMATE_WEIGHT);
-                (own + learnt) as u64
-            }
-            _ => estimate_ms,
+        self.learnt_ms(queue, estimate_ms).unwrap_or(estimate_ms)
+    }
+
+    /// Returns what is expected of a task of a queue, in ms, once enough have ended.
+    pub fn learnt_ms(&self, queue: &str, estimate_ms: u64) -> Option<u64> {
+        let durations = self.queues.get(queue)?;
+        if durations.tasks < LEAST_TASKS {
+            return None;
         }
+        let own = estimate_ms as f64 * ESTIMATE_WEIGHT;
+        let learnt = durations.mean_ms * (1.0 - ESTIMATE_WEIGHT);
+        Some((own + learnt) as u64)
     }
 }
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -68,6 +68,7 @@
     pub(crate) forecast: TurnForecast,
     pub(crate) durations: DurationBook,
     pub(crate) waiting: bool,
+    pub(crate) stall_looked_ms: u64,
     ended_lives: BTreeSet<WorkerId>,
     inherited_until_ms: u64,
 }
@@ -87,6 +88,7 @@
             forecast: TurnForecast::new(),
             durations: DurationBook::new(),
             waiting: false,
+            stall_looked_ms: 0,
             ended_lives: BTreeSet::new(),
             inherited_until_ms: now_ms + inherited_ms,
         }
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -110,7 +110,10 @@
         self.judge_worker(worker, end.kind, now_ms);
         match end.kind {
             EndKind::Done if !long_running => self.finish_task(name, now_ms),
-            EndKind::Failed => self.fail_task(name, now_ms),
+            EndKind::Failed => {
+                self.note_failed_on(name, worker);
+                self.fail_task(name, now_ms);
+            }
             _ => self.release_task(name, now_ms),
         }
     }
@@ -120,7 +123,7 @@
             return;
         };
         match kind {
-            EndKind::Done => worker.note_success(),
+            EndKind::Done => worker.note_success(now_ms),
             EndKind::Failed if worker.note_failure(now_ms) => {
                 log::warn!("event=worker_distrusted worker={id} reason=\"failures in a row\"");
             }
@@ -157,10 +160,9 @@
             TaskPhase::Placed { since_ms, .. } => Some(since_ms),
             _ => None,
         });
-        if let (Some(since_ms), Some(step)) = (since_ms, job.step(name.step)) {
+        if let Some(since_ms) = since_ms {
             let took_ms = now_ms.saturating_sub(since_ms);
-            self.durations
-                .note(&job.spec.queue, step.estimate_ms, took_ms);
+            self.durations.note(&job.spec.queue, took_ms);
         }
     }
 
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -33,6 +33,7 @@
 mod worker_resources;
 mod worker_state;
 mod worker_tasks;
+mod worker_watch;
 
 pub use capacity_plan::choose_moves;
 pub use capacity_plan::HostMove;
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -41,6 +41,7 @@
     let mut engine = term.engine.borrow_mut();
     engine.config = view.config();
     engine.expire_workers(boot_ms());
+    engine.release_stalled(boot_ms());
     engine.place_tasks(boot_ms(), now_ms());
     term.metrics.open_jobs.set(engine.open_jobs.len() as i64);
     if engine.has_changes() {
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -203,19 +203,22 @@
     /// Ranks the workers that a task fits on; the least is chosen.
     fn placement_cost(&self, worker: &WorkerState, name: &TaskName, step: &StepSpec) -> [u64; 4] {
         let room = worker.room().cpu_millis;
+        let job = self.jobs.get(&name.job);
+        let state = job.and_then(|job| job.task(name));
+        let failed = state.is_some_and(|state| state.failed_on.contains(&worker.entry.id));
         if step.backfill {
-            return [0, 0, 0, u64::MAX - room];
+            return [u64::from(failed), 0, 0, u64::MAX - room];
         }
         if step.long_running {
             // Few hosts carry long-running tasks, so that the others can change their pool;
             // those of one step keep to different racks.
             let bare = !self.has_long_running(&worker.entry.id);
             let neighbours = self.rack_siblings(worker, name);
-            let due = u64::from(worker.upkeep_due);
+            let due = u64::from(worker.upkeep_due || failed);
             return [due, neighbours, u64::from(bare), u64::MAX - room];
         }
         let far = step.data_rack.is_some() && step.data_rack.as_deref() != worker.rack();
-        [u64::from(far), 0, 0, room]
+        [u64::from(failed), u64::from(far), 0, room]
     }
 
     /// Counts the tasks of a step on a worker's rack.
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -55,6 +55,8 @@
     pub failures: u32,
     /// Its last checkpoint, empty for none.
     pub checkpoint: String,
+    /// The workers on which it did badly; later runs prefer others.
+    pub failed_on: Vec<WorkerId>,
     /// Since when it has been without a run, in ms.
     pub idle_since_ms: u64,
     /// The share of its pace that the worker last reported, in percent.
@@ -71,6 +73,7 @@
             last_run: 0,
             failures: 0,
             checkpoint: String::new(),
+            failed_on: Vec::new(),
             idle_since_ms: 0,
             percent: 0,
             load: 0,
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -56,6 +56,8 @@
     pub answered_ms: u64,
     /// Why it gets no new tasks, if it is emptied for an order on its host.
     pub cordon: Option<CordonReason>,
+    /// When a run last ended well there, in ms.
+    pub done_ms: u64,
     /// Its host is due for upkeep, so that it will be emptied soon.
     pub upkeep_due: bool,
     clock: Option<(u64, u64)>,
@@ -78,6 +80,7 @@
             silent_since_ms: 0,
             answered_ms: 0,
             cordon: None,
+            done_ms: 0,
             upkeep_due: false,
             clock: None,
             failures: 0,
@@ -165,13 +168,19 @@
             return false;
         }
         self.failures = DISTRUST_FAILURES - 1;
-        self.distrusted_until_ms = now_ms + DISTRUST_MS;
+        self.distrust(now_ms);
         true
     }
 
     /// Notes that a run ended well there.
-    pub fn note_success(&mut self) {
+    pub fn note_success(&mut self, now_ms: u64) {
         self.failures = 0;
+        self.done_ms = now_ms;
+    }
+
+    /// Keeps new tasks off for a while.
+    pub fn distrust(&mut self, now_ms: u64) {
+        self.distrusted_until_ms = now_ms + DISTRUST_MS;
     }
 
     /// Returns the worker's rack, the label after its kind.
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -203,3 +203,41 @@
 
     assert!(!next.is_placed(&task(JOB, 0)));
 }
+
+#[test]
+fn a_failed_task_is_tried_on_another_worker() {
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![step(1)]);
+    let name = task(JOB, 0);
+    fleet.start_all();
+    let first = fleet.worker_of(&name);
+
+    fleet.end_all(EndKind::Failed);
+    fleet.start_all();
+
+    assert_ne!(fleet.worker_of(&name), first);
+}
+
+#[test]
+fn tasks_that_stand_still_are_started_elsewhere() {
+    let mut fleet = EngineFleet::new(2);
+    for number in 0..10 {
+        fleet.submit(&format!("{number:016x}"), vec![step(1)]);
+        fleet.start_all();
+        fleet.pass(400);
+        fleet.end_all(EndKind::Done);
+    }
+    fleet.submit(JOB, vec![step(2)]);
+    fleet.start_all();
+    fleet.report_all();
+    let stalled = fleet.worker_of(&task(JOB, 0));
+
+    fleet.pass(900);
+    fleet.engine.release_stalled(fleet.now_ms);
+    assert!(fleet.engine.take_stops().is_empty(), "they may be slow");
+
+    fleet.pass(1_000);
+    fleet.engine.release_stalled(fleet.now_ms);
+    assert_eq!(fleet.engine.take_stops().len(), 2);
+    assert!(!fleet.engine.workers[&stalled].takes_tasks(fleet.now_ms));
+}
