--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -69,8 +69,8 @@
     pub(crate) durations: DurationBook,
     pub(crate) waiting: bool,
     pub(crate) stall_looked_ms: u64,
-    ended_lives: BTreeSet<WorkerId>,
-    inherited_until_ms: u64,
+    pub(crate) ended_lives: BTreeSet<WorkerId>,
+    pub(crate) inherited_until_ms: u64,
 }
 
 impl JobEngine {
@@ -171,56 +171,8 @@
         }
     }
 
-    /// Takes note that a worker's life is over for good.
-    pub fn end_life(&mut self, id: &WorkerId, reason: &str, now_ms: u64) {
-        if !self.ended_lives.insert(id.clone()) {
-            return;
-        }
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.listed = false;
-        }
-        self.end_worker(id, reason, now_ms);
-    }
-
-    /// Takes note that nothing runs on a worker any more, though it may come back.
-    fn end_worker(&mut self, id: &WorkerId, reason: &str, now_ms: u64) {
-        let Some(worker) = self.workers.remove(id) else {
-            return;
-        };
-        let tasks = worker.tasks.len();
-        log::warn!("event=worker_lost worker={id} tasks={tasks} reason={reason:?}");
-        for task in &worker.tasks {
-            self.release_task(task, now_ms);
-        }
-        if worker.listed {
-            let mut fresh = WorkerState::new(worker.entry);
-            fresh.note_silence(now_ms);
-            self.workers.insert(id.clone(), fresh);
-        }
-    }
-
-    /// Releases the tasks of workers whose leases are surely over.
-    pub fn expire_workers(&mut self, now_ms: u64) {
-        let waited = now_ms > self.inherited_until_ms;
-        let over = |worker: &WorkerState| {
-            let silent = worker.silent_since_ms > 0;
-            let unseen = waited && !worker.fenced;
-            silent && !worker.tasks.is_empty() && (worker.is_lease_over(now_ms) || unseen)
-        };
-        let workers = self.workers.iter().filter(|(_, worker)| over(worker));
-        let expired: Vec<_> = workers.map(|(id, _)| id.clone()).collect();
-        for id in expired {
-            self.end_worker(&id, "its lease is over", now_ms);
-        }
-        let gone = |worker: &WorkerState| !worker.listed && worker.tasks.is_empty();
-        self.workers.retain(|_, worker| !gone(worker));
-        if waited {
-            self.release_orphans(now_ms);
-        }
-    }
-
     /// Makes a placed task wait again.
-    pub(crate) fn release_task(&mut self, name: &TaskName, now_ms: u64) {
+    pub(crate) fn release_task(&mut self, name: &TaskName) {
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
@@ -233,7 +185,6 @@
                 worker.remove_task(name, &spec.steps[name.step as usize]);
             }
             state.phase = TaskPhase::Waiting;
-            state.idle_since_ms = now_ms;
             state.percent = 0;
             self.changed.insert(name.job.clone());
         }
@@ -250,13 +201,13 @@
         self.changed.insert(id.clone());
         let placed: Vec<_> = job.placed_tasks().map(|(name, _)| name).collect();
         for name in placed {
-            self.request_stop(&name, "the job has ended", now_ms);
+            self.request_stop(&name, "the job has ended");
         }
         self.close_if_settled(id);
     }
 
     /// Asks for the stop of a placed task; one that was not sent yet is released.
-    pub(crate) fn request_stop(&mut self, name: &TaskName, reason: &'static str, now_ms: u64) {
+    pub(crate) fn request_stop(&mut self, name: &TaskName, reason: &'static str) {
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
@@ -267,7 +218,7 @@
             return;
         };
         match order {
-            OrderPhase::Committing => self.release_task(name, now_ms),
+            OrderPhase::Committing => self.release_task(name),
             // What an earlier controller started is stopped once its worker reports it.
             OrderPhase::Inherited(_) | OrderPhase::Stopping | OrderPhase::Stopped(_) => {}
             _ => {
@@ -366,48 +317,4 @@
             }
         }
     }
-
-    /// Notes the workers that hosts listed just now; what an earlier controller placed on
-    /// workers of which neither hosts nor the list of workers know has ended.
-    pub fn note_hosted(&mut self, hosted: &BTreeSet<WorkerId>, now_ms: u64) {
-        let unseen = self.workers.iter().filter(|(id, worker)| {
-            !worker.fenced && !worker.tasks.is_empty() && !hosted.contains(id)
-        });
-        let unseen: Vec<_> = unseen.map(|(id, _)| id.clone()).collect();
-        for id in unseen {
-            self.end_life(&id, "no host lists it", now_ms);
-        }
-        for name in self.orphans() {
-            let job = self.jobs.get(&name.job);
-            let worker = job.and_then(|job| job.task(&name)?.worker());
-            if worker.is_some_and(|worker| !hosted.contains(worker)) {
-                log::warn!("event=task_orphaned task={name} reason=\"no host lists its worker\"");
-                self.release_task(&name, now_ms);
-            }
-        }
-    }
-
-    /// Returns the placed tasks whose workers aren't known.
-    fn orphans(&self) -> Vec<TaskName> {
-        let mut orphans = Vec::new();
-        for id in &self.open_jobs {
-            let Some(job) = self.jobs.get(id) else {
-                continue;
-            };
-            let lost = job.placed_tasks().filter(|(_, state)| {
-                state
-                    .worker()
-                    .is_some_and(|worker| !self.workers.contains_key(worker))
-            });
-            orphans.extend(lost.map(|(name, _)| name));
-        }
-        orphans
-    }
-
-    fn release_orphans(&mut self, now_ms: u64) {
-        for name in self.orphans() {
-            log::warn!("event=task_orphaned task={name}");
-            self.release_task(&name, now_ms);
-        }
-    }
 }
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -61,12 +61,9 @@
         match outcome {
             OrderOutcome::Accepted(_) => self.set_order(name, OrderPhase::Settled(now_ms)),
             OrderOutcome::Unknown(_) => self.set_order(name, OrderPhase::Unknown(now_ms)),
-            OrderOutcome::NotSent(_) => self.release_task(name, now_ms),
-            OrderOutcome::Refused(OrderRefusal::OldRun) => {
-                // An earlier controller may have numbered a run higher than its rows show.
-                self.release_task(name, now_ms);
+            OrderOutcome::NotSent(_) | OrderOutcome::Refused(_) => {
+                self.release_task(name);
             }
-            OrderOutcome::Refused(_) => self.release_task(name, now_ms),
         }
     }
 
@@ -114,7 +111,7 @@
                 self.note_failed_on(name, worker);
                 self.fail_task(name, now_ms);
             }
-            _ => self.release_task(name, now_ms),
+            _ => self.release_task(name),
         }
     }
 
@@ -133,14 +130,14 @@
 
     fn finish_task(&mut self, name: &TaskName, now_ms: u64) {
         self.note_duration(name, now_ms);
-        self.release_task(name, now_ms);
+        self.release_task(name);
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
         let gang = job.step(name.step).is_some_and(|step| step.gang);
         job.mark_done(name);
         if gang {
-            self.finish_gang(name, now_ms);
+            self.finish_gang(name);
         }
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
@@ -167,9 +164,9 @@
     }
 
     /// Marks all members of a gang as done, since they end together.
-    fn finish_gang(&mut self, name: &TaskName, now_ms: u64) {
+    fn finish_gang(&mut self, name: &TaskName) {
         for member in self.gang_members(name) {
-            self.release_task(&member, now_ms);
+            self.release_task(&member);
             if let Some(job) = self.jobs.get_mut(&name.job) {
                 job.mark_done(&member);
             }
@@ -177,7 +174,7 @@
     }
 
     fn fail_task(&mut self, name: &TaskName, now_ms: u64) {
-        self.release_task(name, now_ms);
+        self.release_task(name);
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
@@ -243,7 +240,7 @@
         let missing = worker.tasks.iter().filter(|task| !seen.contains(task));
         let missing: Vec<_> = missing.cloned().collect();
         for name in missing {
-            self.settle_missing(&name, asked_ms, now_ms);
+            self.settle_missing(&name, asked_ms);
         }
     }
 
@@ -268,12 +265,12 @@
             Some(OrderPhase::Stopped(at)) if now_ms < at + STOP_MS => {}
             Some(OrderPhase::Stopped(_)) => {
                 state.set_order(OrderPhase::Running);
-                self.request_stop(&running.task, "it runs on after its stop", now_ms);
+                self.request_stop(&running.task, "it runs on after its stop");
             }
             _ => {
                 state.set_order(OrderPhase::Running);
                 if ended {
-                    self.request_stop(&running.task, "the job has ended", now_ms);
+                    self.request_stop(&running.task, "the job has ended");
                 }
             }
         }
@@ -281,7 +278,7 @@
     }
 
     /// Decides about a placed task that a worker neither runs nor lists as ended.
-    fn settle_missing(&mut self, name: &TaskName, asked_ms: u64, now_ms: u64) {
+    fn settle_missing(&mut self, name: &TaskName, asked_ms: u64) {
         let Some(job) = self.jobs.get(&name.job) else {
             return;
         };
@@ -291,13 +288,13 @@
         match order {
             OrderPhase::Inherited(at) | OrderPhase::Stopped(at) if at <= asked_ms => {
                 log::info!("event=task_released task={name} reason=\"it did not start\"");
-                self.release_task(name, now_ms);
+                self.release_task(name);
             }
             OrderPhase::Unknown(at) | OrderPhase::Settled(at) if at < asked_ms => {
-                self.request_stop(name, "the worker does not run it", now_ms);
+                self.request_stop(name, "the worker does not run it");
             }
             OrderPhase::Running => {
-                self.request_stop(name, "the worker runs it no more", now_ms);
+                self.request_stop(name, "the worker runs it no more");
             }
             _ => {}
         }
--- a/src/workflow/host_keeper.rs
+++ b/src/workflow/host_keeper.rs
@@ -236,11 +236,10 @@
 
     fn drain(&self, cordon: &[HostId], hosts: &[HostEntry], force: bool) {
         let mut engine = self.term.engine.borrow_mut();
-        let now_ms = boot_ms();
         for host in hosts.iter().filter(|host| cordon.contains(&host.host)) {
             if let Some(worker) = &host.worker {
                 engine.set_cordon(worker, Some(CordonReason::Upkeep));
-                engine.drain_worker(worker, force, now_ms);
+                engine.drain_worker(worker, force);
             }
         }
         drop(engine);
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -175,7 +175,7 @@
                         .iter()
                         .any(|pool| pool.name == chosen.to && pool.is_short())
                     {
-                        engine.stop_resumable(worker, boot_ms());
+                        engine.stop_resumable(worker);
                     }
                     let state = engine.workers.get(worker);
                     if state.is_none_or(|state| state.tasks.is_empty()) {
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -102,11 +102,6 @@
         self.schedule.map_or(1, |schedule| schedule.times.max(1))
     }
 
-    /// Returns the longest chain of estimates through the steps, in ms.
-    pub fn chain_ms(&self) -> u64 {
-        self.longest_chain(|_, step| step.estimate_ms)
-    }
-
     /// Returns the longest chain through the steps, each of which takes what `length` says, in ms.
     pub fn longest_chain(&self, length: impl Fn(usize, &StepSpec) -> u64) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -86,14 +86,12 @@
         }
         let occurrences = spec.occurrences() as usize;
         let done_counts = vec![0; spec.steps.len() * occurrences];
-        let mut state = TaskState::new();
-        state.idle_since_ms = now_ms;
         Self {
             id,
             phase: JobPhase::Queued,
             seen_ms: now_ms,
             ended_ms: 0,
-            tasks: vec![state; total * occurrences],
+            tasks: vec![TaskState::new(); total * occurrences],
             step_offsets,
             done_counts,
             spec,
--- a/src/workflow/leader_seat.rs
+++ b/src/workflow/leader_seat.rs
@@ -1,6 +1,5 @@
 //! The controller's lease, and commits that only its holder can make.
 
-use std::cell::Cell;
 use std::time::Duration;
 
 use monoio::time::sleep;
@@ -63,7 +62,7 @@
 pub struct LeaderSeat {
     record: LeaderRecord,
     revision: Revision,
-    confirmed_ms: Cell<u64>,
+    confirmed_ms: u64,
 }
 
 /// The lease has passed to another holder.
@@ -89,14 +88,14 @@
         let mut seat = Self {
             record,
             revision,
-            confirmed_ms: Cell::new(boot_ms()),
+            confirmed_ms: boot_ms(),
         };
         let asked_ms = boot_ms();
         let transaction = seat.transaction(Vec::new());
         match table.transact(&transaction).await {
             Ok(TransactionOutcome::Committed(revision)) => {
                 seat.revision = revision;
-                seat.confirmed_ms.set(asked_ms);
+                seat.confirmed_ms = asked_ms;
                 Some(seat)
             }
             Ok(TransactionOutcome::Conflict(_)) => None,
@@ -127,7 +126,7 @@
 
     /// Returns when the holder last knew that the lease was its own, in ms.
     pub fn confirmed_ms(&self) -> u64 {
-        self.confirmed_ms.get()
+        self.confirmed_ms
     }
 
     /// Commits rows, and tries again until that is done or the lease is lost.
@@ -201,7 +200,7 @@
 
     fn confirm(&mut self, revision: Revision, asked_ms: u64) {
         self.revision = revision;
-        self.confirmed_ms.set(asked_ms);
+        self.confirmed_ms = asked_ms;
     }
 
     fn transaction(&self, writes: Vec<RowWrite>) -> Transaction {
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -8,6 +8,7 @@
 mod duration_book;
 mod engine;
 mod engine_demand;
+mod engine_lives;
 mod engine_reports;
 mod fleet_config;
 mod fleet_view;
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -258,7 +258,7 @@
     }
 
     fn undo_placement(&mut self, name: &TaskName) {
-        self.release_task(name, 0);
+        self.release_task(name);
         self.effects
             .retain(|effect| !matches!(effect, Effect::Start(task) if task == name));
         let job = self.jobs.get_mut(&name.job);
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -57,8 +57,6 @@
     pub checkpoint: String,
     /// The workers on which it did badly; later runs prefer others.
     pub failed_on: Vec<WorkerId>,
-    /// Since when it has been without a run, in ms.
-    pub idle_since_ms: u64,
     /// The share of its pace that the worker last reported, in percent.
     pub percent: u32,
     /// The load that the worker last reported.
@@ -74,7 +72,6 @@
             failures: 0,
             checkpoint: String::new(),
             failed_on: Vec::new(),
-            idle_since_ms: 0,
             percent: 0,
             load: 0,
         }
@@ -128,7 +125,6 @@
     /// Restores a state; an order of an earlier controller may or may not have come to effect.
     pub fn from_value(value: &Value, now_ms: u64) -> Option<Self> {
         let mut state = Self::new();
-        state.idle_since_ms = now_ms;
         match value {
             Value::Number(number) if number.as_u64() == Some(1) => state.phase = TaskPhase::Done,
             Value::Number(_) => {}
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -26,7 +26,7 @@
 
     /// Moves long-running tasks off a worker as far as their steps can spare them, and with
     /// `force` stops the others too; returns whether the worker is empty.
-    pub fn drain_worker(&mut self, id: &WorkerId, force: bool, now_ms: u64) -> bool {
+    pub fn drain_worker(&mut self, id: &WorkerId, force: bool) -> bool {
         let Some(worker) = self.workers.get(id) else {
             return true;
         };
@@ -34,9 +34,9 @@
         for name in &tasks {
             let long_running = self.is_long_running(name);
             if long_running && self.can_spare(name) {
-                self.request_stop(name, "its worker is emptied", now_ms);
+                self.request_stop(name, "its worker is emptied");
             } else if !long_running && force {
-                self.request_stop(name, "its worker is emptied, late", now_ms);
+                self.request_stop(name, "its worker is emptied, late");
             }
         }
         tasks.is_empty()
@@ -49,14 +49,14 @@
     }
 
     /// Stops the tasks of a worker that resume elsewhere from their checkpoints.
-    pub fn stop_resumable(&mut self, id: &WorkerId, now_ms: u64) {
+    pub fn stop_resumable(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
         let tasks = worker.tasks.iter().filter(|name| self.is_resumable(name));
         let tasks: Vec<_> = tasks.cloned().collect();
         for name in &tasks {
-            self.request_stop(name, "it resumes elsewhere", now_ms);
+            self.request_stop(name, "it resumes elsewhere");
         }
     }
 
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -229,7 +229,7 @@
     let clocked = ready.and_then(|worker| Some((worker.clock_ms(now_ms)?, worker)));
     let Some((clock_ms, worker)) = clocked else {
         log::info!("event=start_withdrawn task={task} reason=\"the worker is not ready\"");
-        engine.release_task(task, now_ms);
+        engine.release_task(task);
         return None;
     };
     let lease_ms = clock_ms + WORKER_LEASE_MS;
--- a/src/workflow/worker_watch.rs
+++ b/src/workflow/worker_watch.rs
@@ -48,7 +48,7 @@
             }
             for name in &overdue {
                 self.note_failed_on(name, &id);
-                self.request_stop(name, "it stands still", now_ms);
+                self.request_stop(name, "it stands still");
             }
         }
     }
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -177,7 +177,7 @@
 
     pub(crate) fn stop(&mut self, name: &TaskName) {
         let worker = self.worker_of(name);
-        self.engine.drain_worker(&worker, false, self.now_ms);
+        self.engine.drain_worker(&worker, false);
         let stops = self.engine.take_stops();
         let stop = stops.iter().find(|stop| stop.task == *name).unwrap();
         self.engine
