--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -178,6 +178,36 @@
         }
     }
 
+    /// Renews a lease; nothing while the caller has to wait for an end.
+    fn renew(&self, id: &WorkerId, renewal: &LeaseRenewal, over: bool) -> Option<HoldOutcome> {
+        self.advance(id);
+        let clock_ms = self.now_ms();
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.get_mut(id).unwrap();
+        if renewal.epoch < worker.fence {
+            return Some(HoldOutcome::Refused(OrderRefusal::Fenced));
+        }
+        worker.fence = renewal.epoch;
+        worker.lease_ms = worker.lease_ms.max(renewal.lease_ms.unwrap_or(0));
+        worker.ends.retain(|end| end.number > renewal.acknowledged);
+        if worker.ends.is_empty() && !over {
+            return None;
+        }
+        let running = worker.running.iter().map(|(task, run)| RunningTask {
+            task: task.clone(),
+            run: run.run,
+            checkpoint: String::new(),
+            percent: 100,
+            load: 0,
+        });
+        Some(HoldOutcome::Report(WorkerReport {
+            clock_ms,
+            running: running.collect(),
+            ends: worker.ends.clone(),
+            has_more_ends: false,
+        }))
+    }
+
     fn start(&self, id: &WorkerId, order: &StartOrder) -> OrderOutcome {
         self.advance(id);
         let elsewhere = |(other, worker): (&WorkerId, &FakeWorker)| {
@@ -384,32 +414,10 @@
         self.pass().await;
         let deadline = Instant::now() + renewal.wait;
         loop {
-            self.fleet.advance(&entry.id);
-            let clock_ms = self.fleet.now_ms();
-            let mut workers = self.fleet.workers.borrow_mut();
-            let worker = workers.get_mut(&entry.id).unwrap();
-            if renewal.epoch < worker.fence {
-                return HoldOutcome::Refused(OrderRefusal::Fenced);
-            }
-            worker.fence = renewal.epoch;
-            worker.lease_ms = worker.lease_ms.max(renewal.lease_ms.unwrap_or(0));
-            worker.ends.retain(|end| end.number > renewal.acknowledged);
-            if !worker.ends.is_empty() || Instant::now() >= deadline {
-                let running = worker.running.iter().map(|(task, run)| RunningTask {
-                    task: task.clone(),
-                    run: run.run,
-                    checkpoint: String::new(),
-                    percent: 100,
-                    load: 0,
-                });
-                return HoldOutcome::Report(WorkerReport {
-                    clock_ms,
-                    running: running.collect(),
-                    ends: worker.ends.clone(),
-                    has_more_ends: false,
-                });
+            let over = Instant::now() >= deadline;
+            if let Some(outcome) = self.fleet.renew(&entry.id, renewal, over) {
+                return outcome;
             }
-            drop(workers);
             sleep(LOOK).await;
             self.pass().await;
         }
