Discard what a given-up request has not delivered

Ruled out: an order sent late; the holder's lease was unconfirmed for seconds, and orders need one confirmed within 1 s. Conclusion: client connections close by reset and break after 1 s without an acknowledgement. Also: incarnation in place of life, as the field says.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -31,6 +31,7 @@
 use thiserror::Error;
 
 use crate::connection::check_framing;
+use crate::connection::dial::connect;
 use crate::connection::limited_reader::LimitedReader;
 use crate::connection::limited_reader::ReadBudget;
 use crate::connection::limited_reader::ReadRefusal;
@@ -87,7 +88,7 @@
         limits: MessageLimits,
         deadline: Instant,
     ) -> Result<Self, ExchangeError> {
-        let connected = timeout_at(deadline, TcpStream::connect_addr(address)).await;
+        let connected = timeout_at(deadline, connect(address)).await;
         let stream = connected
             .map_err(|_| ExchangeError::NotConnected("no answer in time".to_owned()))?
             .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend_pool;
 mod caller;
+mod dial;
 pub(crate) mod exchange;
 mod framing;
 mod http_client;
--- a/src/id/worker_id.rs
+++ b/src/id/worker_id.rs
@@ -1,6 +1,6 @@
 //! The name of a worker.
 
 name_id! {
-    /// One life of a worker; a host's next life has another name.
+    /// One incarnation of a worker; the next one on its host has another name.
     WorkerId
 }
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -69,7 +69,7 @@
     pub(crate) durations: DurationBook,
     pub(crate) waiting: bool,
     pub(crate) stall_looked_ms: u64,
-    pub(crate) ended_lives: BTreeSet<WorkerId>,
+    pub(crate) ended_incarnations: BTreeSet<WorkerId>,
     pub(crate) inherited_until_ms: u64,
 }
 
@@ -89,7 +89,7 @@
             durations: DurationBook::new(),
             waiting: false,
             stall_looked_ms: 0,
-            ended_lives: BTreeSet::new(),
+            ended_incarnations: BTreeSet::new(),
             inherited_until_ms: now_ms + inherited_ms,
         }
     }
@@ -139,7 +139,7 @@
     /// Notes a worker as the platform lists it.
     pub fn set_worker(&mut self, entry: WorkerEntry) {
         let id = entry.id.clone();
-        if self.ended_lives.contains(&id) {
+        if self.ended_incarnations.contains(&id) {
             return;
         }
         match self.workers.get_mut(&id) {
--- a/src/workflow/engine_lives.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -1,4 +1,4 @@
-//! The ends of workers' lives, and what becomes of their tasks.
+//! The ends of workers' incarnations, and what becomes of their tasks.
 
 use std::collections::BTreeSet;
 
@@ -8,9 +8,9 @@
 use crate::workflow::WorkerState;
 
 impl JobEngine {
-    /// Takes note that a worker's life is over for good.
-    pub fn end_life(&mut self, id: &WorkerId, reason: &str, now_ms: u64) {
-        if !self.ended_lives.insert(id.clone()) {
+    /// Takes note that a worker's incarnation is over for good.
+    pub fn end_incarnation(&mut self, id: &WorkerId, reason: &str, now_ms: u64) {
+        if !self.ended_incarnations.insert(id.clone()) {
             return;
         }
         if let Some(worker) = self.workers.get_mut(id) {
@@ -64,7 +64,7 @@
         });
         let unseen: Vec<_> = unseen.map(|(id, _)| id.clone()).collect();
         for id in unseen {
-            self.end_life(&id, "no host lists it", now_ms);
+            self.end_incarnation(&id, "no host lists it", now_ms);
         }
         for name in self.orphans() {
             let job = self.jobs.get(&name.job);
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -76,8 +76,8 @@
             OrderOutcome::Accepted(_) => {
                 self.set_order(&request.task, OrderPhase::Stopped(now_ms));
             }
-            OrderOutcome::Refused(OrderRefusal::OtherLife) => {
-                self.end_life(&request.worker, "another life answers", now_ms);
+            OrderOutcome::Refused(OrderRefusal::OtherIncarnation) => {
+                self.end_incarnation(&request.worker, "another incarnation answers", now_ms);
             }
             _ => self.stops.push(request.clone()),
         }
--- a/src/workflow/follower.rs
+++ b/src/workflow/follower.rs
@@ -28,7 +28,7 @@
 /// The pause after a failed call of a feed.
 const FEED_PAUSE: Duration = Duration::from_millis(200);
 
-/// The least time between two looks at the list of workers: each beat changes it.
+/// The least time between two looks at the list of workers: each heartbeat changes it.
 const WORKER_LOOK: Duration = Duration::from_millis(250);
 
 /// Takes a submission or a cancellation in.
--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -140,8 +140,8 @@
     NoRoom,
     /// The worker is unhealthy, or gave another reason.
     Unhealthy,
-    /// Another life of the worker answered.
-    OtherLife,
+    /// Another incarnation of the worker answered.
+    OtherIncarnation,
 }
 
 impl OrderRefusal {
@@ -153,14 +153,14 @@
             Self::Late => "late",
             Self::NoRoom => "no-room",
             Self::Unhealthy => "unhealthy",
-            Self::OtherLife => "other-life",
+            Self::OtherIncarnation => "other-incarnation",
         }
     }
 }
 
 /// The answer to a lease renewal.
 #[derive(Clone, Debug, PartialEq)]
-pub enum HoldOutcome {
+pub enum RenewalOutcome {
     /// The lease holds.
     Report(WorkerReport),
     /// The order was refused.
@@ -169,7 +169,7 @@
     Unknown(String),
 }
 
-impl HoldOutcome {
+impl RenewalOutcome {
     /// Returns the outcome's name, without its details.
     pub fn name(&self) -> &'static str {
         match self {
@@ -203,7 +203,7 @@
         &self,
         worker: &WorkerEntry,
         renewal: &LeaseRenewal,
-    ) -> impl Future<Output = HoldOutcome>;
+    ) -> impl Future<Output = RenewalOutcome>;
 
     /// Lets a task work at a share of its pace.
     fn pace_task(
@@ -253,7 +253,7 @@
     pub state: HostState,
     /// What it has for tasks.
     pub capacity: WorkerResources,
-    /// The worker that lives on it, if one does.
+    /// The worker whose incarnation runs on it, if one does.
     pub worker: Option<WorkerId>,
 }
 
--- a/src/workflow/host_keeper.rs
+++ b/src/workflow/host_keeper.rs
@@ -100,7 +100,7 @@
 
 impl<P: FleetPlatform> HostKeeper<P> {
     /// Notes what has become of each host; a host that lists no worker or another one has
-    /// ended the life that it listed before.
+    /// ended the incarnation that it listed before.
     fn note_states(&self, list: &HostList) {
         if !list.has_gaps {
             let hosted = list.hosts.iter().filter_map(|entry| entry.worker.clone());
@@ -127,7 +127,7 @@
             let ended = before.and_then(|(_, worker)| worker);
             if let Some(ended) = ended.filter(|ended| Some(ended) != entry.worker.as_ref()) {
                 let mut engine = self.term.engine.borrow_mut();
-                engine.end_life(&ended, "its host lists it no more", boot_ms());
+                engine.end_incarnation(&ended, "its host lists it no more", boot_ms());
                 self.term.plan.notify_one();
             }
         }
@@ -280,7 +280,7 @@
         if self.order(request, host).await {
             if let Some(worker) = worker {
                 let mut engine = self.term.engine.borrow_mut();
-                engine.end_life(&worker, "the upkeep of its host", boot_ms());
+                engine.end_incarnation(&worker, "the upkeep of its host", boot_ms());
             }
         }
     }
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -218,7 +218,7 @@
         let mut engine = self.term.engine.borrow_mut();
         match (outcome, worker) {
             (HostOutcome::Accepted, Some(worker)) => {
-                engine.end_life(worker, "the move of its host", boot_ms());
+                engine.end_incarnation(worker, "the move of its host", boot_ms());
             }
             (HostOutcome::Rejected(_), Some(worker)) => engine.set_cordon(worker, None),
             _ => {}
--- a/src/workflow/job_order.rs
+++ b/src/workflow/job_order.rs
@@ -2,7 +2,7 @@
 //!
 //! Load: each queue in its turn asks for several times the room of its pool for some
 //! seconds. Order of arrival then makes every job late; jobs that can still meet their
-//! objective go first, by the slack that is left, and jobs past help take what remains.
+//! objective go first, by the slack that is left, and jobs that cannot be in time take what remains.
 
 use crate::workflow::DurationBook;
 use crate::workflow::JobState;
@@ -12,7 +12,7 @@
 /// How urgent a job is; smaller comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct JobUrgency {
-    /// Long-running tasks come before jobs with an end, and jobs past help come last.
+    /// Long-running tasks come before jobs with an end, and jobs that cannot be in time come last.
     class: u8,
     /// The queue's priority.
     priority: u32,
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -13,11 +13,11 @@
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
 use crate::workflow::ControllerTerm;
-use crate::workflow::HoldOutcome;
 use crate::workflow::LeaseRenewal;
 use crate::workflow::OrderOutcome;
 use crate::workflow::OrderPhase;
 use crate::workflow::OrderRefusal;
+use crate::workflow::RenewalOutcome;
 use crate::workflow::StartOrder;
 use crate::workflow::StopRequest;
 use crate::workflow::TaskName;
@@ -135,26 +135,26 @@
 fn apply_renewal(
     term: &ControllerTerm,
     id: &WorkerId,
-    outcome: &HoldOutcome,
+    outcome: &RenewalOutcome,
     asked_ms: u64,
 ) -> bool {
     let now_ms = boot_ms();
     term.metrics.count("renewal", outcome.name());
     let mut engine = term.engine.borrow_mut();
     let answered = match outcome {
-        HoldOutcome::Report(report) => {
+        RenewalOutcome::Report(report) => {
             engine.apply_report(id, report, asked_ms, now_ms);
             true
         }
-        HoldOutcome::Refused(OrderRefusal::Fenced) => {
+        RenewalOutcome::Refused(OrderRefusal::Fenced) => {
             term.end("a worker has seen a higher epoch");
             false
         }
-        HoldOutcome::Refused(OrderRefusal::OtherLife) => {
-            engine.end_life(id, "another life answers", now_ms);
+        RenewalOutcome::Refused(OrderRefusal::OtherIncarnation) => {
+            engine.end_incarnation(id, "another incarnation answers", now_ms);
             false
         }
-        HoldOutcome::Refused(_) | HoldOutcome::Unknown(_) => {
+        RenewalOutcome::Refused(_) | RenewalOutcome::Unknown(_) => {
             if let Some(worker) = engine.workers.get_mut(id) {
                 worker.note_silence(now_ms);
             }
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -27,7 +27,6 @@
 use zincpier::workflow::ChangeSet;
 use zincpier::workflow::EndKind;
 use zincpier::workflow::FleetConfig;
-use zincpier::workflow::HoldOutcome;
 use zincpier::workflow::HostEntry;
 use zincpier::workflow::HostGateway;
 use zincpier::workflow::HostList;
@@ -37,6 +36,7 @@
 use zincpier::workflow::OperatorFact;
 use zincpier::workflow::OrderOutcome;
 use zincpier::workflow::OrderRefusal;
+use zincpier::workflow::RenewalOutcome;
 use zincpier::workflow::RunningTask;
 use zincpier::workflow::StartOrder;
 use zincpier::workflow::TableChange;
@@ -179,13 +179,13 @@
     }
 
     /// Renews a lease; nothing while the caller has to wait for an end.
-    fn renew(&self, id: &WorkerId, renewal: &LeaseRenewal, over: bool) -> Option<HoldOutcome> {
+    fn renew(&self, id: &WorkerId, renewal: &LeaseRenewal, over: bool) -> Option<RenewalOutcome> {
         self.advance(id);
         let clock_ms = self.now_ms();
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(id).unwrap();
         if renewal.epoch < worker.fence {
-            return Some(HoldOutcome::Refused(OrderRefusal::Fenced));
+            return Some(RenewalOutcome::Refused(OrderRefusal::Fenced));
         }
         worker.fence = renewal.epoch;
         worker.lease_ms = worker.lease_ms.max(renewal.lease_ms.unwrap_or(0));
@@ -200,7 +200,7 @@
             percent: 100,
             load: 0,
         });
-        Some(HoldOutcome::Report(WorkerReport {
+        Some(RenewalOutcome::Report(WorkerReport {
             clock_ms,
             running: running.collect(),
             ends: worker.ends.clone(),
@@ -410,7 +410,7 @@
         OrderOutcome::Accepted(now_ms)
     }
 
-    async fn renew_lease(&self, entry: &WorkerEntry, renewal: &LeaseRenewal) -> HoldOutcome {
+    async fn renew_lease(&self, entry: &WorkerEntry, renewal: &LeaseRenewal) -> RenewalOutcome {
         self.pass().await;
         let deadline = Instant::now() + renewal.wait;
         loop {
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -179,7 +179,7 @@
     let name = task(JOB, 0);
     let worker = fleet.worker_of(&name);
 
-    fleet.engine.end_life(&worker, "test", fleet.now_ms);
+    fleet.engine.end_incarnation(&worker, "test", fleet.now_ms);
 
     assert!(!fleet.is_placed(&name));
     let entry = worker_entry(0);
@@ -188,7 +188,7 @@
     assert_eq!(
         back,
         entry.id != worker,
-        "a life that ended does not return"
+        "an incarnation that ended does not return"
     );
 }
 
