Tell refused callers to return by the length of the table's silence

Cause: Retry-After was always 1 s. Callers that come back a few times only had given up before an outage of more than 5 s was over, and a host that has no configuration yet refused without a log line.

--- a/src/workflow/fleet_view.rs
+++ b/src/workflow/fleet_view.rs
@@ -37,9 +37,11 @@
 }
 
 impl FleetView {
-    /// Creates a view that knows nothing.
+    /// Creates a view that knows nothing yet.
     pub fn new() -> Rc<Self> {
-        Rc::new(Self::default())
+        let view = Self::default();
+        view.heard_ms.set(boot_ms());
+        Rc::new(view)
     }
 
     /// Returns the configuration in force.
