Let the jobs with the most work wait when not all can be in time

Cause: jobs that could be in time went by the least slack.

In the replay of tests/overload.rs 134 of 240 jobs are in time without the rule and 162 with it, and 150 and 203 of 360 at the highest load.

--- a/src/workflow/job_order.rs
+++ b/src/workflow/job_order.rs
@@ -9,6 +9,18 @@
 use crate::workflow::QueueConfig;
 use crate::workflow::StepSpec;
 
+/// The class of jobs that run until they are cancelled.
+const LONG_RUNNING: u8 = 0;
+
+/// The class of jobs that can still meet their objective.
+const IN_TIME: u8 = 1;
+
+/// The class of jobs that can still be of some use.
+const LATE: u8 = 2;
+
+/// The class of jobs whose callers expect them no more.
+const PAST_HELP: u8 = 3;
+
 /// How urgent a job is; smaller comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct JobUrgency {
@@ -25,7 +37,7 @@
     pub fn new(job: &JobState, queue: &QueueConfig, durations: &DurationBook, now_ms: u64) -> Self {
         if job.is_long_running() {
             return Self {
-                class: 0,
+                class: LONG_RUNNING,
                 priority: queue.priority,
                 slack_ms: job.seen_ms as i64,
             };
@@ -42,9 +54,9 @@
         let slack_ms = objective_ms - age_ms - remaining_ms as i64;
         let late_slack_ms = slack_ms + 2 * objective_ms;
         let class = match (slack_ms >= 0, late_slack_ms >= 0) {
-            (true, _) => 1,
-            (false, true) => 2,
-            (false, false) => 3,
+            (true, _) => IN_TIME,
+            (false, true) => LATE,
+            (false, false) => PAST_HELP,
         };
         Self {
             class,
@@ -52,4 +64,16 @@
             slack_ms,
         }
     }
+
+    /// Returns the time in ms until the job must have its room, if it can be in time.
+    pub fn slack_ms(&self) -> Option<u64> {
+        u64::try_from(self.slack_ms)
+            .ok()
+            .filter(|_| self.class == IN_TIME)
+    }
+
+    /// Leaves the job to be late.
+    pub fn postpone(&mut self) {
+        self.class = LATE;
+    }
 }
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -10,8 +10,10 @@
 use crate::id::JobId;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::choose_late;
 use crate::workflow::Effect;
 use crate::workflow::FleetConfig;
+use crate::workflow::JobDemand;
 use crate::workflow::JobEngine;
 use crate::workflow::JobPhase;
 use crate::workflow::JobUrgency;
@@ -62,12 +64,55 @@
             jobs.push((urgency, id.clone()));
         }
         let order = |(service, mut jobs): (ServiceId, Vec<(JobUrgency, JobId)>)| {
+            self.postpone_late(&service, &mut jobs, now_ms);
             jobs.sort();
             (service, jobs.into_iter().map(|(_, id)| id).collect())
         };
         sorted.into_iter().map(order).collect()
     }
 
+    /// Leaves jobs to be late where not all can be in time.
+    fn postpone_late(&self, service: &ServiceId, jobs: &mut [(JobUrgency, JobId)], now_ms: u64) {
+        let room_millis = self.service_room(service, now_ms);
+        let (positions, demands): (Vec<_>, Vec<_>) = jobs
+            .iter()
+            .enumerate()
+            .filter_map(|(position, (urgency, id))| {
+                let slack_ms = urgency.slack_ms()?;
+                let work = self.waiting_work(id)?;
+                Some((position, JobDemand { slack_ms, work }))
+            })
+            .unzip();
+        for late in choose_late(&demands, room_millis) {
+            jobs[positions[late]].0.postpone();
+        }
+    }
+
+    /// Returns the processor time of the workers of a service that take tasks, in thousandths
+    /// of a core.
+    fn service_room(&self, service: &ServiceId, now_ms: u64) -> u64 {
+        let workers = self.workers.values();
+        workers
+            .filter(|worker| worker.entry.service == *service && worker.takes_tasks(now_ms))
+            .map(|worker| worker.entry.capacity.cpu_millis)
+            .sum()
+    }
+
+    /// Returns a job's work that has not started, in thousandths of a core times ms.
+    fn waiting_work(&self, id: &JobId) -> Option<u64> {
+        let job = self.jobs.get(id)?;
+        let config = self.config.as_ref()?;
+        let queue = config.queue(&job.spec.queue)?;
+        let steps = job.spec.steps.iter().enumerate();
+        let work = steps.map(|(number, step)| {
+            let tasks = job.step_tasks(0, number as u32).iter();
+            let waiting = tasks.filter(|state| state.phase == TaskPhase::Waiting);
+            let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
+            waiting.count() as u64 * step.reserved().cpu_millis * expected_ms
+        });
+        Some(work.sum())
+    }
+
     /// Places what it can of a job and returns the number of steps without room.
     fn place_job(&mut self, id: &JobId, service: &ServiceId, now_ms: u64, wall_ms: u64) -> u32 {
         let Some(job) = self.jobs.get(id) else {
