Serve late jobs by the same rule among themselves

Cause: jobs that are late and still of use went by the least slack too, so that in a long overload nearly all of them ended past their use.

In the replay of tests/overload.rs 273, 301 and 359 jobs end while they are of use without it, and 291, 360 and 426 with it.

--- a/src/workflow/job_order.rs
+++ b/src/workflow/job_order.rs
@@ -30,6 +30,8 @@
     priority: u32,
     /// The time that is left beyond the remaining work, in ms.
     slack_ms: i64,
+    /// The time in which the job should end, in ms.
+    objective_ms: i64,
 }
 
 impl JobUrgency {
@@ -40,6 +42,7 @@
                 class: LONG_RUNNING,
                 priority: queue.priority,
                 slack_ms: job.seen_ms as i64,
+                objective_ms: 0,
             };
         }
         let expected = |step: &StepSpec| durations.expected_ms(&queue.name, step.estimate_ms);
@@ -62,6 +65,7 @@
             class,
             priority: queue.priority,
             slack_ms,
+            objective_ms,
         }
     }
 
@@ -72,8 +76,15 @@
             .filter(|_| self.class == IN_TIME)
     }
 
-    /// Leaves the job to be late.
+    /// Returns the time in ms until the job must have its room, if it is late and can still
+    /// be of some use.
+    pub fn late_slack_ms(&self) -> Option<u64> {
+        let slack_ms = self.slack_ms + 2 * self.objective_ms;
+        u64::try_from(slack_ms).ok().filter(|_| self.class == LATE)
+    }
+
+    /// Puts the job behind all of its class.
     pub fn postpone(&mut self) {
-        self.class = LATE;
+        self.class += 1;
     }
 }
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -64,21 +64,28 @@
             jobs.push((urgency, id.clone()));
         }
         let order = |(service, mut jobs): (ServiceId, Vec<(JobUrgency, JobId)>)| {
-            self.postpone_late(&service, &mut jobs, now_ms);
+            self.postpone_late(&service, &mut jobs, now_ms, JobUrgency::slack_ms);
+            self.postpone_late(&service, &mut jobs, now_ms, JobUrgency::late_slack_ms);
             jobs.sort();
             (service, jobs.into_iter().map(|(_, id)| id).collect())
         };
         sorted.into_iter().map(order).collect()
     }
 
-    /// Leaves jobs to be late where not all can be in time.
-    fn postpone_late(&self, service: &ServiceId, jobs: &mut [(JobUrgency, JobId)], now_ms: u64) {
+    /// Puts jobs off where not all have what they need within the time that `slack` tells.
+    fn postpone_late(
+        &self,
+        service: &ServiceId,
+        jobs: &mut [(JobUrgency, JobId)],
+        now_ms: u64,
+        slack: fn(&JobUrgency) -> Option<u64>,
+    ) {
         let room_millis = self.service_room(service, now_ms);
         let (positions, demands): (Vec<_>, Vec<_>) = jobs
             .iter()
             .enumerate()
             .filter_map(|(position, (urgency, id))| {
-                let slack_ms = urgency.slack_ms()?;
+                let slack_ms = slack(urgency)?;
                 let work = self.waiting_work(id)?;
                 Some((position, JobDemand { slack_ms, work }))
             })
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -13,6 +13,9 @@
 /// The time from a job's arrival within which it should end, in ms.
 const OBJECTIVE_MS: u64 = 1_880;
 
+/// The time from a job's arrival after which its caller has no use for it, in ms.
+const USEFUL_MS: u64 = 3 * OBJECTIVE_MS;
+
 /// The step of the replay, in ms.
 const TICK_MS: u64 = 20;
 
@@ -25,15 +28,13 @@
 }
 
 impl ReplayedJob {
-    fn slack_ms(&self, now_ms: u64) -> Option<u64> {
-        (self.arrives_ms + OBJECTIVE_MS).checked_sub(now_ms + TASK_MS)
+    /// Returns the time until the job must have its room to end `time_ms` after its arrival.
+    fn slack_ms(&self, now_ms: u64, time_ms: u64) -> Option<u64> {
+        (self.arrives_ms + time_ms).checked_sub(now_ms + TASK_MS)
     }
 
-    fn demand(&self, now_ms: u64) -> Option<JobDemand> {
-        Some(JobDemand {
-            slack_ms: self.slack_ms(now_ms)?,
-            work: (self.tasks - self.started) * TASK_MILLIS * TASK_MS,
-        })
+    fn work(&self) -> u64 {
+        (self.tasks - self.started) * TASK_MILLIS * TASK_MS
     }
 }
 
@@ -54,38 +55,79 @@
     (0..4 * per_second).map(job).collect()
 }
 
-/// Plays the jobs, least slack first; returns how many end in time. With `leave_late` the
-/// jobs that `choose_late` names come last.
-fn jobs_in_time(mut jobs: Vec<ReplayedJob>, leave_late: bool) -> usize {
+/// Which jobs of a replay are left to be late.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Rule {
+    /// None: the least slack goes first.
+    LeastSlack,
+    /// Those that `choose_late` names among the jobs that can be in time.
+    InTime,
+    /// And those that it names among the late ones.
+    InTimeAndLate,
+}
+
+/// Returns the positions of jobs that `choose_late` names among those with slack.
+fn named(
+    jobs: &[ReplayedJob],
+    open: &[usize],
+    slack: impl Fn(&ReplayedJob) -> Option<u64>,
+) -> Vec<usize> {
+    let demand = |&number: &usize| {
+        let job = &jobs[number];
+        let slack_ms = slack(job)?;
+        Some((
+            number,
+            JobDemand {
+                slack_ms,
+                work: job.work(),
+            },
+        ))
+    };
+    let (numbers, demands): (Vec<_>, Vec<_>) = open.iter().filter_map(demand).unzip();
+    let late = choose_late(&demands, ROOM_MILLIS).into_iter();
+    late.map(|position| numbers[position]).collect()
+}
+
+/// Orders the open jobs of a replay.
+fn order(jobs: &[ReplayedJob], mut open: Vec<usize>, rule: Rule, now_ms: u64) -> Vec<usize> {
+    let in_time = |job: &ReplayedJob| job.slack_ms(now_ms, OBJECTIVE_MS);
+    let useful = |job: &ReplayedJob| job.slack_ms(now_ms, USEFUL_MS);
+    let late = match rule {
+        Rule::LeastSlack => Vec::new(),
+        _ => named(jobs, &open, in_time),
+    };
+    let is_late = |number: &usize| late.contains(number) || in_time(&jobs[*number]).is_none();
+    let lost = match rule {
+        Rule::InTimeAndLate => {
+            let behind: Vec<_> = open
+                .iter()
+                .copied()
+                .filter(|number| is_late(number))
+                .collect();
+            named(jobs, &behind, useful)
+        }
+        _ => Vec::new(),
+    };
+    open.sort_by_key(|number| {
+        let job = &jobs[*number];
+        let class = u8::from(is_late(number)) + u8::from(lost.contains(number));
+        (useful(job).is_none(), class, job.arrives_ms)
+    });
+    open
+}
+
+/// Plays the jobs and returns how many end in time, and how many end while they are useful.
+fn play(mut jobs: Vec<ReplayedJob>, rule: Rule) -> (usize, usize) {
     let mut running: Vec<(u64, u64)> = Vec::new();
-    for now_ms in (0..30_000).step_by(TICK_MS as usize) {
+    for now_ms in (0..60_000).step_by(TICK_MS as usize) {
         running.retain(|(ends_ms, _)| *ends_ms > now_ms);
         let open: Vec<usize> = (0..jobs.len())
             .filter(|&number| jobs[number].arrives_ms <= now_ms)
             .filter(|&number| jobs[number].started < jobs[number].tasks)
             .collect();
-        let hopeful: Vec<usize> = open
-            .iter()
-            .copied()
-            .filter(|&number| jobs[number].slack_ms(now_ms).is_some())
-            .collect();
-        let demands: Vec<_> = hopeful
-            .iter()
-            .filter_map(|&number| jobs[number].demand(now_ms))
-            .collect();
-        let late: Vec<usize> = match leave_late {
-            true => choose_late(&demands, ROOM_MILLIS),
-            false => Vec::new(),
-        };
-        let late: Vec<usize> = late.into_iter().map(|position| hopeful[position]).collect();
-        let mut order = open;
-        order.sort_by_key(|number| {
-            let slack_ms = jobs[*number].slack_ms(now_ms);
-            (slack_ms.is_none() || late.contains(number), slack_ms)
-        });
         let used: u64 = running.iter().map(|(_, millis)| millis).sum();
         let mut free = (ROOM_MILLIS - used) / TASK_MILLIS;
-        for number in order {
+        for number in order(&jobs, open, rule, now_ms) {
             let job = &mut jobs[number];
             let starts = free.min(job.tasks - job.started);
             free -= starts;
@@ -96,15 +138,30 @@
             }
         }
     }
-    let in_time = |job: &&ReplayedJob| job.ends_ms <= job.arrives_ms + OBJECTIVE_MS;
-    jobs.iter().filter(in_time).count()
+    let within = |time_ms: u64| {
+        let ended = jobs
+            .iter()
+            .filter(|job| job.ends_ms <= job.arrives_ms + time_ms);
+        ended.count()
+    };
+    (within(OBJECTIVE_MS), within(USEFUL_MS))
 }
 
 #[test]
 fn more_jobs_are_in_time_when_the_largest_wait_in_an_overload() {
     for per_second in [40, 60, 90] {
-        let before = jobs_in_time(turn(per_second), false);
-        let after = jobs_in_time(turn(per_second), true);
+        let (before, _) = play(turn(per_second), Rule::LeastSlack);
+        let (after, _) = play(turn(per_second), Rule::InTime);
+
+        assert!(after > before, "{per_second} a second: {before}, {after}");
+    }
+}
+
+#[test]
+fn more_late_jobs_are_of_use_when_the_largest_of_them_wait() {
+    for per_second in [90, 140, 200] {
+        let (_, before) = play(turn(per_second), Rule::InTime);
+        let (_, after) = play(turn(per_second), Rule::InTimeAndLate);
 
         assert!(after > before, "{per_second} a second: {before}, {after}");
     }
@@ -114,7 +171,7 @@
 fn nothing_waits_while_there_is_room_for_all() {
     let all = turn(20).len();
 
-    assert_eq!(jobs_in_time(turn(20), true), all);
+    assert_eq!(play(turn(20), Rule::InTime).0, all);
 }
 
 #[test]
