Read what is left of a refused message before the connection closes

Cause: a connection was closed while bytes of the refused message lay unread, so that it was reset: a caller with a head of 1 MB failed while it sent and never read its 431.

Ruled out: the limits themselves, which answered with 431 and 413 in time.

Before: platform/tests/hostile_input.rs fails at "a head of 1 MB", the caller is cut off while it sends. After: all 16 messages get their status; the rest of a message is dropped up to 8 MB, for 1 s at most, after the answer.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -32,6 +32,7 @@
 
 use crate::connection::check_framing;
 use crate::connection::exchange::collect;
+use crate::connection::exchange::drop_body;
 use crate::connection::exchange::to_body;
 use crate::connection::limited_reader::LimitedReader;
 use crate::connection::limited_reader::MessagePart;
@@ -42,6 +43,9 @@
 use crate::process::ShutdownSignal;
 use crate::request::problem_response;
 
+/// How often the decoder is asked to read what is left of a refused message.
+const DISCARD_READS: u32 = 3;
+
 /// Answers the requests of a connection.
 pub trait RequestHandler {
     /// Answers one request, whose body has come whole.
@@ -114,8 +118,8 @@
     loop {
         let request = match connection.next_request(&shutdown).await {
             NextRequest::Request(request) => request,
-            NextRequest::Refuse(answer) => {
-                connection.answer(answer, true).await;
+            NextRequest::Refuse(answer, payload) => {
+                connection.refuse_message(answer, payload).await;
                 return;
             }
             NextRequest::End => return,
@@ -137,8 +141,9 @@
 enum NextRequest {
     /// A whole request.
     Request(Request<Bytes>),
-    /// Something that is answered with a refusal before the connection closes.
-    Refuse(Response<Bytes>),
+    /// Something that is answered with a refusal before the connection closes, and its body
+    /// if that has not been read.
+    Refuse(Response<Bytes>, Option<Payload>),
     /// The end.
     End,
 }
@@ -184,7 +189,7 @@
 
     async fn read_body(&mut self, head: Request<Payload>) -> NextRequest {
         if let Some(refusal) = check_head(&head, self.limits.body_bytes) {
-            return NextRequest::Refuse(refusal);
+            return NextRequest::Refuse(refusal, Some(head.into_body()));
         }
         self.budget.start_body();
         let (parts, payload) = head.into_parts();
@@ -195,7 +200,7 @@
         }
         match body {
             Ok(body) => NextRequest::Request(Request::from_parts(parts, body)),
-            Err(_) => NextRequest::Refuse(bad_request("the body cannot be read")),
+            Err(_) => NextRequest::Refuse(bad_request("the body cannot be read"), None),
         }
     }
 
@@ -215,11 +220,51 @@
             None if matches!(error, HttpError::IOError(_)) => return NextRequest::End,
             None => (StatusCode::BAD_REQUEST, "the request cannot be read"),
         };
-        NextRequest::Refuse(problem_response(status, reason))
+        NextRequest::Refuse(problem_response(status, reason), None)
+    }
+
+    /// Answers a refused message, drops what is left of it and closes: a connection that is
+    /// closed while bytes lie unread is reset, and the answer may be lost with it.
+    async fn refuse_message(&mut self, answer: Response<Bytes>, payload: Option<Payload>) {
+        if !self.send(answer, true).await {
+            return;
+        }
+        self.budget.start_discard();
+        match payload {
+            // The message is refused already, whatever the rest of it is.
+            Some(payload) => drop(join(self.decoder.fill_payload(), drop_body(payload)).await),
+            None => {
+                // After an error the decoder first ends, and only then reads again.
+                for _ in 0..DISCARD_READS {
+                    if self.budget.part() == MessagePart::Refused {
+                        drop(self.decoder.next().await);
+                    }
+                }
+            }
+        }
+        self.close().await;
+    }
+
+    /// Writes an answer, closes after the last one, and returns whether all was accepted.
+    async fn answer(&mut self, answer: Response<Bytes>, last: bool) -> bool {
+        let sent = self.send(answer, last).await;
+        if last {
+            self.close().await;
+        }
+        sent
+    }
+
+    /// Ends what is sent.
+    async fn close(&mut self) {
+        let closed = monoio::io::sink::Sink::<Response<monoio_http::common::body::HttpBody>>::close(
+            &mut self.encoder,
+        );
+        // The connection is given up, whether its end reaches the other side or not.
+        let _ = timeout(self.limits.write, closed).await;
     }
 
     /// Writes an answer and returns whether all of it was accepted.
-    async fn answer(&mut self, mut answer: Response<Bytes>, last: bool) -> bool {
+    async fn send(&mut self, mut answer: Response<Bytes>, last: bool) -> bool {
         if last {
             answer
                 .headers_mut()
@@ -227,15 +272,7 @@
         }
         let answer = answer.map(to_body);
         let sent = timeout(self.limits.write, self.encoder.send_and_flush(answer)).await;
-        let sent = matches!(sent, Ok(Ok(())));
-        if last {
-            let closed =
-                monoio::io::sink::Sink::<Response<monoio_http::common::body::HttpBody>>::close(
-                    &mut self.encoder,
-                );
-            let _ = timeout(self.limits.write, closed).await;
-        }
-        sent
+        matches!(sent, Ok(Ok(())))
     }
 }
 
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -209,6 +209,14 @@
     Ok(whole.unwrap_or_default())
 }
 
+/// Reads a body to its end and keeps nothing of it.
+pub(crate) async fn drop_body<B>(mut body: B)
+where
+    B: Body<Data = Bytes>,
+{
+    while let Some(Ok(_)) = body.next_data().await {}
+}
+
 /// Turns bytes into a body whose length the encoder states.
 pub(crate) fn to_body(bytes: Bytes) -> HttpBody {
     HttpBody::fixed_body(Some(bytes))
--- a/src/connection/limited_reader.rs
+++ b/src/connection/limited_reader.rs
@@ -17,6 +17,20 @@
 
 use crate::connection::MessageLimits;
 
+/// The most that is read of a message after it was refused, in bytes: some times the largest
+/// message that an honest caller could take for allowed.
+const DISCARD_BYTES: usize = 8 * 1024 * 1024;
+
+/// How long that may take.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// The pause of the other side after which it is taken to have sent all: some round trips
+/// between data centres.
+const DISCARD_PAUSE: Duration = Duration::from_millis(200);
+
+/// The bytes that are read at once of what is dropped.
+const DISCARD_BUFFER: usize = 16 * 1024;
+
 /// Which part of a message is being read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum MessagePart {
@@ -26,6 +40,10 @@
     Head,
     /// The body is being read.
     Body,
+    /// What is left of a message that was refused is read and dropped.
+    Refused,
+    /// All that is to be read of it has been.
+    Discarded,
 }
 
 /// Why a read was refused.
@@ -81,6 +99,16 @@
         self.start(MessagePart::Body, self.limits.body_bytes, self.limits.body);
     }
 
+    /// Starts dropping what is left of a refused message.
+    pub(crate) fn start_discard(&self) {
+        self.part.set(MessagePart::Refused);
+    }
+
+    fn end_discard(&self) -> io::Error {
+        self.part.set(MessagePart::Discarded);
+        io::Error::from(io::ErrorKind::InvalidData)
+    }
+
     pub(crate) fn part(&self) -> MessagePart {
         self.part.get()
     }
@@ -147,8 +175,28 @@
     }
 }
 
+impl<R: CancelableAsyncReadRent> LimitedReader<R> {
+    /// Reads what else the other side sends and drops it.
+    async fn discard(&mut self) {
+        let deadline = Instant::now() + DISCARD_TIME;
+        let mut left = DISCARD_BYTES;
+        while left > 0 {
+            let pause = Instant::now() + DISCARD_PAUSE;
+            let buffer = vec![0; DISCARD_BUFFER];
+            match read_until(&mut self.inner, buffer, pause.min(deadline)).await {
+                Ok((Ok(count), _)) if count > 0 => left = left.saturating_sub(count),
+                _ => return,
+            }
+        }
+    }
+}
+
 impl<R: CancelableAsyncReadRent> AsyncReadRent for LimitedReader<R> {
     async fn read<T: IoBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        if self.budget.part() == MessagePart::Refused {
+            self.discard().await;
+            return (Err(self.budget.end_discard()), buffer);
+        }
         if let Err(error) = self.budget.check_size() {
             return (Err(error), buffer);
         }
