Refuse jobs that no row could hold, found by fuzzing what callers send

Cause: a submission's counts, sizes and times were taken as they came. A job of 4 billion tasks would have ended the holder of the lease by its memory, and each successor after it; a job of some thousand tasks that run at once would not have fitted the row with its progress, which the table refuses, so that every holder lost its lease at that commit; huge estimates and intervals overflowed sums.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -140,9 +140,9 @@
     /// Lets the next commit show that orders for `hosts` are about to be sent, and write a
     /// row; tells whether it did and they may be.
     pub async fn announce_orders(&self, hosts: &[HostId], write: Option<RowWrite>) -> bool {
-        let mut orders = self.host_orders.borrow_mut();
-        hosts.iter().for_each(|host| orders.begin(host));
-        drop(orders);
+        hosts
+            .iter()
+            .for_each(|host| self.host_orders.borrow_mut().begin(host));
         let (done, waiting) = oneshot::channel();
         self.enqueue(write, Some(done));
         let shown = timeout(ANNOUNCEMENT_WAIT, waiting).await;
@@ -150,8 +150,10 @@
             return true;
         }
         log::warn!("event=host_orders_postponed reason=\"the lease is not confirmed\"");
-        let mut orders = self.host_orders.borrow_mut();
-        hosts.iter().for_each(|host| orders.settle(host, boot_ms()));
+        let now_ms = boot_ms();
+        hosts
+            .iter()
+            .for_each(|host| self.host_orders.borrow_mut().settle(host, now_ms));
         false
     }
 
--- a/src/workflow/duration_book.rs
+++ b/src/workflow/duration_book.rs
@@ -8,6 +8,10 @@
 /// The weight of a task's own estimate beside its queue's mean.
 const ESTIMATE_WEIGHT: f64 = 0.35;
 
+/// The longest that is expected of a task, in ms: a day, so that sums of what callers state
+/// stay within their numbers.
+const LONGEST_MS: u64 = 86_400_000;
+
 /// The tasks after which a queue's mean is used.
 const LEAST_TASKS: u32 = 8;
 
@@ -42,7 +46,8 @@
 
     /// Returns what is expected of a task of a queue, in ms.
     pub fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
-        self.learnt_ms(queue, estimate_ms).unwrap_or(estimate_ms)
+        let expected_ms = self.learnt_ms(queue, estimate_ms).unwrap_or(estimate_ms);
+        expected_ms.min(LONGEST_MS)
     }
 
     /// Returns what is expected of a task of a queue, in ms, once enough have ended.
--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -69,8 +69,9 @@
                 let tasks = job.step_tasks(0, number as u32).iter();
                 let idle = tasks.filter(|state| state.phase == TaskPhase::Waiting);
                 let expected = self.durations.expected_ms(&queue.name, step.estimate_ms);
-                *waiting.entry(&queue.service).or_default() +=
-                    idle.count() as u64 * step.reserved().cpu_millis * expected;
+                let work = idle.count() as u64 * step.reserved().cpu_millis * expected;
+                let sum = waiting.entry(&queue.service).or_default();
+                *sum = sum.saturating_add(work);
             }
         }
         let mut used: BTreeMap<&ServiceId, u64> = BTreeMap::new();
@@ -82,7 +83,7 @@
             let expected = self.forecast.demand(service, now_ms) as u64;
             let busy = used.get(service).copied().unwrap_or(0);
             let backlog = waiting.get(service).copied().unwrap_or(0) / BACKLOG_MS;
-            demands.insert(service.clone(), expected.max(busy) + backlog);
+            demands.insert(service.clone(), expected.max(busy).saturating_add(backlog));
         }
         demands
     }
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -216,9 +216,7 @@
         let epoch = self.term.epoch;
         let outcome = self.platform.move_host(host, to, epoch).await;
         log::info!("event=host_moved host={host} to={to} epoch={epoch} outcome={outcome:?}");
-        let mut orders = self.term.host_orders.borrow_mut();
-        orders.settle(host, boot_ms());
-        drop(orders);
+        self.term.host_orders.borrow_mut().settle(host, boot_ms());
         match outcome {
             HostOutcome::Accepted | HostOutcome::Unknown(_) => {
                 let mut arriving = self.arriving.borrow_mut();
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -3,8 +3,19 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::workflow::SpecFinding;
 use crate::workflow::WorkerResources;
 
+/// The most tasks of one occurrence: the row with a job's progress takes 64 KB in the
+/// platform's encoding, and a task that runs takes some 45 bytes of 48 KB.
+const OCCURRENCE_TASKS: u64 = 700;
+
+/// The most tasks of all occurrences: one that doesn't run takes 2 bytes of the row.
+const JOB_TASKS: u64 = 7_000;
+
+/// The most of any resource that a task may ask for: ten thousand cores, as many GB.
+const RESOURCE_MOST: u64 = 10_000_000;
+
 /// One step: tasks that are alike.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
@@ -57,6 +68,22 @@
 }
 
 impl StepSpec {
+    fn finding(&self, number: usize) -> Option<SpecFinding> {
+        if self.tasks == 0 {
+            return Some(SpecFinding::NoTasks(number));
+        }
+        if self.after.iter().any(|&before| before as usize >= number) {
+            return Some(SpecFinding::Disordered(number));
+        }
+        let WorkerResources {
+            cpu_millis,
+            memory_mb,
+            gpus,
+        } = self.demand;
+        let huge = cpu_millis.max(memory_mb).max(gpus) > RESOURCE_MOST;
+        huge.then_some(SpecFinding::HugeTask(number))
+    }
+
     /// Returns what a task takes from its worker's room.
     pub fn reserved(&self) -> WorkerResources {
         let cpu_millis = if self.backfill {
@@ -111,17 +138,26 @@
                 .iter()
                 .filter_map(|&step| ends.get(step as usize));
             let start = before.copied().max().unwrap_or(0);
-            ends.push(start + length(number, step));
+            ends.push(start.saturating_add(length(number, step)));
         }
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Tells whether the steps' numbers and counts can be used.
-    pub fn is_sound(&self) -> bool {
-        let ordered = |(number, step): (usize, &StepSpec)| {
-            step.tasks > 0 && step.after.iter().all(|&before| (before as usize) < number)
-        };
-        !self.steps.is_empty() && self.steps.iter().enumerate().all(ordered)
+    /// Returns why the job cannot be taken, if it cannot.
+    pub fn finding(&self) -> Option<SpecFinding> {
+        if self.steps.is_empty() {
+            return Some(SpecFinding::NoSteps);
+        }
+        let steps = self.steps.iter().enumerate();
+        let finding = steps
+            .filter_map(|(number, step)| step.finding(number))
+            .next();
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let total = tasks.saturating_mul(u64::from(self.occurrences()));
+        finding
+            .or((tasks > OCCURRENCE_TASKS)
+                .then_some(SpecFinding::WideOccurrence(tasks, OCCURRENCE_TASKS)))
+            .or((total > JOB_TASKS).then_some(SpecFinding::ManyTasks(total, JOB_TASKS)))
     }
 }
 
--- a/src/workflow/overload.rs
+++ b/src/workflow/overload.rs
@@ -23,20 +23,20 @@
     let mut order: Vec<usize> = (0..demands.len()).collect();
     order.sort_by_key(|&position| (demands[position].slack_ms, demands[position].work));
     let mut kept: BinaryHeap<(u64, usize)> = BinaryHeap::new();
-    let mut total: u64 = 0;
+    let mut total: u128 = 0;
     let mut late = Vec::new();
     for position in order {
         let demand = demands[position];
-        let offered = room_millis.saturating_mul(demand.slack_ms);
+        let offered = u128::from(room_millis) * u128::from(demand.slack_ms);
         // The job itself needs its room at its last start, those before it need theirs by then.
         let is_feasible = total <= offered;
         kept.push((demand.work, position));
-        total += demand.work;
+        total += u128::from(demand.work);
         if is_feasible {
             continue;
         }
         if let Some((work, largest)) = kept.pop() {
-            total -= work;
+            total -= u128::from(work);
             late.push(largest);
         }
     }
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -129,7 +129,8 @@
         let mut open = Vec::new();
         for occurrence in 0..spec.occurrences() {
             let due = spec.schedule.map_or(0, |schedule| {
-                schedule.first_ms + u64::from(occurrence) * schedule.interval_ms
+                let after_ms = u64::from(occurrence).saturating_mul(schedule.interval_ms);
+                schedule.first_ms.saturating_add(after_ms)
             });
             if due > wall_ms {
                 break;
