--- a/src/process/log_stream.rs
+++ b/src/process/log_stream.rs
@@ -6,39 +6,59 @@
 use std::sync::mpsc::sync_channel;
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::thread;
 
 use fern::Output;
 use log::LevelFilter;
 
+use crate::process::boot_ms;
+use crate::process::LineVerdict;
+use crate::process::LogBudget;
+
 /// The lines that may wait for the output: a few seconds' worth.
 const WAITING_LINES: usize = 4_096;
 
 /// Sends log lines to the standard output through a thread of its own.
 ///
 /// A line that finds the queue full is dropped and counted, and the count is written as
-/// soon as lines pass again, so that an output that nobody reads delays nothing.
+/// soon as lines pass again, so that an output that nobody reads delays nothing. Lines
+/// beyond the [`LogBudget`] of their kind are suppressed and counted likewise.
 pub fn start_log_stream() {
     let (lines, waiting) = sync_channel::<String>(WAITING_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let counted = Arc::clone(&dropped);
-    let output = Output::call(move |record| {
-        let line = record.args().to_string();
+    let send = move |line: String| {
         if lines.try_send(line).is_err() {
             dropped.fetch_add(1, Ordering::Relaxed);
         }
-    });
+    };
+    let output = Output::call(move |record| send(record.args().to_string()));
+    let budget = Mutex::new(LogBudget::new());
     thread::spawn(move || write_lines(&waiting, &counted));
     let dispatch = fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("zincpier", LevelFilter::Info)
         .level_for("zincpier_platform", LevelFilter::Info)
         .level_for("zincpier_entry", LevelFilter::Info)
-        .format(|out, message, record| {
+        .format(move |out, message, record| {
+            let text = message.to_string();
+            let kind = LogBudget::kind_of(&text);
+            let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+            let verdict = budget.judge(kind, boot_ms());
+            drop(budget);
+            let LineVerdict::Write(suppressed) = verdict else {
+                return;
+            };
+            let (time_ms, level) = (crate::process::now_ms(), record.level());
+            if suppressed == 0 {
+                out.finish(format_args!("time_ms={time_ms} level={level} {text}"));
+                return;
+            }
             out.finish(format_args!(
-                "time_ms={} level={} {message}",
-                crate::process::now_ms(),
-                record.level()
+                "time_ms={time_ms} level=WARN event=log_lines_suppressed kind={kind} count={suppressed}\n\
+                 time_ms={time_ms} level={level} {text}"
             ));
         })
         .chain(output);
