Send starts again that get no answer

Cause: a start without an answer held its task for about five seconds: a report had to show that it does not run, a stop had to bar it, and another report had to show that too.

Ruled out: that the order may run twice. A run starts once on its worker however often it is ordered, and one that ended there is refused.

The same start is sent up to four times, with the lease renewed; after a try without an answer only an acceptance counts as an answer. A report that shows the run before its answer stays in force.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -55,7 +55,8 @@
         let Some(state) = self.placed_run(name, run) else {
             return;
         };
-        if state == OrderPhase::Stopping {
+        // A report may have shown the run before its order was answered.
+        if matches!(state, OrderPhase::Stopping | OrderPhase::Running) {
             return;
         }
         match outcome {
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -47,6 +47,10 @@
 /// The longest pause between calls to a worker that doesn't answer.
 const SILENCE_PAUSE_MOST: Duration = Duration::from_millis(1_200);
 
+/// How often a start is sent that gets no answer: where two of five orders get none, one of
+/// forty starts has to be stopped and released, which takes seconds.
+const START_TRIES: u32 = 4;
+
 /// How often an idle worker's task looks whether there is something to do.
 const IDLE_LOOK: Duration = Duration::from_millis(500);
 
@@ -178,14 +182,23 @@
     term: Rc<ControllerTerm>,
     task: TaskName,
 ) {
-    let Some((entry, order)) = prepare_start(&term, &task) else {
+    let Some((entry, mut order)) = prepare_start(&term, &task) else {
         return;
     };
-    let outcome = gateway.start_task(&entry, &order).await;
     let (run, worker, epoch) = (order.run, &entry.id, order.epoch);
-    log::info!(
-        "event=task_start task={task} run={run} worker={worker} epoch={epoch} outcome={outcome:?}"
-    );
+    let mut tries = 0;
+    let outcome = loop {
+        let outcome = gateway.start_task(&entry, &order).await;
+        tries += 1;
+        log::info!(
+            "event=task_start task={task} run={run} worker={worker} epoch={epoch} try={tries} outcome={outcome:?}"
+        );
+        let again = matches!(outcome, OrderOutcome::Unknown(_)) && tries < START_TRIES;
+        match again.then(|| repeated_lease(&term, &task, run)).flatten() {
+            Some(lease_ms) => order.lease_ms = lease_ms,
+            None => break settle_tries(outcome, tries),
+        }
+    };
     if outcome == OrderOutcome::Refused(OrderRefusal::Fenced) {
         term.end("a worker has seen a higher epoch");
         return;
@@ -198,6 +211,35 @@
     term.plan.notify_one();
 }
 
+/// Returns the lease of a start that is sent again, unless it is not wanted any more. The
+/// same run starts once on its worker, however often it is ordered.
+fn repeated_lease(term: &ControllerTerm, task: &TaskName, run: u64) -> Option<u64> {
+    if !term.may_renew() {
+        return None;
+    }
+    let mut engine = term.engine.borrow_mut();
+    let engine = &mut *engine;
+    let state = engine.jobs.get(&task.job)?.task(task)?;
+    if state.last_run != run || state.order() != Some(OrderPhase::Sent) {
+        return None;
+    }
+    let worker = engine.workers.get_mut(state.worker()?)?;
+    let lease_ms = worker.clock_ms(boot_ms())? + WORKER_LEASE_MS;
+    worker.lease_ms = worker.lease_ms.max(lease_ms);
+    Some(lease_ms)
+}
+
+/// Returns what is known of a start after its last try: an earlier try without an answer may
+/// have been carried out or may yet be, so that only an acceptance tells more.
+fn settle_tries(last: OrderOutcome, tries: u32) -> OrderOutcome {
+    match last {
+        OrderOutcome::Accepted(_) => last,
+        OrderOutcome::Refused(OrderRefusal::Fenced) => last,
+        _ if tries == 1 => last,
+        other => OrderOutcome::Unknown(format!("{} after earlier tries", other.name())),
+    }
+}
+
 fn count_start(term: &ControllerTerm, task: &TaskName, run: u64, outcome: &OrderOutcome) {
     term.metrics.count("start", outcome.name());
     let engine = term.engine.borrow();
