--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -5,12 +5,9 @@
 use crate::id::ServiceId;
 use crate::workflow::JobEngine;
 use crate::workflow::JobSpec;
+use crate::workflow::JobUrgency;
 use crate::workflow::TaskPhase;
 
-/// The time within which waiting work should start, in ms: it delays a job by less than
-/// half of the usual objective.
-const BACKLOG_MS: u64 = 1_200;
-
 impl JobEngine {
     /// Notes a new job's work for the forecast.
     pub(crate) fn note_arrival(&mut self, spec: &JobSpec, now_ms: u64) {
@@ -62,6 +59,7 @@
             if job.is_long_running() {
                 continue;
             }
+            let backlog_ms = JobUrgency::new(job, queue, &self.durations, now_ms).backlog_ms();
             for (number, step) in job.spec.steps.iter().enumerate() {
                 if !job.is_step_open(0, number as u32) {
                     continue;
@@ -71,7 +69,7 @@
                 let expected = self.durations.expected_ms(&queue.name, step.estimate_ms);
                 let work = idle.count() as u64 * step.reserved().cpu_millis * expected;
                 let sum = waiting.entry(&queue.service).or_default();
-                *sum = sum.saturating_add(work);
+                *sum = sum.saturating_add(work / backlog_ms);
             }
         }
         let mut used: BTreeMap<&ServiceId, u64> = BTreeMap::new();
@@ -82,7 +80,7 @@
             let service = &pool.service;
             let expected = self.forecast.demand(service, now_ms) as u64;
             let busy = used.get(service).copied().unwrap_or(0);
-            let backlog = waiting.get(service).copied().unwrap_or(0) / BACKLOG_MS;
+            let backlog = waiting.get(service).copied().unwrap_or(0);
             demands.insert(service.clone(), expected.max(busy).saturating_add(backlog));
         }
         demands
--- a/src/workflow/job_order.rs
+++ b/src/workflow/job_order.rs
@@ -21,6 +21,13 @@
 /// The class of jobs whose callers expect them no more.
 const PAST_HELP: u8 = 3;
 
+/// The time within which waiting work should start, in ms: it delays a job by less than
+/// half of the usual objective.
+const BACKLOG_MS: u64 = 1_200;
+
+/// The same for jobs past help, in ms: their queue's turn and the next one's may pass first.
+const PAST_HELP_BACKLOG_MS: u64 = 12_000;
+
 /// How urgent a job is; smaller comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct JobUrgency {
@@ -69,6 +76,14 @@
         }
     }
 
+    /// Returns the time within which the job's waiting work should start, in ms.
+    pub fn backlog_ms(&self) -> u64 {
+        match self.class {
+            PAST_HELP => PAST_HELP_BACKLOG_MS,
+            _ => BACKLOG_MS,
+        }
+    }
+
     /// Returns the time in ms until the job must have its room, if it can be in time.
     pub fn slack_ms(&self) -> Option<u64> {
         u64::try_from(self.slack_ms)
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -182,7 +182,7 @@
     term: Rc<ControllerTerm>,
     task: TaskName,
 ) {
-    let Some((entry, mut order)) = prepare_start(&term, &task) else {
+    let Some((entry, order)) = prepare_start(&term, &task) else {
         return;
     };
     let (run, worker, epoch) = (order.run, &entry.id, order.epoch);
@@ -193,10 +193,9 @@
         log::info!(
             "event=task_start task={task} run={run} worker={worker} epoch={epoch} try={tries} outcome={outcome:?}"
         );
-        let again = matches!(outcome, OrderOutcome::Unknown(_)) && tries < START_TRIES;
-        match again.then(|| repeated_lease(&term, &task, run)).flatten() {
-            Some(lease_ms) => order.lease_ms = lease_ms,
-            None => break settle_tries(outcome, tries),
+        let unknown = matches!(outcome, OrderOutcome::Unknown(_));
+        if !unknown || tries == START_TRIES || !is_wanted(&term, &task, run) {
+            break settle_tries(outcome, tries);
         }
     };
     if outcome == OrderOutcome::Refused(OrderRefusal::Fenced) {
@@ -211,22 +210,16 @@
     term.plan.notify_one();
 }
 
-/// Returns the lease of a start that is sent again, unless it is not wanted any more. The
-/// same run starts once on its worker, however often it is ordered.
-fn repeated_lease(term: &ControllerTerm, task: &TaskName, run: u64) -> Option<u64> {
-    if !term.may_renew() {
-        return None;
-    }
-    let mut engine = term.engine.borrow_mut();
-    let engine = &mut *engine;
-    let state = engine.jobs.get(&task.job)?.task(task)?;
-    if state.last_run != run || state.order() != Some(OrderPhase::Sent) {
-        return None;
-    }
-    let worker = engine.workers.get_mut(state.worker()?)?;
-    let lease_ms = worker.clock_ms(boot_ms())? + WORKER_LEASE_MS;
-    worker.lease_ms = worker.lease_ms.max(lease_ms);
-    Some(lease_ms)
+/// Tells whether a start that got no answer may be sent again as it was: the same run starts
+/// once on its worker, however often it is ordered. A later end of the lease would keep the
+/// tasks of a lost worker longer.
+fn is_wanted(term: &ControllerTerm, task: &TaskName, run: u64) -> bool {
+    let engine = term.engine.borrow();
+    let job = engine.jobs.get(&task.job);
+    let state = job.and_then(|job| job.task(task));
+    let waits =
+        state.is_some_and(|state| state.last_run == run && state.order() == Some(OrderPhase::Sent));
+    term.may_renew() && waits
 }
 
 /// Returns what is known of a start after its last try: an earlier try without an answer may
