Keep idle connections to all workers within one budget

Cause: each worker's client kept up to 256 idle connections.

Ruled out: a renewal at each worker, which is one connection each and fits.

--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,9 +14,14 @@
 
 use crate::connection::ExchangeError;
 use crate::connection::HttpConnection;
+use crate::connection::IdleBudget;
+use crate::connection::IdlePlace;
 use crate::connection::MessageLimits;
 
+/// The idle connections that a client keeps which shares no budget.
 const IDLE_LIMIT: usize = 256;
+
+/// The largest answer, in bytes: some times the largest page of the platform's table.
 const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
 /// Sends requests to one address and keeps idle connections for reuse.
@@ -23,12 +29,19 @@
     address: SocketAddr,
     host: HeaderValue,
     limits: MessageLimits,
-    idle: RefCell<Vec<HttpConnection>>,
+    idle: RefCell<Vec<(HttpConnection, IdlePlace)>>,
+    budget: Rc<IdleBudget>,
 }
 
 impl HttpClient {
     /// Creates a client of the server at `address`.
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_idle_budget(address, IdleBudget::new(IDLE_LIMIT))
+    }
+
+    /// Creates a client of the server at `address` that keeps idle connections within a
+    /// budget that it shares.
+    pub fn with_idle_budget(address: SocketAddr, budget: Rc<IdleBudget>) -> Self {
         let limits = MessageLimits {
             body_bytes: ANSWER_LIMIT_BYTES,
             ..MessageLimits::default()
@@ -39,6 +52,7 @@
             host: HeaderValue::try_from(host).unwrap_or(HeaderValue::from_static("server")),
             limits,
             idle: RefCell::new(Vec::new()),
+            budget,
         }
     }
 
@@ -64,9 +78,9 @@
             None => HttpConnection::dial(self.address, self.limits, deadline).await?,
         };
         let answer = connection.exchange(request, deadline).await?;
-        let mut idle = self.idle.borrow_mut();
-        if connection.is_reusable() && idle.len() < IDLE_LIMIT {
-            idle.push(connection);
+        let place = connection.is_reusable().then(|| self.budget.take());
+        if let Some(place) = place.flatten() {
+            self.idle.borrow_mut().push((connection, place));
         }
         Ok(answer)
     }
@@ -78,7 +92,7 @@
 
     fn take_idle(&self) -> Option<HttpConnection> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(mut connection) = idle.pop() {
+        while let Some((mut connection, _)) = idle.pop() {
             if connection.is_quiet() {
                 return Some(connection);
             }
