Explain a failed job from its id by log lines alone

zincpier explain reads the entry hosts' logs and leads from a job's id to the cause of its refusal, delay or failure; without an id it explains every failed job, or some drawn by a seed. A job's first line names its service now, and its last one how long it took.

--- a/src/bin/zincpier/arguments.rs
+++ b/src/bin/zincpier/arguments.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 
+use crate::explain_command::ExplainArguments;
 use crate::job_arguments::JobArguments;
 
 /// Keep services within their availability budgets: change the service text,
@@ -30,6 +31,7 @@
     Budget(BudgetArguments),
     Status(StatusArguments),
     Audit(AuditArguments),
+    Explain(ExplainArguments),
     Load(LoadArguments),
     Demo(DemoArguments),
 }
--- a/src/bin/zincpier/commands.rs
+++ b/src/bin/zincpier/commands.rs
@@ -26,6 +26,7 @@
 use crate::arguments::LoadArguments;
 use crate::arguments::StatusArguments;
 use crate::arguments::TextCommand;
+use crate::explain_command;
 use crate::fleet_commands;
 use crate::job_commands;
 use crate::printer::end_progress;
@@ -59,6 +60,7 @@
         Command::Budget(budget) => fleet_commands::show_budgets(&budget).await,
         Command::Status(status) => show_status(&status).await,
         Command::Audit(audit) => show_audit(&audit).await,
+        Command::Explain(explain) => explain_command::explain(&explain),
         Command::Load(load) => send_load(&load).await,
         Command::Demo(demo) => show_demo(&demo).await,
     }
--- /dev/null
+++ b/src/bin/zincpier/explain_command.rs
@@ -0,0 +1,112 @@
+//! `zincpier explain`: from a job's id to its cause, by log lines alone.
+
+use std::fs;
+use std::io;
+use std::io::stdin;
+use std::io::Read;
+use std::path::Path;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::SeedableRng;
+use serde_json::json;
+
+use zincpier::error::Error;
+use zincpier::error::Result;
+use zincpier::operator::failed_jobs;
+use zincpier::operator::JobTrail;
+use zincpier::operator::LogLine;
+use zincpier::operator::TrailCause;
+
+/// Say why a job was refused, late or shown as failed, from entry hosts' logs.
+///
+/// Reads the logs of all entry hosts from files, or from standard input.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct ExplainArguments {
+    /// the job's id; without it every failed job is explained in one line
+    #[argh(positional)]
+    pub(crate) job: Option<String>,
+    /// a file with log lines; may be given more than once
+    #[argh(option)]
+    pub(crate) log: Vec<PathBuf>,
+    /// a job that takes longer is late, in ms (default 5000)
+    #[argh(option, default = "5_000")]
+    pub(crate) late_ms: u64,
+    /// explain only so many of them, drawn by the seed
+    #[argh(option)]
+    pub(crate) draw: Option<usize>,
+    /// the seed of the draw (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Explains one job or some drawn ones; returns whether each trail leads to a cause.
+pub(crate) fn explain(arguments: &ExplainArguments) -> Result<bool> {
+    let lines = read_lines(&arguments.log)?;
+    let jobs = match (&arguments.job, arguments.draw) {
+        (Some(job), _) => vec![job.clone()],
+        (None, count) => {
+            let failed = failed_jobs(&lines, arguments.late_ms);
+            let mut random = SmallRng::seed_from_u64(arguments.seed);
+            let count = count.unwrap_or(failed.len());
+            failed
+                .choose_multiple(&mut random, count)
+                .cloned()
+                .collect()
+        }
+    };
+    let mut whole = true;
+    for job in &jobs {
+        let trail = JobTrail::new(&lines, job);
+        let cause = trail.cause(arguments.late_ms);
+        whole &= !matches!(cause, TrailCause::Broken(_) | TrailCause::NoLines);
+        print_trail(job, &trail, &cause, arguments);
+    }
+    Ok(whole)
+}
+
+fn print_trail(job: &str, trail: &JobTrail<'_>, cause: &TrailCause, arguments: &ExplainArguments) {
+    if arguments.json {
+        let lines: Vec<_> = trail.lines().iter().map(|line| &line.text).collect();
+        let report = json!({ "job": job, "cause": cause.to_string(), "lines": lines });
+        println!("{report}");
+        return;
+    }
+    println!("{job}  {cause}");
+    if arguments.job.is_none() {
+        return;
+    }
+    for line in trail.lines() {
+        let host = line.host.as_deref().unwrap_or("-");
+        println!("  {host}  {}", line.text);
+    }
+}
+
+fn read_lines(files: &[PathBuf]) -> Result<Vec<LogLine>> {
+    let mut text = String::new();
+    if files.is_empty() {
+        let read = stdin().read_to_string(&mut text);
+        read.map_err(|source| unreadable(Path::new("standard input"), source))?;
+    }
+    for file in files {
+        let part = fs::read_to_string(file).map_err(|source| unreadable(file, source))?;
+        text.push_str(&part);
+        text.push('\n');
+    }
+    let mut lines: Vec<_> = text.lines().filter_map(LogLine::read).collect();
+    lines.sort_by_key(|line| line.time_ms);
+    Ok(lines)
+}
+
+fn unreadable(path: &Path, source: io::Error) -> Error {
+    Error::ReadFile {
+        path: path.to_owned(),
+        source,
+    }
+}
--- a/src/bin/zincpier/main.rs
+++ b/src/bin/zincpier/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod commands;
+mod explain_command;
 mod fleet_commands;
 mod job_arguments;
 mod job_commands;
--- /dev/null
+++ b/src/operator/job_trail.rs
@@ -0,0 +1,287 @@
+//! From a job's id to the cause of its end, by the entry hosts' log lines alone.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::operator::LogLine;
+use crate::operator::TrailCause;
+
+/// How long before and after a refusal an entry host's loss of the table is looked for, in
+/// ms: the longest outage that callers return in.
+const OUTAGE_MS: u64 = 15_000;
+
+/// The share of a job's time in which its tasks ran above which nothing else delayed it, in
+/// percent.
+const OWN_WORK_PERCENT: u64 = 75;
+
+/// The lines about one job, in order, among all lines.
+#[derive(Debug)]
+pub struct JobTrail<'l> {
+    all: &'l [LogLine],
+    own: Vec<&'l LogLine>,
+}
+
+impl<'l> JobTrail<'l> {
+    /// Collects the lines of a job; `all` is in the order of time.
+    pub fn new(all: &'l [LogLine], job: &str) -> Self {
+        let own = all.iter().filter(|line| line.is_about(job)).collect();
+        Self { all, own }
+    }
+
+    /// Returns the lines about the job.
+    pub fn lines(&self) -> &[&'l LogLine] {
+        &self.own
+    }
+
+    /// Returns the cause of the job's end; a job that took longer than `late_ms` is late.
+    pub fn cause(&self, late_ms: u64) -> TrailCause {
+        let Some(first) = self.own.first() else {
+            return TrailCause::NoLines;
+        };
+        if let Some(failed) = self.last("job_failed") {
+            return self.failure(failed);
+        }
+        if self.last("job_cancelled").is_some() {
+            return TrailCause::Cancelled;
+        }
+        if let Some(rejected) = self.last("submit_rejected") {
+            return TrailCause::Rejected(rejected.field("reason").to_owned());
+        }
+        if self.last("job_seen").is_none() {
+            return self.refusal();
+        }
+        match self.last("job_complete") {
+            Some(complete) if complete.time_ms <= first.time_ms + late_ms => {
+                TrailCause::InTime(complete.time_ms.saturating_sub(first.time_ms))
+            }
+            _ => self.delay(),
+        }
+    }
+
+    fn last(&self, event: &str) -> Option<&'l LogLine> {
+        let mut lines = self.own.iter().rev();
+        lines.find(|line| line.event == event).copied()
+    }
+
+    fn events(&self, event: &'static str) -> impl Iterator<Item = &'l LogLine> + '_ {
+        self.own
+            .iter()
+            .copied()
+            .filter(move |line| line.event == event)
+    }
+
+    fn refusal(&self) -> TrailCause {
+        let silences = self
+            .events("submit")
+            .filter_map(|line| line.number("silence_ms"));
+        let silence_ms = silences.max();
+        let submits: Vec<_> = self.events("submit").collect();
+        let (Some(first), Some(last)) = (submits.first(), submits.last()) else {
+            return TrailCause::Broken("it was never submitted here".to_owned());
+        };
+        let since_ms = first.time_ms.saturating_sub(OUTAGE_MS);
+        let lost: BTreeSet<_> = self
+            .between(since_ms, last.time_ms)
+            .filter(|line| line.event == "dependency_lost")
+            .map(|line| line.host.as_deref())
+            .collect();
+        let unanswered = last.field("outcome") == "Unknown";
+        if silence_ms.is_some() || (unanswered && !lost.is_empty()) {
+            return TrailCause::TableSilent {
+                hosts: lost.len(),
+                silence_ms: silence_ms.unwrap_or(0),
+            };
+        }
+        let refused = self
+            .between(first.time_ms, last.time_ms)
+            .filter(|line| line.event.starts_with("insert_"))
+            .last();
+        match refused {
+            Some(refused) => TrailCause::TableRefused(refused.field("reason").to_owned()),
+            None => TrailCause::Broken(format!("the last answer was {}", last.field("outcome"))),
+        }
+    }
+
+    fn failure(&self, failed: &LogLine) -> TrailCause {
+        let task = failed.field("task").to_owned();
+        let failures = failed.number("failures").unwrap_or(0);
+        let ends = self.events("task_ended");
+        let bad = ends.filter(|line| line.field("task") == task && line.field("how") == "Failed");
+        let workers: BTreeSet<_> = bad.map(|line| line.field("worker")).collect();
+        let distrusted = |worker: &str| {
+            let lines = self.all.iter();
+            let mut lines = lines.filter(|line| line.event == "worker_distrusted");
+            lines.any(|line| line.field("worker") == worker)
+        };
+        match workers.first() {
+            Some(worker) if workers.len() == 1 && distrusted(worker) => TrailCause::WorkerAtFault {
+                task,
+                failures,
+                worker: (*worker).to_owned(),
+            },
+            Some(_) => TrailCause::JobAtFault {
+                task,
+                failures,
+                workers: workers.len(),
+            },
+            None => TrailCause::Broken("no end of a task is shown as failed".to_owned()),
+        }
+    }
+
+    /// Finds what delayed the job most: the wait for its first start, or the repetition of runs.
+    fn delay(&self) -> TrailCause {
+        let arrived_ms = self.own[0].time_ms;
+        let started_ms = self.events("task_start").next().map(|line| line.time_ms);
+        let ended_ms = self.own.last().map_or(arrived_ms, |line| line.time_ms);
+        let until_ms = started_ms.unwrap_or(ended_ms.max(arrived_ms + 1));
+        let waited_ms = until_ms - arrived_ms;
+        if let Some(repeated) = self.repetition() {
+            if waited_ms * 2 < ended_ms - arrived_ms {
+                return repeated;
+            }
+        }
+        // A later step of the job waits for room as the first one does.
+        let wait_end_ms = self
+            .events("task_start")
+            .last()
+            .map_or(until_ms, |line| line.time_ms);
+        let gained = self
+            .between(arrived_ms, until_ms)
+            .find(|line| line.event == "lease_gained");
+        if let Some(gained) = gained {
+            return TrailCause::ControllerChanged {
+                waited_ms,
+                holder: gained.host.clone().unwrap_or_default(),
+            };
+        }
+        if let Some(short) = self.shortage(arrived_ms, wait_end_ms) {
+            return short;
+        }
+        let retried = self
+            .between(arrived_ms, ended_ms)
+            .filter(|line| line.event == "commit_retried")
+            .count();
+        if retried > 0 {
+            return TrailCause::TableSlow(retried);
+        }
+        let total_ms = ended_ms - arrived_ms;
+        let work_ms = self.work_ms(ended_ms);
+        let own_work = work_ms * 100 >= total_ms * OWN_WORK_PERCENT;
+        let own_work = own_work.then_some(TrailCause::OwnWork { work_ms, total_ms });
+        self.repetition().or(own_work).unwrap_or_else(|| {
+            TrailCause::Broken(format!("its tasks ran in {work_ms} of {total_ms} ms"))
+        })
+    }
+
+    /// Returns the time in which any of the job's tasks ran, in ms.
+    fn work_ms(&self, ended_ms: u64) -> u64 {
+        let mut runs: Vec<_> = self
+            .events("task_start")
+            .map(|start| (start.time_ms, self.end_ms(start).unwrap_or(ended_ms)))
+            .collect();
+        runs.sort_unstable();
+        let mut covered_ms = 0;
+        let mut work_ms = 0;
+        for (start_ms, end_ms) in runs {
+            work_ms += end_ms.saturating_sub(start_ms.max(covered_ms));
+            covered_ms = end_ms.max(covered_ms);
+        }
+        work_ms
+    }
+
+    /// Returns when a run ended, by its worker's list or by an order.
+    fn end_ms(&self, start: &LogLine) -> Option<u64> {
+        let same = |line: &&&LogLine| {
+            let ends = ["task_ended", "task_released", "task_orphaned"];
+            ends.contains(&line.event.as_str()) && line.field("task") == start.field("task")
+        };
+        let mut ends = self.own.iter().filter(same);
+        let end = ends.find(|line| line.time_ms >= start.time_ms)?;
+        Some(end.time_ms)
+    }
+
+    /// Returns the worst lack of room of the job's pool while it waited for its starts.
+    fn shortage(&self, from_ms: u64, to_ms: u64) -> Option<TrailCause> {
+        let pool = self.last("job_seen")?.field("service");
+        // Pools are told once a second.
+        let lines = self.between(from_ms.saturating_sub(1_200), to_ms + 1_200);
+        let worst = lines
+            .filter(|line| line.event == "pool" && line.field("name") == pool)
+            .filter_map(|line| Some((line.number("room_millis")?, line.number("demand_millis")?)))
+            .filter(|(room, demand)| demand > room)
+            .max_by_key(|(room, demand)| demand - room)?;
+        Some(TrailCause::PoolShort {
+            waited_ms: to_ms - from_ms,
+            pool: pool.to_owned(),
+            room_millis: worst.0,
+            demand_millis: worst.1,
+        })
+    }
+
+    /// Returns the task that was started most often, with the reason of its repetition.
+    fn repetition(&self) -> Option<TrailCause> {
+        let mut runs: BTreeMap<&str, u64> = BTreeMap::new();
+        for line in self.events("task_start") {
+            let run = line.number("run").unwrap_or(1);
+            let most = runs.entry(line.field("task")).or_default();
+            *most = run.max(*most);
+        }
+        let (task, runs) = runs.into_iter().max_by_key(|(_, runs)| *runs)?;
+        if runs < 2 {
+            return None;
+        }
+        let reasons = self.own.iter().filter(|line| line.field("task") == task);
+        let reason = reasons
+            .filter(|line| !line.field("reason").is_empty() || line.field("how") == "Failed")
+            .map(|line| match line.field("reason") {
+                "" => "it failed".to_owned(),
+                reason => reason.to_owned(),
+            })
+            .last();
+        Some(TrailCause::Repeated {
+            task: task.to_owned(),
+            runs,
+            reason: reason.unwrap_or_else(|| self.end_of(task)),
+        })
+    }
+
+    fn end_of(&self, task: &str) -> String {
+        let ends = self.events("task_ended");
+        let ends = ends.filter(|line| line.field("task") == task && line.field("how") != "Done");
+        let how = ends.map(|line| line.field("how").to_lowercase()).last();
+        how.unwrap_or_else(|| "no line tells why".to_owned())
+    }
+
+    fn between(&self, from_ms: u64, to_ms: u64) -> impl Iterator<Item = &'l LogLine> {
+        let lines = self.all.iter();
+        lines.filter(move |line| (from_ms..=to_ms).contains(&line.time_ms))
+    }
+}
+
+/// Returns the ids of jobs that were refused, late, shown as failed or never ended.
+pub fn failed_jobs(lines: &[LogLine], late_ms: u64) -> Vec<String> {
+    let submits = lines.iter().filter(|line| line.event == "submit");
+    let jobs: BTreeSet<_> = submits.map(|line| line.field("job")).collect();
+    let mut spans: BTreeMap<&str, (u64, Option<u64>, bool)> = BTreeMap::new();
+    for line in lines {
+        let job = match line.field("job") {
+            "" => line.field("task").split('.').next().unwrap_or_default(),
+            job => job,
+        };
+        if !jobs.contains(job) {
+            continue;
+        }
+        let (_, ended, cancelled) = spans.entry(job).or_insert((line.time_ms, None, false));
+        match line.event.as_str() {
+            // A long-running job ends when it is cancelled.
+            "job_seen" if line.field("long_running") == "true" => *cancelled = true,
+            "job_complete" => *ended = Some(line.time_ms),
+            "job_cancelled" => *cancelled = true,
+            _ => {}
+        }
+    }
+    let failed = spans.into_iter().filter(|(_, (first, ended, cancelled))| {
+        !cancelled && ended.is_none_or(|ended| ended > first + late_ms)
+    });
+    failed.map(|(job, _)| job.to_owned()).collect()
+}
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -145,7 +145,8 @@
         };
         self.changed.insert(name.job.clone());
         if job.is_done() && !job.phase.has_ended() {
-            log::info!("event=job_complete job={}", name.job);
+            let took_ms = now_ms.saturating_sub(job.seen_ms);
+            log::info!("event=job_complete job={} took_ms={took_ms}", name.job);
             self.end_job(&name.job.clone(), JobPhase::Complete, now_ms);
         }
     }
--- a/src/workflow/follower.rs
+++ b/src/workflow/follower.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 use crate::error::Result;
+use crate::id::JobId;
 use crate::id::Revision;
 use crate::platform::TableRow;
 use crate::process::boot_ms;
@@ -37,13 +38,27 @@
     match (parse_job_key(&row.key), spec) {
         (Some((id, true)), _) => engine.cancel_job(&id, boot_ms()),
         (Some((id, false)), Ok(spec)) => {
-            log::info!("event=job_seen job={id} queue={}", spec.queue);
+            log_job(engine, &id, &spec);
             engine.add_job(id, spec, progress, boot_ms());
         }
         _ => log::error!("event=job_unreadable key={}", row.key),
     }
 }
 
+/// Writes what later lines about a job are read with.
+fn log_job(engine: &JobEngine, id: &JobId, spec: &JobSpec) {
+    let config = engine.config.as_ref();
+    let queue = config.and_then(|config| config.queue(&spec.queue));
+    let service = queue.map_or("unknown", |queue| queue.service.as_str());
+    let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+    let long_running = spec.steps.iter().any(|step| step.long_running);
+    log::info!(
+        "event=job_seen job={id} queue={} service={service} tasks={tasks} occurrences={} long_running={long_running}",
+        spec.queue,
+        spec.occurrences()
+    );
+}
+
 /// Follows submissions and cancellations.
 pub(crate) async fn follow_jobs<P: FleetPlatform>(
     platform: Rc<P>,
--- /dev/null
+++ b/tests/job_trail.rs
@@ -0,0 +1,188 @@
+//! From a job's id to its cause, on lines as entry hosts write them.
+
+use zincpier::operator::failed_jobs;
+use zincpier::operator::JobTrail;
+use zincpier::operator::LogLine;
+use zincpier::operator::TrailCause;
+
+/// The time above which a job is late in these tests, in ms.
+const LATE_MS: u64 = 5_000;
+
+fn lines(text: &str) -> Vec<LogLine> {
+    text.lines().filter_map(LogLine::read).collect()
+}
+
+fn cause(text: &str, job: &str) -> TrailCause {
+    JobTrail::new(&lines(text), job).cause(LATE_MS)
+}
+
+#[test]
+fn a_line_keeps_its_host_and_values_with_blanks() {
+    let text = "  4.0005 edge-1 time_ms=17 level=WARN event=task_stop task=a.0.0.1 reason=\"it stands still\" outcome=Accepted";
+
+    let line = LogLine::read(text).unwrap();
+
+    assert_eq!(line.host.as_deref(), Some("edge-1"));
+    assert_eq!((line.time_ms, line.event.as_str()), (17, "task_stop"));
+    assert_eq!(line.field("reason"), "it stands still");
+    assert!(line.is_about("a") && !line.is_about("aa"));
+}
+
+#[test]
+fn lines_of_other_programs_are_passed_over() {
+    assert_eq!(LogLine::read("Dec 4 kernel: time_ms= out of memory"), None);
+    assert_eq!(LogLine::read(""), None);
+}
+
+#[test]
+fn a_refusal_in_an_outage_names_the_hosts_without_the_table() {
+    let text = "
+e-1 time_ms=1000 level=WARN event=dependency_lost name=platform_table reason=\"reset\"
+e-2 time_ms=1001 level=WARN event=dependency_lost name=platform_table reason=\"reset\"
+e-1 time_ms=1900 level=INFO event=submit job=aa queue=q outcome=Unknown
+e-2 time_ms=3200 level=INFO event=submit job=aa outcome=CutOff silence_ms=2199
+";
+
+    let expected = TrailCause::TableSilent {
+        hosts: 2,
+        silence_ms: 2_199,
+    };
+    assert_eq!(cause(text, "aa"), expected);
+}
+
+#[test]
+fn failures_on_several_workers_are_the_jobs_fault() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-1 time_ms=1001 level=INFO event=job_seen job=aa queue=q service=s
+e-1 time_ms=1100 level=INFO event=task_ended task=aa.0.0.0 run=1 worker=w-1 how=Failed
+e-1 time_ms=1200 level=INFO event=task_ended task=aa.0.0.0 run=2 worker=w-2 how=Failed
+e-1 time_ms=1200 level=WARN event=job_failed job=aa task=aa.0.0.0 failures=2 limit=2
+";
+
+    let expected = TrailCause::JobAtFault {
+        task: "aa.0.0.0".to_owned(),
+        failures: 2,
+        workers: 2,
+    };
+    assert_eq!(cause(text, "aa"), expected);
+}
+
+#[test]
+fn failures_on_one_distrusted_worker_are_its_fault() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-1 time_ms=1001 level=INFO event=job_seen job=aa queue=q service=s
+e-1 time_ms=1100 level=INFO event=task_ended task=aa.0.0.0 run=1 worker=w-1 how=Failed
+e-1 time_ms=1150 level=WARN event=worker_distrusted worker=w-1 reason=\"failures in a row\"
+e-1 time_ms=1200 level=WARN event=job_failed job=aa task=aa.0.0.0 failures=1 limit=1
+";
+
+    assert!(
+        matches!(cause(text, "aa"), TrailCause::WorkerAtFault { worker, .. } if worker == "w-1")
+    );
+}
+
+#[test]
+fn a_late_job_of_a_full_pool_names_the_pool() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-2 time_ms=1010 level=INFO event=job_seen job=aa queue=q service=s-1
+e-2 time_ms=2000 level=INFO event=pool name=s-1 hosts=8 pinned=5 room_millis=512000 used_millis=500000 demand_millis=2000000
+e-2 time_ms=2000 level=INFO event=pool name=s-2 hosts=8 pinned=5 room_millis=1 used_millis=1 demand_millis=9000000
+e-2 time_ms=7000 level=INFO event=task_start task=aa.0.0.0 run=1 worker=w-1 epoch=1 outcome=Accepted(5)
+e-2 time_ms=7900 level=INFO event=task_ended task=aa.0.0.0 run=1 worker=w-1 how=Done
+e-2 time_ms=7900 level=INFO event=job_complete job=aa
+";
+
+    let expected = TrailCause::PoolShort {
+        waited_ms: 6_000,
+        pool: "s-1".to_owned(),
+        room_millis: 512_000,
+        demand_millis: 2_000_000,
+    };
+    assert_eq!(cause(text, "aa"), expected);
+}
+
+#[test]
+fn a_job_that_waited_for_a_controller_names_the_new_one() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-2 time_ms=5000 level=INFO event=lease_gained epoch=2
+e-2 time_ms=5010 level=INFO event=job_seen job=aa queue=q service=s-1
+e-2 time_ms=5100 level=INFO event=task_start task=aa.0.0.0 run=1 worker=w-1 epoch=2 outcome=Accepted(5)
+e-2 time_ms=6900 level=INFO event=job_complete job=aa
+";
+
+    let expected = TrailCause::ControllerChanged {
+        waited_ms: 4_100,
+        holder: "e-2".to_owned(),
+    };
+    assert_eq!(cause(text, "aa"), expected);
+}
+
+#[test]
+fn a_task_that_was_started_again_names_the_reason() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-1 time_ms=1010 level=INFO event=job_seen job=aa queue=q service=s-1
+e-1 time_ms=1100 level=INFO event=task_start task=aa.0.0.0 run=1 worker=w-1 epoch=1 outcome=Accepted(5)
+e-1 time_ms=6000 level=INFO event=task_stop task=aa.0.0.0 run=1 worker=w-1 reason=\"it stands still\" outcome=Accepted(7)
+e-1 time_ms=6100 level=INFO event=task_ended task=aa.0.0.0 run=1 worker=w-1 how=Stopped
+e-1 time_ms=6200 level=INFO event=task_start task=aa.0.0.0 run=2 worker=w-2 epoch=1 outcome=Accepted(5)
+e-1 time_ms=7000 level=INFO event=job_complete job=aa
+";
+
+    let expected = TrailCause::Repeated {
+        task: "aa.0.0.0".to_owned(),
+        runs: 2,
+        reason: "it stands still".to_owned(),
+    };
+    assert_eq!(cause(text, "aa"), expected);
+}
+
+#[test]
+fn a_job_whose_tasks_worked_all_the_time_was_not_delayed() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-1 time_ms=1010 level=INFO event=job_seen job=aa queue=q service=s-1
+e-1 time_ms=1100 level=INFO event=task_start task=aa.0.0.0 run=1 worker=w-1 epoch=1 outcome=Accepted(5)
+e-1 time_ms=5000 level=INFO event=task_ended task=aa.0.0.0 run=1 worker=w-1 how=Done
+e-1 time_ms=5050 level=INFO event=task_start task=aa.0.1.0 run=1 worker=w-1 epoch=1 outcome=Accepted(5)
+e-1 time_ms=9000 level=INFO event=task_ended task=aa.0.1.0 run=1 worker=w-1 how=Done
+e-1 time_ms=9000 level=INFO event=job_complete job=aa
+";
+
+    let expected = TrailCause::OwnWork {
+        work_ms: 7_850,
+        total_ms: 8_000,
+    };
+    assert_eq!(cause(text, "aa"), expected);
+}
+
+#[test]
+fn a_trail_without_a_reason_says_so() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-1 time_ms=1010 level=INFO event=job_seen job=aa queue=q service=s-1
+e-1 time_ms=9000 level=INFO event=lookup job=aa outcome=NoJob
+";
+
+    assert!(matches!(cause(text, "aa"), TrailCause::Broken(_)));
+    assert_eq!(cause(text, "bb"), TrailCause::NoLines);
+}
+
+#[test]
+fn failed_jobs_are_those_without_an_end_in_time() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-1 time_ms=1000 level=INFO event=submit job=bb queue=q outcome=Accepted
+e-1 time_ms=1000 level=INFO event=submit job=cc outcome=CutOff silence_ms=1900
+e-1 time_ms=1000 level=INFO event=submit job=dd queue=q outcome=Accepted
+e-1 time_ms=1001 level=INFO event=job_seen job=dd queue=q service=s long_running=true
+e-1 time_ms=2000 level=INFO event=job_complete job=aa
+e-1 time_ms=9000 level=INFO event=job_complete job=bb
+";
+
+    assert_eq!(failed_jobs(&lines(text), LATE_MS), ["bb", "cc"]);
+}
