--- a/src/bin/zincpier/commands.rs
+++ b/src/bin/zincpier/commands.rs
@@ -14,7 +14,7 @@
 use zincpier::operator::LoadPlan;
 use zincpier::operator::OperatorClient;
 use zincpier::operator::StatusReport;
-use zincpier::platform::AuditRecord;
+use zincpier::provider::AuditRecord;
 use zincpier::version::ServiceText;
 
 use crate::arguments::ApplyArguments;
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -20,9 +20,9 @@
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::Revision;
-use crate::platform::HostChanges;
 use crate::process::DrainReport;
 use crate::process::PeerState;
+use crate::provider::HostChanges;
 use crate::version::FACT_KINDS;
 
 /// The longest time for which slots are lent.
--- a/src/connection/peer_service.rs
+++ b/src/connection/peer_service.rs
@@ -7,8 +7,8 @@
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::Revision;
-use crate::platform::HostChanges;
 use crate::process::DrainReport;
+use crate::provider::HostChanges;
 use crate::version::FACT_KINDS;
 
 /// A heartbeat: who is alive and which versions it holds.
--- a/src/job/controller_state.rs
+++ b/src/job/controller_state.rs
@@ -18,10 +18,10 @@
 use crate::job::TeamBook;
 use crate::job::WaitingJob;
 use crate::job::WorkerView;
-use crate::platform::TaskAction;
-use crate::platform::TaskOrder;
-use crate::platform::TaskStart;
 use crate::process::Placement;
+use crate::provider::TaskAction;
+use crate::provider::TaskOrder;
+use crate::provider::TaskStart;
 use crate::version::ServiceText;
 
 /// The lease under which tasks run.
--- a/src/job/host_jobs.rs
+++ b/src/job/host_jobs.rs
@@ -6,7 +6,7 @@
 use crate::error::Result;
 use crate::id::HostId;
 use crate::id::JobId;
-use crate::platform::TableService;
+use crate::provider::TableService;
 
 /// The prefix of the rows that list a worker's jobs.
 pub const HOST_JOBS_PREFIX: &str = "host-jobs/";
--- a/src/job/job_book.rs
+++ b/src/job/job_book.rs
@@ -13,8 +13,8 @@
 use crate::job::JobRecord;
 use crate::job::HOST_JOBS_PREFIX;
 use crate::job::OPEN_PREFIX;
-use crate::platform::TableRow;
-use crate::platform::Transaction;
+use crate::provider::TableRow;
+use crate::provider::Transaction;
 
 /// The jobs on one worker, as the worker's row lists them.
 #[derive(Clone, Debug, Default)]
--- a/src/job/job_record.rs
+++ b/src/job/job_record.rs
@@ -11,7 +11,7 @@
 use crate::id::Revision;
 use crate::id::TaskId;
 use crate::job::JobSpec;
-use crate::platform::TableRow;
+use crate::provider::TableRow;
 
 /// The prefix of the rows of jobs that have not ended.
 pub const OPEN_PREFIX: &str = "job/open/";
--- a/src/job/job_store.rs
+++ b/src/job/job_store.rs
@@ -16,11 +16,11 @@
 use crate::job::HeldJob;
 use crate::job::JobRecord;
 use crate::job::JobSpec;
-use crate::platform::TableRow;
-use crate::platform::TableService;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
 use crate::process::now_ms;
+use crate::provider::TableRow;
+use crate::provider::TableService;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
 
 /// How long a change may take to be settled with the platform.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
--- a/src/job/task_follower.rs
+++ b/src/job/task_follower.rs
@@ -12,8 +12,8 @@
 use crate::job::JobState;
 use crate::job::SizeEstimator;
 use crate::job::WorkerTrust;
-use crate::platform::TaskReport;
-use crate::platform::TaskState;
+use crate::provider::TaskReport;
+use crate::provider::TaskState;
 
 /// Follows the reports of tasks and learns from them.
 #[derive(Clone, Debug, Default)]
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -21,7 +21,7 @@
 use crate::operator::JobSummary;
 use crate::operator::StatusReport;
 use crate::operator::TOKEN_HEADER;
-use crate::platform::TableRow;
+use crate::provider::TableRow;
 use crate::request::header;
 
 const CALL_TIME: Duration = Duration::from_secs(15);
--- a/src/process/audit_log.rs
+++ b/src/process/audit_log.rs
@@ -10,12 +10,12 @@
 
 use crate::error::Result;
 use crate::id::Revision;
-use crate::platform::audit_key;
-use crate::platform::transact_once;
-use crate::platform::AuditRecord;
-use crate::platform::TableService;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
+use crate::provider::audit_key;
+use crate::provider::transact_once;
+use crate::provider::AuditRecord;
+use crate::provider::TableService;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
 
 /// How long a change may take to be settled with the platform.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -17,7 +17,6 @@
 use crate::job::JobController;
 use crate::job::JobStore;
 use crate::operator::TextFact;
-use crate::platform::HttpPlatform;
 use crate::process::fact_sync::pause;
 use crate::process::fact_sync::FactSync;
 use crate::process::member_keeper::MemberKeeper;
@@ -34,6 +33,7 @@
 use crate::process::ShareKeeper;
 use crate::process::SharedServer;
 use crate::process::ShutdownSignal;
+use crate::provider::HttpPlatform;
 use crate::request::ClaimKeeper;
 use crate::request::RequestRouter;
 use crate::version::FactKind;
@@ -214,7 +214,7 @@
             let answered = hosts.is_ok() && facts.is_ok();
             if answered != reachable {
                 reachable = answered;
-                log::warn!(target: "zincpier::platform", "the platform {}", match answered {
+                log::warn!(target: "zincpier::provider", "the platform {}", match answered {
                     true => "answers again",
                     false => "does not answer",
                 });
--- a/src/process/fact_sync.rs
+++ b/src/process/fact_sync.rs
@@ -8,10 +8,10 @@
 use rand::Rng;
 
 use crate::error::Result;
-use crate::platform::HostService;
-use crate::platform::RowCheck;
-use crate::platform::TableService;
 use crate::process::PeerState;
+use crate::provider::HostService;
+use crate::provider::RowCheck;
+use crate::provider::TableService;
 use crate::version::FactKind;
 use crate::version::FACT_KINDS;
 
--- a/src/process/member_keeper.rs
+++ b/src/process/member_keeper.rs
@@ -7,15 +7,15 @@
 
 use crate::error::Result;
 use crate::id::EntryId;
-use crate::platform::TableService;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
 use crate::process::membership::LOST_AFTER;
 use crate::process::AuditLog;
 use crate::process::AuditNote;
 use crate::process::Member;
 use crate::process::MemberSet;
 use crate::process::PeerState;
+use crate::provider::TableService;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
 use crate::version::FactKind;
 
 /// The silence after which a member of a data centre without live members is lost.
--- a/src/process/role_lease.rs
+++ b/src/process/role_lease.rs
@@ -14,11 +14,11 @@
 use crate::id::EntryId;
 use crate::id::Incarnation;
 use crate::id::Revision;
-use crate::platform::RowCheck;
-use crate::platform::TableService;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
 use crate::process::EntryIdentity;
+use crate::provider::RowCheck;
+use crate::provider::TableService;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
 
 /// How long a lease holds without a renewal.
 const LEASE_TIME: Duration = Duration::from_secs(4);
--- a/src/process/slot_borrower.rs
+++ b/src/process/slot_borrower.rs
@@ -13,10 +13,10 @@
 use crate::connection::SlotRequest;
 use crate::id::EntryId;
 use crate::id::HostId;
-use crate::platform::ObjectService;
-use crate::platform::TableService;
 use crate::process::MemberSet;
 use crate::process::PeerState;
+use crate::provider::ObjectService;
+use crate::provider::TableService;
 use crate::request::RequestRouter;
 use crate::version::ServiceRoute;
 
--- a/src/platform/http_platform.rs
+++ b/src/provider/http_platform.rs
@@ -17,19 +17,19 @@
 use crate::error::Result;
 use crate::id::HostId;
 use crate::id::Revision;
-use crate::platform::HostChanges;
-use crate::platform::HostService;
-use crate::platform::ObjectService;
-use crate::platform::RebootOrder;
-use crate::platform::RowCheck;
-use crate::platform::TableRow;
-use crate::platform::TableService;
-use crate::platform::TaskChanges;
-use crate::platform::TaskLease;
-use crate::platform::TaskOrder;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
-use crate::platform::WorkerService;
+use crate::provider::HostChanges;
+use crate::provider::HostService;
+use crate::provider::ObjectService;
+use crate::provider::RebootOrder;
+use crate::provider::RowCheck;
+use crate::provider::TableRow;
+use crate::provider::TableService;
+use crate::provider::TaskChanges;
+use crate::provider::TaskLease;
+use crate::provider::TaskOrder;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
+use crate::provider::WorkerService;
 
 /// Calls the platform's HTTP interface.
 pub struct HttpPlatform {
--- a/src/platform/platform_service.rs
+++ b/src/provider/platform_service.rs
@@ -7,15 +7,15 @@
 use crate::error::Result;
 use crate::id::HostId;
 use crate::id::Revision;
-use crate::platform::HostChanges;
-use crate::platform::RebootOrder;
-use crate::platform::RowCheck;
-use crate::platform::TableRow;
-use crate::platform::TaskChanges;
-use crate::platform::TaskLease;
-use crate::platform::TaskOrder;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
+use crate::provider::HostChanges;
+use crate::provider::RebootOrder;
+use crate::provider::RowCheck;
+use crate::provider::TableRow;
+use crate::provider::TaskChanges;
+use crate::provider::TaskLease;
+use crate::provider::TaskOrder;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
 
 /// The transactional table.
 ///
--- a/src/platform/settle.rs
+++ b/src/provider/settle.rs
@@ -7,9 +7,9 @@
 
 use crate::error::Error;
 use crate::error::Result;
-use crate::platform::TableService;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
+use crate::provider::TableService;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
 
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -51,7 +51,7 @@
     }
 }
 
-fn settled(transaction: &Transaction, rows: &[crate::platform::TableRow]) -> TransactionOutcome {
+fn settled(transaction: &Transaction, rows: &[crate::provider::TableRow]) -> TransactionOutcome {
     match rows.first() {
         Some(row) => TransactionOutcome::Committed(row.revision),
         None => TransactionOutcome::Conflict(transaction.checks.clone()),
--- a/src/request/claim_answerer.rs
+++ b/src/request/claim_answerer.rs
@@ -8,10 +8,10 @@
 use http::Response;
 use http::StatusCode;
 
-use crate::platform::ObjectService;
-use crate::platform::TableService;
 use crate::process::DaemonMetrics;
 use crate::process::PeerState;
+use crate::provider::ObjectService;
+use crate::provider::TableService;
 use crate::request::refusal::Refusal;
 use crate::request::refusal::COME_BACK;
 use crate::request::AnswerOutcome;
--- a/src/standin/platform_state.rs
+++ b/src/standin/platform_state.rs
@@ -8,11 +8,11 @@
 
 use crate::id::HostId;
 use crate::id::Revision;
-use crate::platform::HostChanges;
-use crate::platform::RowCheck;
-use crate::platform::TableRow;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
+use crate::provider::HostChanges;
+use crate::provider::RowCheck;
+use crate::provider::TableRow;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
 use crate::version::HostList;
 use crate::version::HostRecord;
 use crate::version::HostState;
--- a/src/standin/task_board.rs
+++ b/src/standin/task_board.rs
@@ -12,13 +12,13 @@
 use crate::id::Revision;
 use crate::id::TaskId;
 use crate::job::JobSize;
-use crate::platform::TaskAction;
-use crate::platform::TaskChanges;
-use crate::platform::TaskLease;
-use crate::platform::TaskOrder;
-use crate::platform::TaskReport;
-use crate::platform::TaskStart;
-use crate::platform::TaskState;
+use crate::provider::TaskAction;
+use crate::provider::TaskChanges;
+use crate::provider::TaskLease;
+use crate::provider::TaskOrder;
+use crate::provider::TaskReport;
+use crate::provider::TaskStart;
+use crate::provider::TaskState;
 
 /// How late usage is reported.
 const USAGE_LAG: Duration = Duration::from_millis(200);
--- a/src/version/host_list.rs
+++ b/src/version/host_list.rs
@@ -4,7 +4,7 @@
 
 use crate::id::HostId;
 use crate::id::Revision;
-use crate::platform::HostChanges;
+use crate::provider::HostChanges;
 use crate::version::HostRecord;
 
 /// The platform's hosts, as of one revision.
--- a/src/wave/host_mover.rs
+++ b/src/wave/host_mover.rs
@@ -10,10 +10,10 @@
 
 use crate::error::Result;
 use crate::id::HostId;
-use crate::platform::TableService;
 use crate::process::HostPhase;
 use crate::process::HostPlacement;
 use crate::process::PeerState;
+use crate::provider::TableService;
 use crate::wave::control_view::ControlView;
 use crate::wave::drain_watch::ask_members;
 use crate::wave::name_list::name_list;
--- a/src/wave/host_restarter.rs
+++ b/src/wave/host_restarter.rs
@@ -9,10 +9,10 @@
 use std::time::Instant;
 
 use crate::id::HostId;
-use crate::platform::HostService;
-use crate::platform::RebootOrder;
 use crate::process::HostPlacement;
 use crate::process::PeerState;
+use crate::provider::HostService;
+use crate::provider::RebootOrder;
 use crate::version::HostState;
 use crate::wave::held_wave::HeldWave;
 
--- a/src/wave/loss_charger.rs
+++ b/src/wave/loss_charger.rs
@@ -6,10 +6,10 @@
 use std::time::Instant;
 
 use crate::error::Result;
-use crate::platform::TableService;
-use crate::platform::Transaction;
 use crate::process::now_ms;
 use crate::process::RoleLease;
+use crate::provider::TableService;
+use crate::provider::Transaction;
 use crate::wave::control_view::ControlView;
 use crate::wave::ServiceBudget;
 
--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -10,10 +10,10 @@
 use serde_json::Value;
 use tokio::sync::oneshot::Sender;
 
-use crate::platform::RowWrite;
-use crate::platform::Transaction;
 use crate::process::boot_ms;
 use crate::process::ShutdownSignal;
+use crate::provider::RowWrite;
+use crate::provider::Transaction;
 use crate::workflow::cancel_key;
 use crate::workflow::job_key;
 use crate::workflow::send_start;
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -10,10 +10,10 @@
 use serde_json::Value;
 
 use crate::id::Revision;
-use crate::platform::TableRow;
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
 use crate::process::ShutdownSignal;
+use crate::provider::TableRow;
 use crate::workflow::committer::sweep_jobs;
 use crate::workflow::committer::Committer;
 use crate::workflow::committer::PROGRESS_PREFIX;
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -12,9 +12,9 @@
 
 use crate::id::HostId;
 use crate::id::WorkerId;
-use crate::platform::RowWrite;
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
+use crate::provider::RowWrite;
 use crate::workflow::HostOrders;
 use crate::workflow::JobEngine;
 use crate::workflow::LeaseLost;
--- a/src/workflow/leader_seat.rs
+++ b/src/workflow/leader_seat.rs
@@ -9,12 +9,12 @@
 
 use crate::error::Error;
 use crate::id::Revision;
-use crate::platform::RowWrite;
-use crate::platform::TableRow;
-use crate::platform::TableService;
-use crate::platform::Transaction;
-use crate::platform::TransactionOutcome;
 use crate::process::boot_ms;
+use crate::provider::RowWrite;
+use crate::provider::TableRow;
+use crate::provider::TableService;
+use crate::provider::Transaction;
+use crate::provider::TransactionOutcome;
 use crate::workflow::OrderAges;
 use crate::workflow::INHERITED_RUN_MS;
 use crate::workflow::RELEASED_RUN_MS;
--- a/src/workflow/leader_watch.rs
+++ b/src/workflow/leader_watch.rs
@@ -1,7 +1,7 @@
 //! When a controller's lease is over, as others see it.
 
 use crate::id::Revision;
-use crate::platform::TableRow;
+use crate::provider::TableRow;
 use crate::workflow::leader_seat::read_record;
 
 /// The lease ends when its row stays unchanged for this long, in ms: three renewals of a
--- a/tests/leader_watch.rs
+++ b/tests/leader_watch.rs
@@ -2,7 +2,7 @@
 
 use serde_json::json;
 use zincpier::id::Revision;
-use zincpier::platform::TableRow;
+use zincpier::provider::TableRow;
 use zincpier::workflow::LeaderWatch;
 use zincpier::workflow::LEADER_KEY;
 
