Keep the latest orders for hosts in a row of their own

A successor reads control/orders once, after its claim; the holder writes it with each commit while there are such orders. Tests are unchanged and pass.

The bytes at 1,008 workers were not measured again in this commit.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -22,6 +22,7 @@
 use crate::workflow::FleetPlatform;
 use crate::workflow::LeaderSeat;
 use crate::workflow::LeaseLost;
+use crate::workflow::ORDERS_KEY;
 
 /// Where jobs' progress lies.
 pub(crate) const PROGRESS_PREFIX: &str = "progress/";
@@ -57,6 +58,7 @@
     term: Rc<ControllerTerm>,
     published: BTreeMap<String, u64>,
     published_ms: u64,
+    shows_no_orders: bool,
 }
 
 impl<P: FleetPlatform> Committer<P> {
@@ -67,6 +69,7 @@
             term,
             published: BTreeMap::new(),
             published_ms: 0,
+            shows_no_orders: false,
         }
     }
 
@@ -91,10 +94,9 @@
 
     /// Gives the lease up with what is known of hosts, which the successor would have to
     /// find out; what the engine has decided and not committed has had no effect.
-    async fn release(&self, seat: &mut LeaderSeat) {
-        let orders = self.term.host_orders.borrow_mut().ages(boot_ms());
-        seat.set_host_orders(orders);
-        let (writes, _) = self.add_queued(Vec::new());
+    async fn release(&mut self, seat: &mut LeaderSeat) {
+        let row = self.order_row();
+        let (writes, _) = self.add_queued(row.into_iter().collect());
         let mut parts = split_writes(writes);
         let last = parts.pop().unwrap_or_default();
         for writes in parts {
@@ -123,10 +125,10 @@
 
     async fn commit_once(&mut self, seat: &mut LeaderSeat) -> Result<(), LeaseLost> {
         let (rows, effects) = self.term.engine.borrow_mut().take_changes();
-        seat.set_host_orders(self.term.host_orders.borrow_mut().ages(boot_ms()));
         seat.set_inherited_ms(self.term.engine.borrow().inherited_ms(boot_ms()));
         let row = |(id, value)| row_write(format!("{PROGRESS_PREFIX}{id}"), value);
-        let (mut writes, waiting) = self.add_queued(rows.into_iter().map(row).collect());
+        let writes = rows.into_iter().map(row).chain(self.order_row());
+        let (mut writes, waiting) = self.add_queued(writes.collect());
         writes.extend(self.changed_counts());
         for writes in split_writes(writes) {
             seat.commit(self.platform.as_ref(), writes).await?;
@@ -140,6 +142,17 @@
         Ok(())
     }
 
+    /// Returns the row with the ages of the latest orders for hosts, while there are any and
+    /// once after.
+    fn order_row(&mut self) -> Option<RowWrite> {
+        let ages = self.term.host_orders.borrow_mut().ages(boot_ms())?;
+        if ages.is_empty() && self.shows_no_orders {
+            return None;
+        }
+        self.shows_no_orders = ages.is_empty();
+        Some(row_write(ORDERS_KEY.to_owned(), json!(ages)))
+    }
+
     /// Returns the counts of waiting jobs that callers would find out of date.
     fn changed_counts(&mut self) -> Vec<RowWrite> {
         let now_ms = boot_ms();
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -32,8 +32,10 @@
 use crate::workflow::JobEngine;
 use crate::workflow::LeaderSeat;
 use crate::workflow::LeaderWatch;
+use crate::workflow::OrderAges;
 use crate::workflow::TableChange;
 use crate::workflow::LEADER_KEY;
+use crate::workflow::ORDERS_KEY;
 
 /// How often an entry host without the lease looks at the leader row.
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
@@ -104,7 +106,14 @@
     /// Runs one term to its end.
     async fn control(&self, mut seat: LeaderSeat) {
         let engine = JobEngine::new(boot_ms(), seat.inherited_ms());
-        let orders = HostOrders::new(seat.host_orders(), boot_ms());
+        let first = seat.epoch() == 1;
+        let ages = self
+            .while_renewing(&mut seat, self.load_orders(first))
+            .await;
+        let Some(ages) = ages else {
+            return;
+        };
+        let orders = HostOrders::new(ages.as_ref(), boot_ms());
         let term = ControllerTerm::new(seat.epoch(), engine, orders, Rc::clone(&self.metrics));
         let loaded = self.while_renewing(&mut seat, self.load(&term)).await;
         let Some(job_revision) = loaded else {
@@ -152,6 +161,24 @@
         }
     }
 
+    /// Reads the ages of the latest orders for hosts; nothing if they are not known, as
+    /// after a holder that wrote none. The very first holder follows nobody.
+    async fn load_orders(&self, first: bool) -> Option<OrderAges> {
+        loop {
+            match self.platform.read(&[ORDERS_KEY]).await {
+                Ok(rows) => {
+                    let row = rows.into_iter().next();
+                    let ages = row.and_then(|row| serde_json::from_value(row.value).ok());
+                    return ages.or_else(|| first.then(OrderAges::new));
+                }
+                Err(error) => {
+                    log::warn!("event=load_retried prefix={ORDERS_KEY} reason=\"{error}\"")
+                }
+            }
+            sleep(LOAD_PAUSE).await;
+        }
+    }
+
     /// Reads all jobs and their progress.
     async fn load(&self, term: &ControllerTerm) -> Revision {
         let (jobs, revision) = self.read_all(JOB_TABLE).await;
--- a/src/workflow/host_orders.rs
+++ b/src/workflow/host_orders.rs
@@ -12,7 +12,11 @@
 /// bound of 3 s from the earlier holder's last order, and half a look.
 const TAKEOVER_PAUSE_MS: u64 = 3_150;
 
-/// The ages in ms of the latest orders, by host; as the leader row carries them.
+/// The row with the ages of the latest orders; written beside the leader row while there
+/// are any.
+pub const ORDERS_KEY: &str = "control/orders";
+
+/// The ages in ms of the latest orders, by host, when the row was written.
 pub type OrderAges = BTreeMap<HostId, u64>;
 
 /// What is known of one host's latest order.
--- a/src/workflow/leader_seat.rs
+++ b/src/workflow/leader_seat.rs
@@ -15,7 +15,6 @@
 use crate::provider::TableService;
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
-use crate::workflow::OrderAges;
 use crate::workflow::INHERITED_RUN_MS;
 use crate::workflow::RELEASED_RUN_MS;
 
@@ -43,10 +42,6 @@
     /// How long runs of the holder's predecessors may still go on unseen, in ms.
     #[serde(default)]
     pub inherited_ms: u64,
-    /// The ages of the latest orders for hosts when the row was written; unknown while
-    /// those of an earlier holder may be missing.
-    #[serde(default)]
-    pub host_orders: Option<OrderAges>,
 }
 
 impl LeaderRecord {
@@ -81,18 +76,13 @@
         current: Option<&TableRow>,
         holder: &str,
     ) -> Option<Self> {
-        let first = LeaderRecord {
-            host_orders: Some(OrderAges::new()),
-            ..LeaderRecord::default()
-        };
-        let before = current.map_or(Some(first), read_record).unwrap_or_default();
+        let before = current.and_then(read_record).unwrap_or_default();
         let record = LeaderRecord {
             epoch: before.epoch + 1,
             holder: holder.to_owned(),
             commit: 0,
             released: false,
             inherited_ms: before.unseen_ms(),
-            host_orders: before.host_orders,
         };
         let revision = current.map_or(Revision::new(0), |row| row.revision);
         let mut seat = Self {
@@ -134,16 +124,6 @@
         self.record.inherited_ms = inherited_ms;
     }
 
-    /// Returns the ages of the latest orders for hosts, as the last commit showed them.
-    pub fn host_orders(&self) -> Option<&OrderAges> {
-        self.record.host_orders.as_ref()
-    }
-
-    /// Sets the ages of the latest orders for hosts.
-    pub fn set_host_orders(&mut self, ages: Option<OrderAges>) {
-        self.record.host_orders = ages;
-    }
-
     /// Returns when the holder last knew that the lease was its own, in ms.
     pub fn confirmed_ms(&self) -> u64 {
         self.confirmed_ms
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -78,6 +78,7 @@
 pub(crate) use host_mover::HostMover;
 pub use host_orders::HostOrders;
 pub use host_orders::OrderAges;
+pub use host_orders::ORDERS_KEY;
 pub use intake::CancelOutcome;
 pub use intake::JobIntake;
 pub use intake::LookupOutcome;
