--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as one connection: to a caller, a backend server, a peer
 //! or the platform.
 
+mod answer_time;
 mod backend_pool;
 mod caller;
 mod dial;
@@ -16,6 +17,7 @@
 mod peer_service;
 mod peer_transport;
 
+pub use answer_time::AnswerTime;
 pub use backend_pool::ReuseRule;
 pub use backend_pool::ServerConnections;
 pub use caller::accept_connections;
--- a/src/operator/job_trail.rs
+++ b/src/operator/job_trail.rs
@@ -237,7 +237,7 @@
                 "" => "it failed".to_owned(),
                 reason => reason.to_owned(),
             })
-            .last();
+            .next_back();
         Some(TrailCause::Repeated {
             task: task.to_owned(),
             runs,
