Let feeds wait shortly after an answer was lost

Cause: a change whose answer was lost was seen by the controller only after the feed's wait of 1 s and 0.7 s more, at each loss.

After a silence a feed waits 60 ms, twice that after each answer, up to 1 s; what an answer may take beyond its wait is the learnt time of reads.

--- a/src/workflow/follower.rs
+++ b/src/workflow/follower.rs
@@ -17,17 +17,15 @@
 use crate::workflow::keep_worker;
 use crate::workflow::ChangeSet;
 use crate::workflow::ControllerTerm;
+use crate::workflow::FeedWait;
 use crate::workflow::FleetPlatform;
 use crate::workflow::JobEngine;
 use crate::workflow::JobSpec;
 use crate::workflow::TableChange;
 use crate::workflow::WorkerFact;
 
-/// How long a feed waits for changes before it is asked again.
-const FEED_WAIT: Duration = Duration::from_millis(1_000);
-
-/// The pause after a failed call of a feed.
-const FEED_PAUSE: Duration = Duration::from_millis(200);
+/// The pause after a failed call of a feed: some round trips of the table.
+const FEED_PAUSE: Duration = Duration::from_millis(100);
 
 /// The least time between two looks at the list of workers: each heartbeat changes it.
 const WORKER_LOOK: Duration = Duration::from_millis(250);
@@ -65,8 +63,10 @@
     term: Rc<ControllerTerm>,
     mut since: Revision,
 ) {
+    let mut wait = FeedWait::new();
     while term.is_active() {
-        let changes = platform.row_changes(JOB_TABLE, since, FEED_WAIT).await;
+        let changes = platform.row_changes(JOB_TABLE, since, wait.get()).await;
+        wait.note(changes.is_ok());
         let Some((changes, revision)) = accept_changes("jobs", changes, &mut since) else {
             sleep(FEED_PAUSE).await;
             continue;
@@ -88,9 +88,11 @@
 pub(crate) async fn follow_workers<P: FleetPlatform>(platform: Rc<P>, term: Rc<ControllerTerm>) {
     let mut since = Revision::new(0);
     let mut tended = HashSet::new();
+    let mut wait = FeedWait::new();
     while term.is_active() {
         let whole = since == Revision::new(0);
-        let changes = platform.worker_changes(since, FEED_WAIT).await;
+        let changes = platform.worker_changes(since, wait.get()).await;
+        wait.note(changes.is_ok());
         let Some((changes, revision)) = accept_changes("workers", changes, &mut since) else {
             sleep(FEED_PAUSE).await;
             continue;
