Let data flow one way through the tool and the operators' interface

commands.rs and its siblings imported each other, and so did api.rs and control_api.rs. What they share, the operator's client and the answers, has a file of its own now. Behaviour and tests are unchanged.

--- a/src/bin/zincpier/commands.rs
+++ b/src/bin/zincpier/commands.rs
@@ -29,12 +29,11 @@
 use crate::explain_command;
 use crate::fleet_commands;
 use crate::job_commands;
+use crate::operator_access::operator;
 use crate::printer::end_progress;
 use crate::printer::print_progress;
 use crate::printer::print_table;
 
-const TOKEN_VARIABLE: &str = "ZINCPIER_TOKEN";
-const USER_VARIABLE: &str = "USER";
 const WAIT_TIME: Duration = Duration::from_secs(30);
 const WAIT_POLL: Duration = Duration::from_millis(100);
 const DEMO_TEXT: &str = include_str!("../../../examples/granite-bay.toml");
@@ -79,12 +78,6 @@
     Ok((source, text))
 }
 
-pub(crate) fn operator(server: std::net::SocketAddr) -> OperatorClient {
-    let token = std::env::var(TOKEN_VARIABLE).unwrap_or_default();
-    let who = std::env::var(USER_VARIABLE).unwrap_or_else(|_| "operator".to_owned());
-    OperatorClient::new(server).with_token(&token, &who)
-}
-
 fn check_text(path: &Path) -> Result<bool> {
     let (_, text) = parse(path)?;
     println!(
--- a/src/bin/zincpier/fleet_commands.rs
+++ b/src/bin/zincpier/fleet_commands.rs
@@ -21,7 +21,7 @@
 use crate::arguments::HostCommand;
 use crate::arguments::PoolArguments;
 use crate::arguments::WaveCommand;
-use crate::commands::operator;
+use crate::operator_access::operator;
 use crate::printer::end_progress;
 use crate::printer::print_list;
 use crate::printer::print_progress;
--- a/src/bin/zincpier/job_commands.rs
+++ b/src/bin/zincpier/job_commands.rs
@@ -14,11 +14,11 @@
 use zincpier::operator::JobSummary;
 use zincpier::operator::OperatorClient;
 
-use crate::commands::operator;
 use crate::job_arguments::CancelArguments;
 use crate::job_arguments::JobCommand;
 use crate::job_arguments::JobListArguments;
 use crate::job_arguments::SubmitArguments;
+use crate::operator_access::operator;
 use crate::printer::end_progress;
 use crate::printer::print_list;
 use crate::printer::print_progress;
--- a/src/bin/zincpier/main.rs
+++ b/src/bin/zincpier/main.rs
@@ -6,6 +6,7 @@
 mod fleet_commands;
 mod job_arguments;
 mod job_commands;
+mod operator_access;
 mod printer;
 
 use std::process::ExitCode;
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -14,8 +14,10 @@
 use subtle::ConstantTimeEq;
 
 use crate::connection::RequestHandler;
-use crate::error::Error;
 use crate::id::Revision;
+use crate::operator::api_answer::error_response;
+use crate::operator::api_answer::json_response;
+use crate::operator::api_answer::WHO_HEADER;
 use crate::operator::control_api::ControlApi;
 use crate::operator::EntryStatus;
 use crate::operator::JobApi;
@@ -35,8 +37,6 @@
 
 /// The header that carries the operators' secret.
 pub const TOKEN_HEADER: &str = "zincpier-token";
-/// The header that names the operator, for the audit trail.
-pub(crate) const WHO_HEADER: &str = "zincpier-who";
 /// The header that names the revision that a text replaces.
 pub(crate) const REPLACES_HEADER: &str = "zincpier-replaces";
 
@@ -253,24 +253,3 @@
     );
     response
 }
-
-pub(crate) fn json_response(value: &impl Serialize) -> Response<Bytes> {
-    match serde_json::to_vec(value) {
-        Ok(body) => {
-            let mut response = Response::new(Bytes::from(body));
-            response
-                .headers_mut()
-                .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-            response
-        }
-        Err(error) => problem_response(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
-    }
-}
-
-pub(crate) fn error_response(error: &Error) -> Response<Bytes> {
-    let status = match error {
-        Error::Findings(_) => StatusCode::UNPROCESSABLE_ENTITY,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    problem_response(status, &error.to_string())
-}
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -17,7 +17,7 @@
 use crate::id::Revision;
 use crate::job::JobSpec;
 use crate::operator::api::REPLACES_HEADER;
-use crate::operator::api::WHO_HEADER;
+use crate::operator::api_answer::WHO_HEADER;
 use crate::operator::JobSummary;
 use crate::operator::StatusReport;
 use crate::operator::TOKEN_HEADER;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' side: the daemon's operator listener and the tools that call it.
 
 mod api;
+mod api_answer;
 mod caller_api;
 mod change_error;
 mod client;
