Keep a new controller from ordering hosts on what it does not know yet

Hosts wait until the workers were listed in this term; a host that the predecessor ordered counts as down for a second from its order; a start is not sent again to a worker that is leaving.

Before: a_successor_that_knows_no_workers_takes_no_host_down fails (hosts with running tasks are taken down). After: it passes.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -46,6 +46,7 @@
     /// Wakes the committer.
     pub commit: Notify,
     ended: Cell<bool>,
+    knows_workers: Cell<bool>,
     confirmed_ms: Cell<u64>,
     worker_wakes: RefCell<HashMap<WorkerId, Rc<Notify>>>,
     queued_rows: RefCell<Vec<QueuedRow>>,
@@ -74,6 +75,7 @@
             plan: Notify::new(),
             commit: Notify::new(),
             ended: Cell::new(false),
+            knows_workers: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
             worker_wakes: RefCell::default(),
             queued_rows: RefCell::default(),
@@ -100,6 +102,16 @@
         self.confirmed_ms.set(confirmed_ms);
     }
 
+    /// Notes that the workers' list has been read.
+    pub fn note_workers(&self) {
+        self.knows_workers.set(true);
+    }
+
+    /// Tells whether the workers' list has been read in this term.
+    pub fn knows_workers(&self) -> bool {
+        self.knows_workers.get()
+    }
+
     /// Notes the loss of the lease.
     pub fn lose(&self, _: LeaseLost) {
         self.end("another holder has the lease");
--- a/src/workflow/follower.rs
+++ b/src/workflow/follower.rs
@@ -99,6 +99,7 @@
         };
         since = revision;
         apply_workers(&term, changes, whole);
+        term.note_workers();
         let listed: Vec<_> = term.engine.borrow().workers.keys().cloned().collect();
         for id in listed {
             if tended.insert(id.clone()) {
--- a/src/workflow/host_keeper.rs
+++ b/src/workflow/host_keeper.rs
@@ -78,6 +78,10 @@
             }
         };
         keeper.note_states(&list);
+        // A host whose worker isn't known yet would be taken for empty.
+        if !keeper.term.knows_workers() {
+            continue;
+        }
         let hosts = list.hosts;
         let pools = mover.pools(&hosts, &keeper.upkeep_hosts());
         for (request, seen_ms) in view.waves() {
@@ -200,6 +204,7 @@
         let progress = &progress[&request.wave];
         let engine = self.term.engine.borrow();
         let ordered = self.ordered_ms.borrow();
+        let orders = self.term.host_orders.borrow();
         let due = hosts
             .iter()
             .filter(|host| request.hosts.contains(&host.host));
@@ -210,6 +215,9 @@
             let recent = ordered
                 .get(&host.host)
                 .is_some_and(|&ordered_ms| listed_ms < ordered_ms + DOWN_MS);
+            // The list may not show yet what the predecessor has ordered.
+            let inherited_ms = orders.inherited_ms(&host.host);
+            let recent = recent || inherited_ms.is_some_and(|at_ms| listed_ms < at_ms + DOWN_MS);
             WaveHost {
                 host: host.host.clone(),
                 up: host.is_up(),
--- a/src/workflow/host_orders.rs
+++ b/src/workflow/host_orders.rs
@@ -75,9 +75,16 @@
 
     /// Tells whether an earlier controller gave a host an order lately.
     pub fn is_inherited(&self, host: &HostId, now_ms: u64) -> bool {
+        let at_ms = self.inherited_ms(host);
+        at_ms.is_some_and(|at_ms| now_ms < at_ms + TAKEOVER_PAUSE_MS)
+    }
+
+    /// Returns the latest time at which an earlier controller may have given a host its
+    /// latest order, in ms.
+    pub fn inherited_ms(&self, host: &HostId) -> Option<u64> {
         match self.orders.get(host) {
-            Some(HostOrder::Inherited(at_ms)) => now_ms < at_ms + TAKEOVER_PAUSE_MS,
-            _ => false,
+            Some(HostOrder::Inherited(at_ms)) => Some(*at_ms),
+            _ => None,
         }
     }
 
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -150,15 +150,15 @@
         clock + sure > self.lease_ms
     }
 
+    /// Tells whether it is about to go, or gone: nothing may be started there any more.
+    pub fn is_leaving(&self) -> bool {
+        !self.listed || self.entry.draining || self.cordon.is_some()
+    }
+
     /// Tells whether new tasks may be placed there.
     pub fn takes_tasks(&self, now_ms: u64) -> bool {
         let in_touch = self.silent_since_ms == 0 || now_ms < self.silent_since_ms + SILENCE_MS / 4;
-        self.listed
-            && self.fenced
-            && !self.entry.draining
-            && self.cordon.is_none()
-            && in_touch
-            && now_ms >= self.distrusted_until_ms
+        self.fenced && !self.is_leaving() && in_touch && now_ms >= self.distrusted_until_ms
     }
 
     /// Notes that a run failed there; returns whether the worker is now left alone for a while.
--- a/src/workflow/worker_tasks.rs
+++ b/src/workflow/worker_tasks.rs
@@ -217,9 +217,12 @@
     let engine = term.engine.borrow();
     let job = engine.jobs.get(&task.job);
     let state = job.and_then(|job| job.task(task));
-    let waits =
-        state.is_some_and(|state| state.last_run == run && state.order() == Some(OrderPhase::Sent));
-    term.may_renew() && waits
+    let Some(state) = state.filter(|state| state.last_run == run) else {
+        return false;
+    };
+    let worker = state.worker().and_then(|id| engine.workers.get(id));
+    let stays = worker.is_some_and(|worker| !worker.is_leaving());
+    state.order() == Some(OrderPhase::Sent) && stays && term.may_renew()
 }
 
 /// Returns what is known of a start after its last try: an earlier try without an answer may
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -82,6 +82,7 @@
     pub(crate) lost_commits: Cell<u32>,
     pub(crate) lost_starts: Cell<u32>,
     pub(crate) table_down: Cell<bool>,
+    pub(crate) workers_hidden: Cell<bool>,
     /// How often each task ended as done.
     pub(crate) done: RefCell<BTreeMap<TaskName, u32>>,
     /// Tasks that ran twice at a time.
@@ -108,6 +109,7 @@
             lost_commits: Cell::new(0),
             lost_starts: Cell::new(0),
             table_down: Cell::new(false),
+            workers_hidden: Cell::new(false),
             done: RefCell::default(),
             doubled: RefCell::default(),
         })
@@ -361,6 +363,9 @@
 
     async fn worker_changes(&self, _: Revision, _: Duration) -> Result<ChangeSet<WorkerFact>> {
         self.pass_table().await?;
+        if self.fleet.workers_hidden.get() {
+            return Err(Error::PlatformSilent("hidden".to_owned()));
+        }
         let facts = self.fleet.entries.iter().cloned();
         let facts = facts.map(WorkerFact::Present).collect();
         Ok(ChangeSet::Changes(facts, Revision::new(1)))
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -228,6 +228,28 @@
     });
 }
 
+#[test]
+fn a_successor_that_knows_no_workers_takes_no_host_down() {
+    run(async {
+        // Arrange: tasks run on all hosts, and the new controller cannot read the workers.
+        let fleet = fleet();
+        fleet.task_ms.set(60_000);
+        let first = start_entry(&fleet, "boston-1");
+        submit(&first, 8).await;
+        sleep(Duration::from_millis(500)).await;
+        fleet.workers_hidden.set(true);
+        first.cut.set(true);
+        let _second = start_entry(&fleet, "boston-2");
+
+        // Act.
+        fleet.begin_wave(wave_of_four());
+        sleep(Duration::from_millis(3_500)).await;
+
+        // Assert.
+        assert!(fleet.upkeeps.borrow().is_empty());
+    });
+}
+
 #[test]
 fn a_wave_takes_each_host_down_once_through_a_change_of_the_controller() {
     run(async {
