--- a/src/process/file_watch.rs
+++ b/src/process/file_watch.rs
@@ -1,6 +1,7 @@
 //! Notices that a file has changed, with or without a signal.
 
 use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -24,6 +25,11 @@
         }
     }
 
+    /// Returns the file's path.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// Returns what a signal's handler sets to have the file taken for changed.
     pub fn signalled(&self) -> Arc<AtomicBool> {
         Arc::clone(&self.signalled)
