--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -161,6 +161,10 @@
                 .await
                 .is_err()
             {
+                log::warn!(
+                    "event=takeover_failed epoch={} reason=\"the lease was lost before the state was loaded\"",
+                    lease.epoch()
+                );
                 return None;
             }
         }
@@ -187,6 +191,7 @@
 
     /// Loads all jobs and their progress. Returns the revision from which to watch for changes.
     async fn load_jobs(&self, term: &ControllerTerm) -> Revision {
+        let started_ms = boot_ms();
         let (jobs, revision) = self.read_all(JOB_TABLE).await;
         let (progress, _) = self.read_all(PROGRESS_PREFIX).await;
         let progress: BTreeMap<String, Value> = progress
@@ -202,8 +207,9 @@
             apply_job_row(&mut engine, row, progress.get(id));
         }
         let (jobs, open) = (engine.jobs.len(), engine.open_jobs.len());
+        let took_ms = boot_ms().saturating_sub(started_ms);
         log::info!(
-            "event=jobs_loaded epoch={} jobs={jobs} open={open}",
+            "event=jobs_loaded epoch={} jobs={jobs} open={open} took_ms={took_ms}",
             term.epoch
         );
         revision
@@ -211,6 +217,7 @@
 
     async fn read_all(&self, prefix: &str) -> (Vec<TableRow>, Revision) {
         loop {
+            let sent_ms = boot_ms();
             let answer = self
                 .platform
                 .row_changes(prefix, Revision::new(0), Duration::ZERO)
@@ -224,7 +231,12 @@
                     return (rows.collect(), revision);
                 }
                 Ok(ChangeSet::HistoryLost) => {}
-                Err(error) => log::warn!("event=load_retried prefix={prefix} reason=\"{error}\""),
+                Err(error) => {
+                    let took_ms = boot_ms().saturating_sub(sent_ms);
+                    log::warn!(
+                        "event=load_retried prefix={prefix} took_ms={took_ms} reason=\"{error}\""
+                    );
+                }
             }
             sleep(LOAD_RETRY_DELAY).await;
         }
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -138,7 +138,13 @@
     pub async fn pending(&self, queue: &str) -> Option<u64> {
         let key = format!("{QUEUE_PREFIX}{queue}");
         match self.table.read(&[&key]).await {
-            Ok(rows) => Some(rows.first().and_then(|row| row.value.as_u64()).unwrap_or(0)),
+            Ok(rows) => {
+                let row = rows.first();
+                let revision = row.map_or(Revision::new(0), |row| row.revision);
+                let count = row.and_then(|row| row.value.as_u64()).unwrap_or(0);
+                log::info!("event=pending queue={queue} count={count} row_revision={revision}");
+                Some(count)
+            }
             Err(error) => {
                 log::warn!("event=pending_unknown queue={queue} reason=\"{error}\"");
                 None
