Load the state in pages sized for the link, and go on after a failure

Cause: a new holder read all 16 parts of all jobs at once, under the timeout learnt from single rows (down to 150 ms). On 10 Mbit/s no page arrives in that time, each failure dropped all that had been read, and closed the idle connections that renewals use. Work that grows with the state had a limit that does not, and began anew at each try.

Change: StateReader reads page by page and continues behind the last row of each part. PageSizer sizes the pages on their way together for 0.1 s of the link, by the time that an answer takes once it has begun (BodyTime); a table that answers late doesn't shrink them. Pages have connections and a timeout of their own. More than one page travels only where the link carries more than 100 rows a part in that time, since 16 parts one after another would cost 16 answers of a slow table. The feed reads the same way after its history was lost.

Progress is now read before the submissions. Only commits that check the lease write it, so it stands still after the claim, a late commit of an earlier holder included, and each page of jobs is applied as it arrives in the place of all at the end. A cancellation is still applied after all submissions; the revision to watch from is still from before the first part.

What remains: these hosts lose the lease later, when 2,000 starts at once crowd out its renewals.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -36,6 +36,7 @@
 use crate::connection::limited_reader::ReadBudget;
 use crate::connection::limited_reader::ReadRefusal;
 use crate::connection::BodyFraming;
+use crate::connection::BodyTime;
 use crate::connection::MessageLimits;
 
 // TCP keep-alive breaks an idle connection about 8 s after its server became unreachable.
@@ -166,11 +167,14 @@
             ));
         }
         self.budget.start_body();
-        let (parts, payload) = response.into_parts();
+        let body_started = Instant::now();
+        let (mut parts, payload) = response.into_parts();
         let filled = self.decoder.fill_payload();
         let (filled, body) = join(filled, collect_body(payload)).await;
         let body = body.map_err(|error| self.decode_error(&error))?;
         filled.map_err(|error| self.decode_error(&error.to_string()))?;
+        let body_time = BodyTime::new(body_started.elapsed());
+        parts.extensions.insert(body_time);
         Ok(Response::from_parts(parts, body))
     }
 
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to callers, backend servers, peers (other entry hosts) and the platform.
 
 mod adaptive_timeout;
+mod body_time;
 mod caller;
 mod dial;
 pub(crate) mod exchange;
@@ -17,6 +18,7 @@
 mod value_compression;
 
 pub use adaptive_timeout::AdaptiveTimeout;
+pub use body_time::BodyTime;
 pub use caller::accept_connections;
 pub use caller::close_without_response;
 pub use caller::serve_connection;
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -5,12 +5,12 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use monoio::time::sleep;
 use monoio::time::timeout;
-use serde_json::Value;
 
 use crate::id::Revision;
 use crate::process::boot_ms;
@@ -27,7 +27,6 @@
 use crate::workflow::job_key::JOB_TABLE;
 use crate::workflow::manage_hosts;
 use crate::workflow::planner_loop::run_planner;
-use crate::workflow::ChangeSet;
 use crate::workflow::CommandAges;
 use crate::workflow::ControllerTerm;
 use crate::workflow::FleetPlatform;
@@ -36,7 +35,7 @@
 use crate::workflow::JobEngine;
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseMonitor;
-use crate::workflow::TableChange;
+use crate::workflow::StateReader;
 use crate::workflow::COMMANDS_KEY;
 use crate::workflow::LEADER_KEY;
 
@@ -151,19 +150,16 @@
     where
         F: Future<Output = T>,
     {
-        let mut work = Box::pin(work);
+        let epoch = lease.epoch();
+        let mut work = pin!(work);
         loop {
             if let Ok(done) = timeout(RENEWAL_INTERVAL, &mut work).await {
                 return Some(done);
             }
-            if lease
-                .commit(self.platform.as_ref(), Vec::new())
-                .await
-                .is_err()
-            {
+            let renewed = lease.commit(self.platform.as_ref(), Vec::new()).await;
+            if renewed.is_err() {
                 log::warn!(
-                    "event=takeover_failed epoch={} reason=\"the lease was lost before the state was loaded\"",
-                    lease.epoch()
+                    "event=takeover_failed epoch={epoch} reason=\"the lease was lost before the state was loaded\""
                 );
                 return None;
             }
@@ -190,55 +186,39 @@
     }
 
     /// Loads all jobs and their progress. Returns the revision from which to watch for changes.
+    ///
+    /// Progress is written only by commits that check the lease, so it doesn't change while this
+    /// entry host loads. With the progress at hand, jobs are applied as their pages arrive.
     async fn load_jobs(&self, term: &ControllerTerm) -> Revision {
         let started_ms = boot_ms();
-        let (jobs, revision) = self.read_all(JOB_TABLE).await;
-        let (progress, _) = self.read_all(PROGRESS_PREFIX).await;
-        let progress: BTreeMap<String, Value> = progress
-            .into_iter()
-            .map(|row| (row.key[PROGRESS_PREFIX.len()..].to_owned(), row.value))
-            .collect();
-        let mut engine = term.engine.borrow_mut();
+        let mut reader = StateReader::new(self.platform.as_ref());
+        let mut progress = BTreeMap::new();
+        let add_progress = |row: TableRow| {
+            progress.insert(row.key[PROGRESS_PREFIX.len()..].to_owned(), row.value);
+        };
+        reader.read_table(PROGRESS_PREFIX, add_progress).await;
         // A cancellation can only be applied to a known job, so submissions come first.
-        let is_cancel = |row: &&TableRow| parse_job_key(&row.key).is_some_and(|(_, cancel)| cancel);
-        let (cancels, jobs): (Vec<_>, Vec<_>) = jobs.iter().partition(is_cancel);
-        for row in jobs.iter().chain(&cancels) {
-            let id = row.key.rsplit('/').next().unwrap_or_default();
-            apply_job_row(&mut engine, row, progress.get(id));
+        let mut cancels = Vec::new();
+        let add_job = |row: TableRow| match parse_job_key(&row.key) {
+            Some((_, true)) => cancels.push(row),
+            _ => {
+                let id = row.key.rsplit('/').next().unwrap_or_default();
+                let progress = progress.remove(id);
+                apply_job_row(&mut term.engine.borrow_mut(), &row, progress.as_ref());
+            }
+        };
+        let revision = reader.read_table(JOB_TABLE, add_job).await;
+        let mut engine = term.engine.borrow_mut();
+        for row in &cancels {
+            apply_job_row(&mut engine, row, None);
         }
         let (jobs, open) = (engine.jobs.len(), engine.open_jobs.len());
         let took_ms = boot_ms().saturating_sub(started_ms);
         log::info!(
-            "event=jobs_loaded epoch={} jobs={jobs} open={open} took_ms={took_ms}",
-            term.epoch
+            "event=jobs_loaded epoch={} jobs={jobs} open={open} {} took_ms={took_ms}",
+            term.epoch,
+            reader.totals()
         );
         revision
     }
-
-    async fn read_all(&self, prefix: &str) -> (Vec<TableRow>, Revision) {
-        loop {
-            let sent_ms = boot_ms();
-            let answer = self
-                .platform
-                .row_changes(prefix, Revision::new(0), Duration::ZERO)
-                .await;
-            match answer {
-                Ok(ChangeSet::Changes(changes, revision)) => {
-                    let rows = changes.into_iter().filter_map(|change| match change {
-                        TableChange::Written(row) => Some(row),
-                        TableChange::Deleted(_) => None,
-                    });
-                    return (rows.collect(), revision);
-                }
-                Ok(ChangeSet::HistoryLost) => {}
-                Err(error) => {
-                    let took_ms = boot_ms().saturating_sub(sent_ms);
-                    log::warn!(
-                        "event=load_retried prefix={prefix} took_ms={took_ms} reason=\"{error}\""
-                    );
-                }
-            }
-            sleep(LOAD_RETRY_DELAY).await;
-        }
-    }
 }
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -21,6 +21,7 @@
 use crate::workflow::FleetPlatform;
 use crate::workflow::JobEngine;
 use crate::workflow::JobSpec;
+use crate::workflow::StateReader;
 use crate::workflow::TableChange;
 use crate::workflow::WorkerChange;
 
@@ -66,6 +67,14 @@
 ) {
     let mut wait = FeedWait::new();
     while term.is_active() {
+        if since == Revision::new(0) {
+            let add_job = |row: TableRow| {
+                apply_job_row(&mut term.engine.borrow_mut(), &row, None);
+            };
+            let mut reader = StateReader::new(platform.as_ref());
+            since = reader.read_table(JOB_TABLE, add_job).await;
+            term.plan.notify_one();
+        }
         let changes = platform.row_changes(JOB_TABLE, since, wait.get()).await;
         wait.record_answer(changes.is_ok());
         let Some((changes, revision)) = accept_changes("jobs", changes, &mut since) else {
--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -182,6 +182,34 @@
     }
 }
 
+/// A page of a part of a table.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RowPage {
+    /// Rows in the order of their keys.
+    pub rows: Vec<TableRow>,
+    /// Key after which the next page begins; `None` if the part has no more rows.
+    pub next: Option<String>,
+    /// Size of the answer, in bytes.
+    pub bytes: usize,
+    /// Time that the answer took to arrive once it began, and to be decoded.
+    pub transfer_time: Duration,
+}
+
+/// Reads tables that are too large for one answer.
+pub trait PageSource {
+    /// Lists the key prefixes of the parts of the table at `prefix`. Also returns a revision from
+    /// before the list was read.
+    fn part_prefixes(&self, prefix: &str) -> impl Future<Output = Result<(Vec<String>, Revision)>>;
+
+    /// Reads up to `limit` rows of a part after the key `after`, which is empty for the first page.
+    fn read_page(
+        &self,
+        part: &str,
+        after: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<RowPage>>;
+}
+
 /// Sends commands to workers.
 pub trait WorkerGateway {
     /// Starts a run of a task.
@@ -307,6 +335,12 @@
 }
 
 /// All platform interfaces that the controller needs.
-pub trait FleetPlatform: ChangeFeed + HostGateway + TableService + WorkerGateway + 'static {}
+pub trait FleetPlatform:
+    ChangeFeed + HostGateway + PageSource + TableService + WorkerGateway + 'static
+{
+}
 
-impl<P: ChangeFeed + HostGateway + TableService + WorkerGateway + 'static> FleetPlatform for P {}
+impl<P> FleetPlatform for P where
+    P: ChangeFeed + HostGateway + PageSource + TableService + WorkerGateway + 'static
+{
+}
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -36,7 +36,9 @@
 use zincpier::workflow::HostState;
 use zincpier::workflow::LeaseRenewal;
 use zincpier::workflow::OperatorChange;
+use zincpier::workflow::PageSource;
 use zincpier::workflow::RenewalOutcome;
+use zincpier::workflow::RowPage;
 use zincpier::workflow::RunningTask;
 use zincpier::workflow::StartCommand;
 use zincpier::workflow::TableChange;
@@ -409,6 +411,33 @@
     }
 }
 
+impl PageSource for FakeLink {
+    async fn part_prefixes(&self, prefix: &str) -> Result<(Vec<String>, Revision)> {
+        self.reach_table().await?;
+        let rows = self.fleet.rows.borrow();
+        let keys = rows.keys().filter(|key| key.starts_with(prefix));
+        let mut parts: Vec<_> = keys
+            .map(|key| key[..=key.find('/').unwrap()].to_owned())
+            .collect();
+        parts.dedup();
+        Ok((parts, Revision::new(self.fleet.revision.get())))
+    }
+
+    async fn read_page(&self, part: &str, after: &str, limit: usize) -> Result<RowPage> {
+        self.reach_table().await?;
+        let rows = self.fleet.rows.borrow();
+        let in_part = rows.values().filter(|row| row.key.starts_with(part));
+        let mut rest = in_part.filter(|row| row.key.as_str() > after).cloned();
+        let rows: Vec<_> = rest.by_ref().take(limit).collect();
+        let last_key = rows.last().map(|row| row.key.clone());
+        Ok(RowPage {
+            next: last_key.filter(|_| rest.next().is_some()),
+            rows,
+            ..RowPage::default()
+        })
+    }
+}
+
 impl WorkerGateway for FakeLink {
     async fn start_task(&self, worker: &WorkerEntry, command: &StartCommand) -> CommandOutcome {
         self.cross_network().await;
