Show that renewals of the lease hold up a takeover

The limit is 2.8 s: claim and worker list as well as the pages. On the platform the pages' time runs on meanwhile, so that they may also come too late.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -90,10 +90,18 @@
     pub(crate) lost_commits: Cell<u32>,
     /// Number of upcoming start commands that are executed but whose answers are lost.
     pub(crate) lost_starts: Cell<u32>,
+    /// Time that the table takes for a transaction, besides the network.
+    pub(crate) commit_time: Cell<Duration>,
+    /// Time that the table takes for a page of rows, besides the network.
+    pub(crate) page_time: Cell<Duration>,
+    /// Max rows of a page.
+    pub(crate) max_page_rows: Cell<usize>,
     /// The table refuses all calls.
     pub(crate) table_down: Cell<bool>,
     /// The list of workers cannot be read.
     pub(crate) workers_hidden: Cell<bool>,
+    /// Number of renewals of workers' leases.
+    pub(crate) renewals: Cell<u32>,
     /// Number of times that each task completed.
     pub(crate) done_counts: RefCell<BTreeMap<TaskName, u32>>,
     /// Tasks that were started while they ran on another worker.
@@ -119,8 +127,12 @@
             task_ms: Cell::new(100),
             lost_commits: Cell::new(0),
             lost_starts: Cell::new(0),
+            commit_time: Cell::new(Duration::ZERO),
+            page_time: Cell::new(Duration::ZERO),
+            max_page_rows: Cell::new(500),
             table_down: Cell::new(false),
             workers_hidden: Cell::new(false),
+            renewals: Cell::new(0),
             done_counts: RefCell::default(),
             concurrent_tasks: RefCell::default(),
         })
@@ -318,6 +330,7 @@
 impl TableService for FakeLink {
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
         self.reach_table().await?;
+        sleep(self.fleet.commit_time.get()).await;
         let outcome = self.fleet.commit(transaction);
         let lost = self.fleet.lost_commits.get();
         if lost > 0 {
@@ -425,6 +438,8 @@
 
     async fn read_page(&self, part: &str, after: &str, limit: usize) -> Result<RowPage> {
         self.reach_table().await?;
+        sleep(self.fleet.page_time.get()).await;
+        let limit = limit.min(self.fleet.max_page_rows.get());
         let rows = self.fleet.rows.borrow();
         let in_part = rows.values().filter(|row| row.key.starts_with(part));
         let mut rest = in_part.filter(|row| row.key.as_str() > after).cloned();
@@ -433,6 +448,7 @@
         Ok(RowPage {
             next: last_key.filter(|_| rest.next().is_some()),
             rows,
+            transfer_time: self.fleet.page_time.get(),
             ..RowPage::default()
         })
     }
@@ -480,6 +496,7 @@
 
     async fn renew_lease(&self, entry: &WorkerEntry, renewal: &LeaseRenewal) -> RenewalOutcome {
         self.cross_network().await;
+        self.fleet.renewals.set(self.fleet.renewals.get() + 1);
         let deadline = Instant::now() + renewal.wait;
         loop {
             let timed_out = Instant::now() >= deadline;
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -145,6 +145,33 @@
     });
 }
 
+/// A load that waits while the lease is renewed takes several times as long on a slow table, and
+/// its answers come too late when they are read only after the renewal.
+#[test]
+fn renewals_on_a_slow_table_do_not_hold_up_a_takeover() {
+    run(async {
+        // Arrange: 32 pages of 40 ms, which take 1.3 s one after another.
+        let fleet = fleet();
+        let link = FakeLink::new(&fleet);
+        submit(&link, 48).await;
+        fleet.max_page_rows.set(2);
+        fleet.page_time.set(Duration::from_millis(40));
+        fleet.commit_time.set(Duration::from_millis(400));
+
+        // Act.
+        let started = Instant::now();
+        start_entry(&fleet, "boston-1");
+        let deadline = started + TIMEOUT;
+        while fleet.renewals.get() == 0 && Instant::now() < deadline {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let elapsed = started.elapsed();
+
+        // Assert: the first contact with workers comes after the load.
+        assert!(elapsed < Duration::from_millis(2_800), "{elapsed:?}");
+    });
+}
+
 #[test]
 fn commits_with_lost_answers_take_effect_once() {
     run(async {
