Read on while the lease is renewed during a takeover

What callers saw: takeovers take longer than the state needs, the more so the slower the table.

Cause: while_renewing awaited each renewal by itself, and nothing read the pages that arrived meanwhile, while their timeout ran on.

Change: the renewal and the load go on together. If the load ends first, the renewal is still settled: dropped, it could have taken effect unseen, and the next commit would take the row for another holder's.

Evidence: renewals_on_a_slow_table_do_not_hold_up_a_takeover took 3.42 s before (limit 2.8 s) and takes 1.84 s; the rest of controller_sessions passes.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::select;
+use futures::future::Either;
 use monoio::time::sleep;
 use monoio::time::timeout;
 
@@ -156,13 +158,21 @@
             if let Ok(done) = timeout(RENEWAL_INTERVAL, &mut work).await {
                 return Some(done);
             }
-            let renewed = lease.commit(self.platform.as_ref(), Vec::new()).await;
+            let renewal = pin!(lease.commit(self.platform.as_ref(), Vec::new()));
+            let (renewed, done) = match select(renewal, &mut work).await {
+                Either::Left((renewed, _)) => (renewed, None),
+                // A renewal that was sent has to be settled, or the next commit would fail.
+                Either::Right((done, renewal)) => (renewal.await, Some(done)),
+            };
             if renewed.is_err() {
                 log::warn!(
                     "event=takeover_failed epoch={epoch} reason=\"the lease was lost before the state was loaded\""
                 );
                 return None;
             }
+            if done.is_some() {
+                return done;
+            }
         }
     }
 
