Show that all starts of a commit are sent at once

600 tasks of a job with a payload of 2 KB fit onto the workers: 1,200,000 bytes of start commands are on their way at the same time, where a link of 10 Mbit/s carries 125,000 in a tenth of a second.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -102,6 +102,10 @@
     pub(crate) workers_hidden: Cell<bool>,
     /// Number of renewals of workers' leases.
     pub(crate) renewals: Cell<u32>,
+    /// Start commands that are on their way now.
+    starts_in_flight: Cell<usize>,
+    /// Most start commands that were on their way at the same time.
+    pub(crate) most_starts_in_flight: Cell<usize>,
     /// Number of times that each task completed.
     pub(crate) done_counts: RefCell<BTreeMap<TaskName, u32>>,
     /// Tasks that were started while they ran on another worker.
@@ -133,6 +137,8 @@
             table_down: Cell::new(false),
             workers_hidden: Cell::new(false),
             renewals: Cell::new(0),
+            starts_in_flight: Cell::new(0),
+            most_starts_in_flight: Cell::new(0),
             done_counts: RefCell::default(),
             concurrent_tasks: RefCell::default(),
         })
@@ -456,7 +462,13 @@
 
 impl WorkerGateway for FakeLink {
     async fn start_task(&self, worker: &WorkerEntry, command: &StartCommand) -> CommandOutcome {
+        let in_flight = self.fleet.starts_in_flight.get() + 1;
+        self.fleet.starts_in_flight.set(in_flight);
+        let most = self.fleet.most_starts_in_flight.get();
+        self.fleet.most_starts_in_flight.set(most.max(in_flight));
         self.cross_network().await;
+        let in_flight = self.fleet.starts_in_flight.get();
+        self.fleet.starts_in_flight.set(in_flight - 1);
         let outcome = self.fleet.start(&worker.id, command);
         let lost = self.fleet.lost_starts.get();
         if lost > 0 {
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -172,6 +172,42 @@
     });
 }
 
+/// Starts that are all sent at once fill a slow link for seconds, in which neither they nor the
+/// renewals of the lease are answered in time: the lease is lost soon after a takeover.
+#[test]
+fn burst_of_starts_leaves_room_for_renewals_of_the_lease() {
+    run(async {
+        // Arrange: 600 tasks that fit at once, with a payload of 2 KB each.
+        let payload_bytes = 2_000;
+        let fleet = fleet();
+        let link = FakeLink::new(&fleet);
+        let mut step = fixtures::step(600);
+        step.demand.cpu_millis = 10;
+        step.demand.memory_mb = 1;
+        let spec = JobSpec {
+            queue: fixtures::QUEUE.to_owned(),
+            payload: "x".repeat(payload_bytes),
+            steps: vec![step],
+            schedule: None,
+        };
+        let intake = JobIntake::new(Rc::clone(&link));
+        let deadline = Instant::now() + TIMEOUT;
+        intake.submit(&job_id(0), &spec, deadline).await;
+
+        // Act.
+        start_entry(&fleet, "boston-1");
+        wait_until_complete(&link, 1).await;
+
+        // Assert: a link of 10 Mbit/s carries 125 KB in a tenth of a second.
+        let most_bytes = fleet.most_starts_in_flight.get() * payload_bytes;
+        assert!(
+            most_bytes <= 125_000,
+            "{most_bytes} bytes of starts at once"
+        );
+        assert_eq!(fleet.done_counts.borrow().len(), 600);
+    });
+}
+
 #[test]
 fn commits_with_lost_answers_take_effect_once() {
     run(async {
