--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -145,6 +145,69 @@
     });
 }
 
+/// A load that waits while the lease is renewed takes several times as long on a slow table, and
+/// its answers come too late when they are read only after the renewal.
+#[test]
+fn renewals_on_a_slow_table_do_not_hold_up_a_takeover() {
+    run(async {
+        // Arrange: 32 pages of 40 ms, which take 1.3 s one after another.
+        let fleet = fleet();
+        let link = FakeLink::new(&fleet);
+        submit(&link, 48).await;
+        fleet.max_page_rows.set(2);
+        fleet.page_time.set(Duration::from_millis(40));
+        fleet.commit_time.set(Duration::from_millis(400));
+
+        // Act.
+        let started = Instant::now();
+        start_entry(&fleet, "boston-1");
+        let deadline = started + TIMEOUT;
+        while fleet.renewals.get() == 0 && Instant::now() < deadline {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let elapsed = started.elapsed();
+
+        // Assert: the first contact with workers comes after the load.
+        assert!(elapsed < Duration::from_millis(2_800), "{elapsed:?}");
+    });
+}
+
+/// Starts that are all sent at once fill a slow link for seconds, in which neither they nor the
+/// renewals of the lease are answered in time: the lease is lost soon after a takeover.
+#[test]
+fn burst_of_starts_leaves_room_for_renewals_of_the_lease() {
+    run(async {
+        // Arrange: 600 tasks that fit at once, with a payload of 2 KB each.
+        let payload_bytes = 2_000;
+        let fleet = fleet();
+        let link = FakeLink::new(&fleet);
+        let mut step = fixtures::step(600);
+        step.demand.cpu_millis = 10;
+        step.demand.memory_mb = 1;
+        let spec = JobSpec {
+            queue: fixtures::QUEUE.to_owned(),
+            payload: "x".repeat(payload_bytes),
+            steps: vec![step],
+            schedule: None,
+        };
+        let intake = JobIntake::new(Rc::clone(&link));
+        let deadline = Instant::now() + TIMEOUT;
+        intake.submit(&job_id(0), &spec, deadline).await;
+
+        // Act.
+        start_entry(&fleet, "boston-1");
+        wait_until_complete(&link, 1).await;
+
+        // Assert: a link of 10 Mbit/s carries 125 KB in a tenth of a second.
+        let most_bytes = fleet.most_starts_in_flight.get() * payload_bytes;
+        assert!(
+            most_bytes <= 125_000,
+            "{most_bytes} bytes of starts at once"
+        );
+        assert_eq!(fleet.done_counts.borrow().len(), 600);
+    });
+}
+
 #[test]
 fn commits_with_lost_answers_take_effect_once() {
     run(async {
