Refuse counts of waiting jobs whose age is unknown or over 2 s

JobIntake::pending gave the row of the queue as current, whenever the last controller had written it, and took a missing or unreadable row for 0. While no controller works, submissions are still accepted, so the row says less and less.

Each commit now states in the leader row the age of the published counts and the revision of the holder's claim. The age runs from the last answer of the feed of submissions and is only stated by the commit that completes the counts. Each entry host reads the row for the lease anyway; a changed row was written after the previous read was sent, which bounds the age by its own clock without more calls. A row without the statement leaves the known counts to age. A row from before the holder's claim counts as 0, since the holder publishes all queues with waiting jobs; an unreadable row is unknown. A queue that the holder no longer counts gets a row of 0. Rows of earlier versions decode as unknown.

To stay below the bound in normal operation, jobs are counted every 250 ms instead of 800 ms, in commits that are made anyway, and the feed of submissions waits 300 ms instead of 1 s: about two more calls a second, by the controller alone and only while nothing is submitted.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -19,9 +19,11 @@
 use crate::workflow::send_start;
 use crate::workflow::CommitEffect;
 use crate::workflow::ControllerTerm;
+use crate::workflow::CountFreshness;
 use crate::workflow::FleetPlatform;
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseLost;
+use crate::workflow::PublishedCounts;
 use crate::workflow::COMMANDS_KEY;
 
 /// Key prefix of the progress rows, one for each job.
@@ -49,28 +51,38 @@
 /// Max jobs removed in one pass; more than the number of jobs added between two passes.
 const MAX_SWEEP_JOBS: usize = 400;
 
-/// Max age of the published counts of pending jobs. Callers accept counts up to 2 s old.
-const MAX_PENDING_AGE_MS: u64 = 800;
+/// Min time between counts of the pending jobs, a part of [`crate::workflow::MAX_COUNT_AGE_MS`].
+/// It is below the renewal interval, so that each renewal without changes states new counts.
+const COUNT_INTERVAL_MS: u64 = 250;
 
 /// Commits the changes of one term of the controller.
 pub(crate) struct Committer<P> {
     platform: Rc<P>,
     term: Rc<ControllerTerm>,
+    freshness: Rc<CountFreshness>,
     /// Pending jobs per queue, as last written.
     published_counts: BTreeMap<String, u64>,
-    /// When the counts were last checked for changes, in ms.
-    published_ms: u64,
+    /// When the pending jobs were last counted, in ms.
+    count_ms: u64,
+    /// Time up to which the published counts contain all submissions, in ms, once there are any.
+    counted_ms: Option<u64>,
     /// The last written row of command ages was empty, so it need not be written again.
     published_no_commands: bool,
 }
 
 impl<P: FleetPlatform> Committer<P> {
-    pub(crate) fn new(platform: Rc<P>, term: Rc<ControllerTerm>) -> Self {
+    pub(crate) fn new(
+        platform: Rc<P>,
+        term: Rc<ControllerTerm>,
+        freshness: Rc<CountFreshness>,
+    ) -> Self {
         Self {
             platform,
             term,
+            freshness,
             published_counts: BTreeMap::new(),
-            published_ms: 0,
+            count_ms: 0,
+            counted_ms: None,
             published_no_commands: false,
         }
     }
@@ -104,12 +116,13 @@
         let mut parts = split_writes(writes);
         let last = parts.pop().unwrap_or_default();
         for writes in parts {
-            if let Err(lost) = lease.commit(self.platform.as_ref(), writes).await {
+            if let Err(lost) = self.commit_part(lease, writes).await {
                 self.term.record_lease_loss(lost);
                 return;
             }
         }
-        lease.release(self.platform.as_ref(), last).await;
+        let platform = self.platform.as_ref();
+        lease.release(platform, last, self.counted_ms).await;
     }
 
     /// Merges the queued rows into `writes`. Also returns the senders to notify after the
@@ -134,11 +147,16 @@
         let row = |(id, value)| row_write(format!("{PROGRESS_PREFIX}{id}"), value);
         let writes = rows.into_iter().map(row).chain(self.command_row());
         let (mut writes, senders) = self.merge_queued_rows(writes.collect());
-        writes.extend(self.changed_counts());
-        for writes in split_writes(writes) {
-            lease.commit(self.platform.as_ref(), writes).await?;
-            self.term.record_confirmed(lease.confirmed_ms());
+        let (counts, counted_ms) = self.changed_counts();
+        writes.extend(counts);
+        let mut parts = split_writes(writes);
+        let last = parts.pop().unwrap_or_default();
+        for writes in parts {
+            self.commit_part(lease, writes).await?;
         }
+        // Only the last part completes the counts.
+        self.counted_ms = counted_ms;
+        self.commit_part(lease, last).await?;
         self.apply_effects(effects);
         for done in senders {
             // The receiver may have timed out and been dropped.
@@ -147,6 +165,25 @@
         Ok(())
     }
 
+    /// Commits rows together with the age of the published counts.
+    async fn commit_part(
+        &self,
+        lease: &mut LeaderLease,
+        writes: Vec<RowWrite>,
+    ) -> Result<(), LeaseLost> {
+        let platform = self.platform.as_ref();
+        lease.commit(platform, writes, self.counted_ms).await?;
+        self.term.record_confirmed(lease.confirmed_ms());
+        if let Some(counted_ms) = self.counted_ms {
+            self.freshness.record_commit(PublishedCounts {
+                counted_ms,
+                epoch: lease.epoch(),
+                claimed: lease.claimed(),
+            });
+        }
+        Ok(())
+    }
+
     /// Returns the row with the ages of the latest commands to hosts while there are any. An
     /// empty row is written once when the last one has expired.
     fn command_row(&mut self) -> Option<RowWrite> {
@@ -158,14 +195,19 @@
         Some(row_write(COMMANDS_KEY.to_owned(), json!(ages)))
     }
 
-    /// Returns the changed counts of pending jobs, at most once per [`MAX_PENDING_AGE_MS`].
-    fn changed_counts(&mut self) -> Vec<RowWrite> {
+    /// Counts the pending jobs, at most once per [`COUNT_INTERVAL_MS`]. Returns the rows of changed
+    /// counts, and the time in ms up to which all counts contain all submissions.
+    fn changed_counts(&mut self) -> (Vec<RowWrite>, Option<u64>) {
         let now_ms = boot_ms();
-        if now_ms <= self.published_ms + MAX_PENDING_AGE_MS {
-            return Vec::new();
+        if now_ms < self.count_ms + COUNT_INTERVAL_MS {
+            return (Vec::new(), self.counted_ms);
+        }
+        self.count_ms = now_ms;
+        let mut counts = self.term.engine.borrow().pending_counts();
+        // A queue that is no longer counted keeps its row, which must not keep its last count.
+        for queue in self.published_counts.keys() {
+            counts.entry(queue.clone()).or_insert(0);
         }
-        self.published_ms = now_ms;
-        let counts = self.term.engine.borrow().pending_counts();
         let changed = counts
             .iter()
             .filter(|(queue, count)| self.published_counts.get(*queue) != Some(count));
@@ -173,7 +215,7 @@
             .map(|(queue, count)| row_write(format!("{QUEUE_PREFIX}{queue}"), json!(count)))
             .collect();
         self.published_counts = counts;
-        writes
+        (writes, Some(self.term.submissions_ms()))
     }
 
     /// Applies effects whose rows are committed.
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -30,6 +30,7 @@
 use crate::workflow::ChangeSet;
 use crate::workflow::CommandAges;
 use crate::workflow::ControllerTerm;
+use crate::workflow::CountFreshness;
 use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
 use crate::workflow::HostCommands;
@@ -56,17 +57,19 @@
     view: Rc<FleetView>,
     name: String,
     metrics: Rc<EntryMetrics>,
+    counts: Rc<CountFreshness>,
     shutdown: ShutdownSignal,
 }
 
 impl<P: FleetPlatform> Controller<P> {
     /// Creates the controller of the entry host `name`, which is the holder's name in the leader
-    /// row.
+    /// row. It keeps `counts` current.
     pub fn new(
         platform: Rc<P>,
         view: Rc<FleetView>,
         name: String,
         metrics: Rc<EntryMetrics>,
+        counts: Rc<CountFreshness>,
         shutdown: ShutdownSignal,
     ) -> Self {
         Self {
@@ -74,6 +77,7 @@
             view,
             name,
             metrics,
+            counts,
             shutdown,
         }
     }
@@ -85,6 +89,7 @@
             let sent_ms = boot_ms();
             match self.platform.read(&[LEADER_KEY]).await {
                 Ok(rows) => {
+                    self.counts.record_read(rows.first(), sent_ms);
                     let read_ms = boot_ms().saturating_sub(sent_ms);
                     if monitor.may_claim(rows.first(), &self.name, read_ms, boot_ms()) {
                         self.claim(rows.first()).await;
@@ -141,7 +146,11 @@
             Rc::clone(&self.view),
         ));
         monoio::spawn(sweep_jobs(Rc::clone(&self.platform), Rc::clone(&term)));
-        let mut committer = Committer::new(Rc::clone(&self.platform), Rc::clone(&term));
+        let mut committer = Committer::new(
+            Rc::clone(&self.platform),
+            Rc::clone(&term),
+            Rc::clone(&self.counts),
+        );
         committer.run(&mut lease, &self.shutdown).await;
         term.end("committer stopped");
     }
@@ -157,7 +166,7 @@
                 return Some(done);
             }
             if lease
-                .commit(self.platform.as_ref(), Vec::new())
+                .commit(self.platform.as_ref(), Vec::new(), None)
                 .await
                 .is_err()
             {
@@ -198,6 +207,7 @@
             .into_iter()
             .map(|row| (row.key[PROGRESS_PREFIX.len()..].to_owned(), row.value))
             .collect();
+        term.record_submissions(started_ms);
         let mut engine = term.engine.borrow_mut();
         // A cancellation can only be applied to a known job, so submissions come first.
         let is_cancel = |row: &&TableRow| parse_job_key(&row.key).is_some_and(|(_, cancel)| cancel);
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -50,6 +50,8 @@
     has_worker_list: Cell<bool>,
     /// When the lease was last confirmed, in ms.
     confirmed_ms: Cell<u64>,
+    /// Time up to which all submissions are known, in ms.
+    submissions_ms: Cell<u64>,
     /// Notifiers of the loops that maintain the workers' leases.
     worker_notifiers: RefCell<HashMap<WorkerId, Rc<Notify>>>,
     queued_rows: RefCell<Vec<QueuedRow>>,
@@ -82,6 +84,7 @@
             ended: Cell::new(false),
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
+            submissions_ms: Cell::new(0),
             worker_notifiers: RefCell::default(),
             queued_rows: RefCell::default(),
         })
@@ -107,6 +110,16 @@
         self.confirmed_ms.set(confirmed_ms);
     }
 
+    /// Records that all submissions stored at `time_ms` are known.
+    pub fn record_submissions(&self, time_ms: u64) {
+        self.submissions_ms.set(time_ms);
+    }
+
+    /// Returns the time up to which all submissions are known, in ms.
+    pub fn submissions_ms(&self) -> u64 {
+        self.submissions_ms.get()
+    }
+
     /// Records that the list of workers has been read.
     pub fn record_worker_list(&self) {
         self.has_worker_list.set(true);
--- a/src/workflow/feed_wait.rs
+++ b/src/workflow/feed_wait.rs
@@ -17,12 +17,18 @@
 #[derive(Debug)]
 pub struct FeedWait {
     wait: Duration,
+    max: Duration,
 }
 
 impl FeedWait {
     /// Starts with the longest wait, as for a feed that answers.
     pub fn new() -> Self {
-        Self { wait: MAX_WAIT }
+        Self::with_max(MAX_WAIT)
+    }
+
+    /// Like [`FeedWait::new`], for a feed whose polls may wait for `max`.
+    pub fn with_max(max: Duration) -> Self {
+        Self { wait: max, max }
     }
 
     /// Returns the time for which the next poll may wait for changes.
@@ -33,7 +39,7 @@
     /// Records whether the feed answered its last poll.
     pub fn record_answer(&mut self, answered: bool) {
         self.wait = match answered {
-            true => (self.wait * 2).min(MAX_WAIT),
+            true => (self.wait * 2).min(self.max),
             false => MIN_WAIT,
         };
     }
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -27,6 +27,11 @@
 /// Delay after a failed poll of a feed: a few round trips to the table.
 const FEED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Max wait of a poll for submissions. Until it is answered, it is not known whether there are
+/// more; the wait is part of the age of the counts of pending jobs. Two more calls a second than
+/// with the wait of other feeds, by the controller alone and only while nothing is submitted.
+const SUBMISSION_WAIT: Duration = Duration::from_millis(300);
+
 /// Min time between polls of the list of workers, because each worker's heartbeat changes
 /// it.
 const WORKER_POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -64,9 +69,11 @@
     term: Rc<ControllerTerm>,
     mut since: Revision,
 ) {
-    let mut wait = FeedWait::new();
+    let mut wait = FeedWait::with_max(SUBMISSION_WAIT);
     while term.is_active() {
-        let changes = platform.row_changes(JOB_TABLE, since, wait.get()).await;
+        let sent_ms = boot_ms();
+        let poll_wait = wait.get();
+        let changes = platform.row_changes(JOB_TABLE, since, poll_wait).await;
         wait.record_answer(changes.is_ok());
         let Some((changes, revision)) = accept_changes("jobs", changes, &mut since) else {
             sleep(FEED_RETRY_DELAY).await;
@@ -79,12 +86,24 @@
                 apply_job_row(&mut engine, row, None);
             }
         }
+        let known_ms = known_until_ms(sent_ms, poll_wait, changes.is_empty());
+        term.record_submissions(known_ms);
         if !changes.is_empty() {
             term.plan.notify_one();
         }
     }
 }
 
+/// Returns the time up to which all changes are known after the answer to a poll, in ms. The table
+/// answers without changes once the wait has passed; otherwise it may have answered at once.
+fn known_until_ms(sent_ms: u64, wait: Duration, is_empty: bool) -> u64 {
+    let waited_ms = sent_ms + wait.as_millis() as u64;
+    match is_empty && boot_ms() >= waited_ms {
+        true => waited_ms,
+        false => sent_ms,
+    }
+}
+
 /// Watches the list of workers until the term ends, and starts to maintain the lease of each new
 /// worker.
 pub(crate) async fn watch_workers<P: FleetPlatform>(platform: Rc<P>, term: Rc<ControllerTerm>) {
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -11,6 +11,7 @@
 use crate::error::Error;
 use crate::id::JobId;
 use crate::id::Revision;
+use crate::process::boot_ms;
 use crate::provider::TableService;
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
@@ -18,6 +19,7 @@
 use crate::workflow::committer::PROGRESS_PREFIX;
 use crate::workflow::committer::QUEUE_PREFIX;
 use crate::workflow::job_key;
+use crate::workflow::CountFreshness;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 
@@ -64,15 +66,25 @@
     Unknown,
 }
 
+/// Outcome of a request for the number of a queue's pending jobs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PendingOutcome {
+    /// So many jobs wait, as of at most [`crate::workflow::MAX_COUNT_AGE_MS`] ago.
+    Known(u64),
+    /// Nobody has counted lately, or the count could not be read.
+    Unknown,
+}
+
 /// Stores jobs and cancellations in the table and looks up their phase.
 pub struct JobIntake<T> {
     table: Rc<T>,
+    counts: Rc<CountFreshness>,
 }
 
 impl<T: TableService> JobIntake<T> {
-    /// Creates an intake that stores jobs in `table`.
-    pub fn new(table: Rc<T>) -> Self {
-        Self { table }
+    /// Creates an intake that stores jobs in `table` and gives counts that are fresh by `counts`.
+    pub fn new(table: Rc<T>, counts: Rc<CountFreshness>) -> Self {
+        Self { table, counts }
     }
 
     /// Stores a job unless it is already stored. Retries until `deadline`.
@@ -133,23 +145,44 @@
         }
     }
 
-    /// Returns the number of a queue's jobs of which no task has started, or `None` if the table
-    /// refused or did not answer.
-    pub async fn pending(&self, queue: &str) -> Option<u64> {
+    /// Returns the number of a queue's jobs of which no task has started, unless the published
+    /// counts are too old.
+    pub async fn pending(&self, queue: &str) -> PendingOutcome {
+        // Taken before the row is read: the row is then at least as recent as these counts.
+        let Some(counts) = self.counts.published() else {
+            log::warn!("event=pending queue={queue} outcome=Unknown reason=\"never counted\"");
+            return PendingOutcome::Unknown;
+        };
+        let unknown = |reason: &str| {
+            log::warn!(
+                "event=pending queue={queue} outcome=Unknown age_ms={} epoch={} reason={reason:?}",
+                counts.age_ms(boot_ms()),
+                counts.epoch
+            );
+            PendingOutcome::Unknown
+        };
+        if !counts.is_fresh(boot_ms()) {
+            return unknown("the counts are too old");
+        }
         let key = format!("{QUEUE_PREFIX}{queue}");
-        match self.table.read(&[&key]).await {
-            Ok(rows) => {
-                let row = rows.first();
-                let revision = row.map_or(Revision::new(0), |row| row.revision);
-                let count = row.and_then(|row| row.value.as_u64()).unwrap_or(0);
-                log::info!("event=pending queue={queue} count={count} row_revision={revision}");
-                Some(count)
-            }
-            Err(error) => {
-                log::warn!("event=pending_unknown queue={queue} reason=\"{error}\"");
-                None
-            }
+        let rows = match self.table.read(&[&key]).await {
+            Ok(rows) => rows,
+            Err(error) => return unknown(&error.to_string()),
+        };
+        let now_ms = boot_ms();
+        if !counts.is_fresh(now_ms) {
+            return unknown("the counts became too old during the read");
         }
+        let Some(count) = counts.count(rows.first()) else {
+            return unknown("the count cannot be decoded");
+        };
+        let row_revision = rows.first().map_or(Revision::new(0), |row| row.revision);
+        log::info!(
+            "event=pending queue={queue} outcome=Known count={count} age_ms={} epoch={} row_revision={row_revision}",
+            counts.age_ms(now_ms),
+            counts.epoch
+        );
+        PendingOutcome::Known(count)
     }
 
     async fn is_stored(&self, id: &JobId) -> Option<bool> {
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -15,6 +15,7 @@
 use crate::provider::TableService;
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
+use crate::workflow::CountStamp;
 use crate::workflow::INHERITED_RUN_MS;
 use crate::workflow::RELEASED_RUN_MS;
 
@@ -41,9 +42,19 @@
     /// Time for which runs started by the holder's predecessors may continue unobserved, in ms.
     #[serde(default)]
     pub inherited_ms: u64,
+    /// Describes the published counts of pending jobs; none before the holder has counted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub counts: Option<CountStamp>,
 }
 
 impl LeaderRecord {
+    /// Returns whether both records were written by the same commit. Its attempts differ in the
+    /// age of the counts.
+    fn is_same_commit(&self, other: &Self) -> bool {
+        let key = |record: &Self| (record.epoch, record.holder.clone(), record.commit);
+        key(self) == key(other)
+    }
+
     /// Returns the time for which runs of this holder and earlier ones may continue unobserved
     /// after the end of this holder's term, in ms.
     fn unobserved_ms(&self) -> u64 {
@@ -62,6 +73,8 @@
 pub struct LeaderLease {
     record: LeaderRecord,
     revision: Revision,
+    /// The revision of the claim.
+    claimed: Revision,
     confirmed_ms: u64,
 }
 
@@ -84,11 +97,13 @@
             commit: 0,
             released: false,
             inherited_ms: previous.unobserved_ms(),
+            counts: None,
         };
         let revision = current.map_or(Revision::new(0), |row| row.revision);
         let mut lease = Self {
             record,
             revision,
+            claimed: Revision::new(0),
             confirmed_ms: boot_ms(),
         };
         let sent_ms = boot_ms();
@@ -96,6 +111,7 @@
         match table.transact(&transaction).await {
             Ok(TransactionOutcome::Committed(revision)) => {
                 lease.revision = revision;
+                lease.claimed = revision;
                 lease.confirmed_ms = sent_ms;
                 Some(lease)
             }
@@ -115,6 +131,11 @@
         self.record.epoch
     }
 
+    /// Returns the revision with which the lease was claimed.
+    pub fn claimed(&self) -> Revision {
+        self.claimed
+    }
+
     /// Returns the time for which runs of earlier holders may continue unobserved, in ms.
     pub fn inherited_ms(&self) -> u64 {
         self.record.inherited_ms
@@ -132,6 +153,8 @@
     }
 
     /// Commits rows and renews the lease. Retries until the commit succeeds or the lease is lost.
+    /// Once it succeeds, the published counts of pending jobs contain all submissions known at
+    /// `counted_ms`, if any counts are published.
     ///
     /// # Errors
     ///
@@ -141,12 +164,20 @@
         &mut self,
         table: &T,
         writes: Vec<RowWrite>,
+        counted_ms: Option<u64>,
     ) -> Result<(), LeaseLost> {
         self.record.commit += 1;
-        let transaction = self.transaction(writes);
+        let mut transaction = self.transaction(writes);
         let mut delay = RETRY_DELAY;
         loop {
             let sent_ms = boot_ms();
+            self.record.counts = counted_ms.map(|counted_ms| CountStamp {
+                age_ms: sent_ms.saturating_sub(counted_ms),
+                claimed: self.claimed,
+            });
+            if let Some(leader) = transaction.writes.first_mut() {
+                leader.value = Some(self.row_value());
+            }
             match table.transact(&transaction).await {
                 Ok(TransactionOutcome::Committed(revision)) => {
                     self.record_confirmed(revision, sent_ms);
@@ -173,9 +204,14 @@
 
     /// Commits the last rows and releases the lease, so that another holder need not wait until
     /// it expires.
-    pub async fn release<T: TableService>(&mut self, table: &T, writes: Vec<RowWrite>) {
+    pub async fn release<T: TableService>(
+        &mut self,
+        table: &T,
+        writes: Vec<RowWrite>,
+        counted_ms: Option<u64>,
+    ) {
         self.record.released = true;
-        let released = self.commit(table, writes).await;
+        let released = self.commit(table, writes, counted_ms).await;
         log::info!(
             "event=lease_released epoch={} done={}",
             self.record.epoch,
@@ -195,7 +231,7 @@
             }
         };
         let row = rows.first()?;
-        if read_record(row).as_ref() == Some(&self.record) {
+        if read_record(row).is_some_and(|stored| stored.is_same_commit(&self.record)) {
             self.record_confirmed(row.revision, sent_ms);
             return Some(Ok(()));
         }
@@ -209,13 +245,16 @@
     }
 
     fn transaction(&self, writes: Vec<RowWrite>) -> Transaction {
-        let value = serde_json::to_value(&self.record).unwrap_or(Value::Null);
         let mut transaction = Transaction::new()
             .with_check(LEADER_KEY, self.revision)
-            .with_write(LEADER_KEY, value);
+            .with_write(LEADER_KEY, self.row_value());
         transaction.writes.extend(writes);
         transaction
     }
+
+    fn row_value(&self) -> Value {
+        serde_json::to_value(&self.record).unwrap_or(Value::Null)
+    }
 }
 
 /// Decodes the leader row. Returns `None` if it cannot be decoded.
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -20,6 +20,7 @@
 use zincpier::process::EntryMetrics;
 use zincpier::process::ShutdownSignal;
 use zincpier::workflow::Controller;
+use zincpier::workflow::CountFreshness;
 use zincpier::workflow::FleetView;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
@@ -55,6 +56,7 @@
         view,
         name.to_owned(),
         Rc::new(EntryMetrics::new()),
+        Rc::new(CountFreshness::new()),
         shutdown,
     );
     monoio::spawn(async move { controller.run().await });
@@ -67,7 +69,7 @@
 
 /// Submits jobs of five tasks each; known jobs are left unchanged.
 async fn submit(link: &Rc<FakeLink>, jobs: usize) {
-    let intake = JobIntake::new(Rc::clone(link));
+    let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
     for number in 0..jobs {
         let spec = JobSpec {
             queue: fixtures::QUEUE.to_owned(),
@@ -86,7 +88,7 @@
 
 /// Waits until the first `jobs` jobs are complete; panics after [`TIMEOUT`].
 async fn wait_until_complete(link: &Rc<FakeLink>, jobs: usize) {
-    let intake = JobIntake::new(Rc::clone(link));
+    let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
     let deadline = Instant::now() + TIMEOUT;
     for number in 0..jobs {
         loop {
