Test that unknown values are not given as defaults

- a wave whose fourth host the list cannot show is published as complete;
- a lease lost while the state is loaded is reported as held (epoch 1);

The fake fleet can hide hosts and submissions.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -92,6 +92,10 @@
     pub(crate) table_down: Cell<bool>,
     /// The list of workers cannot be read.
     pub(crate) workers_hidden: Cell<bool>,
+    /// The submissions cannot be read in full.
+    pub(crate) jobs_hidden: Cell<bool>,
+    /// Number of hosts, from the last one, that the list of hosts cannot show.
+    pub(crate) unreadable_hosts: Cell<usize>,
     /// Number of times that each task completed.
     pub(crate) done_counts: RefCell<BTreeMap<TaskName, u32>>,
     /// Tasks that were started while they ran on another worker.
@@ -119,6 +123,8 @@
             lost_starts: Cell::new(0),
             table_down: Cell::new(false),
             workers_hidden: Cell::new(false),
+            jobs_hidden: Cell::new(false),
+            unreadable_hosts: Cell::new(0),
             done_counts: RefCell::default(),
             concurrent_tasks: RefCell::default(),
         })
@@ -352,6 +358,9 @@
     ) -> Result<ChangeSet<TableChange>> {
         self.reach_table().await?;
         let now = Revision::new(self.fleet.revision.get());
+        if since == Revision::new(0) && self.fleet.jobs_hidden.get() {
+            return Err(Error::PlatformSilent("hidden".to_owned()));
+        }
         if since == Revision::new(0) {
             let rows = self.fleet.rows.borrow();
             let found = rows.values().filter(|row| row.key.starts_with(prefix));
@@ -477,7 +486,10 @@
 impl HostGateway for FakeLink {
     async fn list_hosts(&self) -> Result<HostList> {
         self.cross_network().await;
-        let hosts = self.fleet.entries.iter().map(|entry| HostEntry {
+        let unreadable = self.fleet.unreadable_hosts.get();
+        let listed = self.fleet.entries.len() - unreadable;
+        let hosts = self.fleet.entries.iter().take(listed);
+        let hosts = hosts.map(|entry| HostEntry {
             host: format!("host-{}", entry.id).parse().unwrap(),
             pool: entry.service.to_string(),
             state: HostState::Up,
@@ -486,7 +498,7 @@
         });
         Ok(HostList {
             hosts: hosts.collect(),
-            has_gaps: false,
+            has_gaps: unreadable > 0,
         })
     }
 
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -16,9 +16,12 @@
 
 use monoio::time::sleep;
 use monoio::time::Instant;
+use serde_json::json;
 use zincpier::id::JobId;
 use zincpier::process::EntryMetrics;
 use zincpier::process::ShutdownSignal;
+use zincpier::provider::TableService;
+use zincpier::provider::Transaction;
 use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::FleetView;
@@ -28,6 +31,7 @@
 use zincpier::workflow::LookupOutcome;
 use zincpier::workflow::SubmitOutcome;
 use zincpier::workflow::WaveRequest;
+use zincpier::workflow::LEADER_KEY;
 
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::FakeLink;
@@ -47,6 +51,16 @@
 
 /// Like [`start_entry`], but the entry host stops with `shutdown`.
 fn start_entry_until(fleet: &Rc<FakeFleet>, name: &str, shutdown: ShutdownSignal) -> Rc<FakeLink> {
+    start_measured_entry(fleet, name, shutdown, Rc::new(EntryMetrics::new()))
+}
+
+/// Like [`start_entry_until`], with the entry host's metrics.
+fn start_measured_entry(
+    fleet: &Rc<FakeFleet>,
+    name: &str,
+    shutdown: ShutdownSignal,
+    metrics: Rc<EntryMetrics>,
+) -> Rc<FakeLink> {
     let link = FakeLink::new(fleet);
     let view = FleetView::new();
     let link_and_view = (Rc::clone(&link), Rc::clone(&view));
@@ -55,7 +69,7 @@
         Rc::clone(&link),
         view,
         name.to_owned(),
-        Rc::new(EntryMetrics::new()),
+        metrics,
         Rc::new(CountFreshness::new()),
         shutdown,
     );
@@ -294,3 +308,59 @@
         assert_eq!(hosts.len(), 4);
     });
 }
+
+/// A host that the list cannot show may still need its upkeep.
+#[test]
+fn wave_with_an_unreadable_host_is_not_complete() {
+    run(async {
+        // Arrange.
+        let fleet = fleet();
+        fleet.unreadable_hosts.set(1);
+        let _link = start_entry(&fleet, "boston-1");
+
+        // Act.
+        fleet.start_wave(wave_of_four());
+        wait_for_upkeeps(&fleet, 3).await;
+        sleep(Duration::from_millis(1_500)).await;
+
+        // Assert.
+        assert!(!fleet.wave_complete.get());
+        fleet.unreadable_hosts.set(0);
+        wait_for_upkeeps(&fleet, 4).await;
+        let deadline = Instant::now() + TIMEOUT;
+        while !fleet.wave_complete.get() && Instant::now() < deadline {
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert!(fleet.wave_complete.get());
+    });
+}
+
+/// The alert on missing controllers would stay silent while no takeover succeeds.
+#[test]
+fn lease_lost_while_loading_is_not_reported_as_held() {
+    run(async {
+        // Arrange: the entry host claims the lease and cannot load the state.
+        let fleet = fleet();
+        fleet.jobs_hidden.set(true);
+        let metrics = Rc::new(EntryMetrics::new());
+        let shutdown = ShutdownSignal::new();
+        let link = start_measured_entry(&fleet, "boston-1", shutdown, Rc::clone(&metrics));
+        let deadline = Instant::now() + TIMEOUT;
+        while metrics.lease_epoch.get() == 0 && Instant::now() < deadline {
+            sleep(Duration::from_millis(10)).await;
+        }
+
+        // Act: another holder takes the lease and renews it.
+        for commit in 0..15 {
+            let record = json!({
+                "epoch": 9, "holder": "boston-2", "commit": commit, "released": false,
+            });
+            let renewal = Transaction::new().with_write(LEADER_KEY, record);
+            link.transact(&renewal).await.unwrap();
+            sleep(Duration::from_millis(100)).await;
+        }
+
+        // Assert.
+        assert_eq!(metrics.lease_epoch.get(), 0);
+    });
+}
