Test that open jobs are not reported after the lease is lost

Setting the gauge at the end of the term is not enough: the planner, woken by the end, makes one more pass and sets it again. The loss of a lease to another holder is now a fixture.

--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -335,6 +335,18 @@
     });
 }
 
+/// Takes the lease for another holder and renews it, until the last one has noticed.
+async fn take_lease(link: &FakeLink) {
+    for commit in 0..15 {
+        let record = json!({
+            "epoch": 9, "holder": "boston-2", "commit": commit, "released": false,
+        });
+        let renewal = Transaction::new().with_write(LEADER_KEY, record);
+        link.transact(&renewal).await.unwrap();
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// The alert on missing controllers would stay silent while no takeover succeeds.
 #[test]
 fn lease_lost_while_loading_is_not_reported_as_held() {
@@ -350,17 +362,34 @@
             sleep(Duration::from_millis(10)).await;
         }
 
-        // Act: another holder takes the lease and renews it.
-        for commit in 0..15 {
-            let record = json!({
-                "epoch": 9, "holder": "boston-2", "commit": commit, "released": false,
-            });
-            let renewal = Transaction::new().with_write(LEADER_KEY, record);
-            link.transact(&renewal).await.unwrap();
-            sleep(Duration::from_millis(100)).await;
-        }
+        // Act.
+        take_lease(&link).await;
 
         // Assert.
         assert_eq!(metrics.lease_epoch.get(), 0);
     });
 }
+
+/// A last placement pass after the end of the term would report the open jobs again.
+#[test]
+fn open_jobs_are_not_reported_after_the_lease_is_lost() {
+    run(async {
+        // Arrange: no worker takes the jobs, so the lease is renewed between placement passes.
+        let fleet = FakeFleet::new(fixtures::config(), Vec::new());
+        let metrics = Rc::new(EntryMetrics::new());
+        let shutdown = ShutdownSignal::new();
+        let link = start_measured_entry(&fleet, "boston-1", shutdown, Rc::clone(&metrics));
+        submit(&link, 2).await;
+        let deadline = Instant::now() + TIMEOUT;
+        while metrics.open_jobs.get() == 0 && Instant::now() < deadline {
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(metrics.open_jobs.get(), 2);
+
+        // Act.
+        take_lease(&link).await;
+
+        // Assert.
+        assert_eq!(metrics.open_jobs.get(), 0);
+    });
+}
