Do not complete a wave while the list of hosts has gaps

A wave was published as complete once all of its listed hosts had begun their upkeep. A host whose row could not be decoded is not listed, so it counted as gone. The list already states its gaps, but the wave did not ask. A host that is not listed now counts as gone only if the list is whole.

The test hides one of four hosts: the wave was complete after three, now it waits until the fourth is shown and upkept.

--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -86,15 +86,15 @@
         if !manager.term.has_worker_list() {
             continue;
         }
-        let hosts = list.hosts;
-        let pools = mover.pools(&hosts, &manager.upkeep_hosts());
+        let hosts = &list.hosts;
+        let pools = mover.pools(hosts, &manager.upkeep_hosts());
         for (request, first_read_ms) in view.waves() {
             manager
-                .advance_wave(&request, first_read_ms, &hosts, &pools, listed_ms)
+                .advance_wave(&request, first_read_ms, &list, &pools, listed_ms)
                 .await;
         }
-        let pools = mover.pools(&hosts, &manager.upkeep_hosts());
-        mover.advance(&pools, &hosts).await;
+        let pools = mover.pools(hosts, &manager.upkeep_hosts());
+        mover.advance(&pools, hosts).await;
     }
 }
 
@@ -152,11 +152,12 @@
         &self,
         request: &WaveRequest,
         first_read_ms: u64,
-        hosts: &[HostEntry],
+        list: &HostList,
         pools: &[PoolView],
         listed_ms: u64,
     ) {
         let wave = &request.wave;
+        let hosts = &list.hosts;
         if !self.load_progress(wave).await || self.progress.borrow()[wave].complete {
             return;
         }
@@ -171,7 +172,7 @@
         if !choice.start.is_empty() {
             self.start_upkeeps(request, &choice.start, hosts).await;
         }
-        self.finish_wave(request, hosts).await;
+        self.finish_wave(request, list).await;
     }
 
     /// Reads a wave's progress once per term. Returns whether it is known.
@@ -353,14 +354,17 @@
             .collect()
     }
 
-    async fn finish_wave(&self, request: &WaveRequest, hosts: &[HostEntry]) {
+    /// Publishes a wave as complete once the upkeep of each of its hosts has begun. Hosts that are
+    /// gone need none, but a list with gaps does not show which are gone.
+    async fn finish_wave(&self, request: &WaveRequest, list: &HostList) {
         let wave = &request.wave;
         let done = {
             let progress = self.progress.borrow();
             let progress = &progress[wave];
-            let is_listed = |host: &&HostId| hosts.iter().any(|entry| entry.host == **host);
-            let mut listed = request.hosts.iter().filter(is_listed);
-            listed.all(|host| progress.accepted.contains(host))
+            let is_listed = |host: &HostId| list.hosts.iter().any(|entry| entry.host == *host);
+            let is_gone = |host: &HostId| !list.has_gaps && !is_listed(host);
+            let mut hosts = request.hosts.iter();
+            hosts.all(|host| progress.accepted.contains(host) || is_gone(host))
         };
         if !done {
             return;
