Claim a lease with an unreadable row as a later term

A leader row that could not be decoded, such as one of another version, was taken for no row at all: the new holder had epoch 1 and inherited no runs. Its commands would be refused by workers that have seen a higher epoch, and tasks that its unknown predecessor had started could start again.

The test failed with epoch 1; now the epoch is above the row's revision.

--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -90,7 +90,8 @@
         current: Option<&TableRow>,
         holder: &str,
     ) -> Option<Self> {
-        let previous = current.and_then(read_record).unwrap_or_default();
+        let previous = current.map(|row| read_record(row).unwrap_or_else(|| unknown_record(row)));
+        let previous = previous.unwrap_or_default();
         let record = LeaderRecord {
             epoch: previous.epoch + 1,
             holder: holder.to_owned(),
@@ -257,6 +258,17 @@
     }
 }
 
+/// Returns a record that stands for a row that cannot be decoded. Its holder is unknown and may
+/// still run tasks. No holder had a higher epoch than the row's revision, since each claim of the
+/// lease is a transaction of its own.
+fn unknown_record(row: &TableRow) -> LeaderRecord {
+    log::error!("event=leader_unreadable value={}", row.value);
+    LeaderRecord {
+        epoch: row.revision.get(),
+        ..LeaderRecord::default()
+    }
+}
+
 /// Decodes the leader row. Returns `None` if it cannot be decoded.
 pub(crate) fn read_record(row: &TableRow) -> Option<LeaderRecord> {
     serde_json::from_value(row.value.clone()).ok()
