--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -121,15 +121,18 @@
         }
     }
 
-    /// Returns a job's phase; a stored job without progress is queued.
+    /// Returns a job's phase; a stored job without progress is queued. The phase is unknown if the
+    /// progress cannot be decoded.
     pub async fn look_up(&self, id: &JobId) -> LookupOutcome {
         let key = format!("{PROGRESS_PREFIX}{id}");
         match self.table.read(&[&key]).await {
             Ok(rows) => {
-                let phase = rows
-                    .first()
-                    .and_then(|row| row.value.get("phase")?.as_str());
-                if let Some(phase) = phase.and_then(JobPhase::from_name) {
+                if let Some(row) = rows.first() {
+                    let phase = row.value.get("phase").and_then(Value::as_str);
+                    let Some(phase) = phase.and_then(JobPhase::from_name) else {
+                        log::error!("event=progress_unreadable job={id}");
+                        return LookupOutcome::Unknown;
+                    };
                     return LookupOutcome::Found(phase);
                 }
             }
