Report no open jobs after the end of a term

An entry host that had lost the lease went on to report the open jobs of its last term, besides those of the new holder. The end of the term now sets the gauge to 0, and the planner, which the end wakes, makes no pass after it.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -38,7 +38,7 @@
     pub lease_epoch: Gauge,
     /// Version of the configuration in force; 0 before the first.
     pub config_version: Gauge,
-    /// Jobs that have not ended; set by the lease holder only.
+    /// Jobs that have not ended, as known to the lease holder; 0 on other hosts.
     pub open_jobs: Gauge,
 }
 
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -99,6 +99,7 @@
     pub fn end(&self, reason: &str) {
         if !self.ended.replace(true) {
             self.metrics.lease_epoch.set(0);
+            self.metrics.open_jobs.set(0);
             log::warn!("event=term_ended epoch={} reason={reason:?}", self.epoch);
         }
         self.plan.notify_one();
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -29,6 +29,10 @@
     while term.is_active() {
         // A pass after a timeout handles expired leases, stalled tasks and due occurrences.
         let _ = timeout(MAX_PLAN_INTERVAL, term.plan.notified()).await;
+        // The end of the term wakes the planner.
+        if !term.is_active() {
+            return;
+        }
         for stop in run_pass(&term, &view) {
             monoio::spawn(send_stop(Rc::clone(&platform), Rc::clone(&term), stop));
         }
