End the term whose lease is lost while the state is loaded

The term was dropped without its end, so the entry host went on to report the epoch as held. The alert on zincpier_lease_epoch (no holder for 5 s) stays silent in just the case of takeovers that do not finish. The test failed with epoch 1 after another holder had taken the lease.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -127,6 +127,7 @@
         let term = ControllerTerm::new(lease.epoch(), engine, commands, Rc::clone(&self.metrics));
         let loaded = self.while_renewing(&mut lease, self.load_jobs(&term)).await;
         let Some(job_revision) = loaded else {
+            term.end("the lease was lost before the state was loaded");
             return;
         };
         monoio::spawn(watch_jobs(
