--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -31,6 +31,7 @@
 use crate::workflow::planner_loop::run_planner;
 use crate::workflow::CommandAges;
 use crate::workflow::ControllerTerm;
+use crate::workflow::CountFreshness;
 use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
 use crate::workflow::HostCommands;
@@ -57,17 +58,19 @@
     view: Rc<FleetView>,
     name: String,
     metrics: Rc<EntryMetrics>,
+    counts: Rc<CountFreshness>,
     shutdown: ShutdownSignal,
 }
 
 impl<P: FleetPlatform> Controller<P> {
     /// Creates the controller of the entry host `name`, which is the holder's name in the leader
-    /// row.
+    /// row. It keeps `counts` current.
     pub fn new(
         platform: Rc<P>,
         view: Rc<FleetView>,
         name: String,
         metrics: Rc<EntryMetrics>,
+        counts: Rc<CountFreshness>,
         shutdown: ShutdownSignal,
     ) -> Self {
         Self {
@@ -75,6 +78,7 @@
             view,
             name,
             metrics,
+            counts,
             shutdown,
         }
     }
@@ -86,6 +90,7 @@
             let sent_ms = boot_ms();
             match self.platform.read(&[LEADER_KEY]).await {
                 Ok(rows) => {
+                    self.counts.record_read(rows.first(), sent_ms);
                     let read_ms = boot_ms().saturating_sub(sent_ms);
                     if monitor.may_claim(rows.first(), &self.name, read_ms, boot_ms()) {
                         self.claim(rows.first()).await;
@@ -123,6 +128,7 @@
         let term = ControllerTerm::new(lease.epoch(), engine, commands, Rc::clone(&self.metrics));
         let loaded = self.while_renewing(&mut lease, self.load_jobs(&term)).await;
         let Some(job_revision) = loaded else {
+            term.end("the lease was lost before the state was loaded");
             return;
         };
         monoio::spawn(watch_jobs(
@@ -142,7 +148,11 @@
             Rc::clone(&self.view),
         ));
         monoio::spawn(sweep_jobs(Rc::clone(&self.platform), Rc::clone(&term)));
-        let mut committer = Committer::new(Rc::clone(&self.platform), Rc::clone(&term));
+        let mut committer = Committer::new(
+            Rc::clone(&self.platform),
+            Rc::clone(&term),
+            Rc::clone(&self.counts),
+        );
         committer.run(&mut lease, &self.shutdown).await;
         term.end("committer stopped");
     }
@@ -158,7 +168,7 @@
             if let Ok(done) = timeout(RENEWAL_INTERVAL, &mut work).await {
                 return Some(done);
             }
-            let renewal = pin!(lease.commit(self.platform.as_ref(), Vec::new()));
+            let renewal = pin!(lease.commit(self.platform.as_ref(), Vec::new(), None));
             let (renewed, done) = match select(renewal, &mut work).await {
                 Either::Left((renewed, _)) => (renewed, None),
                 // A renewal that was sent has to be settled, or the next commit would fail.
@@ -217,7 +227,9 @@
                 apply_job_row(&mut term.engine.borrow_mut(), &row, progress.as_ref());
             }
         };
+        let read_ms = boot_ms();
         let revision = reader.read_table(JOB_TABLE, add_job).await;
+        term.record_submissions(read_ms);
         let mut engine = term.engine.borrow_mut();
         for row in &cancels {
             apply_job_row(&mut engine, row, None);
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -106,6 +106,10 @@
     starts_in_flight: Cell<usize>,
     /// Most start commands that were on their way at the same time.
     pub(crate) most_starts_in_flight: Cell<usize>,
+    /// The submissions cannot be read in full.
+    pub(crate) jobs_hidden: Cell<bool>,
+    /// Number of hosts, from the last one, that the list of hosts cannot show.
+    pub(crate) unreadable_hosts: Cell<usize>,
     /// Number of times that each task completed.
     pub(crate) done_counts: RefCell<BTreeMap<TaskName, u32>>,
     /// Tasks that were started while they ran on another worker.
@@ -139,6 +143,8 @@
             renewals: Cell::new(0),
             starts_in_flight: Cell::new(0),
             most_starts_in_flight: Cell::new(0),
+            jobs_hidden: Cell::new(false),
+            unreadable_hosts: Cell::new(0),
             done_counts: RefCell::default(),
             concurrent_tasks: RefCell::default(),
         })
@@ -373,6 +379,9 @@
     ) -> Result<ChangeSet<TableChange>> {
         self.reach_table().await?;
         let now = Revision::new(self.fleet.revision.get());
+        if since == Revision::new(0) && self.fleet.jobs_hidden.get() {
+            return Err(Error::PlatformSilent("hidden".to_owned()));
+        }
         if since == Revision::new(0) {
             let rows = self.fleet.rows.borrow();
             let found = rows.values().filter(|row| row.key.starts_with(prefix));
@@ -535,7 +544,10 @@
 impl HostGateway for FakeLink {
     async fn list_hosts(&self) -> Result<HostList> {
         self.cross_network().await;
-        let hosts = self.fleet.entries.iter().map(|entry| HostEntry {
+        let unreadable = self.fleet.unreadable_hosts.get();
+        let listed = self.fleet.entries.len() - unreadable;
+        let hosts = self.fleet.entries.iter().take(listed);
+        let hosts = hosts.map(|entry| HostEntry {
             host: format!("host-{}", entry.id).parse().unwrap(),
             pool: entry.service.to_string(),
             state: HostState::Up,
@@ -544,7 +556,7 @@
         });
         Ok(HostList {
             hosts: hosts.collect(),
-            has_gaps: false,
+            has_gaps: unreadable > 0,
         })
     }
 
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -16,10 +16,14 @@
 
 use monoio::time::sleep;
 use monoio::time::Instant;
+use serde_json::json;
 use zincpier::id::JobId;
 use zincpier::process::EntryMetrics;
 use zincpier::process::ShutdownSignal;
+use zincpier::provider::TableService;
+use zincpier::provider::Transaction;
 use zincpier::workflow::Controller;
+use zincpier::workflow::CountFreshness;
 use zincpier::workflow::FleetView;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
@@ -27,6 +31,7 @@
 use zincpier::workflow::LookupOutcome;
 use zincpier::workflow::SubmitOutcome;
 use zincpier::workflow::WaveRequest;
+use zincpier::workflow::LEADER_KEY;
 
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::FakeLink;
@@ -46,6 +51,16 @@
 
 /// Like [`start_entry`], but the entry host stops with `shutdown`.
 fn start_entry_until(fleet: &Rc<FakeFleet>, name: &str, shutdown: ShutdownSignal) -> Rc<FakeLink> {
+    start_measured_entry(fleet, name, shutdown, Rc::new(EntryMetrics::new()))
+}
+
+/// Like [`start_entry_until`], with the entry host's metrics.
+fn start_measured_entry(
+    fleet: &Rc<FakeFleet>,
+    name: &str,
+    shutdown: ShutdownSignal,
+    metrics: Rc<EntryMetrics>,
+) -> Rc<FakeLink> {
     let link = FakeLink::new(fleet);
     let view = FleetView::new();
     let link_and_view = (Rc::clone(&link), Rc::clone(&view));
@@ -54,7 +69,8 @@
         Rc::clone(&link),
         view,
         name.to_owned(),
-        Rc::new(EntryMetrics::new()),
+        metrics,
+        Rc::new(CountFreshness::new()),
         shutdown,
     );
     monoio::spawn(async move { controller.run().await });
@@ -67,7 +83,7 @@
 
 /// Submits jobs of five tasks each; known jobs are left unchanged.
 async fn submit(link: &Rc<FakeLink>, jobs: usize) {
-    let intake = JobIntake::new(Rc::clone(link));
+    let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
     for number in 0..jobs {
         let spec = JobSpec {
             queue: fixtures::QUEUE.to_owned(),
@@ -86,7 +102,7 @@
 
 /// Waits until the first `jobs` jobs are complete; panics after [`TIMEOUT`].
 async fn wait_until_complete(link: &Rc<FakeLink>, jobs: usize) {
-    let intake = JobIntake::new(Rc::clone(link));
+    let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
     let deadline = Instant::now() + TIMEOUT;
     for number in 0..jobs {
         loop {
@@ -190,7 +206,7 @@
             steps: vec![step],
             schedule: None,
         };
-        let intake = JobIntake::new(Rc::clone(&link));
+        let intake = JobIntake::new(Rc::clone(&link), Rc::new(CountFreshness::new()));
         let deadline = Instant::now() + TIMEOUT;
         intake.submit(&job_id(0), &spec, deadline).await;
 
@@ -355,3 +371,88 @@
         assert_eq!(hosts.len(), 4);
     });
 }
+
+/// A host that the list cannot show may still need its upkeep.
+#[test]
+fn wave_with_an_unreadable_host_is_not_complete() {
+    run(async {
+        // Arrange.
+        let fleet = fleet();
+        fleet.unreadable_hosts.set(1);
+        let _link = start_entry(&fleet, "boston-1");
+
+        // Act.
+        fleet.start_wave(wave_of_four());
+        wait_for_upkeeps(&fleet, 3).await;
+        sleep(Duration::from_millis(1_500)).await;
+
+        // Assert.
+        assert!(!fleet.wave_complete.get());
+        fleet.unreadable_hosts.set(0);
+        wait_for_upkeeps(&fleet, 4).await;
+        let deadline = Instant::now() + TIMEOUT;
+        while !fleet.wave_complete.get() && Instant::now() < deadline {
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert!(fleet.wave_complete.get());
+    });
+}
+
+/// Takes the lease for another holder and renews it, until the last one has noticed.
+async fn take_lease(link: &FakeLink) {
+    for commit in 0..15 {
+        let record = json!({
+            "epoch": 9, "holder": "boston-2", "commit": commit, "released": false,
+        });
+        let renewal = Transaction::new().with_write(LEADER_KEY, record);
+        link.transact(&renewal).await.unwrap();
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// The alert on missing controllers would stay silent while no takeover succeeds.
+#[test]
+fn lease_lost_while_loading_is_not_reported_as_held() {
+    run(async {
+        // Arrange: the entry host claims the lease and cannot load the state.
+        let fleet = fleet();
+        fleet.jobs_hidden.set(true);
+        let metrics = Rc::new(EntryMetrics::new());
+        let shutdown = ShutdownSignal::new();
+        let link = start_measured_entry(&fleet, "boston-1", shutdown, Rc::clone(&metrics));
+        let deadline = Instant::now() + TIMEOUT;
+        while metrics.lease_epoch.get() == 0 && Instant::now() < deadline {
+            sleep(Duration::from_millis(10)).await;
+        }
+
+        // Act.
+        take_lease(&link).await;
+
+        // Assert.
+        assert_eq!(metrics.lease_epoch.get(), 0);
+    });
+}
+
+/// A last placement pass after the end of the term would report the open jobs again.
+#[test]
+fn open_jobs_are_not_reported_after_the_lease_is_lost() {
+    run(async {
+        // Arrange: no worker takes the jobs, so the lease is renewed between placement passes.
+        let fleet = FakeFleet::new(fixtures::config(), Vec::new());
+        let metrics = Rc::new(EntryMetrics::new());
+        let shutdown = ShutdownSignal::new();
+        let link = start_measured_entry(&fleet, "boston-1", shutdown, Rc::clone(&metrics));
+        submit(&link, 2).await;
+        let deadline = Instant::now() + TIMEOUT;
+        while metrics.open_jobs.get() == 0 && Instant::now() < deadline {
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(metrics.open_jobs.get(), 2);
+
+        // Act.
+        take_lease(&link).await;
+
+        // Assert.
+        assert_eq!(metrics.open_jobs.get(), 0);
+    });
+}
