Show that a start can precede the commit of its placement

Cause: the effect of a commit names the task and not the run. While a commit is under way, for seconds over a choked link, a placed task can be released and placed again; the first commit then starts the new run, whose placement is not committed. A successor knows only of the earlier run. The trace agrees: run 2 of the job's tasks 8 to 10 and run 3 of tasks 3 to 7 were sent in one burst, and the successor's rows had run 2 for 3 to 7.

The test: the worker of a placed task ends while the commit of 1.5 s is under way.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -5,6 +5,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
@@ -102,6 +103,12 @@
     pub(crate) workers_hidden: Cell<bool>,
     /// Number of renewals of workers' leases.
     pub(crate) renewals: Cell<u32>,
+    /// Ends the worker of the next placed task while its placement is being committed.
+    pub(crate) end_next_placed_worker: Cell<bool>,
+    /// Workers whose incarnation has ended.
+    ended_workers: RefCell<BTreeSet<WorkerId>>,
+    /// Runs that were started before their placement was committed.
+    pub(crate) uncommitted_starts: RefCell<Vec<(TaskName, u64)>>,
     /// Start commands that are on their way now.
     starts_in_flight: Cell<usize>,
     /// Most start commands that were on their way at the same time.
@@ -137,6 +144,9 @@
             table_down: Cell::new(false),
             workers_hidden: Cell::new(false),
             renewals: Cell::new(0),
+            end_next_placed_worker: Cell::new(false),
+            ended_workers: RefCell::default(),
+            uncommitted_starts: RefCell::default(),
             starts_in_flight: Cell::new(0),
             most_starts_in_flight: Cell::new(0),
             done_counts: RefCell::default(),
@@ -185,6 +195,37 @@
         TransactionOutcome::Committed(Revision::new(number))
     }
 
+    /// Ends the worker of a placed task that `transaction` writes, if a test asked for it.
+    fn end_placed_worker(&self, transaction: &Transaction) {
+        if !self.end_next_placed_worker.get() {
+            return;
+        }
+        let tasks = transaction
+            .writes
+            .iter()
+            .filter(|write| write.key.starts_with("progress/"))
+            .filter_map(|write| write.value.as_ref()?.get("tasks")?.as_array().cloned());
+        let placed = tasks
+            .flatten()
+            .find_map(|task| Some(task.get(3)?.as_str()?.to_owned()));
+        if let Some(worker) = placed {
+            self.end_next_placed_worker.set(false);
+            self.ended_workers
+                .borrow_mut()
+                .insert(worker.parse().unwrap());
+        }
+    }
+
+    /// Returns the last committed run of a task of a job with one step.
+    fn committed_run(&self, task: &TaskName) -> u64 {
+        let rows = self.rows.borrow();
+        let row = rows.get(&format!("progress/{}", task.job));
+        let state = row.and_then(|row| row.value.get("tasks")?.get(task.index as usize));
+        state
+            .and_then(|state| state.get(0)?.as_u64())
+            .unwrap_or_default()
+    }
+
     /// Ends the runs of a worker that are finished or whose lease has expired.
     fn advance(&self, id: &WorkerId) {
         let now_ms = self.now_ms();
@@ -336,6 +377,7 @@
 impl TableService for FakeLink {
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
         self.reach_table().await?;
+        self.fleet.end_placed_worker(transaction);
         sleep(self.fleet.commit_time.get()).await;
         let outcome = self.fleet.commit(transaction);
         let lost = self.fleet.lost_commits.get();
@@ -462,6 +504,10 @@
 
 impl WorkerGateway for FakeLink {
     async fn start_task(&self, worker: &WorkerEntry, command: &StartCommand) -> CommandOutcome {
+        if self.fleet.committed_run(&command.task) < command.run && command.task.step == 0 {
+            let started = (command.task.clone(), command.run);
+            self.fleet.uncommitted_starts.borrow_mut().push(started);
+        }
         let in_flight = self.fleet.starts_in_flight.get() + 1;
         self.fleet.starts_in_flight.set(in_flight);
         let most = self.fleet.most_starts_in_flight.get();
@@ -508,6 +554,9 @@
 
     async fn renew_lease(&self, entry: &WorkerEntry, renewal: &LeaseRenewal) -> RenewalOutcome {
         self.cross_network().await;
+        if self.fleet.ended_workers.borrow().contains(&entry.id) {
+            return RenewalOutcome::Refused(CommandRefusal::OtherIncarnation);
+        }
         self.fleet.renewals.set(self.fleet.renewals.get() + 1);
         let deadline = Instant::now() + renewal.wait;
         loop {
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -208,6 +208,37 @@
     });
 }
 
+/// A task that moves on while its placement is being committed must not be started by that commit:
+/// a successor doesn't know of a run whose placement isn't committed, and starts it again.
+#[test]
+fn task_placed_again_during_a_slow_commit_is_not_started_early() {
+    run(async {
+        // Arrange: the first placement's worker ends while the commit is under way.
+        let fleet = fleet();
+        let link = FakeLink::new(&fleet);
+        let spec = JobSpec {
+            queue: fixtures::QUEUE.to_owned(),
+            payload: "text".to_owned(),
+            steps: vec![fixtures::step(1)],
+            schedule: None,
+        };
+        let intake = JobIntake::new(Rc::clone(&link));
+        let deadline = Instant::now() + TIMEOUT;
+        intake.submit(&job_id(0), &spec, deadline).await;
+        fleet.commit_time.set(Duration::from_millis(1_500));
+        fleet.end_next_placed_worker.set(true);
+
+        // Act.
+        start_entry(&fleet, "boston-1");
+        wait_until_complete(&link, 1).await;
+
+        // Assert.
+        assert!(!fleet.end_next_placed_worker.get());
+        let early = fleet.uncommitted_starts.borrow();
+        assert!(early.is_empty(), "{early:?}");
+    });
+}
+
 #[test]
 fn commits_with_lost_answers_take_effect_once() {
     run(async {
