Start a run only after the commit of its own placement

Cause: CommitEffect::Start named the task alone; a task that was placed again while a commit was under way was started by that commit.

Change: the effect names the run. An effect of an earlier run does nothing; the later run's own commit starts it. Ruled out: rows read too early by the successor (the row had the newer runs of other tasks of the same job).

Evidence: task_placed_again_during_a_slow_commit_is_not_started_early started run 2 early before and passes; the others of controller_sessions but the known red one, and workflow_engine, pass.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -180,9 +180,9 @@
     fn apply_effects(&self, effects: Vec<CommitEffect>) {
         for effect in effects {
             match effect {
-                CommitEffect::Start(task) => {
+                CommitEffect::Start(task, run) => {
                     let platform = Rc::clone(&self.platform);
-                    monoio::spawn(send_start(platform, Rc::clone(&self.term), task));
+                    monoio::spawn(send_start(platform, Rc::clone(&self.term), task, run));
                 }
                 CommitEffect::Acknowledge(worker, last_end) => {
                     let mut engine = self.term.engine.borrow_mut();
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -36,8 +36,9 @@
 /// An action that must wait until the rows that caused it are durable.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CommitEffect {
-    /// Send the task's start command.
-    Start(TaskName),
+    /// Send the start command of this run of the task. A later run has an effect of its own, since
+    /// its placement is committed later.
+    Start(TaskName, u64),
     /// Acknowledge the worker's task ends up to this sequence number.
     Acknowledge(WorkerId, u64),
 }
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -321,6 +321,7 @@
             return;
         };
         state.last_run += 1;
+        let run = state.last_run;
         state.phase = TaskPhase::Placed {
             worker: worker_id.clone(),
             command: CommandPhase::Committing,
@@ -330,14 +331,14 @@
             worker.add_task(name.clone(), &spec.steps[name.step as usize]);
         }
         self.changed.insert(name.job.clone());
-        self.effects.push(CommitEffect::Start(name.clone()));
+        self.effects.push(CommitEffect::Start(name.clone(), run));
     }
 
     /// Reverts a placement that is not committed: no start is sent and its run number is reused.
     fn undo_placement(&mut self, name: &TaskName) {
         self.release_task(name);
         self.effects
-            .retain(|effect| !matches!(effect, CommitEffect::Start(task) if task == name));
+            .retain(|effect| !matches!(effect, CommitEffect::Start(task, _) if task == name));
         let job = self.jobs.get_mut(&name.job);
         if let Some(state) = job.and_then(|job| job.task_mut(name)) {
             state.last_run -= 1;
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -185,17 +185,18 @@
     }
 }
 
-/// Sends a task's start command and applies its outcome. No effect if the task is no longer
-/// placed; releases the task if its worker does not accept tasks.
+/// Sends the start command of a task's run and applies its outcome. No effect if the task is no
+/// longer placed for this run; releases the task if its worker does not accept tasks.
 pub async fn send_start<G: WorkerGateway>(
     gateway: Rc<G>,
     term: Rc<ControllerTerm>,
     task: TaskName,
+    run: u64,
 ) {
-    let Some((entry, command)) = prepare_start(&term, &task) else {
+    let Some((entry, command)) = prepare_start(&term, &task, run) else {
         return;
     };
-    let (run, worker, epoch) = (command.run, &entry.id, command.epoch);
+    let (worker, epoch) = (&entry.id, command.epoch);
     let mut attempts = 0;
     let outcome = loop {
         let outcome = gateway.start_task(&entry, &command).await;
@@ -261,7 +262,11 @@
 
 /// Builds the start command of a newly placed task and marks it as sent. Releases the task and
 /// returns `None` if its worker does not accept tasks.
-fn prepare_start(term: &ControllerTerm, task: &TaskName) -> Option<(WorkerEntry, StartCommand)> {
+fn prepare_start(
+    term: &ControllerTerm,
+    task: &TaskName,
+    run: u64,
+) -> Option<(WorkerEntry, StartCommand)> {
     if !term.is_active() {
         return None;
     }
@@ -271,7 +276,7 @@
     let job = engine.jobs.get_mut(&task.job)?;
     let spec = Rc::clone(&job.spec);
     let state = job.task_mut(task)?;
-    if state.command_phase() != Some(CommandPhase::Committing) {
+    if state.command_phase() != Some(CommandPhase::Committing) || state.last_run != run {
         return None;
     }
     let worker = state
@@ -289,7 +294,7 @@
     let entry = worker.entry.clone();
     let command = StartCommand {
         task: task.clone(),
-        run: state.last_run,
+        run,
         payload: spec.payload.clone(),
         lease_end_ms,
         epoch: term.epoch,
