Send no more starts at once than a slow link carries

What callers saw: a controller behind a slow link gets to work after its takeover and loses the lease within 1.6 to 2.1 s, again and again.

Cause: all starts of a commit were sent at once, and each again after 250 ms without an answer. The burst grows with the jobs that waited, and fills the link for seconds; renewals of the lease and of workers' leases wait behind it.

Change: the start commands on their way together are limited to 125 KB, which 10 Mbit/s carry in 0.1 s; the next ones wait in order, and an attempt without an answer gives its place back. The command is built, with the worker's state and its lease, once there is room.

Evidence: burst_of_starts_leaves_room_for_renewals_of_the_lease had 1,200,000 bytes on their way before and passes (limit 125,000), as do the others of controller_sessions.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -10,6 +10,8 @@
 use monoio::time::timeout;
 use tokio::sync::oneshot;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 use crate::id::HostId;
 use crate::id::WorkerId;
@@ -19,6 +21,7 @@
 use crate::workflow::HostCommands;
 use crate::workflow::JobEngine;
 use crate::workflow::LeaseLost;
+use crate::workflow::TaskName;
 
 /// Time for which workers' leases are renewed without a confirmed controller lease. Table
 /// outages up to about this long lose no running work.
@@ -28,6 +31,13 @@
 /// prevents a controller that was paused from sending commands after a successor has taken over.
 const MAX_COMMAND_UNCONFIRMED_MS: u64 = 1_000;
 
+/// Max bytes of start commands that are on their way together: what a link of 10 Mbit/s carries in
+/// 0.1 s, so that renewals of the lease and of workers' leases find room.
+const MAX_START_BYTES: u32 = 125_000;
+
+/// Bytes of a start command besides its payload: headers, names and numbers.
+const START_OVERHEAD_BYTES: usize = 400;
+
 /// Max time that commands to hosts wait for the commit that announces them. A commit that takes
 /// longer leaves the lease unconfirmed for too long to send them.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(MAX_COMMAND_UNCONFIRMED_MS);
@@ -46,6 +56,8 @@
     pub plan: Notify,
     /// Wakes the committer before its renewal interval has passed.
     pub commit: Notify,
+    /// Bytes of start commands that may still be sent before earlier ones are answered.
+    start_bytes: Semaphore,
     ended: Cell<bool>,
     has_worker_list: Cell<bool>,
     /// When the lease was last confirmed, in ms.
@@ -79,6 +91,7 @@
             host_commands: RefCell::new(host_commands),
             plan: Notify::new(),
             commit: Notify::new(),
+            start_bytes: Semaphore::new(MAX_START_BYTES as usize),
             ended: Cell::new(false),
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
@@ -149,6 +162,17 @@
         self.worker_notifiers.borrow_mut().remove(worker);
     }
 
+    /// Waits until a start command of the task fits among those that are on their way. The permit
+    /// is dropped once the command is answered or given up.
+    pub async fn start_permit(&self, task: &TaskName) -> Option<SemaphorePermit<'_>> {
+        let bytes = {
+            let engine = self.engine.borrow();
+            let payload = engine.jobs.get(&task.job)?.spec.payload.len();
+            (payload + START_OVERHEAD_BYTES).min(MAX_START_BYTES as usize)
+        };
+        self.start_bytes.acquire_many(bytes as u32).await.ok()
+    }
+
     /// Queues a row for the next commit.
     pub fn queue_row(&self, write: RowWrite) {
         self.enqueue(Some(write), None);
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -193,6 +193,7 @@
     task: TaskName,
     run: u64,
 ) {
+    let mut permit = term.start_permit(&task).await;
     let Some((entry, command)) = prepare_start(&term, &task, run) else {
         return;
     };
@@ -204,8 +205,13 @@
         log::info!(
             "event=task_start task={task} run={run} worker={worker} epoch={epoch} try={attempts} outcome={outcome:?}"
         );
+        drop(permit.take());
         let unknown = matches!(outcome, CommandOutcome::Unknown(_));
-        if !unknown || attempts == MAX_START_ATTEMPTS || !may_resend_start(&term, &task, run) {
+        if !unknown || attempts == MAX_START_ATTEMPTS {
+            break resolve_attempts(outcome, attempts);
+        }
+        permit = term.start_permit(&task).await;
+        if !may_resend_start(&term, &task, run) {
             break resolve_attempts(outcome, attempts);
         }
     };
