--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -35,6 +35,7 @@
 use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
 use crate::workflow::HostCommands;
+use crate::workflow::HostResources;
 use crate::workflow::JobEngine;
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseMonitor;
@@ -60,6 +61,7 @@
     metrics: Rc<EntryMetrics>,
     counts: Rc<CountFreshness>,
     shutdown: ShutdownSignal,
+    resources: HostResources,
 }
 
 impl<P: FleetPlatform> Controller<P> {
@@ -80,12 +82,20 @@
             metrics,
             counts,
             shutdown,
+            resources: HostResources::default(),
         }
     }
 
+    /// Sets what the entry host provides, on which its claims of the lease depend.
+    pub fn with_resources(mut self, resources: HostResources) -> Self {
+        self.resources = resources;
+        self
+    }
+
     /// Polls the leader row and runs a term each time the lease is claimed, until shutdown starts.
     pub async fn run(&self) {
-        let mut monitor = LeaseMonitor::new(boot_ms());
+        let mut monitor =
+            LeaseMonitor::new(boot_ms()).with_claim_delay(self.resources.claim_delay_ms());
         while self.shutdown.is_running() {
             let sent_ms = boot_ms();
             match self.platform.read(&[LEADER_KEY]).await {
