--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -238,7 +238,7 @@
             steps: vec![fixtures::step(1)],
             schedule: None,
         };
-        let intake = JobIntake::new(Rc::clone(&link));
+        let intake = JobIntake::new(Rc::clone(&link), Rc::new(CountFreshness::new()));
         let deadline = Instant::now() + TIMEOUT;
         intake.submit(&job_id(0), &spec, deadline).await;
         fleet.commit_time.set(Duration::from_millis(1_500));
