Leave the controller's lease to hosts that can carry it

Of 40 entry hosts 32 have 0.12 of a core and 10 Mbit/s, and all claim an expired lease alike, so that it mostly passes to one of these.

A host with less than 0.25 of a core or 50 Mbit/s now claims 600 ms later, two polls of the others; if none of them claims, it still does. Unknown resources count as enough, and so do those of hosts of today's size.

With the delay ignored, the two tests of small hosts fail at their first claim.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -33,6 +33,7 @@
 use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
 use crate::workflow::HostCommands;
+use crate::workflow::HostResources;
 use crate::workflow::JobEngine;
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseMonitor;
@@ -57,6 +58,7 @@
     name: String,
     metrics: Rc<EntryMetrics>,
     shutdown: ShutdownSignal,
+    resources: HostResources,
 }
 
 impl<P: FleetPlatform> Controller<P> {
@@ -75,12 +77,20 @@
             name,
             metrics,
             shutdown,
+            resources: HostResources::default(),
         }
     }
 
+    /// Sets what the entry host provides, on which its claims of the lease depend.
+    pub fn with_resources(mut self, resources: HostResources) -> Self {
+        self.resources = resources;
+        self
+    }
+
     /// Polls the leader row and runs a term each time the lease is claimed, until shutdown starts.
     pub async fn run(&self) {
-        let mut monitor = LeaseMonitor::new(boot_ms());
+        let mut monitor =
+            LeaseMonitor::new(boot_ms()).with_claim_delay(self.resources.claim_delay_ms());
         while self.shutdown.is_running() {
             let sent_ms = boot_ms();
             match self.platform.read(&[LEADER_KEY]).await {
--- a/src/workflow/lease_monitor.rs
+++ b/src/workflow/lease_monitor.rs
@@ -24,6 +24,8 @@
 #[derive(Debug)]
 pub struct LeaseMonitor {
     started_ms: u64,
+    /// Time added before a claim, except of a lease that an earlier process of this host held.
+    claim_delay_ms: u64,
     /// The revision in the last read, and the time in ms at which it was first read.
     last_read: Option<(Revision, u64)>,
 }
@@ -33,12 +35,20 @@
     pub fn new(started_ms: u64) -> Self {
         Self {
             started_ms,
+            claim_delay_ms: 0,
             last_read: None,
         }
     }
 
+    /// Leaves the lease to other entry hosts for `claim_delay_ms` before each claim.
+    pub fn with_claim_delay(mut self, claim_delay_ms: u64) -> Self {
+        self.claim_delay_ms = claim_delay_ms;
+        self
+    }
+
     /// Records a read of the leader row that took `read_ms`. Returns whether the entry host
-    /// `own_name` may claim the lease; true if the row is missing or cannot be decoded.
+    /// `own_name` may claim the lease; true, after the claim delay, if the row is missing or cannot
+    /// be decoded.
     pub fn may_claim(
         &mut self,
         row: Option<&TableRow>,
@@ -46,31 +56,34 @@
         read_ms: u64,
         now_ms: u64,
     ) -> bool {
-        let Some(row) = row else {
-            return true;
-        };
-        let Some(record) = read_record(row) else {
-            return true;
+        let revision = row.map_or(Revision::new(0), |row| row.revision);
+        let Some(record) = row.and_then(read_record) else {
+            return now_ms >= self.unchanged_since(revision, now_ms) + self.claim_delay_ms;
         };
         // This process does not hold the lease, so the holder was an earlier process of this entry
         // host, which has ended.
         if record.holder == own_name {
             return true;
         }
-        let since_ms = match self.last_read {
-            Some((revision, since_ms)) if revision == row.revision => since_ms,
-            _ => {
-                self.last_read = Some((row.revision, now_ms));
-                now_ms
-            }
-        };
+        let since_ms = self.unchanged_since(revision, now_ms);
         let recently_started = now_ms < self.started_ms + RECENT_START_MS;
         let lease_ms = match (record.released, recently_started) {
-            (true, true) => return true,
+            (true, true) => return now_ms >= since_ms + self.claim_delay_ms,
             (true, false) => YIELD_MS,
             (false, _) => LEASE_MS + READ_TIME_FACTOR * read_ms,
         };
-        now_ms > since_ms + lease_ms
+        now_ms > since_ms + lease_ms + self.claim_delay_ms
+    }
+
+    /// Returns the time in ms at which `revision` was first read.
+    fn unchanged_since(&mut self, revision: Revision, now_ms: u64) -> u64 {
+        match self.last_read {
+            Some((last_revision, since_ms)) if last_revision == revision => since_ms,
+            _ => {
+                self.last_read = Some((revision, now_ms));
+                now_ms
+            }
+        }
     }
 
     /// Forgets the last read, because a gap between reads may hide renewals.
--- a/tests/lease_monitor.rs
+++ b/tests/lease_monitor.rs
@@ -4,6 +4,7 @@
 use serde_json::json;
 use zincpier::id::Revision;
 use zincpier::provider::TableRow;
+use zincpier::workflow::HostResources;
 use zincpier::workflow::LeaseMonitor;
 use zincpier::workflow::LEADER_KEY;
 
@@ -68,3 +69,38 @@
     assert!(recent.may_claim(Some(&row), "boston-3", 5, 100_000));
     assert!(older.may_claim(Some(&row), "boston-1", 5, 100_500));
 }
+
+#[test]
+fn host_with_a_thin_link_leaves_the_lease_to_others() {
+    let mut fit = LeaseMonitor::new(0);
+    let thin = HostResources {
+        processor_share: Some(0.5),
+        link_mbps: Some(10.0),
+    };
+    let mut thin = LeaseMonitor::new(0).with_claim_delay(thin.claim_delay_ms());
+    let expired = leader_row(7, "boston-2", false);
+    fit.may_claim(Some(&expired), "boston-1", 5, 0);
+    thin.may_claim(Some(&expired), "boston-3", 5, 0);
+
+    assert!(fit.may_claim(Some(&expired), "boston-1", 5, 1_200));
+    assert!(!thin.may_claim(Some(&expired), "boston-3", 5, 1_200));
+    assert!(thin.may_claim(Some(&expired), "boston-3", 5, 1_800));
+}
+
+#[test]
+fn restarted_host_with_little_processor_time_leaves_a_released_lease_to_others() {
+    let slow = HostResources {
+        processor_share: Some(0.12),
+        link_mbps: Some(200.0),
+    };
+    let mut slow = LeaseMonitor::new(95_000).with_claim_delay(slow.claim_delay_ms());
+    let row = leader_row(7, "boston-2", true);
+
+    assert!(!slow.may_claim(Some(&row), "boston-3", 5, 100_000));
+    assert!(slow.may_claim(Some(&row), "boston-3", 5, 100_700));
+}
+
+#[test]
+fn host_of_unknown_resources_claims_without_delay() {
+    assert_eq!(HostResources::default().claim_delay_ms(), 0);
+}
