Find the restored tasks of a new worker without a search of all open jobs

What callers saw: LOST and MIXED after a takeover: the new controller loads all jobs and loses the lease a second later, before its first commit.

Change: tasks restored as placed on an unknown worker are kept by worker, and checked once when it is listed. Any other task is placed on a known worker.

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -17,6 +17,7 @@
 use crate::workflow::PeakForecast;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
+use crate::workflow::TaskState;
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerState;
 
@@ -81,6 +82,8 @@
     pub(crate) ended_incarnations: BTreeSet<WorkerId>,
     /// The time until which runs of earlier controllers may continue unobserved, in ms.
     pub(crate) inherited_until_ms: u64,
+    /// Tasks that were restored as placed on workers that are not known yet.
+    restored_placements: BTreeMap<WorkerId, Vec<TaskName>>,
 }
 
 impl JobEngine {
@@ -101,6 +104,7 @@
             last_stall_check_ms: 0,
             ended_incarnations: BTreeSet::new(),
             inherited_until_ms: now_ms + inherited_ms,
+            restored_placements: BTreeMap::new(),
         }
     }
 
@@ -129,8 +133,12 @@
         let spec = Rc::clone(&job.spec);
         self.jobs.insert(id, job);
         for (name, worker) in inherited {
-            if let Some(worker) = self.workers.get_mut(&worker) {
-                worker.add_task(name.clone(), &spec.steps[name.step as usize]);
+            match self.workers.get_mut(&worker) {
+                Some(known) => known.add_task(name.clone(), &spec.steps[name.step as usize]),
+                None => {
+                    let placements = self.restored_placements.entry(worker).or_default();
+                    placements.push(name);
+                }
             }
         }
     }
@@ -166,7 +174,7 @@
                 let service = &entry.service;
                 log::info!("event=worker_listed worker={id} service={service}");
                 let mut worker = WorkerState::new(entry);
-                self.add_placed_tasks(&mut worker);
+                self.add_restored_tasks(&mut worker);
                 self.workers.insert(id, worker);
             }
         }
@@ -321,16 +329,18 @@
         }
     }
 
-    fn add_placed_tasks(&self, worker: &mut WorkerState) {
-        for id in &self.open_jobs {
-            let Some(job) = self.jobs.get(id) else {
+    /// Adds the tasks that were restored as placed on a new worker and have not been released
+    /// since. All other tasks are placed on known workers.
+    fn add_restored_tasks(&mut self, worker: &mut WorkerState) {
+        let placements = self.restored_placements.remove(&worker.entry.id);
+        for name in placements.unwrap_or_default() {
+            let Some(job) = self.jobs.get(&name.job) else {
                 continue;
             };
-            for (name, state) in job.placed_tasks() {
-                if state.worker() == Some(&worker.entry.id) {
-                    let step = &job.spec.steps[name.step as usize];
-                    worker.add_task(name, step);
-                }
+            let state = job.task(&name);
+            if state.and_then(TaskState::worker) == Some(&worker.entry.id) {
+                let step = &job.spec.steps[name.step as usize];
+                worker.add_task(name, step);
             }
         }
     }
