Tests that a takeover loads open jobs, not all that ended lately

What callers see: nothing starts while a new controller loads the rows of all jobs, and these include each job that ended in the last 150 s, with its payload.

The fake fleet scans its table, which it answered as empty.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -129,6 +129,12 @@
         self.revision.set(self.revision.get() + 1);
     }
 
+    /// Returns the number of rows whose keys start with `prefix`.
+    pub(crate) fn count_rows(&self, prefix: &str) -> usize {
+        let rows = self.rows.borrow();
+        rows.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
     fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
@@ -338,8 +344,13 @@
         Ok(Vec::new())
     }
 
-    async fn scan(&self, _: &str, _: &str, _: usize) -> Result<Vec<TableRow>> {
-        Ok(Vec::new())
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<TableRow>> {
+        self.reach_table().await?;
+        let rows = self.fleet.rows.borrow();
+        let found = rows
+            .values()
+            .filter(|row| row.key.starts_with(prefix) && row.key.as_str() > after);
+        Ok(found.take(limit).cloned().collect())
     }
 }
 
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -19,6 +19,7 @@
 use zincpier::id::JobId;
 use zincpier::process::EntryMetrics;
 use zincpier::process::ShutdownSignal;
+use zincpier::workflow::CancelOutcome;
 use zincpier::workflow::Controller;
 use zincpier::workflow::FleetView;
 use zincpier::workflow::JobIntake;
@@ -34,6 +35,10 @@
 
 const TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time after which ended jobs are no longer among the rows that a takeover loads, with some
+/// reserve.
+const ARCHIVE_TIMEOUT: Duration = Duration::from_secs(25);
+
 fn fleet() -> Rc<FakeFleet> {
     let workers = (0..4).map(fixtures::worker_entry).collect();
     FakeFleet::new(fixtures::config(), workers)
@@ -192,6 +197,81 @@
     });
 }
 
+/// Returns the numbers of rows of submissions, with their cancellations, and of progress: all that
+/// a takeover loads for jobs.
+fn count_loaded_rows(fleet: &FakeFleet) -> (usize, usize) {
+    (fleet.count_rows("jobs@"), fleet.count_rows("progress/"))
+}
+
+/// Waits until a takeover loads `open` jobs only; panics after [`ARCHIVE_TIMEOUT`].
+async fn wait_until_loaded_rows_are(fleet: &FakeFleet, open: usize) {
+    let deadline = Instant::now() + ARCHIVE_TIMEOUT;
+    while count_loaded_rows(fleet) != (open, open) && Instant::now() < deadline {
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(count_loaded_rows(fleet), (open, open));
+}
+
+/// A takeover that loads all jobs of the last minutes takes longer the more of them have ended.
+#[test]
+fn takeover_reads_open_jobs_not_all_ended_ones() {
+    run(async {
+        // Arrange: 30 jobs have ended, and two run on.
+        let fleet = fleet();
+        let first = start_entry(&fleet, "boston-1");
+        submit(&first, 30).await;
+        wait_until_complete(&first, 30).await;
+        fleet.task_ms.set(60_000);
+        submit(&first, 32).await;
+
+        // Act.
+        wait_until_loaded_rows_are(&fleet, 2).await;
+        let second = start_entry(&fleet, "boston-2");
+        first.is_disconnected.set(true);
+        sleep(Duration::from_secs(4)).await;
+        submit(&second, 30).await;
+        let intake = JobIntake::new(Rc::clone(&second));
+        let deadline = Instant::now() + TIMEOUT;
+        let cancelled = intake.cancel(&job_id(7), deadline).await;
+        sleep(Duration::from_secs(1)).await;
+
+        // Assert: the ended jobs stay ended, and none is loaded again.
+        assert_eq!(cancelled, CancelOutcome::Accepted);
+        assert_eq!(count_loaded_rows(&fleet), (2, 2));
+        wait_until_complete(&second, 30).await;
+        assert_each_ran_once(&fleet, 30);
+    });
+}
+
+/// A move of ended jobs whose answer is lost may have taken effect. Taking such a job for an open
+/// one would run it again, and repeating the move without end would keep the others loaded.
+#[test]
+fn ended_jobs_leave_the_loaded_rows_despite_lost_answers() {
+    run(async {
+        // Arrange.
+        let fleet = fleet();
+        let first = start_entry(&fleet, "boston-1");
+        submit(&first, 20).await;
+        wait_until_complete(&first, 20).await;
+
+        // Act: lose answers once the first jobs have been moved, and change the controller.
+        let deadline = Instant::now() + ARCHIVE_TIMEOUT;
+        while fleet.count_rows("jobs@") == 20 && Instant::now() < deadline {
+            sleep(Duration::from_millis(1)).await;
+        }
+        fleet.lost_commits.set(6);
+        sleep(Duration::from_millis(300)).await;
+        let second = start_entry(&fleet, "boston-2");
+        first.is_disconnected.set(true);
+
+        // Assert.
+        wait_until_loaded_rows_are(&fleet, 0).await;
+        submit(&second, 20).await;
+        wait_until_complete(&second, 20).await;
+        assert_each_ran_once(&fleet, 20);
+    });
+}
+
 /// Returns a wave of all four hosts, one down at a time.
 fn wave_of_four() -> WaveRequest {
     WaveRequest {
