Move ended jobs out of the rows that a takeover loads

What callers see: nothing starts while a new controller loads all jobs, and the longer the more jobs have ended lately.

Cause: each ended job kept its submission with its payload, and its progress row, among those that a takeover loads for 150 s. The work of a takeover grew with the history, not with what is open.

The controller now replaces a job's submission and cancellation, 10 s after the job's end, with a short row of the phase in the table ended@, in one transaction; then it deletes the progress row. A submission also requires that there is no such row, a cancellation that the submission is still there.

Why it is safe. The move stays in the job's own part, since the table refuses a transaction over parts unless it is asked for, one over parts takes twice as long, and such a commit would wait for the slowest part in front of starts. So it cannot check the lease. It need not: it is sent after the end is durable, an end is final, and the move checks the revision of the submission. The progress row is deleted by the holder's commits only, after the move; a successor reads progress after it has claimed the lease, and so never finds a submission whose progress is gone. Progress rows that a lost term left behind are deleted by the next one, once it has read that the submission is gone. A feed that is read again from its start can't bring an archived job back: the controller keeps the ids for as long as their rows.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -13,9 +13,6 @@
 use crate::process::boot_ms;
 use crate::process::ShutdownSignal;
 use crate::provider::RowWrite;
-use crate::provider::Transaction;
-use crate::workflow::cancel_key;
-use crate::workflow::job_key;
 use crate::workflow::send_start;
 use crate::workflow::CommitEffect;
 use crate::workflow::ControllerTerm;
@@ -43,12 +40,6 @@
 /// Time since the last commit after which the lease is renewed even if nothing has changed.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time between passes that remove expired jobs.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Max jobs removed in one pass; more than the number of jobs added between two passes.
-const MAX_SWEEP_JOBS: usize = 400;
-
 /// Max age of the published counts of pending jobs. Callers accept counts up to 2 s old.
 const MAX_PENDING_AGE_MS: u64 = 800;
 
@@ -204,29 +195,6 @@
     }
 }
 
-/// Removes expired jobs. The submission is deleted before the progress row; otherwise a
-/// controller could read the submission without its progress and run the job again.
-pub(crate) async fn sweep_jobs<P: FleetPlatform>(platform: Rc<P>, term: Rc<ControllerTerm>) {
-    while term.is_active() {
-        sleep(SWEEP_INTERVAL).await;
-        let expired = term.engine.borrow().expired_jobs(boot_ms());
-        for id in expired.into_iter().take(MAX_SWEEP_JOBS) {
-            let removal = Transaction::new()
-                .with_delete(job_key(&id))
-                .with_delete(cancel_key(&id));
-            if let Err(error) = platform.transact(&removal).await {
-                log::warn!("event=sweep_postponed job={id} reason=\"{error}\"");
-                break;
-            }
-            term.engine.borrow_mut().remove_job(&id);
-            term.queue_row(RowWrite {
-                key: format!("{PROGRESS_PREFIX}{id}"),
-                value: None,
-            });
-        }
-    }
-}
-
 /// Splits writes into transactions within the platform's limits. Returns at least one, which may
 /// be empty.
 fn split_writes(writes: Vec<RowWrite>) -> Vec<Vec<RowWrite>> {
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -17,12 +17,12 @@
 use crate::process::EntryMetrics;
 use crate::process::ShutdownSignal;
 use crate::provider::TableRow;
-use crate::workflow::committer::sweep_jobs;
 use crate::workflow::committer::Committer;
 use crate::workflow::committer::PROGRESS_PREFIX;
 use crate::workflow::feed_watcher::apply_job_row;
 use crate::workflow::feed_watcher::watch_jobs;
 use crate::workflow::feed_watcher::watch_workers;
+use crate::workflow::job_archiver::JobArchiver;
 use crate::workflow::job_key::parse_job_key;
 use crate::workflow::job_key::JOB_TABLE;
 use crate::workflow::manage_hosts;
@@ -140,7 +140,8 @@
             Rc::clone(&term),
             Rc::clone(&self.view),
         ));
-        monoio::spawn(sweep_jobs(Rc::clone(&self.platform), Rc::clone(&term)));
+        let archiver = JobArchiver::new(Rc::clone(&self.platform), Rc::clone(&term));
+        monoio::spawn(archiver.run());
         let mut committer = Committer::new(Rc::clone(&self.platform), Rc::clone(&term));
         committer.run(&mut lease, &self.shutdown).await;
         term.end("committer stopped");
@@ -206,6 +207,7 @@
             let id = row.key.rsplit('/').next().unwrap_or_default();
             apply_job_row(&mut engine, row, progress.get(id));
         }
+        engine.set_leftover_progress(progress.keys());
         let (jobs, open) = (engine.jobs.len(), engine.open_jobs.len());
         let took_ms = boot_ms().saturating_sub(started_ms);
         log::info!(
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -154,6 +154,13 @@
         self.enqueue(Some(write), None);
     }
 
+    /// Queues the deletion of a row. It joins the next commit instead of causing one.
+    pub(crate) fn queue_deletion(&self, key: String) {
+        let write = Some(RowWrite { key, value: None });
+        let row = QueuedRow { write, done: None };
+        self.queued_rows.borrow_mut().push(row);
+    }
+
     /// Announces commands to `hosts` with the next commit, so that a successor knows which hosts
     /// may have been commanded; the commit also writes `write`. Returns whether it succeeded in
     /// time and the commands may be sent.
@@ -177,6 +184,14 @@
         false
     }
 
+    /// Waits until all that the engine has decided by now is durable. Returns whether it was
+    /// within `limit`.
+    pub(crate) async fn wait_until_durable(&self, limit: Duration) -> bool {
+        let (done, waiting) = oneshot::channel();
+        self.enqueue(None, Some(done));
+        matches!(timeout(limit, waiting).await, Ok(Ok(())))
+    }
+
     /// Takes all entries queued for the next commit.
     pub(crate) fn take_rows(&self) -> Vec<QueuedRow> {
         self.queued_rows.take()
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -7,7 +7,9 @@
 use serde_json::Value;
 
 use crate::id::JobId;
+use crate::id::Revision;
 use crate::id::WorkerId;
+use crate::workflow::ArchivedJobs;
 use crate::workflow::CommandPhase;
 use crate::workflow::DurationTracker;
 use crate::workflow::FleetConfig;
@@ -30,8 +32,9 @@
 /// lease that it requests, on a slow clock, plus a renewal in flight.
 pub const RELEASED_RUN_MS: u64 = 6_000;
 
-/// How long ended jobs are kept; callers may look them up for 120 s.
-const RETENTION_MS: u64 = 150_000;
+/// How long ended jobs stay with the open ones. Most callers look up a job soon after its end,
+/// and find it with one read until then.
+const ARCHIVE_DELAY_MS: u64 = 10_000;
 
 /// An action that must wait until the rows that caused it are durable.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,6 +45,17 @@
     Acknowledge(WorkerId, u64),
 }
 
+/// An ended job that can be archived.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndedJob {
+    /// The job.
+    pub id: JobId,
+    /// Its final phase.
+    pub phase: JobPhase,
+    /// The revision of its submission's row.
+    pub submitted_revision: Revision,
+}
+
 /// A stop command to send; it does not wait for a commit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StopRequest {
@@ -59,10 +73,14 @@
 pub struct JobEngine {
     /// The active configuration; `None` before the first was read.
     pub config: Option<Rc<FleetConfig>>,
-    /// All jobs that have not been removed, ended ones included.
+    /// All jobs that have not been archived, ended ones included.
     pub jobs: BTreeMap<JobId, JobState>,
     /// All known workers, including unlisted ones that still have tasks.
     pub workers: BTreeMap<WorkerId, WorkerState>,
+    /// Ended jobs that are no longer among `jobs`.
+    pub(crate) archived: ArchivedJobs,
+    /// Jobs with loaded progress but without submissions, since their move was not finished.
+    leftover_progress: Vec<JobId>,
     /// Jobs whose progress rows must be written with the next commit.
     pub(crate) changed: BTreeSet<JobId>,
     /// Effects of the next commit.
@@ -90,6 +108,8 @@
             config: None,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            archived: ArchivedJobs::new(),
+            leftover_progress: Vec::new(),
             changed: BTreeSet::new(),
             effects: Vec::new(),
             stops: Vec::new(),
@@ -104,9 +124,10 @@
     }
 
     /// Adds a job and restores its durable progress; a job without progress counts as a new
-    /// arrival. No effect if the job is already known.
+    /// arrival. No effect if the job is already known or archived: a feed that is read again from
+    /// its start may deliver a submission that was archived meanwhile.
     pub fn add_job(&mut self, id: JobId, spec: JobSpec, progress: Option<&Value>, now_ms: u64) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.archived.contains(&id) {
             return;
         }
         let mut job = JobState::new(id.clone(), Rc::new(spec), now_ms);
@@ -295,19 +316,43 @@
         counts
     }
 
-    /// Returns the ended jobs without placed tasks whose retention period is over.
-    pub fn expired_jobs(&self, now_ms: u64) -> Vec<JobId> {
-        let is_expired = |job: &&JobState| {
+    /// Returns the jobs without placed tasks that ended some time ago.
+    pub fn archivable_jobs(&self, now_ms: u64) -> Vec<EndedJob> {
+        let is_due = |job: &&JobState| {
             let closed = !self.open_jobs.contains(&job.id);
-            closed && job.phase.has_ended() && now_ms > job.ended_ms + RETENTION_MS
+            closed && job.phase.has_ended() && now_ms > job.ended_ms + ARCHIVE_DELAY_MS
+        };
+        let ended = |job: &JobState| EndedJob {
+            id: job.id.clone(),
+            phase: job.phase,
+            submitted_revision: job.submitted_revision,
         };
-        let jobs = self.jobs.values().filter(is_expired);
-        jobs.map(|job| job.id.clone()).collect()
+        self.jobs.values().filter(is_due).map(ended).collect()
     }
 
-    /// Removes a job and the states of its tasks.
-    pub fn remove_job(&mut self, id: &JobId) {
+    /// Removes a job whose submission was archived.
+    pub fn archive_job(&mut self, id: &JobId, now_ms: u64) {
         self.jobs.remove(id);
+        self.archived.insert(id.clone(), now_ms);
+    }
+
+    /// Sets the revision of a known job's submission.
+    pub fn set_submitted_revision(&mut self, id: &JobId, revision: Revision) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.submitted_revision = revision;
+        }
+    }
+
+    /// Remembers the loaded progress rows `ids` that belong to no loaded job.
+    pub(crate) fn set_leftover_progress<'a>(&mut self, ids: impl Iterator<Item = &'a String>) {
+        let ids = ids.filter_map(|id| id.parse().ok());
+        let leftover = ids.filter(|id| !self.jobs.contains_key(id));
+        self.leftover_progress = leftover.collect();
+    }
+
+    /// Takes the jobs with loaded progress but without submissions.
+    pub(crate) fn take_leftover_progress(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.leftover_progress)
     }
 
     /// Removes an ended job without placed tasks from the open jobs.
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -38,7 +38,8 @@
         (Some((id, true)), _) => engine.cancel_job(&id, boot_ms()),
         (Some((id, false)), Ok(spec)) => {
             log_job(engine, &id, &spec);
-            engine.add_job(id, spec, progress, boot_ms());
+            engine.add_job(id.clone(), spec, progress, boot_ms());
+            engine.set_submitted_revision(&id, row.revision);
         }
         _ => log::error!("event=job_unreadable key={}", row.key),
     }
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -9,14 +9,17 @@
 use serde_json::Value;
 
 use crate::error::Error;
+use crate::error::Result;
 use crate::id::JobId;
 use crate::id::Revision;
+use crate::provider::TableRow;
 use crate::provider::TableService;
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
 use crate::workflow::cancel_key;
 use crate::workflow::committer::PROGRESS_PREFIX;
 use crate::workflow::committer::QUEUE_PREFIX;
+use crate::workflow::ended_key;
 use crate::workflow::job_key;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
@@ -83,6 +86,7 @@
         let key = job_key(id);
         let insert = Transaction::new()
             .with_check(key.as_str(), Revision::new(0))
+            .with_check(ended_key(id), Revision::new(0))
             .with_write(key.as_str(), value);
         match self.insert(&insert, deadline).await {
             InsertOutcome::Inserted => SubmitOutcome::Accepted,
@@ -92,15 +96,25 @@
         }
     }
 
-    /// Stores the cancellation of a known job. Retries until `deadline`.
+    /// Stores the cancellation of a known job. Retries until `deadline`. That of an archived job
+    /// has no effect and isn't stored.
     pub async fn cancel(&self, id: &JobId, deadline: Instant) -> CancelOutcome {
-        match self.is_stored(id).await {
-            Some(true) => {}
-            Some(false) => return CancelOutcome::NoJob,
-            None => return CancelOutcome::Unknown,
-        }
+        let submission = match self.read_row(&job_key(id)).await {
+            Ok(Some(row)) => row,
+            Ok(None) => {
+                return match self.read_row(&ended_key(id)).await {
+                    Ok(Some(_)) => CancelOutcome::Accepted,
+                    Ok(None) => CancelOutcome::NoJob,
+                    Err(error) => unknown_cancel(id, &error),
+                }
+            }
+            Err(error) => return unknown_cancel(id, &error),
+        };
         let key = cancel_key(id);
+        // If the job is archived meanwhile, the check of its submission fails, and no row is left
+        // behind for a job that has ended.
         let insert = Transaction::new()
+            .with_check(submission.key, submission.revision)
             .with_check(key.as_str(), Revision::new(0))
             .with_write(key.as_str(), Value::Bool(true));
         match self.insert(&insert, deadline).await {
@@ -111,26 +125,46 @@
 
     /// Returns a job's phase; a stored job without progress is queued.
     pub async fn look_up(&self, id: &JobId) -> LookupOutcome {
-        let key = format!("{PROGRESS_PREFIX}{id}");
-        match self.table.read(&[&key]).await {
-            Ok(rows) => {
-                let phase = rows
-                    .first()
-                    .and_then(|row| row.value.get("phase")?.as_str());
-                if let Some(phase) = phase.and_then(JobPhase::from_name) {
-                    return LookupOutcome::Found(phase);
-                }
-            }
-            Err(error) => {
-                log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
-                return LookupOutcome::Unknown;
-            }
+        let found = self.find_phase(id).await;
+        found.unwrap_or_else(|error| {
+            log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
+            LookupOutcome::Unknown
+        })
+    }
+
+    /// Reads the rows of which a job has at least one at any time: its progress row is deleted after
+    /// its submission was replaced by the ended job's row.
+    async fn find_phase(&self, id: &JobId) -> Result<LookupOutcome> {
+        let progress = self.read_row(&format!("{PROGRESS_PREFIX}{id}")).await?;
+        let phase = progress
+            .as_ref()
+            .and_then(|row| row.value.get("phase")?.as_str());
+        if let Some(phase) = phase.and_then(JobPhase::from_name) {
+            return Ok(LookupOutcome::Found(phase));
+        }
+        if let Some(phase) = self.find_ended(id).await? {
+            return Ok(phase);
         }
-        match self.is_stored(id).await {
-            Some(true) => LookupOutcome::Found(JobPhase::Queued),
-            Some(false) => LookupOutcome::NoJob,
-            None => LookupOutcome::Unknown,
+        if self.read_row(&job_key(id)).await?.is_some() {
+            return Ok(LookupOutcome::Found(JobPhase::Queued));
         }
+        // The job may have been archived since its ended row was read.
+        let ended = self.find_ended(id).await?;
+        Ok(ended.unwrap_or(LookupOutcome::NoJob))
+    }
+
+    /// Reads the row of an ended job, if it is archived.
+    async fn find_ended(&self, id: &JobId) -> Result<Option<LookupOutcome>> {
+        let Some(ended) = self.read_row(&ended_key(id)).await? else {
+            return Ok(None);
+        };
+        let phase = ended.value.as_str().and_then(JobPhase::from_name);
+        if phase.is_none() {
+            log::error!("event=ended_row_unreadable key={}", ended.key);
+        }
+        Ok(Some(
+            phase.map_or(LookupOutcome::Unknown, LookupOutcome::Found),
+        ))
     }
 
     /// Returns the number of a queue's jobs of which no task has started, or `None` if the table
@@ -152,15 +186,8 @@
         }
     }
 
-    async fn is_stored(&self, id: &JobId) -> Option<bool> {
-        let key = job_key(id);
-        match self.table.read(&[&key]).await {
-            Ok(rows) => Some(!rows.is_empty()),
-            Err(error) => {
-                log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
-                None
-            }
-        }
+    async fn read_row(&self, key: &str) -> Result<Option<TableRow>> {
+        Ok(self.table.read(&[key]).await?.into_iter().next())
     }
 
     /// Inserts a row unless it exists. After an attempt without an answer the row may exist, so
@@ -200,6 +227,11 @@
     }
 }
 
+fn unknown_cancel(id: &JobId, error: &Error) -> CancelOutcome {
+    log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
+    CancelOutcome::Unknown
+}
+
 /// Outcome of the insertion of a row.
 enum InsertOutcome {
     Inserted,
--- a/src/workflow/job_key.rs
+++ b/src/workflow/job_key.rs
@@ -5,6 +5,12 @@
 /// The key prefix of submitted jobs and their cancellations; a partition number follows it.
 pub(crate) const JOB_TABLE: &str = "jobs@";
 
+/// The key prefix of ended jobs, in the same partitions; the rows hold the phases.
+pub(crate) const ENDED_TABLE: &str = "ended@";
+
+/// The partitions: the hexadecimal digits, one of which ends the id of each caller's job.
+pub(crate) const PARTITIONS: &str = "0123456789abcdefABCDEF";
+
 /// The suffix that turns a submission's key into the key of the job's cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -14,9 +20,7 @@
 
 /// Returns the key of a job's submission: `jobs@<partition>/<id>`.
 pub fn job_key(id: &JobId) -> String {
-    let digits = id.as_str();
-    let partition = &digits[digits.len().saturating_sub(PARTITION_DIGITS)..];
-    format!("{JOB_TABLE}{partition}/{id}")
+    format!("{JOB_TABLE}{}/{id}", job_partition(id))
 }
 
 /// Returns the key of a job's cancellation, in the same partition as its submission.
@@ -24,6 +28,18 @@
     format!("{}{CANCEL_SUFFIX}", job_key(id))
 }
 
+/// Returns the key of an ended job's row, in the same partition as its submission:
+/// `ended@<partition>/<id>`.
+pub fn ended_key(id: &JobId) -> String {
+    format!("{ENDED_TABLE}{}/{id}", job_partition(id))
+}
+
+/// Returns the partition of a job's rows.
+pub(crate) fn job_partition(id: &JobId) -> &str {
+    let digits = id.as_str();
+    &digits[digits.len().saturating_sub(PARTITION_DIGITS)..]
+}
+
 /// Parses a key into the job's id and whether the row is a cancellation.
 pub(crate) fn parse_job_key(key: &str) -> Option<(JobId, bool)> {
     let name = key.rsplit('/').next()?;
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use crate::id::JobId;
+use crate::id::Revision;
 use crate::workflow::JobSpec;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskName;
@@ -64,6 +65,8 @@
     pub id: JobId,
     /// The specification as submitted; it never changes.
     pub spec: Rc<JobSpec>,
+    /// The revision of the submission's row; 0 if unknown.
+    pub submitted_revision: Revision,
     /// The phase; durable.
     pub phase: JobPhase,
     /// When this controller first read the job, in ms.
@@ -90,6 +93,7 @@
         let done_counts = vec![0; spec.steps.len() * occurrences];
         Self {
             id,
+            submitted_revision: Revision::new(0),
             phase: JobPhase::Queued,
             first_read_ms: now_ms,
             ended_ms: 0,
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -4,6 +4,7 @@
 //! places tasks, renews the workers' leases, and commands hosts for upkeep and for moves between
 //! pools. Any entry host accepts jobs and looks them up.
 
+mod archived_jobs;
 mod capacity_plan;
 mod committer;
 mod controller;
@@ -22,6 +23,7 @@
 mod host_manager;
 mod host_mover;
 mod intake;
+mod job_archiver;
 mod job_key;
 mod job_spec;
 mod job_state;
@@ -44,6 +46,7 @@
 mod worker_resources;
 mod worker_state;
 
+pub use archived_jobs::ArchivedJobs;
 pub use capacity_plan::choose_moves;
 pub use capacity_plan::HostMove;
 pub use capacity_plan::PoolHost;
@@ -89,6 +92,7 @@
 pub use intake::LookupOutcome;
 pub use intake::SubmitOutcome;
 pub use job_key::cancel_key;
+pub use job_key::ended_key;
 pub use job_key::job_key;
 pub use job_spec::JobSchedule;
 pub use job_spec::JobSpec;
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -139,7 +139,7 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    fn commit(&self, transaction: &Transaction) -> TransactionOutcome {
+    pub(crate) fn commit(&self, transaction: &Transaction) -> TransactionOutcome {
         let mut rows = self.rows.borrow_mut();
         let stored_revision =
             |key: &str| rows.get(key).map_or(Revision::new(0), |row| row.revision);
