Test that runs behind a cut are not repeated before their workers report

A worker behind a cut may have ended a run as done before its lease expired, and lists that end when it is back. Four tests of the engine fail, since the task is placed again at once after the lease: 1 placed task where 0 are expected. The two tests of what must not wait (a silent worker, a long-running task) pass.

--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -123,20 +123,51 @@
     pub(crate) fn end(&mut self, name: &TaskName, kind: EndKind) {
         self.advance(10);
         let worker = self.worker_of(name);
+        let run = self.state(name).last_run;
+        let end = self.next_end(&worker, name, run, kind);
+        let mut report = self.running_report(&worker);
+        report.running.retain(|running| running.task != *name);
+        report.ends.push(end);
+        self.engine
+            .apply_report(&worker, &report, self.now_ms, self.now_ms);
+    }
+
+    /// Reports the end of the first run of the first task of [`JOB`] from a worker that runs nothing.
+    pub(crate) fn report_end(&mut self, worker: &WorkerId, kind: EndKind) {
+        self.advance(10);
+        let ends = vec![self.next_end(worker, &task(JOB, 0), 1, kind)];
+        self.report_idle(worker, ends);
+    }
+
+    /// Reports that no task runs, from all workers but one.
+    pub(crate) fn report_empty_but(&mut self, silent: &WorkerId) {
+        self.advance(10);
+        let workers = self.workers.clone();
+        for worker in workers.iter().filter(|worker| worker.id != *silent) {
+            self.report_idle(&worker.id, Vec::new());
+        }
+    }
+
+    fn report_idle(&mut self, worker: &WorkerId, ends: Vec<TaskEnd>) {
+        let report = WorkerReport {
+            clock_ms: self.now_ms,
+            ends,
+            ..WorkerReport::default()
+        };
+        self.engine
+            .apply_report(worker, &report, self.now_ms, self.now_ms);
+    }
+
+    fn next_end(&mut self, worker: &WorkerId, name: &TaskName, run: u64, kind: EndKind) -> TaskEnd {
         let number = self.ends.entry(worker.clone()).or_default();
         *number += 1;
-        let end = TaskEnd {
+        TaskEnd {
             number: *number,
             task: name.clone(),
-            run: self.engine.jobs[&name.job].task(name).unwrap().last_run,
+            run,
             kind,
             checkpoint: String::new(),
-        };
-        let mut report = self.running_report(&worker);
-        report.running.retain(|running| running.task != *name);
-        report.ends.push(end);
-        self.engine
-            .apply_report(&worker, &report, self.now_ms, self.now_ms);
+        }
     }
 
     /// Reports every placed task as running.
@@ -153,12 +184,7 @@
     pub(crate) fn report_empty(&mut self) {
         self.advance(10);
         for worker in self.workers.clone() {
-            let report = WorkerReport {
-                clock_ms: self.now_ms,
-                ..WorkerReport::default()
-            };
-            self.engine
-                .apply_report(&worker.id, &report, self.now_ms, self.now_ms);
+            self.report_idle(&worker.id, Vec::new());
         }
     }
 
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -7,12 +7,29 @@
 use std::collections::BTreeSet;
 
 use fixtures::*;
+use zincpier::id::WorkerId;
 use zincpier::workflow::CommandOutcome;
 use zincpier::workflow::CommandPhase;
 use zincpier::workflow::EndKind;
 use zincpier::workflow::JobPhase;
+use zincpier::workflow::StepSpec;
 use zincpier::workflow::TaskPhase;
 
+/// Time without an answer after which a worker's lost runs are repeated.
+const MAX_SILENCE_MS: u64 = 10_100;
+
+/// Starts a job of one task and cuts its worker off until its lease has expired. Returns the worker.
+fn lose_worker(fleet: &mut EngineFleet, step: StepSpec) -> WorkerId {
+    fleet.submit(JOB, vec![step]);
+    fleet.start_all();
+    fleet.report_all();
+    let worker = fleet.worker_of(&task(JOB, 0));
+    fleet.mark_unresponsive_by_id(&worker);
+    fleet.advance(LEASE_MS + 300);
+    fleet.engine.expire_workers(fleet.now_ms);
+    worker
+}
+
 #[test]
 fn a_finished_step_makes_its_dependent_step_ready() {
     let mut fleet = EngineFleet::new(2);
@@ -265,3 +282,77 @@
     assert_eq!(fleet.engine.take_stops().len(), 2);
     assert!(!fleet.engine.workers[&stalled].accepts_tasks(fleet.now_ms));
 }
+
+#[test]
+fn a_run_that_ended_behind_a_cut_is_not_repeated() {
+    let mut fleet = EngineFleet::new(2);
+    let lost = lose_worker(&mut fleet, step(1));
+    fleet.report_empty_but(&lost);
+
+    let restarted = fleet.start_all();
+    fleet.report_end(&lost, EndKind::Done);
+
+    assert_eq!(restarted, 0, "its worker may list the run as done");
+    assert_eq!(fleet.phase(JOB), JobPhase::Complete);
+}
+
+#[test]
+fn a_run_that_ended_behind_a_cut_is_not_repeated_by_a_successor() {
+    let mut fleet = EngineFleet::new(2);
+    let lost = lose_worker(&mut fleet, step(1));
+    let mut next = fleet.successor();
+    next.report_empty_but(&lost);
+
+    let restarted = next.start_all();
+    next.report_end(&lost, EndKind::Done);
+
+    assert_eq!(restarted, 0, "its worker may list the run as done");
+    assert_eq!(next.phase(JOB), JobPhase::Complete);
+}
+
+#[test]
+fn a_run_that_lapsed_behind_a_cut_is_repeated_once_its_worker_says_so() {
+    let mut fleet = EngineFleet::new(2);
+    let lost = lose_worker(&mut fleet, step(1));
+    fleet.report_empty_but(&lost);
+    assert_eq!(fleet.start_all(), 0, "its worker may list the run as done");
+
+    fleet.report_end(&lost, EndKind::Lapsed);
+
+    assert_eq!(fleet.start_all(), 1);
+    assert_eq!(fleet.state(&task(JOB, 0)).last_run, 2);
+}
+
+#[test]
+fn a_lost_run_is_repeated_once_its_worker_has_ended() {
+    let mut fleet = EngineFleet::new(2);
+    let lost = lose_worker(&mut fleet, step(1));
+    fleet.report_empty_but(&lost);
+    assert_eq!(fleet.start_all(), 0, "its worker may list the run as done");
+
+    fleet.engine.end_incarnation(&lost, "test", fleet.now_ms);
+
+    assert_eq!(fleet.start_all(), 1);
+}
+
+#[test]
+fn a_lost_run_is_repeated_if_its_worker_stays_silent() {
+    let mut fleet = EngineFleet::new(2);
+    let lost = lose_worker(&mut fleet, step(1));
+
+    fleet.advance(MAX_SILENCE_MS);
+    fleet.engine.expire_workers(fleet.now_ms);
+    fleet.report_empty_but(&lost);
+
+    assert_eq!(fleet.start_all(), 1);
+}
+
+#[test]
+fn a_lost_long_running_task_is_restarted_at_once() {
+    let mut fleet = EngineFleet::new(2);
+    let lost = lose_worker(&mut fleet, long_running(1, 0));
+
+    fleet.report_empty_but(&lost);
+
+    assert_eq!(fleet.start_all(), 1);
+}
