--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -101,6 +101,8 @@
     pub(crate) table_down: Cell<bool>,
     /// The list of workers cannot be read.
     pub(crate) workers_hidden: Cell<bool>,
+    /// The list of workers contains none of them.
+    pub(crate) workers_unlisted: Cell<bool>,
     /// Number of renewals of workers' leases.
     pub(crate) renewals: Cell<u32>,
     /// Ends the worker of the next placed task while its placement is being committed.
@@ -147,6 +149,7 @@
             max_page_rows: Cell::new(500),
             table_down: Cell::new(false),
             workers_hidden: Cell::new(false),
+            workers_unlisted: Cell::new(false),
             renewals: Cell::new(0),
             end_next_placed_worker: Cell::new(false),
             ended_workers: RefCell::default(),
@@ -470,7 +473,11 @@
             return Err(Error::PlatformSilent("hidden".to_owned()));
         }
         let changes = self.fleet.entries.iter().cloned();
-        let changes = changes.map(WorkerChange::Present).collect();
+        let change = match self.fleet.workers_unlisted.get() {
+            true => |entry: WorkerEntry| WorkerChange::Gone(entry.id),
+            false => WorkerChange::Present,
+        };
+        let changes = changes.map(change).collect();
         Ok(ChangeSet::Changes(changes, Revision::new(1)))
     }
 
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -302,6 +302,27 @@
     });
 }
 
+#[test]
+fn a_worker_that_is_listed_again_gets_tasks() {
+    run(async {
+        // Arrange: idle workers leave the list for longer than an idle worker's check takes to come.
+        let fleet = fleet();
+        let link = start_entry(&fleet, "boston-1");
+        submit(&link, 1).await;
+        wait_until_complete(&link, 1).await;
+        fleet.workers_unlisted.set(true);
+        sleep(Duration::from_millis(1_500)).await;
+
+        // Act.
+        fleet.workers_unlisted.set(false);
+        submit(&link, 2).await;
+
+        // Assert.
+        wait_until_complete(&link, 2).await;
+        assert_each_ran_once(&fleet, 2);
+    });
+}
+
 /// Returns a wave of all four hosts, one down at a time.
 fn wave_of_four() -> WaveRequest {
     WaveRequest {
