Maintain the lease of a worker that is listed again

Callers saw: less capacity after a cut, for the rest of the controller's term.

Cause: each worker's lease is maintained by a loop, which ends when the worker leaves the list without tasks. The set of workers with a loop kept its id, so no loop was begun when it was listed again: its epoch stayed unaccepted, it got no task, and its ends were not acknowledged.

Why the fix works: the loop takes its worker out of the set as it ends, without a wait between.

Before: a_worker_that_is_listed_again_gets_tasks failed (job queued for 15 s); it passes now, as do the other tests of controller_sessions, controller_term and workflow_engine.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,6 +65,8 @@
     confirmed_ms: Cell<u64>,
     /// Time up to which all submissions are known, in ms.
     submissions_ms: Cell<u64>,
+    /// Workers whose leases are maintained by a loop.
+    maintained_workers: RefCell<HashSet<WorkerId>>,
     /// Notifiers of the loops that maintain the workers' leases.
     worker_notifiers: RefCell<HashMap<WorkerId, Rc<Notify>>>,
     queued_rows: RefCell<Vec<QueuedRow>>,
@@ -98,6 +101,7 @@
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
             submissions_ms: Cell::new(0),
+            maintained_workers: RefCell::default(),
             worker_notifiers: RefCell::default(),
             queued_rows: RefCell::default(),
         })
@@ -171,8 +175,14 @@
         Rc::clone(notifiers.entry(worker.clone()).or_default())
     }
 
-    /// Removes the notifier of a worker whose lease is no longer maintained.
-    pub fn remove_worker_notifier(&self, worker: &WorkerId) {
+    /// Records that a worker's lease is maintained; returns whether it was not before.
+    pub fn begin_maintenance(&self, worker: &WorkerId) -> bool {
+        self.maintained_workers.borrow_mut().insert(worker.clone())
+    }
+
+    /// Records that a worker's lease is no longer maintained, until the worker is listed again.
+    pub fn end_maintenance(&self, worker: &WorkerId) {
+        self.maintained_workers.borrow_mut().remove(worker);
         self.worker_notifiers.borrow_mut().remove(worker);
     }
 
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -1,6 +1,5 @@
 //! Watches the platform's feeds of jobs and workers and applies their changes to the engine.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -115,11 +114,10 @@
     }
 }
 
-/// Watches the list of workers until the term ends, and starts to maintain the lease of each new
-/// worker.
+/// Watches the list of workers until the term ends, and starts to maintain the lease of each worker
+/// that is new or listed again.
 pub(crate) async fn watch_workers<P: FleetPlatform>(platform: Rc<P>, term: Rc<ControllerTerm>) {
     let mut since = Revision::new(0);
-    let mut maintained = HashSet::new();
     let mut wait = FeedWait::new();
     while term.is_active() {
         let is_full_list = since == Revision::new(0);
@@ -134,7 +132,7 @@
         term.record_worker_list();
         let listed: Vec<_> = term.engine.borrow().workers.keys().cloned().collect();
         for id in listed {
-            if maintained.insert(id.clone()) {
+            if term.begin_maintenance(&id) {
                 let platform = Rc::clone(&platform);
                 monoio::spawn(maintain_worker_lease(platform, Rc::clone(&term), id));
             }
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -96,7 +96,7 @@
         };
         sleep(pause).await;
     }
-    term.remove_worker_notifier(&id);
+    term.end_maintenance(&id);
 }
 
 /// Waits until the applied task ends are durable, for `COMMIT_WAIT` at most.
