Limit the silence in large answers, not the whole of them

Cause: the poll of the operator's rows was limited as a whole by a timeout learnt from single rows, 150 ms at least and 1.6 s at most. The feed answers with every version since the last answer; what doesn't fit is given up and begun anew until the table drops its history. Only whole answers counted as contact with the table, so submissions were refused as well.

Why it works: the learnt timeout limits the time until an answer with rows begins, and then each pause in it, so its size no longer matters. A connection without an answer is noticed as soon as before, one that stops in an answer as soon as the timeout after its last byte. After a failed poll the operator's rows are read anew in place of the versions in between; an older version is never put in force, as the view compares versions. Bytes of a successful answer count as contact. The feeds of jobs and workers and pages of whole tables share the code and have the same limits.

Ruled out: the longer timeout of pages for these calls, as it delays a configuration by 350 ms more at each lost answer.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -38,6 +38,7 @@
 use crate::connection::BodyFraming;
 use crate::connection::BodyTime;
 use crate::connection::MessageLimits;
+use crate::connection::ResponseLimits;
 
 // TCP keep-alive breaks an idle connection about 8 s after its server became unreachable.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
@@ -131,10 +132,28 @@
         &mut self,
         request: Request<Bytes>,
         deadline: Instant,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let limits = ResponseLimits::new(deadline.saturating_duration_since(Instant::now()));
+        self.exchange_within(request, deadline, &limits).await
+    }
+
+    /// Like [`HttpConnection::exchange`], with the limits on a response that has begun by
+    /// `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no complete response arrived; the request may then have run.
+    pub async fn exchange_within(
+        &mut self,
+        request: Request<Bytes>,
+        deadline: Instant,
+        limits: &ResponseLimits,
     ) -> Result<Response<Bytes>, ExchangeError> {
         self.reusable = false;
-        self.budget.start_response(deadline);
-        let response = timeout_at(deadline, self.send_and_read(request)).await;
+        let last_deadline = self.budget.start_response(deadline, limits.silence);
+        let sent = timeout_at(deadline, self.send_request(request)).await;
+        sent.map_err(|_| ExchangeError::TimedOut)??;
+        let response = timeout_at(last_deadline, self.read_response(limits)).await;
         let response = response.map_err(|_| ExchangeError::TimedOut)??;
         self.last_used = Instant::now();
         self.reusable = !has_connection_close(&response);
@@ -146,15 +165,18 @@
         self.reusable
     }
 
-    async fn send_and_read(
-        &mut self,
-        request: Request<Bytes>,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+    async fn send_request(&mut self, request: Request<Bytes>) -> Result<(), ExchangeError> {
         let request = request.map(fixed_body);
         self.encoder
             .send_and_flush(request)
             .await
-            .map_err(|error| ExchangeError::InvalidResponse(error.to_string()))?;
+            .map_err(|error| ExchangeError::InvalidResponse(error.to_string()))
+    }
+
+    async fn read_response(
+        &mut self,
+        limits: &ResponseLimits,
+    ) -> Result<Response<Bytes>, ExchangeError> {
         let response = self.decoder.next().await;
         let response = response
             .ok_or_else(|| self.decode_error("the connection ended"))?
@@ -167,6 +189,9 @@
             ));
         }
         self.budget.start_body();
+        if response.status().is_success() {
+            self.budget.report_to(limits.clock.clone());
+        }
         let body_started = Instant::now();
         let (mut parts, payload) = response.into_parts();
         let filled = self.decoder.fill_payload();
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::HOST;
@@ -17,6 +16,7 @@
 use crate::connection::IdleBudget;
 use crate::connection::IdlePermit;
 use crate::connection::MessageLimits;
+use crate::connection::ResponseLimits;
 
 /// The maximum number of idle connections of a client without a shared [`IdleBudget`].
 const DEFAULT_MAX_IDLE: usize = 256;
@@ -61,7 +61,8 @@
         self.address
     }
 
-    /// Sends a request and waits at most `timeout` for its complete response.
+    /// Sends a request and waits for its complete response within `limits`, which may be a plain
+    /// time.
     ///
     /// Sets the `Host` header. Keeps the connection for reuse if the idle budget permits it.
     ///
@@ -71,15 +72,18 @@
     pub async fn send(
         &self,
         mut request: Request<Bytes>,
-        timeout: Duration,
+        limits: impl Into<ResponseLimits>,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let deadline = Instant::now() + timeout;
+        let limits = limits.into();
+        let deadline = Instant::now() + limits.time;
         request.headers_mut().insert(HOST, self.host.clone());
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
             None => HttpConnection::dial(self.address, self.limits, deadline).await?,
         };
-        let response = connection.exchange(request, deadline).await?;
+        let response = connection
+            .exchange_within(request, deadline, &limits)
+            .await?;
         let permit = connection.is_reusable().then(|| self.budget.try_acquire());
         if let Some(permit) = permit.flatten() {
             self.idle.borrow_mut().push((connection, permit));
--- a/src/connection/limited_reader.rs
+++ b/src/connection/limited_reader.rs
@@ -1,6 +1,7 @@
 //! A reader that limits the size and duration of messages.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 use monoio::time::Instant;
 use monoio::BufResult;
 
+use crate::connection::AnswerClock;
 use crate::connection::MessageLimits;
 
 /// The maximum number of bytes of a refused message that are read and discarded: several times
@@ -65,6 +67,10 @@
     /// The deadline of the whole response, which replaces the time limit of each part; `None` when
     /// reading requests.
     response_deadline: Cell<Option<Instant>>,
+    /// The pause between bytes that a response may outlast its deadline by.
+    silence: Cell<Option<Duration>>,
+    /// Where the arrival of a response's bytes is recorded.
+    clock: RefCell<Option<Rc<AnswerClock>>>,
     refusal: Cell<Option<ReadRefusal>>,
 }
 
@@ -76,6 +82,8 @@
             bytes_left: Cell::new(limits.head_bytes),
             deadline: Cell::new(Instant::now() + limits.idle),
             response_deadline: Cell::new(None),
+            silence: Cell::new(None),
+            clock: RefCell::new(None),
             refusal: Cell::new(None),
         })
     }
@@ -83,6 +91,8 @@
     /// Starts waiting for the next message, within the idle limit.
     pub(crate) fn start_idle(&self) {
         self.response_deadline.set(None);
+        self.silence.set(None);
+        self.report_to(None);
         self.start_message();
     }
 
@@ -90,10 +100,21 @@
         self.start(MessagePart::Idle, self.limits.head_bytes, self.limits.idle);
     }
 
-    /// Starts waiting for a response, all of which must arrive before `deadline`.
-    pub(crate) fn start_response(&self, deadline: Instant) {
+    /// Starts waiting for a response, all of which must arrive before `deadline`, or, given a
+    /// `silence`, without a longer pause between its bytes and within the body's time limit after
+    /// `deadline`. Returns the time at which it must have arrived in any case.
+    pub(crate) fn start_response(&self, deadline: Instant, silence: Option<Duration>) -> Instant {
         self.response_deadline.set(Some(deadline));
+        self.silence.set(silence);
+        self.report_to(None);
         self.start_message();
+        silence.map_or(deadline, |_| deadline + self.limits.body)
+    }
+
+    /// Records the response that has begun, and the arrival of its bytes, in `clock`.
+    pub(crate) fn report_to(&self, clock: Option<Rc<AnswerClock>>) {
+        clock.iter().for_each(|clock| clock.record());
+        self.clock.replace(clock);
     }
 
     /// Starts reading a body, within its size and time limits.
@@ -157,6 +178,21 @@
         }
         let left = self.bytes_left.get().saturating_sub(bytes);
         self.bytes_left.set(left);
+        if bytes > 0 {
+            self.record_progress();
+        }
+    }
+
+    fn record_progress(&self) {
+        if let Some(clock) = self.clock.borrow().as_ref() {
+            clock.record();
+        }
+        let deadlines = self.silence.get().zip(self.response_deadline.get());
+        if let Some((silence, deadline)) = deadlines {
+            let deadline = deadline.max(Instant::now() + silence);
+            self.response_deadline.set(Some(deadline));
+            self.deadline.set(deadline);
+        }
     }
 }
 
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to callers, backend servers, peers (other entry hosts) and the platform.
 
 mod adaptive_timeout;
+mod answer_clock;
 mod body_time;
 mod caller;
 mod dial;
@@ -14,10 +15,12 @@
 mod peer_server;
 mod peer_service;
 mod peer_transport;
+mod response_limits;
 mod server_connections;
 mod value_compression;
 
 pub use adaptive_timeout::AdaptiveTimeout;
+pub use answer_clock::AnswerClock;
 pub use body_time::BodyTime;
 pub use caller::accept_connections;
 pub use caller::close_without_response;
@@ -39,5 +42,6 @@
 pub use peer_service::PeerHeartbeat;
 pub use peer_service::PeerReply;
 pub use peer_service::SlotRequest;
+pub use response_limits::ResponseLimits;
 pub use server_connections::ReusePolicy;
 pub use server_connections::ServerConnections;
--- a/src/workflow/fleet_view.rs
+++ b/src/workflow/fleet_view.rs
@@ -1,6 +1,5 @@
 //! The operator's configuration and waves as known to one entry host, kept current by polling.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -8,6 +7,7 @@
 
 use monoio::time::sleep;
 
+use crate::connection::AnswerClock;
 use crate::id::Revision;
 use crate::id::WaveId;
 use crate::process::boot_ms;
@@ -23,7 +23,7 @@
 const POLL_WAIT: Duration = Duration::from_millis(700);
 
 /// Time without an answer after which the table counts as unreachable: one poll's wait and its
-/// timeout.
+/// timeout. Bytes of an answer that is arriving count, since a large one takes longer.
 const UNREACHABLE_AFTER_MS: u64 = 1_450;
 
 /// Delay after a failed poll.
@@ -31,21 +31,29 @@
 
 /// The newest configuration and the waves known to this entry host. A configuration is never
 /// replaced by an older version.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FleetView {
     config: RefCell<Option<Rc<FleetConfig>>>,
     /// Each wave with the time in ms at which it was first read.
     waves: RefCell<BTreeMap<WaveId, (WaveRequest, u64)>>,
-    /// When the platform last answered, or the view was created, in ms.
-    answered_ms: Cell<u64>,
+    /// When the platform last answered a poll, or bytes of such an answer arrived.
+    answers: Rc<AnswerClock>,
 }
 
 impl FleetView {
     /// Creates a view without configuration or waves. The table counts as having answered now.
     pub fn new() -> Rc<Self> {
-        let view = Self::default();
-        view.answered_ms.set(boot_ms());
-        Rc::new(view)
+        Self::with_clock(AnswerClock::new())
+    }
+
+    /// Like [`FleetView::new`], with a clock in which the change feed records the arrival of an
+    /// answer. The transfer of a large configuration then doesn't count as silence.
+    pub fn with_clock(answers: Rc<AnswerClock>) -> Rc<Self> {
+        Rc::new(Self {
+            config: RefCell::default(),
+            waves: RefCell::default(),
+            answers,
+        })
     }
 
     /// Returns the configuration in force, or `None` before the first was read.
@@ -60,7 +68,7 @@
 
     /// Returns the time since the platform last answered, in ms.
     pub fn unanswered_ms(&self) -> u64 {
-        boot_ms().saturating_sub(self.answered_ms.get())
+        self.answers.silent_ms()
     }
 
     /// Returns whether the platform's table is unreachable, so that nothing can be stored.
@@ -77,7 +85,7 @@
             let wait = if answering { POLL_WAIT } else { Duration::ZERO };
             match feed.operator_changes(since, wait).await {
                 Ok(ChangeSet::Changes(changes, revision)) => {
-                    self.answered_ms.set(boot_ms());
+                    self.answers.record();
                     since = revision;
                     changes.into_iter().for_each(|change| self.accept(change));
                     if !answering {
@@ -95,6 +103,9 @@
                         log::warn!("event=dependency_lost name=platform_table reason=\"{error}\"");
                     }
                     answering = false;
+                    // Only the newest version matters: after an outage, the changes since the last
+                    // answer may be many times as large.
+                    since = Revision::new(0);
                     sleep(POLL_RETRY_DELAY).await;
                 }
             }
