Log a wave only when it is new or changed

After a failed poll the operator's rows are read anew, so the line was written again for a known wave.

--- a/src/workflow/fleet_view.rs
+++ b/src/workflow/fleet_view.rs
@@ -120,8 +120,12 @@
             OperatorChange::Wave(request) => {
                 let mut waves = self.waves.borrow_mut();
                 let wave = request.wave.clone();
-                let since_ms = waves.get(&wave).map_or_else(boot_ms, |(_, since)| *since);
-                log::info!("event=wave_seen wave={wave} hosts={}", request.hosts.len());
+                let known = waves.get(&wave);
+                let since_ms = known.map_or_else(boot_ms, |(_, since)| *since);
+                // A wave is read again after a failed poll.
+                if known.is_none_or(|(known, _)| *known != request) {
+                    log::info!("event=wave_seen wave={wave} hosts={}", request.hosts.len());
+                }
                 waves.insert(wave, (request, since_ms));
             }
         }
