Count a job as pending until one of its tasks is known to have begun

Cause: a job left the count as soon as a task was placed, and did not return to it: not when a gang's placement was taken back, not when a start was not sent, and not when a controller placed tasks, committed and lost its lease before the starts.

Change: the count follows has_begun, which an accepted start, a reported run or an end sets. After a takeover it is known again once a worker reports.

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -317,7 +317,7 @@
         std::mem::take(&mut self.stops)
     }
 
-    /// Counts, for each queue, the jobs of which no task has started.
+    /// Counts, for each queue, the jobs of which no task is known to have started.
     pub fn pending_counts(&self) -> BTreeMap<String, u64> {
         let mut counts = BTreeMap::new();
         if let Some(config) = &self.config {
@@ -325,7 +325,7 @@
             counts.extend(names);
         }
         let open = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
-        for job in open.filter(|job| job.phase == JobPhase::Queued) {
+        for job in open.filter(|job| !job.phase.has_ended() && !job.has_begun) {
             *counts.entry(job.spec.queue.clone()).or_default() += 1;
         }
         counts
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -69,6 +69,9 @@
         }
         match outcome {
             CommandOutcome::Accepted(_) => {
+                if let Some(job) = self.jobs.get_mut(&name.job) {
+                    job.has_begun = true;
+                }
                 self.set_command_phase(name, CommandPhase::Accepted(now_ms))
             }
             CommandOutcome::Unknown(_) => {
@@ -113,8 +116,11 @@
         if !placed_here && !self.resolve_lost_run(name, worker) {
             return;
         }
-        let job = self.jobs.get_mut(&name.job);
-        let Some(state) = job.and_then(|job| job.task_mut(name)) else {
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        job.has_begun = true;
+        let Some(state) = job.task_mut(name) else {
             return;
         };
         if !end.checkpoint.is_empty() {
@@ -288,6 +294,10 @@
         if state.worker() != Some(id) || state.last_run != running.run {
             return false;
         }
+        job.has_begun = true;
+        let Some(state) = job.task_mut(&running.task) else {
+            return false;
+        };
         if !running.checkpoint.is_empty() {
             state.checkpoint.clone_from(&running.checkpoint);
         }
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -73,6 +73,9 @@
     pub first_read_ms: u64,
     /// When the job ended, or was restored as ended, in ms; 0 before.
     pub ended_ms: u64,
+    /// A run of one of its tasks is known to have begun. A placement does not tell: its start may
+    /// not be sent, or the lease may be lost first.
+    pub has_begun: bool,
     tasks: Vec<TaskState>,
     /// The position of each step's first task within an occurrence.
     step_offsets: Vec<usize>,
@@ -97,6 +100,7 @@
             phase: JobPhase::Queued,
             first_read_ms: now_ms,
             ended_ms: 0,
+            has_begun: false,
             tasks: vec![TaskState::new(); total * occurrences],
             step_offsets,
             done_counts,
@@ -118,6 +122,8 @@
         if phase.has_ended() {
             self.ended_ms = now_ms;
         }
+        let has_ended_run = |task: &TaskState| task.phase == TaskPhase::Done || task.failures > 0;
+        self.has_begun = self.tasks.iter().any(has_ended_run);
         self.recount_done();
         Some(())
     }
