Measure a run from the sending of its start

What callers would see: healthy tasks stopped as stalled after a burst, and too long durations learnt, since starts wait for each other now.

Cause: the time of a run was taken from its placement. Introduced with the limit on starts; found by review.

Evidence: time_until_a_start_is_sent_does_not_count_as_running_time failed before and passes.

--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -38,7 +38,7 @@
         worker: WorkerId,
         /// The progress of the last command.
         command: CommandPhase,
-        /// When the task was placed or restored, in ms.
+        /// When the task was placed, its start was sent, or it was restored, in ms.
         since_ms: u64,
     },
     /// The task has completed successfully.
@@ -111,6 +111,18 @@
         }
     }
 
+    /// Records that the start of a placed task is sent at `now_ms`, which may be long after its
+    /// placement.
+    pub fn set_sent(&mut self, now_ms: u64) {
+        if let TaskPhase::Placed {
+            command, since_ms, ..
+        } = &mut self.phase
+        {
+            *command = CommandPhase::Sent;
+            *since_ms = now_ms;
+        }
+    }
+
     /// Returns whether the task runs at its full processing rate.
     pub fn is_at_full_rate(&self) -> bool {
         self.command_phase() == Some(CommandPhase::Running) && self.percent == 100
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -306,7 +306,7 @@
         epoch: term.epoch,
         checkpoint: state.checkpoint.clone(),
     };
-    state.set_command_phase(CommandPhase::Sent);
+    state.set_sent(now_ms);
     Some((entry, command))
 }
 
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -1,11 +1,44 @@
-//! Guards against metrics that keep the values of a term that has ended.
+//! Guards against metrics that keep the values of a term that has ended, and against starts that
+//! wait within a term.
+
+#[path = "common/fake_fleet.rs"]
+mod fake_fleet;
+
+#[path = "common/workflow.rs"]
+mod fixtures;
+
+#[path = "common/runtime.rs"]
+mod runtime;
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use monoio::time::sleep;
+use zincpier::process::boot_ms;
 use zincpier::process::EntryMetrics;
+use zincpier::workflow::send_start;
 use zincpier::workflow::ControllerTerm;
 use zincpier::workflow::HostCommands;
 use zincpier::workflow::JobEngine;
+use zincpier::workflow::JobSpec;
+use zincpier::workflow::TaskPhase;
+use zincpier::workflow::WorkerReport;
+
+use crate::fake_fleet::FakeFleet;
+use crate::fake_fleet::FakeLink;
+use crate::runtime::run;
+
+/// How long the start in these tests waits.
+const WAIT_FOR_START: Duration = Duration::from_millis(300);
+
+fn empty_report() -> WorkerReport {
+    WorkerReport {
+        clock_ms: 1_000_000,
+        running: Vec::new(),
+        ends: Vec::new(),
+        has_more_ends: false,
+    }
+}
 
 /// An entry host that has lost the lease would report its open jobs for ever, besides those of the
 /// holder.
@@ -22,3 +55,41 @@
     assert_eq!(metrics.lease_epoch.get(), 0);
     assert_eq!(metrics.open_jobs.get(), 0);
 }
+
+/// A start that waits for others would count as a run that takes long, and be stopped as stalled.
+#[test]
+fn time_until_a_start_is_sent_does_not_count_as_running_time() {
+    run(async {
+        // Arrange: a task is placed, and its start waits.
+        let fleet = FakeFleet::new(fixtures::config(), vec![fixtures::worker_entry(0)]);
+        let worker = fixtures::worker_entry(0);
+        let placed_ms = boot_ms();
+        let mut engine = JobEngine::new(placed_ms, 0);
+        engine.config = Some(Rc::new(fixtures::config()));
+        engine.set_worker(worker.clone());
+        engine.apply_report(&worker.id, &empty_report(), placed_ms, placed_ms);
+        let spec = JobSpec {
+            queue: fixtures::QUEUE.to_owned(),
+            payload: "text".to_owned(),
+            steps: vec![fixtures::step(1)],
+            schedule: None,
+        };
+        engine.add_job(fixtures::JOB.parse().unwrap(), spec, None, placed_ms);
+        engine.place_tasks(placed_ms, 0);
+        let commands = HostCommands::new(None, placed_ms);
+        let term = ControllerTerm::new(1, engine, commands, Rc::new(EntryMetrics::new()));
+        sleep(WAIT_FOR_START).await;
+
+        // Act.
+        let task = fixtures::task(fixtures::JOB, 0);
+        send_start(FakeLink::new(&fleet), Rc::clone(&term), task.clone(), 1).await;
+
+        // Assert.
+        let engine = term.engine.borrow();
+        let state = engine.jobs[&task.job].task(&task).unwrap();
+        let TaskPhase::Placed { since_ms, .. } = state.phase else {
+            panic!("not placed: {:?}", state.phase);
+        };
+        assert!(since_ms >= placed_ms + WAIT_FOR_START.as_millis() as u64);
+    });
+}
