Withdraw a start whose lease is unconfirmed for too long

The check is that of renewals of workers' leases; the task is released and placed again. No test of its own.

--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -285,6 +285,12 @@
     if state.command_phase() != Some(CommandPhase::Committing) || state.last_run != run {
         return None;
     }
+    // A successor may rely on no start being sent this long after the last confirmation.
+    if !term.may_renew() {
+        log::info!("event=start_withdrawn task={task} reason=\"the lease is not confirmed\"");
+        engine.release_task(task);
+        return None;
+    }
     let worker = state
         .worker()
         .and_then(|worker| engine.workers.get_mut(worker));
