Let starts on their way together fit the host's link

The limit was that of a link of 10 Mbit/s on every host, 125 KB. Where many starts get no answer each holds its share for 250 ms an attempt, so that a host with 200 Mbit/s was held to some 450 starts a second (worked out in review, not measured). Hosts that know their link use what it carries in 0.1 s, at least the former limit; the test names 125,000 and 2,500,000 bytes.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -136,6 +136,7 @@
         };
         let commands = HostCommands::new(ages.as_ref(), boot_ms());
         let term = ControllerTerm::new(lease.epoch(), engine, commands, Rc::clone(&self.metrics));
+        term.raise_start_limit(self.resources.start_bytes());
         let loaded = self.while_renewing(&mut lease, self.load_jobs(&term)).await;
         let Some(job_revision) = loaded else {
             term.end("the lease was lost before the state was loaded");
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -32,9 +32,9 @@
 /// prevents a controller that was paused from sending commands after a successor has taken over.
 const MAX_COMMAND_UNCONFIRMED_MS: u64 = 1_000;
 
-/// Max bytes of start commands that are on their way together: what a link of 10 Mbit/s carries in
-/// 0.1 s, so that renewals of the lease and of workers' leases find room.
-const MAX_START_BYTES: u32 = 125_000;
+/// Max bytes of start commands that are on their way together, on the thinnest link: what 10 Mbit/s
+/// carry in 0.1 s, so that renewals of the lease and of workers' leases find room.
+pub(crate) const MIN_START_BYTES: usize = 125_000;
 
 /// Bytes of a start command besides its payload: headers, names and numbers.
 const START_OVERHEAD_BYTES: usize = 400;
@@ -96,7 +96,7 @@
             host_commands: RefCell::new(host_commands),
             plan: Notify::new(),
             commit: Notify::new(),
-            start_bytes: Semaphore::new(MAX_START_BYTES as usize),
+            start_bytes: Semaphore::new(MIN_START_BYTES),
             ended: Cell::new(false),
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
@@ -186,13 +186,20 @@
         self.worker_notifiers.borrow_mut().remove(worker);
     }
 
+    /// Raises the limit on the bytes of start commands that are on their way together to
+    /// `start_bytes`.
+    pub fn raise_start_limit(&self, start_bytes: usize) {
+        let added = start_bytes.saturating_sub(MIN_START_BYTES);
+        self.start_bytes.add_permits(added);
+    }
+
     /// Waits until a start command of the task fits among those that are on their way. The permit
     /// is dropped once the command is answered or given up.
     pub async fn start_permit(&self, task: &TaskName) -> Option<SemaphorePermit<'_>> {
         let bytes = {
             let engine = self.engine.borrow();
             let payload = engine.jobs.get(&task.job)?.spec.payload.len();
-            (payload + START_OVERHEAD_BYTES).min(MAX_START_BYTES as usize)
+            (payload + START_OVERHEAD_BYTES).min(MIN_START_BYTES)
         };
         self.start_bytes.acquire_many(bytes as u32).await.ok()
     }
--- a/src/workflow/host_resources.rs
+++ b/src/workflow/host_resources.rs
@@ -1,5 +1,7 @@
 //! Processor time and link of an entry host, and what a controller needs of them.
 
+use crate::workflow::controller_term::MIN_START_BYTES;
+
 /// Processor time that a controller needs, in cores: the smallest share at which the sweep in
 /// docs/CAPACITY.md shows one of 1,000 workers that leaves two thirds of its share free.
 const MIN_PROCESSOR_SHARE: f64 = 0.25;
@@ -10,6 +12,9 @@
 /// Time in ms for which other entry hosts are left to claim the lease: two of their polls.
 const CLAIM_DELAY_MS: u64 = 600;
 
+/// Bytes that a link of 1 Mbit/s carries in 0.1 s.
+const BYTES_PER_MBPS: f64 = 12_500.0;
+
 /// What an entry host provides. An unknown value counts as enough.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct HostResources {
@@ -20,6 +25,13 @@
 }
 
 impl HostResources {
+    /// Returns the bytes of start commands that may be on their way together: what the link carries
+    /// in 0.1 s. An unknown link counts as the thinnest.
+    pub fn start_bytes(&self) -> usize {
+        let bytes = self.link_mbps.map(|mbps| (mbps * BYTES_PER_MBPS) as usize);
+        bytes.unwrap_or_default().max(MIN_START_BYTES)
+    }
+
     /// Returns the time in ms for which this host leaves the controller's lease to others.
     pub fn claim_delay_ms(&self) -> u64 {
         let has_processor = self
--- a/tests/lease_monitor.rs
+++ b/tests/lease_monitor.rs
@@ -104,3 +104,18 @@
 fn host_of_unknown_resources_claims_without_delay() {
     assert_eq!(HostResources::default().claim_delay_ms(), 0);
 }
+
+#[test]
+fn starts_on_their_way_together_fit_the_link() {
+    let bytes = |link_mbps| {
+        let resources = HostResources {
+            link_mbps,
+            ..HostResources::default()
+        };
+        resources.start_bytes()
+    };
+
+    assert_eq!(bytes(None), 125_000);
+    assert_eq!(bytes(Some(2.0)), 125_000);
+    assert_eq!(bytes(Some(200.0)), 2_500_000);
+}
