Make two tests fail on the faults they guard against

lease_lost_while_loading_is_not_reported_as_held: hidden submissions hold up the paged load as well; since the load reads pages, the test passed without the guarded call. commits_with_lost_answers_take_effect_once asserts that the epoch stays 1: with whole records compared in LeaderLease::resolve it passed, as the host claimed its own lease again.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -513,6 +513,9 @@
 
     async fn read_page(&self, part: &str, after: &str, limit: usize) -> Result<RowPage> {
         self.reach_table().await?;
+        if self.fleet.jobs_hidden.get() {
+            return Err(Error::PlatformSilent("hidden".to_owned()));
+        }
         sleep(self.fleet.page_time.get()).await;
         let limit = limit.min(self.fleet.max_page_rows.get());
         let rows = self.fleet.rows.borrow();
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -272,6 +272,8 @@
 
         wait_until_complete(&link, 8).await;
         assert_each_ran_once(&fleet, 8);
+        let leader = link.read(&[LEADER_KEY]).await.unwrap();
+        assert_eq!(leader[0].value["epoch"], 1);
     });
 }
 
