--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -49,6 +49,7 @@
             }
         }
         self.reconcile_running(id, report, sent_ms, now_ms);
+        self.resolve_listed_runs(id, report, sent_ms);
     }
 
     /// Applies the outcome of a start command; one that was refused or not sent releases the task.
@@ -68,6 +69,9 @@
         }
         match outcome {
             CommandOutcome::Accepted(_) => {
+                if let Some(job) = self.jobs.get_mut(&name.job) {
+                    job.has_begun = true;
+                }
                 self.set_command_phase(name, CommandPhase::Accepted(now_ms))
             }
             CommandOutcome::Unknown(_) => {
@@ -105,10 +109,20 @@
         let Some(state) = job.task_mut(name) else {
             return;
         };
-        let placed_here = state.worker() == Some(worker) && state.last_run == end.run;
-        if !placed_here {
+        if state.last_run != end.run {
+            return;
+        }
+        let placed_here = state.worker() == Some(worker);
+        if !placed_here && !self.resolve_lost_run(name, worker) {
             return;
         }
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        job.has_begun = true;
+        let Some(state) = job.task_mut(name) else {
+            return;
+        };
         if !end.checkpoint.is_empty() {
             state.checkpoint.clone_from(&end.checkpoint);
         }
@@ -280,6 +294,10 @@
         if state.worker() != Some(id) || state.last_run != running.run {
             return false;
         }
+        job.has_begun = true;
+        let Some(state) = job.task_mut(&running.task) else {
+            return false;
+        };
         if !running.checkpoint.is_empty() {
             state.checkpoint.clone_from(&running.checkpoint);
         }
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -38,7 +38,7 @@
         worker: WorkerId,
         /// The progress of the last command.
         command: CommandPhase,
-        /// When the task was placed or restored, in ms.
+        /// When the task was placed, its start was sent, or it was restored, in ms.
         since_ms: u64,
     },
     /// The task has completed successfully.
@@ -57,6 +57,8 @@
     pub failures: u32,
     /// The last checkpoint; empty for none.
     pub checkpoint: String,
+    /// The worker whose report a waiting task is held back for: it may list the last run as done.
+    pub lost_on: Option<WorkerId>,
     /// The workers on which a run failed or stalled; later runs prefer others.
     pub failed_on: Vec<WorkerId>,
     /// The last reported share of the full processing rate, in percent.
@@ -74,12 +76,18 @@
             last_run: 0,
             failures: 0,
             checkpoint: String::new(),
+            lost_on: None,
             failed_on: Vec::new(),
             percent: 0,
             load: 0,
         }
     }
 
+    /// Returns whether the task may be placed.
+    pub fn is_placeable(&self) -> bool {
+        self.phase == TaskPhase::Waiting && self.lost_on.is_none()
+    }
+
     /// Returns the worker of a placed task.
     pub fn worker(&self) -> Option<&WorkerId> {
         match &self.phase {
@@ -103,26 +111,37 @@
         }
     }
 
+    /// Records that the start of a placed task is sent at `now_ms`, which may be long after its
+    /// placement.
+    pub fn set_sent(&mut self, now_ms: u64) {
+        if let TaskPhase::Placed {
+            command, since_ms, ..
+        } = &mut self.phase
+        {
+            *command = CommandPhase::Sent;
+            *since_ms = now_ms;
+        }
+    }
+
     /// Returns whether the task runs at its full processing rate.
     pub fn is_at_full_rate(&self) -> bool {
         self.command_phase() == Some(CommandPhase::Running) && self.percent == 100
     }
 
     /// Encodes the durable part: 0 before the first run, 1 when done, otherwise an array of
-    /// run, failures, checkpoint and, if placed, worker.
+    /// run, failures, checkpoint and, if placed, worker. A task that is held back for its worker's
+    /// report is encoded as placed there, so that a successor waits for that report as well.
     pub fn to_value(&self) -> Value {
-        match &self.phase {
-            TaskPhase::Done => json!(1),
-            TaskPhase::Waiting if self.last_run == 0 => json!(0),
-            TaskPhase::Waiting => json!([self.last_run, self.failures, self.checkpoint]),
-            TaskPhase::Placed { worker, .. } => {
-                json!([
-                    self.last_run,
-                    self.failures,
-                    self.checkpoint,
-                    worker.as_str()
-                ])
-            }
+        let worker = match &self.phase {
+            TaskPhase::Done => return json!(1),
+            TaskPhase::Waiting if self.last_run == 0 => return json!(0),
+            TaskPhase::Waiting => self.lost_on.as_ref(),
+            TaskPhase::Placed { worker, .. } => Some(worker),
+        };
+        let (run, failures, checkpoint) = (self.last_run, self.failures, &self.checkpoint);
+        match worker {
+            Some(worker) => json!([run, failures, checkpoint, worker.as_str()]),
+            None => json!([run, failures, checkpoint]),
         }
     }
 
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -96,7 +96,7 @@
         };
         sleep(pause).await;
     }
-    term.remove_worker_notifier(&id);
+    term.end_maintenance(&id);
 }
 
 /// Waits until the applied task ends are durable, for `COMMIT_WAIT` at most.
@@ -285,6 +285,12 @@
     if state.command_phase() != Some(CommandPhase::Committing) || state.last_run != run {
         return None;
     }
+    // A successor may rely on no start being sent this long after the last confirmation.
+    if !term.may_renew() {
+        log::info!("event=start_withdrawn task={task} reason=\"the lease is not confirmed\"");
+        engine.release_task(task);
+        return None;
+    }
     let worker = state
         .worker()
         .and_then(|worker| engine.workers.get_mut(worker));
@@ -306,7 +312,7 @@
         epoch: term.epoch,
         checkpoint: state.checkpoint.clone(),
     };
-    state.set_command_phase(CommandPhase::Sent);
+    state.set_sent(now_ms);
     Some((entry, command))
 }
 
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -272,6 +272,8 @@
 
         wait_until_complete(&link, 8).await;
         assert_each_ran_once(&fleet, 8);
+        let leader = link.read(&[LEADER_KEY]).await.unwrap();
+        assert_eq!(leader[0].value["epoch"], 1);
     });
 }
 
@@ -382,6 +384,27 @@
     });
 }
 
+#[test]
+fn a_worker_that_is_listed_again_gets_tasks() {
+    run(async {
+        // Arrange: idle workers leave the list for longer than an idle worker's check takes to come.
+        let fleet = fleet();
+        let link = start_entry(&fleet, "boston-1");
+        submit(&link, 1).await;
+        wait_until_complete(&link, 1).await;
+        fleet.workers_unlisted.set(true);
+        sleep(Duration::from_millis(1_500)).await;
+
+        // Act.
+        fleet.workers_unlisted.set(false);
+        submit(&link, 2).await;
+
+        // Assert.
+        wait_until_complete(&link, 2).await;
+        assert_each_ran_once(&fleet, 2);
+    });
+}
+
 /// Returns a wave of all four hosts, one down at a time.
 fn wave_of_four() -> WaveRequest {
     WaveRequest {
