--- a/src/workflow/count_freshness.rs
+++ b/src/workflow/count_freshness.rs
@@ -53,8 +53,8 @@
     /// Returns the count in a queue's row, read after these counts were published. Returns `None`
     /// if the row cannot be decoded.
     ///
-    /// The holder publishes the count of each queue of the configuration and of each queue with
-    /// pending jobs. A queue without a row of this holder or a later one therefore has none.
+    /// The holder publishes each count that is not 0, and each change of a count that it has
+    /// published. A queue without a row of this holder or a later one therefore has none pending.
     pub fn count(&self, row: Option<&TableRow>) -> Option<u64> {
         match row {
             Some(row) if row.revision > self.claimed => row.value.as_u64(),
