Collect log lines before they are written, and write the last ones before exit

Cause: each line woke the writer's thread, and a write carried one or two lines. The writer now collects lines for 20 ms.

--- a/src/process/log_stream.rs
+++ b/src/process/log_stream.rs
@@ -9,6 +9,8 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use fern::Output;
 use log::LevelFilter;
@@ -20,24 +22,59 @@
 /// The capacity of the line queue: a few seconds of logging at peak load.
 const QUEUE_LINES: usize = 4_096;
 
+/// How long the writer collects lines after the first one. While it collects, queueing a line wakes
+/// no thread.
+const COLLECT_TIME: Duration = Duration::from_millis(20);
+
+/// Interval at which a flush looks whether all lines are written.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Counts of lines, shared by the code that logs and the writer.
+#[derive(Default)]
+struct LineCounts {
+    queued: AtomicU64,
+    written: AtomicU64,
+    dropped: AtomicU64,
+}
+
+/// A log whose lines are written by a thread of its own.
+pub struct LogStream {
+    counts: Arc<LineCounts>,
+}
+
+impl LogStream {
+    /// Waits until the lines logged so far are written, at most `limit`. A process that exits
+    /// without it may lose its last lines.
+    pub fn flush(&self, limit: Duration) {
+        let deadline = Instant::now() + limit;
+        let queued = self.counts.queued.load(Ordering::Acquire);
+        while self.counts.written.load(Ordering::Acquire) < queued && Instant::now() < deadline {
+            thread::sleep(FLUSH_POLL_INTERVAL);
+        }
+    }
+}
+
 /// Writes log lines to standard output from a dedicated thread.
 ///
 /// A line is dropped and counted if the queue is full, so that a blocked standard output does not
 /// block the code that logs. The count is logged as soon as lines are written again. Lines over the
 /// limit of the [`LogRateLimiter`] are suppressed; their count is logged before the next line of
 /// the same kind.
-pub fn start_log_stream() {
+pub fn start_log_stream() -> LogStream {
     let (lines, queued) = sync_channel::<String>(QUEUE_LINES);
-    let dropped = Arc::new(AtomicU64::new(0));
-    let dropped_count = Arc::clone(&dropped);
+    let counts = Arc::new(LineCounts::default());
+    let sent = Arc::clone(&counts);
     let send = move |line: String| {
-        if lines.try_send(line).is_err() {
-            dropped.fetch_add(1, Ordering::Relaxed);
-        }
+        let counter = match lines.try_send(line) {
+            Ok(()) => &sent.queued,
+            Err(_) => &sent.dropped,
+        };
+        counter.fetch_add(1, Ordering::Release);
     };
     let output = Output::call(move |record| send(record.args().to_string()));
     let limiter = Mutex::new(LogRateLimiter::new());
-    thread::spawn(move || write_lines(&queued, &dropped_count));
+    let writer_counts = Arc::clone(&counts);
+    thread::spawn(move || write_lines(&queued, &writer_counts));
     let dispatch = fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("zincpier", LevelFilter::Info)
@@ -65,29 +102,40 @@
         .chain(output);
     // The logger is global: a second daemon in the same process logs through the first one's.
     let _ = dispatch.apply();
+    LogStream { counts }
 }
 
 /// Writes queued lines in batches of about 16 KiB at most, until the logger is dropped.
-fn write_lines(queued: &Receiver<String>, dropped: &AtomicU64) {
+fn write_lines(queued: &Receiver<String>, counts: &LineCounts) {
     let mut output = std::io::stdout().lock();
     while let Ok(line) = queued.recv() {
+        thread::sleep(COLLECT_TIME);
         let mut text = line;
         text.push('\n');
+        let mut lines = 1;
         while let Ok(line) = queued.try_recv() {
             text.push_str(&line);
             text.push('\n');
+            lines += 1;
             if text.len() > 16 * 1024 {
-                break;
+                write_text(&mut output, &text, lines, counts);
+                text.clear();
+                lines = 0;
             }
         }
-        let dropped_lines = dropped.swap(0, Ordering::Relaxed);
+        let dropped_lines = counts.dropped.swap(0, Ordering::Relaxed);
         if dropped_lines > 0 {
             text.push_str(&format!(
                 "level=WARN event=log_lines_dropped count={dropped_lines}\n"
             ));
         }
-        // A failure of standard output cannot be reported: it is the log's only output.
-        let _ = output.write_all(text.as_bytes());
-        let _ = output.flush();
+        write_text(&mut output, &text, lines, counts);
     }
 }
+
+fn write_text(output: &mut impl Write, text: &str, lines: u64, counts: &LineCounts) {
+    // A failure of standard output cannot be reported: it is the log's only output.
+    let _ = output.write_all(text.as_bytes());
+    let _ = output.flush();
+    counts.written.fetch_add(lines, Ordering::Release);
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -56,6 +56,7 @@
 pub use log_rate_limiter::LogRateLimiter;
 pub use log_setup::start_logging;
 pub use log_stream::start_log_stream;
+pub use log_stream::LogStream;
 pub use member_set::Member;
 pub use member_set::MemberSet;
 pub use member_tracker::MemberTracker;
