--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -1,15 +1,19 @@
 //! HTTP client for one server, used for the platform and by operators' tools.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::HOST;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use monoio::time::timeout;
 use monoio::time::Instant;
+use tokio::sync::Notify;
 
 use crate::connection::ExchangeError;
 use crate::connection::HttpConnection;
@@ -24,6 +28,10 @@
 /// The largest response body, in bytes: several times the largest page of the platform's table.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// How long a request waits for one of the connections in use, before it opens another beyond their
+/// usual number: several round trips within a region.
+const CONNECTION_WAIT: Duration = Duration::from_millis(20);
+
 /// Sends requests to one address and reuses idle connections.
 pub struct HttpClient {
     address: SocketAddr,
@@ -31,6 +39,22 @@
     limits: MessageLimits,
     idle: RefCell<Vec<(HttpConnection, IdlePermit)>>,
     budget: Rc<IdleBudget>,
+    /// Connections that carry a request.
+    busy: Cell<usize>,
+    /// Connections in use from which on a request waits for one of them.
+    usual_connections: usize,
+    /// Notified when a connection in use becomes free or is closed.
+    released: Notify,
+}
+
+/// Counts a connection as in use until it is dropped.
+struct BusyConnection<'c>(&'c HttpClient);
+
+impl Drop for BusyConnection<'_> {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+        self.0.released.notify_one();
+    }
 }
 
 impl HttpClient {
@@ -53,9 +77,19 @@
             limits,
             idle: RefCell::new(Vec::new()),
             budget,
+            busy: Cell::new(0),
+            usual_connections: usize::MAX,
+            released: Notify::new(),
         }
     }
 
+    /// Sets the number of connections that requests share, rather than opening more, if one becomes
+    /// free shortly.
+    pub fn with_usual_connections(mut self, count: usize) -> Self {
+        self.usual_connections = count;
+        self
+    }
+
     /// Returns the address that requests are sent to.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -77,7 +111,13 @@
         let limits = limits.into();
         let deadline = Instant::now() + limits.time;
         request.headers_mut().insert(HOST, self.host.clone());
-        let mut connection = match self.take_idle() {
+        let idle = match self.take_idle() {
+            None if self.busy.get() >= self.usual_connections => self.wait_for_idle().await,
+            idle => idle,
+        };
+        self.busy.set(self.busy.get() + 1);
+        let busy = BusyConnection(self);
+        let mut connection = match idle {
             Some(connection) => connection,
             None => HttpConnection::dial(self.address, self.limits, deadline).await?,
         };
@@ -88,9 +128,29 @@
         if let Some(permit) = permit.flatten() {
             self.idle.borrow_mut().push((connection, permit));
         }
+        drop(busy);
         Ok(response)
     }
 
+    /// Waits for a connection that becomes idle, for [`CONNECTION_WAIT`] at most.
+    async fn wait_for_idle(&self) -> Option<HttpConnection> {
+        let released = async {
+            loop {
+                self.released.notified().await;
+                let idle = self.take_idle();
+                if idle.is_some() || self.busy.get() < self.usual_connections {
+                    return idle;
+                }
+            }
+        };
+        timeout(CONNECTION_WAIT, released).await.ok().flatten()
+    }
+
+    /// Returns whether a request is under way.
+    pub fn is_busy(&self) -> bool {
+        self.busy.get() > 0
+    }
+
     /// Closes every idle connection.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
