--- /dev/null
+++ b/src/connection/client_cache.rs
@@ -0,0 +1,96 @@
+//! Clients of many servers that come and go, with a shared limit on their connections.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::Instant;
+
+use crate::connection::HttpClient;
+use crate::connection::IdleBudget;
+
+/// The minimum time between searches for clients of servers that are gone.
+const PURGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Clients by the address of their server, created on first use.
+///
+/// A server that moves comes back at another address. The clients of addresses that are no longer
+/// used are dropped with their connections; otherwise they would use up the limit, and each request
+/// to the others would open a connection.
+pub struct ClientCache {
+    clients: RefCell<HashMap<SocketAddr, CachedClient>>,
+    /// The limit on the connections of all clients together.
+    max_connections: usize,
+    /// The number of connections to one server that its requests share.
+    usual_connections: usize,
+    /// How long a client without requests is kept.
+    unused_time: Duration,
+    idle_budget: Rc<IdleBudget>,
+    purged: Cell<Instant>,
+}
+
+struct CachedClient {
+    client: Rc<HttpClient>,
+    used: Instant,
+}
+
+impl ClientCache {
+    /// Creates an empty cache, whose clients keep at most `max_connections` connections: one is
+    /// reserved for each server, the others may be idle.
+    pub fn new(max_connections: usize, unused_time: Duration) -> Self {
+        Self {
+            clients: RefCell::default(),
+            max_connections,
+            usual_connections: usize::MAX,
+            unused_time,
+            idle_budget: IdleBudget::new(max_connections),
+            purged: Cell::new(Instant::now()),
+        }
+    }
+
+    /// Sets the number of connections to one server that its requests share, rather than opening
+    /// more, if one becomes free shortly.
+    pub fn with_usual_connections(mut self, count: usize) -> Self {
+        self.usual_connections = count;
+        self
+    }
+
+    /// Returns the client of the server at `address`.
+    pub fn get(&self, address: SocketAddr) -> Rc<HttpClient> {
+        let mut clients = self.clients.borrow_mut();
+        if let Some(cached) = clients.get_mut(&address) {
+            cached.used = Instant::now();
+            return Rc::clone(&cached.client);
+        }
+        if self.purged.get().elapsed() >= PURGE_INTERVAL {
+            self.purged.set(Instant::now());
+            let unused = |cached: &CachedClient| {
+                !cached.client.is_busy() && cached.used.elapsed() >= self.unused_time
+            };
+            clients.retain(|_, cached| !unused(cached));
+        }
+        let client = HttpClient::with_idle_budget(address, Rc::clone(&self.idle_budget));
+        let client = Rc::new(client.with_usual_connections(self.usual_connections));
+        let cached = CachedClient {
+            client: Rc::clone(&client),
+            used: Instant::now(),
+        };
+        clients.insert(address, cached);
+        let idle_limit = self.max_connections.saturating_sub(clients.len());
+        self.idle_budget.set_max(idle_limit);
+        client
+    }
+
+    /// Returns the number of clients.
+    pub fn len(&self) -> usize {
+        self.clients.borrow().len()
+    }
+
+    /// Returns whether there are no clients.
+    pub fn is_empty(&self) -> bool {
+        self.clients.borrow().is_empty()
+    }
+}
