Count runs as unavailable that the last controller may have stopped

A worker ignores the predecessor's stops once it has answered the new epoch, so its lists count from 650 ms after that answer on. Before: the new test in tests/workflow_engine.rs fails, "the other task may be about to end". After: it passes. Ruled out: stops of the controller itself, which count as unavailable already.

--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -93,9 +93,10 @@
         job.task(name).is_some_and(is_available) && (unavailable as u32) < limit
     }
 
-    /// Returns whether a worker is known and answers. Tasks on an unresponsive worker may be lost.
+    /// Returns whether a worker is known and answers, and what it lists is not about to be stopped.
+    /// Tasks on an unresponsive worker may be lost.
     fn is_responsive(&self, worker: Option<&WorkerId>) -> bool {
         let worker = worker.and_then(|id| self.workers.get(id));
-        worker.is_some_and(|worker| worker.unresponsive_since_ms == 0)
+        worker.is_some_and(|worker| worker.unresponsive_since_ms == 0 && worker.has_settled())
     }
 }
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -26,6 +26,11 @@
 /// The longest lease that a worker grants; set by the platform.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// How long after a worker's first answer a run may be listed that an earlier controller has
+/// stopped: the platform allows a stop 400 ms, and the answer may be on its way for as long as a
+/// short call.
+const INHERITED_STOP_MS: u64 = 650;
+
 /// Why a worker is cordoned.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CordonReason {
@@ -73,6 +78,8 @@
     /// first failure after a quarantine starts another one, unless a run succeeds before.
     failures: u32,
     quarantined_until_ms: u64,
+    /// Time up to which a run that an earlier controller has stopped may still be listed, in ms.
+    unsettled_until_ms: u64,
 }
 
 impl WorkerState {
@@ -96,6 +103,7 @@
             clock: None,
             failures: 0,
             quarantined_until_ms: 0,
+            unsettled_until_ms: 0,
         }
     }
 
@@ -130,12 +138,20 @@
         if self.clock.is_none() && !self.tasks.is_empty() {
             // An earlier controller requested the lease, so assume the latest possible end.
             self.lease_end_ms = self.lease_end_ms.max(clock_ms + MAX_LEASE_MS);
+            self.unsettled_until_ms = now_ms + INHERITED_STOP_MS;
         }
         self.clock = Some((clock_ms, now_ms));
         self.unresponsive_since_ms = 0;
         self.answered_ms = now_ms;
     }
 
+    /// Returns whether the runs that the worker last listed will not be ended by a stop of an earlier
+    /// controller. The worker ignores such stops once it has answered this controller, but one that
+    /// came before may still be at work.
+    pub fn has_settled(&self) -> bool {
+        self.answered_ms >= self.unsettled_until_ms
+    }
+
     /// Records a call without an answer.
     pub fn record_unresponsive(&mut self, now_ms: u64) {
         if self.unresponsive_since_ms == 0 {
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -193,6 +193,26 @@
     );
 }
 
+/// Guards against stops of two controllers that together exceed a step's limit: the last one has
+/// stopped a task that its worker still lists, and the next one takes it for available.
+#[test]
+fn a_run_that_the_last_controller_may_have_stopped_counts_as_unavailable() {
+    let mut fleet = EngineFleet::new(3);
+    fleet.submit(JOB, vec![long_running(2, 1)]);
+    fleet.start_all();
+    fleet.report_all();
+    let mut next = fleet.successor();
+    let second = task(JOB, 1);
+
+    next.report_all();
+    let spared_at_once = next.engine.can_spare(&second);
+    next.advance(700);
+    next.report_all();
+
+    assert!(!spared_at_once, "the other task may be about to end");
+    assert!(next.engine.can_spare(&second));
+}
+
 #[test]
 fn a_cancelled_job_is_stopped_when_its_worker_is_listed_after_the_cancellation() {
     let mut fleet = EngineFleet::new(1);
