Slow down reports and planning while a controller is behind

Cause: a controller short of processor time puts all its work into one queue, renewals of leases included. The lag of the planner's timers (control_lag) now lengthens the pauses between reports of a worker and between planning passes: fewer, larger reports carry the same ends. The lag is a metric (zincpier_control_lag_ms) and a log line a second from 80 ms on.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -40,6 +40,8 @@
     pub config_version: Gauge,
     /// Jobs that have not ended, as known to the lease holder; 0 on other hosts.
     pub open_jobs: Gauge,
+    /// How far the controller's work is behind, in ms; stays at its last value on other hosts.
+    pub control_lag_ms: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -74,6 +76,10 @@
             "open_jobs",
             "Jobs that have not ended, on the lease's holder",
         );
+        let control_lag_ms = gauge(
+            "control_lag_ms",
+            "Time by which the controller's work is behind",
+        );
         Self {
             registry,
             outcomes,
@@ -84,6 +90,7 @@
             lease_epoch,
             config_version,
             open_jobs,
+            control_lag_ms,
         }
     }
 
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -19,6 +19,7 @@
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
 use crate::provider::RowWrite;
+use crate::workflow::ControlLag;
 use crate::workflow::HostCommands;
 use crate::workflow::JobEngine;
 use crate::workflow::LeaseLost;
@@ -53,6 +54,8 @@
     pub host_commands: RefCell<HostCommands>,
     /// Counters of the entry host, shared by all its terms.
     pub metrics: Rc<EntryMetrics>,
+    /// How far the controller's work is behind.
+    pub lag: ControlLag,
     /// Wakes the planner before its interval has passed.
     pub plan: Notify,
     /// Wakes the committer before its renewal interval has passed.
@@ -94,6 +97,7 @@
             metrics,
             engine: RefCell::new(engine),
             host_commands: RefCell::new(host_commands),
+            lag: ControlLag::new(),
             plan: Notify::new(),
             commit: Notify::new(),
             start_bytes: Semaphore::new(MIN_START_BYTES),
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -25,6 +25,12 @@
 /// jobs, passes would otherwise take the processor time that commits and starts need.
 const PAUSE_FACTOR: u32 = 4;
 
+/// Lag that is logged, in ms: a tenth of a usual task's duration.
+const MIN_LOGGED_LAG_MS: u64 = 80;
+
+/// Min time between log lines about the lag.
+const LAG_LOG_INTERVAL_MS: u64 = 1_000;
+
 /// Min time between looks for expired leases, which compare all workers. Leases last seconds.
 const EXPIRY_INTERVAL_MS: u64 = 50;
 
@@ -35,6 +41,7 @@
     view: Rc<FleetView>,
 ) {
     let mut expired_ms = 0;
+    let mut logged_ms = 0;
     while term.is_active() {
         // A pass after a timeout handles expired leases, stalled tasks and due occurrences.
         let _ = timeout(MAX_PLAN_INTERVAL, term.plan.notified()).await;
@@ -47,8 +54,25 @@
             monoio::spawn(send_stop(Rc::clone(&platform), Rc::clone(&term), stop));
         }
         let pause = started.elapsed() * PAUSE_FACTOR;
-        sleep(pause.clamp(MIN_PLAN_INTERVAL, MAX_PLAN_INTERVAL)).await;
+        let pause = term.lag.lengthen(pause.max(MIN_PLAN_INTERVAL));
+        let pause = pause.min(MAX_PLAN_INTERVAL);
+        let slept = Instant::now();
+        sleep(pause).await;
+        term.lag.record(pause, slept.elapsed());
+        log_lag(&term, &mut logged_ms);
+    }
+}
+
+/// Publishes the controller's lag, and logs it at most once per [`LAG_LOG_INTERVAL_MS`] while it
+/// delays jobs. `logged_ms` is when it was last logged, in ms.
+fn log_lag(term: &ControllerTerm, logged_ms: &mut u64) {
+    let lag_ms = term.lag.average().as_millis() as u64;
+    term.metrics.control_lag_ms.set(lag_ms as i64);
+    if lag_ms < MIN_LOGGED_LAG_MS || boot_ms() < *logged_ms + LAG_LOG_INTERVAL_MS {
+        return;
     }
+    *logged_ms = boot_ms();
+    log::warn!("event=control_lag epoch={} lag_ms={lag_ms}", term.epoch);
 }
 
 /// Releases lost and stalled tasks, places waiting ones and returns the stop requests to send.
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -94,7 +94,7 @@
             retry_pause = (pause * 2).min(MAX_RETRY_PAUSE);
             pause
         };
-        sleep(pause).await;
+        sleep(term.lag.lengthen(pause)).await;
     }
     term.end_maintenance(&id);
 }
