Leave the controller's lease to hosts no weaker than the last holder, for 400 ms

Cause: among hosts of 0.12 to 0.5 of a core, the first one of at least 0.25 to see an expired lease takes it, although a controller of 1,100 workers needs up to 0.2 of a core on the mean and several times as much at a peak. The leader row now states the holder's processor time; a host with less waits 400 ms longer, one poll of the others. Where all hosts are alike nothing changes, and a row of an older build states none. Test: tests/lease_monitor.rs, host_with_less_processor_time_than_the_last_holder_claims_later. Weighed: a delay by absolute size, which would slow each takeover of the small deployments.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -94,8 +94,9 @@
 
     /// Polls the leader row and runs a term each time the lease is claimed, until shutdown starts.
     pub async fn run(&self) {
-        let mut monitor =
-            LeaseMonitor::new(boot_ms()).with_claim_delay(self.resources.claim_delay_ms());
+        let mut monitor = LeaseMonitor::new(boot_ms())
+            .with_claim_delay(self.resources.claim_delay_ms())
+            .with_processor_millis(self.resources.processor_millis());
         while self.shutdown.is_running() {
             let sent_ms = boot_ms();
             match self.platform.read(&[LEADER_KEY]).await {
@@ -130,6 +131,7 @@
         let is_first_term = lease.epoch() == 1;
         let ages = self
             .while_renewing(&mut lease, self.load_command_ages(is_first_term))
+            lease.set_processor_millis(self.resources.processor_millis().unwrap_or_default());
             .await;
         let Some(ages) = ages else {
             return;
--- a/src/workflow/host_resources.rs
+++ b/src/workflow/host_resources.rs
@@ -32,6 +32,12 @@
         bytes.unwrap_or_default().max(MIN_START_BYTES)
     }
 
+    /// Returns the processor time in millicores, if it is known.
+    pub fn processor_millis(&self) -> Option<u64> {
+        self.processor_share
+            .map(|share| (share * 1_000.0).round() as u64)
+    }
+
     /// Returns the time in ms for which this host leaves the controller's lease to others.
     pub fn claim_delay_ms(&self) -> u64 {
         let has_processor = self
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -46,6 +46,12 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub counts: Option<CountStamp>,
 }
+    /// The processor time of the holder's entry host, in millicores; 0 if unknown.
+    #[serde(default)]
+    pub processor_millis: u64,
+    /// The backlogs of queues, as of this commit.
+    #[serde(default, skip_serializing_if = "QueueBacklogs::is_empty")]
+    pub backlogs: QueueBacklogs,
 
 impl LeaderRecord {
     /// Returns whether both records were written by the same commit. Its attempts differ in the
@@ -100,6 +106,8 @@
             inherited_ms: previous.unobserved_ms(),
             counts: None,
         };
+            processor_millis: 0,
+            backlogs: QueueBacklogs::new(),
         let revision = current.map_or(Revision::new(0), |row| row.revision);
         let mut lease = Self {
             record,
@@ -149,6 +157,16 @@
     }
 
     /// Returns the last time at which this process is known to have held the lease, in ms.
+    /// Sets the processor time of this entry host, in millicores. The next commit stores it.
+    pub fn set_processor_millis(&mut self, processor_millis: u64) {
+        self.record.processor_millis = processor_millis;
+    }
+
+    /// Sets the backlogs of queues. The next commit stores them.
+    pub fn set_backlogs(&mut self, backlogs: QueueBacklogs) {
+        self.record.backlogs = backlogs;
+    }
+
     pub fn confirmed_ms(&self) -> u64 {
         self.confirmed_ms
     }
--- a/src/workflow/lease_monitor.rs
+++ b/src/workflow/lease_monitor.rs
@@ -20,12 +20,18 @@
 /// each to read the row once.
 const YIELD_MS: u64 = 400;
 
+/// Time for which an entry host leaves the lease to others if it has less processor time than the
+/// last holder: enough for each to read the row once.
+const WEAKER_HOST_DELAY_MS: u64 = 400;
+
 /// Decides from reads of the leader row whether its holder is still active.
 #[derive(Debug)]
 pub struct LeaseMonitor {
     started_ms: u64,
     /// Time added before a claim, except of a lease that an earlier process of this host held.
     claim_delay_ms: u64,
+    /// The processor time of this entry host, in millicores; `None` if unknown.
+    processor_millis: Option<u64>,
     /// The revision in the last read, and the time in ms at which it was first read.
     last_read: Option<(Revision, u64)>,
 }
@@ -36,6 +42,7 @@
         Self {
             started_ms,
             claim_delay_ms: 0,
+            processor_millis: None,
             last_read: None,
         }
     }
@@ -46,6 +53,13 @@
         self
     }
 
+    /// Sets the processor time of the entry host, in millicores. A host with less of it than the last
+    /// holder claims the lease later, since the fleet's load may need a host like the last one.
+    pub fn with_processor_millis(mut self, processor_millis: Option<u64>) -> Self {
+        self.processor_millis = processor_millis;
+        self
+    }
+
     /// Records a read of the leader row that took `read_ms`. Returns whether the entry host
     /// `own_name` may claim the lease; true, after the claim delay, if the row is missing or cannot
     /// be decoded.
@@ -66,13 +80,20 @@
             return true;
         }
         let since_ms = self.unchanged_since(revision, now_ms);
+        let is_weaker = self
+            .processor_millis
+            .is_some_and(|millis| millis < record.processor_millis);
+        let claim_delay_ms = match is_weaker {
+            true => self.claim_delay_ms.max(WEAKER_HOST_DELAY_MS),
+            false => self.claim_delay_ms,
+        };
         let recently_started = now_ms < self.started_ms + RECENT_START_MS;
         let lease_ms = match (record.released, recently_started) {
-            (true, true) => return now_ms >= since_ms + self.claim_delay_ms,
+            (true, true) => return now_ms >= since_ms + claim_delay_ms,
             (true, false) => YIELD_MS,
             (false, _) => LEASE_MS + READ_TIME_FACTOR * read_ms,
         };
-        now_ms > since_ms + lease_ms + self.claim_delay_ms
+        now_ms > since_ms + lease_ms + claim_delay_ms
     }
 
     /// Returns the time in ms at which `revision` was first read.
--- a/tests/lease_monitor.rs
+++ b/tests/lease_monitor.rs
@@ -70,6 +70,22 @@
     assert!(older.may_claim(Some(&row), "boston-1", 5, 100_500));
 }
 
+/// Guards against a controller on a host that can't carry the load that the last holder carried,
+/// while others like the last one are there.
+#[test]
+fn host_with_less_processor_time_than_the_last_holder_claims_later() {
+    let mut equal = LeaseMonitor::new(0).with_processor_millis(Some(500));
+    let mut weaker = LeaseMonitor::new(0).with_processor_millis(Some(250));
+    let mut expired = leader_row(7, "boston-2", false);
+    expired.value["processor_millis"] = json!(500);
+    equal.may_claim(Some(&expired), "boston-1", 5, 0);
+    weaker.may_claim(Some(&expired), "boston-3", 5, 0);
+
+    assert!(equal.may_claim(Some(&expired), "boston-1", 5, 1_200));
+    assert!(!weaker.may_claim(Some(&expired), "boston-3", 5, 1_200));
+    assert!(weaker.may_claim(Some(&expired), "boston-3", 5, 1_500));
+}
+
 #[test]
 fn host_with_a_thin_link_leaves_the_lease_to_others() {
     let mut fit = LeaseMonitor::new(0);
