Refuse jobs at once that are known not to be servable in time

The controller now writes into the leader row, which each entry host reads anyway, how long the work takes that waits before a new job of each queue and is still wanted, by the largest capacity that the pool had. `zincpier explain` names both causes: a backlog that is too long, and a controller that was behind.

--- a/src/operator/job_diagnosis.rs
+++ b/src/operator/job_diagnosis.rs
@@ -21,6 +21,14 @@
     /// The table did not store it; holds the logged reason.
     #[error("refused: the table did not store the job: {0}")]
     TableRefused(String),
+    /// The work ahead of it would have outlasted the time for which its result is of use.
+    #[error("refused: {wait_ms} ms of work waited before it, and its result is of use for {useful_ms} ms")]
+    BacklogTooLong {
+        /// Time that the work ahead of it would have taken, in ms.
+        wait_ms: u64,
+        /// Time from its submission after which its result is of no use, in ms.
+        useful_ms: u64,
+    },
     /// Its submission was invalid or could not be satisfied; holds the logged reason.
     #[error("rejected: {0}")]
     Rejected(String),
@@ -56,6 +64,15 @@
         /// New holder of the lease.
         holder: String,
     },
+    /// The controller was short of processor time.
+    #[error("late: waited {waited_ms} ms while the controller was behind by up to {lag_ms} ms")]
+    ControllerBehind {
+        /// Time from its first log line to its last task start, or to its last line if no task was
+        /// started, in ms.
+        waited_ms: u64,
+        /// The largest lag that the controller logged meanwhile, in ms.
+        lag_ms: u64,
+    },
     /// Its pool had less capacity than demand.
     #[error("late: waited {waited_ms} ms; pool {pool} had capacity for {capacity_millis} of {demand_millis} requested millicores")]
     PoolShortage {
--- a/src/operator/job_timeline.rs
+++ b/src/operator/job_timeline.rs
@@ -13,6 +13,13 @@
 /// Share of a job's time that its tasks must have run for the job to count as not delayed.
 const MIN_EXECUTION_PERCENT: u64 = 75;
 
+/// Lag of the controller that counts as the cause of a delay, in ms. Each step of a job meets it
+/// several times: when it is placed, committed, sent and reported.
+const MIN_DELAYING_LAG_MS: u64 = 200;
+
+/// Interval at which a controller logs its lag, in ms.
+const LAG_LOG_INTERVAL_MS: u64 = 1_000;
+
 /// The log lines about one job, sorted by time, and the lines of all entry hosts for context.
 #[derive(Debug)]
 pub struct JobTimeline<'l> {
@@ -79,6 +86,15 @@
 
     /// Returns why the table did not store a job that no controller has read.
     fn diagnose_refusal(&self) -> JobDiagnosis {
+        if let Some(hopeless) = self
+            .events("submit")
+            .find(|line| line.field("outcome") == "Hopeless")
+        {
+            return JobDiagnosis::BacklogTooLong {
+                wait_ms: hopeless.u64_field("wait_ms").unwrap_or(0),
+                useful_ms: hopeless.u64_field("useful_ms").unwrap_or(0),
+            };
+        }
         let unanswered_times = self
             .events("submit")
             .filter_map(|line| line.u64_field("silence_ms"));
@@ -143,8 +159,8 @@
         }
     }
 
-    /// Returns the main cause of a delay: a new controller, a shortage of the pool, retried
-    /// commits, repeated runs of a task, or the run time of the tasks, in this order.
+    /// Returns the main cause of a delay: a new controller, one that is behind, a shortage of the
+    /// pool, retried commits, repeated runs of a task, or the run time of the tasks, in this order.
     ///
     /// Repeated runs come first if the wait for the first start took less than half of the time.
     fn diagnose_delay(&self) -> JobDiagnosis {
@@ -175,6 +191,9 @@
                 holder: gained.host.clone().unwrap_or_default(),
             };
         }
+        if let Some(behind) = self.controller_lag(first_line_ms, last_wait_end_ms) {
+            return behind;
+        }
         if let Some(shortage) = self.pool_shortage(first_line_ms, last_wait_end_ms) {
             return shortage;
         }
@@ -229,6 +248,18 @@
         Some(end.time_ms)
     }
 
+    /// Returns the largest lag of the controller between the two times, if it was large enough to
+    /// delay a job.
+    fn controller_lag(&self, from_ms: u64, to_ms: u64) -> Option<JobDiagnosis> {
+        let lines = self.between(from_ms, to_ms + LAG_LOG_INTERVAL_MS);
+        let lags = lines.filter(|line| line.event == "control_lag");
+        let lag_ms = lags.filter_map(|line| line.u64_field("lag_ms")).max()?;
+        (lag_ms >= MIN_DELAYING_LAG_MS).then_some(JobDiagnosis::ControllerBehind {
+            waited_ms: to_ms - from_ms,
+            lag_ms,
+        })
+    }
+
     /// Returns the largest capacity shortage of the job's pool between the two times.
     fn pool_shortage(&self, from_ms: u64, to_ms: u64) -> Option<JobDiagnosis> {
         // The pool of a service's workers has the name of the service.
--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -14,6 +14,7 @@
 use crate::process::ShutdownSignal;
 use crate::provider::RowWrite;
 use crate::workflow::send_start;
+use crate::workflow::BacklogView;
 use crate::workflow::CommitEffect;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CountFreshness;
@@ -51,6 +52,7 @@
     platform: Rc<P>,
     term: Rc<ControllerTerm>,
     freshness: Rc<CountFreshness>,
+    backlogs: Rc<BacklogView>,
     /// Pending jobs per queue, as last written.
     published_counts: BTreeMap<String, u64>,
     /// When the pending jobs were last counted, in ms.
@@ -66,11 +68,13 @@
         platform: Rc<P>,
         term: Rc<ControllerTerm>,
         freshness: Rc<CountFreshness>,
+        backlogs: Rc<BacklogView>,
     ) -> Self {
         Self {
             platform,
             term,
             freshness,
+            backlogs,
             published_counts: BTreeMap::new(),
             count_ms: 0,
             counted_ms: None,
@@ -138,6 +142,9 @@
         let row = |(id, value)| row_write(format!("{PROGRESS_PREFIX}{id}"), value);
         let writes = rows.into_iter().map(row).chain(self.command_row());
         let (mut writes, senders) = self.merge_queued_rows(writes.collect());
+        if boot_ms() >= self.count_ms + COUNT_INTERVAL_MS {
+            self.measure_backlogs(lease);
+        }
         let (counts, counted_ms) = self.changed_counts();
         writes.extend(counts);
         let mut parts = split_writes(writes);
@@ -186,6 +193,15 @@
         Some(row_write(COMMANDS_KEY.to_owned(), json!(ages)))
     }
 
+    /// Tells the other entry hosts, with the next commit, and this one how long new jobs wait.
+    fn measure_backlogs(&self, lease: &mut LeaderLease) {
+        let now_ms = boot_ms();
+        let lag_ms = self.term.lag.average().as_millis() as u64;
+        let backlogs = self.term.engine.borrow().queue_backlogs(lag_ms, now_ms);
+        self.backlogs.record_own(&backlogs, now_ms);
+        lease.set_backlogs(backlogs);
+    }
+
     /// Counts the pending jobs, at most once per [`COUNT_INTERVAL_MS`]. Returns the rows of changed
     /// counts, and the time in ms up to which all counts contain all submissions.
     fn changed_counts(&mut self) -> (Vec<RowWrite>, Option<u64>) {
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -29,6 +29,7 @@
 use crate::workflow::job_key::JOB_TABLE;
 use crate::workflow::manage_hosts;
 use crate::workflow::planner_loop::run_planner;
+use crate::workflow::BacklogView;
 use crate::workflow::CommandAges;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CountFreshness;
@@ -60,6 +61,7 @@
     name: String,
     metrics: Rc<EntryMetrics>,
     counts: Rc<CountFreshness>,
+    backlogs: Rc<BacklogView>,
     shutdown: ShutdownSignal,
     resources: HostResources,
 }
@@ -81,11 +83,18 @@
             name,
             metrics,
             counts,
+            backlogs: Rc::new(BacklogView::new()),
             shutdown,
             resources: HostResources::default(),
         }
     }
 
+    /// Sets the view of the queues' backlogs that the controller keeps current.
+    pub fn with_backlogs(mut self, backlogs: Rc<BacklogView>) -> Self {
+        self.backlogs = backlogs;
+        self
+    }
+
     /// Sets what the entry host provides, on which its claims of the lease depend.
     pub fn with_resources(mut self, resources: HostResources) -> Self {
         self.resources = resources;
@@ -102,6 +111,7 @@
             match self.platform.read(&[LEADER_KEY]).await {
                 Ok(rows) => {
                     self.counts.record_read(rows.first(), sent_ms);
+                    self.backlogs.record_read(rows.first(), sent_ms);
                     let read_ms = boot_ms().saturating_sub(sent_ms);
                     if monitor.may_claim(rows.first(), &self.name, read_ms, boot_ms()) {
                         self.claim(rows.first()).await;
@@ -119,8 +129,9 @@
 
     async fn claim(&self, row: Option<&TableRow>) {
         let lease = LeaderLease::claim(self.platform.as_ref(), row, &self.name).await;
-        if let Some(lease) = lease {
+        if let Some(mut lease) = lease {
             log::info!("event=lease_gained epoch={}", lease.epoch());
+            lease.set_processor_millis(self.resources.processor_millis().unwrap_or_default());
             self.run_term(lease).await;
         }
     }
@@ -131,7 +142,6 @@
         let is_first_term = lease.epoch() == 1;
         let ages = self
             .while_renewing(&mut lease, self.load_command_ages(is_first_term))
-            lease.set_processor_millis(self.resources.processor_millis().unwrap_or_default());
             .await;
         let Some(ages) = ages else {
             return;
@@ -166,6 +176,7 @@
             Rc::clone(&self.platform),
             Rc::clone(&term),
             Rc::clone(&self.counts),
+            Rc::clone(&self.backlogs),
         );
         committer.run(&mut lease, &self.shutdown).await;
         term.end("committer stopped");
--- a/src/workflow/duration_tracker.rs
+++ b/src/workflow/duration_tracker.rs
@@ -44,6 +44,12 @@
         durations.mean_ms += (took_ms as f64 - durations.mean_ms) * weight;
     }
 
+    /// Returns the mean duration of a queue's completed tasks, in ms; `None` while there are too few.
+    pub fn mean_ms(&self, queue: &str) -> Option<u64> {
+        let durations = self.queues.get(queue)?;
+        (durations.sample_count >= MIN_SAMPLES).then_some(durations.mean_ms as u64)
+    }
+
     /// Predicts a task's duration in ms; falls back to the estimate without enough history.
     pub fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
         let expected_ms = self
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -8,6 +8,7 @@
 
 use crate::id::JobId;
 use crate::id::Revision;
+use crate::id::ServiceId;
 use crate::id::WorkerId;
 use crate::workflow::lost_runs::LostRuns;
 use crate::workflow::ArchivedJobs;
@@ -93,6 +94,8 @@
     pub(crate) open_jobs: BTreeSet<JobId>,
     /// Open jobs that may have unplaced tasks.
     pub(crate) waiting_jobs: BTreeSet<JobId>,
+    /// The largest CPU capacity that each pool's workers had in this term, in millicores.
+    pub(crate) pool_capacities: BTreeMap<ServiceId, u64>,
     pub(crate) forecast: PeakForecast,
     pub(crate) durations: DurationTracker,
     /// The last placement pass left tasks without a worker.
@@ -124,6 +127,7 @@
             stops: Vec::new(),
             open_jobs: BTreeSet::new(),
             waiting_jobs: BTreeSet::new(),
+            pool_capacities: BTreeMap::new(),
             forecast: PeakForecast::new(),
             durations: DurationTracker::new(),
             has_waiting: false,
--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -6,8 +6,13 @@
 use crate::workflow::JobEngine;
 use crate::workflow::JobSpec;
 use crate::workflow::JobUrgency;
+use crate::workflow::QueueBacklog;
+use crate::workflow::QueueBacklogs;
 use crate::workflow::TaskPhase;
 
+/// Wait from which a queue counts as having a backlog, in ms.
+const MIN_BACKLOG_MS: u64 = 1_000;
+
 impl JobEngine {
     /// Adds a new job's work to the forecast; long-running jobs are not forecast.
     pub(crate) fn record_arrival(&mut self, spec: &JobSpec, now_ms: u64) {
@@ -38,6 +43,45 @@
         self.forecast.max_peak_rate().map(|peak| peak as u64)
     }
 
+    /// Returns how long the new jobs of each queue wait, for queues that have a backlog. `lag_ms` is
+    /// how far the controller's own work is behind.
+    ///
+    /// Only work that is still wanted counts. A pool's capacity is the largest that it had lately,
+    /// since hosts may be on their way to it.
+    pub fn queue_backlogs(&self, lag_ms: u64, now_ms: u64) -> QueueBacklogs {
+        let mut backlogs = QueueBacklogs::new();
+        let Some(config) = self.config.as_ref() else {
+            return backlogs;
+        };
+        let mut work_by_service: BTreeMap<&ServiceId, u64> = BTreeMap::new();
+        for id in &self.waiting_jobs {
+            let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
+                continue;
+            };
+            let Some(queue) = config.queue(&job.spec.queue) else {
+                continue;
+            };
+            let is_wanted = JobUrgency::new(job, queue, &self.durations, now_ms).is_wanted();
+            if let Some(work) = self.waiting_work(id).filter(|_| is_wanted) {
+                let sum = work_by_service.entry(&queue.service).or_default();
+                *sum = sum.saturating_add(work);
+            }
+        }
+        for queue in &config.queues {
+            let work = work_by_service.get(&queue.service).copied().unwrap_or(0);
+            let capacity_millis = self.pool_capacities.get(&queue.service);
+            let Some(&capacity_millis) = capacity_millis.filter(|&&millis| millis > 0) else {
+                continue;
+            };
+            let wait_ms = (work / capacity_millis).saturating_add(lag_ms);
+            if wait_ms >= MIN_BACKLOG_MS {
+                let task_ms = self.durations.mean_ms(&queue.name).unwrap_or(0);
+                backlogs.insert(queue.name.clone(), QueueBacklog { wait_ms, task_ms });
+            }
+        }
+        backlogs
+    }
+
     /// Returns the CPU demand of each pool, in millicores: the forecast or the CPU in use,
     /// whichever is higher, plus the CPU needed to work off the waiting tasks in time.
     pub fn pool_demands(&mut self, now_ms: u64) -> BTreeMap<ServiceId, u64> {
--- a/src/workflow/job_urgency.rs
+++ b/src/workflow/job_urgency.rs
@@ -110,6 +110,11 @@
         u64::try_from(slack_ms).ok().filter(|_| self.class == LATE)
     }
 
+    /// Returns whether the job has an objective and its result is still of use.
+    pub fn is_wanted(&self) -> bool {
+        matches!(self.class, ON_TIME | LATE)
+    }
+
     /// Moves the job into the next class, which is placed later.
     pub fn defer(&mut self) {
         self.class += 1;
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -16,6 +16,7 @@
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
 use crate::workflow::CountStamp;
+use crate::workflow::QueueBacklogs;
 use crate::workflow::INHERITED_RUN_MS;
 use crate::workflow::RELEASED_RUN_MS;
 
@@ -45,13 +46,13 @@
     /// Describes the published counts of pending jobs; none before the holder has counted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub counts: Option<CountStamp>,
-}
     /// The processor time of the holder's entry host, in millicores; 0 if unknown.
     #[serde(default)]
     pub processor_millis: u64,
     /// The backlogs of queues, as of this commit.
     #[serde(default, skip_serializing_if = "QueueBacklogs::is_empty")]
     pub backlogs: QueueBacklogs,
+}
 
 impl LeaderRecord {
     /// Returns whether both records were written by the same commit. Its attempts differ in the
@@ -105,9 +106,9 @@
             released: false,
             inherited_ms: previous.unobserved_ms(),
             counts: None,
-        };
             processor_millis: 0,
             backlogs: QueueBacklogs::new(),
+        };
         let revision = current.map_or(Revision::new(0), |row| row.revision);
         let mut lease = Self {
             record,
@@ -156,7 +157,6 @@
         self.record.inherited_ms = inherited_ms;
     }
 
-    /// Returns the last time at which this process is known to have held the lease, in ms.
     /// Sets the processor time of this entry host, in millicores. The next commit stores it.
     pub fn set_processor_millis(&mut self, processor_millis: u64) {
         self.record.processor_millis = processor_millis;
@@ -167,6 +167,7 @@
         self.record.backlogs = backlogs;
     }
 
+    /// Returns the last time at which this process is known to have held the lease, in ms.
     pub fn confirmed_ms(&self) -> u64 {
         self.confirmed_ms
     }
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -4,11 +4,12 @@
 //! places tasks, renews the workers' leases, and commands hosts for upkeep and for moves between
 //! pools. Any entry host accepts jobs and looks them up.
 
+mod admission;
 mod archived_jobs;
 mod capacity_plan;
 mod committer;
-mod controller;
 mod control_lag;
+mod controller;
 mod controller_term;
 mod count_freshness;
 mod duration_tracker;
@@ -39,6 +40,7 @@
 mod peak_forecast;
 mod placement_pool;
 mod planner_loop;
+mod queue_backlog;
 mod retry_delay;
 mod spec_error;
 mod stalled_workers;
@@ -53,16 +55,18 @@
 mod worker_resources;
 mod worker_state;
 
+pub use admission::check_admission;
+pub use admission::AdmissionRefusal;
 pub use archived_jobs::ArchivedJobs;
 pub use capacity_plan::choose_moves;
 pub use capacity_plan::HostMove;
 pub use capacity_plan::PoolHost;
 pub use capacity_plan::PoolView;
+pub use control_lag::ControlLag;
 pub use controller::Controller;
 pub use controller_term::ControllerTerm;
 pub use count_freshness::CountFreshness;
 pub use count_freshness::CountStamp;
-pub use control_lag::ControlLag;
 pub use count_freshness::PublishedCounts;
 pub use count_freshness::MAX_COUNT_AGE_MS;
 pub use duration_tracker::DurationTracker;
@@ -127,6 +131,9 @@
 pub use page_sizer::PageSizer;
 pub use peak_forecast::PeakForecast;
 pub use placement_pool::PlacementPool;
+pub use queue_backlog::BacklogView;
+pub use queue_backlog::QueueBacklog;
+pub use queue_backlog::QueueBacklogs;
 pub use retry_delay::retry_delay_s;
 pub use spec_error::SpecError;
 pub(crate) use state_reader::StateReader;
--- /dev/null
+++ b/src/workflow/queue_backlog.rs
@@ -0,0 +1,80 @@
+//! How long a queue's new jobs wait, as the controller tells all entry hosts.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Revision;
+use crate::provider::TableRow;
+use crate::workflow::leader_lease::read_record;
+
+/// Age in ms from which a backlog says nothing about the present.
+const MAX_AGE_MS: u64 = 1_500;
+
+/// The backlog of one queue.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QueueBacklog {
+    /// Time that the pool needs for the work that waits and is still wanted, in ms.
+    pub wait_ms: u64,
+    /// Mean duration of the queue's tasks, in ms; 0 while unknown.
+    pub task_ms: u64,
+}
+
+/// The backlogs of all queues that have one, by the queue's name.
+pub type QueueBacklogs = BTreeMap<String, QueueBacklog>;
+
+/// What an entry host knows of the queues' backlogs, with a bound on its age.
+#[derive(Debug, Default)]
+pub struct BacklogView {
+    state: RefCell<ViewState>,
+}
+
+#[derive(Debug, Default)]
+struct ViewState {
+    /// The revision in the last read of the leader row, and when the read was sent, in ms.
+    last_read: Option<(Revision, u64)>,
+    backlogs: QueueBacklogs,
+    /// Time in ms at which the backlogs are known to have been valid.
+    valid_ms: Option<u64>,
+}
+
+impl BacklogView {
+    /// Starts without any knowledge.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records a read of the leader row that was sent at `sent_ms`. A row that differs from the one
+    /// in the read before was written after that read was sent.
+    pub fn record_read(&self, row: Option<&TableRow>, sent_ms: u64) {
+        let mut state = self.state.borrow_mut();
+        let revision = row.map_or(Revision::new(0), |row| row.revision);
+        let previous = state.last_read.replace((revision, sent_ms));
+        let Some((_, written_ms)) = previous.filter(|(previous, _)| *previous != revision) else {
+            return;
+        };
+        if let Some(record) = row.and_then(read_record) {
+            state.backlogs = record.backlogs;
+            state.valid_ms = Some(written_ms);
+        }
+    }
+
+    /// Records backlogs that this entry host's own controller found at `now_ms`.
+    pub fn record_own(&self, backlogs: &QueueBacklogs, now_ms: u64) {
+        let mut state = self.state.borrow_mut();
+        state.last_read = None;
+        state.backlogs.clone_from(backlogs);
+        state.valid_ms = Some(now_ms);
+    }
+
+    /// Returns a queue's backlog and its age in ms; `None` if there is none or it is too old to
+    /// decide by.
+    pub fn get(&self, queue: &str, now_ms: u64) -> Option<(QueueBacklog, u64)> {
+        let state = self.state.borrow();
+        let age_ms = now_ms.saturating_sub(state.valid_ms?);
+        let backlog = state.backlogs.get(queue).copied()?;
+        (age_ms <= MAX_AGE_MS).then_some((backlog, age_ms))
+    }
+}
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -37,6 +37,10 @@
         self.has_waiting = false;
         self.forget_placed_jobs();
         let mut pools = self.placement_pools(now_ms);
+        for (service, pool) in &pools {
+            let largest = self.pool_capacities.entry(service.clone()).or_default();
+            *largest = pool.capacity_millis().max(*largest);
+        }
         for (service, jobs) in self.jobs_by_service(&config, &pools, now_ms) {
             let pool = pools.entry(service).or_default();
             let mut unplaced_steps = 0;
@@ -139,7 +143,7 @@
     }
 
     /// Returns a job's work that has not started, in millicores times ms.
-    fn waiting_work(&self, id: &JobId) -> Option<u64> {
+    pub(crate) fn waiting_work(&self, id: &JobId) -> Option<u64> {
         let job = self.jobs.get(id)?;
         let config = self.config.as_ref()?;
         let queue = config.queue(&job.spec.queue)?;
--- a/tests/job_diagnosis.rs
+++ b/tests/job_diagnosis.rs
@@ -54,6 +54,39 @@
     assert_eq!(diagnose(text, "aa"), expected);
 }
 
+#[test]
+fn refusal_for_a_backlog_names_the_wait() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Hopeless wait_ms=9100 useful_ms=4200 age_ms=310 retry_s=6
+";
+
+    let expected = JobDiagnosis::BacklogTooLong {
+        wait_ms: 9_100,
+        useful_ms: 4_200,
+    };
+    assert_eq!(diagnose(text, "aa"), expected);
+}
+
+/// Fails if a wait for the controller is blamed on the pool, which is short as well.
+#[test]
+fn delay_by_a_controller_that_is_behind_names_its_lag() {
+    let text = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=Accepted
+e-2 time_ms=1100 level=INFO event=job_seen job=aa queue=q service=s
+e-2 time_ms=2000 level=WARN event=control_lag epoch=3 lag_ms=240
+e-2 time_ms=2500 level=INFO event=pool name=s hosts=1 pinned=0 room_millis=100 used_millis=100 demand_millis=900
+e-2 time_ms=3000 level=WARN event=control_lag epoch=3 lag_ms=910
+e-2 time_ms=9000 level=INFO event=task_start task=aa.0.0.0 run=1 worker=w-1 epoch=3 try=1 outcome=Accepted(7)
+e-2 time_ms=9900 level=INFO event=job_complete job=aa took_ms=8800
+";
+
+    let expected = JobDiagnosis::ControllerBehind {
+        waited_ms: 8_000,
+        lag_ms: 910,
+    };
+    assert_eq!(diagnose(text, "aa"), expected);
+}
+
 /// Fails if a task that failed on two workers is blamed on one of them.
 #[test]
 fn failures_on_several_workers_are_the_fault_of_the_job() {
