--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -32,6 +32,9 @@
 /// usual number: several round trips within a region.
 const CONNECTION_WAIT: Duration = Duration::from_millis(20);
 
+/// How long a connection may be idle before it is tested for its next use.
+const UNTESTED_IDLE_TIME: Duration = Duration::from_millis(30);
+
 /// Sends requests to one address and reuses idle connections.
 pub struct HttpClient {
     address: SocketAddr,
@@ -159,7 +162,9 @@
     fn take_idle(&self) -> Option<HttpConnection> {
         let mut idle = self.idle.borrow_mut();
         while let Some((mut connection, _)) = idle.pop() {
-            if connection.is_open_and_idle() {
+            // A connection that has just been used is as good as one that is tested.
+            let is_recent = connection.last_used().elapsed() < UNTESTED_IDLE_TIME;
+            if is_recent || connection.is_open_and_idle() {
                 return Some(connection);
             }
         }
