Fit starts and lists of hosts to thin links, and give the first lease to the strongest host

Cause, by the twins of the large site (132 workers, 2 Mbit/s): 125 KB of starts on their way together take 0.5 s of such a link, twice the time in which a start must be answered; a list of 132 hosts each 0.2 s took half of it. Now the bytes of starts follow the link down as well as up, and lists take a tenth of it. The test that allowed 125,000 bytes on 2 Mbit/s stated the fault; it now asks for 25,000 there, and the same as before on 10. The lease of a fleet without a controller goes to the host with the most processor time.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -130,7 +130,12 @@
     async fn claim(&self, row: Option<&TableRow>) {
         let lease = LeaderLease::claim(self.platform.as_ref(), row, &self.name).await;
         if let Some(mut lease) = lease {
-            log::info!("event=lease_gained epoch={}", lease.epoch());
+            log::info!(
+                "event=lease_gained epoch={} processor_millis={:?} link_mbps={:?}",
+                lease.epoch(),
+                self.resources.processor_millis(),
+                self.resources.link_mbps
+            );
             lease.set_processor_millis(self.resources.processor_millis().unwrap_or_default());
             self.run_term(lease).await;
         }
@@ -147,8 +152,13 @@
             return;
         };
         let commands = HostCommands::new(ages.as_ref(), boot_ms());
-        let term = ControllerTerm::new(lease.epoch(), engine, commands, Rc::clone(&self.metrics));
-        term.raise_start_limit(self.resources.start_bytes());
+        let term = ControllerTerm::with_start_limit(
+            lease.epoch(),
+            engine,
+            commands,
+            Rc::clone(&self.metrics),
+            self.resources.start_bytes(),
+        );
         let loaded = self.while_renewing(&mut lease, self.load_jobs(&term)).await;
         let Some(job_revision) = loaded else {
             term.end("the lease was lost before the state was loaded");
@@ -169,6 +179,7 @@
             Rc::clone(&self.platform),
             Rc::clone(&term),
             Rc::clone(&self.view),
+            self.resources,
         ));
         let archiver = JobArchiver::new(Rc::clone(&self.platform), Rc::clone(&term));
         monoio::spawn(archiver.run());
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -33,9 +33,9 @@
 /// prevents a controller that was paused from sending commands after a successor has taken over.
 const MAX_COMMAND_UNCONFIRMED_MS: u64 = 1_000;
 
-/// Max bytes of start commands that are on their way together, on the thinnest link: what 10 Mbit/s
-/// carry in 0.1 s, so that renewals of the lease and of workers' leases find room.
-pub(crate) const MIN_START_BYTES: usize = 125_000;
+/// Max bytes of start commands that are on their way together, on a link of unknown bandwidth: what
+/// 10 Mbit/s carry in 0.1 s, so that renewals of the lease and of workers' leases find room.
+pub(crate) const DEFAULT_START_BYTES: usize = 125_000;
 
 /// Bytes of a start command besides its payload: headers, names and numbers.
 const START_OVERHEAD_BYTES: usize = 400;
@@ -62,6 +62,8 @@
     pub commit: Notify,
     /// Bytes of start commands that may still be sent before earlier ones are answered.
     start_bytes: Semaphore,
+    /// The number of permits of `start_bytes`.
+    start_limit: usize,
     ended: Cell<bool>,
     has_worker_list: Cell<bool>,
     /// When the lease was last confirmed, in ms.
@@ -90,6 +92,18 @@
         engine: JobEngine,
         host_commands: HostCommands,
         metrics: Rc<EntryMetrics>,
+    ) -> Rc<Self> {
+        Self::with_start_limit(epoch, engine, host_commands, metrics, DEFAULT_START_BYTES)
+    }
+
+    /// Like [`ControllerTerm::new`], with the max bytes of start commands that are on their way
+    /// together.
+    pub fn with_start_limit(
+        epoch: u64,
+        engine: JobEngine,
+        host_commands: HostCommands,
+        metrics: Rc<EntryMetrics>,
+        start_limit: usize,
     ) -> Rc<Self> {
         metrics.lease_epoch.set(epoch as i64);
         Rc::new(Self {
@@ -100,7 +114,8 @@
             lag: ControlLag::new(),
             plan: Notify::new(),
             commit: Notify::new(),
-            start_bytes: Semaphore::new(MIN_START_BYTES),
+            start_bytes: Semaphore::new(start_limit),
+            start_limit,
             ended: Cell::new(false),
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
@@ -190,20 +205,13 @@
         self.worker_notifiers.borrow_mut().remove(worker);
     }
 
-    /// Raises the limit on the bytes of start commands that are on their way together to
-    /// `start_bytes`.
-    pub fn raise_start_limit(&self, start_bytes: usize) {
-        let added = start_bytes.saturating_sub(MIN_START_BYTES);
-        self.start_bytes.add_permits(added);
-    }
-
     /// Waits until a start command of the task fits among those that are on their way. The permit
     /// is dropped once the command is answered or given up.
     pub async fn start_permit(&self, task: &TaskName) -> Option<SemaphorePermit<'_>> {
         let bytes = {
             let engine = self.engine.borrow();
             let payload = engine.jobs.get(&task.job)?.spec.payload.len();
-            (payload + START_OVERHEAD_BYTES).min(MIN_START_BYTES)
+            (payload + START_OVERHEAD_BYTES).min(self.start_limit)
         };
         self.start_bytes.acquire_many(bytes as u32).await.ok()
     }
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -27,6 +27,7 @@
 use crate::workflow::HostList;
 use crate::workflow::HostMover;
 use crate::workflow::HostOutcome;
+use crate::workflow::HostResources;
 use crate::workflow::HostState;
 use crate::workflow::PoolView;
 use crate::workflow::WaveHost;
@@ -36,7 +37,7 @@
 /// Key prefix of the rows with waves' progress.
 const WAVE_PREFIX: &str = "waves/";
 
-/// Interval at which the hosts are listed.
+/// Interval at which the hosts are listed, if the link carries the lists.
 const HOST_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time for which a host is not moved after its upkeep was commanded. The platform states 2 s for
@@ -58,12 +59,15 @@
     states: RefCell<HashMap<HostId, (HostState, Option<WorkerId>)>>,
 }
 
-/// Runs maintenance waves and host moves until the term ends.
+/// Runs maintenance waves and host moves until the term ends. `resources` are those of this entry
+/// host.
 pub async fn manage_hosts<P: FleetPlatform>(
     platform: Rc<P>,
     term: Rc<ControllerTerm>,
     view: Rc<FleetView>,
+    resources: HostResources,
 ) {
+    let mut poll_interval = HOST_POLL_INTERVAL;
     let mover = HostMover::new(Rc::clone(&platform), Rc::clone(&term), Rc::clone(&view));
     let manager = HostManager {
         platform,
@@ -73,7 +77,7 @@
         states: RefCell::default(),
     };
     while manager.term.is_active() {
-        sleep(HOST_POLL_INTERVAL).await;
+        sleep(poll_interval).await;
         let listed_ms = boot_ms();
         let list = match manager.platform.list_hosts().await {
             Ok(list) => list,
@@ -82,6 +86,7 @@
                 continue;
             }
         };
+        poll_interval = HOST_POLL_INTERVAL.max(resources.host_list_interval(list.hosts.len()));
         manager.record_states(&list);
         // Until the workers are known, a host that runs tasks would look empty.
         if !manager.term.has_worker_list() {
--- a/src/workflow/host_resources.rs
+++ b/src/workflow/host_resources.rs
@@ -1,6 +1,8 @@
 //! Processor time and link of an entry host, and what a controller needs of them.
 
-use crate::workflow::controller_term::MIN_START_BYTES;
+use std::time::Duration;
+
+use crate::workflow::controller_term::DEFAULT_START_BYTES;
 
 /// Processor time that a controller needs, in cores: the smallest share at which the sweep in
 /// docs/CAPACITY.md shows one of 1,000 workers that leaves two thirds of its share free.
@@ -15,6 +17,18 @@
 /// Bytes that a link of 1 Mbit/s carries in 0.1 s.
 const BYTES_PER_MBPS: f64 = 12_500.0;
 
+/// The fewest bytes of start commands that may be on their way together: the largest command.
+const MIN_START_BYTES: usize = 6_000;
+
+/// Bytes of one host in a list of hosts.
+const HOST_LIST_BYTES: usize = 200;
+
+/// How many times longer than a list of hosts takes on the link it is until the next one.
+const LIST_LINK_SHARE: f64 = 10.0;
+
+/// The longest interval between lists of hosts: waves and moves must still meet their times.
+const MAX_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// What an entry host provides. An unknown value counts as enough.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct HostResources {
@@ -29,7 +43,17 @@
     /// in 0.1 s. An unknown link counts as the thinnest.
     pub fn start_bytes(&self) -> usize {
         let bytes = self.link_mbps.map(|mbps| (mbps * BYTES_PER_MBPS) as usize);
-        bytes.unwrap_or_default().max(MIN_START_BYTES)
+        bytes.unwrap_or(DEFAULT_START_BYTES).max(MIN_START_BYTES)
+    }
+
+    /// Returns the interval at which `hosts` hosts may be listed without using more than a tenth of
+    /// the link.
+    pub fn host_list_interval(&self, hosts: usize) -> Duration {
+        let Some(mbps) = self.link_mbps.filter(|mbps| *mbps > 0.0) else {
+            return Duration::ZERO;
+        };
+        let link_s = (hosts * HOST_LIST_BYTES) as f64 / (mbps * BYTES_PER_MBPS * 10.0);
+        Duration::from_secs_f64(link_s * LIST_LINK_SHARE).min(MAX_LIST_INTERVAL)
     }
 
     /// Returns the processor time in millicores, if it is known.
--- a/src/workflow/lease_monitor.rs
+++ b/src/workflow/lease_monitor.rs
@@ -24,6 +24,10 @@
 /// last holder: enough for each to read the row once.
 const WEAKER_HOST_DELAY_MS: u64 = 400;
 
+/// Time for which an entry host leaves the first lease to others, for each core that it has less than
+/// one. Hosts that differ by a quarter of a core are then apart by more than one read.
+const FIRST_CLAIM_DELAY_PER_CORE_MS: u64 = 1_600;
+
 /// Decides from reads of the leader row whether its holder is still active.
 #[derive(Debug)]
 pub struct LeaseMonitor {
@@ -72,7 +76,8 @@
     ) -> bool {
         let revision = row.map_or(Revision::new(0), |row| row.revision);
         let Some(record) = row.and_then(read_record) else {
-            return now_ms >= self.unchanged_since(revision, now_ms) + self.claim_delay_ms;
+            let delay_ms = self.claim_delay_ms + self.first_claim_delay_ms();
+            return now_ms >= self.unchanged_since(revision, now_ms) + delay_ms;
         };
         // This process does not hold the lease, so the holder was an earlier process of this entry
         // host, which has ended.
@@ -96,6 +101,15 @@
         now_ms > since_ms + lease_ms + claim_delay_ms
     }
 
+    /// Returns the time in ms for which this host leaves a lease without a holder to hosts with more
+    /// processor time. A host with a whole core leaves it to nobody.
+    fn first_claim_delay_ms(&self) -> u64 {
+        let missing_millis = self
+            .processor_millis
+            .map_or(0, |millis| 1_000_u64.saturating_sub(millis));
+        missing_millis * FIRST_CLAIM_DELAY_PER_CORE_MS / 1_000
+    }
+
     /// Returns the time in ms at which `revision` was first read.
     fn unchanged_since(&mut self, revision: Revision, now_ms: u64) -> u64 {
         match self.last_read {
--- a/tests/lease_monitor.rs
+++ b/tests/lease_monitor.rs
@@ -86,6 +86,40 @@
     assert!(weaker.may_claim(Some(&expired), "boston-3", 5, 1_500));
 }
 
+/// Guards against a first controller on a host that happens to read the table first.
+#[test]
+fn first_lease_goes_to_the_host_with_the_most_processor_time() {
+    let first_claim_ms = |processor_millis| {
+        let mut monitor = LeaseMonitor::new(0).with_processor_millis(Some(processor_millis));
+        let mut reads = (0..20).map(|read| read * 100);
+        reads.find(|&now_ms| monitor.may_claim(None, "boston-1", 5, now_ms))
+    };
+
+    let (strong_ms, weak_ms) = (first_claim_ms(500), first_claim_ms(250));
+
+    // Apart by more than the interval at which the row is read.
+    assert!(
+        strong_ms.unwrap() + 300 < weak_ms.unwrap(),
+        "{strong_ms:?} {weak_ms:?}"
+    );
+}
+
+/// Guards against lists of hosts that fill a thin link, beside which leases are renewed too late.
+#[test]
+fn lists_of_hosts_take_a_tenth_of_the_link_at_most() {
+    let interval = |link_mbps| {
+        let resources = HostResources {
+            link_mbps,
+            ..HostResources::default()
+        };
+        resources.host_list_interval(132).as_millis()
+    };
+
+    assert_eq!(interval(Some(2.0)), 1_056, "26,400 bytes take 106 ms");
+    assert!(interval(Some(200.0)) < 20);
+    assert_eq!(interval(None), 0);
+}
+
 #[test]
 fn host_with_a_thin_link_leaves_the_lease_to_others() {
     let mut fit = LeaseMonitor::new(0);
@@ -132,6 +166,7 @@
     };
 
     assert_eq!(bytes(None), 125_000);
-    assert_eq!(bytes(Some(2.0)), 125_000);
+    assert_eq!(bytes(Some(2.0)), 25_000);
+    assert_eq!(bytes(Some(10.0)), 125_000);
     assert_eq!(bytes(Some(200.0)), 2_500_000);
 }
