List hosts beside the decisions about them

Lists are now read by a task of their own, and a pass every 200 ms decides by the newest one; a host whose move was ordered after the list was requested is not taken down for upkeep by it. Ruled out as the cause: the controller's lag, which stayed under 80 ms, and the time from submission to the controller (0.08 s).

--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -19,6 +19,8 @@
 use crate::process::boot_ms;
 use crate::provider::RowWrite;
 use crate::workflow::choose_upkeep;
+use crate::workflow::host_listing::HostListing;
+use crate::workflow::host_listing::ListedHosts;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CordonReason;
 use crate::workflow::FleetPlatform;
@@ -37,8 +39,8 @@
 /// Key prefix of the rows with waves' progress.
 const WAVE_PREFIX: &str = "waves/";
 
-/// Interval at which the hosts are listed, if the link carries the lists.
-const HOST_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval of decisions about hosts.
+const PASS_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time for which a host is not moved after its upkeep was commanded. The platform states 2 s for
 /// an upkeep.
@@ -67,7 +69,12 @@
     view: Rc<FleetView>,
     resources: HostResources,
 ) {
-    let mut poll_interval = HOST_POLL_INTERVAL;
+    let listing = Rc::new(HostListing::default());
+    let lister = (Rc::clone(&listing), Rc::clone(&platform), Rc::clone(&term));
+    monoio::spawn(async move {
+        let (listing, platform, term) = lister;
+        listing.run(platform.as_ref(), &term, resources).await;
+    });
     let mover = HostMover::new(Rc::clone(&platform), Rc::clone(&term), Rc::clone(&view));
     let manager = HostManager {
         platform,
@@ -76,18 +83,16 @@
         commanded_ms: RefCell::default(),
         states: RefCell::default(),
     };
+    let mut recorded_ms = 0;
     while manager.term.is_active() {
-        sleep(poll_interval).await;
-        let listed_ms = boot_ms();
-        let list = match manager.platform.list_hosts().await {
-            Ok(list) => list,
-            Err(error) => {
-                log::warn!("event=hosts_unknown reason=\"{error}\"");
-                continue;
-            }
+        sleep(PASS_INTERVAL).await;
+        let Some(ListedHosts { list, listed_ms }) = listing.latest() else {
+            continue;
         };
-        poll_interval = HOST_POLL_INTERVAL.max(resources.host_list_interval(list.hosts.len()));
-        manager.record_states(&list);
+        if listed_ms != recorded_ms {
+            recorded_ms = listed_ms;
+            manager.record_states(&list);
+        }
         // Until the workers are known, a host that runs tasks would look empty.
         if !manager.term.has_worker_list() {
             continue;
@@ -95,8 +100,9 @@
         let hosts = &list.hosts;
         let pools = mover.pools(hosts, &manager.upkeep_hosts());
         for (request, first_read_ms) in view.waves() {
+            let moved = mover.moved_since(listed_ms);
             manager
-                .advance_wave(&request, first_read_ms, &list, &pools, listed_ms)
+                .advance_wave(&request, first_read_ms, &list, &pools, listed_ms, &moved)
                 .await;
         }
         let pools = mover.pools(hosts, &manager.upkeep_hosts());
@@ -153,7 +159,8 @@
         hosts
     }
 
-    /// Runs one pass over a wave, based on a list of hosts that was requested at `listed_ms`.
+    /// Runs one pass over a wave, based on a list of hosts that was requested at `listed_ms`. It still
+    /// shows the hosts in `moved` where they were before.
     async fn advance_wave(
         &self,
         request: &WaveRequest,
@@ -161,13 +168,14 @@
         list: &HostList,
         pools: &[PoolView],
         listed_ms: u64,
+        moved: &HashSet<HostId>,
     ) {
         let wave = &request.wave;
         let hosts = &list.hosts;
         if !self.load_progress(wave).await || self.progress.borrow()[wave].complete {
             return;
         }
-        let wave_hosts = self.wave_hosts(request, hosts, pools, listed_ms);
+        let wave_hosts = self.wave_hosts(request, hosts, pools, listed_ms, moved);
         self.resend_upkeeps(request).await;
         let age_ms = boot_ms().saturating_sub(first_read_ms);
         let remaining_ms = request.deadline_ms.saturating_sub(age_ms);
@@ -213,6 +221,7 @@
         hosts: &[HostEntry],
         pools: &[PoolView],
         listed_ms: u64,
+        moved: &HashSet<HostId>,
     ) -> Vec<WaveHost> {
         let progress = self.progress.borrow();
         let progress = &progress[&request.wave];
@@ -234,7 +243,7 @@
                 recent || inherited_command_ms.is_some_and(|at_ms| listed_ms < at_ms + MIN_DOWN_MS);
             WaveHost {
                 host: host.host.clone(),
-                up: host.is_up(),
+                up: host.is_up() && !moved.contains(&host.host),
                 down: started && (!host.is_up() || !accepted || recent),
                 started,
                 used_millis: worker.map_or(0, |worker| worker.used.cpu_millis),
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use futures::future::join_all;
@@ -98,6 +99,13 @@
         config.pools.iter().map(pool).collect()
     }
 
+    /// Returns the hosts whose moves were ordered after `time_ms`.
+    pub(crate) fn moved_since(&self, time_ms: u64) -> HashSet<HostId> {
+        let arriving = self.arriving.borrow();
+        let moved = arriving.iter().filter(|(_, (_, at_ms))| *at_ms >= time_ms);
+        moved.map(|(host, _)| host.clone()).collect()
+    }
+
     fn pool_of(&self, host: &HostEntry) -> String {
         let arriving = self.arriving.borrow();
         arriving
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -23,6 +23,7 @@
 mod fleet_view;
 mod gateway;
 mod host_commands;
+mod host_listing;
 mod host_manager;
 mod host_mover;
 mod host_resources;
