Let jobs that run take part in the deferral again

Only services with unplaced tasks are looked at, so an idle pass still costs next to nothing (tests/placement_scale.rs).

--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -1,10 +1,11 @@
 //! Places tasks that are ready to start on workers, most urgent jobs first.
 //!
 //! A pass runs after each change, up to a hundred times a second, with thousands of open jobs at a
-//! demand peak. It looks only at jobs that have unplaced tasks, and copies the state of the workers
+//! demand peak. It looks only at services with unplaced tasks, and copies the state of the workers
 //! once for all of a service's jobs.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use crate::id::JobId;
@@ -91,11 +92,17 @@
         now_ms: u64,
     ) -> BTreeMap<ServiceId, Vec<JobId>> {
         let mut sorted: BTreeMap<ServiceId, Vec<(JobUrgency, JobId)>> = BTreeMap::new();
-        for id in &self.waiting_jobs {
-            let Some(job) = self.jobs.get(id) else {
+        let waiting = self.waiting_jobs.iter();
+        let services: BTreeSet<_> = waiting
+            .filter_map(|id| Some(&config.queue(&self.jobs.get(id)?.spec.queue)?.service))
+            .collect();
+        // Jobs that run take part in the deferral: their capacity is not free.
+        for id in &self.open_jobs {
+            let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
                 continue;
             };
-            let Some(queue) = config.queue(&job.spec.queue) else {
+            let queue = config.queue(&job.spec.queue);
+            let Some(queue) = queue.filter(|queue| services.contains(&queue.service)) else {
                 continue;
             };
             let urgency = JobUrgency::new(job, queue, &self.durations, now_ms);
@@ -108,7 +115,9 @@
             self.defer_jobs(&mut jobs, capacity_millis, JobUrgency::slack_ms);
             self.defer_jobs(&mut jobs, capacity_millis, JobUrgency::late_slack_ms);
             jobs.sort();
-            (service, jobs.into_iter().map(|(_, id)| id).collect())
+            let waiting = jobs.into_iter().map(|(_, id)| id);
+            let waiting = waiting.filter(|id| self.waiting_jobs.contains(id));
+            (service, waiting.collect())
         };
         sorted.into_iter().map(sort_jobs).collect()
     }
