--- a/src/connection/client_cache.rs
+++ b/src/connection/client_cache.rs
@@ -15,8 +15,18 @@
 /// The minimum time between searches for clients of servers that are gone.
 const PURGE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The fewest connections to one server that its requests share: one for a call that the server
+/// holds back, and one for all others.
+const MIN_USUAL_CONNECTIONS: usize = 2;
+
+/// The most connections to one server that its requests share.
+const MAX_USUAL_CONNECTIONS: usize = 3;
+
 /// Clients by the address of their server, created on first use.
 ///
+/// The requests to a server share two or three connections, fewer the more servers there are. They
+/// open more only if none becomes free shortly.
+///
 /// A server that moves comes back at another address. The clients of addresses that are no longer
 /// used are dropped with their connections; otherwise they would use up the limit, and each request
 /// to the others would open a connection.
@@ -25,7 +35,7 @@
     /// The limit on the connections of all clients together.
     max_connections: usize,
     /// The number of connections to one server that its requests share.
-    usual_connections: usize,
+    usual_connections: Rc<Cell<usize>>,
     /// How long a client without requests is kept.
     unused_time: Duration,
     idle_budget: Rc<IdleBudget>,
@@ -44,20 +54,13 @@
         Self {
             clients: RefCell::default(),
             max_connections,
-            usual_connections: usize::MAX,
+            usual_connections: Rc::new(Cell::new(MAX_USUAL_CONNECTIONS)),
             unused_time,
             idle_budget: IdleBudget::new(max_connections),
             purged: Cell::new(Instant::now()),
         }
     }
 
-    /// Sets the number of connections to one server that its requests share, rather than opening
-    /// more, if one becomes free shortly.
-    pub fn with_usual_connections(mut self, count: usize) -> Self {
-        self.usual_connections = count;
-        self
-    }
-
     /// Returns the client of the server at `address`.
     pub fn get(&self, address: SocketAddr) -> Rc<HttpClient> {
         let mut clients = self.clients.borrow_mut();
@@ -73,7 +76,7 @@
             clients.retain(|_, cached| !unused(cached));
         }
         let client = HttpClient::with_idle_budget(address, Rc::clone(&self.idle_budget));
-        let client = Rc::new(client.with_usual_connections(self.usual_connections));
+        let client = Rc::new(client.with_usual_connections(Rc::clone(&self.usual_connections)));
         let cached = CachedClient {
             client: Rc::clone(&client),
             used: Instant::now(),
@@ -81,6 +84,10 @@
         clients.insert(address, cached);
         let idle_limit = self.max_connections.saturating_sub(clients.len());
         self.idle_budget.set_max(idle_limit);
+        // Half of the limit is left for what a burst opens beyond the usual number.
+        let usual = self.max_connections / (2 * clients.len());
+        self.usual_connections
+            .set(usual.clamp(MIN_USUAL_CONNECTIONS, MAX_USUAL_CONNECTIONS));
         client
     }
 
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -29,8 +29,9 @@
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// How long a request waits for one of the connections in use, before it opens another beyond their
-/// usual number: several round trips within a region.
-const CONNECTION_WAIT: Duration = Duration::from_millis(20);
+/// usual number: many round trips within a region. A client that is short of processor time needs
+/// some of it; opening connections would make it slower still.
+const CONNECTION_WAIT: Duration = Duration::from_millis(100);
 
 /// How long a connection may be idle before it is tested for its next use.
 const UNTESTED_IDLE_TIME: Duration = Duration::from_millis(30);
@@ -45,7 +46,7 @@
     /// Connections that carry a request.
     busy: Cell<usize>,
     /// Connections in use from which on a request waits for one of them.
-    usual_connections: usize,
+    usual_connections: Rc<Cell<usize>>,
     /// Notified when a connection in use becomes free or is closed.
     released: Notify,
 }
@@ -81,14 +82,14 @@
             idle: RefCell::new(Vec::new()),
             budget,
             busy: Cell::new(0),
-            usual_connections: usize::MAX,
+            usual_connections: Rc::new(Cell::new(usize::MAX)),
             released: Notify::new(),
         }
     }
 
     /// Sets the number of connections that requests share, rather than opening more, if one becomes
-    /// free shortly.
-    pub fn with_usual_connections(mut self, count: usize) -> Self {
+    /// free shortly. Later changes of `count` take effect.
+    pub fn with_usual_connections(mut self, count: Rc<Cell<usize>>) -> Self {
         self.usual_connections = count;
         self
     }
@@ -115,7 +116,7 @@
         let deadline = Instant::now() + limits.time;
         request.headers_mut().insert(HOST, self.host.clone());
         let idle = match self.take_idle() {
-            None if self.busy.get() >= self.usual_connections => self.wait_for_idle().await,
+            None if self.busy.get() >= self.usual_connections.get() => self.wait_for_idle().await,
             idle => idle,
         };
         self.busy.set(self.busy.get() + 1);
@@ -141,7 +142,7 @@
             loop {
                 self.released.notified().await;
                 let idle = self.take_idle();
-                if idle.is_some() || self.busy.get() < self.usual_connections {
+                if idle.is_some() || self.busy.get() < self.usual_connections.get() {
                     return idle;
                 }
             }
--- a/tests/client_cache.rs
+++ b/tests/client_cache.rs
@@ -73,7 +73,7 @@
 fn requests_to_one_server_share_a_few_connections() {
     run(async {
         let (address, accepted) = start_server(Duration::from_millis(2));
-        let cache = ClientCache::new(100, RESPONSE_TIMEOUT).with_usual_connections(3);
+        let cache = ClientCache::new(100, RESPONSE_TIMEOUT);
 
         let answered = send_together(&cache, address, 8).await;
 
@@ -87,7 +87,7 @@
 fn requests_to_a_slow_server_open_further_connections() {
     run(async {
         let (address, accepted) = start_server(Duration::from_millis(400));
-        let cache = ClientCache::new(100, RESPONSE_TIMEOUT).with_usual_connections(3);
+        let cache = ClientCache::new(100, RESPONSE_TIMEOUT);
 
         let answered = send_together(&cache, address, 8).await;
 
