--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -136,7 +136,10 @@
             .enumerate()
             .filter_map(|(position, (urgency, id))| {
                 let slack_ms = slack(urgency)?;
-                let work = self.waiting_work(id)?;
+                let work = match self.waiting_jobs.contains(id) {
+                    true => self.waiting_work(id)?,
+                    false => 0,
+                };
                 let priority_weight_percent = job_priority_weight(id);
                 let demand = JobDemand {
                     slack_ms,
