Test that a large job that must wait for running ones is deferred

One worker of eight cores, a task that can end just in time, a wide job with less time left and two smaller ones.

--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -262,6 +262,32 @@
     assert!(!next.is_placed(&task(JOB, 0)));
 }
 
+/// Guards against a deferral that takes the capacity of running jobs for free: the largest jobs then
+/// go first at an overload, and all are late.
+#[test]
+fn a_large_job_that_must_wait_for_running_ones_is_deferred() {
+    // Arrange: on a worker of eight cores, one task runs that can end just in time. A wide job has
+    // less time left than that, and two smaller ones have just arrived.
+    let mut fleet = EngineFleet::new(1);
+    fleet.submit("00000000000000b1", vec![step(1)]);
+    fleet.start_all();
+    let wide = StepSpec {
+        estimate_ms: 400,
+        ..step(7)
+    };
+    fleet.submit(JOB, vec![wide]);
+    fleet.advance(820);
+    fleet.submit("00000000000000b2", vec![step(3)]);
+    fleet.submit("00000000000000b3", vec![step(3)]);
+
+    // Act.
+    let placed = fleet.place();
+
+    // Assert.
+    let of_wide_job = placed.iter().filter(|name| name.job.as_str() == JOB);
+    assert_eq!((placed.len(), of_wide_job.count()), (7, 1));
+}
+
 #[test]
 fn a_failed_task_is_retried_on_another_worker() {
     let mut fleet = EngineFleet::new(2);
