--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -251,6 +251,15 @@
         false
     }
 
+    /// Returns those of `hosts` to which this controller may send commands.
+    pub(crate) fn permitted_hosts(&self, hosts: impl Iterator<Item = HostId>) -> Vec<HostId> {
+        let commands = self.host_commands.borrow();
+        let now_ms = boot_ms();
+        hosts
+            .filter(|host| commands.may_command(host, now_ms))
+            .collect()
+    }
+
     /// Waits until all that the engine has decided by now is durable. Returns whether it was
     /// within `limit`.
     pub(crate) async fn wait_until_durable(&self, limit: Duration) -> bool {
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -326,20 +326,6 @@
         std::mem::take(&mut self.stops)
     }
 
-    /// Counts, for each queue, the jobs of which no task is known to have started.
-    pub fn pending_counts(&self) -> BTreeMap<String, u64> {
-        let mut counts = BTreeMap::new();
-        if let Some(config) = &self.config {
-            let names = config.queues.iter().map(|queue| (queue.name.clone(), 0));
-            counts.extend(names);
-        }
-        let open = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
-        for job in open.filter(|job| !job.phase.has_ended() && !job.has_begun) {
-            *counts.entry(job.spec.queue.clone()).or_default() += 1;
-        }
-        counts
-    }
-
     /// Returns the jobs without placed tasks that ended some time ago.
     pub fn archivable_jobs(&self, now_ms: u64) -> Vec<EndedJob> {
         let is_due = |job: &&JobState| {
--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -1,4 +1,4 @@
-//! Computes the CPU demand of each pool from the forecast, the placed tasks and the backlog.
+//! Sums over the open jobs: the CPU demand of each pool, the backlogs and the pending jobs of queues.
 
 use std::collections::BTreeMap;
 
@@ -37,6 +37,20 @@
         self.forecast.record_arrival(&queue.service, work, now_ms);
     }
 
+    /// Counts, for each queue, the jobs of which no task is known to have started.
+    pub fn pending_counts(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        if let Some(config) = &self.config {
+            let names = config.queues.iter().map(|queue| (queue.name.clone(), 0));
+            counts.extend(names);
+        }
+        let open = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
+        for job in open.filter(|job| !job.phase.has_ended() && !job.has_begun) {
+            *counts.entry(job.spec.queue.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns the highest demand of any pool so far, in millicores; `None` until a demand peak
     /// has ended.
     pub fn peak_pool_demand(&self) -> Option<u64> {
--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -1,5 +1,6 @@
 //! Interfaces to the platform's change feeds, workers and hosts.
 
+use std::collections::HashMap;
 use std::future::Future;
 use std::time::Duration;
 
@@ -303,6 +304,14 @@
     pub has_gaps: bool,
 }
 
+/// Returns the worker on each host, if any.
+pub(crate) fn workers_by_host(hosts: &[HostEntry]) -> HashMap<&HostId, Option<&WorkerId>> {
+    let workers = hosts.iter();
+    workers
+        .map(|entry| (&entry.host, entry.worker.as_ref()))
+        .collect()
+}
+
 /// Outcome of a command to a host.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HostOutcome {
--- a/src/workflow/host_listing.rs
+++ b/src/workflow/host_listing.rs
@@ -45,9 +45,9 @@
 
     /// Lists the hosts until the term ends. `resources` are those of this entry host.
     pub(crate) async fn run<P: FleetPlatform>(
-        &self,
-        platform: &P,
-        term: &ControllerTerm,
+        self: Rc<Self>,
+        platform: Rc<P>,
+        term: Rc<ControllerTerm>,
         resources: HostResources,
     ) {
         while term.is_active() {
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -19,6 +19,7 @@
 use crate::process::boot_ms;
 use crate::provider::RowWrite;
 use crate::workflow::choose_upkeep;
+use crate::workflow::gateway::workers_by_host;
 use crate::workflow::host_listing::HostListing;
 use crate::workflow::host_listing::ListedHosts;
 use crate::workflow::ControllerTerm;
@@ -70,11 +71,8 @@
     resources: HostResources,
 ) {
     let listing = Rc::new(HostListing::default());
-    let lister = (Rc::clone(&listing), Rc::clone(&platform), Rc::clone(&term));
-    monoio::spawn(async move {
-        let (listing, platform, term) = lister;
-        listing.run(platform.as_ref(), &term, resources).await;
-    });
+    let lister = Rc::clone(&listing);
+    monoio::spawn(lister.run(Rc::clone(&platform), Rc::clone(&term), resources));
     let mover = HostMover::new(Rc::clone(&platform), Rc::clone(&term), Rc::clone(&view));
     let manager = HostManager {
         platform,
@@ -89,8 +87,7 @@
         let Some(ListedHosts { list, listed_ms }) = listing.latest() else {
             continue;
         };
-        if listed_ms != recorded_ms {
-            recorded_ms = listed_ms;
+        if std::mem::replace(&mut recorded_ms, listed_ms) != listed_ms {
             manager.record_states(&list);
         }
         // Until the workers are known, a host that runs tasks would look empty.
@@ -272,10 +269,7 @@
     /// Updates the workers' `upkeep_due`: true for hosts that the wave will still take down.
     fn mark_due(&self, wave_hosts: &[WaveHost], hosts: &[HostEntry]) {
         let mut engine = self.term.engine.borrow_mut();
-        let workers: HashMap<_, _> = hosts
-            .iter()
-            .map(|entry| (&entry.host, entry.worker.as_ref()))
-            .collect();
+        let workers = workers_by_host(hosts);
         for host in wave_hosts {
             let worker = workers.get(&host.host).copied().flatten();
             if let Some(worker) = worker.and_then(|id| engine.workers.get_mut(id)) {
@@ -286,7 +280,7 @@
 
     /// Stores the decision to take hosts down durably, then sends the commands.
     async fn start_upkeeps(&self, request: &WaveRequest, due: &[HostId], hosts: &[HostEntry]) {
-        let due = self.filter_permitted(due.iter().cloned());
+        let due = self.term.permitted_hosts(due.iter().cloned());
         if due.is_empty() {
             return;
         }
@@ -349,7 +343,8 @@
         let unaccepted = {
             let progress = self.progress.borrow();
             let progress = &progress[&request.wave];
-            self.filter_permitted(progress.started.difference(&progress.accepted).cloned())
+            self.term
+                .permitted_hosts(progress.started.difference(&progress.accepted).cloned())
         };
         if unaccepted.is_empty() || !self.term.announce_commands(&unaccepted, None).await {
             return;
@@ -362,15 +357,6 @@
         .await;
     }
 
-    /// Returns the hosts to which this controller may send commands.
-    fn filter_permitted(&self, hosts: impl Iterator<Item = HostId>) -> Vec<HostId> {
-        let commands = self.term.host_commands.borrow();
-        let now_ms = boot_ms();
-        hosts
-            .filter(|host| commands.may_command(host, now_ms))
-            .collect()
-    }
-
     /// Publishes a wave as complete once the upkeep of each of its hosts has begun. Hosts that are
     /// gone need none, but a list with gaps does not show which are gone.
     async fn finish_wave(&self, request: &WaveRequest, list: &HostList) {
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -13,6 +13,7 @@
 use crate::id::HostId;
 use crate::process::boot_ms;
 use crate::workflow::choose_moves;
+use crate::workflow::gateway::workers_by_host;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CordonReason;
 use crate::workflow::FleetPlatform;
@@ -212,10 +213,7 @@
     fn cordon(&self, pools: &[PoolView], hosts: &[HostEntry], moves: &[HostMove]) -> Vec<HostMove> {
         let mut engine = self.term.engine.borrow_mut();
         let mut ready = Vec::new();
-        let workers: HashMap<_, _> = hosts
-            .iter()
-            .map(|entry| (&entry.host, entry.worker.as_ref()))
-            .collect();
+        let workers = workers_by_host(hosts);
         let moves: HashMap<_, _> = moves
             .iter()
             .map(|host_move| (&host_move.host, host_move))
