Tell the backlogs of few queues, so that the leader row stays small

Beyond 64 KB the table rejects the commit ("value is missing or too long"), the controller gives the lease up, and each next one does the same half a second after it has loaded. Ruled out: the lease taken by another host, since the same one regained it. The row now names queues with waiting jobs only, 64 at most.

--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -1,6 +1,7 @@
 //! Sums over the open jobs: the CPU demand of each pool, the backlogs and the pending jobs of queues.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::id::ServiceId;
 use crate::workflow::JobEngine;
@@ -10,6 +11,9 @@
 use crate::workflow::QueueBacklogs;
 use crate::workflow::TaskPhase;
 
+/// The most queues whose backlogs are told: a few KB of the leader row, which holds 64 KB.
+const MAX_BACKLOGS: usize = 64;
+
 /// Wait from which a queue counts as having a backlog, in ms.
 const MIN_BACKLOG_MS: u64 = 1_000;
 
@@ -60,7 +64,7 @@
     /// Returns how long the new jobs of each queue wait, for queues that have a backlog. `lag_ms` is
     /// how far the controller's own work is behind.
     ///
-    /// Only work that is still wanted counts. A pool's capacity is the largest that it had lately,
+    /// Only queues with waiting jobs, and work that is still wanted, count. A pool's capacity is the largest that it had lately,
     /// since hosts may be on their way to it.
     pub fn queue_backlogs(&self, lag_ms: u64, now_ms: u64) -> QueueBacklogs {
         let mut backlogs = QueueBacklogs::new();
@@ -68,6 +72,7 @@
             return backlogs;
         };
         let mut work_by_service: BTreeMap<&ServiceId, u64> = BTreeMap::new();
+        let mut waiting_queues: BTreeSet<&str> = BTreeSet::new();
         for id in &self.waiting_jobs {
             let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
                 continue;
@@ -79,9 +84,13 @@
             if let Some(work) = self.waiting_work(id).filter(|_| is_wanted) {
                 let sum = work_by_service.entry(&queue.service).or_default();
                 *sum = sum.saturating_add(work);
+                waiting_queues.insert(&queue.name);
             }
         }
-        for queue in &config.queues {
+        // A configuration may have thousands of queues, and all entry hosts read the result.
+        let queues = config.queues.iter();
+        let queues = queues.filter(|queue| waiting_queues.contains(queue.name.as_str()));
+        for queue in queues.take(MAX_BACKLOGS) {
             let work = work_by_service.get(&queue.service).copied().unwrap_or(0);
             let capacity_millis = self.pool_capacities.get(&queue.service);
             let Some(&capacity_millis) = capacity_millis.filter(|&&millis| millis > 0) else {
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -262,6 +262,41 @@
     assert!(!next.is_placed(&task(JOB, 0)));
 }
 
+/// Guards against a leader row over the table's limit of 64 KB: the commit is then rejected, and each
+/// controller loses the lease shortly after it has taken over.
+#[test]
+fn backlogs_of_thousands_of_queues_fit_the_leader_row() {
+    // Arrange: thousands of queues of one service, each with a job that waits for a long time.
+    let mut fleet = EngineFleet::new(1);
+    let mut config = config();
+    let queue = config.queues[0].clone();
+    for number in 0..5_000 {
+        let mut queue = queue.clone();
+        queue.name = format!("r-{number}");
+        config.queues.push(queue);
+    }
+    fleet.engine.config = Some(std::rc::Rc::new(config));
+    for number in 0..5_000 {
+        let spec = zincpier::workflow::JobSpec {
+            queue: format!("r-{number}"),
+            payload: String::new(),
+            steps: vec![step(8)],
+            schedule: None,
+        };
+        let id = format!("{number:016x}").parse().unwrap();
+        fleet.engine.add_job(id, spec, None, fleet.now_ms);
+    }
+    fleet.place();
+
+    // Act.
+    let backlogs = fleet.engine.queue_backlogs(0, fleet.now_ms);
+
+    // Assert.
+    let bytes = serde_json::to_string(&backlogs).unwrap().len();
+    assert!(!backlogs.is_empty());
+    assert!(bytes < 8_000, "{bytes} bytes");
+}
+
 /// Guards against a deferral that takes the capacity of running jobs for free: the largest jobs then
 /// go first at an overload, and all are late.
 #[test]
