--- a/src/workflow/fleet_config.rs
+++ b/src/workflow/fleet_config.rs
@@ -1,6 +1,7 @@
 //! The operator's configuration of queues and of the pools that run their tasks.
 
 use crate::id::ServiceId;
+use crate::workflow::OrganisationDirectory;
 
 /// A queue that callers submit jobs to.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,6 +23,8 @@
     pub stretch: f64,
     /// Constant part of the completion objective, in ms.
     pub objective_ms: u64,
+    /// Callers need no API key; its jobs belong to no organisation.
+    pub is_public: bool,
 }
 
 /// A pool of hosts.
@@ -59,6 +62,9 @@
     pub pools: Vec<PoolConfig>,
     /// Limits on callers; `None` if not configured.
     pub limits: Option<CallerLimits>,
+    /// The organisations; `None` if the configuration has no such list, so that no call needs a
+    /// key. With an empty list, no key is valid.
+    pub organisations: Option<OrganisationDirectory>,
 }
 
 impl FleetConfig {
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::OrganisationId;
 use crate::workflow::SpecError;
 use crate::workflow::WorkerResources;
 
@@ -120,6 +121,9 @@
 pub struct JobSpec {
     /// The name of the queue that it was submitted to.
     pub queue: String,
+    /// The organisation that submitted it; `None` without organisations or from a public queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationId>,
     /// The text that is passed to each task at its start.
     pub payload: String,
     /// The steps; each may depend only on earlier ones.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -39,12 +39,14 @@
         attempts: 3,
         stretch: 1.6,
         objective_ms: 600,
+        is_public: false,
     }
 }
 
 fn job_spec() -> JobSpec {
     JobSpec {
         queue: "r-one".to_owned(),
+        organisation: None,
         payload: String::new(),
         steps: vec![StepSpec {
             tasks: 1,
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -68,6 +68,7 @@
     pub(crate) fn submit(&mut self, id: &str, steps: Vec<StepSpec>) {
         let spec = JobSpec {
             queue: QUEUE.to_owned(),
+            organisation: None,
             payload: "text".to_owned(),
             steps,
             schedule: None,
@@ -346,6 +347,7 @@
             attempts: ATTEMPTS,
             stretch: 1.6,
             objective_ms: 600,
+            is_public: false,
         }],
         pools: vec![PoolConfig {
             service: SERVICE.parse().unwrap(),
@@ -353,6 +355,7 @@
             standby: false,
         }],
         limits: None,
+        organisations: None,
     }
 }
 
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -92,6 +92,7 @@
     for number in 0..jobs {
         let spec = JobSpec {
             queue: fixtures::QUEUE.to_owned(),
+            organisation: None,
             payload: "text".to_owned(),
             steps: vec![fixtures::step(3), fixtures::step_after(2, 0)],
             schedule: None,
@@ -207,6 +208,7 @@
         step.demand.memory_mb = 1;
         let spec = JobSpec {
             queue: fixtures::QUEUE.to_owned(),
+            organisation: None,
             payload: "x".repeat(payload_bytes),
             steps: vec![step],
             schedule: None,
@@ -239,6 +241,7 @@
         let link = FakeLink::new(&fleet);
         let spec = JobSpec {
             queue: fixtures::QUEUE.to_owned(),
+            organisation: None,
             payload: "text".to_owned(),
             steps: vec![fixtures::step(1)],
             schedule: None,
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -70,6 +70,7 @@
         engine.apply_report(&worker.id, &empty_report(), placed_ms, placed_ms);
         let spec = JobSpec {
             queue: fixtures::QUEUE.to_owned(),
+            organisation: None,
             payload: "text".to_owned(),
             steps: vec![fixtures::step(1)],
             schedule: None,
--- a/tests/engine_takeover.rs
+++ b/tests/engine_takeover.rs
@@ -27,6 +27,7 @@
     for number in 0..OPEN_JOBS {
         let spec = JobSpec {
             queue: fixtures::QUEUE.to_owned(),
+            organisation: None,
             payload: "text".to_owned(),
             steps: vec![fixtures::step(TASKS)],
             schedule: None,
--- a/tests/job_archive.rs
+++ b/tests/job_archive.rs
@@ -67,6 +67,7 @@
 fn spec() -> JobSpec {
     JobSpec {
         queue: fixtures::QUEUE.to_owned(),
+        organisation: None,
         payload: "text".to_owned(),
         steps: vec![fixtures::step(1)],
         schedule: None,
--- a/tests/job_intake.rs
+++ b/tests/job_intake.rs
@@ -122,6 +122,7 @@
 fn spec() -> JobSpec {
     JobSpec {
         queue: fixtures::QUEUE.to_owned(),
+        organisation: None,
         payload: "text".to_owned(),
         steps: vec![fixtures::step(1)],
         schedule: None,
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -279,6 +279,7 @@
     for number in 0..5_000 {
         let spec = zincpier::workflow::JobSpec {
             queue: format!("r-{number}"),
+            organisation: None,
             payload: String::new(),
             steps: vec![step(8)],
             schedule: None,
