--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -76,6 +76,8 @@
     /// A run of one of its tasks is known to have begun. A placement does not tell: its start may
     /// not be sent, or the lease may be lost first.
     pub has_begun: bool,
+    /// Its organisation had submitted more jobs a second than it is entitled to when the job arrived.
+    pub is_over_rate: bool,
     tasks: Vec<TaskState>,
     /// The position of each step's first task within an occurrence.
     step_offsets: Vec<usize>,
@@ -101,6 +103,7 @@
             first_read_ms: now_ms,
             ended_ms: 0,
             has_begun: false,
+            is_over_rate: false,
             tasks: vec![TaskState::new(); total * occurrences],
             step_offsets,
             done_counts,
