Drain hosts with long-running tasks from the start of a wave

Ruled out: the limit on hosts down (62, of which at most 52 were used) and busy pools. Change: each pass also drains one such host of each pool with spare capacity, if all its long-running tasks may be stopped at that moment. Busy pools are still left alone.

--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -245,6 +245,9 @@
                 started,
                 used_millis: worker.map_or(0, |worker| worker.used.cpu_millis),
                 cordoned: worker.is_some_and(|worker| worker.cordon == Some(CordonReason::Upkeep)),
+                can_spare_long_running: worker
+                    .is_some_and(|worker| engine.can_spare_long_running(&worker.entry.id)),
+                pool: host.pool.clone(),
                 pool_busy: pools
                     .iter()
                     .any(|pool| pool.name == host.pool && !pool.standby && pool.spare_ms == 0),
@@ -349,12 +352,10 @@
         if unaccepted.is_empty() || !self.term.announce_commands(&unaccepted, None).await {
             return;
         }
-        join_all(
-            unaccepted
-                .iter()
-                .map(|host| self.send_upkeep(request, host)),
-        )
-        .await;
+        let calls = unaccepted
+            .iter()
+            .map(|host| self.send_upkeep(request, host));
+        join_all(calls).await;
     }
 
     /// Publishes a wave as complete once the upkeep of each of its hosts has begun. Hosts that are
--- a/src/workflow/upkeep_plan.rs
+++ b/src/workflow/upkeep_plan.rs
@@ -5,6 +5,10 @@
 //! queues. Hosts with the least work are taken down first, and
 //! the next ones are drained while others are down. Tasks other than long-running ones are stopped
 //! only if the wave would otherwise miss its deadline.
+//!
+//! Hosts with long-running tasks take the longest, because only a few tasks of a step may be
+//! unavailable at once. They are drained from the start of the wave on, as soon as their steps allow
+//! it, beside the hosts with the least work.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -58,8 +62,12 @@
     pub cordoned: bool,
     /// Runs no tasks.
     pub empty: bool,
+    /// The pool that it is in.
+    pub pool: String,
     /// Its pool has no spare capacity.
     pub pool_busy: bool,
+    /// Runs long-running tasks, all of which may be stopped now.
+    pub can_spare_long_running: bool,
 }
 
 /// The next actions of a wave.
@@ -118,5 +126,29 @@
             choice.cordon.push(host.host.clone());
         }
     }
+    let busy = down + choice.start.len() + choice.cordon.len();
+    let extra = drainable_hosts(hosts, &choice.cordon);
+    let extra = extra.take(max_parallel.saturating_sub(busy));
+    choice.cordon.extend(extra);
     choice
 }
+
+/// Returns hosts with long-running tasks to drain besides `cordoned`: one of each pool that has spare
+/// capacity. The next pass sees what the steps of these tasks allow then.
+fn drainable_hosts<'h>(
+    hosts: &'h [WaveHost],
+    cordoned: &[HostId],
+) -> impl Iterator<Item = HostId> + use<'h> {
+    let is_drainable = |host: &&WaveHost| {
+        let is_due = !host.started && host.up && !host.pool_busy;
+        is_due && host.can_spare_long_running && !cordoned.contains(&host.host)
+    };
+    let mut first_by_pool: BTreeMap<&str, &WaveHost> = BTreeMap::new();
+    for host in hosts.iter().filter(is_drainable) {
+        let first = first_by_pool.entry(&host.pool).or_insert(host);
+        if host.used_millis < first.used_millis {
+            *first = host;
+        }
+    }
+    first_by_pool.into_values().map(|host| host.host.clone())
+}
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -43,6 +43,18 @@
         tasks.is_empty()
     }
 
+    /// Returns whether a worker runs long-running tasks and all of them may be stopped now.
+    pub fn can_spare_long_running(&self, id: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get(id).filter(|one| one.has_long_running()) else {
+            return false;
+        };
+        let mut long_running = worker
+            .tasks
+            .iter()
+            .filter(|name| self.is_long_running(name));
+        long_running.all(|name| self.can_spare(name))
+    }
+
     fn is_long_running(&self, name: &TaskName) -> bool {
         let job = self.jobs.get(&name.job);
         job.and_then(|job| job.step(name.step))
