Keep the age of jobs across a change of the controller

Cause: a controller counts a job's age from when it first reads the job. After a takeover all jobs were new, so that those past help came before jobs that could still be in time. Rows without it count as before.

--- a/src/provider/platform_service.rs
+++ b/src/provider/platform_service.rs
@@ -22,6 +22,11 @@
 /// A call that fails with [`Error::PlatformSilent`](crate::error::Error::PlatformSilent)
 /// may have taken effect.
 pub trait TableService {
+    /// Returns the time on the table's steady clock, in ms, if its answers tell it.
+    fn clock_ms(&self) -> Option<u64> {
+        None
+    }
+
     /// Commits a transaction if all its checks hold.
     fn transact(
         &self,
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -260,7 +260,9 @@
             _ => {
                 let id = row.key.rsplit('/').next().unwrap_or_default();
                 let progress = progress.remove(id);
-                apply_job_row(&mut term.engine.borrow_mut(), &row, progress.as_ref());
+                let table_ms = self.platform.clock_ms();
+                let mut engine = term.engine.borrow_mut();
+                apply_job_row(&mut engine, &row, progress.as_ref(), table_ms);
             }
         };
         let read_ms = boot_ms();
@@ -268,7 +270,7 @@
         term.record_submissions(read_ms);
         let mut engine = term.engine.borrow_mut();
         for row in &cancels {
-            apply_job_row(&mut engine, row, None);
+            apply_job_row(&mut engine, row, None, None);
         }
         engine.set_leftover_progress(progress.keys());
         let (jobs, open) = (engine.jobs.len(), engine.open_jobs.len());
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -176,6 +176,15 @@
         }
     }
 
+    /// Sets the time since a known job's submission, in ms. Without it, the job counts as submitted
+    /// when this controller first read it, so that after a takeover jobs that are past help would
+    /// come before new ones.
+    pub fn set_job_age(&mut self, id: &JobId, age_ms: u64, now_ms: u64) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.first_read_ms = job.first_read_ms.min(now_ms.saturating_sub(age_ms));
+        }
+    }
+
     /// Cancels a job unless it is unknown or has ended.
     pub fn cancel_job(&mut self, id: &JobId, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -14,6 +14,7 @@
 use crate::provider::TableRow;
 use crate::workflow::job_key::parse_job_key;
 use crate::workflow::job_key::JOB_TABLE;
+use crate::workflow::job_key::SUBMITTED_FIELD;
 use crate::workflow::maintain_worker_lease;
 use crate::workflow::ChangeSet;
 use crate::workflow::ControllerTerm;
@@ -38,13 +39,24 @@
 const WORKER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Applies the row of a submission, with the job's durable progress if any, or of a cancellation.
-pub(crate) fn apply_job_row(engine: &mut JobEngine, row: &TableRow, progress: Option<&Value>) {
+/// `table_ms` is the table's time, if known, from which the job's age follows.
+pub(crate) fn apply_job_row(
+    engine: &mut JobEngine,
+    row: &TableRow,
+    progress: Option<&Value>,
+    table_ms: Option<u64>,
+) {
     let spec = serde_json::from_value::<JobSpec>(row.value.clone());
     match (parse_job_key(&row.key), spec) {
         (Some((id, true)), _) => engine.cancel_job(&id, boot_ms()),
         (Some((id, false)), Ok(spec)) => {
             log_job(engine, &id, &spec);
             engine.add_job(id.clone(), spec, progress, boot_ms());
+            let submitted_ms = row.value.get(SUBMITTED_FIELD).and_then(Value::as_u64);
+            if let (Some(table_ms), Some(submitted_ms)) = (table_ms, submitted_ms) {
+                let age_ms = table_ms.saturating_sub(submitted_ms);
+                engine.set_job_age(&id, age_ms, boot_ms());
+            }
             engine.set_submitted_revision(&id, row.revision);
         }
         _ => log::error!("event=job_unreadable key={}", row.key),
@@ -75,7 +87,8 @@
     while term.is_active() {
         if since == Revision::new(0) {
             let add_job = |row: TableRow| {
-                apply_job_row(&mut term.engine.borrow_mut(), &row, None);
+                let table_ms = platform.clock_ms();
+                apply_job_row(&mut term.engine.borrow_mut(), &row, None, table_ms);
             };
             let read_ms = boot_ms();
             let mut reader = StateReader::new(platform.as_ref());
@@ -95,7 +108,7 @@
         let mut engine = term.engine.borrow_mut();
         for change in &changes {
             if let TableChange::Written(row) = change {
-                apply_job_row(&mut engine, row, None);
+                apply_job_row(&mut engine, row, None, platform.clock_ms());
             }
         }
         let known_ms = known_until_ms(sent_ms, poll_wait, changes.is_empty());
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -22,6 +22,7 @@
 use crate::workflow::committer::QUEUE_PREFIX;
 use crate::workflow::ended_key;
 use crate::workflow::job_key;
+use crate::workflow::job_key::SUBMITTED_FIELD;
 use crate::workflow::CountFreshness;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
@@ -92,9 +93,12 @@
 
     /// Stores a job unless it is already stored. Retries until `deadline`.
     pub async fn submit(&self, id: &JobId, spec: &JobSpec, deadline: Instant) -> SubmitOutcome {
-        let Ok(value) = serde_json::to_value(spec) else {
+        let Ok(mut value) = serde_json::to_value(spec) else {
             return SubmitOutcome::NotStored;
         };
+        if let (Some(row), Some(now_ms)) = (value.as_object_mut(), self.table.clock_ms()) {
+            row.insert(SUBMITTED_FIELD.to_owned(), now_ms.into());
+        }
         let key = job_key(id);
         let insert = Transaction::new()
             .with_check(key.as_str(), Revision::new(0))
--- a/src/workflow/job_key.rs
+++ b/src/workflow/job_key.rs
@@ -8,6 +8,9 @@
 /// The key prefix of ended jobs, in the same partitions; the rows hold the phases.
 pub(crate) const ENDED_TABLE: &str = "ended@";
 
+/// The field of a submission's row with the time of the submission on the table's clock, in ms.
+pub(crate) const SUBMITTED_FIELD: &str = "submitted_ms";
+
 /// The partitions: the hexadecimal digits, one of which ends the id of each caller's job.
 pub(crate) const PARTITIONS: &str = "0123456789abcdefABCDEF";
 
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -69,7 +69,7 @@
     pub submitted_revision: Revision,
     /// The phase; durable.
     pub phase: JobPhase,
-    /// When this controller first read the job, in ms.
+    /// When the job was submitted, or first read by this controller if that is unknown, in ms.
     pub first_read_ms: u64,
     /// When the job ended, or was restored as ended, in ms; 0 before.
     pub ended_ms: u64,
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -19,6 +19,7 @@
 use zincpier::id::Revision;
 use zincpier::id::WaveId;
 use zincpier::id::WorkerId;
+use zincpier::process::boot_ms;
 use zincpier::provider::RowCheck;
 use zincpier::provider::TableRow;
 use zincpier::provider::TableService;
@@ -91,6 +92,8 @@
     pub(crate) lost_commits: Cell<u32>,
     /// Number of upcoming start commands that are executed but whose answers are lost.
     pub(crate) lost_starts: Cell<u32>,
+    /// How far the table's clock is ahead of this process's, in ms.
+    pub(crate) clock_ahead_ms: Cell<u64>,
     /// Time that the table takes for a transaction, besides the network.
     pub(crate) commit_time: Cell<Duration>,
     /// Time that the table takes for a page of rows, besides the network.
@@ -144,6 +147,7 @@
             task_ms: Cell::new(100),
             lost_commits: Cell::new(0),
             lost_starts: Cell::new(0),
+            clock_ahead_ms: Cell::new(0),
             commit_time: Cell::new(Duration::ZERO),
             page_time: Cell::new(Duration::ZERO),
             max_page_rows: Cell::new(500),
@@ -390,6 +394,10 @@
 }
 
 impl TableService for FakeLink {
+    fn clock_ms(&self) -> Option<u64> {
+        Some(boot_ms() + self.fleet.clock_ahead_ms.get())
+    }
+
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
         self.reach_table().await?;
         self.fleet.end_placed_worker(transaction);
