Let callers see and cancel only the jobs of their organisation

Cause: a job's rows didn't state whose job it is, so any caller who knew its id could see, cancel or replace it. Change: a CallerScope is passed to each use of a job. The owner is in the submission, the progress row and the row of the ended job, so look-ups and cancellations read no more rows than before; a submission reads the owner only after a conflict, where the configuration has organisations. To other organisations a job does not exist, and their submission with its id is reported as taken. Rows of jobs without an owner keep their form. Callers still have access to all jobs; authentication follows. Existing tests pass a scope and are otherwise unchanged.

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -18,6 +18,7 @@
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobState;
+use crate::workflow::JobStatus;
 use crate::workflow::PeakForecast;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
@@ -54,8 +55,8 @@
 pub struct EndedJob {
     /// The job.
     pub id: JobId,
-    /// Its final phase.
-    pub phase: JobPhase,
+    /// Its final phase and its owner.
+    pub status: JobStatus,
     /// The revision of its submission's row.
     pub submitted_revision: Revision,
 }
@@ -334,7 +335,7 @@
         };
         let ended = |job: &JobState| EndedJob {
             id: job.id.clone(),
-            phase: job.phase,
+            status: job.status(),
             submitted_revision: job.submitted_revision,
         };
         self.jobs.values().filter(is_due).map(ended).collect()
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -22,9 +22,12 @@
 use crate::workflow::committer::QUEUE_PREFIX;
 use crate::workflow::ended_key;
 use crate::workflow::job_key;
+use crate::workflow::job_status::is_row_visible;
+use crate::workflow::CallerScope;
 use crate::workflow::CountFreshness;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
+use crate::workflow::JobStatus;
 
 /// Delay before a call that was refused or not answered is retried: a few round trips to the
 /// table.
@@ -43,6 +46,8 @@
     Known,
     /// The job is not stored and this call will not store it later.
     NotStored,
+    /// Another organisation's job has this id. The job is not stored.
+    Taken,
     /// The job may be stored.
     Unknown,
 }
@@ -52,7 +57,7 @@
 pub enum CancelOutcome {
     /// The cancellation is stored. It has no effect on a job that has ended.
     Accepted,
-    /// No job with this id is stored.
+    /// No job with this id is stored, or the caller may not see it.
     NoJob,
     /// The table refused or did not answer; the cancellation may be stored.
     Unknown,
@@ -63,7 +68,7 @@
 pub enum LookupOutcome {
     /// The job is in this phase.
     Found(JobPhase),
-    /// No job with this id is stored.
+    /// No job with this id is stored, or the caller may not see it.
     NoJob,
     /// The table refused or did not answer.
     Unknown,
@@ -90,8 +95,14 @@
         Self { table, counts }
     }
 
-    /// Stores a job unless it is already stored. Retries until `deadline`.
-    pub async fn submit(&self, id: &JobId, spec: &JobSpec, deadline: Instant) -> SubmitOutcome {
+    /// Stores a job of a caller with `scope` unless it is already stored. Retries until `deadline`.
+    pub async fn submit(
+        &self,
+        id: &JobId,
+        spec: &JobSpec,
+        scope: &CallerScope,
+        deadline: Instant,
+    ) -> SubmitOutcome {
         let Ok(value) = serde_json::to_value(spec) else {
             return SubmitOutcome::NotStored;
         };
@@ -102,26 +113,60 @@
             .with_write(key.as_str(), value);
         match self.insert(&insert, deadline).await {
             InsertOutcome::Inserted => SubmitOutcome::Accepted,
-            InsertOutcome::Exists => SubmitOutcome::Known,
+            InsertOutcome::Exists => self.find_known(id, scope, deadline).await,
             InsertOutcome::Refused => SubmitOutcome::NotStored,
             InsertOutcome::Unknown => SubmitOutcome::Unknown,
         }
     }
 
-    /// Stores the cancellation of a known job. Retries until `deadline`. That of an archived job
-    /// has no effect and isn't stored.
-    pub async fn cancel(&self, id: &JobId, deadline: Instant) -> CancelOutcome {
-        let submission = match self.read_row(&job_key(id)).await {
-            Ok(Some(row)) => row,
-            Ok(None) => {
-                return match self.read_row(&ended_key(id)).await {
-                    Ok(Some(_)) => CancelOutcome::Accepted,
-                    Ok(None) => CancelOutcome::NoJob,
-                    Err(error) => unknown_cancel(id, &error),
-                }
+    /// Finds out whether a stored job is the caller's. Only a conflict of organisations needs this
+    /// read.
+    async fn find_known(
+        &self,
+        id: &JobId,
+        scope: &CallerScope,
+        deadline: Instant,
+    ) -> SubmitOutcome {
+        if *scope == CallerScope::Everything {
+            return SubmitOutcome::Known;
+        }
+        let stored = match timeout_at(deadline, self.read_stored(id)).await {
+            Ok(Ok(stored)) => stored,
+            Ok(Err(error)) => {
+                log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
+                return SubmitOutcome::Unknown;
             }
+            Err(_) => return SubmitOutcome::Unknown,
+        };
+        match stored.and_then(|stored| stored.is_visible(scope)) {
+            Some(true) => SubmitOutcome::Known,
+            Some(false) => SubmitOutcome::Taken,
+            None => SubmitOutcome::Unknown,
+        }
+    }
+
+    /// Stores the cancellation of a known job that a caller with `scope` may see. Retries until
+    /// `deadline`. That of an archived job has no effect and isn't stored.
+    pub async fn cancel(
+        &self,
+        id: &JobId,
+        scope: &CallerScope,
+        deadline: Instant,
+    ) -> CancelOutcome {
+        let stored = match self.read_stored(id).await {
+            Ok(Some(stored)) => stored,
+            Ok(None) => return CancelOutcome::NoJob,
             Err(error) => return unknown_cancel(id, &error),
         };
+        let submission = match (stored.is_visible(scope), stored) {
+            (Some(false), _) => return CancelOutcome::NoJob,
+            (None, _) => {
+                log::error!("event=owner_unreadable job={id}");
+                return CancelOutcome::Unknown;
+            }
+            (Some(true), StoredJob::Ended(_)) => return CancelOutcome::Accepted,
+            (Some(true), StoredJob::Submitted(row)) => row,
+        };
         let key = cancel_key(id);
         // If the job is archived meanwhile, the check of its submission fails, and no row is left
         // behind for a job that has ended.
@@ -135,52 +180,76 @@
         }
     }
 
-    /// Returns a job's phase; a stored job without progress is queued. The phase is unknown if the
-    /// progress cannot be decoded.
-    pub async fn look_up(&self, id: &JobId) -> LookupOutcome {
-        let found = self.find_phase(id).await;
-        found.unwrap_or_else(|error| {
-            log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
-            LookupOutcome::Unknown
-        })
+    /// Returns the phase of a job that a caller with `scope` may see; a stored job without progress is
+    /// queued. The phase is unknown if the progress cannot be decoded.
+    pub async fn look_up(&self, id: &JobId, scope: &CallerScope) -> LookupOutcome {
+        match self.find_status(id).await {
+            Ok(StatusOutcome::Found(status)) if scope.includes(status.owner.as_ref()) => {
+                LookupOutcome::Found(status.phase)
+            }
+            Ok(StatusOutcome::Found(_) | StatusOutcome::NoJob) => LookupOutcome::NoJob,
+            Ok(StatusOutcome::Unreadable) => LookupOutcome::Unknown,
+            Err(error) => {
+                log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
+                LookupOutcome::Unknown
+            }
+        }
     }
 
     /// Reads the rows of which a job has at least one at any time: its progress row is deleted after
     /// its submission was replaced by the ended job's row.
-    async fn find_phase(&self, id: &JobId) -> Result<LookupOutcome> {
+    async fn find_status(&self, id: &JobId) -> Result<StatusOutcome> {
         if let Some(row) = self.read_row(&format!("{PROGRESS_PREFIX}{id}")).await? {
-            let phase = row.value.get("phase").and_then(Value::as_str);
-            let Some(phase) = phase.and_then(JobPhase::from_name) else {
-                log::error!("event=progress_unreadable job={id}");
-                return Ok(LookupOutcome::Unknown);
-            };
-            return Ok(LookupOutcome::Found(phase));
+            let status = JobStatus::from_progress(&row.value);
+            return Ok(status.map_or_else(
+                || {
+                    log::error!("event=progress_unreadable job={id}");
+                    StatusOutcome::Unreadable
+                },
+                StatusOutcome::Found,
+            ));
         }
-        if let Some(phase) = self.find_ended(id).await? {
-            return Ok(phase);
+        if let Some(outcome) = self.find_ended(id).await? {
+            return Ok(outcome);
         }
-        if self.read_row(&job_key(id)).await?.is_some() {
-            return Ok(LookupOutcome::Found(JobPhase::Queued));
+        if let Some(row) = self.read_row(&job_key(id)).await? {
+            let status = JobStatus::from_submission(&row.value);
+            return Ok(status.map_or_else(
+                || {
+                    log::error!("event=owner_unreadable job={id}");
+                    StatusOutcome::Unreadable
+                },
+                StatusOutcome::Found,
+            ));
         }
         // The job may have been archived since its ended row was read.
         let ended = self.find_ended(id).await?;
-        Ok(ended.unwrap_or(LookupOutcome::NoJob))
+        Ok(ended.unwrap_or(StatusOutcome::NoJob))
     }
 
     /// Reads the row of an ended job, if it is archived.
-    async fn find_ended(&self, id: &JobId) -> Result<Option<LookupOutcome>> {
+    async fn find_ended(&self, id: &JobId) -> Result<Option<StatusOutcome>> {
         let Some(ended) = self.read_row(&ended_key(id)).await? else {
             return Ok(None);
         };
-        let phase = ended.value.as_str().and_then(JobPhase::from_name);
-        if phase.is_none() {
+        let status = JobStatus::from_ended(&ended.value);
+        if status.is_none() {
             log::error!("event=ended_row_unreadable key={}", ended.key);
         }
         Ok(Some(
-            phase.map_or(LookupOutcome::Unknown, LookupOutcome::Found),
+            status.map_or(StatusOutcome::Unreadable, StatusOutcome::Found),
         ))
     }
 
+    /// Reads a job's submission, or its ended row if it is archived.
+    async fn read_stored(&self, id: &JobId) -> Result<Option<StoredJob>> {
+        if let Some(row) = self.read_row(&job_key(id)).await? {
+            return Ok(Some(StoredJob::Submitted(row)));
+        }
+        let ended = self.read_row(&ended_key(id)).await?;
+        Ok(ended.map(StoredJob::Ended))
+    }
+
     /// Returns the number of a queue's jobs of which no task has started, unless the published
     /// counts are too old.
     pub async fn pending(&self, queue: &str) -> PendingOutcome {
@@ -274,3 +343,24 @@
     Refused,
     Unknown,
 }
+
+/// Outcome of the search for a job's status.
+enum StatusOutcome {
+    Found(JobStatus),
+    NoJob,
+    Unreadable,
+}
+
+/// The row that states a stored job's owner.
+enum StoredJob {
+    Submitted(TableRow),
+    Ended(TableRow),
+}
+
+impl StoredJob {
+    /// Returns whether a caller may see the job, or `None` if its owner is unreadable.
+    fn is_visible(&self, scope: &CallerScope) -> Option<bool> {
+        let (Self::Submitted(row) | Self::Ended(row)) = self;
+        is_row_visible(&row.value, scope)
+    }
+}
--- a/src/workflow/job_archiver.rs
+++ b/src/workflow/job_archiver.rs
@@ -19,7 +19,6 @@
 use std::time::Duration;
 
 use monoio::time::sleep;
-use serde_json::json;
 
 use crate::error::Result;
 use crate::id::JobId;
@@ -134,7 +133,7 @@
                 .with_check(job_key(&job.id), job.submitted_revision)
                 .with_delete(job_key(&job.id))
                 .with_delete(cancel_key(&job.id))
-                .with_write(ended_key(&job.id), json!(job.phase.as_str()));
+                .with_write(ended_key(&job.id), job.status.to_ended());
         }
         match self.table.transact(&moves).await? {
             TransactionOutcome::Committed(_) => {
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -7,7 +7,9 @@
 
 use crate::id::JobId;
 use crate::id::Revision;
+use crate::workflow::job_status::OWNER_FIELD;
 use crate::workflow::JobSpec;
+use crate::workflow::JobStatus;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
@@ -131,6 +133,14 @@
         Some(())
     }
 
+    /// Returns the phase and the owner.
+    pub fn status(&self) -> JobStatus {
+        JobStatus {
+            phase: self.phase,
+            owner: self.spec.organisation.clone(),
+        }
+    }
+
     /// Returns the durable row. It omits the tasks of an ended job without placed tasks, whose
     /// states are no longer needed.
     pub fn to_value(&self) -> Value {
@@ -140,7 +150,11 @@
         } else {
             self.tasks.iter().map(TaskState::to_value).collect()
         };
-        json!({ "phase": self.phase.as_str(), "tasks": tasks })
+        let mut row = json!({ "phase": self.phase.as_str(), "tasks": tasks });
+        if let Some(owner) = &self.spec.organisation {
+            row[OWNER_FIELD] = json!(owner);
+        }
+        row
     }
 
     /// Iterates over the names of all tasks, by occurrence, step and index.
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -22,6 +22,7 @@
 use zincpier::process::ShutdownSignal;
 use zincpier::provider::TableService;
 use zincpier::provider::Transaction;
+use zincpier::workflow::CallerScope;
 use zincpier::workflow::CancelOutcome;
 use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
@@ -98,7 +99,9 @@
             schedule: None,
         };
         let deadline = Instant::now() + TIMEOUT;
-        let outcome = intake.submit(&job_id(number), &spec, deadline).await;
+        let outcome = intake
+            .submit(&job_id(number), &spec, &CallerScope::Everything, deadline)
+            .await;
         assert!(matches!(
             outcome,
             SubmitOutcome::Accepted | SubmitOutcome::Known
@@ -112,7 +115,9 @@
     let deadline = Instant::now() + TIMEOUT;
     for number in 0..jobs {
         loop {
-            let found = intake.look_up(&job_id(number)).await;
+            let found = intake
+                .look_up(&job_id(number), &CallerScope::Everything)
+                .await;
             if found == LookupOutcome::Found(JobPhase::Complete) {
                 break;
             }
@@ -215,7 +220,9 @@
         };
         let intake = JobIntake::new(Rc::clone(&link), Rc::new(CountFreshness::new()));
         let deadline = Instant::now() + TIMEOUT;
-        intake.submit(&job_id(0), &spec, deadline).await;
+        intake
+            .submit(&job_id(0), &spec, &CallerScope::Everything, deadline)
+            .await;
 
         // Act.
         start_entry(&fleet, "boston-1");
@@ -248,7 +255,9 @@
         };
         let intake = JobIntake::new(Rc::clone(&link), Rc::new(CountFreshness::new()));
         let deadline = Instant::now() + TIMEOUT;
-        intake.submit(&job_id(0), &spec, deadline).await;
+        intake
+            .submit(&job_id(0), &spec, &CallerScope::Everything, deadline)
+            .await;
         fleet.commit_time.set(Duration::from_millis(1_500));
         fleet.end_next_placed_worker.set(true);
 
@@ -347,7 +356,9 @@
         submit(&second, 30).await;
         let intake = JobIntake::new(Rc::clone(&second), Rc::new(CountFreshness::new()));
         let deadline = Instant::now() + TIMEOUT;
-        let cancelled = intake.cancel(&job_id(7), deadline).await;
+        let cancelled = intake
+            .cancel(&job_id(7), &CallerScope::Everything, deadline)
+            .await;
         sleep(Duration::from_secs(1)).await;
 
         // Assert: the ended jobs stay ended, and none is loaded again.
--- a/tests/job_archive.rs
+++ b/tests/job_archive.rs
@@ -25,6 +25,7 @@
 use zincpier::workflow::ended_key;
 use zincpier::workflow::job_key;
 use zincpier::workflow::ArchivedJobs;
+use zincpier::workflow::CallerScope;
 use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::FleetView;
@@ -102,7 +103,9 @@
 async fn assert_complete(link: &Rc<FakeLink>, jobs: usize) {
     let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
     for number in 0..jobs {
-        let found = intake.look_up(&job_id(number)).await;
+        let found = intake
+            .look_up(&job_id(number), &CallerScope::Everything)
+            .await;
         assert_eq!(found, LookupOutcome::Found(JobPhase::Complete), "{number}");
     }
 }
--- a/tests/job_intake.rs
+++ b/tests/job_intake.rs
@@ -23,6 +23,7 @@
 use zincpier::provider::TableService;
 use zincpier::provider::Transaction;
 use zincpier::provider::TransactionOutcome;
+use zincpier::workflow::CallerScope;
 use zincpier::workflow::CancelOutcome;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::JobIntake;
@@ -140,7 +141,7 @@
             let table = ChangingTable::new(complete, moved, forgotten);
             let intake = JobIntake::new(Rc::clone(&table), Rc::new(CountFreshness::new()));
 
-            let found = intake.look_up(&job_id()).await;
+            let found = intake.look_up(&job_id(), &CallerScope::Everything).await;
 
             // It is queued only if it was when the look-up started.
             let is_right = match found {
@@ -161,7 +162,7 @@
             table.store(ENDED_KEY, json!(phase.as_str()));
 
             let found = JobIntake::new(table, Rc::new(CountFreshness::new()))
-                .look_up(&job_id())
+                .look_up(&job_id(), &CallerScope::Everything)
                 .await;
 
             assert_eq!(found, LookupOutcome::Found(phase));
@@ -176,7 +177,7 @@
         table.store(ENDED_KEY, json!({ "phase": 7 }));
 
         let found = JobIntake::new(table, Rc::new(CountFreshness::new()))
-            .look_up(&job_id())
+            .look_up(&job_id(), &CallerScope::Everything)
             .await;
 
         assert_eq!(found, LookupOutcome::Unknown);
@@ -190,7 +191,9 @@
         table.store(ENDED_KEY, json!("complete"));
 
         let intake = JobIntake::new(Rc::clone(&table), Rc::new(CountFreshness::new()));
-        let outcome = intake.submit(&job_id(), &spec(), deadline()).await;
+        let outcome = intake
+            .submit(&job_id(), &spec(), &CallerScope::Everything, deadline())
+            .await;
 
         assert_eq!(outcome, SubmitOutcome::Known);
         assert!(table.row(SUBMISSION_KEY).is_none());
@@ -204,7 +207,9 @@
             let table = ChangingTable::new(complete, moved, forgotten);
             let intake = JobIntake::new(Rc::clone(&table), Rc::new(CountFreshness::new()));
 
-            let outcome = intake.cancel(&job_id(), deadline()).await;
+            let outcome = intake
+                .cancel(&job_id(), &CallerScope::Everything, deadline())
+                .await;
             (0..CALLS).for_each(|_| table.advance());
 
             assert_eq!(
--- a/tests/job_look_up.rs
+++ b/tests/job_look_up.rs
@@ -12,6 +12,7 @@
 use serde_json::Value;
 use zincpier::id::JobId;
 use zincpier::workflow::job_key;
+use zincpier::workflow::CallerScope;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
@@ -33,7 +34,7 @@
         table.store(&format!("progress/{id}"), progress);
     }
     let intake = JobIntake::new(table, Rc::new(CountFreshness::new()));
-    run(async move { intake.look_up(&id).await })
+    run(async move { intake.look_up(&id, &CallerScope::Everything).await })
 }
 
 #[test]
