--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -18,6 +18,7 @@
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobState;
+use crate::workflow::JobStatus;
 use crate::workflow::PeakForecast;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
@@ -54,8 +55,8 @@
 pub struct EndedJob {
     /// The job.
     pub id: JobId,
-    /// Its final phase.
-    pub phase: JobPhase,
+    /// Its final phase and its owner.
+    pub status: JobStatus,
     /// The revision of its submission's row.
     pub submitted_revision: Revision,
 }
@@ -177,8 +178,7 @@
     }
 
     /// Sets the time since a known job's submission, in ms. Without it, the job counts as submitted
-    /// when this controller first read it, so that after a takeover jobs that are past help would
-    /// come before new ones.
+    /// when this controller first read it.
     pub fn set_job_age(&mut self, id: &JobId, age_ms: u64, now_ms: u64) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.first_read_ms = job.first_read_ms.min(now_ms.saturating_sub(age_ms));
@@ -343,7 +343,7 @@
         };
         let ended = |job: &JobState| EndedJob {
             id: job.id.clone(),
-            phase: job.phase,
+            status: job.status(),
             submitted_revision: job.submitted_revision,
         };
         self.jobs.values().filter(is_due).map(ended).collect()
--- a/tests/job_age.rs
+++ b/tests/job_age.rs
@@ -18,6 +18,7 @@
 use zincpier::process::EntryMetrics;
 use zincpier::process::ShutdownSignal;
 use zincpier::provider::TableClock;
+use zincpier::workflow::CallerScope;
 use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::FleetView;
@@ -50,7 +51,10 @@
         schedule: None,
     };
     let deadline = Instant::now() + TIMEOUT;
-    intake.submit(&job_id(number), &spec, deadline).await;
+    let scope = CallerScope::Everything;
+    intake
+        .submit(&job_id(number), &spec, &scope, deadline)
+        .await;
 }
 
 fn start_controller(fleet: &Rc<FakeFleet>) {
@@ -88,7 +92,9 @@
         let intake = JobIntake::new(Rc::clone(&link), Rc::new(CountFreshness::new()));
         let deadline = Instant::now() + TIMEOUT;
         let new_job = job_id(OLD_JOBS);
-        while intake.look_up(&new_job).await != LookupOutcome::Found(JobPhase::Complete) {
+        while intake.look_up(&new_job, &CallerScope::Everything).await
+            != LookupOutcome::Found(JobPhase::Complete)
+        {
             assert!(Instant::now() < deadline, "the new job is not complete");
             sleep(Duration::from_millis(10)).await;
         }
@@ -96,7 +102,9 @@
         // Assert: the worker has room for two jobs at once.
         let mut complete = 0;
         for number in 0..OLD_JOBS {
-            let found = intake.look_up(&job_id(number)).await;
+            let found = intake
+                .look_up(&job_id(number), &CallerScope::Everything)
+                .await;
             complete += usize::from(found == LookupOutcome::Found(JobPhase::Complete));
         }
         assert!(complete < OLD_JOBS / 4, "{complete} old jobs came first");
