Test how often a slow table confirms the configuration

Cause: the wait of polls with organisations was derived from a slow table, but no test had one, and none kept the wait of deployments without organisations. Change: a feed that waits as it is asked to and answers after 420 ms.

--- a/tests/config_confirmation.rs
+++ b/tests/config_confirmation.rs
@@ -32,6 +32,9 @@
 /// The time for which a [`DelayedFeed`] keeps an answer back.
 const ANSWER_DELAY: Duration = Duration::from_millis(300);
 
+/// The time in which a slow table answers.
+const SLOW_ANSWER: Duration = Duration::from_millis(420);
+
 fn config(version: u64) -> OperatorChange {
     OperatorChange::Config(FleetConfig {
         version,
@@ -106,10 +109,37 @@
 
 /// A feed whose answers are delayed, or fail.
 struct DelayedFeed {
+    delay: Duration,
     fails: Cell<bool>,
     /// The answer to the next poll.
     changes: RefCell<Vec<OperatorChange>>,
-    answered: Cell<u32>,
+    /// The waits of the polls that were answered.
+    waits: RefCell<Vec<Duration>>,
+}
+
+impl DelayedFeed {
+    fn new(delay: Duration, changes: Vec<OperatorChange>) -> Rc<Self> {
+        Rc::new(Self {
+            delay,
+            fails: Cell::new(false),
+            changes: RefCell::new(changes),
+            waits: RefCell::default(),
+        })
+    }
+
+    /// Starts a view that watches the feed.
+    fn watch(self: &Rc<Self>) -> Rc<FleetView> {
+        let view = FleetView::new();
+        let (watched_view, watched_feed) = (Rc::clone(&view), Rc::clone(self));
+        monoio::spawn(async move { watched_view.watch(watched_feed.as_ref()).await });
+        view
+    }
+
+    async fn await_answers(&self, count: usize) {
+        while self.waits.borrow().len() < count {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
 }
 
 impl ChangeFeed for DelayedFeed {
@@ -124,15 +154,19 @@
 
     async fn operator_changes(
         &self,
-        _: Revision,
-        _: Duration,
+        since: Revision,
+        wait: Duration,
     ) -> Result<ChangeSet<OperatorChange>> {
         let changes = self.changes.take();
-        sleep(ANSWER_DELAY).await;
+        // All rows are read without a wait for a change.
+        if since > Revision::new(0) {
+            sleep(wait).await;
+        }
+        sleep(self.delay).await;
         if self.fails.get() {
             return Err(Error::PlatformSilent("cut off".to_owned()));
         }
-        self.answered.set(self.answered.get() + 1);
+        self.waits.borrow_mut().push(wait);
         Ok(ChangeSet::Changes(changes, Revision::new(1)))
     }
 
@@ -151,19 +185,11 @@
 fn watched_feed_confirms_as_of_the_sending_and_not_by_failures() {
     run(async {
         // Arrange.
-        let feed = Rc::new(DelayedFeed {
-            fails: Cell::new(false),
-            changes: RefCell::new(vec![config(1)]),
-            answered: Cell::new(0),
-        });
-        let view = FleetView::new();
-        let (watched_view, watched_feed) = (Rc::clone(&view), Rc::clone(&feed));
-        monoio::spawn(async move { watched_view.watch(watched_feed.as_ref()).await });
+        let feed = DelayedFeed::new(ANSWER_DELAY, vec![config(1)]);
+        let view = feed.watch();
 
         // Act.
-        while feed.answered.get() == 0 {
-            sleep(Duration::from_millis(5)).await;
-        }
+        feed.await_answers(1).await;
         let age_ms = view.config_age_ms(boot_ms()).unwrap();
         feed.fails.set(true);
         sleep(ANSWER_DELAY * 4).await;
@@ -175,3 +201,46 @@
         assert!(failing_age_ms >= age_ms + 4 * delay_ms, "{failing_age_ms}");
     });
 }
+
+/// Guards against polls so rare that a slow table leaves less than 3 s of the 4.9 s for which keys are
+/// accepted without it.
+#[test]
+fn slow_table_confirms_often_enough_to_serve_keys_without_it() {
+    run(async {
+        // Arrange.
+        let feed = DelayedFeed::new(SLOW_ANSWER, vec![config(1)]);
+        let view = feed.watch();
+        feed.await_answers(1).await;
+
+        // Act.
+        let mut max_age_ms = 0;
+        while feed.waits.borrow().len() < 4 {
+            max_age_ms = max_age_ms.max(view.config_age_ms(boot_ms()).unwrap());
+            sleep(Duration::from_millis(5)).await;
+        }
+
+        // Assert.
+        assert!(max_age_ms < 1_900, "{max_age_ms}");
+    });
+}
+
+/// Guards against more polls in deployments without organisations.
+#[test]
+fn polls_are_shorter_only_with_organisations() {
+    run(async {
+        // Arrange.
+        let without = OperatorChange::Config(fixtures::config());
+        let plain_feed = DelayedFeed::new(Duration::ZERO, vec![without]);
+        let keyed_feed = DelayedFeed::new(Duration::ZERO, vec![config(1)]);
+
+        // Act.
+        plain_feed.watch();
+        keyed_feed.watch();
+        plain_feed.await_answers(2).await;
+        keyed_feed.await_answers(2).await;
+
+        // Assert.
+        assert_eq!(plain_feed.waits.borrow()[1], Duration::from_millis(700));
+        assert_eq!(keyed_feed.waits.borrow()[1], Duration::from_millis(500));
+    });
+}
