Tell incarnations of a worker apart that have the same id

Cause: a worker that started again under its id was taken for the old one. Its task ends, counted from 1 again, were skipped as applied, its lease was computed on the old clock, a late answer of the old incarnation could settle runs of the new one, and a worker whose end was known was out of use for the rest of the term.

Change: the entry and the answers to lease renewals carry the start of the incarnation. The engine keeps the newest start of each worker, ignores what is older and begins with an empty state for what is newer. A start that was meant for the old incarnation may still reach the new one, so a task whose start may have been sent is released once the new one has accepted a stop of the run. Acknowledgements, stops and evidence of an end are bound to the incarnation that they were meant for. Platforms that state no start are served as before.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -235,11 +235,9 @@
                     let platform = Rc::clone(&self.platform);
                     monoio::spawn(send_start(platform, Rc::clone(&self.term), task, run));
                 }
-                CommitEffect::Acknowledge(worker, last_end) => {
+                CommitEffect::Acknowledge(worker, start, last_end) => {
                     let mut engine = self.term.engine.borrow_mut();
-                    if let Some(state) = engine.workers.get_mut(&worker) {
-                        state.durable_end = state.durable_end.max(last_end);
-                    }
+                    engine.record_durable_end(&worker, start, last_end);
                     drop(engine);
                     self.term.worker_notifier(&worker).notify_one();
                 }
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -6,10 +6,13 @@
 
 use serde_json::Value;
 
+use crate::id::IncarnationStart;
 use crate::id::JobId;
 use crate::id::Revision;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::known_incarnations::IncarnationOrder;
+use crate::workflow::known_incarnations::KnownIncarnations;
 use crate::workflow::lost_runs::LostRuns;
 use crate::workflow::ArchivedJobs;
 use crate::workflow::CommandPhase;
@@ -45,8 +48,9 @@
     /// Send the start command of this run of the task. A later run has an effect of its own, since
     /// its placement is committed later.
     Start(TaskName, u64),
-    /// Acknowledge the worker's task ends up to this sequence number.
-    Acknowledge(WorkerId, u64),
+    /// Acknowledge the worker's task ends up to this sequence number, which the incarnation with
+    /// this start has counted.
+    Acknowledge(WorkerId, Option<IncarnationStart>, u64),
 }
 
 /// An ended job that can be archived.
@@ -65,6 +69,8 @@
 pub struct StopRequest {
     /// The worker that runs the task.
     pub worker: WorkerId,
+    /// The start of the incarnation that the stop is meant for, as far as it is known.
+    pub incarnation_start: Option<IncarnationStart>,
     /// The task to stop.
     pub task: TaskName,
     /// The number of the run to stop.
@@ -101,9 +107,8 @@
     /// The last placement pass left tasks without a worker.
     pub(crate) has_waiting: bool,
     pub(crate) last_stall_check_ms: u64,
-    /// Incarnations that have ended for good. They are not added again if the platform still lists
-    /// them.
-    pub(crate) ended_incarnations: BTreeSet<WorkerId>,
+    /// The newest incarnation of each worker. Ended ones are not added again if still listed.
+    pub(crate) incarnations: KnownIncarnations,
     /// The runs that were lost with the lease of their worker, which has not reported since.
     pub(crate) lost_runs: BTreeMap<WorkerId, LostRuns>,
     /// The time until which runs of earlier controllers may continue unobserved, in ms.
@@ -132,7 +137,7 @@
             durations: DurationTracker::new(),
             has_waiting: false,
             last_stall_check_ms: 0,
-            ended_incarnations: BTreeSet::new(),
+            incarnations: KnownIncarnations::default(),
             lost_runs: BTreeMap::new(),
             inherited_until_ms: now_ms + inherited_ms,
             restored_placements: BTreeMap::new(),
@@ -188,13 +193,18 @@
         self.end_job(id, JobPhase::Cancelled, now_ms);
     }
 
-    /// Adds or updates a worker from the platform's list; workers whose incarnation has ended are
-    /// ignored.
-    pub fn set_worker(&mut self, entry: WorkerEntry) {
+    /// Adds or updates a worker from the platform's list, read at `now_ms`. Entries of incarnations
+    /// that have ended or that a newer one has replaced are ignored.
+    pub fn set_worker(&mut self, entry: WorkerEntry, now_ms: u64) {
         let id = entry.id.clone();
-        if self.ended_incarnations.contains(&id) {
+        let start = entry.incarnation_start;
+        let order = self.incarnations.observe(&id, start, now_ms);
+        if order == IncarnationOrder::Late || self.incarnations.has_ended(&id) {
             return;
         }
+        if order == IncarnationOrder::New {
+            self.begin_incarnation(&id, now_ms);
+        }
         match self.workers.get_mut(&id) {
             Some(worker) => {
                 if entry.draining && !worker.entry.draining {
@@ -284,12 +294,7 @@
                 *command = CommandPhase::Stopping;
                 let worker = worker.clone();
                 let run = state.last_run;
-                self.stops.push(StopRequest {
-                    worker,
-                    task: name.clone(),
-                    run,
-                    reason,
-                });
+                self.push_stop(&worker, name, run, reason);
             }
         }
     }
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -2,17 +2,146 @@
 
 use std::collections::BTreeSet;
 
+use crate::id::IncarnationStart;
 use crate::id::WorkerId;
+use crate::workflow::known_incarnations::IncarnationOrder;
+use crate::workflow::CommandPhase;
 use crate::workflow::JobEngine;
+use crate::workflow::StopRequest;
 use crate::workflow::TaskName;
 use crate::workflow::WorkerEntry;
+use crate::workflow::WorkerReport;
 use crate::workflow::WorkerState;
 
+/// How far the platform's list of hosts may be behind: after a command to a host, it may show the
+/// state from before for up to a second.
+const HOST_LIST_LAG_MS: u64 = 1_000;
+
 impl JobEngine {
+    /// Returns the start of a worker's newest known incarnation; `None` if it states none.
+    pub fn incarnation_start(&self, id: &WorkerId) -> Option<IncarnationStart> {
+        self.incarnations.start(id)
+    }
+
+    /// Returns whether a stop is meant for the newest known incarnation of its worker.
+    pub(crate) fn is_current(&self, request: &StopRequest) -> bool {
+        request.incarnation_start == self.incarnation_start(&request.worker)
+    }
+
+    /// Requests a stop of a run from the newest known incarnation of a worker.
+    pub(crate) fn push_stop(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskName,
+        run: u64,
+        reason: &'static str,
+    ) {
+        self.stops.push(StopRequest {
+            worker: worker.clone(),
+            incarnation_start: self.incarnation_start(worker),
+            task: task.clone(),
+            run,
+            reason,
+        });
+    }
+
+    /// Checks which incarnation of a known worker has sent a report, and begins a new one. Returns
+    /// whether the report is of the newest.
+    pub(crate) fn accept_report(
+        &mut self,
+        id: &WorkerId,
+        report: &WorkerReport,
+        now_ms: u64,
+    ) -> bool {
+        let start = report.incarnation_start;
+        match self.incarnations.observe(id, start, now_ms) {
+            IncarnationOrder::Late => return false,
+            IncarnationOrder::New => self.begin_incarnation(id, now_ms),
+            IncarnationOrder::Current => {}
+        }
+        true
+    }
+
+    /// Replaces a known worker's state by that of a new incarnation, which holds and knows nothing.
+    ///
+    /// The runs of the old incarnation have ended, but a start that was meant for it may still
+    /// reach the new one. A task whose start may have been sent is therefore released only once the
+    /// new incarnation has accepted a stop of the run. Inherited tasks need none: the first answer
+    /// to this controller shows that the starts of earlier ones are refused.
+    pub(crate) fn begin_incarnation(&mut self, id: &WorkerId, now_ms: u64) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks: Vec<_> = worker.tasks.iter().cloned().collect();
+        let mut next = WorkerState::new(WorkerEntry::clone(&worker.entry));
+        next.listed = worker.listed;
+        let start = self.incarnation_start(id).map(IncarnationStart::get);
+        log::warn!(
+            "event=worker_restarted worker={id} start={start:?} tasks={}",
+            tasks.len()
+        );
+        for name in &tasks {
+            let step = self.jobs.get(&name.job).and_then(|job| job.step(name.step));
+            if let Some(step) = step {
+                next.carry_task(name.clone(), step, now_ms);
+            }
+        }
+        self.workers.insert(id.clone(), next);
+        for name in &tasks {
+            self.supersede_run(id, name);
+        }
+    }
+
+    fn supersede_run(&mut self, worker: &WorkerId, name: &TaskName) {
+        let job = self.jobs.get_mut(&name.job);
+        let Some(state) = job.and_then(|job| job.task_mut(name)) else {
+            return;
+        };
+        match state.command_phase() {
+            None | Some(CommandPhase::Inherited(_)) => {}
+            Some(CommandPhase::Committing) => self.release_task(name),
+            Some(_) => {
+                state.set_command_phase(CommandPhase::Stopping);
+                let run = state.last_run;
+                self.push_stop(worker, name, run, "its worker has restarted");
+            }
+        }
+    }
+
+    /// Records the last task end of a worker that is durable. No effect if the worker has started
+    /// again since, because each incarnation counts its ends from 1.
+    pub fn record_durable_end(
+        &mut self,
+        id: &WorkerId,
+        start: Option<IncarnationStart>,
+        last_end: u64,
+    ) {
+        if self.incarnation_start(id) != start {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.durable_end = worker.durable_end.max(last_end);
+        }
+    }
+
+    /// Like [`JobEngine::end_incarnation`], on evidence from `evidence_ms`. No effect if the worker
+    /// is known to have started again since.
+    pub fn end_incarnation_as_of(
+        &mut self,
+        id: &WorkerId,
+        evidence_ms: u64,
+        reason: &str,
+        now_ms: u64,
+    ) {
+        if self.incarnations.was_known_at(id, evidence_ms) {
+            self.end_incarnation(id, reason, now_ms);
+        }
+    }
+
     /// Records that a worker's incarnation has ended for good and releases its tasks; the
-    /// worker is not added again under this id.
+    /// worker is added again under this id only with a later start.
     pub fn end_incarnation(&mut self, id: &WorkerId, reason: &str, now_ms: u64) {
-        if !self.ended_incarnations.insert(id.clone()) {
+        if !self.incarnations.end(id) {
             return;
         }
         if let Some(worker) = self.workers.get_mut(id) {
@@ -53,6 +182,7 @@
             unresponsive
                 && !worker.tasks.is_empty()
                 && (worker.is_lease_expired(now_ms) || never_answered)
+                && !worker.may_run_carried_tasks(now_ms)
         };
         let workers = self
             .workers
@@ -78,15 +208,16 @@
     }
 
     /// Releases inherited tasks whose worker no host lists, because such a worker has ended. Only
-    /// workers that are unknown or have not answered this controller are checked.
-    pub fn reconcile_hosted_workers(&mut self, hosted: &BTreeSet<WorkerId>, now_ms: u64) {
+    /// workers that are unknown or have not answered this controller are checked. The list of hosts
+    /// was requested at `listed_ms`.
+    pub fn reconcile_hosted_workers(&mut self, hosted: &BTreeSet<WorkerId>, listed_ms: u64) {
         let unhosted = self.workers.iter().filter(|(id, worker)| {
             let has_runs = !worker.tasks.is_empty() || self.has_lost_runs(id);
             !worker.has_accepted_epoch && has_runs && !hosted.contains(id)
         });
         let unhosted: Vec<_> = unhosted.map(|(id, _)| id.clone()).collect();
         for id in unhosted {
-            self.end_incarnation(&id, "no host lists it", now_ms);
+            self.end_unhosted_worker(&id, "no host lists it", listed_ms);
         }
         for name in self.orphans() {
             let job = self.jobs.get(&name.job);
@@ -98,6 +229,13 @@
         }
     }
 
+    /// Ends the incarnation of a worker that its host does not list, according to a list of hosts
+    /// that was requested at `listed_ms`. The list may show the time before a restart.
+    pub fn end_unhosted_worker(&mut self, id: &WorkerId, reason: &str, listed_ms: u64) {
+        let evidence_ms = listed_ms.saturating_sub(HOST_LIST_LAG_MS);
+        self.end_incarnation_as_of(id, evidence_ms, reason, listed_ms);
+    }
+
     /// Returns the placed tasks whose workers are unknown: only restored ones, since all others are
     /// placed on known workers.
     fn orphans(&self) -> Vec<TaskName> {
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -22,16 +22,20 @@
 const STOP_GRACE_MS: u64 = 1_500;
 
 impl JobEngine {
-    /// Applies a worker's report, the answer to a request that was sent at `sent_ms`.
+    /// Applies a worker's report, the answer to a request that was sent at `sent_ms`. Returns
+    /// whether it was applied: not if the worker is unknown or has started again since.
     pub fn apply_report(
         &mut self,
         id: &WorkerId,
         report: &WorkerReport,
         sent_ms: u64,
         now_ms: u64,
-    ) {
+    ) -> bool {
+        if !self.workers.contains_key(id) || !self.accept_report(id, report, now_ms) {
+            return false;
+        }
         let Some(worker) = self.workers.get_mut(id) else {
-            return;
+            return false;
         };
         worker.record_answer(report.clock_ms, now_ms);
         worker.has_accepted_epoch = true;
@@ -42,14 +46,16 @@
             last = last.max(end.number);
         }
         if last > applied {
+            let start = self.incarnations.start(id);
             self.effects
-                .push(CommitEffect::Acknowledge(id.clone(), last));
+                .push(CommitEffect::Acknowledge(id.clone(), start, last));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.applied_end = last;
             }
         }
         self.reconcile_running(id, report, sent_ms, now_ms);
         self.resolve_listed_runs(id, report, sent_ms);
+        true
     }
 
     /// Applies the outcome of a start command; one that was refused or not sent releases the task.
@@ -84,8 +90,12 @@
     }
 
     /// Applies the outcome of a stop command. Unless it was accepted or another incarnation
-    /// answered, it is sent again.
+    /// answered, it is sent again. The outcome of a stop that was meant for an earlier incarnation
+    /// says nothing about the present one, for which a stop of its own was requested.
     pub fn apply_stop(&mut self, request: &StopRequest, outcome: &CommandOutcome, now_ms: u64) {
+        if !self.is_current(request) {
+            return;
+        }
         if self.placed_command_phase(&request.task, request.run) != Some(CommandPhase::Stopping) {
             return;
         }
@@ -260,12 +270,7 @@
             if known {
                 listed.insert(&running.task);
             } else {
-                self.stops.push(StopRequest {
-                    worker: id.clone(),
-                    task: running.task.clone(),
-                    run: running.run,
-                    reason: "unknown run",
-                });
+                self.push_stop(id, &running.task, running.run, "unknown run");
             }
         }
         // A missing run may be among the ends that the report leaves out.
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -161,7 +161,7 @@
     }
     for change in changes {
         match change {
-            WorkerChange::Present(entry) => engine.set_worker(entry),
+            WorkerChange::Present(entry) => engine.set_worker(entry, boot_ms()),
             WorkerChange::Gone(id) => engine.unlist_worker(&id),
             WorkerChange::Unreadable(id) => {
                 log::warn!("event=worker_unreadable worker={id}");
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -88,7 +88,7 @@
             continue;
         };
         if std::mem::replace(&mut recorded_ms, listed_ms) != listed_ms {
-            manager.record_states(&list);
+            manager.record_states(&list, listed_ms);
         }
         // Until the workers are known, a host that runs tasks would look empty.
         if !manager.term.has_worker_list() {
@@ -109,12 +109,12 @@
 
 impl<P: FleetPlatform> HostManager<P> {
     /// Records the state of each host. The incarnation that a host listed before has ended if the
-    /// host now lists no worker or a different one.
-    fn record_states(&self, list: &HostList) {
+    /// host now lists no worker or a different one. The list was requested at `listed_ms`.
+    fn record_states(&self, list: &HostList, listed_ms: u64) {
         if !list.has_gaps {
             let hosted = list.hosts.iter().filter_map(|entry| entry.worker.clone());
             let mut engine = self.term.engine.borrow_mut();
-            engine.reconcile_hosted_workers(&hosted.collect(), boot_ms());
+            engine.reconcile_hosted_workers(&hosted.collect(), listed_ms);
         }
         let mut states = self.states.borrow_mut();
         for entry in &list.hosts {
@@ -136,7 +136,7 @@
             let ended_worker = before.and_then(|(_, worker)| worker);
             if let Some(ended) = ended_worker.filter(|ended| Some(ended) != entry.worker.as_ref()) {
                 let mut engine = self.term.engine.borrow_mut();
-                engine.end_incarnation(&ended, "host no longer lists it", boot_ms());
+                engine.end_unhosted_worker(&ended, "host no longer lists it", listed_ms);
                 self.term.plan.notify_one();
             }
         }
@@ -300,11 +300,12 @@
     async fn start_host_upkeep(&self, request: &WaveRequest, host: &HostId, hosts: &[HostEntry]) {
         let entry = hosts.iter().find(|entry| entry.host == *host);
         let worker = entry.and_then(|entry| entry.worker.clone());
-        if self.send_upkeep(request, host).await {
-            if let Some(worker) = worker {
-                let mut engine = self.term.engine.borrow_mut();
-                engine.end_incarnation(&worker, "host taken down for upkeep", boot_ms());
-            }
+        let sent_ms = boot_ms();
+        let is_final = self.send_upkeep(request, host).await;
+        if let (true, Some(worker)) = (is_final, worker) {
+            let mut engine = self.term.engine.borrow_mut();
+            let reason = "host taken down for upkeep";
+            engine.end_incarnation_as_of(&worker, sent_ms, reason, boot_ms());
         }
     }
 
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -253,7 +253,7 @@
 
     async fn send_move(&self, host_move: &HostMove, hosts: &[HostEntry]) {
         let HostMove { host, to } = host_move;
-        let epoch = self.term.epoch;
+        let (epoch, sent_ms) = (self.term.epoch, boot_ms());
         let outcome = self.platform.move_host(host, to, epoch).await;
         log::info!("event=host_moved host={host} to={to} epoch={epoch} outcome={outcome:?}");
         self.term
@@ -276,7 +276,8 @@
         let mut engine = self.term.engine.borrow_mut();
         match (outcome, worker) {
             (HostOutcome::Accepted, Some(worker)) => {
-                engine.end_incarnation(worker, "host moved to another pool", boot_ms());
+                let reason = "host moved to another pool";
+                engine.end_incarnation_as_of(worker, sent_ms, reason, boot_ms());
             }
             (HostOutcome::Rejected(_), Some(worker)) => engine.set_cordon(worker, None),
             _ => {}
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -36,6 +36,7 @@
 mod job_spec;
 mod job_state;
 mod job_urgency;
+mod known_incarnations;
 mod leader_lease;
 mod lease_monitor;
 mod lost_runs;
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -9,6 +9,7 @@
 use monoio::time::Instant;
 use tokio::sync::Notify;
 
+use crate::id::IncarnationStart;
 use crate::id::WorkerId;
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
@@ -64,10 +65,9 @@
     id: WorkerId,
 ) {
     let wake = term.worker_notifier(&id);
-    let mut acknowledged = 0;
     let mut retry_pause = RETRY_PAUSE;
     while term.is_active() {
-        let Some(next) = next_renewal(&term, &id, acknowledged) else {
+        let Some(next) = next_renewal(&term, &id) else {
             break;
         };
         let Some((entry, renewal)) = next else {
@@ -76,12 +76,13 @@
             continue;
         };
         let sent_ms = boot_ms();
+        let start = term.engine.borrow().incarnation_start(&id);
         if let Some(lease_end_ms) = renewal.lease_end_ms {
             extend_lease(&term, &id, lease_end_ms);
         }
         let outcome = gateway.renew_lease(&entry, &renewal).await;
         let pause = if apply_renewal(&term, &id, &outcome, sent_ms) {
-            acknowledged = acknowledged.max(renewal.acknowledged);
+            record_acknowledged(&term, &id, start, renewal.acknowledged);
             retry_pause = RETRY_PAUSE;
             wait_for_commit(&term, &id, &wake).await;
             if term.engine.borrow().has_waiting_tasks() {
@@ -99,6 +100,23 @@
     term.end_maintenance(&id);
 }
 
+/// Records the last task end that a worker has discarded. A worker that has started again since
+/// the renewal was sent counts its ends anew.
+fn record_acknowledged(
+    term: &ControllerTerm,
+    id: &WorkerId,
+    start: Option<IncarnationStart>,
+    acknowledged: u64,
+) {
+    let mut engine = term.engine.borrow_mut();
+    if engine.incarnation_start(id) != start {
+        return;
+    }
+    if let Some(worker) = engine.workers.get_mut(id) {
+        worker.acknowledged_end = worker.acknowledged_end.max(acknowledged);
+    }
+}
+
 /// Waits until the applied task ends are durable, for `COMMIT_WAIT` at most.
 async fn wait_for_commit(term: &ControllerTerm, id: &WorkerId, wake: &Notify) {
     let deadline = Instant::now() + COMMIT_WAIT;
@@ -120,20 +138,24 @@
 fn next_renewal(
     term: &ControllerTerm,
     id: &WorkerId,
-    acknowledged: u64,
 ) -> Option<Option<(Rc<WorkerEntry>, LeaseRenewal)>> {
     let engine = term.engine.borrow();
     let worker = engine.workers.get(id)?;
     let busy = !worker.tasks.is_empty();
-    let due = busy || !worker.has_accepted_epoch || worker.durable_end > acknowledged;
+    let due = busy || !worker.has_accepted_epoch || worker.durable_end > worker.acknowledged_end;
     if !due || !term.may_renew() {
         return Some(None);
     }
+    // Tasks of an earlier incarnation wait for the next report, not for an end.
+    let may_wait = busy
+        && worker.has_accepted_epoch
+        && worker.unresponsive_since_ms == 0
+        && !worker.has_carried_tasks();
     let renewal = LeaseRenewal {
         epoch: term.epoch,
         lease_end_ms: worker.next_lease_end_ms(WORKER_LEASE_MS, boot_ms()),
         acknowledged: worker.durable_end,
-        wait: if busy && worker.has_accepted_epoch && worker.unresponsive_since_ms == 0 {
+        wait: if may_wait {
             LONG_POLL_WAIT
         } else {
             Duration::ZERO
@@ -154,15 +176,19 @@
     let mut engine = term.engine.borrow_mut();
     let answered = match outcome {
         RenewalOutcome::Report(report) => {
-            engine.apply_report(id, report, sent_ms, now_ms);
-            true
+            let applied = engine.apply_report(id, report, sent_ms, now_ms);
+            if !applied {
+                log::info!("event=report_ignored worker={id}");
+            }
+            applied
         }
         RenewalOutcome::Refused(CommandRefusal::Fenced) => {
             term.end("a worker has accepted a higher epoch");
             false
         }
         RenewalOutcome::Refused(CommandRefusal::OtherIncarnation) => {
-            engine.end_incarnation(id, "another incarnation answered", now_ms);
+            let reason = "another incarnation answered";
+            engine.end_incarnation_as_of(id, sent_ms, reason, now_ms);
             false
         }
         RenewalOutcome::Refused(_) | RenewalOutcome::Unknown(_) => {
@@ -325,9 +351,9 @@
 ) {
     let entry = {
         let engine = term.engine.borrow();
-        engine
-            .workers
-            .get(&request.worker)
+        let current = engine.is_current(&request).then_some(&request.worker);
+        current
+            .and_then(|id| engine.workers.get(id))
             .map(|worker| Rc::clone(&worker.entry))
     };
     let Some(entry) = entry else {
@@ -338,6 +364,7 @@
         task,
         run,
         reason,
+        ..
     } = &request;
     let outcome = gateway.stop_task(&entry, task, *run, term.epoch).await;
     log::info!(
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::id::DataCentreId;
+use crate::id::IncarnationStart;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
 use crate::workflow::TaskName;
@@ -11,8 +12,10 @@
 /// A worker's entry in the platform's list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerEntry {
-    /// The id of this incarnation of the worker.
+    /// The worker's id, which later incarnations may have as well.
     pub id: WorkerId,
+    /// When this incarnation started; `None` if the platform does not say.
+    pub incarnation_start: Option<IncarnationStart>,
     /// The service whose tasks the worker runs.
     pub service: ServiceId,
     /// The address that accepts commands.
@@ -95,6 +98,8 @@
 /// A worker's answer to a lease renewal: its running tasks and the ended runs.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerReport {
+    /// When the incarnation that answers started; `None` if the worker does not say.
+    pub incarnation_start: Option<IncarnationStart>,
     /// The worker's monotonic clock, in ms.
     pub clock_ms: u64,
     /// All tasks that run on the worker.
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -26,6 +26,11 @@
 /// The longest lease that a worker grants; set by the platform.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// How long after the end of an incarnation a run of its tasks may continue in the next one: a start
+/// may be executed 12 s after it was sent, whatever its lease on the old clock, and then holds the
+/// longest lease of 10 s, on a clock that runs up to 2.5% slow.
+const CARRIED_RUN_MS: u64 = 22_300;
+
 /// How long after a worker's first answer a run may be listed that an earlier controller has
 /// stopped: the platform allows a stop 400 ms, and the answer may be on its way for as long as a
 /// short call.
@@ -58,6 +63,8 @@
     pub applied_end: u64,
     /// The sequence number of the last task end that is durable and may be acknowledged.
     pub durable_end: u64,
+    /// The sequence number of the last task end whose acknowledgement was answered.
+    pub acknowledged_end: u64,
     /// The end of the worker's lease, on the worker's clock.
     pub lease_end_ms: u64,
     /// The time of the first unanswered call since the last answer; 0 while the worker answers.
@@ -70,6 +77,11 @@
     pub last_success_ms: u64,
     /// Whether the host is due for upkeep, so that the worker will soon be drained.
     pub upkeep_due: bool,
+    /// Those of `tasks` that were placed on an earlier incarnation. Their starts may still reach
+    /// this one.
+    carried_tasks: BTreeSet<TaskName>,
+    /// The time after which no run of `carried_tasks` continues.
+    carried_until_ms: u64,
     /// How many of `tasks` are long-running.
     long_running_tasks: u32,
     /// The worker's clock and the time at which it was reported.
@@ -94,6 +106,9 @@
             long_running_tasks: 0,
             applied_end: 0,
             durable_end: 0,
+            acknowledged_end: 0,
+            carried_tasks: BTreeSet::new(),
+            carried_until_ms: 0,
             lease_end_ms: 0,
             unresponsive_since_ms: 0,
             answered_ms: 0,
@@ -120,8 +135,27 @@
         }
     }
 
+    /// Adds a task that was placed on an earlier incarnation, of which this controller learnt the
+    /// end at `now_ms`.
+    pub fn carry_task(&mut self, task: TaskName, step: &StepSpec, now_ms: u64) {
+        self.carried_tasks.insert(task.clone());
+        self.carried_until_ms = now_ms + CARRIED_RUN_MS;
+        self.add_task(task, step);
+    }
+
+    /// Returns whether tasks of an earlier incarnation are not released yet.
+    pub fn has_carried_tasks(&self) -> bool {
+        !self.carried_tasks.is_empty()
+    }
+
+    /// Returns whether a run of a carried task may continue although the worker is silent.
+    pub fn may_run_carried_tasks(&self, now_ms: u64) -> bool {
+        self.has_carried_tasks() && now_ms <= self.carried_until_ms
+    }
+
     /// Removes a task and frees its resources; no effect if it is not placed.
     pub fn remove_task(&mut self, task: &TaskName, step: &StepSpec) {
+        self.carried_tasks.remove(task);
         if self.tasks.remove(task) {
             self.used = self.used.saturating_sub(&step.reserved());
             self.long_running_tasks -= u32::from(step.long_running);
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -298,6 +298,7 @@
             load: 0,
         });
         Some(RenewalOutcome::Report(WorkerReport {
+            incarnation_start: None,
             clock_ms,
             running: running.collect(),
             ends: worker.ends.clone(),
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -60,7 +60,7 @@
     fn list_workers(&mut self) {
         self.engine.config = Some(Rc::new(config()));
         for worker in &self.workers {
-            self.engine.set_worker(worker.clone());
+            self.engine.set_worker(worker.clone(), self.now_ms);
         }
         self.report_empty();
     }
@@ -200,6 +200,7 @@
             load: 0,
         });
         WorkerReport {
+            incarnation_start: None,
             clock_ms: self.now_ms,
             running: running.collect(),
             ends: Vec::new(),
@@ -241,7 +242,7 @@
     /// Adds all workers to the engine and reports every placed task as running.
     pub(crate) fn list_and_report_running(&mut self) {
         for worker in &self.workers {
-            self.engine.set_worker(worker.clone());
+            self.engine.set_worker(worker.clone(), self.now_ms);
         }
         self.report_all();
     }
@@ -250,7 +251,7 @@
     pub(crate) fn successor(&mut self) -> Self {
         let mut next = self.successor_without_workers();
         for worker in &next.workers {
-            next.engine.set_worker(worker.clone());
+            next.engine.set_worker(worker.clone(), next.now_ms);
         }
         next
     }
@@ -322,6 +323,7 @@
 pub(crate) fn worker_entry(index: usize) -> WorkerEntry {
     WorkerEntry {
         id: format!("w-{index}").parse().unwrap(),
+        incarnation_start: None,
         service: SERVICE.parse().unwrap(),
         address: format!("127.0.0.1:{}", 9_000 + index).parse().unwrap(),
         data_centre: "hall-a".parse().unwrap(),
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -33,6 +33,7 @@
 
 fn empty_report() -> WorkerReport {
     WorkerReport {
+        incarnation_start: None,
         clock_ms: 1_000_000,
         running: Vec::new(),
         ends: Vec::new(),
@@ -66,7 +67,7 @@
         let placed_ms = boot_ms();
         let mut engine = JobEngine::new(placed_ms, 0);
         engine.config = Some(Rc::new(fixtures::config()));
-        engine.set_worker(worker.clone());
+        engine.set_worker(worker.clone(), placed_ms);
         engine.apply_report(&worker.id, &empty_report(), placed_ms, placed_ms);
         let spec = JobSpec {
             queue: fixtures::QUEUE.to_owned(),
--- a/tests/engine_takeover.rs
+++ b/tests/engine_takeover.rs
@@ -50,7 +50,7 @@
     let started = Instant::now();
     workers
         .into_iter()
-        .for_each(|entry| engine.set_worker(entry));
+        .for_each(|entry| engine.set_worker(entry, 0));
     let elapsed = started.elapsed();
 
     let placed: usize = engine
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -240,7 +240,7 @@
 
     assert!(!fleet.is_placed(&name));
     let entry = worker_entry(0);
-    fleet.engine.set_worker(entry.clone());
+    fleet.engine.set_worker(entry.clone(), fleet.now_ms);
     let is_listed = fleet.engine.workers.contains_key(&entry.id);
     assert_eq!(
         is_listed,
