--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -40,6 +40,7 @@
 mod job_status;
 mod job_urgency;
 mod key_check;
+mod known_incarnations;
 mod leader_lease;
 mod lease_monitor;
 mod lost_runs;
