Mark jobs that their organisation submitted beyond its rate

Cause: an organisation is entitled to its weight in jobs per second over all entry hosts, but nothing measured the rate, so that jobs beyond it could not be placed last. Change: the controller keeps a token bucket for each organisation and marks the jobs beyond it in JobEngine::add_job.

--- a/src/workflow/admission.rs
+++ b/src/workflow/admission.rs
@@ -37,8 +37,7 @@
     queue: &QueueConfig,
     backlog: &QueueBacklog,
 ) -> Option<AdmissionRefusal> {
-    let is_long_running = spec.steps.iter().any(|step| step.long_running);
-    if is_long_running || spec.schedule.is_some() {
+    if spec.is_exempt_from_rates() {
         return None;
     }
     let duration_ms = |_: usize, step: &StepSpec| step.estimate_ms.max(backlog.task_ms);
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -19,6 +19,7 @@
 use crate::workflow::JobSpec;
 use crate::workflow::JobState;
 use crate::workflow::PeakForecast;
+use crate::workflow::RateMeter;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
@@ -98,6 +99,8 @@
     pub(crate) pool_capacities: BTreeMap<ServiceId, u64>,
     pub(crate) forecast: PeakForecast,
     pub(crate) durations: DurationTracker,
+    /// The rates of organisations in this term.
+    pub(crate) rates: RateMeter,
     /// The last placement pass left tasks without a worker.
     pub(crate) has_waiting: bool,
     pub(crate) last_stall_check_ms: u64,
@@ -130,6 +133,7 @@
             pool_capacities: BTreeMap::new(),
             forecast: PeakForecast::new(),
             durations: DurationTracker::new(),
+            rates: RateMeter::new(),
             has_waiting: false,
             last_stall_check_ms: 0,
             ended_incarnations: BTreeSet::new(),
@@ -149,6 +153,7 @@
         let mut job = JobState::new(id.clone(), Rc::new(spec), now_ms);
         if progress.is_none() {
             self.record_arrival(&Rc::clone(&job.spec), now_ms);
+            job.is_over_rate = self.record_rate(&Rc::clone(&job.spec), now_ms);
         }
         if let Some(progress) = progress {
             if job.restore(progress, now_ms).is_none() {
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -134,6 +134,12 @@
 }
 
 impl JobSpec {
+    /// Returns whether the job is never refused or placed last for its organisation's rate or a
+    /// backlog: long-running jobs are placed before others, scheduled ones later.
+    pub fn is_exempt_from_rates(&self) -> bool {
+        self.schedule.is_some() || self.steps.iter().any(|step| step.long_running)
+    }
+
     /// Returns the number of occurrences, 1 without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.times.max(1))
