Limit organisations beyond their rate or share while pools are short

Cause: at a surge, an organisation that sends many times its rate fills the backlog of a pool, and callers of all organisations are refused alike for it. Change: while a pool can't serve all its jobs in time, the controller publishes in the leader row which part of the submissions of each organisation beyond its weight to admit. The refusal for a hopeless wait goes by the organisation's own work on its share. Statements expire after 1.5 s. Configurations without organisations measure nothing.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::process::OrganisationMetrics;
+
 /// Labels of the `outcomes` counter.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct OutcomeLabels {
@@ -42,6 +44,8 @@
     pub open_jobs: Gauge,
     /// How far the controller's work is behind, in ms; stays at its last value on other hosts.
     pub control_lag_ms: Gauge,
+    /// Metrics by organisation; without values where the configuration has no organisations.
+    pub organisations: OrganisationMetrics,
 }
 
 impl Default for EntryMetrics {
@@ -80,6 +84,7 @@
             "control_lag_ms",
             "Time by which the controller's work is behind",
         );
+        let organisations = OrganisationMetrics::register(&mut registry);
         Self {
             registry,
             outcomes,
@@ -91,6 +96,7 @@
             config_version,
             open_jobs,
             control_lag_ms,
+            organisations,
         }
     }
 
@@ -119,6 +125,7 @@
 
     /// Encodes all metrics in the Prometheus text format; empty if encoding fails.
     pub fn to_text(&self) -> String {
+        self.organisations.refresh();
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
             Ok(()) => text,
--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -21,6 +21,7 @@
 use crate::workflow::FleetPlatform;
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseLost;
+use crate::workflow::OrganisationMonitor;
 use crate::workflow::PublishedCounts;
 use crate::workflow::COMMANDS_KEY;
 
@@ -53,6 +54,7 @@
     term: Rc<ControllerTerm>,
     freshness: Rc<CountFreshness>,
     backlogs: Rc<BacklogView>,
+    organisations: OrganisationMonitor,
     /// Pending jobs per queue, as last written.
     published_counts: BTreeMap<String, u64>,
     /// When the pending jobs were last counted, in ms.
@@ -70,11 +72,13 @@
         freshness: Rc<CountFreshness>,
         backlogs: Rc<BacklogView>,
     ) -> Self {
+        let organisations = OrganisationMonitor::new(Rc::clone(&term.metrics));
         Self {
             platform,
             term,
             freshness,
             backlogs,
+            organisations,
             published_counts: BTreeMap::new(),
             count_ms: 0,
             counted_ms: None,
@@ -193,13 +197,18 @@
         Some(row_write(COMMANDS_KEY.to_owned(), json!(ages)))
     }
 
-    /// Tells the other entry hosts, with the next commit, and this one how long new jobs wait.
-    fn measure_backlogs(&self, lease: &mut LeaderLease) {
+    /// Tells the other entry hosts, with the next commit, and this one how long new jobs wait and
+    /// which organisations are limited.
+    fn measure_backlogs(&mut self, lease: &mut LeaderLease) {
         let now_ms = boot_ms();
         let lag_ms = self.term.lag.average().as_millis() as u64;
-        let backlogs = self.term.engine.borrow().queue_backlogs(lag_ms, now_ms);
+        let mut engine = self.term.engine.borrow_mut();
+        let backlogs = engine.queue_backlogs(lag_ms, now_ms);
         self.backlogs.record_own(&backlogs, now_ms);
         lease.set_backlogs(backlogs);
+        let limits = self.organisations.measure(&mut engine, lag_ms, now_ms);
+        self.backlogs.limits.record(limits.clone(), now_ms);
+        lease.set_limits(limits);
     }
 
     /// Counts the pending jobs, at most once per [`COUNT_INTERVAL_MS`]. Returns the rows of changed
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -45,12 +45,21 @@
         (Some((id, false)), Ok(spec)) => {
             log_job(engine, &id, &spec);
             engine.add_job(id.clone(), spec, progress, boot_ms());
+            log_over_rate(engine, &id);
             engine.set_submitted_revision(&id, row.revision);
         }
         _ => log::error!("event=job_unreadable key={}", row.key),
     }
 }
 
+/// Logs that a job is placed after others for its organisation's rate.
+fn log_over_rate(engine: &JobEngine, id: &JobId) {
+    let job = engine.jobs.get(id).filter(|job| job.is_over_rate);
+    if let Some(organisation) = job.and_then(|job| job.spec.organisation.as_ref()) {
+        log::info!("event=job_over_rate job={id} organisation={organisation}");
+    }
+}
+
 /// Logs the properties of a job that later log lines refer to by its id.
 fn log_job(engine: &JobEngine, id: &JobId, spec: &JobSpec) {
     let config = engine.config.as_ref();
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -16,6 +16,7 @@
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
 use crate::workflow::CountStamp;
+use crate::workflow::OrganisationLimits;
 use crate::workflow::QueueBacklogs;
 use crate::workflow::INHERITED_RUN_MS;
 use crate::workflow::RELEASED_RUN_MS;
@@ -52,6 +53,10 @@
     /// The backlogs of queues, as of this commit.
     #[serde(default, skip_serializing_if = "QueueBacklogs::is_empty")]
     pub backlogs: QueueBacklogs,
+    /// The limits on organisations, as of this commit; nothing is limited before the holder has
+    /// measured.
+    #[serde(default, skip_serializing_if = "OrganisationLimits::is_empty")]
+    pub limits: OrganisationLimits,
 }
 
 impl LeaderRecord {
@@ -108,6 +113,7 @@
             counts: None,
             processor_millis: 0,
             backlogs: QueueBacklogs::new(),
+            limits: OrganisationLimits::default(),
         };
         let revision = current.map_or(Revision::new(0), |row| row.revision);
         let mut lease = Self {
@@ -167,6 +173,11 @@
         self.record.backlogs = backlogs;
     }
 
+    /// Sets the limits on organisations. The next commit stores them.
+    pub fn set_limits(&mut self, limits: OrganisationLimits) {
+        self.record.limits = limits;
+    }
+
     /// Returns the last time at which this process is known to have held the lease, in ms.
     pub fn confirmed_ms(&self) -> u64 {
         self.confirmed_ms
--- a/src/workflow/queue_backlog.rs
+++ b/src/workflow/queue_backlog.rs
@@ -6,9 +6,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::OrganisationId;
 use crate::id::Revision;
 use crate::provider::TableRow;
 use crate::workflow::leader_lease::read_record;
+use crate::workflow::LimitsView;
+use crate::workflow::QueueConfig;
 
 /// Age in ms from which a backlog says nothing about the present.
 const MAX_AGE_MS: u64 = 1_500;
@@ -29,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct BacklogView {
     state: RefCell<ViewState>,
+    /// The limits on organisations, from the same reads.
+    pub limits: LimitsView,
 }
 
 #[derive(Debug, Default)]
@@ -57,6 +62,7 @@
         };
         if let Some(record) = row.and_then(read_record) {
             state.backlogs = record.backlogs;
+            self.limits.record(record.limits, written_ms);
             state.valid_ms = Some(written_ms);
         }
     }
@@ -69,6 +75,22 @@
         state.valid_ms = Some(now_ms);
     }
 
+    /// Returns the backlog that a new job meets and its age in ms, like [`BacklogView::get`]. The jobs of
+    /// an organisation wait only for its own work, on its share of the pool.
+    pub fn get_for(
+        &self,
+        queue: &QueueConfig,
+        organisation: Option<&OrganisationId>,
+        now_ms: u64,
+    ) -> Option<(QueueBacklog, u64)> {
+        let (backlog, age_ms) = self.get(&queue.name, now_ms)?;
+        let Some(organisation) = organisation else {
+            return Some((backlog, age_ms));
+        };
+        let wait_ms = self.limits.wait_ms(organisation, &queue.service, now_ms);
+        Some((QueueBacklog { wait_ms, ..backlog }, age_ms))
+    }
+
     /// Returns a queue's backlog and its age in ms; `None` if there is none or it is too old to
     /// decide by.
     pub fn get(&self, queue: &str, now_ms: u64) -> Option<(QueueBacklog, u64)> {
