Show operators which organisations are limited and why

Cause: nothing told an operator which organisation takes the capacity, or whether a job was refused or late for its organisation's rate, share or cap. Change: zincpier organisations reads the metrics of entry hosts and shows running, waiting and refused work against share and cap. zincpier explain names rate, share or cap as the cause.

--- a/src/bin/zincpier/arguments.rs
+++ b/src/bin/zincpier/arguments.rs
@@ -7,6 +7,7 @@
 
 use crate::explain_command::ExplainArguments;
 use crate::job_arguments::JobArguments;
+use crate::organisation_command::OrganisationArguments;
 
 /// Manage fleet capacity and maintenance: apply the service text, run waves
 /// and jobs, inspect entry hosts, generate load.
@@ -30,6 +31,7 @@
     Job(JobArguments),
     Entry(EntryArguments),
     Budget(BudgetArguments),
+    Organisations(OrganisationArguments),
     Status(StatusArguments),
     Audit(AuditArguments),
     Explain(ExplainArguments),
--- a/src/bin/zincpier/commands.rs
+++ b/src/bin/zincpier/commands.rs
@@ -30,6 +30,7 @@
 use crate::fleet_commands;
 use crate::job_commands;
 use crate::operator_access::operator_client;
+use crate::organisation_command;
 use crate::printer::finish_progress;
 use crate::printer::print_progress;
 use crate::printer::print_table;
@@ -59,6 +60,9 @@
         Command::Job(job) => job_commands::run_job(job.command).await,
         Command::Entry(entry) => fleet_commands::run_entry(entry.command).await,
         Command::Budget(budget) => fleet_commands::show_budgets(&budget).await,
+        Command::Organisations(organisations) => {
+            organisation_command::show_organisations(&organisations).await
+        }
         Command::Status(status) => show_status(&status).await,
         Command::Audit(audit) => show_audit(&audit).await,
         Command::Explain(explain) => explain_command::explain(&explain),
--- a/src/bin/zincpier/main.rs
+++ b/src/bin/zincpier/main.rs
@@ -7,6 +7,7 @@
 mod job_arguments;
 mod job_commands;
 mod operator_access;
+mod organisation_command;
 mod printer;
 
 use std::process::ExitCode;
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -142,6 +142,16 @@
         self.decode(&answer)
     }
 
+    /// Fetches the metrics of the process at this address, in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not answer or refuses the request.
+    pub async fn metrics(&self) -> Result<String> {
+        let answer = self.call(Method::GET, "/metrics", Bytes::new()).await?;
+        Ok(String::from_utf8_lossy(answer.body()).into_owned())
+    }
+
     async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Response<Bytes>> {
         let request = self.request(method, path, body)?;
         self.send(request).await
--- a/src/operator/job_diagnosis.rs
+++ b/src/operator/job_diagnosis.rs
@@ -29,6 +29,25 @@
         /// Time from its submission after which its result is of no use, in ms.
         useful_ms: u64,
     },
+    /// Its organisation submitted more jobs per second than it is entitled to, while a pool was short.
+    #[error("refused: rate: {organisation} sent more than it is entitled to, and {percent}% of its jobs were admitted")]
+    RateExceeded {
+        /// The organisation.
+        organisation: String,
+        /// The part of its submissions that was admitted, in percent.
+        percent: String,
+    },
+    /// The waiting work of its organisation would have outlasted, on the organisation's share of the
+    /// pool, the time for which the job's result is of use.
+    #[error("refused: share: {wait_ms} ms of {organisation}'s own work waited on its share, and the result is of use for {useful_ms} ms")]
+    ShareExceeded {
+        /// The organisation.
+        organisation: String,
+        /// Time that its waiting work would have taken, in ms.
+        wait_ms: u64,
+        /// Time from its submission after which the job's result is of no use, in ms.
+        useful_ms: u64,
+    },
     /// Its submission was invalid or could not be satisfied; holds the logged reason.
     #[error("rejected: {0}")]
     Rejected(String),
@@ -73,6 +92,23 @@
         /// The largest lag that the controller logged meanwhile, in ms.
         lag_ms: u64,
     },
+    /// Its organisation had reached its rate, share or cap.
+    #[error("late: waited {waited_ms} ms; {organisation} had reached its {cause}: {used_millis} millicores in use, share {share_millis}, cap {cap_millis}")]
+    OrganisationLimited {
+        /// Time from its first log line to its last task start, or to its last line if no task was
+        /// started, in ms.
+        waited_ms: u64,
+        /// The organisation.
+        organisation: String,
+        /// `rate`, `share` or `cap`.
+        cause: String,
+        /// CPU that the organisation had in use, in millicores.
+        used_millis: u64,
+        /// Its share of the pools that it used, in millicores.
+        share_millis: u64,
+        /// Its cap in millicores; 0 if there is none.
+        cap_millis: u64,
+    },
     /// Its pool had less capacity than demand.
     #[error("late: waited {waited_ms} ms; pool {pool} had capacity for {capacity_millis} of {demand_millis} requested millicores")]
     PoolShortage {
--- a/src/operator/job_timeline.rs
+++ b/src/operator/job_timeline.rs
@@ -20,6 +20,9 @@
 /// Interval at which a controller logs its lag, in ms.
 const LAG_LOG_INTERVAL_MS: u64 = 1_000;
 
+/// Interval at which a controller logs that an organisation is limited, in ms.
+const LIMIT_LOG_INTERVAL_MS: u64 = 1_000;
+
 /// The log lines about one job, sorted by time, and the lines of all entry hosts for context.
 #[derive(Debug)]
 pub struct JobTimeline<'l> {
@@ -90,9 +93,23 @@
             .events("submit")
             .find(|line| line.field("outcome") == "Hopeless")
         {
-            return JobDiagnosis::BacklogTooLong {
-                wait_ms: hopeless.u64_field("wait_ms").unwrap_or(0),
-                useful_ms: hopeless.u64_field("useful_ms").unwrap_or(0),
+            let wait_ms = hopeless.u64_field("wait_ms").unwrap_or(0);
+            let useful_ms = hopeless.u64_field("useful_ms").unwrap_or(0);
+            let organisation = hopeless.field("organisation").to_owned();
+            return match organisation.is_empty() {
+                true => JobDiagnosis::BacklogTooLong { wait_ms, useful_ms },
+                false => JobDiagnosis::ShareExceeded {
+                    organisation,
+                    wait_ms,
+                    useful_ms,
+                },
+            };
+        }
+        let mut submits = self.events("submit");
+        if let Some(refused) = submits.find(|line| line.field("outcome") == "OverRate") {
+            return JobDiagnosis::RateExceeded {
+                organisation: refused.field("organisation").to_owned(),
+                percent: refused.field("percent").to_owned(),
             };
         }
         let unanswered_times = self
@@ -159,8 +176,8 @@
         }
     }
 
-    /// Returns the main cause of a delay: a new controller, one that is behind, a shortage of the
-    /// pool, retried commits, repeated runs of a task, or the run time of the tasks, in this order.
+    /// Returns the main cause of a delay: a new controller, one that is behind, a limit of the job's
+    /// organisation, a shortage of the pool, retried commits, repeated runs of a task, or the run time of the tasks, in this order.
     ///
     /// Repeated runs come first if the wait for the first start took less than half of the time.
     fn diagnose_delay(&self) -> JobDiagnosis {
@@ -194,6 +211,9 @@
         if let Some(behind) = self.controller_lag(first_line_ms, last_wait_end_ms) {
             return behind;
         }
+        if let Some(limited) = self.organisation_limit(first_line_ms, last_wait_end_ms) {
+            return limited;
+        }
         if let Some(shortage) = self.pool_shortage(first_line_ms, last_wait_end_ms) {
             return shortage;
         }
@@ -260,6 +280,31 @@
         })
     }
 
+    /// Returns the last limit that the job's organisation had reached between the two times. Its rate
+    /// delays only jobs that were over it.
+    fn organisation_limit(&self, from_ms: u64, to_ms: u64) -> Option<JobDiagnosis> {
+        let mut organisations = self.job_lines.iter().map(|line| line.field("organisation"));
+        let organisation = organisations.rfind(|organisation| !organisation.is_empty())?;
+        let is_over_rate = self.last_line("job_over_rate").is_some();
+        // The lines are written at most once per second.
+        let lines = self.between(from_ms, to_ms + LIMIT_LOG_INTERVAL_MS);
+        let limited = lines.filter(|line| {
+            line.event == "organisation_limited"
+                && line.field("organisation") == organisation
+                && (is_over_rate || line.field("cause") != "rate")
+        });
+        let limited = limited.last()?;
+        let millis = |field| limited.u64_field(field).unwrap_or(0);
+        Some(JobDiagnosis::OrganisationLimited {
+            waited_ms: to_ms - from_ms,
+            organisation: organisation.to_owned(),
+            cause: limited.field("cause").to_owned(),
+            used_millis: millis("used_millis"),
+            share_millis: millis("share_millis"),
+            cap_millis: millis("cap_millis"),
+        })
+    }
+
     /// Returns the largest capacity shortage of the job's pool between the two times.
     fn pool_shortage(&self, from_ms: u64, to_ms: u64) -> Option<JobDiagnosis> {
         // The pool of a service's workers has the name of the service.
@@ -327,37 +372,3 @@
         lines.filter(move |line| (from_ms..=to_ms).contains(&line.time_ms))
     }
 }
-
-/// Returns the ids of submitted jobs that neither completed within `late_ms` nor were cancelled.
-///
-/// Long-running jobs are left out, since they end only when cancelled.
-pub fn jobs_not_completed_in_time(lines: &[LogLine], late_ms: u64) -> Vec<String> {
-    let submits = lines.iter().filter(|line| line.event == "submit");
-    let jobs: BTreeSet<_> = submits.map(|line| line.field("job")).collect();
-    // The times of the first line and of the completion, and whether the job is left out.
-    let mut spans: BTreeMap<&str, (u64, Option<u64>, bool)> = BTreeMap::new();
-    for line in lines {
-        let job = match line.field("job") {
-            "" => line.field("task").split('.').next().unwrap_or_default(),
-            job => job,
-        };
-        if !jobs.contains(job) {
-            continue;
-        }
-        let (_, completed_ms, is_excluded) =
-            spans.entry(job).or_insert((line.time_ms, None, false));
-        match line.event.as_str() {
-            "job_seen" if line.field("long_running") == "true" => *is_excluded = true,
-            "job_complete" => *completed_ms = Some(line.time_ms),
-            "job_cancelled" => *is_excluded = true,
-            _ => {}
-        }
-    }
-    let failed = spans
-        .into_iter()
-        .filter(|(_, (first_ms, completed_ms, is_excluded))| {
-            !is_excluded
-                && completed_ms.is_none_or(|completed_ms| completed_ms > first_ms + late_ms)
-        });
-    failed.map(|(job, _)| job.to_owned()).collect()
-}
--- a/tests/job_diagnosis.rs
+++ b/tests/job_diagnosis.rs
@@ -239,3 +239,67 @@
         ["bb", "cc"]
     );
 }
+
+#[test]
+fn refusal_of_an_organisation_names_rate_or_share() {
+    let rate = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q organisation=north outcome=OverRate percent=3.3 age_ms=310 retry_s=6
+e-2 time_ms=7000 level=INFO event=submit job=aa queue=q organisation=north outcome=OverRate percent=3.1 age_ms=120 retry_s=8
+";
+    let share = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q organisation=north outcome=Hopeless wait_ms=9100 useful_ms=4200 age_ms=310 retry_s=6
+";
+
+    let rate = diagnose(rate, "aa");
+    let share = diagnose(share, "aa");
+
+    let expected = JobDiagnosis::RateExceeded {
+        organisation: "north".to_owned(),
+        percent: "3.3".to_owned(),
+    };
+    assert_eq!(rate, expected);
+    let expected = JobDiagnosis::ShareExceeded {
+        organisation: "north".to_owned(),
+        wait_ms: 9_100,
+        useful_ms: 4_200,
+    };
+    assert_eq!(share, expected);
+    assert!(rate.to_string().starts_with("refused: rate:"));
+    assert!(share.to_string().starts_with("refused: share:"));
+}
+
+/// Fails if a delay by an organisation's own limit is blamed on the pool, on another organisation's
+/// limit, or on a rate that the job was within.
+#[test]
+fn late_job_of_a_limited_organisation_names_its_limit() {
+    let text = |cause: &str, over_rate: &str| {
+        format!(
+            "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q organisation=north outcome=Accepted
+e-2 time_ms=1010 level=INFO event=job_seen job=aa queue=q service=s-1
+{over_rate}
+e-2 time_ms=2000 level=INFO event=organisation_limited organisation=south cause=share used_millis=1 cap_millis=1 share_millis=1 waiting_jobs=1 wait_ms=0 percent=100
+e-2 time_ms=2000 level=INFO event=pool name=s-1 hosts=8 pinned=5 room_millis=512000 used_millis=500000 demand_millis=2000000
+e-2 time_ms=3000 level=INFO event=organisation_limited organisation=north cause={cause} used_millis=9000 cap_millis=9500 share_millis=7000 waiting_jobs=40 wait_ms=0 percent=100
+e-2 time_ms=7000 level=INFO event=task_start task=aa.0.0.0 run=1 worker=w-1 epoch=1 outcome=Accepted(5)
+e-2 time_ms=7900 level=INFO event=task_ended task=aa.0.0.0 run=1 worker=w-1 how=Done
+e-2 time_ms=7900 level=INFO event=job_complete job=aa
+"
+        )
+    };
+    let over_rate = "e-2 time_ms=1011 level=INFO event=job_over_rate job=aa organisation=north";
+    let limited = |cause: &str| JobDiagnosis::OrganisationLimited {
+        waited_ms: 6_000,
+        organisation: "north".to_owned(),
+        cause: cause.to_owned(),
+        used_millis: 9_000,
+        share_millis: 7_000,
+        cap_millis: 9_500,
+    };
+
+    assert_eq!(diagnose(&text("cap", ""), "aa"), limited("cap"));
+    assert_eq!(diagnose(&text("share", ""), "aa"), limited("share"));
+    assert_eq!(diagnose(&text("rate", over_rate), "aa"), limited("rate"));
+    let within_rate = diagnose(&text("rate", ""), "aa");
+    assert!(matches!(within_rate, JobDiagnosis::PoolShortage { .. }));
+}
