--- a/tests/organisation_limits.rs
+++ b/tests/organisation_limits.rs
@@ -223,6 +223,27 @@
     assert!(window(1_700).is_none(), "the new row replaces it at once");
 }
 
+/// Guards against refusals at pools that have room because another pool is short.
+#[test]
+fn submissions_to_a_pool_with_room_are_not_limited() {
+    let limits = OrganisationLimits {
+        short: [service()].into(),
+        windows: [(
+            north(),
+            AdmissionWindow {
+                width: 33,
+                first: 0,
+            },
+        )]
+        .into(),
+        ..OrganisationLimits::default()
+    };
+
+    assert!(limits.window(&north(), &service()).is_some());
+    assert_eq!(limits.window(&north(), &"render".parse().unwrap()), None);
+    assert_eq!(limits.window(&south(), &service()), None);
+}
+
 /// Guards against refusals by a limit whose age is unknown or high: entry hosts that don't reach the
 /// table admit everything.
 #[test]
