Correct the comment on the read of a submission's owner

Cause: it said that only a conflict of organisations needs the read; any conflict does where the configuration has organisations. Change: the comment. Result: comment only.

--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -119,8 +119,8 @@
         }
     }
 
-    /// Finds out whether a stored job is the caller's. Only a conflict of organisations needs this
-    /// read.
+    /// Finds out whether the job that a submission conflicted with is visible to the caller. Without
+    /// organisations it always is, and nothing is read.
     async fn find_known(
         &self,
         id: &JobId,
