--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -14,9 +14,13 @@
 use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSpec;
+use zincpier::workflow::Organisation;
+use zincpier::workflow::OrganisationDirectory;
 use zincpier::workflow::PoolConfig;
 use zincpier::workflow::QueueConfig;
+use zincpier::workflow::ResourceCap;
 use zincpier::workflow::RunningTask;
+use zincpier::workflow::ShareWeight;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::TaskEnd;
 use zincpier::workflow::TaskName;
@@ -77,6 +81,27 @@
         self.engine.add_job(id, spec, None, self.now_ms);
     }
 
+    /// Submits a job of an organisation.
+    pub(crate) fn submit_for(&mut self, organisation: &str, id: &str, steps: Vec<StepSpec>) {
+        let spec = JobSpec {
+            queue: QUEUE.to_owned(),
+            organisation: Some(organisation.parse().unwrap()),
+            payload: "text".to_owned(),
+            steps,
+            schedule: None,
+        };
+        let id = id.parse().unwrap();
+        self.engine.add_job(id, spec, None, self.now_ms);
+    }
+
+    /// Puts a new version of the configuration with these organisations in force.
+    pub(crate) fn set_organisations(&mut self, organisations: Vec<Organisation>) {
+        let mut next = FleetConfig::clone(self.engine.config.as_ref().unwrap());
+        next.version += 1;
+        next.organisations = Some(OrganisationDirectory::new(organisations));
+        self.engine.config = Some(Rc::new(next));
+    }
+
     pub(crate) fn advance(&mut self, time_ms: u64) {
         self.now_ms += time_ms;
     }
@@ -269,7 +294,7 @@
             let id = job.id.clone();
             next.engine.add_job(id, spec, Some(&progress), self.now_ms);
         }
-        next.engine.config = Some(Rc::new(config()));
+        next.engine.config.clone_from(&self.engine.config);
         next
     }
 
@@ -359,6 +384,29 @@
     }
 }
 
+/// Returns an organisation without keys and without a limit.
+pub(crate) fn organisation(id: &str, weight: f64) -> Organisation {
+    Organisation {
+        id: id.parse().unwrap(),
+        keys: Vec::new(),
+        priority: 0,
+        weight: ShareWeight::new(weight),
+        cap: ResourceCap::default(),
+    }
+}
+
+/// Returns an organisation of weight 1 that may have `cores` cores running.
+pub(crate) fn capped_organisation(id: &str, cores: u64) -> Organisation {
+    let limits = WorkerResources {
+        cpu_millis: cores * 1_000,
+        ..WorkerResources::default()
+    };
+    Organisation {
+        cap: ResourceCap::new(limits),
+        ..organisation(id, 1.0)
+    }
+}
+
 pub(crate) fn step(tasks: u32) -> StepSpec {
     StepSpec {
         tasks,
