Keep what an organisation has running within its cap

An organisation's cap was read but not applied. The engine now counts, for each organisation, the full demand of its placements from the decision until the release, and of reported runs without a placed task. Placement uses only the room that is left, under the lowest cap of all versions that may be in force. Jobs without room take no part in the deferral, and demand and backlogs count only what the cap allows to run. The plan of a pass moves to files of its own.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -143,7 +143,8 @@
 
     /// Loads the state from the table and runs one term until it ends.
     async fn run_term(&self, mut lease: LeaderLease) {
-        let engine = JobEngine::new(boot_ms(), lease.inherited_ms());
+        let mut engine = JobEngine::new(boot_ms(), lease.inherited_ms());
+        engine.adopt_caps(&self.view);
         let is_first_term = lease.epoch() == 1;
         let ages = self
             .while_renewing(&mut lease, self.load_command_ages(is_first_term))
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -10,7 +10,10 @@
 use crate::id::Revision;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::cap_limits::CapLimits;
+use crate::workflow::capped_arrivals::CappedArrivals;
 use crate::workflow::lost_runs::LostRuns;
+use crate::workflow::organisation_usage::OrganisationUsage;
 use crate::workflow::ArchivedJobs;
 use crate::workflow::CommandPhase;
 use crate::workflow::DurationTracker;
@@ -21,7 +24,6 @@
 use crate::workflow::PeakForecast;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
-use crate::workflow::TaskState;
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerState;
 
@@ -110,6 +112,14 @@
     pub(crate) inherited_until_ms: u64,
     /// Tasks that were restored as placed on workers that are not known yet.
     pub(crate) restored_placements: BTreeMap<WorkerId, Vec<TaskName>>,
+    /// Whether `config` was confirmed as the newest version within the time in which a new one must
+    /// be in force. Otherwise, a lower cap may be, and organisations with a cap start nothing.
+    pub is_config_recent: bool,
+    pub(crate) usage: OrganisationUsage,
+    pub(crate) caps: CapLimits,
+    pub(crate) capped_arrivals: CappedArrivals,
+    /// Jobs of which a task or gang exceeds its organisation's cap, so that they are logged once.
+    pub(crate) oversized_jobs: BTreeSet<JobId>,
 }
 
 impl JobEngine {
@@ -136,6 +146,11 @@
             lost_runs: BTreeMap::new(),
             inherited_until_ms: now_ms + inherited_ms,
             restored_placements: BTreeMap::new(),
+            is_config_recent: true,
+            usage: OrganisationUsage::default(),
+            caps: CapLimits::default(),
+            capped_arrivals: CappedArrivals::default(),
+            oversized_jobs: BTreeSet::new(),
         }
     }
 
@@ -147,7 +162,8 @@
             return;
         }
         let mut job = JobState::new(id.clone(), Rc::new(spec), now_ms);
-        if progress.is_none() {
+        // Over-rate jobs request no hosts.
+        if progress.is_none() && !job.is_over_rate {
             self.record_arrival(&Rc::clone(&job.spec), now_ms);
         }
         if let Some(progress) = progress {
@@ -166,6 +182,7 @@
         let spec = Rc::clone(&job.spec);
         self.jobs.insert(id, job);
         for (name, worker) in inherited {
+            self.usage.add(&spec, &spec.steps[name.step as usize]);
             match self.workers.get_mut(&worker) {
                 Some(known) => known.add_task(name.clone(), &spec.steps[name.step as usize]),
                 None => {
@@ -216,7 +233,7 @@
     /// Marks a worker as removed from the platform's list; it is kept while it has tasks or is to
     /// report lost runs.
     pub fn unlist_worker(&mut self, id: &WorkerId) {
-        let is_needed = self.has_lost_runs(id);
+        let is_needed = self.has_lost_runs(id) || self.usage.has_unplaced_runs(id);
         if let Some(worker) = self.workers.get_mut(id) {
             log::info!("event=worker_unlisted worker={id}");
             worker.listed = false;
@@ -239,6 +256,7 @@
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.remove_task(name, &spec.steps[name.step as usize]);
             }
+            self.usage.remove(&spec, &spec.steps[name.step as usize]);
             state.phase = TaskPhase::Waiting;
             state.percent = 0;
             self.changed.insert(name.job.clone());
@@ -342,7 +360,10 @@
 
     /// Removes a job whose submission was archived.
     pub fn archive_job(&mut self, id: &JobId, now_ms: u64) {
-        self.jobs.remove(id);
+        if let Some(job) = self.jobs.remove(id) {
+            self.usage.record_archived(id, &job.spec, now_ms);
+        }
+        self.oversized_jobs.remove(id);
         self.archived.insert(id.clone(), now_ms);
     }
 
@@ -374,20 +395,4 @@
             self.open_jobs.remove(id);
         }
     }
-
-    /// Adds the tasks that were restored as placed on a new worker and have not been released
-    /// since. All other tasks are placed on known workers.
-    fn add_restored_tasks(&mut self, worker: &mut WorkerState) {
-        let placements = self.restored_placements.remove(&worker.entry.id);
-        for name in placements.unwrap_or_default() {
-            let Some(job) = self.jobs.get(&name.job) else {
-                continue;
-            };
-            let state = job.task(&name);
-            if state.and_then(TaskState::worker) == Some(&worker.entry.id) {
-                let step = &job.spec.steps[name.step as usize];
-                worker.add_task(name, step);
-            }
-        }
-    }
 }
--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -4,12 +4,18 @@
 use std::collections::BTreeSet;
 
 use crate::id::ServiceId;
+use crate::workflow::capped_work::CappedWork;
+use crate::workflow::engine_caps::exceeds_cap;
 use crate::workflow::JobEngine;
 use crate::workflow::JobSpec;
+use crate::workflow::JobState;
 use crate::workflow::JobUrgency;
 use crate::workflow::QueueBacklog;
 use crate::workflow::QueueBacklogs;
+use crate::workflow::ResourceCap;
+use crate::workflow::StepSpec;
 use crate::workflow::TaskPhase;
+use crate::workflow::WorkerResources;
 
 /// The most queues whose backlogs are told: a few KB of the leader row, which holds 64 KB.
 const MAX_BACKLOGS: usize = 64;
@@ -38,9 +44,27 @@
                 f64::from(step.tasks) * step.reserved().cpu_millis as f64 * expected_ms as f64
             })
             .sum();
+        let work = self.counted_arrival(spec, work, now_ms);
         self.forecast.record_arrival(&queue.service, work, now_ms);
     }
 
+    /// Returns the part of a new job's work that the cap of its organisation allows to run.
+    fn counted_arrival(&mut self, spec: &JobSpec, work: f64, now_ms: u64) -> f64 {
+        let Some((id, cap)) = self.cap_of(spec) else {
+            return work;
+        };
+        let allowed_millis = |step: &StepSpec| {
+            let tasks = match exceeds_cap(cap, step) {
+                true => 0,
+                false => cap.room_for(&WorkerResources::default(), &step.demand),
+            };
+            tasks.saturating_mul(step.reserved().cpu_millis)
+        };
+        let cap_millis = spec.steps.iter().map(allowed_millis).max().unwrap_or(0);
+        let id = id.clone();
+        self.capped_arrivals.count(&id, work, cap_millis, now_ms)
+    }
+
     /// Counts, for each queue, the jobs of which no task is known to have started.
     pub fn pending_counts(&self) -> BTreeMap<String, u64> {
         let mut counts = BTreeMap::new();
@@ -72,6 +96,7 @@
             return backlogs;
         };
         let mut work_by_service: BTreeMap<&ServiceId, u64> = BTreeMap::new();
+        let mut capped_work = CappedWork::new();
         let mut waiting_queues: BTreeSet<&str> = BTreeSet::new();
         for id in &self.waiting_jobs {
             let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
@@ -80,12 +105,28 @@
             let Some(queue) = config.queue(&job.spec.queue) else {
                 continue;
             };
-            let is_wanted = JobUrgency::new(job, queue, &self.durations, now_ms).is_wanted();
-            if let Some(work) = self.waiting_work(id).filter(|_| is_wanted) {
-                let sum = work_by_service.entry(&queue.service).or_default();
-                *sum = sum.saturating_add(work);
-                waiting_queues.insert(&queue.name);
+            if !JobUrgency::new(job, queue, &self.durations, now_ms).is_wanted() {
+                continue;
+            }
+            let cap = self.cap_of(&job.spec);
+            let (mut work, mut wanted) = (0, WorkerResources::default());
+            for (step, tasks) in waiting_steps(job, cap.map(|(_, cap)| cap)) {
+                let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
+                work += tasks * step.reserved().cpu_millis * expected_ms;
+                wanted.add(&step.demand.times(tasks));
             }
+            match cap {
+                Some((id, _)) => capped_work.add(id, &queue.service, work, &wanted),
+                None => {
+                    let sum = work_by_service.entry(&queue.service).or_default();
+                    *sum = sum.saturating_add(work);
+                }
+            }
+            waiting_queues.insert(&queue.name);
+        }
+        for (service, work) in capped_work.allowed(self) {
+            let sum = work_by_service.entry(service).or_default();
+            *sum = sum.saturating_add(work);
         }
         // A configuration may have thousands of queues, and all entry hosts read the result.
         let queues = config.queues.iter();
@@ -116,7 +157,9 @@
             self.forecast.register_pool(&pool.service);
         }
         self.forecast.tick(now_ms);
+        self.caps.refresh(&config, now_ms);
         let mut backlog_by_service: BTreeMap<&ServiceId, u64> = BTreeMap::new();
+        let mut capped_work = CappedWork::new();
         for id in &self.waiting_jobs {
             let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
                 continue;
@@ -124,22 +167,38 @@
             let Some(queue) = config.queue(&job.spec.queue) else {
                 continue;
             };
-            if job.is_long_running() {
+            // Over-rate jobs use what capacity is left and request no hosts.
+            if job.is_long_running() || job.is_over_rate {
                 continue;
             }
             let backlog_ms = JobUrgency::new(job, queue, &self.durations, now_ms).backlog_ms();
+            let cap = self.cap_of(&job.spec);
             for (number, step) in job.spec.steps.iter().enumerate() {
-                if !job.is_step_ready(0, number as u32) {
+                if !job.is_step_ready(0, number as u32)
+                    || cap.is_some_and(|(_, cap)| exceeds_cap(cap, step))
+                {
                     continue;
                 }
                 let tasks = job.step_tasks(0, number as u32).iter();
                 let unstarted = tasks.filter(|state| state.phase == TaskPhase::Waiting);
+                let unstarted = unstarted.count() as u64;
                 let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
-                let work = unstarted.count() as u64 * step.reserved().cpu_millis * expected_ms;
+                let millis = unstarted * step.reserved().cpu_millis * expected_ms / backlog_ms;
+                if let Some((id, _)) = cap {
+                    // The tasks that must run at a time to start all of them in time.
+                    let wanted = step.demand.times(unstarted);
+                    let wanted = wanted.scaled(expected_ms, backlog_ms);
+                    capped_work.add(id, &queue.service, millis, &wanted);
+                    continue;
+                }
                 let sum = backlog_by_service.entry(&queue.service).or_default();
-                *sum = sum.saturating_add(work / backlog_ms);
+                *sum = sum.saturating_add(millis);
             }
         }
+        for (service, millis) in capped_work.allowed(self) {
+            let sum = backlog_by_service.entry(service).or_default();
+            *sum = sum.saturating_add(millis);
+        }
         let mut used_by_service: BTreeMap<&ServiceId, u64> = BTreeMap::new();
         for worker in self.workers.values() {
             *used_by_service.entry(&worker.entry.service).or_default() += worker.used.cpu_millis;
@@ -159,3 +218,18 @@
         demands
     }
 }
+
+/// Iterates over a job's steps with waiting tasks, each with their number, without steps that can
+/// never run under the cap.
+fn waiting_steps<'a>(
+    job: &'a JobState,
+    cap: Option<&'a ResourceCap>,
+) -> impl Iterator<Item = (&'a StepSpec, u64)> {
+    let steps = job.spec.steps.iter().enumerate();
+    let steps = steps.filter(move |(_, step)| !cap.is_some_and(|cap| exceeds_cap(cap, step)));
+    steps.map(|(number, step)| {
+        let tasks = job.step_tasks(0, number as u32).iter();
+        let waiting = tasks.filter(|state| state.phase == TaskPhase::Waiting);
+        (step, waiting.count() as u64)
+    })
+}
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -5,6 +5,7 @@
 use crate::id::WorkerId;
 use crate::workflow::JobEngine;
 use crate::workflow::TaskName;
+use crate::workflow::TaskState;
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerState;
 
@@ -28,6 +29,8 @@
         let Some(worker) = self.workers.remove(id) else {
             return;
         };
+        // All runs of the worker are over.
+        self.usage.retain_unplaced_runs(id, |_, _| false);
         let tasks = worker.tasks.len();
         log::warn!("event=worker_lost worker={id} tasks={tasks} reason={reason:?}");
         for task in &worker.tasks {
@@ -47,17 +50,18 @@
     /// lease once the inherited runs have ended.
     pub fn expire_workers(&mut self, now_ms: u64) {
         let inherited_runs_ended = now_ms > self.inherited_until_ms;
-        let has_expired = |worker: &WorkerState| {
+        let usage = &self.usage;
+        let has_expired = |id: &WorkerId, worker: &WorkerState| {
             let unresponsive = worker.unresponsive_since_ms > 0;
             let never_answered = inherited_runs_ended && !worker.has_accepted_epoch;
             unresponsive
-                && !worker.tasks.is_empty()
+                && (!worker.tasks.is_empty() || usage.has_unplaced_runs(id))
                 && (worker.is_lease_expired(now_ms) || never_answered)
         };
         let workers = self
             .workers
             .iter()
-            .filter(|(_, worker)| has_expired(worker));
+            .filter(|(id, worker)| has_expired(id, worker));
         let expired: Vec<_> = workers.map(|(id, _)| id.clone()).collect();
         for id in expired {
             // The runs of a worker that never answered were waited for all the while.
@@ -68,9 +72,10 @@
             self.end_worker(&id, "its lease has expired", now_ms);
         }
         self.expire_lost_runs(now_ms);
-        let lost_runs = &self.lost_runs;
+        let (lost_runs, usage) = (&self.lost_runs, &self.usage);
         self.workers.retain(|id, worker| {
-            worker.listed || !worker.tasks.is_empty() || lost_runs.contains_key(id)
+            let has_runs = !worker.tasks.is_empty() || usage.has_unplaced_runs(id);
+            worker.listed || has_runs || lost_runs.contains_key(id)
         });
         if inherited_runs_ended {
             self.release_orphans();
@@ -113,6 +118,22 @@
         orphans.collect()
     }
 
+    /// Adds the tasks that were restored as placed on a new worker and have not been released
+    /// since. All other tasks are placed on known workers.
+    pub(crate) fn add_restored_tasks(&mut self, worker: &mut WorkerState) {
+        let placements = self.restored_placements.remove(&worker.entry.id);
+        for name in placements.unwrap_or_default() {
+            let Some(job) = self.jobs.get(&name.job) else {
+                continue;
+            };
+            let state = job.task(&name);
+            if state.and_then(TaskState::worker) == Some(&worker.entry.id) {
+                let step = &job.spec.steps[name.step as usize];
+                worker.add_task(name, step);
+            }
+        }
+    }
+
     fn release_orphans(&mut self) {
         for name in self.orphans() {
             log::warn!("event=task_orphaned task={name}");
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -255,11 +255,17 @@
         now_ms: u64,
     ) {
         let mut listed = HashSet::with_capacity(report.running.len());
+        let mut unplaced = HashSet::new();
         for running in &report.running {
             let known = self.apply_running(id, running, now_ms);
             if known {
                 listed.insert(&running.task);
             } else {
+                let job = self.jobs.get(&running.task.job);
+                let spec = job.map(|job| job.spec.as_ref());
+                unplaced.insert((&running.task, running.run));
+                self.usage
+                    .add_unplaced_run(id, &running.task, running.run, spec);
                 self.stops.push(StopRequest {
                     worker: id.clone(),
                     task: running.task.clone(),
@@ -268,6 +274,8 @@
                 });
             }
         }
+        self.usage
+            .retain_unplaced_runs(id, |task, run| unplaced.contains(&(task, run)));
         // A missing run may be among the ends that the report leaves out.
         if report.has_more_ends {
             return;
--- a/src/workflow/fleet_view.rs
+++ b/src/workflow/fleet_view.rs
@@ -11,6 +11,7 @@
 use crate::id::Revision;
 use crate::id::WaveId;
 use crate::process::boot_ms;
+use crate::workflow::cap_limits::CapLimits;
 use crate::workflow::ChangeFeed;
 use crate::workflow::ChangeSet;
 use crate::workflow::FleetConfig;
@@ -34,6 +35,8 @@
 #[derive(Debug)]
 pub struct FleetView {
     config: RefCell<Option<Rc<FleetConfig>>>,
+    /// The caps of the versions that may be in force.
+    caps: RefCell<CapLimits>,
     /// Each wave with the time in ms at which it was first read.
     waves: RefCell<BTreeMap<WaveId, (WaveRequest, u64)>>,
     /// When the platform last answered a poll, or bytes of such an answer arrived.
@@ -51,6 +54,7 @@
     pub fn with_clock(answers: Rc<AnswerClock>) -> Rc<Self> {
         Rc::new(Self {
             config: RefCell::default(),
+            caps: RefCell::default(),
             waves: RefCell::default(),
             answers,
         })
@@ -61,6 +65,11 @@
         self.config.borrow().clone()
     }
 
+    /// Returns the caps of the versions that may be in force.
+    pub(crate) fn caps(&self) -> CapLimits {
+        self.caps.borrow().clone()
+    }
+
     /// Returns the waves, each with the time in ms at which this entry host first read it.
     pub fn waves(&self) -> Vec<(WaveRequest, u64)> {
         self.waves.borrow().values().cloned().collect()
@@ -142,6 +151,7 @@
             config.version,
             config.queues.len()
         );
+        self.caps.borrow_mut().refresh(&config, boot_ms());
         *current = Some(Rc::new(config));
     }
 }
--- a/src/workflow/organisation_directory.rs
+++ b/src/workflow/organisation_directory.rs
@@ -48,6 +48,21 @@
         self.organisations.get(*self.positions.get(id)?)
     }
 
+    /// Returns the position of the organisation with this id in the order of the configuration.
+    pub fn position(&self, id: &OrganisationId) -> Option<usize> {
+        self.positions.get(id).copied()
+    }
+
+    /// Returns the number of entries, including those whose id an earlier entry has.
+    pub fn len(&self) -> usize {
+        self.organisations.len()
+    }
+
+    /// Returns whether no organisation is configured.
+    pub fn is_empty(&self) -> bool {
+        self.organisations.is_empty()
+    }
+
     /// Iterates over the organisations in the order of the configuration.
     pub fn iter(&self) -> impl Iterator<Item = &Organisation> {
         self.organisations.iter()
--- a/src/workflow/placement_pool.rs
+++ b/src/workflow/placement_pool.rs
@@ -41,7 +41,8 @@
 #[derive(Default)]
 pub struct PlacementPool {
     candidates: Vec<Candidate>,
-    capacity_millis: u64,
+    capacity: WorkerResources,
+    used: WorkerResources,
 }
 
 /// The placed tasks of one step, by worker and rack.
@@ -54,7 +55,8 @@
     /// Adds a worker that accepts tasks. Of workers that suit a task equally, the first one added is
     /// chosen.
     pub fn add_worker(&mut self, worker: &WorkerState) {
-        self.capacity_millis += worker.entry.capacity.cpu_millis;
+        self.capacity.add(&worker.entry.capacity);
+        self.used.add(&worker.used);
         self.candidates.push(Candidate {
             entry: Rc::clone(&worker.entry),
             free: worker.free_capacity(),
@@ -65,7 +67,17 @@
 
     /// Returns the CPU capacity of all workers, used or not, in millicores.
     pub fn capacity_millis(&self) -> u64 {
-        self.capacity_millis
+        self.capacity.cpu_millis
+    }
+
+    /// Returns the capacity of all workers, used or not.
+    pub fn capacity(&self) -> &WorkerResources {
+        &self.capacity
+    }
+
+    /// Returns the resources that tasks reserved on the workers when these were added.
+    pub fn used(&self) -> &WorkerResources {
+        &self.used
     }
 
     /// Chooses a worker for each of the `waiting` tasks of a step and reserves its resources.
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -80,6 +80,9 @@
 fn run_pass(term: &ControllerTerm, view: &FleetView, expired_ms: &mut u64) -> Vec<StopRequest> {
     let mut engine = term.engine.borrow_mut();
     engine.config = view.config();
+    // Until the table counts as unreachable, the configuration is at most two polls old, which is
+    // within the 3 s after which a new version must be in force.
+    engine.is_config_recent = !view.is_table_unreachable();
     if boot_ms() >= *expired_ms + EXPIRY_INTERVAL_MS {
         *expired_ms = boot_ms();
         engine.expire_workers(boot_ms());
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -5,30 +5,20 @@
 //! once for all of a service's jobs.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use crate::id::JobId;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
-use crate::workflow::job_priority_weight;
-use crate::workflow::select_deferred_jobs;
 use crate::workflow::CommandPhase;
 use crate::workflow::CommitEffect;
-use crate::workflow::FleetConfig;
-use crate::workflow::JobDemand;
 use crate::workflow::JobEngine;
 use crate::workflow::JobPhase;
 use crate::workflow::JobState;
-use crate::workflow::JobUrgency;
 use crate::workflow::PlacementPool;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 
-/// The number of steps with unplaced tasks after which the rest of a service's jobs wait for
-/// the next pass; the little capacity that is left would serve few of them.
-const MAX_UNPLACED_STEPS: u32 = 24;
-
 impl JobEngine {
     /// Runs one placement pass; `wall_ms` is the time since the Unix epoch.
     pub fn place_tasks(&mut self, now_ms: u64, wall_ms: u64) {
@@ -36,22 +26,22 @@
             return;
         };
         self.has_waiting = false;
+        self.caps.refresh(&config, now_ms);
         self.forget_placed_jobs();
         let mut pools = self.placement_pools(now_ms);
         for (service, pool) in &pools {
             let largest = self.pool_capacities.entry(service.clone()).or_default();
             *largest = pool.capacity_millis().max(*largest);
         }
-        for (service, jobs) in self.jobs_by_service(&config, &pools, now_ms) {
+        let plan = self.plan_pass(&config, &pools, now_ms);
+        self.log_oversized(plan.oversized);
+        for (service, mut jobs) in plan.by_service {
             let pool = pools.entry(service).or_default();
-            let mut unplaced_steps = 0;
-            for job in jobs {
-                if unplaced_steps >= MAX_UNPLACED_STEPS {
-                    break;
-                }
-                unplaced_steps += self.place_job(&job, pool, now_ms, wall_ms);
+            while let Some(job) = jobs.next() {
+                let unplaced_steps = self.place_job(&job, pool, now_ms, wall_ms);
+                jobs.record_unplaced(unplaced_steps);
+                self.has_waiting |= unplaced_steps > 0;
             }
-            self.has_waiting |= unplaced_steps > 0;
         }
     }
 
@@ -83,92 +73,6 @@
         pools
     }
 
-    /// Returns the jobs of each service with unplaced tasks, the most urgent first; deferral is
-    /// applied.
-    fn jobs_by_service(
-        &self,
-        config: &Rc<FleetConfig>,
-        pools: &BTreeMap<ServiceId, PlacementPool>,
-        now_ms: u64,
-    ) -> BTreeMap<ServiceId, Vec<JobId>> {
-        let mut sorted: BTreeMap<ServiceId, Vec<(JobUrgency, JobId)>> = BTreeMap::new();
-        let waiting = self.waiting_jobs.iter();
-        let services: BTreeSet<_> = waiting
-            .filter_map(|id| Some(&config.queue(&self.jobs.get(id)?.spec.queue)?.service))
-            .collect();
-        // Jobs that run take part in the deferral: their capacity is not free.
-        for id in &self.open_jobs {
-            let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
-                continue;
-            };
-            let queue = config.queue(&job.spec.queue);
-            let Some(queue) = queue.filter(|queue| services.contains(&queue.service)) else {
-                continue;
-            };
-            let urgency = JobUrgency::new(job, queue, &self.durations, now_ms);
-            let jobs = sorted.entry(queue.service.clone()).or_default();
-            jobs.push((urgency, id.clone()));
-        }
-        let sort_jobs = |(service, mut jobs): (ServiceId, Vec<(JobUrgency, JobId)>)| {
-            let pool = pools.get(&service);
-            let capacity_millis = pool.map_or(0, PlacementPool::capacity_millis);
-            self.defer_jobs(&mut jobs, capacity_millis, JobUrgency::slack_ms);
-            self.defer_jobs(&mut jobs, capacity_millis, JobUrgency::late_slack_ms);
-            jobs.sort();
-            let waiting = jobs.into_iter().map(|(_, id)| id);
-            let waiting = waiting.filter(|id| self.waiting_jobs.contains(id));
-            (service, waiting.collect())
-        };
-        sorted.into_iter().map(sort_jobs).collect()
-    }
-
-    /// Defers jobs if `capacity_millis` millicores do not suffice for all of them. `slack` returns
-    /// the time in ms within which a job must have its capacity, or `None` for a job that is not
-    /// considered.
-    fn defer_jobs(
-        &self,
-        jobs: &mut [(JobUrgency, JobId)],
-        capacity_millis: u64,
-        slack: fn(&JobUrgency) -> Option<u64>,
-    ) {
-        let (positions, demands): (Vec<_>, Vec<_>) = jobs
-            .iter()
-            .enumerate()
-            .filter_map(|(position, (urgency, id))| {
-                let slack_ms = slack(urgency)?;
-                let work = match self.waiting_jobs.contains(id) {
-                    true => self.waiting_work(id)?,
-                    false => 0,
-                };
-                let priority_weight_percent = job_priority_weight(id);
-                let demand = JobDemand {
-                    slack_ms,
-                    work,
-                    priority_weight_percent,
-                };
-                Some((position, demand))
-            })
-            .unzip();
-        for deferred in select_deferred_jobs(&demands, capacity_millis) {
-            jobs[positions[deferred]].0.defer();
-        }
-    }
-
-    /// Returns a job's work that has not started, in millicores times ms.
-    pub(crate) fn waiting_work(&self, id: &JobId) -> Option<u64> {
-        let job = self.jobs.get(id)?;
-        let config = self.config.as_ref()?;
-        let queue = config.queue(&job.spec.queue)?;
-        let steps = job.spec.steps.iter().enumerate();
-        let work = steps.map(|(number, step)| {
-            let tasks = job.step_tasks(0, number as u32).iter();
-            let waiting = tasks.filter(|state| state.phase == TaskPhase::Waiting);
-            let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
-            waiting.count() as u64 * step.reserved().cpu_millis * expected_ms
-        });
-        Some(work.sum())
-    }
-
     /// Places as many of a job's tasks as possible; returns the number of steps with tasks left.
     fn place_job(
         &mut self,
@@ -208,7 +112,8 @@
         unplaced_steps
     }
 
-    /// Places as many of a step's waiting tasks as possible; returns whether all were placed.
+    /// Places as many of a step's waiting tasks as possible; returns whether all were placed that the
+    /// organisation's cap allows to run.
     fn place_step(
         &mut self,
         id: &JobId,
@@ -217,7 +122,12 @@
         pool: &mut PlacementPool,
         now_ms: u64,
     ) -> bool {
-        let waiting = self.waiting_tasks(id, occurrence, step);
+        let room = self.cap_room(id, step);
+        if room == 0 {
+            return true;
+        }
+        let mut waiting = self.waiting_tasks(id, occurrence, step);
+        waiting.truncate(usize::try_from(room).unwrap_or(usize::MAX));
         let chosen = self.choose_workers(&waiting, pool);
         for (name, worker) in waiting.iter().zip(&chosen) {
             self.place_task(name, worker, now_ms);
@@ -226,7 +136,8 @@
     }
 
     /// Places all tasks of a gang or none, with the run number and checkpoint of the member that
-    /// ran last; returns `false` if there is not enough capacity for all of them.
+    /// ran last; returns `false` if there is not enough capacity for all of them. A gang that does
+    /// not fit under its organisation's cap waits and does not count as unplaced.
     fn place_gang(
         &mut self,
         id: &JobId,
@@ -244,6 +155,9 @@
         if waiting.is_empty() || waiting.len() < tasks.len() {
             return true;
         }
+        if self.cap_room(id, step) < waiting.len() as u64 {
+            return true;
+        }
         let chosen = self.choose_workers(&waiting, pool);
         if chosen.len() < waiting.len() {
             pool.release(&job.spec.steps[step as usize], &chosen);
@@ -319,6 +233,7 @@
         if let Some(worker) = self.workers.get_mut(worker_id) {
             worker.add_task(name.clone(), &spec.steps[name.step as usize]);
         }
+        self.usage.add(&spec, &spec.steps[name.step as usize]);
         self.changed.insert(name.job.clone());
         self.effects.push(CommitEffect::Start(name.clone(), run));
     }
--- a/src/workflow/worker_resources.rs
+++ b/src/workflow/worker_resources.rs
@@ -32,6 +32,33 @@
         self.gpus += other.gpus;
     }
 
+    /// Returns the amounts of CPU, memory and accelerators, in this order.
+    pub fn amounts(&self) -> [u64; 3] {
+        [self.cpu_millis, self.memory_mb, self.gpus]
+    }
+
+    /// Returns the resources of `count` tasks that each need `self`.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
+    /// Returns each resource times `numerator`, divided by `denominator` and rounded up.
+    /// `denominator` must not be 0.
+    #[must_use]
+    pub fn scaled(&self, numerator: u64, denominator: u64) -> Self {
+        let scale = |amount: u64| amount.saturating_mul(numerator).div_ceil(denominator);
+        Self {
+            cpu_millis: scale(self.cpu_millis),
+            memory_mb: scale(self.memory_mb),
+            gpus: scale(self.gpus),
+        }
+    }
+
     /// Subtracts each resource of `used`, with a lower bound of 0.
     #[must_use]
     pub fn saturating_sub(&self, used: &Self) -> Self {
