Divide a pool in short supply among organisations by weight

One organisation that sent thirty times its usual load delayed the jobs of all: the deferral and the order of a pass did not know of organisations. If a pool can't serve the jobs of several organisations in time, jobs are now deferred from the organisation whose kept work is the largest in relation to its weight, and jobs that begin within their organisation's share of the pool are placed first. With one organisation, or none, the placements are the same as before.

--- a/src/workflow/engine_shares.rs
+++ b/src/workflow/engine_shares.rs
@@ -8,15 +8,21 @@
 use crate::workflow::pass_plan::OrderedJobs;
 use crate::workflow::pass_plan::PassPlan;
 use crate::workflow::planned_job::PlannedJob;
+use crate::workflow::planned_job::WaitingAmounts;
 use crate::workflow::planned_job::SLACK_RULES;
 use crate::workflow::select_deferred_jobs;
+use crate::workflow::select_group_deferrals;
 use crate::workflow::FleetConfig;
+use crate::workflow::GroupLoad;
 use crate::workflow::JobEngine;
 use crate::workflow::JobState;
 use crate::workflow::JobUrgency;
 use crate::workflow::OrganisationDirectory;
 use crate::workflow::PlacementPool;
+use crate::workflow::ShareOrder;
+use crate::workflow::ShareWeight;
 use crate::workflow::StepSpec;
+use crate::workflow::WorkerResources;
 
 impl JobEngine {
     /// Returns the jobs with unplaced tasks of each service, the first one to place first; caps,
@@ -35,7 +41,7 @@
         let order = |(service, jobs)| {
             let no_workers = PlacementPool::default();
             let pool = pools.get(&service).unwrap_or(&no_workers);
-            let jobs = self.order_jobs(config, pool, jobs);
+            let jobs = self.order_jobs(config, &service, pool, jobs);
             (service, jobs)
         };
         let by_service = planned.into_iter().map(order).collect();
@@ -92,14 +98,21 @@
     fn order_jobs(
         &self,
         config: &FleetConfig,
+        service: &ServiceId,
         pool: &PlacementPool,
         mut jobs: Vec<PlannedJob<'_>>,
     ) -> OrderedJobs {
-        self.defer_jobs(&mut jobs, pool.capacity_millis());
+        let directory = config.organisations.as_ref();
+        let first_group = jobs.first().map(|job| job.group);
+        let has_several = jobs.iter().any(|job| Some(job.group) != first_group);
+        match directory.filter(|_| has_several) {
+            Some(directory) => self.share_pool(config, directory, service, pool, &mut jobs),
+            None => self.defer_jobs(&mut jobs, pool.capacity_millis()),
+        }
         jobs.sort_by(|first, second| first.order_key().cmp(&second.order_key()));
         let waiting = jobs.iter().filter(|job| job.is_waiting);
         let waiting = waiting.map(|job| (job.id.clone(), job.group)).collect();
-        OrderedJobs::new(waiting, group_count(config.organisations.as_ref()))
+        OrderedJobs::new(waiting, group_count(directory))
     }
 
     /// Defers jobs of a single organisation, or without one, if `capacity_millis` millicores do not
@@ -118,6 +131,90 @@
             }
         }
     }
+
+    /// Defers jobs of several organisations if the pool does not suffice for all of them, and marks
+    /// those beyond their organisation's share.
+    fn share_pool(
+        &self,
+        config: &FleetConfig,
+        directory: &OrganisationDirectory,
+        service: &ServiceId,
+        pool: &PlacementPool,
+        jobs: &mut [PlannedJob<'_>],
+    ) {
+        let weights = group_weights(directory);
+        let amounts: Vec<_> = jobs
+            .iter()
+            .map(|job| match job.is_blocked {
+                true => WaitingAmounts::default(),
+                false => job.waiting_amounts(&self.durations, StepSpec::reserved),
+            })
+            .collect();
+        let mut is_short = false;
+        for rule in SLACK_RULES {
+            let considered = jobs.iter().zip(&amounts).enumerate();
+            let considered = considered.filter(|(_, (job, _))| !job.is_blocked);
+            let considered = considered.filter_map(|(position, (job, amounts))| {
+                Some((position, job.demand(rule, job.group, amounts)?))
+            });
+            let (positions, demands): (Vec<_>, Vec<_>) = considered.unzip();
+            for deferred in select_group_deferrals(&demands, pool.capacity(), &weights) {
+                jobs[positions[deferred]].urgency.defer();
+                is_short = true;
+            }
+        }
+        let mut tried = jobs.iter().filter(|job| job.is_waiting && !job.is_blocked);
+        // A job that is behind shows that the pool was short before.
+        if !is_short && !tried.any(|job| job.urgency.is_behind()) {
+            return;
+        }
+        let mut loads: Vec<_> = weights
+            .into_iter()
+            .zip(self.running_by_group(config, directory, service, pool))
+            .map(|(weight, running)| GroupLoad {
+                weight,
+                running,
+                ready: WorkerResources::default(),
+            })
+            .collect();
+        for (job, amounts) in jobs.iter().zip(&amounts) {
+            loads[job.group].ready.add(&amounts.ready);
+        }
+        let mut order: Vec<usize> = (0..jobs.len()).collect();
+        order.sort_by(|&first, &second| jobs[first].order_key().cmp(&jobs[second].order_key()));
+        let mut shares = ShareOrder::new(pool.capacity(), &loads);
+        for position in order {
+            let job = &mut jobs[position];
+            if job.is_waiting && !job.is_blocked {
+                job.is_beyond_share = shares.grant(job.group, &amounts[position].ready);
+            }
+        }
+    }
+
+    /// Returns the resources that the running tasks of each group reserve in a service's pool.
+    fn running_by_group(
+        &self,
+        config: &FleetConfig,
+        directory: &OrganisationDirectory,
+        service: &ServiceId,
+        pool: &PlacementPool,
+    ) -> Vec<WorkerResources> {
+        let mut running = Vec::with_capacity(group_count(Some(directory)));
+        let mut others = *pool.used();
+        for organisation in directory.iter() {
+            let mut reserved = WorkerResources::default();
+            for (queue, amount) in self.usage.reserved_by_queue(&organisation.id) {
+                let queue = config.queue(queue);
+                if queue.is_some_and(|queue| queue.service == *service) {
+                    reserved.add(amount);
+                }
+            }
+            others = others.saturating_sub(&reserved);
+            running.push(reserved);
+        }
+        running.push(others);
+        running
+    }
 }
 
 /// Returns the group of a job, and the priority of its organisation. Jobs without an organisation,
@@ -138,3 +235,12 @@
 fn group_count(directory: Option<&OrganisationDirectory>) -> usize {
     directory.map_or(1, |directory| directory.len() + 1)
 }
+
+/// Returns the weights of the groups. Jobs without an organisation together count as much as a
+/// mean organisation, since nothing states their weight.
+fn group_weights(directory: &OrganisationDirectory) -> Vec<ShareWeight> {
+    let mut weights: Vec<_> = directory.iter().map(|one| one.weight).collect();
+    let total: f64 = weights.iter().map(|weight| weight.get()).sum();
+    weights.push(ShareWeight::new(total / weights.len().max(1) as f64));
+    weights
+}
--- a/src/workflow/fair_deferral.rs
+++ b/src/workflow/fair_deferral.rs
@@ -70,9 +70,18 @@
     for position in order {
         // Up to the job's latest start, only the jobs before it need capacity; its own work
         // starts then.
-        let short = kept.short_resource(demands[position].job.slack_ms);
+        let slack_ms = demands[position].job.slack_ms;
+        let mut short = kept.short_resource(slack_ms, None);
         kept.add(position);
-        deferred.extend(short.and_then(|resource| kept.remove_one(resource)));
+        while let Some(removed) = short.and_then(|resource| kept.remove_one(resource)) {
+            deferred.push(removed);
+            // The job that is removed may be smaller than the one that made the pool short, if that
+            // one is of another group.
+            short = match weights.len() {
+                1 => None,
+                _ => kept.short_resource(slack_ms, Some(position)),
+            };
+        }
     }
     deferred.sort_unstable();
     deferred
@@ -95,11 +104,15 @@
         }
     }
 
-    /// Returns a resource of which the kept jobs need more than the pool has until `slack_ms`.
-    fn short_resource(&self, slack_ms: u64) -> Option<usize> {
+    /// Returns a resource of which the kept jobs, without the job at position `starting`, need more
+    /// than the pool has until `slack_ms`.
+    fn short_resource(&self, slack_ms: u64, starting: Option<usize>) -> Option<usize> {
+        let starting = starting.filter(|&position| self.is_kept[position]);
+        let starting = starting.map(|position| self.demands[position].work.amounts());
         (0..RESOURCES).find(|&resource| {
             let offered = u128::from(self.capacity[resource]) * u128::from(slack_ms);
-            self.total[resource] > offered
+            let excepted = starting.map_or(0, |work| u128::from(work[resource]));
+            self.total[resource] - excepted > offered
         })
     }
 
