Learn the speed of workers and place tasks by their expected end

Cause: placement went by free cores alone, so slow workers were filled like others.

Change: each worker has a pace, the mean of the logarithms of actual to expected durations of ended tasks and of running ones that are already late, less what its pool has in common. From twice the expected duration on, the worker comes after the others, counts by the work that it does, and takes a task only if the task ends sooner there than after the work that waits before it. It is tried with one task after 4 s, 8 s and then each 16 s. A candidate costs one multiplication.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -131,6 +131,9 @@
             "event=task_ended task={name} run={run} worker={worker} how={:?}",
             end.kind
         );
+        if end.kind == EndKind::Done {
+            self.record_pace(worker, name, now_ms);
+        }
         self.update_worker_health(worker, end.kind, now_ms);
         match end.kind {
             EndKind::Done if !long_running => self.finish_task(name, now_ms),
--- a/src/workflow/placement_pool.rs
+++ b/src/workflow/placement_pool.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 
 use crate::id::WorkerId;
+use crate::workflow::SlowdownFactor;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskState;
 use crate::workflow::WorkerEntry;
@@ -23,6 +24,11 @@
     free: WorkerResources,
     has_long_running: bool,
     upkeep_due: bool,
+    /// How many more tasks may be placed.
+    slots: u32,
+    /// The worker is tried with few tasks, whatever it is thought of.
+    is_probe: bool,
+    slowdown: SlowdownFactor,
 }
 
 impl Candidate {
@@ -30,18 +36,53 @@
         self.entry.rack()
     }
 
-    /// Returns whether a task of the step fits, apart from the step's limit for each worker.
-    fn fits(&self, step: &StepSpec, reserved: &WorkerResources) -> bool {
+    fn is_slow(&self) -> bool {
+        self.slowdown > SlowdownFactor::NONE && !self.is_probe
+    }
+
+    /// Returns whether a task of the step fits and ends in time, apart from the step's limit for
+    /// each worker.
+    fn fits(&self, step: &StepSpec, reserved: &WorkerResources, due: &DueTime) -> bool {
+        self.slots > 0
+            && reserved.fits(&self.free)
+            && self.has_label(step)
+            && (!self.is_slow() || self.slowdown.stretch(due.expected_ms) <= due.limit_ms)
+    }
+
+    fn has_label(&self, step: &StepSpec) -> bool {
         let label = step.required_label.as_ref();
-        reserved.fits(&self.free) && label.is_none_or(|label| self.entry.labels.contains(label))
+        label.is_none_or(|label| self.entry.labels.contains(label))
+    }
+
+    /// Returns a number that orders workers by when a task ends there; 0 for a worker as fast as
+    /// expected.
+    fn rank(&self) -> u64 {
+        match (self.is_probe, self.slowdown) {
+            (true, _) => 1,
+            (false, SlowdownFactor::NONE) => 0,
+            (false, slowdown) => slowdown.per_mille(),
+        }
     }
 }
 
+/// Until when the tasks of a step should end on a slow worker; later, they end sooner by waiting.
+struct DueTime {
+    expected_ms: u64,
+    /// The time in ms, from now, in which a task ends that waits for another worker.
+    limit_ms: u64,
+}
+
 /// The workers of one service that accept tasks, for the length of a placement pass.
 #[derive(Default)]
 pub struct PlacementPool {
     candidates: Vec<Candidate>,
     capacity_millis: u64,
+    /// The part of `capacity_millis` of workers that are as fast as expected.
+    fast_millis: u64,
+    /// The smallest slowdown of a slow worker.
+    min_slowdown: Option<SlowdownFactor>,
+    /// The work that waits for workers as fast as expected, in millicores times ms.
+    waiting_work: u64,
 }
 
 /// The placed tasks of one step, by worker and rack.
@@ -53,40 +94,89 @@
 impl PlacementPool {
     /// Adds a worker that accepts tasks. Of workers that suit a task equally, the first one added is
     /// chosen.
-    pub fn add_worker(&mut self, worker: &WorkerState) {
-        self.capacity_millis += worker.entry.capacity.cpu_millis;
-        self.candidates.push(Candidate {
+    pub fn add_worker(&mut self, worker: &WorkerState, now_ms: u64) {
+        let slowdown = worker.health.slowdown();
+        let limit = worker.health.task_limit(now_ms);
+        let slots = limit.map(|limit| limit.saturating_sub(worker.tasks.len() as u32));
+        let candidate = Candidate {
             entry: Rc::clone(&worker.entry),
             free: worker.free_capacity(),
             has_long_running: worker.has_long_running(),
             upkeep_due: worker.upkeep_due,
-        });
+            slots: slots.unwrap_or(u32::MAX),
+            is_probe: limit.is_some(),
+            slowdown,
+        };
+        let cpu_millis = worker.entry.capacity.cpu_millis;
+        self.capacity_millis += slowdown.shrink(cpu_millis);
+        if candidate.is_slow() {
+            let smallest = self.min_slowdown.unwrap_or(slowdown);
+            self.min_slowdown = Some(smallest.min(slowdown));
+        } else if !candidate.is_probe {
+            self.fast_millis += cpu_millis;
+        }
+        self.candidates.push(candidate);
     }
 
-    /// Returns the CPU capacity of all workers, used or not, in millicores.
+    /// Returns the CPU capacity of all workers, used or not, in millicores. A slow worker counts by
+    /// the work that it does.
     pub fn capacity_millis(&self) -> u64 {
         self.capacity_millis
     }
 
+    /// Adds work of more urgent jobs that waits for workers, in millicores times ms.
+    pub fn add_waiting_work(&mut self, work: u64) {
+        self.waiting_work = self.waiting_work.saturating_add(work);
+    }
+
+    /// Returns whether the pool has slow workers, on which tasks are placed only if they would wait
+    /// for longer.
+    pub fn has_slow_workers(&self) -> bool {
+        self.min_slowdown.is_some()
+    }
+
+    /// Returns whether a task may end sooner on a slow worker than by waiting for another one.
+    /// `expected_ms` is its expected duration, and `waited_ms` how long it has waited.
+    pub fn may_use_slow_worker(&self, expected_ms: u64, waited_ms: u64) -> bool {
+        let due = self.due_time(expected_ms, waited_ms);
+        let smallest = self.min_slowdown;
+        smallest.is_some_and(|slowdown| slowdown.stretch(expected_ms) <= due.limit_ms)
+    }
+
+    fn due_time(&self, expected_ms: u64, waited_ms: u64) -> DueTime {
+        let wait_ms = self.waiting_work.checked_div(self.fast_millis);
+        let wait_ms = wait_ms.unwrap_or(u64::MAX).max(waited_ms);
+        DueTime {
+            expected_ms,
+            limit_ms: wait_ms.saturating_add(expected_ms),
+        }
+    }
+
     /// Chooses a worker for each of the `waiting` tasks of a step and reserves its resources.
-    /// `placed` are the workers of the step's other tasks. Ends with the first task that fits on
-    /// no worker.
+    /// `placed` are the workers of the step's other tasks, `expected_ms` is the expected duration of
+    /// a task and `waited_ms` how long the tasks have waited. Ends with the first task that fits on
+    /// no worker or ends sooner by waiting.
     pub fn choose_workers(
         &mut self,
         step: &StepSpec,
         waiting: &[&TaskState],
         placed: &[&WorkerState],
+        (expected_ms, waited_ms): (u64, u64),
     ) -> Vec<WorkerId> {
         let reserved = step.reserved();
+        let mut due = self.due_time(expected_ms, waited_ms);
+        if step.long_running || !self.has_fast_worker(step, &reserved) {
+            due.limit_ms = u64::MAX;
+        }
         let mut siblings = StepSiblings::new(step, placed);
         let mut chosen: Vec<WorkerId> = Vec::with_capacity(waiting.len());
         let mut last: Option<usize> = None;
         for task in waiting {
             // Best fit chooses the worker that the last task was placed on until it is full.
             let again = last.filter(|&position| {
-                is_ordinary(step, task) && self.candidates[position].fits(step, &reserved)
+                is_ordinary(step, task) && self.candidates[position].fits(step, &reserved, &due)
             });
-            let best = again.or_else(|| self.best_fit(step, task, &siblings));
+            let best = again.or_else(|| self.best_fit(step, task, &siblings, &due));
             let Some(position) = best else {
                 return chosen;
             };
@@ -103,19 +193,33 @@
             let candidate = self.candidates.iter_mut().find(|one| one.entry.id == *id);
             if let Some(candidate) = candidate {
                 candidate.free.add(&step.reserved());
+                candidate.slots = candidate.slots.saturating_add(1);
             }
         }
     }
 
+    /// Returns whether a worker as fast as expected has the capacity for a task of the step, used or
+    /// not.
+    fn has_fast_worker(&self, step: &StepSpec, reserved: &WorkerResources) -> bool {
+        let suits = |candidate: &Candidate| {
+            !candidate.is_slow()
+                && !candidate.is_probe
+                && candidate.has_label(step)
+                && reserved.fits(&candidate.entry.capacity)
+        };
+        !self.has_slow_workers() || self.candidates.iter().any(suits)
+    }
+
     fn best_fit(
         &self,
         step: &StepSpec,
         task: &TaskState,
         siblings: &StepSiblings,
+        due: &DueTime,
     ) -> Option<usize> {
         let reserved = step.reserved();
         let fitting = self.candidates.iter().enumerate().filter(|(_, candidate)| {
-            candidate.fits(step, &reserved) && siblings.permit(step, &candidate.entry.id)
+            candidate.fits(step, &reserved, due) && siblings.permit(step, &candidate.entry.id)
         });
         let best = fitting.min_by_key(|(_, candidate)| cost(candidate, step, task, siblings));
         best.map(|(position, _)| position)
@@ -125,6 +229,7 @@
         let candidate = &mut self.candidates[position];
         candidate.free = candidate.free.saturating_sub(&step.reserved());
         candidate.has_long_running |= step.long_running;
+        candidate.slots -= 1;
         siblings.add(step, &candidate.entry);
     }
 }
@@ -137,7 +242,7 @@
 
 /// Returns the sort key of a worker that a task fits on; the smallest is chosen. The first
 /// element is 1 for a worker on which the task has failed and, if the task is long-running,
-/// also for one whose host is due for upkeep.
+/// also for one that is slow or on probation or whose host is due for upkeep.
 fn cost(
     candidate: &Candidate,
     step: &StepSpec,
@@ -147,20 +252,30 @@
     let free_millis = candidate.free.cpu_millis;
     let failed = task.failed_on.contains(&candidate.entry.id);
     if step.backfill {
-        return [u64::from(failed), 0, 0, u64::MAX - free_millis];
+        return [
+            u64::from(failed),
+            candidate.rank(),
+            0,
+            u64::MAX - free_millis,
+        ];
     }
     if step.long_running {
         // Long-running tasks are packed on few hosts, so that the others can move to another
         // pool; tasks of one step are spread over racks.
         return [
-            u64::from(candidate.upkeep_due || failed),
+            u64::from(candidate.upkeep_due || failed || candidate.rank() > 0),
             siblings.on_rack(candidate.rack()),
             u64::from(!candidate.has_long_running),
             u64::MAX - free_millis,
         ];
     }
     let off_rack = step.data_rack.is_some() && step.data_rack.as_deref() != candidate.rack();
-    [u64::from(failed), u64::from(off_rack), 0, free_millis]
+    [
+        u64::from(failed),
+        candidate.rank(),
+        u64::from(off_rack),
+        free_millis,
+    ]
 }
 
 impl StepSiblings {
--- a/src/workflow/stalled_workers.rs
+++ b/src/workflow/stalled_workers.rs
@@ -33,6 +33,7 @@
             return;
         }
         self.last_stall_check_ms = now_ms;
+        self.update_paces(now_ms);
         let ids: Vec<_> = self.workers.keys().cloned().collect();
         for id in ids {
             let overdue = self.overdue_tasks(&id, now_ms);
@@ -86,7 +87,7 @@
 
     /// Returns a running task's age and expected duration in ms; `None` for long-running tasks,
     /// members of gangs and queues without enough history.
-    fn age_and_expected_ms(&self, name: &TaskName, now_ms: u64) -> Option<(u64, u64)> {
+    pub(crate) fn age_and_expected_ms(&self, name: &TaskName, now_ms: u64) -> Option<(u64, u64)> {
         let job = self.jobs.get(&name.job)?;
         let step = job.step(name.step)?;
         if step.long_running || step.gang || job.phase.has_ended() {
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -45,12 +45,14 @@
         for (service, jobs) in self.jobs_by_service(&config, &pools, now_ms) {
             let pool = pools.entry(service).or_default();
             let mut unplaced_steps = 0;
-            for job in jobs {
+            let mut waiting = jobs.iter();
+            for job in waiting.by_ref() {
+                unplaced_steps += self.place_job(job, pool, now_ms, wall_ms);
                 if unplaced_steps >= MAX_UNPLACED_STEPS {
                     break;
                 }
-                unplaced_steps += self.place_job(&job, pool, now_ms, wall_ms);
             }
+            self.place_on_slow_workers(waiting, pool, now_ms, wall_ms);
             self.has_waiting |= unplaced_steps > 0;
         }
     }
@@ -73,10 +75,10 @@
         let workers = self.workers.values();
         for worker in workers.filter(|worker| worker.accepts_tasks(now_ms)) {
             match pools.get_mut(&worker.entry.service) {
-                Some(pool) => pool.add_worker(worker),
+                Some(pool) => pool.add_worker(worker, now_ms),
                 None => {
                     let pool = pools.entry(worker.entry.service.clone()).or_default();
-                    pool.add_worker(worker);
+                    pool.add_worker(worker, now_ms);
                 }
             }
         }
@@ -170,7 +172,7 @@
     }
 
     /// Places as many of a job's tasks as possible; returns the number of steps with tasks left.
-    fn place_job(
+    pub(crate) fn place_job(
         &mut self,
         id: &JobId,
         pool: &mut PlacementPool,
@@ -205,6 +207,9 @@
             };
             unplaced_steps += u32::from(!placed);
         }
+        if unplaced_steps > 0 {
+            self.add_waiting_work(id, pool);
+        }
         unplaced_steps
     }
 
@@ -218,7 +223,7 @@
         now_ms: u64,
     ) -> bool {
         let waiting = self.waiting_tasks(id, occurrence, step);
-        let chosen = self.choose_workers(&waiting, pool);
+        let chosen = self.choose_workers(&waiting, pool, now_ms);
         for (name, worker) in waiting.iter().zip(&chosen) {
             self.place_task(name, worker, now_ms);
         }
@@ -244,7 +249,7 @@
         if waiting.is_empty() || waiting.len() < tasks.len() {
             return true;
         }
-        let chosen = self.choose_workers(&waiting, pool);
+        let chosen = self.choose_workers(&waiting, pool, now_ms);
         if chosen.len() < waiting.len() {
             pool.release(&job.spec.steps[step as usize], &chosen);
             return false;
@@ -279,7 +284,12 @@
     }
 
     /// Chooses workers for waiting tasks of one step, in order, until one fits nowhere.
-    fn choose_workers(&self, waiting: &[TaskName], pool: &mut PlacementPool) -> Vec<WorkerId> {
+    fn choose_workers(
+        &self,
+        waiting: &[TaskName],
+        pool: &mut PlacementPool,
+        now_ms: u64,
+    ) -> Vec<WorkerId> {
         let first = waiting.first().and_then(|name| {
             let job = self.jobs.get(&name.job)?;
             Some((name, job, job.step(name.step)?))
@@ -295,7 +305,8 @@
             true => placed.collect(),
             false => Vec::new(),
         };
-        pool.choose_workers(step, &states, &placed)
+        let times = self.expected_and_waited_ms(job, step, now_ms);
+        pool.choose_workers(step, &states, &placed, times)
     }
 
     fn place_task(&mut self, name: &TaskName, worker_id: &WorkerId, now_ms: u64) {
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -6,6 +6,7 @@
 use crate::workflow::StepSpec;
 use crate::workflow::TaskName;
 use crate::workflow::WorkerEntry;
+use crate::workflow::WorkerHealth;
 use crate::workflow::WorkerResources;
 
 /// The limit on how much slower a worker's clock may run than this host's, per mille: half a
@@ -70,6 +71,8 @@
     pub last_success_ms: u64,
     /// Whether the host is due for upkeep, so that the worker will soon be drained.
     pub upkeep_due: bool,
+    /// What was learnt from the worker's tasks and calls.
+    pub health: WorkerHealth,
     /// How many of `tasks` are long-running.
     long_running_tasks: u32,
     /// The worker's clock and the time at which it was reported.
@@ -100,6 +103,7 @@
             cordon: None,
             last_success_ms: 0,
             upkeep_due: false,
+            health: WorkerHealth::new(),
             clock: None,
             failures: 0,
             quarantined_until_ms: 0,
