Judge a stall by the speed that ended tasks have shown

Cause: a worker that was known to be slow was quarantined as stalled with each probe, since its tasks were compared with the expected duration of the queue.

Change: the ages from which tasks are overdue are stretched by the slowdown of the worker's ended tasks.

--- a/src/workflow/stalled_workers.rs
+++ b/src/workflow/stalled_workers.rs
@@ -61,12 +61,15 @@
         if worker.unresponsive_since_ms > 0 {
             return Vec::new();
         }
+        // Tasks that ended on a slow worker show that it makes progress.
+        let slowdown = worker.health.pace.proven_slowdown();
         let mut overdue = Vec::new();
         let mut proves_stall = false;
         for name in &worker.tasks {
             let Some((age_ms, expected_ms)) = self.age_and_expected_ms(name, now_ms) else {
                 continue;
             };
+            let expected_ms = slowdown.stretch(expected_ms);
             // A success within the expected duration shows that the worker makes progress.
             if worker.last_success_ms + expected_ms + OVERHEAD_MS > now_ms {
                 continue;
