Leave tasks on slow workers out of the expected durations

Cause: the mean duration of a queue included tasks on slow workers. In the test that fails without the change, 48 tasks on one slow worker raised it to 2,112 ms; they take 500 ms elsewhere.

Change: durations on workers that are slow compared with their pool are not recorded. If most workers of a pool are slow, none counts as slow and the mean follows.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -168,12 +168,20 @@
         }
     }
 
+    /// Adds the duration of a task that is done to its queue's history. Those on slow workers are left
+    /// out, since they would raise the expected duration for all workers.
     fn record_task_duration(&mut self, name: &TaskName, now_ms: u64) {
         let Some(job) = self.jobs.get(&name.job) else {
             return;
         };
-        let since_ms = job.task(name).and_then(|state| match state.phase {
-            TaskPhase::Placed { since_ms, .. } => Some(since_ms),
+        let is_slow = |id| {
+            let worker = self.workers.get(id);
+            worker.is_some_and(|worker| worker.health.pace.is_slow())
+        };
+        let since_ms = job.task(name).and_then(|state| match &state.phase {
+            TaskPhase::Placed {
+                worker, since_ms, ..
+            } if !is_slow(worker) => Some(*since_ms),
             _ => None,
         });
         if let Some(since_ms) = since_ms {
--- a/tests/worker_health.rs
+++ b/tests/worker_health.rs
@@ -21,9 +21,11 @@
 use worker_replay::WorkerReplay;
 use zincpier::id::WorkerId;
 use zincpier::workflow::DistrustCause;
+use zincpier::workflow::EndKind;
 use zincpier::workflow::FleetConfig;
 use zincpier::workflow::HealthState;
 use zincpier::workflow::SlowdownFactor;
+use zincpier::workflow::StepSpec;
 use zincpier::workflow::WorkerHealth;
 use zincpier::workflow::WorkerPace;
 
@@ -361,3 +363,64 @@
 
     assert_eq!(fleet.start_all(), 1);
 }
+
+/// Returns the mean duration that the queue's backlog is computed with, in ms.
+fn queue_task_ms(fleet: &mut EngineFleet) -> u64 {
+    for number in 0..20 {
+        fleet.submit(&format!("{:016x}", 0xb000 + number), vec![step(8)]);
+    }
+    fleet.place();
+    let backlogs = fleet.engine.queue_backlogs(0, fleet.now_ms);
+    backlogs[QUEUE].task_ms
+}
+
+/// Runs `rounds` jobs of eight tasks on the worker with the label; each task takes `took_ms`.
+fn run_tasks(fleet: &mut EngineFleet, rounds: u32, label: &str, took_ms: u64) {
+    for number in 0..rounds {
+        let spec = StepSpec {
+            required_label: Some(label.to_owned()),
+            ..step(8)
+        };
+        let id = format!("{:016x}", fleet.now_ms * 100 + u64::from(number));
+        fleet.submit(&id, vec![spec]);
+        assert_eq!(fleet.start_all(), 8);
+        fleet.report_all();
+        fleet.advance(took_ms);
+        fleet.engine.release_stalled(fleet.now_ms);
+        fleet.end_all(EndKind::Done);
+    }
+}
+
+/// Guards against tasks on a slow worker that raise the expected duration for all workers: jobs are
+/// then deferred or refused that would end in time.
+#[test]
+fn tasks_on_a_slow_worker_do_not_raise_the_expected_duration() {
+    let mut fleet = EngineFleet::new(3);
+    run_tasks(&mut fleet, 3, "rack-1", TASK_MS);
+    make_slow(&mut fleet, 0);
+
+    run_tasks(&mut fleet, 6, "rack-0", 5 * TASK_MS);
+
+    let task_ms = queue_task_ms(&mut fleet);
+    assert!(task_ms < TASK_MS * 3 / 2, "{task_ms} ms");
+}
+
+/// Guards against an expected duration that no longer follows a queue whose tasks have become longer
+/// everywhere.
+#[test]
+fn longer_tasks_on_all_workers_raise_the_expected_duration() {
+    let mut fleet = EngineFleet::new(2);
+    run_tasks(&mut fleet, 2, "rack-0", TASK_MS);
+    run_tasks(&mut fleet, 2, "rack-1", TASK_MS);
+
+    for _ in 0..10 {
+        run_tasks(&mut fleet, 1, "rack-0", 3 * TASK_MS);
+        run_tasks(&mut fleet, 1, "rack-1", 3 * TASK_MS);
+    }
+
+    let task_ms = queue_task_ms(&mut fleet);
+    assert!(task_ms > 2 * TASK_MS, "{task_ms} ms");
+    let workers = fleet.engine.workers.values();
+    let slow = workers.filter(|worker| worker.health.pace.is_slow());
+    assert_eq!(slow.count(), 0);
+}
