Move runs from slow workers if they end sooner elsewhere

Cause: runs stayed on a worker that had become slow until they counted as stalled, and short stalled tasks were stopped although a whole run elsewhere, with the stop, takes longer than their age.

Change: a run that can resume is stopped if its remaining time there is longer than a stop, a restart from its checkpoint and the remaining work elsewhere; another run if it is longer than a stop and a whole run. There must be a trusted worker with room, and no tasks may wait. Runs that try whether a worker has recovered are left for twice their expected duration. Stalled runs are stopped only once they are older than a stop and a whole run.

--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -55,6 +55,7 @@
 mod resource_cap;
 mod retry_delay;
 mod share_weight;
+mod slow_runs;
 mod slowdown_factor;
 mod spec_error;
 mod stalled_workers;
--- a/src/workflow/stalled_workers.rs
+++ b/src/workflow/stalled_workers.rs
@@ -6,6 +6,8 @@
 //! worker.
 
 use crate::id::WorkerId;
+use crate::workflow::slow_runs::START_MS;
+use crate::workflow::slow_runs::STOP_MS;
 use crate::workflow::CommandPhase;
 use crate::workflow::DistrustCause;
 use crate::workflow::JobEngine;
@@ -49,6 +51,7 @@
                 self.request_stop(name, "the task is stalled");
             }
         }
+        self.move_slow_runs(now_ms);
         self.count_health(now_ms);
     }
 
@@ -69,6 +72,10 @@
             let Some((age_ms, expected_ms)) = self.age_and_expected_ms(name, now_ms) else {
                 continue;
             };
+            // A shorter run ends sooner where it is, even if it needs as long again.
+            if age_ms < expected_ms + STOP_MS + START_MS {
+                continue;
+            }
             let expected_ms = slowdown.stretch(expected_ms);
             // A success within the expected duration shows that the worker makes progress.
             if worker.last_success_ms + expected_ms + OVERHEAD_MS > now_ms {
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -63,7 +63,7 @@
 
     /// Returns whether a task runs and has a checkpoint to resume from. Members of gangs and
     /// long-running tasks never count as resumable.
-    fn is_resumable(&self, name: &TaskName) -> bool {
+    pub(crate) fn is_resumable(&self, name: &TaskName) -> bool {
         let Some(job) = self.jobs.get(&name.job) else {
             return false;
         };
--- a/tests/common/worker_replay.rs
+++ b/tests/common/worker_replay.rs
@@ -127,8 +127,8 @@
     pub(crate) bad_starts: BTreeMap<&'static str, usize>,
     /// All starts that were sent.
     pub(crate) starts: usize,
-    /// Stops that were requested.
-    pub(crate) stops: usize,
+    /// Stops that were requested, by reason.
+    pub(crate) stops: BTreeMap<&'static str, usize>,
     /// Log lines by event.
     pub(crate) events: BTreeMap<String, usize>,
     /// Runs of a task that began while another run of it was going on.
@@ -448,7 +448,7 @@
             }
         }
         for stop in self.engine.take_stops() {
-            self.counts.stops += 1;
+            *self.counts.stops.entry(stop.reason).or_default() += 1;
             let delay_ms = match self.is_down(&stop.worker) {
                 true => CALL_TIMEOUT_MS,
                 false => TICK_MS,
--- a/tests/worker_health.rs
+++ b/tests/worker_health.rs
@@ -424,3 +424,88 @@
     let slow = workers.filter(|worker| worker.health.pace.is_slow());
     assert_eq!(slow.count(), 0);
 }
+
+/// Returns whether a run of about 2 s of work is moved after `age_ms` on a worker that is six times
+/// slower, with another worker of `free` cores.
+fn is_moved(age_ms: u64, has_checkpoint: bool, free: u32) -> bool {
+    // Arrange.
+    let mut fleet = EngineFleet::new(2);
+    run_tasks(&mut fleet, 2, "rack-1", TASK_MS);
+    let long = StepSpec {
+        estimate_ms: 5_000,
+        checkpointable: true,
+        required_label: None,
+        ..step(1)
+    };
+    fleet.submit(JOB, vec![long]);
+    fleet.start_all();
+    assert_eq!(fleet.worker_of(&task(JOB, 0)), worker_entry(0).id);
+    make_slow(&mut fleet, 0);
+    let others = StepSpec {
+        required_label: Some("rack-1".to_owned()),
+        long_running: true,
+        ..step(8 - free)
+    };
+    if free < 8 {
+        fleet.submit("00000000000000a2", vec![others]);
+        fleet.start_all();
+    }
+    fleet.report_all();
+    if has_checkpoint {
+        let name = task(JOB, 0);
+        let job = fleet.engine.jobs.get_mut(&name.job).unwrap();
+        job.task_mut(&name).unwrap().checkpoint = "7".to_owned();
+    }
+
+    // Act.
+    fleet.advance(age_ms);
+    fleet.engine.release_stalled(fleet.now_ms);
+
+    let stops = fleet.engine.take_stops();
+    stops.iter().any(|stop| stop.task == task(JOB, 0))
+}
+
+/// Guards against runs that end late on a slow worker although they end sooner elsewhere, and against
+/// moves by which they end later: the stop, the restart and the work that is done again take time.
+#[test]
+fn a_run_moves_from_a_slow_worker_only_if_it_ends_sooner() {
+    // About 12.5 s are needed there, 2.1 s elsewhere.
+    assert!(is_moved(1_000, true, 1));
+    assert!(
+        is_moved(1_000, false, 1),
+        "a whole run elsewhere is shorter"
+    );
+    assert!(
+        is_moved(9_800, true, 1),
+        "less than half a second is left elsewhere"
+    );
+    assert!(
+        !is_moved(9_800, false, 1),
+        "a whole run elsewhere is longer"
+    );
+    assert!(!is_moved(11_000, true, 1), "the restart takes longer");
+    assert!(!is_moved(1_000, true, 0), "there is no room elsewhere");
+}
+
+/// Guards against a slow worker whose recovery is never noticed, because the run that tries it is
+/// moved before it can end.
+#[test]
+fn a_run_that_tries_a_slow_worker_is_not_moved_at_once() {
+    let mut fleet = EngineFleet::new(2);
+    run_tasks(&mut fleet, 2, "rack-1", TASK_MS);
+    make_slow(&mut fleet, 0);
+    fleet.submit("00000000000000a2", vec![step(8)]);
+    fleet.start_all();
+    // The first delay is 4 s and doubles twice.
+    fleet.advance(16_000);
+    fleet.submit(JOB, vec![step(1)]);
+    fleet.start_all();
+    assert_eq!(tasks_on(&fleet, 0), 1);
+    fleet.report_all();
+
+    fleet.advance(TASK_MS);
+    fleet.engine.release_stalled(fleet.now_ms);
+
+    let stops = fleet.engine.take_stops();
+    assert!(stops.iter().all(|stop| stop.worker != worker_entry(0).id));
+}
