Tell faults of a pool and of a path from faults of its workers

Cause: with a third of all runs failing in the whole pool, workers were distrusted 139 times, and with the calls to 20 of 60 workers lost in every other half second 26 times.

Change: a worker is distrusted for failures only if three times the share of its pool of its runs fail, and for silences only while at most a quarter of the called workers of its pool and data centre are silent; otherwise such quarantines end.

--- a/src/workflow/engine_trust.rs
+++ b/src/workflow/engine_trust.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use crate::id::DataCentreId;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::worker_health::SILENCE_WINDOW_MS;
 use crate::workflow::CommandPhase;
 use crate::workflow::DistrustCause;
 use crate::workflow::EndKind;
@@ -17,14 +19,43 @@
 /// common is more likely the cause, and a pool without capacity serves nobody.
 const MAX_QUARANTINED_PERCENT: usize = 50;
 
-/// The limit on the workers of a pool that are distrusted for silences, in percent. If more are
-/// silent, the path to them is at fault: a cut of one of three data centres affects a third.
+/// The limit on the workers of a pool in one data centre that are distrusted for silences, in percent.
+/// If more are silent, the path to them is more likely at fault.
 const MAX_UNSTABLE_PERCENT: usize = 25;
 
 /// The time in ms for which a long-running task must run to count as a success of a probation: as
 /// long as a worker's lease.
 const PROBE_RUN_MS: u64 = 5_000;
 
+/// The weight of a run in the share of failed runs of a pool. It follows a change within about 64
+/// runs of the pool, before a single worker has ended many.
+const POOL_FAILURE_WEIGHT: f64 = 1.0 / 64.0;
+
+/// The multiple of the pool's share of failed runs from which a worker is worse than its pool. The
+/// share of a worker varies by 0.12, and is compared with it after each of thousands of runs.
+const WORSE_THAN_POOL: f64 = 3.0;
+
+/// The share of failed runs from which a worker is bad, however many runs fail in its pool.
+const MAX_COMMON_LIMIT: f64 = 0.9;
+
+/// The workers of a pool in one data centre whose calls had no answer lately.
+#[derive(Default)]
+struct SilentWorkers {
+    /// The number of workers that were called lately. Idle ones are not.
+    called: usize,
+    silent: usize,
+    unstable: Vec<WorkerId>,
+    /// The workers that are in quarantine for silences.
+    quarantined: Vec<WorkerId>,
+}
+
+impl SilentWorkers {
+    /// Returns whether so few workers are silent that the path to them is not at fault.
+    fn is_local(&self) -> bool {
+        self.silent <= (self.called * MAX_UNSTABLE_PERCENT / 100).max(1)
+    }
+}
+
 impl JobEngine {
     /// Quarantines a worker, unless it is in quarantine already. If too many of its pool are, the
     /// quarantines of those with the fewest relapses end.
@@ -67,13 +98,41 @@
                     log::info!("event=worker_trusted worker={id} slowdown={slowdown}");
                 }
             }
-            EndKind::Failed
-                if !failed_elsewhere && worker.health.record_failure(&name.job, now_ms) =>
-            {
-                self.distrust_worker(id, DistrustCause::Failures, now_ms);
+            EndKind::Failed if !failed_elsewhere => {
+                let is_bad = worker.health.record_failure(&name.job, now_ms);
+                if is_bad && !self.are_failures_common(id) {
+                    self.distrust_worker(id, DistrustCause::Failures, now_ms);
+                }
             }
-            _ => {}
+            _ => return,
         }
+        self.record_pool_run(id, kind);
+    }
+
+    /// Updates the share of failed runs in a worker's pool.
+    fn record_pool_run(&mut self, id: &WorkerId, kind: EndKind) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let failed = f64::from(u8::from(kind == EndKind::Failed));
+        let shares = &mut self.fleet_health.failure_shares;
+        match shares.get_mut(&worker.entry.service) {
+            Some(share) => *share += (failed - *share) * POOL_FAILURE_WEIGHT,
+            None => {
+                shares.insert(worker.entry.service.clone(), 0.0);
+            }
+        }
+    }
+
+    /// Returns whether runs fail in the whole pool of a worker about as often as on the worker.
+    fn are_failures_common(&self, id: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get(id) else {
+            return false;
+        };
+        let shares = &self.fleet_health.failure_shares;
+        let common = shares.get(&worker.entry.service).copied().unwrap_or(0.0);
+        let limit = (common * WORSE_THAN_POOL).min(MAX_COMMON_LIMIT);
+        worker.health.failure_share() < limit
     }
 
     /// Counts a start without an answer as a silence of the task's worker.
@@ -85,25 +144,36 @@
         }
     }
 
-    /// Distrusts workers that repeatedly gave no answer, as far as most workers of their pool
-    /// answered.
+    /// Distrusts workers that repeatedly gave no answer, as far as most workers of their pool and
+    /// data centre that were called answered. Otherwise such quarantines end.
     pub(crate) fn distrust_unstable(&mut self, now_ms: u64) {
-        let mut pools: BTreeMap<&ServiceId, (usize, Vec<WorkerId>)> = BTreeMap::new();
+        let mut groups: BTreeMap<(&ServiceId, &DataCentreId), SilentWorkers> = BTreeMap::new();
         for (id, worker) in self.workers.iter().filter(|(_, worker)| worker.listed) {
-            let (size, unstable) = pools.entry(&worker.entry.service).or_default();
-            *size += 1;
-            if worker.health.is_unstable(now_ms) {
-                unstable.push(id.clone());
+            let health = &worker.health;
+            let has_silences = health.has_silences(now_ms);
+            let is_called = now_ms < worker.answered_ms + SILENCE_WINDOW_MS;
+            let key = (&worker.entry.service, &worker.entry.data_centre);
+            let group = groups.entry(key).or_default();
+            group.called += usize::from(is_called || has_silences);
+            group.silent += usize::from(has_silences);
+            if health.is_unstable(now_ms) {
+                group.unstable.push(id.clone());
+            }
+            if health.is_quarantined_for(DistrustCause::Silences, now_ms) {
+                group.quarantined.push(id.clone());
             }
         }
-        let is_local = |(size, unstable): &(usize, Vec<WorkerId>)| {
-            unstable.len() <= (size * MAX_UNSTABLE_PERCENT / 100).max(1)
-        };
-        let local = pools.into_values().filter(is_local);
-        let unstable: Vec<_> = local.flat_map(|(_, unstable)| unstable).collect();
-        for id in unstable {
+        let (local, common): (Vec<_>, Vec<_>) =
+            groups.into_values().partition(SilentWorkers::is_local);
+        for id in local.into_iter().flat_map(|group| group.unstable) {
             self.distrust_worker(&id, DistrustCause::Silences, now_ms);
         }
+        for id in common.into_iter().flat_map(|group| group.quarantined) {
+            log::info!("event=quarantine_ended worker={id} reason=\"many workers are silent\"");
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.health.end_quarantine(now_ms);
+            }
+        }
     }
 
     /// Counts long-running tasks that have run for some time as successes of a worker on probation,
--- a/src/workflow/fleet_health.rs
+++ b/src/workflow/fleet_health.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::id::ServiceId;
 use crate::workflow::HealthState;
 
 /// What the regular check of all workers keeps.
@@ -13,4 +14,6 @@
     pub counts: BTreeMap<HealthState, u64>,
     /// The number of listed workers that were slow at the last check.
     pub slow_count: u64,
+    /// The share of failed runs in each pool.
+    pub(crate) failure_shares: BTreeMap<ServiceId, f64>,
 }
--- a/src/workflow/worker_health.rs
+++ b/src/workflow/worker_health.rs
@@ -40,7 +40,7 @@
 const MAX_SILENCES: usize = 3;
 
 /// The time in ms in which silences are counted: several times the interval between two calls.
-const SILENCE_WINDOW_MS: u64 = 5_000;
+pub(crate) const SILENCE_WINDOW_MS: u64 = 5_000;
 
 /// What a controller has learnt about one incarnation of a worker. Times are in ms on the
 /// controller's clock.
@@ -147,6 +147,11 @@
         self.failure_share >= MAX_FAILURE_SHARE || is_probing
     }
 
+    /// Returns the share of failed runs.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
     /// Records that calls to the worker begin to have no answer.
     pub fn record_silence(&mut self, now_ms: u64) {
         self.silences.rotate_left(1);
@@ -163,6 +168,18 @@
         is_relapse || is_recent(self.silences[0])
     }
 
+    /// Returns whether the worker is in quarantine for a cause.
+    pub fn is_quarantined_for(&self, cause: DistrustCause, now_ms: u64) -> bool {
+        self.cause == Some(cause) && self.state(now_ms) == HealthState::Quarantined
+    }
+
+    /// Returns whether calls had no answer more than once lately, or the worker is distrusted for it.
+    pub fn has_silences(&self, now_ms: u64) -> bool {
+        let second_last_ms = self.silences[MAX_SILENCES - 2];
+        let is_recent = second_last_ms > 0 && now_ms < second_last_ms + SILENCE_WINDOW_MS;
+        is_recent || self.cause == Some(DistrustCause::Silences)
+    }
+
     /// Returns how many tasks may be placed on the worker at a time; `None` for no limit but its
     /// capacity.
     pub fn task_limit(&self, now_ms: u64) -> Option<u32> {
--- a/tests/common/worker_replay.rs
+++ b/tests/common/worker_replay.rs
@@ -498,6 +498,11 @@
     }
 
     fn count_jobs(&mut self) {
+        self.counts.on_time = 0;
+        self.counts.on_time_by_arrival.clear();
+        self.counts.useful = 0;
+        self.counts.complete = 0;
+        self.counts.failed = 0;
         for (number, job) in self.jobs.iter().enumerate() {
             let Some(state) = self.engine.jobs.get(&job_id(number)) else {
                 continue;
--- a/tests/worker_health.rs
+++ b/tests/worker_health.rs
@@ -39,7 +39,7 @@
 /// The time in which the faults last.
 const FAULT_FROM_MS: u64 = 2_000;
 const FAULT_UNTIL_MS: u64 = 14_000;
-/// Jobs a second that use about four fifths of the 33 workers without a fault.
+/// Jobs a second that use about 0.7 of the 33 workers without a fault: 3.4 core seconds a job.
 const PEAK_RATE: u64 = 55;
 
 /// Returns a configuration with a queue for short tasks and one for long ones.
@@ -509,3 +509,142 @@
     let stops = fleet.engine.take_stops();
     assert!(stops.iter().all(|stop| stop.worker != worker_entry(0).id));
 }
+
+fn lasting(fault: WorkerFault) -> Vec<FaultPeriod> {
+    vec![FaultPeriod {
+        fault,
+        from_ms: FAULT_FROM_MS,
+        until_ms: FAULT_UNTIL_MS,
+    }]
+}
+
+/// Guards against workers that answer well but fail their work, whether always or, for the callers of
+/// one of three data centres, for a third of the runs.
+#[test]
+fn a_few_failing_workers_are_quarantined() {
+    let always = |number| match number {
+        10..14 => lasting(WorkerFault::Failing(100)),
+        _ => Vec::new(),
+    };
+    let sometimes = |number| match number {
+        10..14 => lasting(WorkerFault::Failing(33)),
+        _ => Vec::new(),
+    };
+
+    let always = replay(peak_jobs(PEAK_RATE), always).counts;
+    let sometimes = replay(peak_jobs(PEAK_RATE), sometimes).counts;
+
+    print("always", &always);
+    print("sometimes", &sometimes);
+    assert!(always.event("worker_distrusted") >= 4);
+    assert!(always.all_bad_starts() < 80, "{always:?}");
+    assert!(sometimes.event("worker_distrusted") >= 4);
+    assert_eq!((always.failed, sometimes.failed), (0, 0));
+}
+
+/// Guards against a pool that loses half of its workers when what fails is the same everywhere, such
+/// as the callers of one data centre.
+#[test]
+fn failures_of_a_whole_pool_are_not_the_fault_of_its_workers() {
+    let everywhere = |_| lasting(WorkerFault::Failing(33));
+
+    let counts = replay(peak_jobs(PEAK_RATE), everywhere).counts;
+
+    // A few workers fail repeatedly before the share of the pool is known.
+    print("everywhere", &counts);
+    assert!(counts.event("worker_distrusted") <= 6, "{counts:?}");
+}
+
+/// Guards against a pool that loses a third of its workers because the path from the controller to
+/// their data centre loses calls.
+#[test]
+fn silences_of_a_whole_data_centre_are_not_the_fault_of_its_workers() {
+    let data_centre_faults = |number| match number {
+        0..20 => lasting(WorkerFault::Flapping),
+        _ => Vec::new(),
+    };
+
+    let workers = (0..WORKERS).map(|number| {
+        let mut entry = worker_entry(number);
+        let data_centre = ["hall-a", "hall-b", "hall-c"][number / 20];
+        entry.data_centre = data_centre.parse().unwrap();
+        (entry, data_centre_faults(number))
+    });
+    let jobs = peak_jobs(PEAK_RATE);
+    let mut replay = WorkerReplay::new(SEED, two_queues(), workers.collect(), jobs);
+
+    replay.run(FAULT_UNTIL_MS - 2_000);
+    let now_ms = replay.now_ms;
+    let workers = replay.engine.workers.values();
+    let quarantined =
+        workers.filter(|worker| worker.health.state(now_ms) == HealthState::Quarantined);
+    let quarantined = quarantined.count();
+    replay.run(END_MS);
+
+    // At most a quarter of the 20 workers is quarantined before the others are silent as well.
+    let counts = replay.counts;
+    print("data centre", &counts);
+    assert!(quarantined <= 5, "{quarantined}");
+    assert!(counts.event("worker_distrusted") <= 10, "{counts:?}");
+    assert_eq!((counts.complete, counts.double_runs), (counts.jobs, 0));
+}
+
+/// Guards against running work that is started elsewhere because its worker reports its end late.
+#[test]
+fn work_of_a_worker_that_reports_late_is_not_repeated() {
+    let late = |number| match number {
+        10..20 => lasting(WorkerFault::LateReports(2_500)),
+        _ => Vec::new(),
+    };
+
+    let counts = replay(peak_jobs(PEAK_RATE), late).counts;
+
+    print("late", &counts);
+    assert_eq!((counts.complete, counts.double_runs), (counts.jobs, 0));
+}
+
+/// Guards against workers that stay idle after the cause of a quarantine has passed.
+#[test]
+fn workers_are_trusted_again_soon_after_a_cause_has_passed() {
+    let hanging = |number| match number {
+        10..25 => lasting(WorkerFault::Hanging),
+        _ => Vec::new(),
+    };
+    let workers = (0..WORKERS).map(|number| (worker_entry(number), hanging(number)));
+    let jobs = peak_jobs(2 * PEAK_RATE);
+    let mut replay = WorkerReplay::new(SEED, two_queues(), workers.collect(), jobs);
+
+    // The longest quarantine is 8 s, and about three tasks in turn end the probation.
+    replay.run(FAULT_UNTIL_MS + 11_000);
+
+    print("recovery", &replay.counts);
+    let now_ms = replay.now_ms;
+    let workers = replay.engine.workers.values();
+    let distrusted = workers.filter(|worker| worker.health.state(now_ms) != HealthState::Trusted);
+    assert_eq!(distrusted.count(), 0);
+}
+
+/// Guards against a new or restarted worker that inherits the distrust of an earlier incarnation.
+#[test]
+fn what_was_learnt_ends_with_the_incarnation() {
+    let mut fleet = EngineFleet::new(2);
+    make_slow(&mut fleet, 0);
+    let id = worker_entry(0).id;
+    let now_ms = fleet.now_ms;
+    fleet
+        .engine
+        .distrust_worker(&id, DistrustCause::Stall, now_ms);
+    let mut restarted = worker_entry(0);
+    restarted.id = "w-0b".parse().unwrap();
+
+    fleet.engine.end_incarnation(&id, "test", now_ms);
+    fleet.engine.set_worker(restarted.clone());
+
+    let health = &fleet.engine.workers[&restarted.id].health;
+    assert_eq!(health.state(now_ms), HealthState::Trusted);
+    assert_eq!(health.slowdown(), SlowdownFactor::NONE);
+    let next = fleet.successor();
+    let healths = next.engine.workers.values().map(|worker| &worker.health);
+    let states: Vec<_> = healths.map(|health| health.state(now_ms)).collect();
+    assert!(states.iter().all(|state| *state == HealthState::Trusted));
+}
