Merge part-health: learnt speed and health of workers

Conflicts: a pool's capacity counts slow workers by the work that they do, in the resources by which organisations share it; jobs that a pass did not try are tried on slow workers; waiting work counts what caps let run.

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -21,6 +21,7 @@
 use crate::workflow::CommandPhase;
 use crate::workflow::DurationTracker;
 use crate::workflow::FleetConfig;
+use crate::workflow::FleetHealth;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobState;
@@ -112,7 +113,8 @@
     pub(crate) rates: RateMeter,
     /// The last placement pass left tasks without a worker.
     pub(crate) has_waiting: bool,
-    pub(crate) last_stall_check_ms: u64,
+    /// What the regular check of all workers keeps.
+    pub fleet_health: FleetHealth,
     /// The newest incarnation of each worker. Ended ones are not added again if still listed.
     pub(crate) incarnations: KnownIncarnations,
     /// The runs that were lost with the lease of their worker, which has not reported since.
@@ -151,7 +153,7 @@
             durations: DurationTracker::new(),
             rates: RateMeter::new(),
             has_waiting: false,
-            last_stall_check_ms: 0,
+            fleet_health: FleetHealth::default(),
             incarnations: KnownIncarnations::default(),
             lost_runs: BTreeMap::new(),
             inherited_until_ms: now_ms + inherited_ms,
--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -12,6 +12,7 @@
 use crate::workflow::JobUrgency;
 use crate::workflow::QueueBacklog;
 use crate::workflow::QueueBacklogs;
+use crate::workflow::QueueConfig;
 use crate::workflow::ResourceCap;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskPhase;
@@ -48,6 +49,17 @@
         self.forecast.record_arrival(&queue.service, work, now_ms);
     }
 
+    /// Returns a job's work that has not started and that can ever run under the cap of its
+    /// organisation, in millicores times ms.
+    pub(crate) fn waiting_work(&self, job: &JobState, queue: &QueueConfig) -> u64 {
+        let cap = self.cap_of(&job.spec).map(|(_, cap)| cap);
+        let steps = waiting_steps(job, cap).map(|(step, tasks)| {
+            let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
+            tasks * step.reserved().cpu_millis * expected_ms
+        });
+        steps.sum()
+    }
+
     /// Returns the part of a new job's work that the cap of its organisation allows to run.
     fn counted_arrival(&mut self, spec: &JobSpec, work: f64, now_ms: u64) -> f64 {
         let Some((id, cap)) = self.cap_of(spec) else {
@@ -221,7 +233,7 @@
 
 /// Iterates over a job's steps with waiting tasks, each with their number, without steps that can
 /// never run under the cap.
-pub(crate) fn waiting_steps<'a>(
+fn waiting_steps<'a>(
     job: &'a JobState,
     cap: Option<&'a ResourceCap>,
 ) -> impl Iterator<Item = (&'a StepSpec, u64)> {
--- a/src/workflow/engine_organisations.rs
+++ b/src/workflow/engine_organisations.rs
@@ -7,12 +7,10 @@
 
 use crate::id::OrganisationId;
 use crate::id::ServiceId;
-use crate::workflow::engine_demand::waiting_steps;
 use crate::workflow::DueWork;
 use crate::workflow::JobEngine;
 use crate::workflow::JobSpec;
 use crate::workflow::JobUrgency;
-use crate::workflow::StepSpec;
 use crate::workflow::WorkerResources;
 
 /// What one organisation needs and uses of one pool.
@@ -100,13 +98,8 @@
             }
             let urgency = JobUrgency::new(job, queue, &self.durations, now_ms);
             let is_wanted = urgency.is_wanted();
-            let cap = self.cap_of(&job.spec).map(|(_, cap)| cap);
-            let step_work = |(step, tasks): (&StepSpec, u64)| {
-                let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
-                tasks * step.reserved().cpu_millis * expected_ms
-            };
             let work = match is_wanted {
-                true => waiting_steps(job, cap).map(step_work).sum(),
+                true => self.waiting_work(job, queue),
                 false => 0,
             };
             let load = load_of(loads, &queue.service, &job.spec);
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -81,6 +81,7 @@
                 self.set_command_phase(name, CommandPhase::Accepted(now_ms))
             }
             CommandOutcome::Unknown(_) => {
+                self.record_unanswered_start(name, now_ms);
                 self.set_command_phase(name, CommandPhase::Unknown(now_ms))
             }
             CommandOutcome::NotSent(_) | CommandOutcome::Refused(_) => {
@@ -141,7 +142,10 @@
             "event=task_ended task={name} run={run} worker={worker} how={:?}",
             end.kind
         );
-        self.update_worker_health(worker, end.kind, now_ms);
+        if end.kind == EndKind::Done {
+            self.record_pace(worker, name, now_ms);
+        }
+        self.record_run_end(worker, name, end.kind, now_ms);
         match end.kind {
             EndKind::Done if !long_running => self.finish_task(name, now_ms),
             EndKind::Failed => {
@@ -152,19 +156,6 @@
         }
     }
 
-    fn update_worker_health(&mut self, id: &WorkerId, kind: EndKind, now_ms: u64) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        match kind {
-            EndKind::Done => worker.record_success(now_ms),
-            EndKind::Failed if worker.record_failure(now_ms) => {
-                log::warn!("event=worker_distrusted worker={id} reason=\"consecutive failures\"");
-            }
-            _ => {}
-        }
-    }
-
     fn finish_task(&mut self, name: &TaskName, now_ms: u64) {
         self.record_task_duration(name, now_ms);
         self.release_task(name);
@@ -187,12 +178,20 @@
         }
     }
 
+    /// Adds the duration of a task that is done to its queue's history. Those on slow workers are left
+    /// out, since they would raise the expected duration for all workers.
     fn record_task_duration(&mut self, name: &TaskName, now_ms: u64) {
         let Some(job) = self.jobs.get(&name.job) else {
             return;
         };
-        let since_ms = job.task(name).and_then(|state| match state.phase {
-            TaskPhase::Placed { since_ms, .. } => Some(since_ms),
+        let is_slow = |id| {
+            let worker = self.workers.get(id);
+            worker.is_some_and(|worker| worker.health.pace.is_slow())
+        };
+        let since_ms = job.task(name).and_then(|state| match &state.phase {
+            TaskPhase::Placed {
+                worker, since_ms, ..
+            } if !is_slow(worker) => Some(*since_ms),
             _ => None,
         });
         if let Some(since_ms) = since_ms {
--- a/src/workflow/pass_plan.rs
+++ b/src/workflow/pass_plan.rs
@@ -62,6 +62,11 @@
         Some(id)
     }
 
+    /// Returns the jobs that were not tried.
+    pub(crate) fn into_rest(self) -> impl Iterator<Item = JobId> {
+        self.jobs.map(|(id, _)| id)
+    }
+
     /// Records the number of steps with unplaced tasks of the job that was returned last.
     pub(crate) fn record_unplaced(&mut self, steps: u32) {
         let left = &mut self.steps_left[self.last_group];
--- a/src/workflow/stalled_workers.rs
+++ b/src/workflow/stalled_workers.rs
@@ -6,7 +6,10 @@
 //! worker.
 
 use crate::id::WorkerId;
+use crate::workflow::slow_runs::START_MS;
+use crate::workflow::slow_runs::STOP_MS;
 use crate::workflow::CommandPhase;
+use crate::workflow::DistrustCause;
 use crate::workflow::JobEngine;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
@@ -26,31 +29,30 @@
 const STALL_CHECK_INTERVAL_MS: u64 = 250;
 
 impl JobEngine {
-    /// Quarantines stalled workers and stops their overdue tasks, so that these are started
-    /// elsewhere.
+    /// Checks all workers: learns their speeds, quarantines stalled and unstable ones, and stops overdue
+    /// tasks, so that these are started elsewhere.
     pub fn release_stalled(&mut self, now_ms: u64) {
-        if now_ms < self.last_stall_check_ms + STALL_CHECK_INTERVAL_MS {
+        if now_ms < self.fleet_health.checked_ms + STALL_CHECK_INTERVAL_MS {
             return;
         }
-        self.last_stall_check_ms = now_ms;
+        self.fleet_health.checked_ms = now_ms;
+        self.update_paces(now_ms);
+        self.record_long_runs(now_ms);
+        self.distrust_unstable(now_ms);
         let ids: Vec<_> = self.workers.keys().cloned().collect();
         for id in ids {
             let overdue = self.overdue_tasks(&id, now_ms);
             if overdue.is_empty() {
                 continue;
             }
-            log::warn!(
-                "event=worker_distrusted worker={id} reason=\"tasks are stalled\" overdue={}",
-                overdue.len()
-            );
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.quarantine(now_ms);
-            }
+            self.distrust_worker(&id, DistrustCause::Stall, now_ms);
             for name in &overdue {
                 self.record_failed_on(name, &id);
                 self.request_stop(name, "the task is stalled");
             }
         }
+        self.move_slow_runs(now_ms);
+        self.count_health(now_ms);
     }
 
     /// Returns a worker's overdue tasks; empty if the worker does not answer or the tasks do not
@@ -62,12 +64,19 @@
         if worker.unresponsive_since_ms > 0 {
             return Vec::new();
         }
+        // Tasks that ended on a slow worker show that it makes progress.
+        let slowdown = worker.health.pace.proven_slowdown();
         let mut overdue = Vec::new();
         let mut proves_stall = false;
         for name in &worker.tasks {
             let Some((age_ms, expected_ms)) = self.age_and_expected_ms(name, now_ms) else {
                 continue;
             };
+            // A shorter run ends sooner where it is, even if it needs as long again.
+            if age_ms < expected_ms + STOP_MS + START_MS {
+                continue;
+            }
+            let expected_ms = slowdown.stretch(expected_ms);
             // A success within the expected duration shows that the worker makes progress.
             if worker.last_success_ms + expected_ms + OVERHEAD_MS > now_ms {
                 continue;
@@ -86,7 +95,7 @@
 
     /// Returns a running task's age and expected duration in ms; `None` for long-running tasks,
     /// members of gangs and queues without enough history.
-    fn age_and_expected_ms(&self, name: &TaskName, now_ms: u64) -> Option<(u64, u64)> {
+    pub(crate) fn age_and_expected_ms(&self, name: &TaskName, now_ms: u64) -> Option<(u64, u64)> {
         let job = self.jobs.get(&name.job)?;
         let step = job.step(name.step)?;
         if step.long_running || step.gang || job.phase.has_ended() {
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -42,6 +42,7 @@
                 jobs.record_unplaced(unplaced_steps);
                 self.has_waiting |= unplaced_steps > 0;
             }
+            self.place_on_slow_workers(jobs.into_rest(), pool, now_ms, wall_ms);
         }
     }
 
@@ -63,10 +64,10 @@
         let workers = self.workers.values();
         for worker in workers.filter(|worker| worker.accepts_tasks(now_ms)) {
             match pools.get_mut(&worker.entry.service) {
-                Some(pool) => pool.add_worker(worker),
+                Some(pool) => pool.add_worker(worker, now_ms),
                 None => {
                     let pool = pools.entry(worker.entry.service.clone()).or_default();
-                    pool.add_worker(worker);
+                    pool.add_worker(worker, now_ms);
                 }
             }
         }
@@ -74,7 +75,7 @@
     }
 
     /// Places as many of a job's tasks as possible; returns the number of steps with tasks left.
-    fn place_job(
+    pub(crate) fn place_job(
         &mut self,
         id: &JobId,
         pool: &mut PlacementPool,
@@ -109,6 +110,9 @@
             };
             unplaced_steps += u32::from(!placed);
         }
+        if unplaced_steps > 0 {
+            self.add_waiting_work(id, pool);
+        }
         unplaced_steps
     }
 
@@ -128,7 +132,7 @@
         }
         let mut waiting = self.waiting_tasks(id, occurrence, step);
         waiting.truncate(usize::try_from(room).unwrap_or(usize::MAX));
-        let chosen = self.choose_workers(&waiting, pool);
+        let chosen = self.choose_workers(&waiting, pool, now_ms);
         for (name, worker) in waiting.iter().zip(&chosen) {
             self.place_task(name, worker, now_ms);
         }
@@ -158,7 +162,7 @@
         if self.cap_room(id, step) < waiting.len() as u64 {
             return true;
         }
-        let chosen = self.choose_workers(&waiting, pool);
+        let chosen = self.choose_workers(&waiting, pool, now_ms);
         if chosen.len() < waiting.len() {
             pool.release(&job.spec.steps[step as usize], &chosen);
             return false;
@@ -193,7 +197,12 @@
     }
 
     /// Chooses workers for waiting tasks of one step, in order, until one fits nowhere.
-    fn choose_workers(&self, waiting: &[TaskName], pool: &mut PlacementPool) -> Vec<WorkerId> {
+    fn choose_workers(
+        &self,
+        waiting: &[TaskName],
+        pool: &mut PlacementPool,
+        now_ms: u64,
+    ) -> Vec<WorkerId> {
         let first = waiting.first().and_then(|name| {
             let job = self.jobs.get(&name.job)?;
             Some((name, job, job.step(name.step)?))
@@ -209,7 +218,8 @@
             true => placed.collect(),
             false => Vec::new(),
         };
-        pool.choose_workers(step, &states, &placed)
+        let times = self.expected_and_waited_ms(job, step, now_ms);
+        pool.choose_workers(step, &states, &placed, times)
     }
 
     fn place_task(&mut self, name: &TaskName, worker_id: &WorkerId, now_ms: u64) {
