Count jobs over the rate as work that a short pool can't serve

Tests of caps and shares had organisations of weight 1, whose jobs now are over the rate. Change: a pool is short by all work that is still of use. Tests of caps and shares give weights that leave rates out; their assertions are unchanged.

--- a/src/workflow/engine_organisations.rs
+++ b/src/workflow/engine_organisations.rs
@@ -18,7 +18,7 @@
 pub struct OrganisationLoad {
     /// The jobs with tasks that wait.
     pub waiting_jobs: u64,
-    /// The work that waits and is still wanted, in millicores times ms.
+    /// The work that waits and is still of use, in millicores times ms.
     pub waiting_work: u64,
     /// The smallest request of a waiting step, by CPU; `None` if nothing waits.
     pub smallest_demand: Option<WorkerResources>,
@@ -33,7 +33,7 @@
 pub struct PoolLoad {
     /// The largest CPU capacity that the pool had in this term, in millicores.
     pub capacity_millis: u64,
-    /// The work that waits and is still wanted.
+    /// The work that waits and is still of use.
     pub due: DueWork,
     /// Loads by organisation; jobs without one are under `None`.
     pub organisations: BTreeMap<Option<OrganisationId>, OrganisationLoad>,
@@ -97,8 +97,8 @@
                 continue;
             }
             let urgency = JobUrgency::new(job, queue, &self.durations, now_ms);
-            let is_wanted = urgency.is_wanted();
-            let work = match is_wanted {
+            let is_useful = urgency.is_useful();
+            let work = match is_useful {
                 true => self.waiting_work(job, queue),
                 false => 0,
             };
@@ -110,7 +110,8 @@
             load.smallest_demand = demands.min_by_key(|demand| demand.cpu_millis);
             if let Some(pool) = loads.get_mut(&queue.service).filter(|_| work > 0) {
                 // A late job should have started already.
-                pool.due.add(work, urgency.slack_ms().unwrap_or(0));
+                let slack_ms = urgency.slack_ms().or(urgency.over_rate_slack_ms());
+                pool.due.add(work, slack_ms.unwrap_or(0));
             }
         }
     }
--- a/src/workflow/job_urgency.rs
+++ b/src/workflow/job_urgency.rs
@@ -143,6 +143,15 @@
         matches!(self.class, ON_TIME | LATE)
     }
 
+    /// Returns whether the job has an objective and its result is still of use, whatever the rate of
+    /// its organisation.
+    pub fn is_useful(&self) -> bool {
+        matches!(
+            self.class,
+            ON_TIME | LATE | OVER_RATE_ON_TIME | OVER_RATE_LATE
+        )
+    }
+
     /// Returns whether the job is not expected to meet its objective.
     pub fn is_behind(&self) -> bool {
         matches!(self.class, LATE | OVER_RATE_LATE | EXPIRED)
--- a/tests/organisation_caps.rs
+++ b/tests/organisation_caps.rs
@@ -21,6 +21,7 @@
 use zincpier::workflow::Organisation;
 use zincpier::workflow::ResourceCap;
 use zincpier::workflow::RunningTask;
+use zincpier::workflow::ShareWeight;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::TaskName;
 use zincpier::workflow::WorkerReport;
@@ -38,11 +39,14 @@
     fleet
 }
 
+/// Caps one of two organisations. It is entitled to all the jobs that the tests submit at once, so
+/// that none of them is over its rate.
 fn set_cap(fleet: &mut EngineFleet, cores: u64) {
-    fleet.set_organisations(vec![
-        capped_organisation("north", cores),
-        organisation("south", 1.0),
-    ]);
+    let north = Organisation {
+        weight: ShareWeight::new(1_000.0),
+        ..capped_organisation("north", cores)
+    };
+    fleet.set_organisations(vec![north, organisation("south", 1.0)]);
 }
 
 fn gang(tasks: u32) -> StepSpec {
--- a/tests/organisation_shares.rs
+++ b/tests/organisation_shares.rs
@@ -212,7 +212,8 @@
         .zip(priorities)
         .map(|(name, priority)| Organisation {
             priority,
-            ..organisation(name, 1.0)
+            // More than the jobs that are submitted at once, so that none is over the rate.
+            ..organisation(name, 10.0)
         });
     fleet.set_organisations(organisations.collect());
     let mut config = FleetConfig::clone(fleet.engine.config.as_ref().unwrap());
--- a/tests/share_replay.rs
+++ b/tests/share_replay.rs
@@ -33,10 +33,18 @@
 /// Lower bound of the share of the jobs on time of an organisation within its share.
 const MIN_ON_TIME: f64 = 0.97;
 
+/// The factor of all weights. Shares depend only on ratios of weights, and no job is over the rate of
+/// its organisation, which `tests/rate_limits.rs` covers.
+const WEIGHT_FACTOR: f64 = 1_000.0;
+
+fn weighted_organisation(number: usize, weight: f64) -> Organisation {
+    organisation(&name(number), weight * WEIGHT_FACTOR)
+}
+
 fn equal_organisations() -> Vec<Organisation> {
     let numbers = 0..ORGANISATIONS;
     numbers
-        .map(|number| organisation(&name(number), JOBS_PER_S))
+        .map(|number| weighted_organisation(number, JOBS_PER_S))
         .collect()
 }
 
@@ -117,7 +125,7 @@
 fn small_organisations_and_a_large_one_keep_their_shares() {
     let weight = |number| if number == 0 { 19.0 } else { 1.0 };
     let organisations: Vec<_> = (0..ORGANISATIONS)
-        .map(|number| organisation(&name(number), weight(number)))
+        .map(|number| weighted_organisation(number, weight(number)))
         .collect();
     let mut large_burst = even_loads(ORGANISATIONS, JOBS_PER_S / 2.0);
     large_burst[0].jobs_per_s = 14.0;
@@ -142,7 +150,7 @@
 #[test]
 fn job_within_its_share_waits_for_one_turnover_of_the_pool_at_most() {
     let mut organisations = equal_organisations();
-    organisations[0] = organisation(&name(0), 4.0 * JOBS_PER_S);
+    organisations[0] = weighted_organisation(0, 4.0 * JOBS_PER_S);
     let mut loads = even_loads(ORGANISATIONS, 5.0 * JOBS_PER_S);
     loads[0].jobs_per_s = 1.0;
 
@@ -165,7 +173,7 @@
         let replay = ShareReplay::new(organisations, 1).play(&loads, (0, 0), 4_000);
         replay.starts
     };
-    let single = vec![organisation(&name(0), 3.0)];
+    let single = vec![weighted_organisation(0, 3.0)];
 
     let without = play(None);
 
