--- a/src/workflow/engine_shares.rs
+++ b/src/workflow/engine_shares.rs
@@ -224,8 +224,7 @@
         return (0, 0);
     };
     let id = job.spec.organisation.as_ref();
-    let known = id.and_then(|id| directory.position(id).zip(directory.get(id)));
-    match known {
+    match id.and_then(|id| directory.find(id)) {
         Some((position, organisation)) => (position, organisation.priority),
         None => (directory.len(), 0),
     }
--- a/src/workflow/organisation_directory.rs
+++ b/src/workflow/organisation_directory.rs
@@ -48,9 +48,10 @@
         self.organisations.get(*self.positions.get(id)?)
     }
 
-    /// Returns the position of the organisation with this id in the order of the configuration.
-    pub fn position(&self, id: &OrganisationId) -> Option<usize> {
-        self.positions.get(id).copied()
+    /// Returns the organisation with this id and its position in the order of the configuration.
+    pub fn find(&self, id: &OrganisationId) -> Option<(usize, &Organisation)> {
+        let position = *self.positions.get(id)?;
+        Some((position, self.organisations.get(position)?))
     }
 
     /// Returns the number of entries, including those whose id an earlier entry has.
