Give the test of a run that tries a slow worker room elsewhere

Cause: the test passed with the rule removed: the other worker counted as slow itself, so there was nowhere to move the run to.

Change: the other worker has tasks that have just begun and one that has ended. Seen to fail with the rule removed, and to pass with it.

--- a/tests/worker_health.rs
+++ b/tests/worker_health.rs
@@ -494,14 +494,16 @@
     let mut fleet = EngineFleet::new(2);
     run_tasks(&mut fleet, 2, "rack-1", TASK_MS);
     make_slow(&mut fleet, 0);
-    fleet.submit("00000000000000a2", vec![step(8)]);
-    fleet.start_all();
     // The first delay is 4 s and doubles twice.
     fleet.advance(16_000);
-    fleet.submit(JOB, vec![step(1)]);
+    fleet.submit(JOB, vec![step(9)]);
     fleet.start_all();
     assert_eq!(tasks_on(&fleet, 0), 1);
     fleet.report_all();
+    let elsewhere = fleet.placed_names().into_iter();
+    let mut elsewhere = elsewhere.filter(|name| fleet.worker_of(name) == worker_entry(1).id);
+    let other = elsewhere.next().unwrap();
+    fleet.end(&other, EndKind::Done);
 
     fleet.advance(TASK_MS);
     fleet.engine.release_stalled(fleet.now_ms);
