--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -8,7 +8,6 @@
 
 use crate::id::IncarnationStart;
 use crate::id::JobId;
-use crate::id::Revision;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
 use crate::workflow::cap_limits::CapLimits;
@@ -25,7 +24,6 @@
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobState;
-use crate::workflow::JobStatus;
 use crate::workflow::PeakForecast;
 use crate::workflow::RateMeter;
 use crate::workflow::TaskName;
@@ -43,10 +41,6 @@
 /// lease that it requests, on a slow clock, plus a renewal in flight.
 pub const RELEASED_RUN_MS: u64 = 6_000;
 
-/// How long ended jobs stay with the open ones. Most callers look up a job soon after its end,
-/// and find it with one read until then.
-const ARCHIVE_DELAY_MS: u64 = 10_000;
-
 /// An action that must wait until the rows that caused it are durable.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CommitEffect {
@@ -58,17 +52,6 @@
     Acknowledge(WorkerId, Option<IncarnationStart>, u64),
 }
 
-/// An ended job that can be archived.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct EndedJob {
-    /// The job.
-    pub id: JobId,
-    /// Its final phase and its owner.
-    pub status: JobStatus,
-    /// The revision of its submission's row.
-    pub submitted_revision: Revision,
-}
-
 /// A stop command to send; it does not wait for a commit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StopRequest {
@@ -95,7 +78,7 @@
     /// Ended jobs that are no longer among `jobs`.
     pub(crate) archived: ArchivedJobs,
     /// Jobs with loaded progress but without submissions, since their move was not finished.
-    leftover_progress: Vec<JobId>,
+    pub(crate) leftover_progress: Vec<JobId>,
     /// Jobs whose progress rows must be written with the next commit.
     pub(crate) changed: BTreeSet<JobId>,
     /// Effects of the next commit.
@@ -208,14 +191,6 @@
         }
     }
 
-    /// Sets the time since a known job's submission, in ms. Without it, the job counts as submitted
-    /// when this controller first read it.
-    pub fn set_job_age(&mut self, id: &JobId, age_ms: u64, now_ms: u64) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.first_read_ms = job.first_read_ms.min(now_ms.saturating_sub(age_ms));
-        }
-    }
-
     /// Cancels a job unless it is unknown or has ended.
     pub fn cancel_job(&mut self, id: &JobId, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -367,48 +342,6 @@
         std::mem::take(&mut self.stops)
     }
 
-    /// Returns the jobs without placed tasks that ended some time ago.
-    pub fn archivable_jobs(&self, now_ms: u64) -> Vec<EndedJob> {
-        let is_due = |job: &&JobState| {
-            let closed = !self.open_jobs.contains(&job.id);
-            closed && job.phase.has_ended() && now_ms > job.ended_ms + ARCHIVE_DELAY_MS
-        };
-        let ended = |job: &JobState| EndedJob {
-            id: job.id.clone(),
-            status: job.status(),
-            submitted_revision: job.submitted_revision,
-        };
-        self.jobs.values().filter(is_due).map(ended).collect()
-    }
-
-    /// Removes a job whose submission was archived.
-    pub fn archive_job(&mut self, id: &JobId, now_ms: u64) {
-        if let Some(job) = self.jobs.remove(id) {
-            self.usage.record_archived(id, &job.spec, now_ms);
-        }
-        self.oversized_jobs.remove(id);
-        self.archived.insert(id.clone(), now_ms);
-    }
-
-    /// Sets the revision of a known job's submission.
-    pub fn set_submitted_revision(&mut self, id: &JobId, revision: Revision) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.submitted_revision = revision;
-        }
-    }
-
-    /// Remembers the loaded progress rows `ids` that belong to no loaded job.
-    pub(crate) fn set_leftover_progress<'a>(&mut self, ids: impl Iterator<Item = &'a String>) {
-        let ids = ids.filter_map(|id| id.parse().ok());
-        let leftover = ids.filter(|id| !self.jobs.contains_key(id));
-        self.leftover_progress = leftover.collect();
-    }
-
-    /// Takes the jobs with loaded progress but without submissions.
-    pub(crate) fn take_leftover_progress(&mut self) -> Vec<JobId> {
-        std::mem::take(&mut self.leftover_progress)
-    }
-
     /// Removes an ended job without placed tasks from the open jobs.
     fn close_if_finished(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get(id) else {
--- a/src/workflow/job_archiver.rs
+++ b/src/workflow/job_archiver.rs
@@ -30,7 +30,7 @@
 use crate::workflow::cancel_key;
 use crate::workflow::committer::PROGRESS_PREFIX;
 use crate::workflow::ended_key;
-use crate::workflow::engine::EndedJob;
+use crate::workflow::engine_archive::EndedJob;
 use crate::workflow::job_key;
 use crate::workflow::job_key::job_partition;
 use crate::workflow::job_key::parse_job_key;
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -23,6 +23,7 @@
 mod distrust_cause;
 mod duration_tracker;
 mod engine;
+mod engine_archive;
 mod engine_caps;
 mod engine_demand;
 mod engine_health;
