--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -100,8 +100,8 @@
     /// Returns how long the new jobs of each queue wait, for queues that have a backlog. `lag_ms` is
     /// how far the controller's own work is behind.
     ///
-    /// Only queues with waiting jobs, and work that is still wanted, count. A pool's capacity is the largest that it had lately,
-    /// since hosts may be on their way to it.
+    /// Only queues with waiting jobs, and work that is still wanted, count. A pool's capacity is the
+    /// largest that it had lately, since hosts may be on their way to it.
     pub fn queue_backlogs(&self, lag_ms: u64, now_ms: u64) -> QueueBacklogs {
         let mut backlogs = QueueBacklogs::new();
         let Some(config) = self.config.as_ref() else {
