Add failing tests: one job's row stops control for everybody

Of its class, control that gives up its term at an input that each successor meets again, one more is in the code. A commit that the table refuses ends the term, and two kinds of jobs can make their row too large for it: overlapping occurrences, and checkpoints of any length.

The fake fleet of the tests now refuses rows that are larger than the platform stores.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -359,6 +359,24 @@
     }
 }
 
+/// The limit on the content of a row: 64 KB in the platform's encoding, which adds a third.
+pub(crate) const MAX_ROW_BYTES: usize = 65_536 / 4 * 3;
+
+/// Refuses a transaction with a row that is larger than the platform stores.
+fn check_row_sizes(transaction: &Transaction) -> Result<()> {
+    let sizes = transaction.writes.iter().filter_map(|write| {
+        let size = write.value.as_ref()?.to_string().len();
+        Some((&write.key, size))
+    });
+    match sizes.max_by_key(|(_, size)| *size) {
+        Some((key, size)) if size > MAX_ROW_BYTES => Err(Error::PlatformRefused {
+            status: 400,
+            reason: format!("row {key} has {size} bytes, more than {MAX_ROW_BYTES}"),
+        }),
+        _ => Ok(()),
+    }
+}
+
 /// One entry host's connection to the platform. Calls never return after a test disconnects it.
 pub(crate) struct FakeLink {
     pub(crate) fleet: Rc<FakeFleet>,
@@ -401,6 +419,7 @@
 
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
         self.reach_table().await?;
+        check_row_sizes(transaction)?;
         self.fleet.end_placed_worker(transaction);
         sleep(self.fleet.commit_time.get()).await;
         let outcome = self.fleet.commit(transaction);
--- /dev/null
+++ b/tests/row_limits.rs
@@ -0,0 +1,210 @@
+//! Jobs whose progress needs as much as a row of the table holds. Guards against a row that the table
+//! refuses: each holder of the lease meets it again, so that no job runs any more.
+
+#[path = "common/fake_fleet.rs"]
+mod fake_fleet;
+
+#[path = "common/workflow.rs"]
+mod fixtures;
+
+#[path = "common/runtime.rs"]
+mod runtime;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use monoio::time::Instant;
+use zincpier::id::JobId;
+use zincpier::process::EntryMetrics;
+use zincpier::process::ShutdownSignal;
+use zincpier::provider::TableService;
+use zincpier::workflow::CallerScope;
+use zincpier::workflow::Controller;
+use zincpier::workflow::CountFreshness;
+use zincpier::workflow::EndKind;
+use zincpier::workflow::FleetView;
+use zincpier::workflow::JobIntake;
+use zincpier::workflow::JobPhase;
+use zincpier::workflow::JobSchedule;
+use zincpier::workflow::JobSpec;
+use zincpier::workflow::LookupOutcome;
+use zincpier::workflow::StepSpec;
+use zincpier::workflow::SubmitOutcome;
+use zincpier::workflow::TaskEnd;
+use zincpier::workflow::WorkerEntry;
+use zincpier::workflow::WorkerReport;
+use zincpier::workflow::WorkerResources;
+use zincpier::workflow::LEADER_KEY;
+
+use crate::fake_fleet::FakeFleet;
+use crate::fake_fleet::FakeLink;
+use crate::fake_fleet::MAX_ROW_BYTES;
+use crate::fixtures::EngineFleet;
+use crate::runtime::run;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The most tasks that an occurrence may have, and the most occurrences with that many.
+const OCCURRENCE_TASKS: u32 = 700;
+const OCCURRENCES: u32 = 10;
+
+/// A worker with room for all tasks, and with an id as long as the platform's.
+fn large_worker(index: usize) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("i-{index:010}").parse().unwrap(),
+        capacity: WorkerResources {
+            cpu_millis: 64_000,
+            memory_mb: 128_000,
+            gpus: 0,
+        },
+        ..fixtures::worker_entry(index)
+    }
+}
+
+fn small_step(tasks: u32) -> StepSpec {
+    StepSpec {
+        demand: WorkerResources {
+            cpu_millis: 1,
+            memory_mb: 1,
+            gpus: 0,
+        },
+        ..fixtures::step(tasks)
+    }
+}
+
+fn job_spec(steps: Vec<StepSpec>, schedule: Option<JobSchedule>) -> JobSpec {
+    JobSpec {
+        queue: fixtures::QUEUE.to_owned(),
+        organisation: None,
+        payload: "text".to_owned(),
+        steps,
+        schedule,
+    }
+}
+
+fn job_id(number: usize) -> JobId {
+    format!("{number:016x}").parse().unwrap()
+}
+
+fn start_entry(fleet: &Rc<FakeFleet>, name: &str) -> Rc<FakeLink> {
+    let link = FakeLink::new(fleet);
+    let view = FleetView::new();
+    let link_and_view = (Rc::clone(&link), Rc::clone(&view));
+    monoio::spawn(async move { link_and_view.1.watch(link_and_view.0.as_ref()).await });
+    let controller = Controller::new(
+        Rc::clone(&link),
+        view,
+        name.to_owned(),
+        Rc::new(EntryMetrics::new()),
+        Rc::new(CountFreshness::new()),
+        ShutdownSignal::new(),
+    );
+    monoio::spawn(async move { controller.run().await });
+    link
+}
+
+async fn submit(link: &Rc<FakeLink>, number: usize, spec: &JobSpec) {
+    let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
+    let deadline = Instant::now() + TIMEOUT;
+    let scope = CallerScope::Everything;
+    let outcome = intake.submit(&job_id(number), spec, &scope, deadline).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+}
+
+/// Returns whether the job is complete within [`TIMEOUT`].
+async fn completes(link: &Rc<FakeLink>, number: usize) -> bool {
+    let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
+    let deadline = Instant::now() + TIMEOUT;
+    let scope = CallerScope::Everything;
+    while Instant::now() < deadline {
+        let found = intake.look_up(&job_id(number), &scope).await;
+        if found == LookupOutcome::Found(JobPhase::Complete) {
+            return true;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    false
+}
+
+async fn lease_epoch(link: &Rc<FakeLink>) -> u64 {
+    let rows = link.read(&[LEADER_KEY]).await.unwrap();
+    rows[0].value["epoch"].as_u64().unwrap()
+}
+
+/// Applies a report of the first large worker, on which nothing runs any more.
+fn report_ends(fleet: &mut EngineFleet, ends: Vec<TaskEnd>) {
+    let report = WorkerReport {
+        incarnation_start: None,
+        clock_ms: fleet.now_ms,
+        running: Vec::new(),
+        ends,
+        has_more_ends: false,
+    };
+    let now_ms = fleet.now_ms;
+    let worker = large_worker(0).id;
+    fleet.engine.apply_report(&worker, &report, now_ms, now_ms);
+}
+
+/// Returns the content bytes of the job's durable row.
+fn row_bytes(fleet: &EngineFleet) -> usize {
+    let job = &fleet.engine.jobs[&fixtures::JOB.parse().unwrap()];
+    job.to_value().to_string().len()
+}
+
+#[test]
+fn overlapping_occurrences_of_one_job_do_not_stop_all_others() {
+    run(async {
+        // Arrange: all occurrences of a job are due, and all of their tasks have room.
+        let workers = (0..4).map(large_worker).collect();
+        let fleet = FakeFleet::new(fixtures::config(), workers);
+        fleet.task_ms.set(400);
+        let link = start_entry(&fleet, "boston-1");
+        start_entry(&fleet, "boston-2");
+        let schedule = JobSchedule {
+            times: OCCURRENCES,
+            first_ms: 1,
+            interval_ms: 1,
+        };
+        let wide = job_spec(vec![small_step(OCCURRENCE_TASKS)], Some(schedule));
+        let plain = job_spec(vec![fixtures::step(3)], None);
+
+        // Act.
+        submit(&link, 1, &wide).await;
+        sleep(Duration::from_secs(1)).await;
+        submit(&link, 2, &plain).await;
+        let are_complete = (completes(&link, 2).await, completes(&link, 1).await);
+
+        // Assert.
+        let epoch = lease_epoch(&link).await;
+        assert_eq!((are_complete, epoch), ((true, true), 1));
+        assert!(fleet.concurrent_tasks.borrow().is_empty());
+    });
+}
+
+#[test]
+fn long_checkpoints_of_workers_do_not_outgrow_a_row() {
+    // Arrange: the most tasks that run at once, on one worker.
+    let mut fleet = EngineFleet::new(0);
+    fleet.engine.set_worker(large_worker(0), fleet.now_ms);
+    report_ends(&mut fleet, Vec::new());
+    fleet.submit(fixtures::JOB, vec![small_step(OCCURRENCE_TASKS)]);
+    fleet.start_all();
+    let placed = fleet.placed_names();
+    assert_eq!(placed.len() as u32, OCCURRENCE_TASKS);
+
+    // Act: each run is stopped, with a checkpoint.
+    let ends = placed.iter().zip(1..).map(|(name, number)| TaskEnd {
+        number,
+        task: name.clone(),
+        run: 1,
+        kind: EndKind::Stopped,
+        checkpoint: "c".repeat(200),
+    });
+    report_ends(&mut fleet, ends.collect());
+    fleet.place();
+
+    // Assert.
+    let bytes = row_bytes(&fleet);
+    assert!(bytes <= MAX_ROW_BYTES, "{bytes} bytes");
+}
