Keep the row of a job within what the table stores

What callers saw: nothing ran for anybody once one job's row was too large.

Cause: the limits on a job's tasks held for one occurrence (700 running tasks of 45 bytes). Occurrences may overlap, so that 7,000 run at a time, and a checkpoint may have any length; a gang resumes with one checkpoint in each member.

Change: from its first run until it is done a task reserves 64 bytes of its job's row, and tasks are placed as far as the row has room (engine_rows). A longer checkpoint is taken while there is room for it, for all members of a gang; otherwise the task keeps its last one, which is as valid. Long-running tasks of a scheduled job that could never run together are refused at submission.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -131,12 +131,7 @@
             return;
         };
         job.has_begun = true;
-        let Some(state) = job.task_mut(name) else {
-            return;
-        };
-        if !end.checkpoint.is_empty() {
-            state.checkpoint.clone_from(&end.checkpoint);
-        }
+        job.set_checkpoint(name, &end.checkpoint);
         let run = end.run;
         log::info!(
             "event=task_ended task={name} run={run} worker={worker} how={:?}",
@@ -307,12 +302,10 @@
             return false;
         }
         job.has_begun = true;
+        job.set_checkpoint(&running.task, &running.checkpoint);
         let Some(state) = job.task_mut(&running.task) else {
             return false;
         };
-        if !running.checkpoint.is_empty() {
-            state.checkpoint.clone_from(&running.checkpoint);
-        }
         state.percent = running.percent;
         state.load = running.load;
         match state.command_phase() {
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -8,10 +8,10 @@
 use crate::workflow::WorkerResources;
 
 /// The limit on tasks of one occurrence. A job's progress row is limited to 64 KB in the
-/// platform's encoding, which leaves 48 KB of content; a running task takes about 45 bytes of it.
-const MAX_OCCURRENCE_TASKS: u64 = 700;
+/// platform's encoding, which leaves 48 KB of content; a running task reserves 64 bytes of it.
+pub(crate) const MAX_OCCURRENCE_TASKS: u64 = 700;
 
-/// The limit on tasks of all occurrences; a task that has not run or is done takes 2 bytes
+/// The limit on tasks of all occurrences, of which [`MAX_OCCURRENCE_TASKS`] may run at a time; a task that has not run or is done takes 2 bytes
 /// of the row.
 const MAX_JOB_TASKS: u64 = 7_000;
 
@@ -178,6 +178,17 @@
                 )),
             )
             .or((total > MAX_JOB_TASKS).then_some(SpecError::TooManyTasks(total, MAX_JOB_TASKS)))
+            .or_else(|| self.long_running_error())
+    }
+
+    /// Returns an error if the long-running tasks of all occurrences, none of which ends, can't run at the
+    /// same time.
+    fn long_running_error(&self) -> Option<SpecError> {
+        let steps = self.steps.iter().filter(|step| step.long_running);
+        let tasks: u64 = steps.map(|step| u64::from(step.tasks)).sum();
+        let total = tasks.saturating_mul(u64::from(self.occurrences()));
+        (total > MAX_OCCURRENCE_TASKS)
+            .then_some(SpecError::TooManyLongRunning(total, MAX_OCCURRENCE_TASKS))
     }
 }
 
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -7,7 +7,11 @@
 
 use crate::id::JobId;
 use crate::id::Revision;
+use crate::id::WorkerId;
+use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
 use crate::workflow::job_status::OWNER_FIELD;
+use crate::workflow::task_state::run_row_bytes;
+use crate::workflow::task_state::RUN_ROW_BYTES;
 use crate::workflow::JobSpec;
 use crate::workflow::JobStatus;
 use crate::workflow::StepSpec;
@@ -15,6 +19,12 @@
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 
+/// The limit on a job's durable row: the platform stores 64 KB in its encoding, which adds a third.
+pub(crate) const MAX_ROW_BYTES: usize = 48_000;
+
+/// The bytes of a job's durable row besides its tasks and its owner's name.
+const ROW_OVERHEAD_BYTES: usize = 100;
+
 /// The phase of a job that callers see.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobPhase {
@@ -157,6 +167,57 @@
         row
     }
 
+    /// Returns the bytes that the durable row has left. Tasks that have started and are not done
+    /// reserve those of a usual run. So do all other tasks of a job that is small enough.
+    pub(crate) fn row_room(&self) -> usize {
+        let owner = self.spec.organisation.as_ref();
+        let overhead = ROW_OVERHEAD_BYTES + owner.map_or(0, |owner| owner.as_str().len());
+        let reserved = self.tasks.iter().map(|state| self.reserved_bytes(state));
+        let tasks: usize = reserved.sum();
+        MAX_ROW_BYTES.saturating_sub(overhead + tasks)
+    }
+
+    /// Returns the bytes that a run of a task on `worker` takes of the durable row beyond what the task
+    /// has reserved.
+    pub(crate) fn added_row_bytes(
+        &self,
+        state: &TaskState,
+        worker: Option<&WorkerId>,
+        checkpoint: &str,
+    ) -> usize {
+        run_row_bytes(worker, checkpoint).saturating_sub(self.reserved_bytes(state))
+    }
+
+    /// Sets the checkpoint of a task unless it is empty, or too long for the durable row; the task
+    /// then keeps its last one.
+    pub(crate) fn set_checkpoint(&mut self, name: &TaskName, checkpoint: &str) {
+        let Some(state) = self.task(name) else {
+            return;
+        };
+        if checkpoint.is_empty() || state.checkpoint == checkpoint {
+            return;
+        }
+        let worker = state.worker().or(state.lost_on.as_ref());
+        let added = self.added_row_bytes(state, worker, checkpoint);
+        // All members of a gang resume from one checkpoint.
+        let step = self.step(name.step).filter(|step| step.gang);
+        let copies = step.map_or(1, |step| step.tasks as usize);
+        if added > 0 && added * copies > self.row_room() {
+            let bytes = checkpoint.len();
+            log::warn!("event=checkpoint_dropped task={name} bytes={bytes}");
+            return;
+        }
+        if let Some(state) = self.task_mut(name) {
+            checkpoint.clone_into(&mut state.checkpoint);
+        }
+    }
+
+    fn reserved_bytes(&self, state: &TaskState) -> usize {
+        let is_small = self.tasks.len() as u64 <= MAX_OCCURRENCE_TASKS;
+        let least = if is_small { RUN_ROW_BYTES } else { 0 };
+        state.row_bytes().max(least)
+    }
+
     /// Iterates over the names of all tasks, by occurrence, step and index.
     pub fn task_names(&self) -> impl Iterator<Item = TaskName> + '_ {
         let occurrences = 0..self.spec.occurrences();
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -30,6 +30,7 @@
 mod engine_incarnations;
 mod engine_organisations;
 mod engine_reports;
+mod engine_rows;
 mod engine_shares;
 mod engine_trust;
 mod fair_deferral;
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::slice::from_ref;
 
 use crate::id::JobId;
 use crate::id::ServiceId;
@@ -117,7 +118,7 @@
     }
 
     /// Places as many of a step's waiting tasks as possible; returns whether all were placed that the
-    /// organisation's cap allows to run.
+    /// organisation's cap and the row of the job allow to run.
     fn place_step(
         &mut self,
         id: &JobId,
@@ -132,16 +133,20 @@
         }
         let mut waiting = self.waiting_tasks(id, occurrence, step);
         waiting.truncate(usize::try_from(room).unwrap_or(usize::MAX));
+        self.retain_storable(id, &mut waiting);
         let chosen = self.choose_workers(&waiting, pool, now_ms);
         for (name, worker) in waiting.iter().zip(&chosen) {
-            self.place_task(name, worker, now_ms);
+            if self.has_row_room(id, from_ref(name), from_ref(worker), None) {
+                self.place_task(name, worker, now_ms);
+            }
         }
         chosen.len() == waiting.len()
     }
 
     /// Places all tasks of a gang or none, with the run number and checkpoint of the member that
     /// ran last; returns `false` if there is not enough capacity for all of them. A gang that does
-    /// not fit under its organisation's cap waits and does not count as unplaced.
+    /// not fit under its organisation's cap or into the row of its job waits and does not count as
+    /// unplaced.
     fn place_gang(
         &mut self,
         id: &JobId,
@@ -170,6 +175,10 @@
         let last_run = tasks.iter().map(|state| state.last_run).max().unwrap_or(0);
         let newest = tasks.iter().max_by_key(|state| state.last_run);
         let checkpoint = newest.map_or(String::new(), |state| state.checkpoint.clone());
+        if !self.has_row_room(id, &waiting, &chosen, Some(&checkpoint)) {
+            pool.release(&job.spec.steps[step as usize], &chosen);
+            return true;
+        }
         for (name, worker) in waiting.iter().zip(&chosen) {
             let job = self.jobs.get_mut(id);
             if let Some(state) = job.and_then(|job| job.task_mut(name)) {
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -5,6 +5,16 @@
 
 use crate::id::WorkerId;
 
+/// The bytes of a job's row that each task reserves from its first run until it is done: run, failures, a
+/// checkpoint and a worker's id of usual length.
+pub(crate) const RUN_ROW_BYTES: usize = 64;
+
+/// The bytes in a job's row of a task that has not run or is done: a digit and a comma.
+const IDLE_ROW_BYTES: usize = 2;
+
+/// The most bytes in a job's row besides a task's checkpoint and worker: punctuation, run and failures.
+const RUN_OVERHEAD_BYTES: usize = 24;
+
 /// The progress of the command that starts or stops a placed task. Times are in ms on the
 /// controller's clock.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -128,6 +138,21 @@
         self.command_phase() == Some(CommandPhase::Running) && self.percent == 100
     }
 
+    /// Returns whether the task has not run or is done, so that it takes next to nothing of its job's
+    /// row.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.phase == TaskPhase::Done || (self.phase == TaskPhase::Waiting && self.last_run == 0)
+    }
+
+    /// Returns the bytes of its job's row that the task needs or reserves.
+    pub(crate) fn row_bytes(&self) -> usize {
+        if self.is_idle() {
+            return IDLE_ROW_BYTES;
+        }
+        let worker = self.worker().or(self.lost_on.as_ref());
+        run_row_bytes(worker, &self.checkpoint)
+    }
+
     /// Encodes the durable part: 0 before the first run, 1 when done, otherwise an array of
     /// run, failures, checkpoint and, if placed, worker. A task that is held back for its worker's
     /// report is encoded as placed there, so that a successor waits for that report as well.
@@ -170,6 +195,23 @@
     }
 }
 
+/// Returns the bytes of a job's row that a task needs or reserves with a run on `worker`.
+pub(crate) fn run_row_bytes(worker: Option<&WorkerId>, checkpoint: &str) -> usize {
+    let id_bytes = worker.map_or(0, |id| id.as_str().len());
+    let bytes = RUN_OVERHEAD_BYTES + id_bytes + json_bytes(checkpoint);
+    bytes.max(RUN_ROW_BYTES)
+}
+
+/// Returns the bytes of a text in JSON, without its quotes.
+fn json_bytes(text: &str) -> usize {
+    let char_bytes = |char: char| match char {
+        '"' | '\\' => 2,
+        char if char.is_control() => 6,
+        char => char.len_utf8(),
+    };
+    text.chars().map(char_bytes).sum()
+}
+
 impl Default for TaskState {
     fn default() -> Self {
         Self::new()
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -29,6 +29,7 @@
 use zincpier::workflow::JobSchedule;
 use zincpier::workflow::JobSpec;
 use zincpier::workflow::LookupOutcome;
+use zincpier::workflow::SpecError;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::SubmitOutcome;
 use zincpier::workflow::TaskEnd;
@@ -208,3 +209,57 @@
     let bytes = row_bytes(&fleet);
     assert!(bytes <= MAX_ROW_BYTES, "{bytes} bytes");
 }
+
+#[test]
+fn gang_with_a_long_checkpoint_does_not_outgrow_a_row() {
+    // Arrange: the members of a gang run.
+    let mut fleet = EngineFleet::new(0);
+    fleet.engine.set_worker(large_worker(0), fleet.now_ms);
+    report_ends(&mut fleet, Vec::new());
+    let step = StepSpec {
+        gang: true,
+        ..small_step(100)
+    };
+    fleet.submit(fixtures::JOB, vec![step]);
+    fleet.start_all();
+    let placed = fleet.placed_names();
+
+    // Act: all are stopped; the last one names a checkpoint that fits once, but not for each member.
+    let ends = placed.iter().zip(1..).map(|(name, number)| TaskEnd {
+        number,
+        task: name.clone(),
+        run: 1,
+        kind: EndKind::Stopped,
+        checkpoint: match number {
+            100 => "c".repeat(2_000),
+            _ => "c".repeat(16),
+        },
+    });
+    report_ends(&mut fleet, ends.collect());
+    fleet.place();
+
+    // Assert: the gang runs again.
+    let bytes = row_bytes(&fleet);
+    assert!(bytes <= MAX_ROW_BYTES, "{bytes} bytes");
+    assert_eq!(fleet.placed_names().len(), 100);
+}
+
+#[test]
+fn long_running_tasks_that_can_never_run_together_are_refused() {
+    let step = StepSpec {
+        long_running: true,
+        ..small_step(100)
+    };
+    let schedule = |times| JobSchedule {
+        times,
+        first_ms: 1,
+        interval_ms: 1,
+    };
+
+    let fits = job_spec(vec![step.clone()], Some(schedule(7)));
+    let does_not_fit = job_spec(vec![step], Some(schedule(8)));
+
+    assert_eq!(fits.first_error(), None);
+    let error = does_not_fit.first_error();
+    assert_eq!(error, Some(SpecError::TooManyLongRunning(800, 700)));
+}
