Keep an accepted stop when the start is answered later

Cause: a stop may be accepted while the start of the same run is still on its way or being repeated. The answer of the start, or that there was none, then replaced the accepted stop, so the run counted as one that may be alive: the next report led to a second stop, a second answer and a further report before the task could be placed again, each of which can be lost and costs up to a long poll.

Ruled out: that the run may be alive after all. A worker rejects a run that is not higher than one stopped there, so an accepted stop is final. A refused or unsent start releases the task, as before.

Change: an acceptance of a start, or no answer, changes nothing once a stop was accepted.

The replay of workers' faults broke the protocol here: its workers ran a start that came after its stop. They refuse it now, as workers must.

Evidence: a_late_answer_of_a_start_does_not_undo_an_accepted_stop fails without the change ("w-0 runs nothing", the task is still placed) and passes with it.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -73,7 +73,10 @@
         if matches!(phase, CommandPhase::Stopping | CommandPhase::Running) {
             return;
         }
+        // An accepted stop is final, whatever became of the start.
+        let is_stopped = matches!(phase, CommandPhase::Stopped(_));
         match outcome {
+            CommandOutcome::Accepted(_) | CommandOutcome::Unknown(_) if is_stopped => {}
             CommandOutcome::Accepted(_) => {
                 if let Some(job) = self.jobs.get_mut(&name.job) {
                     job.has_begun = true;
--- a/tests/common/worker_replay.rs
+++ b/tests/common/worker_replay.rs
@@ -14,6 +14,7 @@
 use zincpier::id::WorkerId;
 use zincpier::workflow::CommandOutcome;
 use zincpier::workflow::CommandPhase;
+use zincpier::workflow::CommandRefusal;
 use zincpier::workflow::CommitEffect;
 use zincpier::workflow::EndKind;
 use zincpier::workflow::FleetConfig;
@@ -98,6 +99,8 @@
     entry: WorkerEntry,
     periods: Vec<FaultPeriod>,
     runs: BTreeMap<TaskName, SimulatedRun>,
+    /// The highest run of each task that was stopped. Starts of this or a lower run are refused.
+    stopped_runs: BTreeMap<TaskName, u64>,
     ends: Vec<(u64, TaskEnd)>,
     last_end: u64,
     reported_ms: u64,
@@ -183,6 +186,7 @@
                 entry,
                 periods,
                 runs: BTreeMap::new(),
+                stopped_runs: BTreeMap::new(),
                 ends: Vec::new(),
                 last_end: 0,
                 reported_ms: 0,
@@ -321,6 +325,12 @@
             self.engine.apply_start(&task, run, &outcome, self.now_ms);
             return;
         }
+        let stopped_run = self.workers[&id].stopped_runs.get(&task);
+        if stopped_run.is_some_and(|stopped| run <= *stopped) {
+            let outcome = CommandOutcome::Refused(CommandRefusal::OldRun);
+            self.engine.apply_start(&task, run, &outcome, self.now_ms);
+            return;
+        }
         let running = self
             .workers
             .values()
@@ -365,6 +375,9 @@
         // A stop takes 200 to 900 ms.
         let stops_ms = self.now_ms + 200 + self.next_random() % 700;
         let worker = self.workers.get_mut(&request.worker).unwrap();
+        let stopped = worker.stopped_runs.entry(request.task.clone());
+        let stopped = stopped.or_default();
+        *stopped = request.run.max(*stopped);
         if let Some(run) = worker.runs.get_mut(&request.task) {
             if run.run == request.run {
                 run.stops_ms = run.stops_ms.or(Some(stops_ms));
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -118,6 +118,12 @@
             .collect()
     }
 
+    /// Records that the start of a placed task was sent and is not answered yet.
+    pub(crate) fn send(&mut self, name: &TaskName) {
+        let job = self.engine.jobs.get_mut(&name.job).unwrap();
+        job.task_mut(name).unwrap().set_sent(self.now_ms);
+    }
+
     /// Runs a placement pass with starts that all succeed; returns the number of placed tasks.
     pub(crate) fn start_all(&mut self) -> usize {
         let placed = self.place();
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -438,3 +438,30 @@
 
     assert_eq!(fleet.start_all(), 1);
 }
+
+/// Guards against a stop that is forgotten: the run must then be stopped again, and its task waits
+/// for seconds although the worker may not start it any more.
+#[test]
+fn a_late_answer_of_a_start_does_not_undo_an_accepted_stop() {
+    // Arrange: the task is stopped while its start is on its way.
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![long_running(1, 1)]);
+    let name = task(JOB, 0);
+    fleet.place();
+    fleet.send(&name);
+    let worker = fleet.worker_of(&name);
+    fleet.engine.cancel_job(&name.job, fleet.now_ms);
+    let stops = fleet.engine.take_stops();
+    let accepted = CommandOutcome::Accepted(1);
+    fleet.engine.apply_stop(&stops[0], &accepted, fleet.now_ms);
+    fleet.advance(100);
+
+    // Act.
+    let lost = CommandOutcome::Unknown("no answer".to_owned());
+    fleet.engine.apply_start(&name, 1, &lost, fleet.now_ms);
+    fleet.report_empty();
+
+    // Assert.
+    assert!(!fleet.is_placed(&name), "{worker} runs nothing");
+    assert!(fleet.engine.take_stops().is_empty());
+}
