Try jobs that fit although others before them fit nowhere

What callers saw: found by tests. Once 24 steps of a service fitted nowhere, a placement pass tried no further job of it. Long-running jobs come first in each pass, so 24 of them with a label that no worker has, or with one task more than workers on which max_per_worker lets it run, kept every other task of the service, long-running ones included, from free workers for good.

Cause: the limit bounds the work of a pass at a peak, where the steps that are left are alike. It was one for all jobs of an organisation.

Change: the limit holds for each lane, that is for jobs of an organisation that need the same label and accelerators, and for long-running ones the same gap. A long-running job whose step has a limit for each worker is a lane of its own, since only its own tasks may keep it from the workers. Jobs of a lane at its limit are passed over; they are still tried on slow workers, which were not tried before for an organisation at its limit while others went on.

Evidence: jobs_that_wait_for_missing_workers_do_not_keep_others_from_free_workers and long_running_jobs_that_fit_nowhere_do_not_keep_others_from_free_workers failed before (0 tasks placed, 2 expected) and pass now.

--- a/src/workflow/engine_shares.rs
+++ b/src/workflow/engine_shares.rs
@@ -7,6 +7,7 @@
 use crate::id::ServiceId;
 use crate::workflow::pass_plan::OrderedJobs;
 use crate::workflow::pass_plan::PassPlan;
+use crate::workflow::pass_plan::PlacementLane;
 use crate::workflow::planned_job::PlannedJob;
 use crate::workflow::planned_job::WaitingAmounts;
 use crate::workflow::planned_job::SLACK_RULES;
@@ -111,8 +112,8 @@
         }
         jobs.sort_by(|first, second| first.order_key().cmp(&second.order_key()));
         let waiting = jobs.iter().filter(|job| job.is_waiting);
-        let waiting = waiting.map(|job| (job.id.clone(), job.group)).collect();
-        OrderedJobs::new(waiting, group_count(directory))
+        let waiting = waiting.map(|job| (job.id.clone(), PlacementLane::new(job)));
+        OrderedJobs::new(waiting.collect())
     }
 
     /// Defers jobs of a single organisation, or without one, if `capacity_millis` millicores do not
--- a/src/workflow/pass_plan.rs
+++ b/src/workflow/pass_plan.rs
@@ -1,19 +1,53 @@
 //! The jobs that a placement pass tries, in their order.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::vec::IntoIter;
 
 use crate::id::JobId;
 use crate::id::ServiceId;
+use crate::workflow::planned_job::PlannedJob;
 
-/// The number of steps with unplaced tasks after which the rest of a service's jobs wait for
-/// the next pass; the little capacity that is left would serve few of them.
+/// The number of steps with unplaced tasks after which the rest of a lane's jobs wait for the next
+/// pass; the little capacity that is left would serve few of them.
 const MAX_UNPLACED_STEPS: u32 = 24;
 
 /// The lower bound of that number for each of several organisations. An organisation whose jobs fit
 /// nowhere then doesn't end the pass for the others.
 const MIN_GROUP_UNPLACED_STEPS: u32 = 4;
 
+/// What decides whether jobs that come later in a pass are likely to fit nowhere, too. Jobs that wait
+/// for other workers, or long-running ones for another gap, are in different lanes.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct PlacementLane<'a> {
+    group: usize,
+    required_label: Option<&'a str>,
+    needs_accelerator: bool,
+    /// The amounts that a task of a long-running job reserves. These jobs come first and wait for
+    /// long; the others have the same gaps a moment later.
+    long_running: Option<[u64; 3]>,
+    /// A long-running job with a limit on its tasks for each worker: it may be only its own tasks
+    /// that keep it from the workers.
+    job: Option<&'a JobId>,
+}
+
+impl<'a> PlacementLane<'a> {
+    /// Returns the lane of a job, by the first of its steps that could start now.
+    pub(crate) fn new(planned: &PlannedJob<'a>) -> Self {
+        let ready = planned.ready_steps().next().map(|(_, step, _)| step);
+        let step = ready.or(planned.job.spec.steps.first());
+        let long_running = step.filter(|step| step.long_running);
+        let spread = long_running.filter(|step| step.max_per_worker > 0);
+        Self {
+            group: planned.group,
+            required_label: step.and_then(|step| step.required_label.as_deref()),
+            needs_accelerator: step.is_some_and(|step| step.demand.gpus > 0),
+            long_running: long_running.map(|step| step.reserved().amounts()),
+            job: spread.map(|_| planned.id),
+        }
+    }
+}
+
 /// What a placement pass is to do.
 #[derive(Default)]
 pub(crate) struct PassPlan {
@@ -25,52 +59,58 @@
 
 /// The jobs of one service with unplaced tasks, the first one to place first.
 pub(crate) struct OrderedJobs {
+    /// Each job with the number of its lane.
     jobs: IntoIter<(JobId, usize)>,
-    /// The unplaced steps that are left to each group of jobs until its rest waits.
+    /// The unplaced steps that are left to each lane until its rest waits.
     steps_left: Vec<u32>,
-    /// The number of groups that have steps left.
-    open_groups: usize,
-    last_group: usize,
+    last_lane: usize,
+    /// The jobs of lanes that have reached their limit.
+    skipped: Vec<JobId>,
 }
 
 impl OrderedJobs {
-    /// Creates the order of the jobs, each with the number of its group below `groups`.
-    pub(crate) fn new(jobs: Vec<(JobId, usize)>, groups: usize) -> Self {
-        let mut has_jobs = vec![false; groups];
-        jobs.iter().for_each(|(_, group)| has_jobs[*group] = true);
-        let open_groups = has_jobs.iter().filter(|has_jobs| **has_jobs).count();
-        let limit = match open_groups {
+    /// Creates the order of the jobs, each with its lane.
+    pub(crate) fn new(jobs: Vec<(JobId, PlacementLane<'_>)>) -> Self {
+        let groups: BTreeSet<_> = jobs.iter().map(|(_, lane)| lane.group).collect();
+        let limit = match groups.len() as u32 {
             0 | 1 => MAX_UNPLACED_STEPS,
-            _ => (MAX_UNPLACED_STEPS / open_groups as u32).max(MIN_GROUP_UNPLACED_STEPS),
+            groups => (MAX_UNPLACED_STEPS / groups).max(MIN_GROUP_UNPLACED_STEPS),
         };
+        let mut lanes = BTreeMap::new();
+        let numbered = jobs.into_iter().map(|(id, lane)| {
+            let next = lanes.len();
+            (id, *lanes.entry(lane).or_insert(next))
+        });
+        let numbered: Vec<_> = numbered.collect();
         Self {
-            jobs: jobs.into_iter(),
-            steps_left: vec![limit; groups],
-            open_groups,
-            last_group: 0,
+            jobs: numbered.into_iter(),
+            steps_left: vec![limit; lanes.len()],
+            last_lane: 0,
+            skipped: Vec::new(),
         }
     }
 
-    /// Returns the next job to place, without those of groups that have reached their limit.
+    /// Returns the next job to place, without those of lanes that have reached their limit.
     pub(crate) fn next(&mut self) -> Option<JobId> {
-        if self.open_groups == 0 {
-            return None;
+        for (id, lane) in self.jobs.by_ref() {
+            if self.steps_left[lane] > 0 {
+                self.last_lane = lane;
+                return Some(id);
+            }
+            self.skipped.push(id);
         }
-        let steps_left = &self.steps_left;
-        let (id, group) = self.jobs.find(|(_, group)| steps_left[*group] > 0)?;
-        self.last_group = group;
-        Some(id)
+        None
     }
 
     /// Returns the jobs that were not tried.
     pub(crate) fn into_rest(self) -> impl Iterator<Item = JobId> {
-        self.jobs.map(|(id, _)| id)
+        let rest = self.jobs.map(|(id, _)| id);
+        self.skipped.into_iter().chain(rest)
     }
 
     /// Records the number of steps with unplaced tasks of the job that was returned last.
     pub(crate) fn record_unplaced(&mut self, steps: u32) {
-        let left = &mut self.steps_left[self.last_group];
+        let left = &mut self.steps_left[self.last_lane];
         *left = left.saturating_sub(steps);
-        self.open_groups -= usize::from(*left == 0);
     }
 }
--- a/src/workflow/planned_job.rs
+++ b/src/workflow/planned_job.rs
@@ -51,7 +51,7 @@
     pub(crate) is_beyond_share: bool,
 }
 
-impl PlannedJob<'_> {
+impl<'a> PlannedJob<'a> {
     /// Returns the key by which the jobs of a service are placed, the smallest first.
     pub(crate) fn order_key(&self) -> (u8, bool, JobUrgency, &JobId) {
         let rank = self.urgency.rank();
@@ -84,12 +84,13 @@
 
     /// Iterates over the steps that are ready, each with its number and the number of tasks that
     /// may be placed.
-    pub(crate) fn ready_steps(&self) -> impl Iterator<Item = (u32, &StepSpec, u64)> {
-        let steps = self.job.spec.steps.iter().enumerate();
+    pub(crate) fn ready_steps(&self) -> impl Iterator<Item = (u32, &'a StepSpec, u64)> + use<'a> {
+        let job = self.job;
+        let steps = job.spec.steps.iter().enumerate();
         let steps = steps.map(|(number, step)| (number as u32, step));
-        let ready = steps.filter(|(number, _)| self.job.is_step_ready(0, *number));
-        let counted = ready.map(|(number, step)| {
-            let tasks = self.job.step_tasks(0, number).iter();
+        let ready = steps.filter(move |(number, _)| job.is_step_ready(0, *number));
+        let counted = ready.map(move |(number, step)| {
+            let tasks = job.step_tasks(0, number).iter();
             let placeable = tasks.filter(|state: &&TaskState| state.is_placeable());
             (number, step, placeable.count() as u64)
         });
--- a/tests/placement_scale.rs
+++ b/tests/placement_scale.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fixtures::long_running;
 use fixtures::step;
 use fixtures::EngineFleet;
 
@@ -18,6 +19,9 @@
 /// Tasks of each job.
 const TASKS: u32 = 8;
 
+/// Long-running jobs with a task on each worker.
+const WIDE_JOBS: usize = 20;
+
 /// A fifth of the time after which the controller's lease counts as expired. Comparing all workers
 /// for each task took several times as long.
 const PASS_LIMIT: Duration = Duration::from_millis(200);
@@ -64,6 +68,30 @@
     assert!(elapsed < PASS_LIMIT / 4, "{elapsed:?}");
 }
 
+/// Guards against passes that compare all workers for each of many jobs that have one task more than
+/// workers, at the cost of the renewals.
+#[test]
+fn long_running_jobs_that_are_wider_than_the_pool_cost_little() {
+    // Arrange.
+    let mut fleet = EngineFleet::new(WORKERS);
+    let mut wide = long_running(WORKERS as u32 + 1, 1);
+    wide.demand.cpu_millis = 10;
+    wide.demand.memory_mb = 10;
+    for number in 0..WIDE_JOBS {
+        fleet.submit(&format!("{number:016x}"), vec![wide.clone()]);
+    }
+    fleet.start_all();
+    assert_eq!(fleet.placed_names().len(), WIDE_JOBS * WORKERS);
+
+    // Act.
+    let started = Instant::now();
+    fleet.engine.place_tasks(fleet.now_ms, 0);
+    let elapsed = started.elapsed();
+
+    // Assert.
+    assert!(elapsed < PASS_LIMIT / 4, "{elapsed:?}");
+}
+
 /// Guards against a copy of the workers that isn't kept in step with the tasks placed on them.
 #[test]
 fn no_worker_is_overcommitted_by_one_pass() {
--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -465,3 +465,48 @@
     assert!(!fleet.is_placed(&name), "{worker} runs nothing");
     assert!(fleet.engine.take_stops().is_empty());
 }
+
+/// Guards against a pool that stands still: long-running jobs that fit nowhere come first in each
+/// pass, and none of the others is tried.
+#[test]
+fn long_running_jobs_that_fit_nowhere_do_not_keep_others_from_free_workers() {
+    // Arrange: many jobs each have one task more than workers on which it may run.
+    let mut fleet = EngineFleet::new(2);
+    let mut spread = long_running(3, 1);
+    spread.demand.cpu_millis = 10;
+    spread.demand.memory_mb = 10;
+    for number in 0..30 {
+        fleet.submit(&format!("{number:016x}"), vec![spread.clone()]);
+    }
+    fleet.start_all();
+    fleet.start_all();
+    fleet.submit(JOB, vec![long_running(1, 1)]);
+    fleet.submit("00000000000000b1", vec![step(1)]);
+
+    // Act.
+    let placed = fleet.start_all();
+
+    // Assert.
+    assert_eq!(placed, 2, "both workers have room");
+}
+
+/// Guards against a pool that stands still: long-running jobs that wait for workers of another kind
+/// come first in each pass, and none of the others is tried.
+#[test]
+fn jobs_that_wait_for_missing_workers_do_not_keep_others_from_free_workers() {
+    // Arrange: many jobs need a label that no worker has.
+    let mut fleet = EngineFleet::new(2);
+    let mut labelled = long_running(1, 1);
+    labelled.required_label = Some("missing".to_owned());
+    for number in 0..30 {
+        fleet.submit(&format!("{number:016x}"), vec![labelled.clone()]);
+    }
+    fleet.submit(JOB, vec![long_running(1, 1)]);
+    fleet.submit("00000000000000b1", vec![step(1)]);
+
+    // Act.
+    let placed = fleet.start_all();
+
+    // Assert.
+    assert_eq!(placed, 2, "both workers have room");
+}
