--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -438,3 +438,75 @@
 
     assert_eq!(fleet.start_all(), 1);
 }
+
+/// Guards against a stop that is forgotten: the run must then be stopped again, and its task waits
+/// for seconds although the worker may not start it any more.
+#[test]
+fn a_late_answer_of_a_start_does_not_undo_an_accepted_stop() {
+    // Arrange: the task is stopped while its start is on its way.
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![long_running(1, 1)]);
+    let name = task(JOB, 0);
+    fleet.place();
+    fleet.send(&name);
+    let worker = fleet.worker_of(&name);
+    fleet.engine.cancel_job(&name.job, fleet.now_ms);
+    let stops = fleet.engine.take_stops();
+    let accepted = CommandOutcome::Accepted(1);
+    fleet.engine.apply_stop(&stops[0], &accepted, fleet.now_ms);
+    fleet.advance(100);
+
+    // Act.
+    let lost = CommandOutcome::Unknown("no answer".to_owned());
+    fleet.engine.apply_start(&name, 1, &lost, fleet.now_ms);
+    fleet.report_empty();
+
+    // Assert.
+    assert!(!fleet.is_placed(&name), "{worker} runs nothing");
+    assert!(fleet.engine.take_stops().is_empty());
+}
+
+/// Guards against a pool that stands still: long-running jobs that fit nowhere come first in each
+/// pass, and none of the others is tried.
+#[test]
+fn long_running_jobs_that_fit_nowhere_do_not_keep_others_from_free_workers() {
+    // Arrange: many jobs each have one task more than workers on which it may run.
+    let mut fleet = EngineFleet::new(2);
+    let mut spread = long_running(3, 1);
+    spread.demand.cpu_millis = 10;
+    spread.demand.memory_mb = 10;
+    for number in 0..30 {
+        fleet.submit(&format!("{number:016x}"), vec![spread.clone()]);
+    }
+    fleet.start_all();
+    fleet.start_all();
+    fleet.submit(JOB, vec![long_running(1, 1)]);
+    fleet.submit("00000000000000b1", vec![step(1)]);
+
+    // Act.
+    let placed = fleet.start_all();
+
+    // Assert.
+    assert_eq!(placed, 2, "both workers have room");
+}
+
+/// Guards against a pool that stands still: long-running jobs that wait for workers of another kind
+/// come first in each pass, and none of the others is tried.
+#[test]
+fn jobs_that_wait_for_missing_workers_do_not_keep_others_from_free_workers() {
+    // Arrange: many jobs need a label that no worker has.
+    let mut fleet = EngineFleet::new(2);
+    let mut labelled = long_running(1, 1);
+    labelled.required_label = Some("missing".to_owned());
+    for number in 0..30 {
+        fleet.submit(&format!("{number:016x}"), vec![labelled.clone()]);
+    }
+    fleet.submit(JOB, vec![long_running(1, 1)]);
+    fleet.submit("00000000000000b1", vec![step(1)]);
+
+    // Act.
+    let placed = fleet.start_all();
+
+    // Assert.
+    assert_eq!(placed, 2, "both workers have room");
+}
