Print the daemons' logs when a test over real processes fails

Their standard error was dropped, so that a wait that ran out did not show which daemon held the lease, who was marked as lost and what the wave did. Each daemon now logs to a file in the test's folder; the files are printed if the test panics. Nothing is printed otherwise.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)] // Each test file uses some of the fixtures.
 
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
@@ -48,10 +49,15 @@
     /// Starts a program and waits until it has printed `line_count` lines to its standard output
     /// or has closed it.
     pub(crate) fn start(path: &str, arguments: &[&str], line_count: usize) -> Self {
+        Self::start_with_log(path, arguments, line_count, Stdio::null())
+    }
+
+    /// Starts a program like [`Self::start`], with its standard error written to `log`.
+    fn start_with_log(path: &str, arguments: &[&str], line_count: usize, log: Stdio) -> Self {
         let mut child = Command::new(path)
             .args(arguments)
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .unwrap();
         let output = BufReader::new(child.stdout.take().unwrap());
@@ -336,7 +342,10 @@
         );
         std::fs::write(&path, settings).unwrap();
         let arguments = [path.to_str().unwrap()];
-        let process = ChildProcess::start(env!("CARGO_BIN_EXE_zincpierd"), &arguments, 1);
+        let log = self.folder.path().join(format!("{name}.log"));
+        let log = File::options().append(true).create(true).open(log).unwrap();
+        let program = env!("CARGO_BIN_EXE_zincpierd");
+        let process = ChildProcess::start_with_log(program, &arguments, 1, log.into());
         let address = |role: &str| {
             let line = &process.lines[0];
             let start = line.find(&format!("{role}=")).unwrap() + role.len() + 1;
@@ -434,6 +443,23 @@
     }
 }
 
+impl Drop for TestSystem {
+    /// Prints the log of each daemon if the test has failed.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let files = std::fs::read_dir(self.folder.path()).into_iter().flatten();
+        let paths = files.flatten().map(|file| file.path());
+        let logs = paths.filter(|path| path.extension().is_some_and(|suffix| suffix == "log"));
+        for path in logs {
+            let log = std::fs::read(&path).unwrap_or_default();
+            let log = String::from_utf8_lossy(&log);
+            eprintln!("log of {}:\n{log}", path.display());
+        }
+    }
+}
+
 /// Parses the address at the end of a line that a stand-in prints.
 fn last_address(line: &str) -> SocketAddr {
     line.split(' ').next_back().unwrap().parse().unwrap()
