Ask members about drained hosts at once and for 1 s, to keep the lease

Seen: frozen_daemon_blocks_the_wave_until_it_acknowledges ran out of a wait of 20 s once, and took 14 to 27 s in all in 12 runs, six at a time.

Cause: the controller asked the members about closed hosts one by one and without a limit, in the task that also renews its lease. The link to a frozen member sends heartbeats and calls in turn, each for up to 1 s, so an answer took 1 s to over 10 s. The lease lapsed after 4 s while its holder was sound, the next holder did the same, and neither could write what the wave waited for. Evidence, from the daemons' logs of these runs: the wave is closed at 912.1, another entry host has the lease at 916.6 although the holder runs, and the wave goes on at 925.8, for a freeze that was to last 4 s. With two frozen members of four the holder made no step in the 10 s until it lost the lease (frozen_members_do_not_cost_the_controller_its_lease).

Ruled out: a race between freeze and start (the wave waits in each run), an acknowledgement that is lost with its connection (the link connects again, the next pass asks again).

Change: all members are asked at the same time, for 1 s in all. A call whose caller no longer waits isn't sent, so that none pile up behind a freeze.

--- a/src/connection/peer_link.rs
+++ b/src/connection/peer_link.rs
@@ -131,8 +131,12 @@
         }
     }
 
-    /// Sends a call. If it fails, its reply channel is dropped and the next call connects again.
+    /// Sends a call, unless its caller no longer waits for it. If it fails, its reply channel is
+    /// dropped and the next call connects again.
     async fn send_call(&mut self, call: PeerCall) {
+        if call.is_abandoned() {
+            return;
+        }
         let Some(client) = self.client().await else {
             return;
         };
--- a/src/process/peer_state.rs
+++ b/src/process/peer_state.rs
@@ -75,6 +75,15 @@
             | Self::Borrow { entry, .. } => entry,
         }
     }
+
+    /// Returns whether the caller no longer waits for the reply.
+    pub fn is_abandoned(&self) -> bool {
+        match self {
+            Self::FetchNewer { .. } | Self::WakeJobs { .. } => false,
+            Self::Drain { reply, .. } => reply.is_closed(),
+            Self::Borrow { reply, .. } => reply.is_closed(),
+        }
+    }
 }
 
 /// The state of a daemon that both threads use.
--- a/src/wave/drain_query.rs
+++ b/src/wave/drain_query.rs
@@ -1,13 +1,26 @@
 //! Asks every entry host whether it has drained closed hosts.
 
 use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use monoio::time::timeout;
 
 use crate::id::EntryId;
 use crate::id::HostId;
+use crate::id::Incarnation;
 use crate::id::Revision;
+use crate::process::DrainReport;
 use crate::process::MemberSet;
 use crate::process::PeerState;
 
+/// Maximum time for the responses of all members. The lease is renewed between two passes, so it
+/// must be much shorter than the lease.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A member's incarnation and its reports, one for each host; `None` without a response.
+type DrainResponse = Option<(Incarnation, Vec<DrainReport>)>;
+
 /// The members' responses about closed hosts that are to be stopped or moved.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DrainStatus {
@@ -18,10 +31,11 @@
     pub(crate) unconfirmed: Vec<EntryId>,
 }
 
-/// Asks every member, unreachable ones included, about closed hosts.
+/// Asks every member, unreachable ones included, about closed hosts, all at the same time.
 ///
-/// A response counts only if the member acts on a placement at least as new as `placement`, and if
-/// its incarnation is not older than the one in the member set.
+/// Members that do not respond within [`QUERY_TIMEOUT`] are unconfirmed. A response counts only if
+/// the member acts on a placement at least as new as `placement`, and if its incarnation is not
+/// older than the one in the member set.
 pub(crate) async fn query_drain(
     state: &Arc<PeerState>,
     members: &MemberSet,
@@ -30,11 +44,12 @@
 ) -> DrainStatus {
     let mut idle = vec![true; hosts.len()];
     let mut unconfirmed = Vec::new();
-    for (entry, member) in members.members() {
-        let response = match *entry == state.identity.entry {
-            true => Some(local_reports(state, hosts)),
-            false => state.fetch_drain_reports(entry, hosts).await,
-        };
+    let members = members.members();
+    let queries = members
+        .keys()
+        .map(|entry| query_member(state, entry, hosts));
+    let responses = join_all(queries).await;
+    for ((entry, member), response) in members.iter().zip(responses) {
         let response = response.filter(|(incarnation, _)| *incarnation >= member.incarnation);
         let Some((_, reports)) = response else {
             unconfirmed.push(entry.clone());
@@ -62,11 +77,16 @@
     }
 }
 
+async fn query_member(state: &Arc<PeerState>, entry: &EntryId, hosts: &[HostId]) -> DrainResponse {
+    if *entry == state.identity.entry {
+        return Some(local_reports(state, hosts));
+    }
+    let query = timeout(QUERY_TIMEOUT, state.fetch_drain_reports(entry, hosts));
+    query.await.ok().flatten()
+}
+
 /// Returns this process's incarnation and reports, in the form of another member's response.
-fn local_reports(
-    state: &PeerState,
-    hosts: &[HostId],
-) -> (crate::id::Incarnation, Vec<crate::process::DrainReport>) {
+fn local_reports(state: &PeerState, hosts: &[HostId]) -> (Incarnation, Vec<DrainReport>) {
     let reports = hosts
         .iter()
         .map(|host| state.allocator.drain_report(host))
