Find a lost member again only by a heartbeat after its mark

Each change is a row in the audit trail and a conflict for steps of waves and moves, it is pushed to the frozen member by a heartbeat that takes 1 s, and the slots of the lost one are taken over only 4 s after the last change.

Cause: a lost member counted as found if its last heartbeat was recent enough for the one who looked, though it was older than the mark.

Change: it is found by a heartbeat that was received after the mark was known. The end of a freeze of the process itself, which starts timeouts anew, is no such heartbeat.

--- a/src/process/member_tracker.rs
+++ b/src/process/member_tracker.rs
@@ -21,6 +21,9 @@
     applied_members: Revision,
     text_in_force: Revision,
     known_members: Revision,
+    /// When it was received.
+    received_at: Instant,
+    /// The start of the timeout: when it was received, or later after a freeze.
     at: Instant,
 }
 
@@ -52,6 +55,7 @@
             applied_members: heartbeat.applied_member_set,
             text_in_force: heartbeat.text_in_force,
             known_members: heartbeat.facts[FactKind::Members.index()],
+            received_at: now,
             at: now,
         };
         self.heartbeats.insert(heartbeat.entry.clone(), record);
@@ -74,6 +78,12 @@
         now.saturating_duration_since(last)
     }
 
+    /// Returns whether a heartbeat of a peer was received after `since`.
+    pub fn has_heartbeat_since(&self, entry: &EntryId, since: Instant) -> bool {
+        let last = self.heartbeats.get(entry);
+        last.is_some_and(|record| record.received_at > since)
+    }
+
     /// Returns the incarnation in a peer's last heartbeat.
     pub fn incarnation(&self, entry: &EntryId) -> Option<Incarnation> {
         self.heartbeats.get(entry).map(|record| record.incarnation)
--- a/src/process/membership_manager.rs
+++ b/src/process/membership_manager.rs
@@ -1,5 +1,7 @@
 //! Joins and leaves the member set, and marks peers in it as lost or as live again.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,12 +32,18 @@
 pub(crate) struct MembershipManager<P> {
     state: Arc<PeerState>,
     audit: Rc<AuditLog<P>>,
+    /// When each peer that is marked as lost was first known to be marked.
+    lost_since: RefCell<HashMap<EntryId, Instant>>,
 }
 
 impl<P: TableService> MembershipManager<P> {
     /// Creates a manager of an entry host that has not joined.
     pub(crate) fn new(state: Arc<PeerState>, audit: Rc<AuditLog<P>>) -> Self {
-        Self { state, audit }
+        Self {
+            state,
+            audit,
+            lost_since: RefCell::default(),
+        }
     }
 
     /// Returns whether a newer run of this entry host is in the member set.
@@ -93,9 +101,14 @@
     }
 
     /// Returns the first peer whose `lost` flag is wrong, with the flag corrected.
+    ///
+    /// A peer is found again only by a heartbeat that came after it was marked as lost: timeouts
+    /// differ between members, so the last heartbeat before that may still be recent enough here.
     fn find_wrong_lost_flag(&self, members: &MemberSet) -> Option<(EntryId, Member)> {
         let own = &self.state.identity;
         let now = Instant::now();
+        self.record_lost(members, now);
+        let lost_since = self.lost_since.borrow();
         let tracker = self.state.tracker();
         members
             .members()
@@ -103,15 +116,30 @@
             .filter(|(entry, _)| **entry != own.entry)
             .find_map(|(entry, member)| {
                 let timeout = self.lost_timeout(members, entry, member)?;
-                let timed_out = tracker.time_since_heartbeat(entry, now) >= timeout;
                 let same_run = tracker.incarnation(entry) == Some(member.incarnation);
-                let wrong = (timed_out && !member.lost) || (!timed_out && same_run && member.lost);
+                let timed_out = tracker.time_since_heartbeat(entry, now) >= timeout;
+                let wrong = match lost_since.get(entry) {
+                    Some(&since) => {
+                        !timed_out && same_run && tracker.has_heartbeat_since(entry, since)
+                    }
+                    None => timed_out,
+                };
                 let mut changed = member.clone();
-                changed.lost = timed_out;
+                changed.lost = !member.lost;
                 wrong.then(|| (entry.clone(), changed))
             })
     }
 
+    /// Records which members are marked as lost at `now`.
+    fn record_lost(&self, members: &MemberSet, now: Instant) {
+        let mut lost_since = self.lost_since.borrow_mut();
+        lost_since.retain(|entry, _| members.get(entry).is_some_and(|member| member.lost));
+        let members = members.members().iter();
+        for (entry, _) in members.filter(|(_, member)| member.lost) {
+            lost_since.entry(entry.clone()).or_insert(now);
+        }
+    }
+
     /// Returns the time without a heartbeat after which a member is lost; `None` if this entry
     /// host does not monitor it.
     ///
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -397,3 +397,22 @@
     assert_eq!(full("a") + full("b") + full("c"), SLOTS);
     assert_eq!(full("a"), 4);
 }
+
+/// After a freeze of this process timeouts start anew, which is no sign of life of a silent peer.
+#[test]
+fn end_of_a_freeze_does_not_count_as_a_heartbeat() {
+    let start = Instant::now();
+    let thaw = start + Duration::from_secs(10);
+    let mut tracker = MemberTracker::new(start);
+    let peer = heartbeat("a", 1);
+    tracker.record_heartbeat(&peer, start);
+
+    tracker.reset_after_freeze(thaw);
+    let after_thaw = tracker.has_heartbeat_since(&peer.entry, start);
+    tracker.record_heartbeat(&peer, thaw);
+    let after_heartbeat = tracker.has_heartbeat_since(&peer.entry, start);
+
+    assert!(tracker.is_alive(&peer.entry, thaw));
+    assert!(!after_thaw);
+    assert!(after_heartbeat);
+}
