Keep a wave's row within the table's limit, and unplaced tasks off workers

Found by review of the row limits. The row of a wave named each host that is through twice, so that a wave of 1,500 hosts, whose request fits a row, made one that the table refuses; the term ended, and each successor read the old progress and made the same row again. A task that was given a worker but had no room in its job's row kept the worker's capacity from all later jobs of the pass, in each pass.

After: the wave is complete in epoch 1, all 200 are placed.

Change: the row names accepted hosts once; they count as started when it is read. Rows of earlier builds are read as before. A build before this one that takes over in the middle of a wave orders the upkeep of accepted hosts again, which the platform answers as already done.

--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -200,7 +200,7 @@
             }
         };
         let progress = match rows.first() {
-            Some(row) => serde_json::from_value(row.value.clone()).unwrap_or_default(),
+            Some(row) => WaveProgress::from_row(&row.value),
             None => WaveProgress::default(),
         };
         if !progress.complete {
@@ -391,10 +391,9 @@
 
     fn wave_row(&self, wave: &WaveId) -> RowWrite {
         let progress = self.progress.borrow();
-        let value = progress.get(wave).map(serde_json::to_value);
         RowWrite {
             key: format!("{WAVE_PREFIX}{wave}"),
-            value: Some(value.and_then(|value| value.ok()).unwrap_or(Value::Null)),
+            value: Some(progress.get(wave).map_or(Value::Null, WaveProgress::to_row)),
         }
     }
 }
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -138,6 +138,8 @@
         for (name, worker) in waiting.iter().zip(&chosen) {
             if self.has_row_room(id, from_ref(name), from_ref(worker), None) {
                 self.place_task(name, worker, now_ms);
+            } else if let Some(spec) = self.jobs.get(id).and_then(|job| job.step(step)) {
+                pool.release(spec, from_ref(worker));
             }
         }
         chosen.len() == waiting.len()
--- a/src/workflow/upkeep_plan.rs
+++ b/src/workflow/upkeep_plan.rs
@@ -15,6 +15,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::id::HostId;
 
@@ -45,6 +46,25 @@
     pub complete: bool,
 }
 
+impl WaveProgress {
+    /// Encodes the durable row. It names each host once, so that it fits wherever the operator's request
+    /// for the wave does.
+    pub fn to_row(&self) -> Value {
+        let row = Self {
+            started: self.started.difference(&self.accepted).cloned().collect(),
+            ..self.clone()
+        };
+        serde_json::to_value(row).unwrap_or(Value::Null)
+    }
+
+    /// Decodes a durable row; one that can't be decoded counts as no progress.
+    pub fn from_row(value: &Value) -> Self {
+        let mut progress: Self = serde_json::from_value(value.clone()).unwrap_or_default();
+        progress.started.extend(progress.accepted.iter().cloned());
+        progress
+    }
+}
+
 /// A host of a wave as input to the upkeep plan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WaveHost {
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -33,6 +33,7 @@
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::SubmitOutcome;
 use zincpier::workflow::TaskEnd;
+use zincpier::workflow::WaveRequest;
 use zincpier::workflow::WorkerEntry;
 use zincpier::workflow::WorkerReport;
 use zincpier::workflow::WorkerResources;
@@ -50,6 +51,12 @@
 const OCCURRENCE_TASKS: u32 = 700;
 const OCCURRENCES: u32 = 10;
 
+/// More hosts than the row of a wave holds if it names each of them twice.
+const WAVE_HOSTS: usize = 1_500;
+
+/// The longest id of a worker.
+const LONG_ID_CHARS: usize = 64;
+
 /// A worker with room for all tasks, and with an id as long as the platform's.
 fn large_worker(index: usize) -> WorkerEntry {
     WorkerEntry {
@@ -263,3 +270,70 @@
     let error = does_not_fit.first_error();
     assert_eq!(error, Some(SpecError::TooManyLongRunning(800, 700)));
 }
+
+#[test]
+fn tasks_without_room_in_their_row_take_no_workers_from_other_jobs() {
+    // Arrange: the row of a job holds few of its tasks, since the worker's id is long.
+    let worker = WorkerEntry {
+        id: "i".repeat(LONG_ID_CHARS).parse().unwrap(),
+        capacity: WorkerResources {
+            cpu_millis: 800,
+            ..large_worker(0).capacity
+        },
+        ..large_worker(0)
+    };
+    let mut fleet = EngineFleet::new(0);
+    fleet.engine.set_worker(worker.clone(), fleet.now_ms);
+    let report = WorkerReport {
+        clock_ms: fleet.now_ms,
+        ..WorkerReport::default()
+    };
+    let now_ms = fleet.now_ms;
+    fleet
+        .engine
+        .apply_report(&worker.id, &report, now_ms, now_ms);
+    let long = StepSpec {
+        long_running: true,
+        ..small_step(OCCURRENCE_TASKS)
+    };
+    fleet.submit(fixtures::JOB, vec![long]);
+    fleet.start_all();
+    let placed = fleet.placed_names().len();
+    assert!(placed < 600, "{placed} placed");
+
+    // Act.
+    fleet.submit("00000000000000ff", vec![small_step(200)]);
+    fleet.start_all();
+
+    // Assert: the worker has room for them.
+    assert_eq!(fleet.placed_names().len(), placed + 200);
+}
+
+#[test]
+fn wave_of_many_hosts_does_not_end_each_term() {
+    run(async {
+        // Arrange.
+        let workers = (0..WAVE_HOSTS).map(large_worker).collect();
+        let fleet = FakeFleet::new(fixtures::config(), workers);
+        let link = start_entry(&fleet, "boston-1");
+        start_entry(&fleet, "boston-2");
+        let hosts = (0..WAVE_HOSTS).map(|index| format!("host-{}", large_worker(index).id));
+        let hosts = hosts.map(|host| host.parse().unwrap());
+
+        // Act.
+        fleet.start_wave(WaveRequest {
+            wave: "7".parse().unwrap(),
+            hosts: hosts.collect(),
+            deadline_ms: 60_000,
+            max_down: 300,
+        });
+        let deadline = Instant::now() + TIMEOUT;
+        while !fleet.wave_complete.get() && Instant::now() < deadline {
+            sleep(Duration::from_millis(50)).await;
+        }
+
+        // Assert.
+        let results = (fleet.wave_complete.get(), lease_epoch(&link).await);
+        assert_eq!(results, (true, 1));
+    });
+}
