--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -112,6 +112,8 @@
     pub(crate) end_next_placed_worker: Cell<bool>,
     /// Workers whose incarnation has ended.
     ended_workers: RefCell<BTreeSet<WorkerId>>,
+    /// Workers that refuse each epoch as lower than one that they have accepted.
+    refusing_workers: RefCell<BTreeSet<WorkerId>>,
     /// Runs that were started before their placement was committed.
     pub(crate) uncommitted_starts: RefCell<Vec<(TaskName, u64)>>,
     /// Start commands that are on their way now.
@@ -157,6 +159,7 @@
             renewals: Cell::new(0),
             end_next_placed_worker: Cell::new(false),
             ended_workers: RefCell::default(),
+            refusing_workers: RefCell::default(),
             uncommitted_starts: RefCell::default(),
             starts_in_flight: Cell::new(0),
             most_starts_in_flight: Cell::new(0),
@@ -172,6 +175,11 @@
         self.revision.set(self.revision.get() + 1);
     }
 
+    /// Makes a worker refuse each epoch as lower than one that it has accepted.
+    pub(crate) fn refuse_epochs(&self, worker: &WorkerId) {
+        self.refusing_workers.borrow_mut().insert(worker.clone());
+    }
+
     /// Returns the number of rows whose keys start with `prefix`.
     pub(crate) fn count_rows(&self, prefix: &str) -> usize {
         let rows = self.rows.borrow();
@@ -362,8 +370,21 @@
 /// The limit on the content of a row: 64 KB in the platform's encoding, which adds a third.
 pub(crate) const MAX_ROW_BYTES: usize = 65_536 / 4 * 3;
 
-/// Refuses a transaction with a row that is larger than the platform stores.
+/// The limit on a row's key without its table.
+const MAX_KEY_BYTES: usize = 200;
+
+/// Refuses a transaction with a row or a key that is larger than the platform stores.
 fn check_row_sizes(transaction: &Transaction) -> Result<()> {
+    let keys = transaction.writes.iter().map(|write| &write.key);
+    let long_key = keys
+        .filter_map(|key| key.split_once('/'))
+        .find(|(_, key)| key.len() > MAX_KEY_BYTES);
+    if let Some((table, key)) = long_key {
+        return Err(Error::PlatformRefused {
+            status: 400,
+            reason: format!("key {key} of {table} has more than {MAX_KEY_BYTES} bytes"),
+        });
+    }
     let sizes = transaction.writes.iter().filter_map(|write| {
         let size = write.value.as_ref()?.to_string().len();
         Some((&write.key, size))
@@ -615,6 +636,9 @@
         if self.fleet.ended_workers.borrow().contains(&entry.id) {
             return RenewalOutcome::Refused(CommandRefusal::OtherIncarnation);
         }
+        if self.fleet.refusing_workers.borrow().contains(&entry.id) {
+            return RenewalOutcome::Refused(CommandRefusal::Fenced);
+        }
         self.fleet.renewals.set(self.fleet.renewals.get() + 1);
         let deadline = Instant::now() + renewal.wait;
         loop {
