Name a refused key as the cause of a refused call

Cause: event=key_refused had no job, so zincpier explain found no line of a job whose submission was refused with 401 or 503 for its key, and did not list it among the refused ones.

The diagnosis has KeyUnknown and KeyUnconfirmed. A refused key is the cause if the last submission was refused for it, or if only other requests about the job are logged.

--- a/src/operator/job_diagnosis.rs
+++ b/src/operator/job_diagnosis.rs
@@ -48,6 +48,21 @@
         /// Time from its submission after which the job's result is of no use, in ms.
         useful_ms: u64,
     },
+    /// The caller's key is unknown to the configuration, or there was none; holds the version.
+    #[error(
+        "refused: key: the caller's key is unknown in version {0} of the configuration, or missing"
+    )]
+    KeyUnknown(String),
+    /// The entry host could not know whether the key was still valid.
+    #[error("refused: key: version {version} of the configuration had been confirmed {age_ms} ms before, too long for a key of organisation {organisation}")]
+    KeyUnconfirmed {
+        /// The organisation whose key it is in that version, or `unknown`.
+        organisation: String,
+        /// The version of the configuration.
+        version: String,
+        /// The time since the version was known to be the newest, in ms, or `unknown`.
+        age_ms: String,
+    },
     /// Its submission was invalid or could not be satisfied; holds the logged reason.
     #[error("rejected: {0}")]
     Rejected(String),
--- a/src/operator/job_timeline.rs
+++ b/src/operator/job_timeline.rs
@@ -89,6 +89,9 @@
 
     /// Returns why the table did not store a job that no controller has read.
     fn diagnose_refusal(&self) -> JobDiagnosis {
+        if let Some(refused) = self.key_refusal() {
+            return refused;
+        }
         if let Some(hopeless) = self
             .events("submit")
             .find(|line| line.field("outcome") == "Hopeless")
@@ -147,6 +150,27 @@
         }
     }
 
+    /// Returns how the last submission's key was refused, or that of any request if no submission is
+    /// logged; `None` if it was not refused.
+    fn key_refusal(&self) -> Option<JobDiagnosis> {
+        let submitted_ms = self.last_line("submit").map(|line| line.time_ms);
+        let refused = self.events("key_refused").filter(|line| {
+            submitted_ms.is_none_or(|submitted_ms| {
+                line.field("action") == "submit" && line.time_ms > submitted_ms
+            })
+        });
+        let refused = refused.last()?;
+        let text = |name| refused.field(name).to_owned();
+        Some(match refused.field("outcome") {
+            "unconfirmed" => JobDiagnosis::KeyUnconfirmed {
+                organisation: text("organisation"),
+                version: text("version"),
+                age_ms: text("age_ms"),
+            },
+            _ => JobDiagnosis::KeyUnknown(text("version")),
+        })
+    }
+
     fn diagnose_failure(&self, failed: &LogLine) -> JobDiagnosis {
         let task = failed.field("task").to_owned();
         let failures = failed.u64_field("failures").unwrap_or(0);
--- a/src/operator/late_jobs.rs
+++ b/src/operator/late_jobs.rs
@@ -5,11 +5,12 @@
 
 use crate::operator::LogLine;
 
-/// Returns the ids of submitted jobs that neither completed within `late_ms` nor were cancelled.
+/// Returns the ids of submitted jobs that neither completed within `late_ms` nor were cancelled, with
+/// those whose callers' keys were refused.
 ///
 /// Long-running jobs are left out, since they end only when cancelled.
 pub fn jobs_not_completed_in_time(lines: &[LogLine], late_ms: u64) -> Vec<String> {
-    let submits = lines.iter().filter(|line| line.event == "submit");
+    let submits = lines.iter().filter(|line| is_submission(line));
     let jobs: BTreeSet<_> = submits.map(|line| line.field("job")).collect();
     // The times of the first line and of the completion, and whether the job is left out.
     let mut spans: BTreeMap<&str, (u64, Option<u64>, bool)> = BTreeMap::new();
@@ -38,3 +39,12 @@
         });
     failed.map(|(job, _)| job.to_owned()).collect()
 }
+
+/// Returns whether the line is about an attempt to submit a job.
+fn is_submission(line: &LogLine) -> bool {
+    match line.event.as_str() {
+        "submit" => true,
+        "key_refused" => line.field("action") == "submit" && !line.field("job").is_empty(),
+        _ => false,
+    }
+}
--- a/tests/job_diagnosis.rs
+++ b/tests/job_diagnosis.rs
@@ -303,3 +303,57 @@
     let within_rate = diagnose(&text("rate", ""), "aa");
     assert!(matches!(within_rate, JobDiagnosis::PoolShortage { .. }));
 }
+
+/// Guards against a call that was refused for its key and has no cause, or that of an earlier attempt.
+#[test]
+fn refusal_of_a_key_is_named_as_the_cause() {
+    let unknown = "
+e-1 time_ms=1000 level=INFO event=key_refused outcome=unauthorized queue=q organisation=unknown version=7 age_ms=310 action=submit job=aa
+";
+    let unconfirmed = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q organisation=north outcome=OverRate percent=3.3 age_ms=310 retry_s=6
+e-1 time_ms=7000 level=INFO event=key_refused outcome=unconfirmed queue=q organisation=north version=7 age_ms=4901 action=submit job=aa
+";
+    let look_up = "
+e-1 time_ms=1000 level=INFO event=key_refused outcome=unconfirmed queue=q organisation=unknown version=7 age_ms=unknown action=look-up job=aa
+";
+
+    assert_eq!(
+        diagnose(unknown, "aa"),
+        JobDiagnosis::KeyUnknown("7".to_owned())
+    );
+    let expected = |organisation: &str, age_ms: &str| JobDiagnosis::KeyUnconfirmed {
+        organisation: organisation.to_owned(),
+        version: "7".to_owned(),
+        age_ms: age_ms.to_owned(),
+    };
+    assert_eq!(diagnose(unconfirmed, "aa"), expected("north", "4901"));
+    assert_eq!(diagnose(look_up, "aa"), expected("unknown", "unknown"));
+    assert_eq!(jobs_not_completed_in_time(&lines(unknown), LATE_MS), ["aa"]);
+    assert!(jobs_not_completed_in_time(&lines(look_up), LATE_MS).is_empty());
+}
+
+/// Guards against a key that is blamed although the job was refused later for another reason, or ran.
+#[test]
+fn refused_key_is_no_cause_once_another_attempt_was_authenticated() {
+    let refused = "
+e-1 time_ms=1000 level=INFO event=key_refused outcome=unauthorized queue=q organisation=unknown version=7 age_ms=310 action=submit job=aa
+e-1 time_ms=2000 level=INFO event=submit job=aa queue=q organisation=north outcome=OverRate percent=3.3 age_ms=310 retry_s=6
+e-1 time_ms=3000 level=INFO event=key_refused outcome=unauthorized queue=q organisation=unknown version=7 age_ms=310 action=look-up job=aa
+";
+    let complete = "
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q organisation=north outcome=Accepted
+e-1 time_ms=1010 level=INFO event=job_seen job=aa queue=q service=s-1
+e-1 time_ms=2000 level=INFO event=key_refused outcome=unauthorized queue=q organisation=unknown version=7 age_ms=310 action=submit job=aa
+e-1 time_ms=2500 level=INFO event=job_complete job=aa
+";
+
+    assert!(matches!(
+        diagnose(refused, "aa"),
+        JobDiagnosis::RateExceeded { .. }
+    ));
+    assert_eq!(
+        diagnose(complete, "aa"),
+        JobDiagnosis::CompletedInTime(1_500)
+    );
+}
