Replay urgent queues beside a large organisation's burst

Cause: shares go before the priority of queues in a short pool, which no replay had evaluated.

The fixture takes the priorities of its two queues.

--- a/tests/common/share_replay.rs
+++ b/tests/common/share_replay.rs
@@ -83,11 +83,23 @@
 impl ShareReplay {
     /// Creates a pool; `organisations` is `None` for a configuration without a list of them.
     pub(crate) fn new(organisations: Option<Vec<Organisation>>, seed: u64) -> Self {
+        Self::with_priorities(organisations, [0, 0], seed)
+    }
+
+    /// Like [`ShareReplay::new`], with the priorities of the first and the second queue.
+    pub(crate) fn with_priorities(
+        organisations: Option<Vec<Organisation>>,
+        priorities: [u32; 2],
+        seed: u64,
+    ) -> Self {
         let mut fleet = EngineFleet::new(WORKERS);
         let mut config = FleetConfig::clone(&config());
         let mut other = config.queues[0].clone();
         other.name = OTHER_QUEUE.to_owned();
         config.queues.push(other);
+        for (queue, priority) in config.queues.iter_mut().zip(priorities) {
+            queue.priority = priority;
+        }
         config.version += 1;
         config.organisations = organisations.map(OrganisationDirectory::new);
         fleet.engine.config = Some(Rc::new(config));
