Measure for how long a surge is let in

Not changed: refusing sooner needs a smaller tolerance for random arrivals, or rates that are counted while no pool is short.

--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -63,6 +63,8 @@
 struct Outcome {
     sent: u64,
     accepted: u64,
+    /// Accepted jobs before `SETTLED_MS`.
+    let_in: u64,
     /// Accepted jobs from `SETTLED_MS` on, until the end of the surge.
     settled: u64,
     /// Attempts from `SETTLED_MS` on, and the admitted ones among them, by the attempt's number less 1.
@@ -78,6 +80,13 @@
         let seconds = (SURGE_MS - SETTLED_MS) as f64 / 1_000.0;
         self.settled as f64 / seconds / weight
     }
+
+    /// Returns the time in s for which a surge was let in as a whole, by what was accepted beyond the
+    /// weight before the limits were in force.
+    fn let_in_s(&self, surge: &Surge) -> f64 {
+        let entitled = surge.weight * SETTLED_MS as f64 / 1_000.0;
+        (self.let_in as f64 - entitled) / (surge.weight * (surge.factor - 1.0))
+    }
 }
 
 /// Replays a surge while the pool is short. A third of the connections go to one entry host. Callers
@@ -161,6 +170,7 @@
             match refusal {
                 None => {
                     outcome.accepted += 1;
+                    outcome.let_in += u64::from(now_ms < SETTLED_MS);
                     let is_settled = (SETTLED_MS..SURGE_MS).contains(&now_ms);
                     outcome.settled += u64::from(is_settled);
                     read_ms[number].push(now_ms + FEED_MS);
@@ -250,6 +260,28 @@
     }
 }
 
+/// Guards against a surge that is let in for longer than a host takes to learn of it, on any number of
+/// hosts, while the pool is short.
+#[test]
+fn surge_is_let_in_for_less_than_a_second_while_the_pool_is_short() {
+    let surges = surges();
+    for hosts in [7, 37, 147] {
+        let runs: Vec<_> = (0..20)
+            .map(|seed| replay(hosts, &surges, true, seed))
+            .collect();
+        for (number, surge) in surges.iter().enumerate().skip(1) {
+            let times = runs.iter().map(|run| run[number].let_in_s(surge));
+            let mean = times.clone().sum::<f64>() / runs.len() as f64;
+            let longest = times.fold(0.0, f64::max);
+            println!(
+                "{hosts} {} let in {mean:.2} s, at most {longest:.2} s",
+                surge.id
+            );
+            assert!(mean < 1.0, "{hosts} {} {mean}", surge.id);
+        }
+    }
+}
+
 /// Guards against refusals of an organisation that sends just its weight, in random intervals.
 #[test]
 fn organisation_that_sends_its_weight_is_not_refused() {
