Keep the key of a queue's count within what the table allows

What callers would have seen, found by review: nothing runs for anybody while the configuration holds a queue whose name has over 200 bytes and jobs of it wait.

Change: a longer name is shortened to its beginning and a hash, for the controller and for the entry hosts that read the count.

--- a/src/workflow/admission_window.rs
+++ b/src/workflow/admission_window.rs
@@ -59,8 +59,13 @@
 
 /// Returns a job id's position, from 0 to 99. Any entry host computes the same.
 pub fn job_position(job: &JobId) -> u64 {
-    let hash = job.as_str().bytes().fold(HASH_OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(HASH_PRIME)
-    });
+    let hash = hash_text(job.as_str());
     (hash ^ (hash >> 32)) % POSITIONS
 }
+
+/// Returns the FNV-1a hash of a text with 64 bits, the same on any entry host.
+pub(crate) fn hash_text(text: &str) -> u64 {
+    text.bytes().fold(HASH_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(HASH_PRIME)
+    })
+}
--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -13,6 +13,7 @@
 use crate::process::boot_ms;
 use crate::process::ShutdownSignal;
 use crate::provider::RowWrite;
+use crate::workflow::admission_window::hash_text;
 use crate::workflow::send_start;
 use crate::workflow::BacklogView;
 use crate::workflow::CommitEffect;
@@ -29,7 +30,10 @@
 pub(crate) const PROGRESS_PREFIX: &str = "progress/";
 
 /// Key prefix of the rows with the number of pending jobs, one for each queue.
-pub(crate) const QUEUE_PREFIX: &str = "queues/";
+const QUEUE_PREFIX: &str = "queues/";
+
+/// The platform's limit on the bytes of a row's key.
+const MAX_KEY_BYTES: usize = 200;
 
 /// Max rows of one transaction besides the leader row. The platform accepts 100.
 const MAX_COMMIT_ROWS: usize = 90;
@@ -230,7 +234,7 @@
             .iter()
             .filter(|(queue, count)| published(*queue) != **count);
         let writes = changed
-            .map(|(queue, count)| row_write(format!("{QUEUE_PREFIX}{queue}"), json!(count)))
+            .map(|(queue, count)| row_write(count_key(queue), json!(count)))
             .collect();
         self.published_counts = counts;
         (writes, Some(self.term.submissions_ms()))
@@ -255,6 +259,20 @@
     }
 }
 
+/// Returns the key of the row with the number of pending jobs of a queue. A name that is longer than
+/// the platform allows for a key is shortened to its beginning and a hash.
+pub(crate) fn count_key(queue: &str) -> String {
+    if queue.len() <= MAX_KEY_BYTES {
+        return format!("{QUEUE_PREFIX}{queue}");
+    }
+    let hash = format!("{:016x}", hash_text(queue));
+    let mut end = MAX_KEY_BYTES - hash.len();
+    while !queue.is_char_boundary(end) {
+        end -= 1;
+    }
+    format!("{QUEUE_PREFIX}{}{hash}", &queue[..end])
+}
+
 fn row_write(key: String, value: Value) -> RowWrite {
     RowWrite {
         key,
--- a/src/workflow/intake.rs
+++ b/src/workflow/intake.rs
@@ -18,8 +18,8 @@
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
 use crate::workflow::cancel_key;
+use crate::workflow::committer::count_key;
 use crate::workflow::committer::PROGRESS_PREFIX;
-use crate::workflow::committer::QUEUE_PREFIX;
 use crate::workflow::ended_key;
 use crate::workflow::job_key;
 use crate::workflow::job_key::SUBMITTED_FIELD;
@@ -273,7 +273,7 @@
         if !counts.is_fresh(boot_ms()) {
             return unknown("the counts are too old");
         }
-        let key = format!("{QUEUE_PREFIX}{queue}");
+        let key = count_key(queue);
         let rows = match self.table.read(&[&key]).await {
             Ok(rows) => rows,
             Err(error) => return unknown(&error.to_string()),
