Confirm the lease before a worker's refusal ends a term

What callers would have seen, found by review: one worker that refuses each epoch as too low, by a fault of its own or because the leader row was lost, ended every term: epoch 29 in 10 s and no job complete.

Cause: a refusal was taken as proof that a successor had taken over. It is one worker's word; the table knows.

Change: after a refusal nothing is renewed, started, stopped or commanded until a commit that is sent from then on confirms the lease. A successor's claim makes that commit fail, and a holder cut off from the table ends its term after 1 s. If the lease is confirmed, the worker counts as silent. A start that is refused after earlier attempts without an answer may still run and is resolved like an unanswered one.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -34,6 +34,10 @@
 /// prevents a controller that was paused from sending commands after a successor has taken over.
 const MAX_COMMAND_UNCONFIRMED_MS: u64 = 1_000;
 
+/// Time within which a doubt about the lease must be settled: as long as commands to hosts are sent
+/// without a confirmation.
+const MAX_DOUBT_MS: u64 = MAX_COMMAND_UNCONFIRMED_MS;
+
 /// Max bytes of start commands that are on their way together, on a link of unknown bandwidth: what
 /// 10 Mbit/s carry in 0.1 s, so that renewals of the lease and of workers' leases find room.
 pub(crate) const DEFAULT_START_BYTES: usize = 125_000;
@@ -69,6 +73,10 @@
     has_worker_list: Cell<bool>,
     /// When the lease was last confirmed, in ms.
     confirmed_ms: Cell<u64>,
+    /// When it was last doubted that the lease is still held, in ms.
+    doubted_ms: Cell<u64>,
+    /// Workers that refused this epoch, with the time of the first refusal in ms.
+    refusing_workers: RefCell<HashMap<WorkerId, u64>>,
     /// Time up to which all submissions are known, in ms.
     submissions_ms: Cell<u64>,
     /// Workers whose leases are maintained by a loop.
@@ -120,6 +128,8 @@
             ended: Cell::new(false),
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
+            doubted_ms: Cell::new(0),
+            refusing_workers: RefCell::default(),
             submissions_ms: Cell::new(0),
             maintained_workers: RefCell::default(),
             worker_notifiers: RefCell::default(),
@@ -127,8 +137,11 @@
         })
     }
 
-    /// Returns whether the term has not ended.
+    /// Returns whether the term has not ended. It ends if a doubt about the lease isn't settled.
     pub fn is_active(&self) -> bool {
+        if self.is_doubted() && boot_ms() > self.doubted_ms.get() + MAX_DOUBT_MS {
+            self.end("a worker has accepted a higher epoch, and the lease is not confirmed");
+        }
         !self.ended.get()
     }
 
@@ -149,7 +162,33 @@
 
     /// Records that the lease was held at `confirmed_ms`.
     pub fn record_confirmed(&self, confirmed_ms: u64) {
+        let was_doubted = self.is_doubted();
         self.confirmed_ms.set(confirmed_ms);
+        if was_doubted && !self.is_doubted() {
+            let notifiers = self.worker_notifiers.borrow();
+            notifiers.values().for_each(|wake| wake.notify_one());
+        }
+    }
+
+    /// Doubts that the lease is still held, because `worker` has accepted a higher epoch. Nothing is renewed
+    /// or commanded until a commit that is sent from now on confirms the lease. No effect if the lease was
+    /// confirmed since the first refusal of this worker: it knows of an epoch that no holder has.
+    pub fn doubt_lease(&self, worker: &WorkerId) {
+        let now_ms = boot_ms();
+        let mut refusing = self.refusing_workers.borrow_mut();
+        let first_ms = *refusing.entry(worker.clone()).or_insert(now_ms);
+        if first_ms < now_ms && self.confirmed_ms.get() >= first_ms {
+            return;
+        }
+        let epoch = self.epoch;
+        log::warn!("event=lease_doubted epoch={epoch} worker={worker} reason=\"it has accepted a higher epoch\"");
+        self.doubted_ms.set(now_ms);
+        self.commit.notify_one();
+    }
+
+    /// Returns whether it is doubted that the lease is still held.
+    pub fn is_doubted(&self) -> bool {
+        self.confirmed_ms.get() < self.doubted_ms.get()
     }
 
     /// Records that all submissions stored at `time_ms` are known.
@@ -184,13 +223,13 @@
 
     /// Returns whether workers' leases may be renewed.
     pub fn may_renew(&self) -> bool {
-        self.is_active() && self.unconfirmed_ms() < MAX_RENEW_UNCONFIRMED_MS
+        self.is_active() && !self.is_doubted() && self.unconfirmed_ms() < MAX_RENEW_UNCONFIRMED_MS
     }
 
     /// Returns whether commands may be sent to hosts. A successor claims the lease only once
     /// it has not been renewed for longer than this limit.
     pub fn may_command(&self) -> bool {
-        self.is_active() && self.unconfirmed_ms() < MAX_COMMAND_UNCONFIRMED_MS
+        self.is_active() && !self.is_doubted() && self.unconfirmed_ms() < MAX_COMMAND_UNCONFIRMED_MS
     }
 
     /// Returns the notifier that wakes the loop that maintains a worker's lease.
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -58,6 +58,9 @@
 /// The interval at which an idle worker is checked for a due renewal.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The interval at which a stop command waits for the end of a doubt about the controller's lease.
+const DOUBT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Renews a worker's lease and applies its reports until the worker is removed or the term ends.
 pub async fn maintain_worker_lease<G: WorkerGateway>(
     gateway: Rc<G>,
@@ -183,7 +186,10 @@
             applied
         }
         RenewalOutcome::Refused(CommandRefusal::Fenced) => {
-            term.end("a worker has accepted a higher epoch");
+            term.doubt_lease(id);
+            if let Some(worker) = engine.workers.get_mut(id) {
+                worker.record_unresponsive(now_ms);
+            }
             false
         }
         RenewalOutcome::Refused(CommandRefusal::OtherIncarnation) => {
@@ -232,6 +238,9 @@
             "event=task_start task={task} run={run} worker={worker} epoch={epoch} try={attempts} outcome={outcome:?}"
         );
         drop(permit.take());
+        if outcome == CommandOutcome::Refused(CommandRefusal::Fenced) {
+            term.doubt_lease(worker);
+        }
         let unknown = matches!(outcome, CommandOutcome::Unknown(_));
         if !unknown || attempts == MAX_START_ATTEMPTS {
             break resolve_attempts(outcome, attempts);
@@ -241,10 +250,6 @@
             break resolve_attempts(outcome, attempts);
         }
     };
-    if outcome == CommandOutcome::Refused(CommandRefusal::Fenced) {
-        term.end("a worker has accepted a higher epoch");
-        return;
-    }
     record_start(&term, &task, run, &outcome);
     let mut engine = term.engine.borrow_mut();
     engine.apply_start(&task, run, &outcome, boot_ms());
@@ -270,11 +275,9 @@
 
 /// Combines the outcomes of all attempts of a start. An unanswered attempt may have taken
 /// effect or may yet do so, so after several attempts only an acceptance is conclusive.
-/// `Fenced` is passed on, because it ends the term.
 fn resolve_attempts(last: CommandOutcome, attempts: u32) -> CommandOutcome {
     match last {
         CommandOutcome::Accepted(_) => last,
-        CommandOutcome::Refused(CommandRefusal::Fenced) => last,
         _ if attempts == 1 => last,
         other => CommandOutcome::Unknown(format!("{} after earlier attempts", other.name())),
     }
@@ -349,6 +352,9 @@
     term: Rc<ControllerTerm>,
     request: StopRequest,
 ) {
+    while term.is_doubted() && term.is_active() {
+        sleep(DOUBT_POLL_INTERVAL).await;
+    }
     let entry = {
         let engine = term.engine.borrow();
         let current = engine.is_current(&request).then_some(&request.worker);
