--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -11,8 +11,11 @@
 use crate::id::WorkerId;
 use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
 use crate::workflow::job_status::OWNER_FIELD;
+use crate::workflow::running_time::RunningTime;
 use crate::workflow::task_state::run_row_bytes;
 use crate::workflow::task_state::RUN_ROW_BYTES;
+use crate::workflow::CommandPhase;
+use crate::workflow::DurationTracker;
 use crate::workflow::JobSpec;
 use crate::workflow::JobStatus;
 use crate::workflow::StepSpec;
@@ -261,6 +264,31 @@
         self.tasks.get_mut(position)
     }
 
+    /// Returns for how long a placed task has run; `None` for long-running tasks, members of gangs and
+    /// ended jobs.
+    pub(crate) fn running_time(
+        &self,
+        name: &TaskName,
+        durations: &DurationTracker,
+        now_ms: u64,
+    ) -> Option<RunningTime> {
+        let step = self.step(name.step)?;
+        if step.long_running || step.gang || self.phase.has_ended() {
+            return None;
+        }
+        let TaskPhase::Placed {
+            command, since_ms, ..
+        } = &self.task(name)?.phase
+        else {
+            return None;
+        };
+        Some(RunningTime {
+            age_ms: now_ms.saturating_sub(*since_ms),
+            expected_ms: durations.history_based_ms(&self.spec.queue, step.estimate_ms),
+            is_running: *command == CommandPhase::Running,
+        })
+    }
+
     /// Returns the step with this index, if there is one.
     pub fn step(&self, step: u32) -> Option<&StepSpec> {
         self.spec.steps.get(step as usize)
