Start long-running tasks beside the queue of starts

Cause: starts wait for the bytes of those on their way, first come, first served. At a peak on a thin link hundreds of starts wait, and a long-running task, though placed before all others, waits behind them.

Change: a long-running task's start takes a permit of the shared bytes or one of bytes of its own, the size of the largest command, whichever is free first. The link carries at most that much more; many starts of long-running tasks still use the shared bytes as well.

Ruled out: bytes of their own only; four unanswered starts would then hold up all other long-running tasks after a takeover.

Evidence: start_of_a_long_running_task_does_not_wait_behind_a_peak failed before (no permit within 300 ms) and passes now.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -5,9 +5,12 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::select;
+use futures::future::Either;
 use monoio::time::timeout;
 use tokio::sync::oneshot;
 use tokio::sync::Notify;
@@ -19,6 +22,7 @@
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
 use crate::provider::RowWrite;
+use crate::workflow::host_resources::MIN_START_BYTES;
 use crate::workflow::ControlLag;
 use crate::workflow::HealthState;
 use crate::workflow::HostCommands;
@@ -65,6 +69,8 @@
     start_bytes: Semaphore,
     /// The number of permits of `start_bytes`.
     start_limit: usize,
+    /// Permits for starts of long-running tasks beside the others, by bytes.
+    long_start_bytes: Semaphore,
     ended: Cell<bool>,
     has_worker_list: Cell<bool>,
     /// When the lease was last confirmed, in ms.
@@ -117,6 +123,7 @@
             commit: Notify::new(),
             start_bytes: Semaphore::new(start_limit),
             start_limit,
+            long_start_bytes: Semaphore::new(MIN_START_BYTES),
             ended: Cell::new(false),
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
@@ -211,14 +218,26 @@
     }
 
     /// Waits until a start command of the task fits among those that are on their way. The permit
-    /// is dropped once the command is answered or given up.
+    /// is dropped once the command is answered or given up. Starts of long-running tasks don't wait
+    /// behind those of a demand peak: their users are without service meanwhile.
     pub async fn start_permit(&self, task: &TaskName) -> Option<SemaphorePermit<'_>> {
-        let bytes = {
+        let (bytes, long_running) = {
             let engine = self.engine.borrow();
-            let payload = engine.jobs.get(&task.job)?.spec.payload.len();
-            (payload + START_OVERHEAD_BYTES).min(self.start_limit)
+            let job = engine.jobs.get(&task.job)?;
+            let step = job.step(task.step);
+            let bytes = job.spec.payload.len() + START_OVERHEAD_BYTES;
+            (bytes, step.is_some_and(|step| step.long_running))
         };
-        self.start_bytes.acquire_many(bytes as u32).await.ok()
+        let shared = bytes.min(self.start_limit) as u32;
+        let shared = self.start_bytes.acquire_many(shared);
+        if !long_running {
+            return shared.await.ok();
+        }
+        let reserved = bytes.min(MIN_START_BYTES) as u32;
+        let reserved = self.long_start_bytes.acquire_many(reserved);
+        match select(pin!(shared), pin!(reserved)).await {
+            Either::Left((permit, _)) | Either::Right((permit, _)) => permit.ok(),
+        }
     }
 
     /// Queues a row for the next commit.
--- a/src/workflow/host_resources.rs
+++ b/src/workflow/host_resources.rs
@@ -18,7 +18,7 @@
 const BYTES_PER_MBPS: f64 = 12_500.0;
 
 /// The fewest bytes of start commands that may be on their way together: the largest command.
-const MIN_START_BYTES: usize = 6_000;
+pub(crate) const MIN_START_BYTES: usize = 6_000;
 
 /// Bytes of one host in a list of hosts.
 const HOST_LIST_BYTES: usize = 200;
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use monoio::time::sleep;
+use monoio::time::timeout;
 use zincpier::process::boot_ms;
 use zincpier::process::EntryMetrics;
 use zincpier::workflow::send_start;
@@ -21,6 +22,7 @@
 use zincpier::workflow::HostCommands;
 use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobSpec;
+use zincpier::workflow::StepSpec;
 use zincpier::workflow::TaskPhase;
 use zincpier::workflow::WorkerReport;
 
@@ -95,3 +97,45 @@
         assert!(since_ms >= placed_ms + WAIT_FOR_START.as_millis() as u64);
     });
 }
+
+/// Bytes of starts that may be on their way in these tests, and of a payload that fills them.
+const START_LIMIT: usize = 8_000;
+
+fn spec(payload_bytes: usize, step: StepSpec) -> JobSpec {
+    JobSpec {
+        queue: fixtures::QUEUE.to_owned(),
+        organisation: None,
+        payload: "x".repeat(payload_bytes),
+        steps: vec![step],
+        schedule: None,
+    }
+}
+
+/// A long-running task that was stopped for a drain would wait behind thousands of starts of a peak
+/// on a thin link, while its users are without service.
+#[test]
+fn start_of_a_long_running_task_does_not_wait_behind_a_peak() {
+    run(async {
+        // Arrange: starts fill the link, and another one waits for it.
+        let (ordinary, long_running) = (fixtures::JOB, "00000000000000b1");
+        let mut engine = JobEngine::new(0, 0);
+        let peak = spec(START_LIMIT, fixtures::step(2));
+        engine.add_job(ordinary.parse().unwrap(), peak, None, 0);
+        let lasting = spec(4, fixtures::long_running(1, 1));
+        engine.add_job(long_running.parse().unwrap(), lasting, None, 0);
+        let commands = HostCommands::new(None, 0);
+        let metrics = Rc::new(EntryMetrics::new());
+        let term = ControllerTerm::with_start_limit(1, engine, commands, metrics, START_LIMIT);
+        let _permit = term.start_permit(&fixtures::task(ordinary, 0)).await;
+
+        // Act.
+        let next = fixtures::task(ordinary, 1);
+        let next = timeout(WAIT_FOR_START, term.start_permit(&next)).await;
+        let task = fixtures::task(long_running, 0);
+        let start = timeout(WAIT_FOR_START, term.start_permit(&task)).await;
+
+        // Assert.
+        assert!(next.is_err(), "the link is full");
+        assert!(start.is_ok());
+    });
+}
