Tell which long-running task is without a run, and why

What operators saw: nothing.

Change: the controller checks its long-running tasks every 500 ms. The metric long_task_wait_ms is the longest time without a known run, and event=long_task_waiting names that task, its worker and what it waits for, once a second from 3 s on. Tasks that may not start yet, and those of ended and of scheduled jobs, don't count.

Its cost on the large site was not measured.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -57,6 +57,9 @@
     /// Workers whose tasks take far longer than expected, as known to the lease holder; 0 on other
     /// hosts.
     pub slow_workers: Gauge,
+    /// The longest time for which a long-running task has been without a known run, in ms, as known
+    /// to the lease holder; 0 on other hosts.
+    pub long_task_wait_ms: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -105,6 +108,10 @@
             "slow_workers",
             "Workers whose tasks take far longer than expected, on the lease's holder",
         );
+        let long_task_wait_ms = gauge(
+            "long_task_wait_ms",
+            "Longest time that a long-running task has been without a run, on the lease's holder",
+        );
         let organisations = OrganisationMetrics::register(&mut registry);
         Self {
             registry,
@@ -120,6 +127,7 @@
             control_lag_ms,
             organisations,
             slow_workers,
+            long_task_wait_ms,
         }
     }
 
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -14,6 +14,7 @@
 use crate::workflow::capped_arrivals::CappedArrivals;
 use crate::workflow::known_incarnations::IncarnationOrder;
 use crate::workflow::known_incarnations::KnownIncarnations;
+use crate::workflow::long_task_monitor::LongTaskMonitor;
 use crate::workflow::lost_runs::LostRuns;
 use crate::workflow::organisation_usage::OrganisationUsage;
 use crate::workflow::ArchivedJobs;
@@ -98,6 +99,7 @@
     pub(crate) has_waiting: bool,
     /// What the regular check of all workers keeps.
     pub fleet_health: FleetHealth,
+    pub(crate) long_tasks: LongTaskMonitor,
     /// The newest incarnation of each worker. Ended ones are not added again if still listed.
     pub(crate) incarnations: KnownIncarnations,
     /// The runs that were lost with the lease of their worker, which has not reported since.
@@ -137,6 +139,7 @@
             rates: RateMeter::new(),
             has_waiting: false,
             fleet_health: FleetHealth::default(),
+            long_tasks: LongTaskMonitor::default(),
             incarnations: KnownIncarnations::default(),
             lost_runs: BTreeMap::new(),
             inherited_until_ms: now_ms + inherited_ms,
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -95,6 +95,9 @@
         term.metrics.set_worker_count(state.as_str(), *count);
     }
     term.metrics.slow_workers.set(health.slow_count as i64);
+    let wait = engine.check_long_tasks(boot_ms());
+    let waited_ms = wait.map_or(0, |wait| wait.waited_ms);
+    term.metrics.long_task_wait_ms.set(waited_ms as i64);
     if engine.has_changes() {
         term.commit.notify_one();
     }
