Keep the deadline of a wave across a restart of the controller

Cause: the time until the deadline was counted from the first read of the wave by the process. All entry hosts are restarted 10.7 s after the wave's start; the controller then took the deadline for 10.7 s later than it was. The log shows it: forced drains began at 31 s, 6.5 s before the mistaken deadline of 37.5 s, in place of 20.3 s, and hosts of the wave were still moved between pools at 24 s to 27 s.

Ruled out: the limit of hosts down (72, 48 upkeeps at most in one second).

Change: the row of the wave's progress holds when a controller first read the wave, on the table's clock, as the age of jobs is kept. A row without it, or a clock that isn't known, counts from the own read, as before.

successor_keeps_the_deadline_of_the_wave failed before and passes now.

--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -11,7 +11,6 @@
 
 use futures::future::join_all;
 use monoio::time::sleep;
-use serde_json::Value;
 
 use crate::id::HostId;
 use crate::id::WaveId;
@@ -37,9 +36,6 @@
 use crate::workflow::WaveProgress;
 use crate::workflow::WaveRequest;
 
-/// Key prefix of the rows with waves' progress.
-const WAVE_PREFIX: &str = "waves/";
-
 /// Interval of decisions about hosts.
 const PASS_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -174,7 +170,7 @@
         }
         let wave_hosts = self.wave_hosts(request, hosts, pools, listed_ms, moved);
         self.resend_upkeeps(request).await;
-        let age_ms = boot_ms().saturating_sub(first_read_ms);
+        let age_ms = self.wave_age_ms(wave, first_read_ms);
         let remaining_ms = request.deadline_ms.saturating_sub(age_ms);
         let capacity_short = pools.iter().any(|pool| pool.lacks_capacity());
         let choice = choose_upkeep(&wave_hosts, request.max_down, remaining_ms, capacity_short);
@@ -191,18 +187,13 @@
         if self.progress.borrow().contains_key(wave) {
             return true;
         }
-        let key = format!("{WAVE_PREFIX}{wave}");
-        let rows = match self.platform.read(&[&key]).await {
-            Ok(rows) => rows,
+        let progress = match self.platform.read(&[&WaveProgress::row_key(wave)]).await {
+            Ok(rows) => WaveProgress::from_rows(&rows),
             Err(error) => {
                 log::warn!("event=wave_unknown wave={wave} reason=\"{error}\"");
                 return false;
             }
         };
-        let progress = match rows.first() {
-            Some(row) => serde_json::from_value(row.value.clone()).unwrap_or_default(),
-            None => WaveProgress::default(),
-        };
         if !progress.complete {
             if let Err(error) = self.platform.publish_wave(wave, false).await {
                 log::warn!("event=wave_unpublished wave={wave} reason=\"{error}\"");
@@ -212,6 +203,20 @@
         true
     }
 
+    /// Returns the time since the wave was first read by any controller, in ms. Stores the time of
+    /// that read if none is stored, so that the deadline stays the same for a successor.
+    fn wave_age_ms(&self, wave: &WaveId, first_read_ms: u64) -> u64 {
+        let known_ms = boot_ms().saturating_sub(first_read_ms);
+        let table_ms = self.platform.clock_ms();
+        let is_stored = self.progress.borrow()[wave].read_ms.is_some();
+        if let (false, Some(table_ms)) = (is_stored, table_ms) {
+            let read_ms = table_ms.saturating_sub(known_ms);
+            self.update_progress(wave, |progress| progress.read_ms = Some(read_ms));
+            self.term.queue_row(self.wave_row(wave));
+        }
+        self.progress.borrow()[wave].age_ms(known_ms, table_ms)
+    }
+
     fn wave_hosts(
         &self,
         request: &WaveRequest,
@@ -390,11 +395,6 @@
     }
 
     fn wave_row(&self, wave: &WaveId) -> RowWrite {
-        let progress = self.progress.borrow();
-        let value = progress.get(wave).map(serde_json::to_value);
-        RowWrite {
-            key: format!("{WAVE_PREFIX}{wave}"),
-            value: Some(value.and_then(|value| value.ok()).unwrap_or(Value::Null)),
-        }
+        self.progress.borrow()[wave].to_write(wave)
     }
 }
--- a/src/workflow/upkeep_plan.rs
+++ b/src/workflow/upkeep_plan.rs
@@ -11,10 +11,6 @@
 //! it, beside the hosts with the least work.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::id::HostId;
 
@@ -33,18 +29,6 @@
 /// Remaining time below which tasks are stopped instead of waited for: two host cycles.
 const FORCE_BELOW_MS: u64 = 6_500;
 
-/// Progress of a wave, as stored in the table.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct WaveProgress {
-    /// Hosts whose upkeep was decided; stored before the command is sent.
-    #[serde(rename = "begun")]
-    pub started: BTreeSet<HostId>,
-    /// Hosts whose upkeep the platform accepted or rejected for good.
-    pub accepted: BTreeSet<HostId>,
-    /// Set once all listed hosts of the wave are in `accepted`.
-    pub complete: bool,
-}
-
 /// A host of a wave as input to the upkeep plan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WaveHost {
--- /dev/null
+++ b/src/workflow/wave_progress.rs
@@ -0,0 +1,63 @@
+//! The progress of a maintenance wave, as stored in the platform's table.
+
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::id::HostId;
+use crate::id::WaveId;
+use crate::provider::RowWrite;
+use crate::provider::TableRow;
+
+/// Key prefix of the rows with waves' progress.
+const WAVE_PREFIX: &str = "waves/";
+
+/// Progress of a wave.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct WaveProgress {
+    /// Hosts whose upkeep was decided; stored before the command is sent.
+    #[serde(rename = "begun")]
+    pub started: BTreeSet<HostId>,
+    /// Hosts whose upkeep the platform accepted or rejected for good.
+    pub accepted: BTreeSet<HostId>,
+    /// Set once all listed hosts of the wave are in `accepted`.
+    pub complete: bool,
+    /// The time at which a controller first read the wave, on the table's clock, in ms; `None` if it
+    /// was never known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub read_ms: Option<u64>,
+}
+
+impl WaveProgress {
+    /// Returns the key of a wave's row.
+    pub fn row_key(wave: &WaveId) -> String {
+        format!("{WAVE_PREFIX}{wave}")
+    }
+
+    /// Decodes the first of the rows read; without a readable row, nothing was done yet.
+    pub fn from_rows(rows: &[TableRow]) -> Self {
+        let value = rows.first().map(|row| row.value.clone());
+        let decoded = value.map(serde_json::from_value);
+        decoded
+            .and_then(|progress| progress.ok())
+            .unwrap_or_default()
+    }
+
+    /// Returns the write that stores the progress of `wave`.
+    pub fn to_write(&self, wave: &WaveId) -> RowWrite {
+        RowWrite {
+            key: Self::row_key(wave),
+            value: Some(serde_json::to_value(self).unwrap_or(Value::Null)),
+        }
+    }
+
+    /// Returns the time since the wave was first read by any controller, in ms. This controller read
+    /// it `known_ms` ago. `table_ms` is the table's time, if known.
+    pub fn age_ms(&self, known_ms: u64, table_ms: Option<u64>) -> u64 {
+        let stored_ms = table_ms.zip(self.read_ms);
+        let stored_age_ms = stored_ms.map(|(table_ms, read_ms)| table_ms.saturating_sub(read_ms));
+        stored_age_ms.unwrap_or(0).max(known_ms)
+    }
+}
