Drain long-running tasks of busy pools while their wave can be in time

Cause: such hosts were drained early only in pools with spare capacity. In a busy pool they came last, after all hosts with less work, and few of them may be stopped at once.

Change: a busy pool gives up a host with long-running tasks if the wave is urgent, or if its hosts, one after another, would take longer than the time that is planned for the rest of the wave. Otherwise busy pools are spared.

--- a/src/workflow/upkeep_plan.rs
+++ b/src/workflow/upkeep_plan.rs
@@ -8,7 +8,8 @@
 //!
 //! Hosts with long-running tasks take the longest, because only a few tasks of a step may be
 //! unavailable at once. They are drained from the start of the wave on, as soon as their steps allow
-//! it, beside the hosts with the least work.
+//! it, beside the hosts with the least work. Pools without spare capacity give them up as well if
+//! draining one after another would take too long.
 
 use std::collections::BTreeMap;
 
@@ -111,28 +112,32 @@
         }
     }
     let busy = down + choice.start.len() + choice.cordon.len();
-    let extra = drainable_hosts(hosts, &choice.cordon);
+    let busy_time_ms = if urgent { 0 } else { planned_ms };
+    let extra = drainable_hosts(hosts, &choice.cordon, busy_time_ms);
     let extra = extra.take(max_parallel.saturating_sub(busy));
     choice.cordon.extend(extra);
     choice
 }
 
-/// Returns hosts with long-running tasks to drain besides `cordoned`: one of each pool that has spare
-/// capacity. The next pass sees what the steps of these tasks allow then.
+/// Returns hosts with long-running tasks to drain besides `cordoned`, one of each pool. A pool without
+/// spare capacity gives up none while its hosts, one after another, take `busy_time_ms` ms at most.
+/// The next pass sees what the steps of these tasks allow then.
 fn drainable_hosts<'h>(
     hosts: &'h [WaveHost],
     cordoned: &[HostId],
+    busy_time_ms: u64,
 ) -> impl Iterator<Item = HostId> + use<'h> {
     let is_drainable = |host: &&WaveHost| {
-        let is_due = !host.started && host.up && !host.pool_busy;
+        let is_due = !host.started && host.up;
         is_due && host.can_spare_long_running && !cordoned.contains(&host.host)
     };
-    let mut first_by_pool: BTreeMap<&str, &WaveHost> = BTreeMap::new();
+    let mut hosts_by_pool: BTreeMap<&str, Vec<&WaveHost>> = BTreeMap::new();
     for host in hosts.iter().filter(is_drainable) {
-        let first = first_by_pool.entry(&host.pool).or_insert(host);
-        if host.used_millis < first.used_millis {
-            *first = host;
-        }
+        hosts_by_pool.entry(&host.pool).or_default().push(host);
     }
-    first_by_pool.into_values().map(|host| host.host.clone())
+    hosts_by_pool.into_values().filter_map(move |members| {
+        let is_late = members.len() as u64 * HOST_CYCLE_MS > busy_time_ms;
+        let least_used = members.into_iter().min_by_key(|host| host.used_millis)?;
+        (is_late || !least_used.pool_busy).then(|| least_used.host.clone())
+    })
 }
