--- a/src/workflow/upkeep_plan.rs
+++ b/src/workflow/upkeep_plan.rs
@@ -8,14 +8,10 @@
 //!
 //! Hosts with long-running tasks take the longest, because only a few tasks of a step may be
 //! unavailable at once. They are drained from the start of the wave on, as soon as their steps allow
-//! it, beside the hosts with the least work.
+//! it, beside the hosts with the least work. Pools without spare capacity give them up as well if
+//! draining one after another would take too long.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-
-use serde::Deserialize;
-use serde::Serialize;
-use serde_json::Value;
 
 use crate::id::HostId;
 
@@ -34,37 +30,6 @@
 /// Remaining time below which tasks are stopped instead of waited for: two host cycles.
 const FORCE_BELOW_MS: u64 = 6_500;
 
-/// Progress of a wave, as stored in the table.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct WaveProgress {
-    /// Hosts whose upkeep was decided; stored before the command is sent.
-    #[serde(rename = "begun")]
-    pub started: BTreeSet<HostId>,
-    /// Hosts whose upkeep the platform accepted or rejected for good.
-    pub accepted: BTreeSet<HostId>,
-    /// Set once all listed hosts of the wave are in `accepted`.
-    pub complete: bool,
-}
-
-impl WaveProgress {
-    /// Encodes the durable row. It names each host once, so that it fits wherever the operator's request
-    /// for the wave does.
-    pub fn to_row(&self) -> Value {
-        let row = Self {
-            started: self.started.difference(&self.accepted).cloned().collect(),
-            ..self.clone()
-        };
-        serde_json::to_value(row).unwrap_or(Value::Null)
-    }
-
-    /// Decodes a durable row; one that can't be decoded counts as no progress.
-    pub fn from_row(value: &Value) -> Self {
-        let mut progress: Self = serde_json::from_value(value.clone()).unwrap_or_default();
-        progress.started.extend(progress.accepted.iter().cloned());
-        progress
-    }
-}
-
 /// A host of a wave as input to the upkeep plan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WaveHost {
@@ -147,28 +112,32 @@
         }
     }
     let busy = down + choice.start.len() + choice.cordon.len();
-    let extra = drainable_hosts(hosts, &choice.cordon);
+    let busy_time_ms = if urgent { 0 } else { planned_ms };
+    let extra = drainable_hosts(hosts, &choice.cordon, busy_time_ms);
     let extra = extra.take(max_parallel.saturating_sub(busy));
     choice.cordon.extend(extra);
     choice
 }
 
-/// Returns hosts with long-running tasks to drain besides `cordoned`: one of each pool that has spare
-/// capacity. The next pass sees what the steps of these tasks allow then.
+/// Returns hosts with long-running tasks to drain besides `cordoned`, one of each pool. A pool without
+/// spare capacity gives up none while its hosts, one after another, take `busy_time_ms` ms at most.
+/// The next pass sees what the steps of these tasks allow then.
 fn drainable_hosts<'h>(
     hosts: &'h [WaveHost],
     cordoned: &[HostId],
+    busy_time_ms: u64,
 ) -> impl Iterator<Item = HostId> + use<'h> {
     let is_drainable = |host: &&WaveHost| {
-        let is_due = !host.started && host.up && !host.pool_busy;
+        let is_due = !host.started && host.up;
         is_due && host.can_spare_long_running && !cordoned.contains(&host.host)
     };
-    let mut first_by_pool: BTreeMap<&str, &WaveHost> = BTreeMap::new();
+    let mut hosts_by_pool: BTreeMap<&str, Vec<&WaveHost>> = BTreeMap::new();
     for host in hosts.iter().filter(is_drainable) {
-        let first = first_by_pool.entry(&host.pool).or_insert(host);
-        if host.used_millis < first.used_millis {
-            *first = host;
-        }
+        hosts_by_pool.entry(&host.pool).or_default().push(host);
     }
-    first_by_pool.into_values().map(|host| host.host.clone())
+    hosts_by_pool.into_values().filter_map(move |members| {
+        let is_late = members.len() as u64 * HOST_CYCLE_MS > busy_time_ms;
+        let least_used = members.into_iter().min_by_key(|host| host.used_millis)?;
+        (is_late || !least_used.pool_busy).then(|| least_used.host.clone())
+    })
 }
--- a/tests/placement_scale.rs
+++ b/tests/placement_scale.rs
@@ -19,8 +19,11 @@
 /// Tasks of each job.
 const TASKS: u32 = 8;
 
-/// Long-running jobs with a task on each worker.
-const WIDE_JOBS: usize = 20;
+/// Workers of a pool that a job of the most tasks is wider than.
+const POOL_WORKERS: usize = 600;
+
+/// Long-running jobs with a task on each worker of such a pool.
+const WIDE_JOBS: usize = 40;
 
 /// A fifth of the time after which the controller's lease counts as expired. Comparing all workers
 /// for each task took several times as long.
@@ -73,15 +76,15 @@
 #[test]
 fn long_running_jobs_that_are_wider_than_the_pool_cost_little() {
     // Arrange.
-    let mut fleet = EngineFleet::new(WORKERS);
-    let mut wide = long_running(WORKERS as u32 + 1, 1);
+    let mut fleet = EngineFleet::new(POOL_WORKERS);
+    let mut wide = long_running(POOL_WORKERS as u32 + 1, 1);
     wide.demand.cpu_millis = 10;
     wide.demand.memory_mb = 10;
     for number in 0..WIDE_JOBS {
         fleet.submit(&format!("{number:016x}"), vec![wide.clone()]);
     }
     fleet.start_all();
-    assert_eq!(fleet.placed_names().len(), WIDE_JOBS * WORKERS);
+    assert_eq!(fleet.placed_names().len(), WIDE_JOBS * POOL_WORKERS);
 
     // Act.
     let started = Instant::now();
