Commit no more at once than the link carries in 0.1 s

What callers would have seen, found by review: on a link of 2 Mbit/s a commit of 14,000 placements was given up three times, since the time limit learnt from small answers covers the whole of it; no renewal came between, and the lease passed on.

Change: a commit holds what the host's link carries in 0.1 s, as starts and pages do; an unknown link counts as one of 2 Mbit/s. Hosts of 50 Mbit/s and more commit as before.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -20,6 +20,7 @@
 use crate::workflow::ControllerTerm;
 use crate::workflow::CountFreshness;
 use crate::workflow::FleetPlatform;
+use crate::workflow::HostResources;
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseLost;
 use crate::workflow::OrganisationMonitor;
@@ -38,10 +39,6 @@
 /// Max rows of one transaction besides the leader row. The platform accepts 100.
 const MAX_COMMIT_ROWS: usize = 90;
 
-/// Max bytes of rows in one transaction: half of the platform's limit, because the encoding adds
-/// a third.
-const MAX_COMMIT_BYTES: usize = 400_000;
-
 /// Min time between commits. Changes within it share one commit.
 const MIN_COMMIT_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -59,6 +56,8 @@
     freshness: Rc<CountFreshness>,
     backlogs: Rc<BacklogView>,
     organisations: OrganisationMonitor,
+    /// The limit on the bytes of rows in one commit.
+    commit_bytes: usize,
     /// Pending jobs per queue, as last written.
     published_counts: BTreeMap<String, u64>,
     /// When the pending jobs were last counted, in ms.
@@ -75,6 +74,7 @@
         term: Rc<ControllerTerm>,
         freshness: Rc<CountFreshness>,
         backlogs: Rc<BacklogView>,
+        resources: HostResources,
     ) -> Self {
         let organisations = OrganisationMonitor::new(Rc::clone(&term.metrics));
         Self {
@@ -83,6 +83,7 @@
             freshness,
             backlogs,
             organisations,
+            commit_bytes: resources.commit_bytes(),
             published_counts: BTreeMap::new(),
             count_ms: 0,
             counted_ms: None,
@@ -116,7 +117,7 @@
     async fn release(&mut self, lease: &mut LeaderLease) {
         let row = self.command_row();
         let (writes, _) = self.merge_queued_rows(row.into_iter().collect());
-        let mut parts = split_writes(writes);
+        let mut parts = split_writes(writes, self.commit_bytes);
         let last = parts.pop().unwrap_or_default();
         for writes in parts {
             if let Err(lost) = self.commit_part(lease, writes).await {
@@ -155,7 +156,7 @@
         }
         let (counts, counted_ms) = self.changed_counts();
         writes.extend(counts);
-        let mut parts = split_writes(writes);
+        let mut parts = split_writes(writes, self.commit_bytes);
         let last = parts.pop().unwrap_or_default();
         for writes in parts {
             self.commit_part(lease, writes).await?;
@@ -280,15 +281,15 @@
     }
 }
 
-/// Splits writes into transactions within the platform's limits. Returns at least one, which may
-/// be empty.
-fn split_writes(writes: Vec<RowWrite>) -> Vec<Vec<RowWrite>> {
+/// Splits writes into transactions within the platform's limits and of `max_bytes`, unless a single
+/// row is larger. Returns at least one, which may be empty.
+fn split_writes(writes: Vec<RowWrite>, max_bytes: usize) -> Vec<Vec<RowWrite>> {
     let mut parts = vec![Vec::new()];
     let mut bytes = 0;
     for write in writes {
         let size = write.value.as_ref().map_or(0, value_size) + write.key.len();
         let row_count = parts.last().map_or(0, Vec::len);
-        if row_count >= MAX_COMMIT_ROWS || (row_count > 0 && bytes + size > MAX_COMMIT_BYTES) {
+        if row_count >= MAX_COMMIT_ROWS || (row_count > 0 && bytes + size > max_bytes) {
             parts.push(Vec::new());
             bytes = 0;
         }
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -189,6 +189,7 @@
             Rc::clone(&term),
             Rc::clone(&self.counts),
             Rc::clone(&self.backlogs),
+            self.resources,
         );
         committer.run(&mut lease, &self.shutdown).await;
         term.end("committer stopped");
--- a/src/workflow/host_resources.rs
+++ b/src/workflow/host_resources.rs
@@ -20,6 +20,13 @@
 /// The fewest bytes of start commands that may be on their way together: the largest command.
 pub(crate) const MIN_START_BYTES: usize = 6_000;
 
+/// The link that is assumed for commits if none is known, in Mbit/s: that of the thinnest entry hosts.
+const UNKNOWN_LINK_MBPS: f64 = 2.0;
+
+/// The limit on the bytes of rows in one commit: half of the platform's limit, because the encoding
+/// adds a third.
+const MAX_COMMIT_BYTES: usize = 400_000;
+
 /// Bytes of one host in a list of hosts.
 const HOST_LIST_BYTES: usize = 200;
 
@@ -46,6 +53,15 @@
         bytes.unwrap_or(DEFAULT_START_BYTES).max(MIN_START_BYTES)
     }
 
+    /// Returns the bytes of rows that one commit may hold: what the link carries in 0.1 s, so that each
+    /// commit, which also renews the lease, is answered long before the lease expires.
+    pub fn commit_bytes(&self) -> usize {
+        let mbps = self.link_mbps.unwrap_or(UNKNOWN_LINK_MBPS);
+        // The platform's encoding adds a third.
+        let bytes = (mbps * BYTES_PER_MBPS) as usize / 4 * 3;
+        bytes.min(MAX_COMMIT_BYTES)
+    }
+
     /// Returns the interval at which `hosts` hosts may be listed without using more than a tenth of
     /// the link.
     pub fn host_list_interval(&self, hosts: usize) -> Duration {
