Share the start of an entry host between two test files, and correct a comment

tests/row_limits.rs and tests/control_inputs.rs held the same function. The comment on the tasks of all occurrences said that 700 run at a time; it is what the row has room for.

--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -11,8 +11,8 @@
 /// platform's encoding, which leaves 48 KB of content; a running task reserves 48 bytes of it.
 pub(crate) const MAX_OCCURRENCE_TASKS: u64 = 700;
 
-/// The limit on tasks of all occurrences, of which [`MAX_OCCURRENCE_TASKS`] may run at a time; a task that has not run or is done takes 2 bytes
-/// of the row.
+/// The limit on tasks of all occurrences; a task that has not run or is done takes 2 bytes of the row.
+/// As many run at a time as the row has room for.
 const MAX_JOB_TASKS: u64 = 7_000;
 
 /// The limit on each resource of a task: 10,000 cores in millicores, 10,000 GB in MB.
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -20,6 +20,8 @@
 use zincpier::id::WaveId;
 use zincpier::id::WorkerId;
 use zincpier::process::boot_ms;
+use zincpier::process::EntryMetrics;
+use zincpier::process::ShutdownSignal;
 use zincpier::provider::RowCheck;
 use zincpier::provider::TableRow;
 use zincpier::provider::TableService;
@@ -29,8 +31,11 @@
 use zincpier::workflow::ChangeSet;
 use zincpier::workflow::CommandOutcome;
 use zincpier::workflow::CommandRefusal;
+use zincpier::workflow::Controller;
+use zincpier::workflow::CountFreshness;
 use zincpier::workflow::EndKind;
 use zincpier::workflow::FleetConfig;
+use zincpier::workflow::FleetView;
 use zincpier::workflow::HostEntry;
 use zincpier::workflow::HostGateway;
 use zincpier::workflow::HostList;
@@ -404,6 +409,24 @@
     pub(crate) is_disconnected: Cell<bool>,
 }
 
+/// Starts the controller of an entry host that never shuts down. Returns its connection.
+pub(crate) fn start_entry(fleet: &Rc<FakeFleet>, name: &str) -> Rc<FakeLink> {
+    let link = FakeLink::new(fleet);
+    let view = FleetView::new();
+    let link_and_view = (Rc::clone(&link), Rc::clone(&view));
+    monoio::spawn(async move { link_and_view.1.watch(link_and_view.0.as_ref()).await });
+    let controller = Controller::new(
+        Rc::clone(&link),
+        view,
+        name.to_owned(),
+        Rc::new(EntryMetrics::new()),
+        Rc::new(CountFreshness::new()),
+        ShutdownSignal::new(),
+    );
+    monoio::spawn(async move { controller.run().await });
+    link
+}
+
 impl FakeLink {
     pub(crate) fn new(fleet: &Rc<FakeFleet>) -> Rc<Self> {
         Rc::new(Self {
--- a/tests/control_inputs.rs
+++ b/tests/control_inputs.rs
@@ -16,15 +16,11 @@
 use monoio::time::sleep;
 use monoio::time::Instant;
 use zincpier::id::JobId;
-use zincpier::process::EntryMetrics;
-use zincpier::process::ShutdownSignal;
 use zincpier::provider::TableService;
 use zincpier::workflow::CallerScope;
-use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::EndKind;
 use zincpier::workflow::FleetConfig;
-use zincpier::workflow::FleetView;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
@@ -40,6 +36,7 @@
 use zincpier::workflow::WorkerResources;
 use zincpier::workflow::LEADER_KEY;
 
+use crate::fake_fleet::start_entry;
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::FakeLink;
 use crate::fixtures::EngineFleet;
@@ -266,23 +263,6 @@
     assert!(placed_of(&fleet, OTHER_JOB) > 0);
 }
 
-fn start_entry(fleet: &Rc<FakeFleet>, name: &str) -> Rc<FakeLink> {
-    let link = FakeLink::new(fleet);
-    let view = FleetView::new();
-    let link_and_view = (Rc::clone(&link), Rc::clone(&view));
-    monoio::spawn(async move { link_and_view.1.watch(link_and_view.0.as_ref()).await });
-    let controller = Controller::new(
-        Rc::clone(&link),
-        view,
-        name.to_owned(),
-        Rc::new(EntryMetrics::new()),
-        Rc::new(CountFreshness::new()),
-        ShutdownSignal::new(),
-    );
-    monoio::spawn(async move { controller.run().await });
-    link
-}
-
 /// Submits a job to the first queue; returns whether it is complete within [`TIMEOUT`].
 async fn completes(link: &Rc<FakeLink>, config: &FleetConfig) -> bool {
     let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -16,14 +16,10 @@
 use monoio::time::sleep;
 use monoio::time::Instant;
 use zincpier::id::JobId;
-use zincpier::process::EntryMetrics;
-use zincpier::process::ShutdownSignal;
 use zincpier::provider::TableService;
 use zincpier::workflow::CallerScope;
-use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::EndKind;
-use zincpier::workflow::FleetView;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
@@ -39,6 +35,7 @@
 use zincpier::workflow::WorkerResources;
 use zincpier::workflow::LEADER_KEY;
 
+use crate::fake_fleet::start_entry;
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::FakeLink;
 use crate::fake_fleet::MAX_ROW_BYTES;
@@ -95,23 +92,6 @@
     format!("{number:016x}").parse().unwrap()
 }
 
-fn start_entry(fleet: &Rc<FakeFleet>, name: &str) -> Rc<FakeLink> {
-    let link = FakeLink::new(fleet);
-    let view = FleetView::new();
-    let link_and_view = (Rc::clone(&link), Rc::clone(&view));
-    monoio::spawn(async move { link_and_view.1.watch(link_and_view.0.as_ref()).await });
-    let controller = Controller::new(
-        Rc::clone(&link),
-        view,
-        name.to_owned(),
-        Rc::new(EntryMetrics::new()),
-        Rc::new(CountFreshness::new()),
-        ShutdownSignal::new(),
-    );
-    monoio::spawn(async move { controller.run().await });
-    link
-}
-
 async fn submit(link: &Rc<FakeLink>, number: usize, spec: &JobSpec) {
     let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
     let deadline = Instant::now() + TIMEOUT;
