Failing test: a stop is sent after the end of a doubted term

What callers would see: a run that the next holder of the lease keeps is ended by the last one, so that a long-running task is without a run.

Cause: while the lease is doubted, send_stop waits. If the doubt ends with the end of the term, it leaves the wait and sends the stop all the same: up to 1 s later, and once it is known that another holder may decide. Workers that this holder has not called yet accept it. Before the doubt was introduced, stops did not wait.

What a worker and the next holder make of it follows from reading.

--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -10,6 +10,7 @@
 #[path = "common/runtime.rs"]
 mod runtime;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,12 +19,21 @@
 use zincpier::process::boot_ms;
 use zincpier::process::EntryMetrics;
 use zincpier::workflow::send_start;
+use zincpier::workflow::send_stop;
+use zincpier::workflow::CommandOutcome;
 use zincpier::workflow::ControllerTerm;
 use zincpier::workflow::HostCommands;
 use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobSpec;
+use zincpier::workflow::LeaseRenewal;
+use zincpier::workflow::RenewalOutcome;
+use zincpier::workflow::StartCommand;
 use zincpier::workflow::StepSpec;
+use zincpier::workflow::StopRequest;
+use zincpier::workflow::TaskName;
 use zincpier::workflow::TaskPhase;
+use zincpier::workflow::WorkerEntry;
+use zincpier::workflow::WorkerGateway;
 use zincpier::workflow::WorkerReport;
 
 use crate::fake_fleet::FakeFleet;
@@ -139,3 +149,72 @@
         assert!(start.is_ok());
     });
 }
+
+/// Workers that accept each stop, as those do that the next holder of the lease has not called yet.
+struct CountingGateway {
+    stops: Cell<u32>,
+}
+
+impl WorkerGateway for CountingGateway {
+    async fn start_task(&self, _: &WorkerEntry, _: &StartCommand) -> CommandOutcome {
+        CommandOutcome::Unknown("not simulated".to_owned())
+    }
+
+    async fn stop_task(&self, _: &WorkerEntry, _: &TaskName, _: u64, _: u64) -> CommandOutcome {
+        self.stops.set(self.stops.get() + 1);
+        CommandOutcome::Accepted(boot_ms())
+    }
+
+    async fn renew_lease(&self, _: &WorkerEntry, _: &LeaseRenewal) -> RenewalOutcome {
+        RenewalOutcome::Unknown("not simulated".to_owned())
+    }
+
+    async fn set_task_pace(
+        &self,
+        _: &WorkerEntry,
+        _: &TaskName,
+        _: u64,
+        _: u32,
+        _: u64,
+    ) -> CommandOutcome {
+        CommandOutcome::Unknown("not simulated".to_owned())
+    }
+}
+
+/// A stop that waits while the lease is doubted would be sent once it is known that another holder
+/// decides, and end a run that this holder keeps.
+#[test]
+fn stop_that_waited_for_a_doubt_is_not_sent_after_the_term_ended() {
+    run(async {
+        // Arrange: another worker knows of a later holder when a task is to be stopped.
+        let worker = fixtures::worker_entry(0);
+        let mut engine = JobEngine::new(0, 0);
+        engine.set_worker(worker.clone(), 0);
+        let commands = HostCommands::new(None, 0);
+        let term = ControllerTerm::new(1, engine, commands, Rc::new(EntryMetrics::new()));
+        sleep(Duration::from_millis(5)).await;
+        term.doubt_lease(&fixtures::worker_entry(1).id);
+        assert!(term.is_doubted());
+        let request = StopRequest {
+            worker: worker.id,
+            incarnation_start: None,
+            task: fixtures::task(fixtures::JOB, 0),
+            run: 1,
+            reason: "the worker is drained",
+        };
+        let gateway = Rc::new(CountingGateway {
+            stops: Cell::new(0),
+        });
+        let stop = send_stop(Rc::clone(&gateway), Rc::clone(&term), request);
+        let stop = monoio::spawn(stop);
+        sleep(WAIT_FOR_START).await;
+        assert_eq!(gateway.stops.get(), 0);
+
+        // Act: a commit finds that the lease has passed on.
+        term.end("the controller's lease is lost");
+        stop.await;
+
+        // Assert.
+        assert_eq!(gateway.stops.get(), 0);
+    });
+}
