Failing test: a refusing worker ends each term on a slow table

What callers would see: nothing runs for anybody while commits take over 1 s, if one worker refuses every epoch.

Cause: a doubt about the lease must be settled within MAX_DOUBT_MS, 1 s, by a commit that is sent after it. A table whose commits take longer can't do that, though the lease is held: others claim it later the longer their reads take. Each successor meets the same worker again.

worker_that_refuses_every_epoch_does_not_end_each_term_on_a_slow_table fails on this code: with commits of 1.2 s and a single entry host epoch 4 after 10 s, 1 without the refusing worker.

--- a/tests/control_inputs.rs
+++ b/tests/control_inputs.rs
@@ -337,3 +337,32 @@
         assert_eq!(results, (true, 1));
     });
 }
+
+/// Returns the epoch after a time of a single entry host on a table whose commits take longer than a
+/// doubt about the lease may last. `is_refused` tells whether one worker refuses every epoch.
+async fn epoch_on_slow_table(is_refused: bool) -> u64 {
+    let workers: Vec<_> = (0..4).map(fixtures::worker_entry).collect();
+    let fleet = FakeFleet::new(fixtures::config(), workers.clone());
+    if is_refused {
+        fleet.refuse_epochs(&workers[0].id);
+    }
+    fleet.commit_time.set(Duration::from_millis(1_200));
+    let link = start_entry(&fleet, "boston-1");
+    sleep(TIMEOUT).await;
+    lease_epoch(&link).await
+}
+
+/// The doubt is settled by a commit, which a slow table takes longer for than the doubt may last.
+#[test]
+fn worker_that_refuses_every_epoch_does_not_end_each_term_on_a_slow_table() {
+    run(async {
+        // Act.
+        let (without, with) = (
+            epoch_on_slow_table(false).await,
+            epoch_on_slow_table(true).await,
+        );
+
+        // Assert: no other host claims the lease, so a term ends only by itself.
+        assert_eq!((without, with), (1, 1));
+    });
+}
