Failing test: the room of a row is counted for each checkpoint

What callers would see: by reading, a controller of little processor time that falls behind while a job of over 700 tasks runs with checkpoints over 20 characters.

Cause: set_checkpoint asks for the room of the row, which task_mut has reset, so that all tasks of the job are counted for each run of a report. Where the row is full, the same checkpoint is also refused and logged again with each report.

--- a/tests/control_inputs.rs
+++ b/tests/control_inputs.rs
@@ -366,3 +366,54 @@
         assert_eq!((without, with), (1, 1));
     });
 }
+
+/// Returns the time in which a report with these checkpoints of all placed tasks is applied.
+fn time_of_report(fleet: &mut EngineFleet, worker: &WorkerEntry, checkpoint: &str) -> Duration {
+    let names = fleet.placed_names().into_iter();
+    let running = names.map(|name| zincpier::workflow::RunningTask {
+        run: fleet.state(&name).last_run,
+        task: name,
+        checkpoint: checkpoint.to_owned(),
+        percent: 100,
+        load: 0,
+    });
+    let report = WorkerReport {
+        incarnation_start: None,
+        clock_ms: fleet.now_ms,
+        running: running.collect(),
+        ends: Vec::new(),
+        has_more_ends: false,
+    };
+    fleet.advance(10);
+    let now_ms = fleet.now_ms;
+    let started = std::time::Instant::now();
+    fleet
+        .engine
+        .apply_report(&worker.id, &report, now_ms, now_ms);
+    started.elapsed()
+}
+
+/// The room of the row would be counted over all tasks of the job for each checkpoint.
+#[test]
+fn new_checkpoints_of_a_job_with_many_tasks_do_not_slow_down_each_report() {
+    // Arrange: as many tasks run as the row holds, and checkpoints are longer than is reserved.
+    let worker = worker("i-0000000001", 64_000);
+    let mut fleet = fleet_of(&worker);
+    let spec = job_spec(vec![small_step(1)], 7_000);
+    let id = fixtures::JOB.parse().unwrap();
+    fleet.engine.add_job(id, spec, None, fleet.now_ms);
+    fleet.start_all();
+
+    // Act.
+    let without: Vec<_> = (0..5)
+        .map(|_| time_of_report(&mut fleet, &worker, ""))
+        .collect();
+    let with: Vec<_> = (0..5)
+        .map(|round| time_of_report(&mut fleet, &worker, &format!("{round:030}")))
+        .collect();
+
+    // Assert.
+    let (without, with) = (without.iter().min(), with.iter().min());
+    println!("without {without:?}, with {with:?}");
+    assert!(with < without.map(|time| *time * 10).as_ref());
+}
