Count the room of a job's row only over tasks that changed

A worker's report may hold a new checkpoint of hundreds of tasks of one job. Each checkpoint that is longer than what its task has reserved looks at the room of the job's row, and each change of a task discarded that figure, so that it was counted over all tasks of the job again for every checkpoint.

RowBudget keeps the bytes of each task and counts again only those that were handed out for a change.

--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -1,6 +1,6 @@
 //! The state of a job and of all its tasks.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use serde_json::json;
@@ -11,6 +11,7 @@
 use crate::id::WorkerId;
 use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
 use crate::workflow::job_status::OWNER_FIELD;
+use crate::workflow::row_budget::RowBudget;
 use crate::workflow::running_time::RunningTime;
 use crate::workflow::task_state::run_row_bytes;
 use crate::workflow::task_state::RUN_ROW_BYTES;
@@ -95,8 +96,8 @@
     /// Its organisation had submitted more jobs a second than it is entitled to when the job arrived.
     pub is_over_rate: bool,
     tasks: Vec<TaskState>,
-    /// The bytes that the durable row has left, unless a task may have changed since they were counted.
-    row_room: Cell<Option<usize>>,
+    /// The bytes of the durable row that the tasks reserve.
+    row_budget: RefCell<RowBudget>,
     /// The position of each step's first task within an occurrence.
     step_offsets: Vec<usize>,
     /// The number of done tasks of each step in each occurrence; see `step_position`.
@@ -123,7 +124,7 @@
             has_begun: false,
             is_over_rate: false,
             tasks: vec![TaskState::new(); total * occurrences],
-            row_room: Cell::new(None),
+            row_budget: RefCell::default(),
             step_offsets,
             done_counts,
             spec,
@@ -140,7 +141,7 @@
         for (number, task_value) in task_values.iter().enumerate() {
             self.tasks[number] = TaskState::from_value(task_value, now_ms)?;
         }
-        self.row_room.set(None);
+        self.row_budget = RefCell::default();
         self.phase = phase;
         if phase.has_ended() {
             self.ended_ms = now_ms;
@@ -179,9 +180,16 @@
     /// reserve those of a usual run, and so do long-running ones from the beginning. In a job that is
     /// small enough, all do.
     pub(crate) fn row_room(&self) -> usize {
-        let room = self.row_room.get().unwrap_or_else(|| self.count_row_room());
-        self.row_room.set(Some(room));
-        room
+        let owner = self.spec.organisation.as_ref();
+        let overhead = ROW_OVERHEAD_BYTES + owner.map_or(0, |owner| owner.as_str().len());
+        let per_occurrence = self.tasks_per_occurrence();
+        let bytes = |position: usize| {
+            let offset = position % per_occurrence;
+            let step = self.step_offsets.partition_point(|first| *first <= offset) - 1;
+            self.reserved_bytes(&self.tasks[position], &self.spec.steps[step])
+        };
+        let reserved = self.row_budget.borrow_mut().count(self.tasks.len(), bytes);
+        MAX_ROW_BYTES.saturating_sub(overhead + reserved)
     }
 
     /// Returns the bytes that a run of a task on `worker` takes of the durable row beyond what the task
@@ -260,7 +268,7 @@
     /// Returns a task's state for modification; `None` if the job has no such task.
     pub fn task_mut(&mut self, name: &TaskName) -> Option<&mut TaskState> {
         let position = self.position(name)?;
-        self.row_room.set(None);
+        self.row_budget.get_mut().record_change(position);
         self.tasks.get_mut(position)
     }
 
@@ -354,17 +362,6 @@
         state.row_bytes().max(least)
     }
 
-    fn count_row_room(&self) -> usize {
-        let owner = self.spec.organisation.as_ref();
-        let overhead = ROW_OVERHEAD_BYTES + owner.map_or(0, |owner| owner.as_str().len());
-        let steps = self.spec.steps.iter();
-        let task_steps = steps.flat_map(|step| (0..step.tasks).map(move |_| step));
-        let task_steps: Vec<_> = task_steps.collect();
-        let tasks = self.tasks.iter().zip(task_steps.iter().cycle());
-        let reserved = tasks.map(|(state, step)| self.reserved_bytes(state, step));
-        MAX_ROW_BYTES.saturating_sub(overhead + reserved.sum::<usize>())
-    }
-
     fn recount_done(&mut self) {
         for occurrence in 0..self.spec.occurrences() {
             for step in 0..self.spec.steps.len() as u32 {
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -81,6 +81,7 @@
 mod rate_meter;
 mod resource_cap;
 mod retry_delay;
+mod row_budget;
 mod running_time;
 mod share_order;
 mod share_weight;
