Say what an unknown link counts as

The type said that an unknown value counts as enough, while its limits on starts and commits assume 10 and 2 Mbit/s. Found by a review; no behaviour changes.

--- a/src/workflow/host_resources.rs
+++ b/src/workflow/host_resources.rs
@@ -36,7 +36,7 @@
 /// The longest interval between lists of hosts: waves and moves must still meet their times.
 const MAX_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// What an entry host provides. An unknown value counts as enough.
+/// What an entry host provides. An unknown value counts as enough to hold the lease.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct HostResources {
     /// Processor time, in cores.
@@ -47,14 +47,15 @@
 
 impl HostResources {
     /// Returns the bytes of start commands that may be on their way together: what the link carries
-    /// in 0.1 s. An unknown link counts as the thinnest.
+    /// in 0.1 s. An unknown link counts as one of 10 Mbit/s.
     pub fn start_bytes(&self) -> usize {
         let bytes = self.link_mbps.map(|mbps| (mbps * BYTES_PER_MBPS) as usize);
         bytes.unwrap_or(DEFAULT_START_BYTES).max(MIN_START_BYTES)
     }
 
     /// Returns the bytes of rows that one commit may hold: what the link carries in 0.1 s, so that each
-    /// commit, which also renews the lease, is answered long before the lease expires.
+    /// commit, which also renews the lease, is answered long before the lease expires. An unknown link
+    /// counts as one of 2 Mbit/s.
     pub fn commit_bytes(&self) -> usize {
         let mbps = self.link_mbps.unwrap_or(UNKNOWN_LINK_MBPS);
         // The platform's encoding adds a third.
