--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -59,6 +59,10 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time after which a call to a silent table is given up: the longest timeout of the platform's
+/// client, which it reaches after a few calls without an answer.
+const SILENT_CALL_TIME: Duration = Duration::from_millis(1_600);
+
 /// A task run on a fake worker.
 struct FakeRun {
     run: u64,
@@ -107,6 +111,8 @@
     pub(crate) max_page_rows: Cell<usize>,
     /// The table refuses all calls.
     pub(crate) table_down: Cell<bool>,
+    /// The table doesn't answer calls that it receives meanwhile.
+    pub(crate) table_silent: Cell<bool>,
     /// The list of workers cannot be read.
     pub(crate) workers_hidden: Cell<bool>,
     /// The list of workers contains none of them.
@@ -159,6 +165,7 @@
             page_time: Cell::new(Duration::ZERO),
             max_page_rows: Cell::new(500),
             table_down: Cell::new(false),
+            table_silent: Cell::new(false),
             workers_hidden: Cell::new(false),
             workers_unlisted: Cell::new(false),
             renewals: Cell::new(0),
@@ -446,6 +453,10 @@
     /// Simulates a call's path to the table; fails during a table outage.
     async fn reach_table(&self) -> Result<()> {
         self.cross_network().await;
+        if self.fleet.table_silent.get() {
+            sleep(SILENT_CALL_TIME).await;
+            return Err(Error::PlatformSilent("no answer in time".to_owned()));
+        }
         if self.fleet.table_down.get() {
             return Err(Error::PlatformRefused {
                 status: 503,
