Send a commit again beside one that waits for its answer

Callers saw: by reading, after an outage of the table the lease passes from a live holder to another entry host, which has to load the state before it starts anything.

Cause: after an outage a commit's timeout has grown to 1.6 s. One that was sent just before the end is waited for as long, before the next attempt renews the lease. Other entry hosts claim the lease 1 s after their first read of the row.

Change: an attempt without an answer for 600 ms is left to wait, and another is sent beside it (CallSeries). Only one takes effect, since each checks the revision that any of them changes; a conflict is settled as before by a read of the row. A table that is merely slow (420 ms) gets no second attempt.

--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -1,8 +1,8 @@
 //! The controller's lease and the commits that only its holder can make.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use monoio::time::sleep;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -15,6 +15,7 @@
 use crate::provider::TableService;
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
+use crate::workflow::call_series::CallSeries;
 use crate::workflow::CountStamp;
 use crate::workflow::OrganisationLimits;
 use crate::workflow::QueueBacklogs;
@@ -30,6 +31,10 @@
 /// Max delay before a commit is retried: half of a lease's remaining time.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Time after which a commit without an answer is sent again beside it: longer than a slow table takes
+/// (420 ms), and short enough that the lease is renewed after an outage before others claim it.
+const RESEND_DELAY: Duration = Duration::from_millis(600);
+
 /// The lease holder as stored in the table.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaderRecord {
@@ -183,7 +188,8 @@
         self.confirmed_ms
     }
 
-    /// Commits rows and renews the lease. Retries until the commit succeeds or the lease is lost.
+    /// Commits rows and renews the lease. Retries until the commit succeeds or the lease is lost, and
+    /// doesn't wait for answers to earlier attempts to send another: only one of them takes effect.
     /// Once it succeeds, the published counts of pending jobs contain all submissions known at
     /// `counted_ms`, if any counts are published.
     ///
@@ -198,7 +204,8 @@
         counted_ms: Option<u64>,
     ) -> Result<(), LeaseLost> {
         self.record.commit += 1;
-        let mut transaction = self.transaction(writes);
+        let mut transaction = Rc::new(self.transaction(writes));
+        let mut attempts = CallSeries::new();
         let mut delay = RETRY_DELAY;
         loop {
             let sent_ms = boot_ms();
@@ -206,30 +213,35 @@
                 age_ms: sent_ms.saturating_sub(counted_ms),
                 claimed: self.claimed,
             });
-            if let Some(leader) = transaction.writes.first_mut() {
+            if let Some(leader) = Rc::make_mut(&mut transaction).writes.first_mut() {
                 leader.value = Some(self.row_value());
             }
-            match table.transact(&transaction).await {
-                Ok(TransactionOutcome::Committed(revision)) => {
-                    self.record_confirmed(revision, sent_ms);
-                    return Ok(());
-                }
-                Ok(TransactionOutcome::Conflict(_)) => {
-                    if let Some(outcome) = self.resolve(table).await {
-                        return outcome;
+            let attempt = Rc::clone(&transaction);
+            let attempt = async move { (sent_ms, table.transact(&attempt).await) };
+            attempts.send(attempt, RESEND_DELAY);
+            while let Some((sent_ms, outcome)) = attempts.next().await {
+                match outcome {
+                    Ok(TransactionOutcome::Committed(revision)) => {
+                        self.record_confirmed(revision, sent_ms);
+                        return Ok(());
                     }
+                    Ok(TransactionOutcome::Conflict(_)) => {
+                        if let Some(outcome) = self.resolve(table).await {
+                            return outcome;
+                        }
+                    }
+                    Err(Error::PlatformRefused {
+                        status: 400,
+                        reason,
+                    }) => {
+                        log::error!("event=commit_rejected reason={reason:?}");
+                        return Err(LeaseLost);
+                    }
+                    Err(error) => log::warn!("event=commit_retried reason=\"{error}\""),
                 }
-                Err(Error::PlatformRefused {
-                    status: 400,
-                    reason,
-                }) => {
-                    log::error!("event=commit_rejected reason={reason:?}");
-                    return Err(LeaseLost);
-                }
-                Err(error) => log::warn!("event=commit_retried reason=\"{error}\""),
+                attempts.retry_after(delay);
+                delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
-            sleep(delay).await;
-            delay = (delay * 2).min(MAX_RETRY_DELAY);
         }
     }
 
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -9,6 +9,7 @@
 mod api_key;
 mod api_key_error;
 mod archived_jobs;
+mod call_series;
 mod caller_scope;
 mod cap_limits;
 mod capacity_plan;
