Read the leader row again beside reads that wait for their answers

A restarted one with 0.12 cores and 10 Mbit/s reads at once, and the 600 ms for which it leaves the lease to others are over before they may claim it.

Change: while a read of the leader row is unanswered, another is sent each 300 ms, as often as without an outage. A row that only a later read got is new to the monitor, so the holder has the whole lease time from the end of the outage; with the commit before, it renews within 600 ms.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -19,6 +19,7 @@
 use crate::process::EntryMetrics;
 use crate::process::ShutdownSignal;
 use crate::provider::TableRow;
+use crate::workflow::call_series::CallSeries;
 use crate::workflow::committer::Committer;
 use crate::workflow::committer::PROGRESS_PREFIX;
 use crate::workflow::feed_watcher::apply_job_row;
@@ -44,7 +45,8 @@
 use crate::workflow::COMMANDS_KEY;
 use crate::workflow::LEADER_KEY;
 
-/// Interval at which an entry host without the lease reads the leader row.
+/// Interval at which an entry host without the lease reads the leader row, whether or not earlier reads
+/// are answered.
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Interval at which the lease is renewed while the state is loaded.
@@ -66,6 +68,12 @@
     resources: HostResources,
 }
 
+/// An answered read of the leader row.
+struct LeaderRead {
+    row: Option<TableRow>,
+    sent_ms: u64,
+}
+
 impl<P: FleetPlatform> Controller<P> {
     /// Creates the controller of the entry host `name`, which is the holder's name in the leader
     /// row. It keeps `counts` current.
@@ -106,25 +114,51 @@
         let mut monitor = LeaseMonitor::new(boot_ms())
             .with_claim_delay(self.resources.claim_delay_ms())
             .with_processor_millis(self.resources.processor_millis());
+        while self.shutdown.is_running() {
+            if let Some(read) = self.read_leader(&mut monitor).await {
+                let row = read.row.as_ref();
+                self.counts.record_read(row, read.sent_ms);
+                self.backlogs.record_read(row, read.sent_ms);
+                let now_ms = boot_ms();
+                let read_ms = now_ms.saturating_sub(read.sent_ms);
+                if monitor.may_claim(row, &self.name, read_ms, now_ms) {
+                    self.claim(row).await;
+                    monitor.reset();
+                }
+            }
+            sleep(LEASE_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Reads the leader row until a read is answered or shutdown starts. While reads are unanswered, others
+    /// are sent beside them, so that all entry hosts see the row within one interval after an outage: which of
+    /// them claims the lease is then up to the monitor, and not to when each sent its last read.
+    async fn read_leader(&self, monitor: &mut LeaseMonitor) -> Option<LeaderRead> {
+        let mut reads = CallSeries::new();
+        let mut is_first = true;
         while self.shutdown.is_running() {
             let sent_ms = boot_ms();
-            match self.platform.read(&[LEADER_KEY]).await {
-                Ok(rows) => {
-                    self.counts.record_read(rows.first(), sent_ms);
-                    self.backlogs.record_read(rows.first(), sent_ms);
-                    let read_ms = boot_ms().saturating_sub(sent_ms);
-                    if monitor.may_claim(rows.first(), &self.name, read_ms, boot_ms()) {
-                        self.claim(rows.first()).await;
+            let read = async move { (is_first, sent_ms, self.platform.read(&[LEADER_KEY]).await) };
+            reads.send(read, LEASE_POLL_INTERVAL);
+            is_first = false;
+            while let Some((is_first, sent_ms, outcome)) = reads.next().await {
+                match outcome {
+                    Ok(rows) => {
+                        // The table didn't answer the first read, and maybe not the holder either.
+                        if !is_first {
+                            monitor.reset();
+                        }
+                        let row = rows.into_iter().next();
+                        return Some(LeaderRead { row, sent_ms });
+                    }
+                    Err(error) => {
+                        log::warn!("event=leader_unknown reason=\"{error}\"");
                         monitor.reset();
                     }
                 }
-                Err(error) => {
-                    log::warn!("event=leader_unknown reason=\"{error}\"");
-                    monitor.reset();
-                }
             }
-            sleep(LEASE_POLL_INTERVAL).await;
         }
+        None
     }
 
     async fn claim(&self, row: Option<&TableRow>) {
