Tell an unreadable row from a missing one, and go on without its value

What callers saw: with an unreadable leader row no entry host claimed the lease, and a holder whose row became unreadable neither committed nor ended its term; with an unreadable row of the ages of commands each new holder waited without end. Nothing ran for anybody. A wave with unreadable progress stayed without upkeep, and an unreadable cancellation was dropped, though its key says all.

Cause: the table client failed the whole read if the value wasn't JSON, so that the readers, which know what to do with a value of another form, never saw the row. They retried a read whose answer can't change.

Change: the value of an unreadable row is null, and the row keeps its key and revision, so that the first claim replaces it. - Ages of commands: an unreadable row, also in the first term, or one that can't be read for 3 s counts as unknown. The holder commands no host for the usual 3.15 s after that, which keeps two holders' commands apart; jobs go on. - A wave whose progress was unreadable is played again; the platform carries out no upkeep twice. An accepted command doesn't show then that the host's worker has ended, so only the list of hosts does. - A submission that can't be read is still reported as unknown, not as queued.

By reading only: the bound of 3 s on reads that fail, and the worker of a host whose upkeep was forgotten.

--- a/src/provider/table_row.rs
+++ b/src/provider/table_row.rs
@@ -13,6 +13,6 @@
     pub key: String,
     /// The revision of its last change.
     pub revision: Revision,
-    /// The value, decoded from JSON.
+    /// The value, decoded from JSON; null if it can't be decoded.
     pub value: Value,
 }
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -13,6 +13,7 @@
 use futures::future::Either;
 use monoio::time::sleep;
 use monoio::time::timeout;
+use monoio::time::Instant;
 
 use crate::id::Revision;
 use crate::process::boot_ms;
@@ -53,6 +54,10 @@
 /// Delay before a failed read of the state is retried.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time for which a new holder tries to read the ages of its predecessor's commands. Without them it
+/// has to wait for about as long before it commands hosts, while jobs go on.
+const COMMAND_AGES_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Tries to claim the controller's lease, and controls jobs and hosts while this entry host holds
 /// it.
 pub struct Controller<P> {
@@ -224,16 +229,22 @@
         }
     }
 
-    /// Reads the ages of the latest commands to hosts. Returns `None` if they are unknown, for
-    /// example because the last holder wrote no ages. In the very first term there is no
-    /// predecessor, so a missing row means that no host was commanded.
+    /// Reads the ages of the latest commands to hosts. Returns `None` if they are unknown: the last
+    /// holder wrote no ages, or the row is unreadable or can't be read for a while. In the very first
+    /// term there is no predecessor, so a missing row means that no host was commanded.
     async fn load_command_ages(&self, is_first_term: bool) -> Option<CommandAges> {
-        loop {
+        let deadline = Instant::now() + COMMAND_AGES_TIMEOUT;
+        while Instant::now() < deadline {
             match self.platform.read(&[COMMANDS_KEY]).await {
                 Ok(rows) => {
-                    let row = rows.into_iter().next();
-                    let ages = row.and_then(|row| serde_json::from_value(row.value).ok());
-                    return ages.or_else(|| is_first_term.then(CommandAges::new));
+                    let Some(row) = rows.into_iter().next() else {
+                        return is_first_term.then(CommandAges::new);
+                    };
+                    let ages = serde_json::from_value(row.value);
+                    let log_error = |error| {
+                        log::error!("event=command_ages_unknown reason=\"{error}\"");
+                    };
+                    return ages.map_err(log_error).ok();
                 }
                 Err(error) => {
                     log::warn!("event=load_retried prefix={COMMANDS_KEY} reason=\"{error}\"")
@@ -241,6 +252,10 @@
             }
             sleep(LOAD_RETRY_DELAY).await;
         }
+        log::error!(
+            "event=command_ages_unknown reason=\"no answer within {COMMAND_AGES_TIMEOUT:?}\""
+        );
+        None
     }
 
     /// Loads all jobs and their progress. Returns the revision from which to watch for changes.
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -188,7 +188,7 @@
             return true;
         }
         let progress = match self.platform.read(&[&WaveProgress::row_key(wave)]).await {
-            Ok(rows) => WaveProgress::from_rows(&rows),
+            Ok(rows) => WaveProgress::from_rows(wave, &rows),
             Err(error) => {
                 log::warn!("event=wave_unknown wave={wave} reason=\"{error}\"");
                 return false;
@@ -310,7 +310,9 @@
         let worker = entry.and_then(|entry| entry.worker.clone());
         let sent_ms = boot_ms();
         let is_final = self.send_upkeep(request, host).await;
-        if let (true, Some(worker)) = (is_final, worker) {
+        // An earlier controller may have taken the host down, and its worker runs on.
+        let is_first = !self.progress.borrow()[&request.wave].is_forgotten;
+        if let (true, Some(worker)) = (is_final && is_first, worker) {
             let mut engine = self.term.engine.borrow_mut();
             let reason = "host taken down for upkeep";
             engine.end_incarnation_as_of(&worker, sent_ms, reason, boot_ms());
@@ -364,18 +366,10 @@
         join_all(calls).await;
     }
 
-    /// Publishes a wave as complete once the upkeep of each of its hosts has begun. Hosts that are
-    /// gone need none, but a list with gaps does not show which are gone.
+    /// Publishes a wave as complete once the upkeep of each of its hosts has begun.
     async fn finish_wave(&self, request: &WaveRequest, list: &HostList) {
         let wave = &request.wave;
-        let done = {
-            let progress = self.progress.borrow();
-            let progress = &progress[wave];
-            let listed: HashSet<_> = list.hosts.iter().map(|entry| &entry.host).collect();
-            let is_gone = |host: &HostId| !list.has_gaps && !listed.contains(host);
-            let mut hosts = request.hosts.iter();
-            hosts.all(|host| progress.accepted.contains(host) || is_gone(host))
-        };
+        let done = self.progress.borrow()[wave].includes_all(request, list);
         if !done {
             return;
         }
--- a/src/workflow/job_status.rs
+++ b/src/workflow/job_status.rs
@@ -62,17 +62,19 @@
 }
 
 /// Returns whether a caller may see the job of a submission or of an ended job's row, or `None` if the
-/// owner is unreadable. Without organisations no owner is read.
+/// owner is unreadable. Without organisations no owner of a readable row is read.
 pub(crate) fn is_row_visible(value: &Value, scope: &CallerScope) -> Option<bool> {
-    if *scope == CallerScope::Everything {
+    if *scope == CallerScope::Everything && !value.is_null() {
         return Some(true);
     }
     Some(scope.includes(decode_owner(value)?.as_ref()))
 }
 
-/// Returns the owner in a row, `Some(None)` without one, or `None` if it is unreadable.
+/// Returns the owner in a row, `Some(None)` without one, or `None` if it is unreadable. The value of
+/// an unreadable row is null.
 fn decode_owner(value: &Value) -> Option<Option<OrganisationId>> {
     match value.get(OWNER_FIELD) {
+        None if value.is_null() => None,
         None => Some(None),
         Some(owner) => Some(Some(owner.as_str()?.parse().ok()?)),
     }
--- a/src/workflow/wave_progress.rs
+++ b/src/workflow/wave_progress.rs
@@ -1,6 +1,7 @@
 //! The progress of a maintenance wave, as stored in the platform's table.
 
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -10,6 +11,8 @@
 use crate::id::WaveId;
 use crate::provider::RowWrite;
 use crate::provider::TableRow;
+use crate::workflow::HostList;
+use crate::workflow::WaveRequest;
 
 /// Key prefix of the rows with waves' progress.
 const WAVE_PREFIX: &str = "waves/";
@@ -28,6 +31,9 @@
     /// was never known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub read_ms: Option<u64>,
+    /// Earlier progress was unreadable, so that hosts may have had their upkeep already.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_forgotten: bool,
 }
 
 impl WaveProgress {
@@ -36,15 +42,33 @@
         format!("{WAVE_PREFIX}{wave}")
     }
 
-    /// Decodes the first of the rows read; without a readable row, nothing was done yet.
-    pub fn from_rows(rows: &[TableRow]) -> Self {
-        let value = rows.first().map(|row| row.value.clone());
-        let decoded = value.map(serde_json::from_value);
-        let mut progress: Self = decoded
-            .and_then(|progress| progress.ok())
-            .unwrap_or_default();
-        progress.started.extend(progress.accepted.iter().cloned());
-        progress
+    /// Decodes the first of the rows read; without a readable row, nothing is known to be done.
+    pub fn from_rows(wave: &WaveId, rows: &[TableRow]) -> Self {
+        let Some(row) = rows.first() else {
+            return Self::default();
+        };
+        match serde_json::from_value::<Self>(row.value.clone()) {
+            Ok(mut progress) => {
+                progress.started.extend(progress.accepted.iter().cloned());
+                progress
+            }
+            Err(error) => {
+                log::error!("event=wave_progress_unreadable wave={wave} reason=\"{error}\"");
+                Self {
+                    is_forgotten: true,
+                    ..Self::default()
+                }
+            }
+        }
+    }
+
+    /// Returns whether the upkeep of each of the wave's hosts has begun. Hosts that are gone need none,
+    /// but a list with gaps doesn't show which are gone.
+    pub fn includes_all(&self, request: &WaveRequest, list: &HostList) -> bool {
+        let listed: HashSet<_> = list.hosts.iter().map(|entry| &entry.host).collect();
+        let is_gone = |host: &HostId| !list.has_gaps && !listed.contains(host);
+        let mut hosts = request.hosts.iter();
+        hosts.all(|host| self.accepted.contains(host) || is_gone(host))
     }
 
     /// Returns the write that stores the progress of `wave`. The row names each host once, so that it
