Read the lease's holder whatever else the leader row states

What callers would have seen: a backlog, count or limit that a reader can't decode, such as one of another build during an update, made the whole leader row unreadable. Such a row counts as one without a holder, which each entry host may claim at once, from a holder that is at work, and the next one from it.

Change: a statement that can't be decoded counts as not stated. Epoch, holder, commit, release and inherited time decide as before.

--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use monoio::time::sleep;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -45,17 +47,29 @@
     #[serde(default)]
     pub inherited_ms: u64,
     /// Describes the published counts of pending jobs; none before the holder has counted.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        default,
+        deserialize_with = "decode_statement",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub counts: Option<CountStamp>,
     /// The processor time of the holder's entry host, in millicores; 0 if unknown.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "decode_statement")]
     pub processor_millis: u64,
     /// The backlogs of queues, as of this commit.
-    #[serde(default, skip_serializing_if = "QueueBacklogs::is_empty")]
+    #[serde(
+        default,
+        deserialize_with = "decode_statement",
+        skip_serializing_if = "QueueBacklogs::is_empty"
+    )]
     pub backlogs: QueueBacklogs,
     /// The limits on organisations, as of this commit; nothing is limited before the holder has
     /// measured.
-    #[serde(default, skip_serializing_if = "OrganisationLimits::is_empty")]
+    #[serde(
+        default,
+        deserialize_with = "decode_statement",
+        skip_serializing_if = "OrganisationLimits::is_empty"
+    )]
     pub limits: OrganisationLimits,
 }
 
@@ -299,6 +313,17 @@
     }
 }
 
+/// Decodes what a holder states besides its hold on the lease; as if nothing were stated if that
+/// fails. Otherwise, entry hosts of another build would take the lease for one without a holder.
+fn decode_statement<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Default + DeserializeOwned,
+{
+    let value = Value::deserialize(deserializer)?;
+    Ok(serde_json::from_value(value).unwrap_or_default())
+}
+
 /// Decodes the leader row. Returns `None` if it cannot be decoded.
 pub(crate) fn read_record(row: &TableRow) -> Option<LeaderRecord> {
     serde_json::from_value(row.value.clone()).ok()
