Carry out a wave of which some host names can't be read

What the operator saw: one name that isn't valid dropped the whole wave; no host of it got its upkeep, and the log named only the row.

The wave isn't said to be complete with any, and becomes complete once the operator has corrected it.

--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -34,6 +34,8 @@
     pub wave: WaveId,
     /// Hosts that need upkeep.
     pub hosts: Vec<HostId>,
+    /// Number of hosts whose names can't be read; the wave can't be complete with any.
+    pub unreadable_hosts: usize,
     /// Time from the request to its deadline, in ms.
     pub deadline_ms: u64,
     /// Max hosts that may be down for it at the same time.
--- a/src/workflow/wave_progress.rs
+++ b/src/workflow/wave_progress.rs
@@ -68,7 +68,8 @@
         let listed: HashSet<_> = list.hosts.iter().map(|entry| &entry.host).collect();
         let is_gone = |host: &HostId| !list.has_gaps && !listed.contains(host);
         let mut hosts = request.hosts.iter();
-        hosts.all(|host| self.accepted.contains(host) || is_gone(host))
+        request.unreadable_hosts == 0
+            && hosts.all(|host| self.accepted.contains(host) || is_gone(host))
     }
 
     /// Returns the write that stores the progress of `wave`. The row names each host once, so that it
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -426,6 +426,7 @@
         hosts: (0..4)
             .map(|index| format!("host-w-{index}").parse().unwrap())
             .collect(),
+        unreadable_hosts: 0,
         deadline_ms: 20_000,
         max_down: 1,
     }
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -304,6 +304,7 @@
         fleet.start_wave(WaveRequest {
             wave: "7".parse().unwrap(),
             hosts: hosts.collect(),
+            unreadable_hosts: 0,
             deadline_ms: 60_000,
             max_down: 300,
         });
--- a/tests/wave_age.rs
+++ b/tests/wave_age.rs
@@ -84,6 +84,7 @@
         fleet.start_wave(WaveRequest {
             wave: "1".parse().unwrap(),
             hosts: vec!["host-w-0".parse().unwrap()],
+            unreadable_hosts: 0,
             deadline_ms: DEADLINE_MS,
             max_down: 1,
         });
