Read a table anew when its feed can't go on

What callers would have seen: a poll of the submissions' or workers' feed whose answer can't change, such as status 400, more than 16 MB or a body that isn't JSON, was repeated ten times a second until the term ended; no later job was known to the holder.

Change: such an answer counts as a lost history, so the rows are read in pages, one by one, and the feed goes on behind them; event=feed_unusable says why. Status 408 and 429, 5xx and missing answers are still waited for. If the feed stays unusable, submissions are read in full at most once a second.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -57,8 +57,10 @@
     /// The deadline passed after sending had started.
     #[error("no whole answer in time")]
     TimedOut,
-    /// The connection ended early, or the response is malformed, exceeds a limit or belongs to
-    /// another request.
+    /// The response exceeds a limit on size, that of the part named here.
+    #[error("the answer is too large: {0}")]
+    TooLarge(String),
+    /// The connection ended early, or the response is malformed or belongs to another request.
     #[error("the answer is not whole: {0}")]
     InvalidResponse(String),
 }
@@ -207,7 +209,7 @@
     fn decode_error(&self, reason: &str) -> ExchangeError {
         match self.budget.refusal() {
             Some(ReadRefusal::TooSlow(_)) => ExchangeError::TimedOut,
-            Some(refusal) => ExchangeError::InvalidResponse(format!("{refusal:?}")),
+            Some(ReadRefusal::TooLarge(part)) => ExchangeError::TooLarge(format!("{part:?}")),
             None => ExchangeError::InvalidResponse(reason.to_owned()),
         }
     }
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -47,9 +47,9 @@
         let status = match error {
             ExchangeError::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             ExchangeError::Frozen => StatusCode::SERVICE_UNAVAILABLE,
-            ExchangeError::NotConnected(_) | ExchangeError::InvalidResponse(_) => {
-                StatusCode::BAD_GATEWAY
-            }
+            ExchangeError::NotConnected(_)
+            | ExchangeError::TooLarge(_)
+            | ExchangeError::InvalidResponse(_) => StatusCode::BAD_GATEWAY,
         };
         match may_have_run {
             true => Self::unknown(status, error.to_string()),
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -29,6 +29,10 @@
 /// Delay after a failed poll of a feed: a few round trips to the table.
 const FEED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Delay before the submissions are read in full again because the feed still has no history: their
+/// pages may take seconds, and the table's calls are limited.
+const REREAD_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Max wait of a poll for submissions. Until it is answered, it is not known whether there are
 /// more; the wait is part of the age of the counts of pending jobs. Two more calls a second than
 /// with the wait of other feeds, by the controller alone and only while nothing is submitted.
@@ -93,6 +97,7 @@
     mut since: Revision,
 ) {
     let mut wait = FeedWait::with_max(SUBMISSION_WAIT);
+    let mut is_reread = false;
     while term.is_active() {
         if since == Revision::new(0) {
             let add_job = |row: TableRow| {
@@ -110,9 +115,16 @@
         let changes = platform.row_changes(JOB_TABLE, since, poll_wait).await;
         wait.record_answer(changes.is_ok());
         let Some((changes, revision)) = accept_changes("jobs", changes, &mut since) else {
-            sleep(FEED_RETRY_DELAY).await;
+            let is_lost = since == Revision::new(0);
+            sleep(match is_lost && is_reread {
+                true => REREAD_DELAY,
+                false => FEED_RETRY_DELAY,
+            })
+            .await;
+            is_reread |= is_lost;
             continue;
         };
+        is_reread = false;
         since = revision;
         let mut engine = term.engine.borrow_mut();
         for change in &changes {
