--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -78,6 +78,16 @@
     next_end: u64,
 }
 
+/// Rows that the table refuses for a reason that a controller doesn't know beforehand.
+pub(crate) struct RowRefusal {
+    /// What the keys of these rows begin with.
+    pub(crate) prefix: String,
+    /// The least size of these rows in bytes.
+    pub(crate) min_bytes: usize,
+    /// The status of the table's answer.
+    pub(crate) status: u16,
+}
+
 /// The platform shared by all controllers of a test.
 pub(crate) struct FakeFleet {
     started: Instant,
@@ -105,6 +115,12 @@
     pub(crate) page_time: Cell<Duration>,
     /// Max rows of a page.
     pub(crate) max_page_rows: Cell<usize>,
+    /// Rows that the table refuses.
+    pub(crate) row_refusals: RefCell<Vec<RowRefusal>>,
+    /// Number of transactions that the table refused for one of their rows.
+    pub(crate) refused_commits: Cell<u32>,
+    /// Max unacknowledged ends that a worker lists at a time.
+    pub(crate) max_listed_ends: Cell<usize>,
     /// The table refuses all calls.
     pub(crate) table_down: Cell<bool>,
     /// The list of workers cannot be read.
@@ -158,6 +174,9 @@
             commit_time: Cell::new(Duration::ZERO),
             page_time: Cell::new(Duration::ZERO),
             max_page_rows: Cell::new(500),
+            row_refusals: RefCell::default(),
+            refused_commits: Cell::new(0),
+            max_listed_ends: Cell::new(500),
             table_down: Cell::new(false),
             workers_hidden: Cell::new(false),
             workers_unlisted: Cell::new(false),
@@ -185,6 +204,35 @@
         self.refusing_workers.borrow_mut().insert(worker.clone());
     }
 
+    /// Makes the table refuse rows of at least `min_bytes` whose keys begin with `prefix`.
+    pub(crate) fn refuse_rows(&self, prefix: &str, min_bytes: usize, status: u16) {
+        self.row_refusals.borrow_mut().push(RowRefusal {
+            prefix: prefix.to_owned(),
+            min_bytes,
+            status,
+        });
+    }
+
+    /// Refuses a transaction with a row that a test made the table refuse.
+    fn check_refusals(&self, transaction: &Transaction) -> Result<()> {
+        let refusals = self.row_refusals.borrow();
+        let sizes = transaction.writes.iter().filter_map(|write| {
+            let size = write.value.as_ref()?.to_string().len();
+            Some((&write.key, size))
+        });
+        for (key, size) in sizes {
+            let refuses = |one: &&RowRefusal| key.starts_with(&one.prefix) && size >= one.min_bytes;
+            if let Some(refusal) = refusals.iter().find(refuses) {
+                self.refused_commits.set(self.refused_commits.get() + 1);
+                return Err(Error::PlatformRefused {
+                    status: refusal.status,
+                    reason: "a row is not valid".to_owned(),
+                });
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the number of rows whose keys start with `prefix`.
     pub(crate) fn count_rows(&self, prefix: &str) -> usize {
         let rows = self.rows.borrow();
@@ -318,8 +366,13 @@
             incarnation_start: None,
             clock_ms,
             running: running.collect(),
-            ends: worker.ends.clone(),
-            has_more_ends: false,
+            has_more_ends: worker.ends.len() > self.max_listed_ends.get(),
+            ends: worker
+                .ends
+                .iter()
+                .take(self.max_listed_ends.get())
+                .cloned()
+                .collect(),
         }))
     }
 
@@ -464,6 +517,7 @@
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
         self.reach_table().await?;
         check_row_sizes(transaction)?;
+        self.fleet.check_refusals(transaction)?;
         self.fleet.end_placed_worker(transaction);
         sleep(self.fleet.commit_time.get()).await;
         let outcome = self.fleet.commit(transaction);
