Set a row that the table refuses aside instead of ending the term

Callers saw that nothing ran for anybody while one row was refused: each controller met it and gave up its term, and its successor met it again. Any other lasting refusal than 400 was retried until the lease passed on, with the same result.

Cause: LeaderLease::commit took a refused transaction for a lost lease, although the transaction holds the rows of many jobs.

Change: the commit finds the refused rows by halves, with the leader row in each commit and 10 ms apart, stores the others and returns the refused ones (RefusedRow). The committer logs and counts them and sends each again, in a commit of its own, after 1 s to 10 s (RefusedRows). The engine decides what that means for a job (engine_refusals): placements that were not sent are taken back and checkpoints dropped; while the smaller row is refused as well, ends of the job aren't acknowledged; after 5 s it fails with a row of its phase alone. The leader row is committed without backlogs and limits if these are refused.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -8,12 +8,13 @@
 use monoio::time::timeout;
 use serde_json::json;
 use serde_json::Value;
-use tokio::sync::oneshot::Sender;
 
+use crate::id::JobId;
 use crate::process::boot_ms;
 use crate::process::ShutdownSignal;
 use crate::provider::RowWrite;
 use crate::workflow::admission_window::hash_text;
+use crate::workflow::controller_term::CommitNotice;
 use crate::workflow::send_start;
 use crate::workflow::BacklogView;
 use crate::workflow::CommitEffect;
@@ -25,6 +26,8 @@
 use crate::workflow::LeaseLost;
 use crate::workflow::OrganisationMonitor;
 use crate::workflow::PublishedCounts;
+use crate::workflow::RefusedRow;
+use crate::workflow::RefusedRows;
 use crate::workflow::COMMANDS_KEY;
 
 /// Key prefix of the progress rows, one for each job.
@@ -66,6 +69,7 @@
     counted_ms: Option<u64>,
     /// The last written row of command ages was empty, so it need not be written again.
     published_no_commands: bool,
+    refused_rows: RefusedRows,
 }
 
 impl<P: FleetPlatform> Committer<P> {
@@ -88,6 +92,7 @@
             count_ms: 0,
             counted_ms: None,
             published_no_commands: false,
+            refused_rows: RefusedRows::new(),
         }
     }
 
@@ -129,12 +134,11 @@
         lease.release(platform, last, self.counted_ms).await;
     }
 
-    /// Merges the queued rows into `writes`. Also returns the senders to notify after the
-    /// commit.
-    fn merge_queued_rows(&self, mut writes: Vec<RowWrite>) -> (Vec<RowWrite>, Vec<Sender<()>>) {
-        let mut senders = Vec::new();
+    /// Merges the queued rows into `writes`. Also returns the channels to notify after the commit.
+    fn merge_queued_rows(&self, mut writes: Vec<RowWrite>) -> (Vec<RowWrite>, Vec<CommitNotice>) {
+        let mut notices = Vec::new();
         for row in self.term.take_rows() {
-            senders.extend(row.done);
+            notices.extend(row.done);
             let Some(row) = row.write else {
                 continue;
             };
@@ -142,7 +146,7 @@
             writes.retain(|write: &RowWrite| write.key != row.key);
             writes.push(row);
         }
-        (writes, senders)
+        (writes, notices)
     }
 
     async fn commit_once(&mut self, lease: &mut LeaderLease) -> Result<(), LeaseLost> {
@@ -150,37 +154,58 @@
         lease.set_inherited_ms(self.term.engine.borrow().inherited_ms(boot_ms()));
         let row = |(id, value)| row_write(format!("{PROGRESS_PREFIX}{id}"), value);
         let writes = rows.into_iter().map(row).chain(self.command_row());
-        let (mut writes, senders) = self.merge_queued_rows(writes.collect());
+        let (mut writes, notices) = self.merge_queued_rows(writes.collect());
         if boot_ms() >= self.count_ms + COUNT_INTERVAL_MS {
             self.measure_backlogs(lease);
         }
         let (counts, counted_ms) = self.changed_counts();
         writes.extend(counts);
+        let due = self.refused_rows.withhold(&mut writes, boot_ms());
         let mut parts = split_writes(writes, self.commit_bytes);
         let last = parts.pop().unwrap_or_default();
-        for writes in parts {
+        // A row that was refused before must not make the others part of a search again.
+        for writes in due.map(|write| vec![write]).into_iter().chain(parts) {
             self.commit_part(lease, writes).await?;
         }
         // Only the last part completes the counts.
-        self.counted_ms = counted_ms;
+        let published_ms = self.counted_ms;
+        if !self.refused_rows.contains_prefix(QUEUE_PREFIX) {
+            self.counted_ms = counted_ms;
+        }
         self.commit_part(lease, last).await?;
+        if self.refused_rows.contains_prefix(QUEUE_PREFIX) {
+            self.counted_ms = published_ms;
+        }
+        let effects = self.term.engine.borrow_mut().permitted_effects(effects);
         self.apply_effects(effects);
-        for done in senders {
-            // The receiver may have timed out and been dropped.
-            let _ = done.send(());
+        for CommitNotice { sender, keys } in notices {
+            if !keys.iter().any(|key| self.refused_rows.contains(key)) {
+                // The receiver may have timed out and been dropped.
+                let _ = sender.send(());
+            }
         }
         Ok(())
     }
 
-    /// Commits rows together with the age of the published counts.
+    /// Commits rows together with the age of the published counts. Rows that the table refuses are
+    /// set aside.
     async fn commit_part(
-        &self,
+        &mut self,
         lease: &mut LeaderLease,
         writes: Vec<RowWrite>,
     ) -> Result<(), LeaseLost> {
+        let keys = self.keys_to_record(&writes);
         let platform = self.platform.as_ref();
-        lease.commit(platform, writes, self.counted_ms).await?;
+        let refused = lease.commit(platform, writes, self.counted_ms).await?;
         self.term.record_confirmed(lease.confirmed_ms());
+        let accepted = |key: &&String| refused.iter().all(|row| row.write.key != **key);
+        keys.iter()
+            .filter(accepted)
+            .for_each(|key| self.record_accepted(key));
+        refused.iter().for_each(|row| self.set_aside(row));
+        if !refused.is_empty() {
+            return Ok(());
+        }
         if let Some(counted_ms) = self.counted_ms {
             self.freshness.record_commit(PublishedCounts {
                 counted_ms,
@@ -191,6 +216,40 @@
         Ok(())
     }
 
+    /// Returns the keys of rows whose acceptance matters: those refused before, which seldom are any.
+    fn keys_to_record(&self, writes: &[RowWrite]) -> Vec<String> {
+        if self.refused_rows.is_empty() && !self.term.engine.borrow().has_refused_jobs() {
+            return Vec::new();
+        }
+        writes.iter().map(|write| write.key.clone()).collect()
+    }
+
+    fn record_accepted(&mut self, key: &str) {
+        self.refused_rows.record_accepted(key);
+        if let Some(id) = job_of_progress(key) {
+            let mut engine = self.term.engine.borrow_mut();
+            engine.record_saved_row(&id, boot_ms());
+        }
+    }
+
+    /// Keeps a refused row out of the next commits.
+    fn set_aside(&mut self, row: &RefusedRow) {
+        let (key, now_ms) = (&row.write.key, boot_ms());
+        let (bytes, status, reason) = (row.bytes(), row.status, &row.reason);
+        log::error!(
+            "event=row_refused key={key} bytes={bytes} status={status} reason={reason:?} action=set_aside"
+        );
+        self.term.metrics.count("commit_row", "Refused");
+        self.refused_rows.record_refused(row, now_ms);
+        let Some(id) = job_of_progress(key) else {
+            return;
+        };
+        let mut engine = self.term.engine.borrow_mut();
+        if engine.record_refused_row(&id, now_ms) {
+            self.refused_rows.record_reduced(key, now_ms);
+        }
+    }
+
     /// Returns the row with the ages of the latest commands to hosts while there are any. An
     /// empty row is written once when the last one has expired.
     fn command_row(&mut self) -> Option<RowWrite> {
@@ -231,9 +290,10 @@
         }
         // A row from before this holder's claim counts as 0, so a first 0 need not be written.
         let published = |queue| self.published_counts.get(queue).copied().unwrap_or(0);
+        let is_refused = |queue: &str| self.refused_rows.contains(&count_key(queue));
         let changed = counts
             .iter()
-            .filter(|(queue, count)| published(*queue) != **count);
+            .filter(|(queue, count)| published(*queue) != **count || is_refused(queue));
         let writes = changed
             .map(|(queue, count)| row_write(count_key(queue), json!(count)))
             .collect();
@@ -249,7 +309,7 @@
                     let platform = Rc::clone(&self.platform);
                     monoio::spawn(send_start(platform, Rc::clone(&self.term), task, run));
                 }
-                CommitEffect::Acknowledge(worker, start, last_end) => {
+                CommitEffect::Acknowledge(worker, start, last_end, _) => {
                     let mut engine = self.term.engine.borrow_mut();
                     engine.record_durable_end(&worker, start, last_end);
                     drop(engine);
@@ -274,6 +334,11 @@
     format!("{QUEUE_PREFIX}{}{hash}", &queue[..end])
 }
 
+/// Returns the job of a progress row's key.
+fn job_of_progress(key: &str) -> Option<JobId> {
+    key.strip_prefix(PROGRESS_PREFIX)?.parse().ok()
+}
+
 fn row_write(key: String, value: Value) -> RowWrite {
     RowWrite {
         key,
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -5,6 +5,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::iter::once;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +30,7 @@
 use crate::workflow::JobEngine;
 use crate::workflow::LeaseLost;
 use crate::workflow::TaskName;
+use crate::workflow::COMMANDS_KEY;
 
 /// Time for which workers' leases are renewed without a confirmed controller lease. Table
 /// outages up to about this long lose no running work.
@@ -96,7 +98,14 @@
 /// succeeded.
 pub(crate) struct QueuedRow {
     pub(crate) write: Option<RowWrite>,
-    pub(crate) done: Option<oneshot::Sender<()>>,
+    pub(crate) done: Option<CommitNotice>,
+}
+
+/// A channel to notify once a commit has succeeded.
+pub(crate) struct CommitNotice {
+    pub(crate) sender: oneshot::Sender<()>,
+    /// Keys of rows without which it isn't notified.
+    pub(crate) keys: Vec<String>,
 }
 
 impl ControllerTerm {
@@ -299,8 +308,10 @@
         hosts
             .iter()
             .for_each(|host| self.host_commands.borrow_mut().record_pending(host));
-        let (done, waiting) = oneshot::channel();
-        self.enqueue(write, Some(done));
+        let (sender, waiting) = oneshot::channel();
+        let own_key = write.as_ref().map(|write| write.key.clone());
+        let keys = once(COMMANDS_KEY.to_owned()).chain(own_key).collect();
+        self.enqueue(write, Some(CommitNotice { sender, keys }));
         let announced = timeout(ANNOUNCEMENT_TIMEOUT, waiting).await;
         if matches!(announced, Ok(Ok(()))) && self.may_command() {
             return true;
@@ -324,11 +335,12 @@
             .collect()
     }
 
-    /// Waits until all that the engine has decided by now is durable. Returns whether it was
-    /// within `limit`.
+    /// Waits until all that the engine has decided by now is durable, besides rows that the table
+    /// refuses. Returns whether it was within `limit`.
     pub(crate) async fn wait_until_durable(&self, limit: Duration) -> bool {
-        let (done, waiting) = oneshot::channel();
-        self.enqueue(None, Some(done));
+        let (sender, waiting) = oneshot::channel();
+        let keys = Vec::new();
+        self.enqueue(None, Some(CommitNotice { sender, keys }));
         matches!(timeout(limit, waiting).await, Ok(Ok(())))
     }
 
@@ -337,7 +349,7 @@
         self.queued_rows.take()
     }
 
-    fn enqueue(&self, write: Option<RowWrite>, done: Option<oneshot::Sender<()>>) {
+    fn enqueue(&self, write: Option<RowWrite>, done: Option<CommitNotice>) {
         let row = QueuedRow { write, done };
         self.queued_rows.borrow_mut().push(row);
         self.commit.notify_one();
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -12,6 +12,7 @@
 use crate::id::WorkerId;
 use crate::workflow::cap_limits::CapLimits;
 use crate::workflow::capped_arrivals::CappedArrivals;
+use crate::workflow::engine_refusals::RefusedJob;
 use crate::workflow::known_incarnations::IncarnationOrder;
 use crate::workflow::known_incarnations::KnownIncarnations;
 use crate::workflow::long_task_monitor::LongTaskMonitor;
@@ -49,8 +50,8 @@
     /// its placement is committed later.
     Start(TaskName, u64),
     /// Acknowledge the worker's task ends up to this sequence number, which the incarnation with
-    /// this start has counted.
-    Acknowledge(WorkerId, Option<IncarnationStart>, u64),
+    /// this start has counted; with the number and job of each.
+    Acknowledge(WorkerId, Option<IncarnationStart>, u64, Vec<(u64, JobId)>),
 }
 
 /// A stop command to send; it does not wait for a commit.
@@ -84,6 +85,10 @@
     pub(crate) changed: BTreeSet<JobId>,
     /// Effects of the next commit.
     pub(crate) effects: Vec<CommitEffect>,
+    /// Effects of decisions that the table refuses to store.
+    pub(crate) withheld_effects: Vec<CommitEffect>,
+    /// Jobs whose rows the table has refused.
+    pub(crate) refused_jobs: BTreeMap<JobId, RefusedJob>,
     pub(crate) stops: Vec<StopRequest>,
     /// Jobs that have not ended, and ended ones that still have placed tasks.
     pub(crate) open_jobs: BTreeSet<JobId>,
@@ -130,6 +135,8 @@
             leftover_progress: Vec::new(),
             changed: BTreeSet::new(),
             effects: Vec::new(),
+            withheld_effects: Vec::new(),
+            refused_jobs: BTreeMap::new(),
             stops: Vec::new(),
             open_jobs: BTreeSet::new(),
             waiting_jobs: BTreeSet::new(),
@@ -321,7 +328,10 @@
             Some((id, value))
         };
         let rows = changed.into_iter().filter_map(row).collect();
-        (rows, std::mem::take(&mut self.effects))
+        // Withheld acknowledgements come before later ones of the same worker.
+        let mut effects = std::mem::take(&mut self.withheld_effects);
+        effects.append(&mut self.effects);
+        (rows, effects)
     }
 
     /// Returns whether rows or effects wait for a commit.
--- a/src/workflow/engine_archive.rs
+++ b/src/workflow/engine_archive.rs
@@ -33,7 +33,7 @@
     /// Returns the jobs without placed tasks that ended some time ago.
     pub fn archivable_jobs(&self, now_ms: u64) -> Vec<EndedJob> {
         let is_due = |job: &&JobState| {
-            let closed = !self.open_jobs.contains(&job.id);
+            let closed = !self.open_jobs.contains(&job.id) && !self.is_unsaved(&job.id);
             closed && job.phase.has_ended() && now_ms > job.ended_ms + ARCHIVE_DELAY_MS
         };
         let ended = |job: &JobState| EndedJob {
@@ -50,6 +50,7 @@
             self.usage.record_archived(id, &job.spec, now_ms);
         }
         self.oversized_jobs.remove(id);
+        self.refused_jobs.remove(id);
         self.archived.insert(id.clone(), now_ms);
     }
 
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -41,14 +41,16 @@
         worker.has_accepted_epoch = true;
         let applied = worker.applied_end;
         let mut last = applied;
+        let mut jobs = Vec::new();
         for end in report.ends.iter().filter(|end| end.number > applied) {
             self.apply_end(id, end, now_ms);
             last = last.max(end.number);
+            jobs.push((end.number, end.task.job.clone()));
         }
         if last > applied {
             let start = self.incarnations.start(id);
             self.effects
-                .push(CommitEffect::Acknowledge(id.clone(), start, last));
+                .push(CommitEffect::Acknowledge(id.clone(), start, last, jobs));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.applied_end = last;
             }
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -147,7 +147,7 @@
             .filter(|(_, &at_ms)| now_ms < at_ms + UPKEEP_HOLD_MS);
         let mut hosts: BTreeSet<_> = recent.map(|(host, _)| host.clone()).collect();
         for progress in self.progress.borrow().values() {
-            hosts.extend(progress.started.difference(&progress.accepted).cloned());
+            hosts.extend(progress.unaccepted());
         }
         hosts
     }
@@ -349,13 +349,11 @@
 
     /// Resends commands for upkeeps that were decided but not accepted yet.
     async fn resend_upkeeps(&self, request: &WaveRequest) {
-        let unaccepted = {
-            let progress = self.progress.borrow();
-            let progress = &progress[&request.wave];
-            self.term
-                .permitted_hosts(progress.started.difference(&progress.accepted).cloned())
-        };
-        if unaccepted.is_empty() || !self.term.announce_commands(&unaccepted, None).await {
+        let unaccepted: Vec<_> = self.progress.borrow()[&request.wave].unaccepted().collect();
+        let unaccepted = self.term.permitted_hosts(unaccepted.into_iter());
+        // The decision itself may not be durable yet.
+        let row = Some(self.wave_row(&request.wave));
+        if unaccepted.is_empty() || !self.term.announce_commands(&unaccepted, row).await {
             return;
         }
         let calls = unaccepted
--- a/src/workflow/job_archiver.rs
+++ b/src/workflow/job_archiver.rs
@@ -102,10 +102,11 @@
     }
 
     async fn archive_ended_jobs(&self) {
-        let due = self.term.engine.borrow().archivable_jobs(boot_ms());
+        let mut due = self.term.engine.borrow().archivable_jobs(boot_ms());
         if due.is_empty() || !self.term.wait_until_durable(DURABLE_TIMEOUT).await {
             return;
         }
+        due.retain(|job| !self.term.engine.borrow().is_unsaved(&job.id));
         for (partition, jobs) in by_partition(due, |job| &job.id) {
             // The table may be out in part, so the other partitions go on.
             if let Err(error) = self.archive_partition(&jobs).await {
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -16,6 +16,7 @@
 use crate::workflow::task_state::RUN_ROW_BYTES;
 use crate::workflow::CommandPhase;
 use crate::workflow::DurationTracker;
+use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobStatus;
 use crate::workflow::StepSpec;
@@ -29,51 +30,6 @@
 /// The bytes of a job's durable row besides its tasks and its owner's name.
 const ROW_OVERHEAD_BYTES: usize = 100;
 
-/// The phase of a job that callers see.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum JobPhase {
-    /// No task has been placed yet.
-    Queued,
-    /// At least one task has been placed.
-    Running,
-    /// All tasks are done.
-    Complete,
-    /// A task reached its queue's limit of failed attempts.
-    Failed,
-    /// A caller cancelled it.
-    Cancelled,
-}
-
-impl JobPhase {
-    /// Returns whether the phase is final.
-    pub fn has_ended(self) -> bool {
-        matches!(self, Self::Complete | Self::Failed | Self::Cancelled)
-    }
-
-    /// Returns the phase's name in durable rows.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Queued => "queued",
-            Self::Running => "running",
-            Self::Complete => "complete",
-            Self::Failed => "failed",
-            Self::Cancelled => "cancelled",
-        }
-    }
-
-    /// Parses the phase's name from a durable row.
-    pub fn from_name(name: &str) -> Option<Self> {
-        let phases = [
-            Self::Queued,
-            Self::Running,
-            Self::Complete,
-            Self::Failed,
-            Self::Cancelled,
-        ];
-        phases.into_iter().find(|phase| phase.as_str() == name)
-    }
-}
-
 /// A job with the states of its tasks, which are ordered by occurrence, step and index.
 #[derive(Clone, Debug)]
 pub struct JobState {
@@ -95,6 +51,8 @@
     /// Its organisation had submitted more jobs a second than it is entitled to when the job arrived.
     pub is_over_rate: bool,
     tasks: Vec<TaskState>,
+    /// The durable row holds only the phase, since the table refuses a larger one.
+    omits_tasks: bool,
     /// The bytes that the durable row has left, unless a task may have changed since they were counted.
     row_room: Cell<Option<usize>>,
     /// The position of each step's first task within an occurrence.
@@ -123,6 +81,7 @@
             has_begun: false,
             is_over_rate: false,
             tasks: vec![TaskState::new(); total * occurrences],
+            omits_tasks: false,
             row_room: Cell::new(None),
             step_offsets,
             done_counts,
@@ -159,11 +118,30 @@
         }
     }
 
+    /// Leaves the tasks out of the durable row of an ended job, although some may run: a successor
+    /// stops runs that it doesn't know.
+    pub(crate) fn omit_tasks(&mut self) {
+        self.omits_tasks = true;
+    }
+
+    /// Returns whether the tasks are left out of the durable row.
+    pub(crate) fn omits_tasks(&self) -> bool {
+        self.omits_tasks
+    }
+
+    /// Removes the checkpoints of all tasks, which then start from the beginning.
+    pub(crate) fn drop_checkpoints(&mut self) {
+        self.row_room.set(None);
+        for task in &mut self.tasks {
+            task.checkpoint.clear();
+        }
+    }
+
     /// Returns the durable row. It omits the tasks of an ended job without placed tasks, whose
     /// states are no longer needed.
     pub fn to_value(&self) -> Value {
         let finished = self.phase.has_ended() && self.placed_tasks().next().is_none();
-        let tasks = if finished {
+        let tasks = if finished || self.omits_tasks {
             Vec::new()
         } else {
             self.tasks.iter().map(TaskState::to_value).collect()
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -3,11 +3,8 @@
 use std::time::Duration;
 
 use monoio::time::sleep;
-use serde::Deserialize;
-use serde::Serialize;
 use serde_json::Value;
 
-use crate::error::Error;
 use crate::id::Revision;
 use crate::process::boot_ms;
 use crate::provider::RowWrite;
@@ -15,11 +12,14 @@
 use crate::provider::TableService;
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
+use crate::workflow::leader_record::read_record;
+use crate::workflow::leader_record::unknown_record;
+use crate::workflow::refused_row::lasting_refusal;
 use crate::workflow::CountStamp;
+use crate::workflow::LeaderRecord;
 use crate::workflow::OrganisationLimits;
 use crate::workflow::QueueBacklogs;
-use crate::workflow::INHERITED_RUN_MS;
-use crate::workflow::RELEASED_RUN_MS;
+use crate::workflow::RefusedRow;
 
 /// Key of the leader row, which names the holder of the controller's lease.
 pub const LEADER_KEY: &str = "control/leader";
@@ -30,53 +30,12 @@
 /// Max delay before a commit is retried: half of a lease's remaining time.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
-/// The lease holder as stored in the table.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct LeaderRecord {
-    /// Rises with each change of the holder; the fencing token that workers check.
-    pub epoch: u64,
-    /// The entry host that holds the lease.
-    pub holder: String,
-    /// Number of the holder's commits.
-    pub commit: u64,
-    /// The holder has released the lease.
-    pub released: bool,
-    /// Time for which runs started by the holder's predecessors may continue unobserved, in ms.
-    #[serde(default)]
-    pub inherited_ms: u64,
-    /// Describes the published counts of pending jobs; none before the holder has counted.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub counts: Option<CountStamp>,
-    /// The processor time of the holder's entry host, in millicores; 0 if unknown.
-    #[serde(default)]
-    pub processor_millis: u64,
-    /// The backlogs of queues, as of this commit.
-    #[serde(default, skip_serializing_if = "QueueBacklogs::is_empty")]
-    pub backlogs: QueueBacklogs,
-    /// The limits on organisations, as of this commit; nothing is limited before the holder has
-    /// measured.
-    #[serde(default, skip_serializing_if = "OrganisationLimits::is_empty")]
-    pub limits: OrganisationLimits,
-}
-
-impl LeaderRecord {
-    /// Returns whether both records were written by the same commit. Its attempts differ in the
-    /// age of the counts.
-    fn is_same_commit(&self, other: &Self) -> bool {
-        let key = |record: &Self| (record.epoch, record.holder.clone(), record.commit);
-        key(self) == key(other)
-    }
+/// Pause before each commit of the search for refused rows. The search takes at most 100 of the calls
+/// a second that all entry hosts share.
+const SEARCH_PAUSE: Duration = Duration::from_millis(10);
 
-    /// Returns the time for which runs of this holder and earlier ones may continue unobserved
-    /// after the end of this holder's term, in ms.
-    fn unobserved_ms(&self) -> u64 {
-        match (self.epoch, self.released) {
-            (0, _) => 0,
-            (_, true) => self.inherited_ms.max(RELEASED_RUN_MS),
-            (_, false) => INHERITED_RUN_MS,
-        }
-    }
-}
+/// Time for which the leader row is written without its optional parts once they were refused, in ms.
+const REDUCED_TIME_MS: u64 = 5_000;
 
 /// The lease of the only active controller. Each commit renews it.
 ///
@@ -88,9 +47,21 @@
     /// The revision of the claim.
     claimed: Revision,
     confirmed_ms: u64,
+    /// Time up to which the published counts contain all submissions, in ms, as of the last commit
+    /// of which no row was refused.
+    counted_ms: Option<u64>,
+    /// Time until which the optional parts of the row are left out, in ms.
+    reduced_until_ms: u64,
+}
+
+/// Rows of which the table refuses at least one, with its answer.
+struct RefusedWrites {
+    writes: Vec<RowWrite>,
+    status: u16,
+    reason: String,
 }
 
-/// The lease was lost: another holder has taken it over, or the table rejected a commit as invalid.
+/// The lease was lost: another holder has taken it over.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LeaseLost;
 
@@ -107,13 +78,8 @@
         let record = LeaderRecord {
             epoch: previous.epoch + 1,
             holder: holder.to_owned(),
-            commit: 0,
-            released: false,
             inherited_ms: previous.unobserved_ms(),
-            counts: None,
-            processor_millis: 0,
-            backlogs: QueueBacklogs::new(),
-            limits: OrganisationLimits::default(),
+            ..LeaderRecord::default()
         };
         let revision = current.map_or(Revision::new(0), |row| row.revision);
         let mut lease = Self {
@@ -121,6 +87,8 @@
             revision,
             claimed: Revision::new(0),
             confirmed_ms: boot_ms(),
+            counted_ms: None,
+            reduced_until_ms: 0,
         };
         let sent_ms = boot_ms();
         let transaction = lease.transaction(Vec::new());
@@ -168,14 +136,19 @@
         self.record.processor_millis = processor_millis;
     }
 
-    /// Sets the backlogs of queues. The next commit stores them.
+    /// Sets the backlogs of queues. The next commit stores them, unless the table has refused them
+    /// lately.
     pub fn set_backlogs(&mut self, backlogs: QueueBacklogs) {
-        self.record.backlogs = backlogs;
+        if boot_ms() >= self.reduced_until_ms {
+            self.record.backlogs = backlogs;
+        }
     }
 
-    /// Sets the limits on organisations. The next commit stores them.
+    /// Sets the limits on organisations, like [`LeaderLease::set_backlogs`].
     pub fn set_limits(&mut self, limits: OrganisationLimits) {
-        self.record.limits = limits;
+        if boot_ms() >= self.reduced_until_ms {
+            self.record.limits = limits;
+        }
     }
 
     /// Returns the last time at which this process is known to have held the lease, in ms.
@@ -184,20 +157,88 @@
     }
 
     /// Commits rows and renews the lease. Retries until the commit succeeds or the lease is lost.
-    /// Once it succeeds, the published counts of pending jobs contain all submissions known at
+    /// Rows that the table refuses for good are left out and returned; the others are committed.
+    /// Without refused rows, the published counts of pending jobs contain all submissions known at
     /// `counted_ms`, if any counts are published.
     ///
     /// # Errors
     ///
-    /// Returns [`LeaseLost`] if another holder has taken over or the table rejects the commit as
-    /// invalid.
+    /// Returns [`LeaseLost`] if another holder has taken over.
     pub async fn commit<T: TableService>(
         &mut self,
         table: &T,
         writes: Vec<RowWrite>,
         counted_ms: Option<u64>,
-    ) -> Result<(), LeaseLost> {
+    ) -> Result<Vec<RefusedRow>, LeaseLost> {
+        let Some(refused) = self.commit_once(table, writes, counted_ms).await? else {
+            self.counted_ms = counted_ms;
+            return Ok(Vec::new());
+        };
+        self.confirm_leader_row(table).await?;
+        self.find_refused(table, refused.writes).await
+    }
+
+    /// Commits the leader row alone, without its optional parts if the table refuses them.
+    async fn confirm_leader_row<T: TableService>(&mut self, table: &T) -> Result<(), LeaseLost> {
+        let counted_ms = self.counted_ms;
+        let Some(refused) = self.commit_once(table, Vec::new(), counted_ms).await? else {
+            return Ok(());
+        };
+        let bytes = self.row_value().to_string().len();
+        let RefusedWrites { status, reason, .. } = refused;
+        log::error!(
+            "event=row_refused key={LEADER_KEY} bytes={bytes} status={status} reason={reason:?} action=reduced"
+        );
+        self.record.drop_optional_parts();
+        self.reduced_until_ms = boot_ms() + REDUCED_TIME_MS;
+        // Without optional parts, this returns only once the row is accepted.
+        self.commit_once(table, Vec::new(), counted_ms).await?;
+        Ok(())
+    }
+
+    /// Commits all of `writes` but those that the table refuses, which it returns.
+    async fn find_refused<T: TableService>(
+        &mut self,
+        table: &T,
+        writes: Vec<RowWrite>,
+    ) -> Result<Vec<RefusedRow>, LeaseLost> {
+        let mut found = Vec::new();
+        let mut parts = vec![writes];
+        while let Some(writes) = parts.pop() {
+            if writes.is_empty() {
+                continue;
+            }
+            sleep(SEARCH_PAUSE).await;
+            // A count among the rows may be refused, so no newer counts are stated.
+            let counted_ms = self.counted_ms;
+            let Some(refused) = self.commit_once(table, writes, counted_ms).await? else {
+                continue;
+            };
+            let mut writes = refused.writes;
+            if writes.len() > 1 {
+                parts.push(writes.split_off(writes.len() / 2));
+                parts.push(writes);
+                continue;
+            }
+            found.extend(writes.into_iter().map(|write| RefusedRow {
+                write,
+                status: refused.status,
+                reason: refused.reason.clone(),
+            }));
+        }
+        Ok(found)
+    }
+
+    /// Commits all rows, or returns them if the table refuses one of them or an optional part of the
+    /// leader row for good.
+    async fn commit_once<T: TableService>(
+        &mut self,
+        table: &T,
+        writes: Vec<RowWrite>,
+        counted_ms: Option<u64>,
+    ) -> Result<Option<RefusedWrites>, LeaseLost> {
         self.record.commit += 1;
+        let may_split = !writes.is_empty() || self.record.has_optional_parts();
         let mut transaction = self.transaction(writes);
         let mut delay = RETRY_DELAY;
         loop {
@@ -212,21 +253,28 @@
             match table.transact(&transaction).await {
                 Ok(TransactionOutcome::Committed(revision)) => {
                     self.record_confirmed(revision, sent_ms);
-                    return Ok(());
+                    return Ok(None);
                 }
                 Ok(TransactionOutcome::Conflict(_)) => {
                     if let Some(outcome) = self.resolve(table).await {
-                        return outcome;
+                        return outcome.map(|()| None);
                     }
                 }
-                Err(Error::PlatformRefused {
-                    status: 400,
-                    reason,
-                }) => {
-                    log::error!("event=commit_rejected reason={reason:?}");
-                    return Err(LeaseLost);
-                }
-                Err(error) => log::warn!("event=commit_retried reason=\"{error}\""),
+                Err(error) => match lasting_refusal(error) {
+                    Ok((status, reason)) if may_split => {
+                        let writes = transaction.writes.split_off(1);
+                        return Ok(Some(RefusedWrites {
+                            writes,
+                            status,
+                            reason,
+                        }));
+                    }
+                    // Nothing can be committed without the leader row.
+                    Ok((status, reason)) => {
+                        log::error!("event=commit_rejected status={status} reason={reason:?}");
+                    }
+                    Err(error) => log::warn!("event=commit_retried reason=\"{error}\""),
+                },
             }
             sleep(delay).await;
             delay = (delay * 2).min(MAX_RETRY_DELAY);
@@ -287,19 +335,3 @@
         serde_json::to_value(&self.record).unwrap_or(Value::Null)
     }
 }
-
-/// Returns a record that stands for a row that cannot be decoded. Its holder is unknown and may
-/// still run tasks. No holder had a higher epoch than the row's revision, since each claim of the
-/// lease is a transaction of its own.
-fn unknown_record(row: &TableRow) -> LeaderRecord {
-    log::error!("event=leader_unreadable value={}", row.value);
-    LeaderRecord {
-        epoch: row.revision.get(),
-        ..LeaderRecord::default()
-    }
-}
-
-/// Decodes the leader row. Returns `None` if it cannot be decoded.
-pub(crate) fn read_record(row: &TableRow) -> Option<LeaderRecord> {
-    serde_json::from_value(row.value.clone()).ok()
-}
--- /dev/null
+++ b/src/workflow/leader_record.rs
@@ -0,0 +1,86 @@
+//! The leader row, which names the holder of the controller's lease.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::provider::TableRow;
+use crate::workflow::CountStamp;
+use crate::workflow::OrganisationLimits;
+use crate::workflow::QueueBacklogs;
+use crate::workflow::INHERITED_RUN_MS;
+use crate::workflow::RELEASED_RUN_MS;
+
+/// The lease holder as stored in the table.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaderRecord {
+    /// Rises with each change of the holder; the fencing token that workers check.
+    pub epoch: u64,
+    /// The entry host that holds the lease.
+    pub holder: String,
+    /// Number of the holder's commits.
+    pub commit: u64,
+    /// The holder has released the lease.
+    pub released: bool,
+    /// Time for which runs started by the holder's predecessors may continue unobserved, in ms.
+    #[serde(default)]
+    pub inherited_ms: u64,
+    /// Describes the published counts of pending jobs; none before the holder has counted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub counts: Option<CountStamp>,
+    /// The processor time of the holder's entry host, in millicores; 0 if unknown.
+    #[serde(default)]
+    pub processor_millis: u64,
+    /// The backlogs of queues, as of this commit.
+    #[serde(default, skip_serializing_if = "QueueBacklogs::is_empty")]
+    pub backlogs: QueueBacklogs,
+    /// The limits on organisations, as of this commit; nothing is limited before the holder has
+    /// measured.
+    #[serde(default, skip_serializing_if = "OrganisationLimits::is_empty")]
+    pub limits: OrganisationLimits,
+}
+
+impl LeaderRecord {
+    /// Returns whether both records were written by the same commit. Its attempts differ in the
+    /// age of the counts.
+    pub(crate) fn is_same_commit(&self, other: &Self) -> bool {
+        let key = |record: &Self| (record.epoch, record.holder.clone(), record.commit);
+        key(self) == key(other)
+    }
+
+    /// Returns the time for which runs of this holder and earlier ones may continue unobserved
+    /// after the end of this holder's term, in ms.
+    pub(crate) fn unobserved_ms(&self) -> u64 {
+        match (self.epoch, self.released) {
+            (0, _) => 0,
+            (_, true) => self.inherited_ms.max(RELEASED_RUN_MS),
+            (_, false) => INHERITED_RUN_MS,
+        }
+    }
+
+    /// Returns whether the record has parts without which it can be stored as well.
+    pub(crate) fn has_optional_parts(&self) -> bool {
+        !self.backlogs.is_empty() || !self.limits.is_empty()
+    }
+
+    /// Removes the parts without which the record can be stored as well.
+    pub(crate) fn drop_optional_parts(&mut self) {
+        self.backlogs = QueueBacklogs::new();
+        self.limits = OrganisationLimits::default();
+    }
+}
+
+/// Returns a record that stands for a row that cannot be decoded. Its holder is unknown and may
+/// still run tasks. No holder had a higher epoch than the row's revision, since each claim of the
+/// lease is a transaction of its own.
+pub(crate) fn unknown_record(row: &TableRow) -> LeaderRecord {
+    log::error!("event=leader_unreadable value={}", row.value);
+    LeaderRecord {
+        epoch: row.revision.get(),
+        ..LeaderRecord::default()
+    }
+}
+
+/// Decodes the leader row. Returns `None` if it cannot be decoded.
+pub(crate) fn read_record(row: &TableRow) -> Option<LeaderRecord> {
+    serde_json::from_value(row.value.clone()).ok()
+}
--- a/src/workflow/refused_rows.rs
+++ b/src/workflow/refused_rows.rs
@@ -41,6 +41,16 @@
         Self::default()
     }
 
+    /// Returns whether no row is set aside.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns whether a row whose key begins with `prefix` is set aside.
+    pub fn contains_prefix(&self, prefix: &str) -> bool {
+        self.rows.keys().any(|key| key.starts_with(prefix))
+    }
+
     /// Returns whether the row with this key is set aside.
     pub fn contains(&self, key: &str) -> bool {
         self.rows.contains_key(key)
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -76,7 +76,8 @@
         pools
     }
 
-    /// Places as many of a job's tasks as possible; returns the number of steps with tasks left.
+    /// Places as many of a job's tasks as possible; returns the number of steps with tasks left. A job
+    /// whose row was refused lately is left out.
     pub(crate) fn place_job(
         &mut self,
         id: &JobId,
@@ -84,7 +85,7 @@
         now_ms: u64,
         wall_ms: u64,
     ) -> u32 {
-        let Some(job) = self.jobs.get(id) else {
+        let Some(job) = self.jobs.get(id).filter(|_| !self.is_held(id, now_ms)) else {
             return 0;
         };
         let spec = Rc::clone(&job.spec);
--- a/src/workflow/wave_progress.rs
+++ b/src/workflow/wave_progress.rs
@@ -47,11 +47,16 @@
         progress
     }
 
+    /// Iterates over the hosts whose upkeep was decided and not accepted yet.
+    pub fn unaccepted(&self) -> impl Iterator<Item = HostId> + '_ {
+        self.started.difference(&self.accepted).cloned()
+    }
+
     /// Returns the write that stores the progress of `wave`. The row names each host once, so that it
     /// fits wherever the operator's request for the wave does.
     pub fn to_write(&self, wave: &WaveId) -> RowWrite {
         let row = Self {
-            started: self.started.difference(&self.accepted).cloned().collect(),
+            started: self.unaccepted().collect(),
             ..self.clone()
         };
         RowWrite {
--- a/tests/common/worker_replay.rs
+++ b/tests/common/worker_replay.rs
@@ -453,7 +453,7 @@
         for effect in effects {
             match effect {
                 CommitEffect::Start(task, run) => self.send_start(task, run),
-                CommitEffect::Acknowledge(id, _, last_end) => {
+                CommitEffect::Acknowledge(id, _, last_end, _) => {
                     let known = self.engine.workers.get_mut(&id).unwrap();
                     known.durable_end = known.durable_end.max(last_end);
                     let worker = self.workers.get_mut(&id).unwrap();
--- a/tests/worker_restarts.rs
+++ b/tests/worker_restarts.rs
@@ -272,7 +272,7 @@
 
     fleet.list(NEW);
     for effect in effects {
-        if let CommitEffect::Acknowledge(id, start, last_end) = effect {
+        if let CommitEffect::Acknowledge(id, start, last_end, _) = effect {
             fleet.engine.record_durable_end(&id, start, last_end);
         }
     }
