Test a successor beside a holder that is cut off from the table

In the test, the last holder reaches the workers but not the table; its successor can't call one worker, which goes on to accept the last holder's epoch. No order of the last holder is carried out later than 50 ms after the first refusal, and no task runs twice.

The workers in memory now end lapsed runs on all workers before a start is checked for a second run; runs of a worker that nobody calls would count as running for good.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -59,6 +59,9 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How long a call waits for an answer that doesn't come.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// A task run on a fake worker.
 struct FakeRun {
     run: u64,
@@ -88,6 +91,14 @@
     pub(crate) status: u16,
 }
 
+/// An order of a controller that a worker has carried out.
+#[derive(Clone, Debug)]
+pub(crate) struct CarriedOrder {
+    pub(crate) kind: &'static str,
+    pub(crate) epoch: u64,
+    pub(crate) at: Instant,
+}
+
 /// The platform shared by all controllers of a test.
 pub(crate) struct FakeFleet {
     started: Instant,
@@ -135,6 +146,12 @@
     ended_workers: RefCell<BTreeSet<WorkerId>>,
     /// Workers that refuse each epoch as lower than one that they have accepted.
     refusing_workers: RefCell<BTreeSet<WorkerId>>,
+    /// Number of renewals that workers refused for their epoch.
+    pub(crate) refused_renewals: Cell<u32>,
+    /// The orders that workers have carried out.
+    pub(crate) carried_orders: RefCell<Vec<CarriedOrder>>,
+    /// When a worker first refused an order for its epoch.
+    pub(crate) first_refused_at: Cell<Option<Instant>>,
     /// Runs that were started before their placement was committed.
     pub(crate) uncommitted_starts: RefCell<Vec<(TaskName, u64)>>,
     /// Start commands that are on their way now.
@@ -184,6 +201,9 @@
             end_next_placed_worker: Cell::new(false),
             ended_workers: RefCell::default(),
             refusing_workers: RefCell::default(),
+            refused_renewals: Cell::new(0),
+            carried_orders: RefCell::default(),
+            first_refused_at: Cell::new(None),
             uncommitted_starts: RefCell::default(),
             starts_in_flight: Cell::new(0),
             most_starts_in_flight: Cell::new(0),
@@ -204,6 +224,26 @@
         self.refusing_workers.borrow_mut().insert(worker.clone());
     }
 
+    /// Makes a worker accept epochs again.
+    pub(crate) fn accept_epochs(&self, worker: &WorkerId) {
+        self.refusing_workers.borrow_mut().remove(worker);
+    }
+
+    fn max_epoch(&self, worker: &WorkerId) -> u64 {
+        self.workers.borrow()[worker].max_epoch
+    }
+
+    fn record_order(&self, kind: &'static str, epoch: u64) {
+        let at = Instant::now();
+        let order = CarriedOrder { kind, epoch, at };
+        self.carried_orders.borrow_mut().push(order);
+    }
+
+    fn record_refused_order(&self) {
+        let first = self.first_refused_at.get().unwrap_or_else(Instant::now);
+        self.first_refused_at.set(Some(first));
+    }
+
     /// Makes the table refuse rows of at least `min_bytes` whose keys begin with `prefix`.
     pub(crate) fn refuse_rows(&self, prefix: &str, min_bytes: usize, status: u16) {
         self.row_refusals.borrow_mut().push(RowRefusal {
@@ -347,6 +387,7 @@
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(id).unwrap();
         if renewal.epoch < worker.max_epoch {
+            self.record_refused_order();
             return Some(RenewalOutcome::Refused(CommandRefusal::Fenced));
         }
         worker.max_epoch = renewal.epoch;
@@ -377,7 +418,9 @@
     }
 
     fn start(&self, id: &WorkerId, command: &StartCommand) -> CommandOutcome {
-        self.advance(id);
+        // Leases end on all workers, not only on those that are called.
+        let ids: Vec<_> = self.workers.borrow().keys().cloned().collect();
+        ids.iter().for_each(|id| self.advance(id));
         let runs_elsewhere = |(other, worker): (&WorkerId, &FakeWorker)| {
             other != id && worker.running.contains_key(&command.task)
         };
@@ -390,6 +433,7 @@
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(id).unwrap();
         if command.epoch < worker.max_epoch {
+            self.record_refused_order();
             return CommandOutcome::Refused(CommandRefusal::Fenced);
         }
         worker.max_epoch = command.epoch;
@@ -407,6 +451,7 @@
             until_ms: now_ms + self.task_ms.get(),
         };
         worker.running.insert(command.task.clone(), run);
+        self.record_order("start", command.epoch);
         CommandOutcome::Accepted(now_ms)
     }
 }
@@ -460,6 +505,10 @@
 pub(crate) struct FakeLink {
     pub(crate) fleet: Rc<FakeFleet>,
     pub(crate) is_disconnected: Cell<bool>,
+    /// The table doesn't answer, while the workers do.
+    pub(crate) is_table_cut: Cell<bool>,
+    /// Workers that don't answer this entry host.
+    pub(crate) silent_workers: RefCell<BTreeSet<WorkerId>>,
 }
 
 /// Starts the controller of an entry host that never shuts down. Returns its connection.
@@ -485,6 +534,8 @@
         Rc::new(Self {
             fleet: Rc::clone(fleet),
             is_disconnected: Cell::new(false),
+            is_table_cut: Cell::new(false),
+            silent_workers: RefCell::default(),
         })
     }
 
@@ -496,9 +547,22 @@
         }
     }
 
+    /// Returns whether a worker doesn't answer this entry host, once a call has waited for it.
+    async fn is_silent(&self, worker: &WorkerId) -> bool {
+        let is_silent = self.silent_workers.borrow().contains(worker);
+        if is_silent {
+            sleep(SILENCE_TIMEOUT).await;
+        }
+        is_silent
+    }
+
     /// Simulates a call's path to the table; fails during a table outage.
     async fn reach_table(&self) -> Result<()> {
         self.cross_network().await;
+        if self.is_table_cut.get() {
+            sleep(SILENCE_TIMEOUT).await;
+            return Err(Error::PlatformSilent("cut off".to_owned()));
+        }
         if self.fleet.table_down.get() {
             return Err(Error::PlatformRefused {
                 status: 503,
@@ -671,6 +735,9 @@
         self.cross_network().await;
         let in_flight = self.fleet.starts_in_flight.get();
         self.fleet.starts_in_flight.set(in_flight - 1);
+        if self.is_silent(&worker.id).await {
+            return CommandOutcome::Unknown("silent".to_owned());
+        }
         let outcome = self.fleet.start(&worker.id, command);
         let lost = self.fleet.lost_starts.get();
         if lost > 0 {
@@ -688,13 +755,18 @@
         epoch: u64,
     ) -> CommandOutcome {
         self.cross_network().await;
+        if self.is_silent(&worker.id).await {
+            return CommandOutcome::Unknown("silent".to_owned());
+        }
         self.fleet.advance(&worker.id);
         let now_ms = self.fleet.now_ms();
         let mut workers = self.fleet.workers.borrow_mut();
         let worker = workers.get_mut(&worker.id).unwrap();
         if epoch < worker.max_epoch {
+            self.fleet.record_refused_order();
             return CommandOutcome::Refused(CommandRefusal::Fenced);
         }
+        self.fleet.record_order("stop", epoch);
         let max_refused_run = worker.max_refused_run.entry(task.clone()).or_default();
         *max_refused_run = run.max(*max_refused_run);
         let is_running = worker
@@ -713,10 +785,18 @@
         if self.fleet.ended_workers.borrow().contains(&entry.id) {
             return RenewalOutcome::Refused(CommandRefusal::OtherIncarnation);
         }
+        if self.is_silent(&entry.id).await {
+            return RenewalOutcome::Unknown("silent".to_owned());
+        }
         if self.fleet.refusing_workers.borrow().contains(&entry.id) {
+            let refused = self.fleet.refused_renewals.get();
+            self.fleet.refused_renewals.set(refused + 1);
             return RenewalOutcome::Refused(CommandRefusal::Fenced);
         }
         self.fleet.renewals.set(self.fleet.renewals.get() + 1);
+        if self.fleet.max_epoch(&entry.id) <= renewal.epoch {
+            self.fleet.record_order("renewal", renewal.epoch);
+        }
         let deadline = Instant::now() + renewal.wait;
         loop {
             let timed_out = Instant::now() >= deadline;
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -172,6 +172,43 @@
     });
 }
 
+/// A holder that is cut off from the table learns of its successor only from the workers. Until it
+/// ends its term, both could act.
+#[test]
+fn holder_that_is_cut_off_gives_no_orders_once_it_doubts_its_lease() {
+    run(async {
+        // Arrange: tasks run on all workers.
+        let fleet = fleet();
+        fleet.task_ms.set(2_500);
+        let first = start_entry(&fleet, "boston-1");
+        submit(&first, 20).await;
+        sleep(Duration::from_millis(500)).await;
+        let second = start_entry(&fleet, "boston-2");
+
+        // Act: the successor can't call one worker, which goes on to accept the last holder's orders.
+        let silent = fixtures::worker_entry(3).id;
+        second.silent_workers.borrow_mut().insert(silent.clone());
+        first.is_table_cut.set(true);
+        sleep(Duration::from_secs(6)).await;
+        let refused_at = fleet.first_refused_at.get();
+        second.silent_workers.borrow_mut().clear();
+        wait_until_complete(&second, 20).await;
+
+        // Assert: those on their way when the doubt arose may still arrive.
+        let refused_at = refused_at.unwrap();
+        let orders = fleet.carried_orders.borrow();
+        let late = orders
+            .iter()
+            .filter(|order| order.epoch == 1 && order.at > refused_at + Duration::from_millis(50));
+        let late: Vec<_> = late
+            .map(|order| (order.kind, order.at - refused_at))
+            .collect();
+        assert!(late.is_empty(), "{late:?}");
+        assert!(orders.iter().any(|order| order.epoch == 2));
+        assert_each_ran_once(&fleet, 20);
+    });
+}
+
 /// A load that waits while the lease is renewed takes several times as long on a slow table, and
 /// its answers come too late when they are read only after the renewal.
 #[test]
