Archive ended jobs by themselves if the table refuses one of them

A batch of moves is one transaction, and the rest of its partition waited behind it. One row that the table refuses kept all ended jobs of the partition loaded, for each takeover to read. A refused deletion or read of expired rows no longer ends the pass for the other partitions (by reading only: no test).

--- a/src/workflow/job_archiver.rs
+++ b/src/workflow/job_archiver.rs
@@ -13,9 +13,11 @@
 //!   revision, since the table may carry it out late.
 //! - A job has its progress row, its submission or its ended row at any time.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::slice::from_ref;
 use std::time::Duration;
 
 use monoio::time::sleep;
@@ -36,6 +38,7 @@
 use crate::workflow::job_key::parse_job_key;
 use crate::workflow::job_key::ENDED_TABLE;
 use crate::workflow::job_key::PARTITIONS;
+use crate::workflow::refused_row::lasting_refusal;
 use crate::workflow::ControllerTerm;
 
 /// Time between passes: short against the time that a job stays loaded after its end, yet long
@@ -59,6 +62,10 @@
 /// Max time that a pass waits until the ends of its jobs are durable.
 const DURABLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after which the move of a job is tried again if the table refused it, in ms. The job stays
+/// loaded meanwhile, which costs a takeover few rows.
+const REFUSED_PAUSE_MS: u64 = 60_000;
+
 /// Archives the ended jobs of one term of the controller.
 pub(crate) struct JobArchiver<T> {
     table: Rc<T>,
@@ -69,6 +76,8 @@
     last_read_key: String,
     /// Jobs with progress rows but without submissions when the term started.
     leftover_progress: VecDeque<JobId>,
+    /// When the moves that the table refused may be tried again, in ms.
+    refused_until_ms: RefCell<BTreeMap<JobId, u64>>,
 }
 
 impl<T: TableService> JobArchiver<T> {
@@ -80,6 +89,7 @@
             unread_partitions: PARTITIONS.chars().collect(),
             last_read_key: String::new(),
             leftover_progress: leftover_progress.into(),
+            refused_until_ms: RefCell::default(),
         }
     }
 
@@ -103,6 +113,7 @@
 
     async fn archive_ended_jobs(&self) {
         let mut due = self.term.engine.borrow().archivable_jobs(boot_ms());
+        due.retain(|job| !self.is_set_aside(&job.id));
         if due.is_empty() || !self.term.wait_until_durable(DURABLE_TIMEOUT).await {
             return;
         }
@@ -126,8 +137,40 @@
         Ok(())
     }
 
-    /// Moves jobs of one partition.
+    /// Moves jobs of one partition, and sets those aside whose moves the table refuses.
     async fn archive_batch(&self, batch: &[EndedJob]) -> Result<()> {
+        let Err(error) = self.move_jobs(batch).await else {
+            return Ok(());
+        };
+        let (status, reason) = lasting_refusal(error)?;
+        if let [job] = batch {
+            self.set_aside(&job.id, status, &reason);
+            return Ok(());
+        }
+        for job in batch {
+            sleep(BATCH_INTERVAL).await;
+            if let Err(error) = self.move_jobs(from_ref(job)).await {
+                let (status, reason) = lasting_refusal(error)?;
+                self.set_aside(&job.id, status, &reason);
+            }
+        }
+        Ok(())
+    }
+
+    fn set_aside(&self, id: &JobId, status: u16, reason: &str) {
+        log::error!("event=archive_refused job={id} status={status} reason={reason:?}");
+        let mut refused = self.refused_until_ms.borrow_mut();
+        refused.insert(id.clone(), boot_ms() + REFUSED_PAUSE_MS);
+    }
+
+    fn is_set_aside(&self, id: &JobId) -> bool {
+        let refused = self.refused_until_ms.borrow();
+        let until_ms = refused.get(id);
+        until_ms.is_some_and(|until_ms| boot_ms() < *until_ms)
+    }
+
+    /// Moves jobs of one partition in one transaction.
+    async fn move_jobs(&self, batch: &[EndedJob]) -> Result<()> {
         let mut moves = Transaction::new();
         for job in batch {
             moves = moves
@@ -172,6 +215,7 @@
     fn record_archived(&self, id: &JobId) {
         let now_ms = boot_ms();
         self.term.engine.borrow_mut().archive_job(id, now_ms);
+        self.refused_until_ms.borrow_mut().remove(id);
         self.delete_progress(id);
     }
 
@@ -188,7 +232,14 @@
                 }
                 let delete = |deletions: Transaction, id| deletions.with_delete(ended_key(id));
                 let deletions = batch.iter().fold(Transaction::new(), delete);
-                self.table.transact(&deletions).await?;
+                if let Err(error) = self.table.transact(&deletions).await {
+                    // A successor reads the rows and tries again.
+                    let (status, reason) = lasting_refusal(error)?;
+                    let rows = batch.len();
+                    log::error!(
+                        "event=archive_refused deletions={rows} status={status} reason={reason:?}"
+                    );
+                }
                 self.record_deleted(batch);
                 sleep(BATCH_INTERVAL).await;
             }
@@ -204,7 +255,18 @@
             }
             let prefix = format!("{ENDED_TABLE}{partition}/");
             let page = self.table.scan(&prefix, &self.last_read_key, PAGE_ROWS);
-            let rows = page.await?;
+            let rows = match page.await.map_err(lasting_refusal) {
+                Ok(rows) => rows,
+                Err(Ok((status, reason))) => {
+                    log::error!(
+                        "event=archive_refused prefix={prefix} status={status} reason={reason:?}"
+                    );
+                    self.unread_partitions.pop_front();
+                    self.last_read_key.clear();
+                    continue;
+                }
+                Err(Err(error)) => return Err(error),
+            };
             match rows.last() {
                 Some(last) => self.last_read_key.clone_from(&last.key),
                 None => {
--- a/tests/job_archive.rs
+++ b/tests/job_archive.rs
@@ -154,6 +154,32 @@
     });
 }
 
+/// A batch of moves is stored as a whole or not at all, and the rest of its partition waits behind it.
+#[test]
+fn ended_row_that_the_table_refuses_keeps_no_others_loaded() {
+    run(async {
+        // Arrange: more ended jobs than one move takes.
+        let fleet = fleet();
+        let ended =
+            |rows, number| with_submission(with_progress(rows, &job_id(number)), &job_id(number));
+        fleet.commit(&(0..40).fold(Transaction::new(), ended));
+        fleet.refuse_rows(&ended_key(&job_id(3)), 0, 400);
+
+        // Act.
+        let link = start_entry(&fleet);
+        let count = || (fleet.count_rows("jobs@"), fleet.count_rows("progress/"));
+        let deadline = Instant::now() + ARCHIVE_TIMEOUT;
+        while count() != (1, 1) && Instant::now() < deadline {
+            sleep(Duration::from_millis(20)).await;
+        }
+
+        // Assert.
+        assert_eq!(count(), (1, 1));
+        assert_complete(&link, 40).await;
+        assert!(fleet.done_counts.borrow().is_empty());
+    });
+}
+
 /// A feed whose history is lost is read again from its start, and may deliver a submission that is
 /// archived at the same time.
 #[test]
