Keep rows of jobs within the limit that the platform states

The limit of 48,000 bytes was a constant, while the settings state the size of a row (row-bytes).

Room in a row was counted by what tasks reserve. A row of an earlier build, or a lower limit, has more runs than could reserve their bytes; the room was then 0, and runs and checkpoints that fit into a reservation were added without a bound.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -40,6 +40,7 @@
 use crate::workflow::JobEngine;
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseMonitor;
+use crate::workflow::RowLimit;
 use crate::workflow::StateReader;
 use crate::workflow::COMMANDS_KEY;
 use crate::workflow::LEADER_KEY;
@@ -64,6 +65,7 @@
     backlogs: Rc<BacklogView>,
     shutdown: ShutdownSignal,
     resources: HostResources,
+    row_limit: RowLimit,
 }
 
 impl<P: FleetPlatform> Controller<P> {
@@ -86,9 +88,16 @@
             backlogs: Rc::new(BacklogView::new()),
             shutdown,
             resources: HostResources::default(),
+            row_limit: RowLimit::default(),
         }
     }
 
+    /// Sets the limit on the rows of the table.
+    pub fn with_row_limit(mut self, limit: RowLimit) -> Self {
+        self.row_limit = limit;
+        self
+    }
+
     /// Sets the view of the queues' backlogs that the controller keeps current.
     pub fn with_backlogs(mut self, backlogs: Rc<BacklogView>) -> Self {
         self.backlogs = backlogs;
@@ -143,7 +152,8 @@
 
     /// Loads the state from the table and runs one term until it ends.
     async fn run_term(&self, mut lease: LeaderLease) {
-        let mut engine = JobEngine::new(boot_ms(), lease.inherited_ms());
+        let engine = JobEngine::new(boot_ms(), lease.inherited_ms());
+        let mut engine = engine.with_row_limit(self.row_limit);
         engine.adopt_caps(&self.view);
         let is_first_term = lease.epoch() == 1;
         let ages = self
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -28,6 +28,7 @@
 use crate::workflow::JobState;
 use crate::workflow::PeakForecast;
 use crate::workflow::RateMeter;
+use crate::workflow::RowLimit;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::WorkerEntry;
@@ -87,6 +88,8 @@
     pub(crate) effects: Vec<CommitEffect>,
     /// Effects of decisions that the table refuses to store.
     pub(crate) withheld_effects: Vec<CommitEffect>,
+    /// The limit on the durable row of a job.
+    pub(crate) row_limit: RowLimit,
     /// Jobs whose rows the table has refused.
     pub(crate) refused_jobs: BTreeMap<JobId, RefusedJob>,
     pub(crate) stops: Vec<StopRequest>,
@@ -136,6 +139,7 @@
             changed: BTreeSet::new(),
             effects: Vec::new(),
             withheld_effects: Vec::new(),
+            row_limit: RowLimit::default(),
             refused_jobs: BTreeMap::new(),
             stops: Vec::new(),
             open_jobs: BTreeSet::new(),
@@ -159,6 +163,13 @@
         }
     }
 
+    /// Sets the limit on the durable row of a job.
+    #[must_use]
+    pub fn with_row_limit(mut self, limit: RowLimit) -> Self {
+        self.row_limit = limit;
+        self
+    }
+
     /// Adds a job and restores its durable progress; a job without progress counts as a new
     /// arrival. No effect if the job is already known or archived: a feed that is read again from
     /// its start may deliver a submission that was archived meanwhile.
@@ -166,7 +177,8 @@
         if self.jobs.contains_key(&id) || self.archived.contains(&id) {
             return;
         }
-        let mut job = JobState::new(id.clone(), Rc::new(spec), now_ms);
+        let job = JobState::new(id.clone(), Rc::new(spec), now_ms);
+        let mut job = job.with_row_limit(self.row_limit);
         if progress.is_none() {
             job.is_over_rate = self.record_rate(&Rc::clone(&job.spec), now_ms);
             // Over-rate jobs request no hosts.
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -11,7 +11,9 @@
 use crate::id::WorkerId;
 use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
 use crate::workflow::job_status::OWNER_FIELD;
+use crate::workflow::row_room::RowRoom;
 use crate::workflow::running_time::RunningTime;
+use crate::workflow::task_state::exact_run_bytes;
 use crate::workflow::task_state::run_row_bytes;
 use crate::workflow::task_state::RUN_ROW_BYTES;
 use crate::workflow::CommandPhase;
@@ -19,14 +21,12 @@
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobStatus;
+use crate::workflow::RowLimit;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 
-/// The limit on a job's durable row: the platform stores 64 KB in its encoding, which adds a third.
-pub(crate) const MAX_ROW_BYTES: usize = 48_000;
-
 /// The bytes of a job's durable row besides its tasks and its owner's name.
 const ROW_OVERHEAD_BYTES: usize = 100;
 
@@ -54,7 +54,8 @@
     /// The durable row holds only the phase, since the table refuses a larger one.
     omits_tasks: bool,
     /// The bytes that the durable row has left, unless a task may have changed since they were counted.
-    row_room: Cell<Option<usize>>,
+    row_room: Cell<Option<RowRoom>>,
+    row_limit: RowLimit,
     /// The position of each step's first task within an occurrence.
     step_offsets: Vec<usize>,
     /// The number of done tasks of each step in each occurrence; see `step_position`.
@@ -83,12 +84,20 @@
             tasks: vec![TaskState::new(); total * occurrences],
             omits_tasks: false,
             row_room: Cell::new(None),
+            row_limit: RowLimit::default(),
             step_offsets,
             done_counts,
             spec,
         }
     }
 
+    /// Sets the limit on the durable row.
+    #[must_use]
+    pub(crate) fn with_row_limit(mut self, limit: RowLimit) -> Self {
+        self.row_limit = limit;
+        self
+    }
+
     /// Restores the state from a durable row; `None` if the row is unreadable.
     pub fn restore(&mut self, value: &Value, now_ms: u64) -> Option<()> {
         let phase = JobPhase::from_name(value.get("phase")?.as_str()?)?;
@@ -157,6 +166,10 @@
     /// reserve those of a usual run, and so do long-running ones from the beginning. In a job that is
     /// small enough, all do.
     pub(crate) fn row_room(&self) -> usize {
+        self.counted_room().bytes
+    }
+
+    fn counted_room(&self) -> RowRoom {
         let room = self.row_room.get().unwrap_or_else(|| self.count_row_room());
         self.row_room.set(Some(room));
         room
@@ -170,7 +183,12 @@
         worker: Option<&WorkerId>,
         checkpoint: &str,
     ) -> usize {
-        let reserved = match (self.task(name), self.step(name.step)) {
+        let state = self.task(name);
+        if self.counted_room().is_exact {
+            let taken = state.map_or(0, TaskState::exact_row_bytes);
+            return exact_run_bytes(worker, checkpoint).saturating_sub(taken);
+        }
+        let reserved = match (state, self.step(name.step)) {
             (Some(state), Some(step)) => self.reserved_bytes(state, step),
             _ => 0,
         };
@@ -191,7 +209,7 @@
         // All members of a gang resume from one checkpoint.
         let step = self.step(name.step).filter(|step| step.gang);
         let copies = step.map_or(1, |step| step.tasks as usize);
-        if added > 0 && added * copies > self.row_room() {
+        if added > 0 && added * copies > self.counted_room().checkpoint_bytes() {
             let bytes = checkpoint.len();
             log::warn!("event=checkpoint_dropped task={name} bytes={bytes}");
             return;
@@ -332,7 +350,7 @@
         state.row_bytes().max(least)
     }
 
-    fn count_row_room(&self) -> usize {
+    fn count_row_room(&self) -> RowRoom {
         let owner = self.spec.organisation.as_ref();
         let overhead = ROW_OVERHEAD_BYTES + owner.map_or(0, |owner| owner.as_str().len());
         let steps = self.spec.steps.iter();
@@ -340,7 +358,8 @@
         let task_steps: Vec<_> = task_steps.collect();
         let tasks = self.tasks.iter().zip(task_steps.iter().cycle());
         let reserved = tasks.map(|(state, step)| self.reserved_bytes(state, step));
-        MAX_ROW_BYTES.saturating_sub(overhead + reserved.sum::<usize>())
+        let taken = || self.tasks.iter().map(TaskState::exact_row_bytes).sum();
+        RowRoom::new(self.row_limit, overhead, reserved.sum(), taken)
     }
 
     fn recount_done(&mut self) {
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -154,6 +154,15 @@
         run_row_bytes(worker, &self.checkpoint)
     }
 
+    /// Returns the bytes of its job's row that the task takes, without those that it reserves.
+    pub(crate) fn exact_row_bytes(&self) -> usize {
+        if self.is_idle() {
+            return IDLE_ROW_BYTES;
+        }
+        let worker = self.worker().or(self.lost_on.as_ref());
+        exact_run_bytes(worker, &self.checkpoint)
+    }
+
     /// Encodes the durable part: 0 before the first run, 1 when done, otherwise an array of
     /// run, failures, checkpoint and, if placed, worker. A task that is held back for its worker's
     /// report is encoded as placed there, so that a successor waits for that report as well.
@@ -198,9 +207,13 @@
 
 /// Returns the bytes of a job's row that a task needs or reserves with a run on `worker`.
 pub(crate) fn run_row_bytes(worker: Option<&WorkerId>, checkpoint: &str) -> usize {
+    exact_run_bytes(worker, checkpoint).max(RUN_ROW_BYTES)
+}
+
+/// Returns the bytes of a job's row that a task takes with a run on `worker`.
+pub(crate) fn exact_run_bytes(worker: Option<&WorkerId>, checkpoint: &str) -> usize {
     let id_bytes = worker.map_or(0, |id| id.as_str().len());
-    let bytes = RUN_OVERHEAD_BYTES + id_bytes + json_bytes(checkpoint);
-    bytes.max(RUN_ROW_BYTES)
+    RUN_OVERHEAD_BYTES + id_bytes + json_bytes(checkpoint)
 }
 
 /// Returns the bytes of a text in JSON, without its quotes.
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -15,16 +15,20 @@
 
 use monoio::time::sleep;
 use monoio::time::Instant;
+use serde_json::json;
+use serde_json::Value;
 use zincpier::id::JobId;
 use zincpier::provider::TableService;
 use zincpier::workflow::CallerScope;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::EndKind;
+use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
 use zincpier::workflow::JobSpec;
 use zincpier::workflow::LookupOutcome;
+use zincpier::workflow::RowLimit;
 use zincpier::workflow::SpecError;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::SubmitOutcome;
@@ -317,3 +321,68 @@
         assert_eq!(results, (true, 1));
     });
 }
+
+/// An earlier build limited neither runs nor checkpoints by the row of their job.
+#[test]
+fn checkpoints_of_a_row_from_an_earlier_build_do_not_outgrow_it() {
+    // Arrange: more tasks run than this build starts, none with a checkpoint.
+    let mut fleet = EngineFleet::new(0);
+    fleet.engine.set_worker(large_worker(0), fleet.now_ms);
+    let schedule = JobSchedule {
+        times: OCCURRENCES,
+        first_ms: 0,
+        interval_ms: 0,
+    };
+    let spec = job_spec(vec![small_step(OCCURRENCE_TASKS)], Some(schedule));
+    let worker = large_worker(0).id;
+    let task = |number: u32| match number < 1_150 {
+        true => json!([1, 0, "", worker.as_str()]),
+        false => json!(0),
+    };
+    let tasks: Vec<Value> = (0..OCCURRENCE_TASKS * OCCURRENCES).map(task).collect();
+    let progress = json!({ "phase": "running", "tasks": tasks });
+    let id: JobId = fixtures::JOB.parse().unwrap();
+    let now_ms = fleet.now_ms;
+    fleet.engine.add_job(id, spec, Some(&progress), now_ms);
+    assert!(row_bytes(&fleet) <= MAX_ROW_BYTES);
+
+    // Act: each run is stopped, with a checkpoint, and started again.
+    let placed = fleet.placed_names();
+    assert_eq!(placed.len(), 1_150);
+    let ends = placed.iter().zip(1..).map(|(name, number)| TaskEnd {
+        number,
+        task: name.clone(),
+        run: 1,
+        kind: EndKind::Stopped,
+        checkpoint: "c".repeat(16),
+    });
+    report_ends(&mut fleet, ends.collect());
+    let ended_bytes = row_bytes(&fleet);
+    fleet.place();
+
+    // Assert: tasks run again, as many as the row holds.
+    let bytes = row_bytes(&fleet).max(ended_bytes);
+    assert!(bytes <= MAX_ROW_BYTES, "{bytes} bytes");
+    assert!(fleet.placed_names().len() > 100);
+}
+
+#[test]
+fn job_keeps_within_a_smaller_limit_on_rows() {
+    // Arrange: the row holds fewer tasks than a job may have.
+    let limit = RowLimit::new(12_000);
+    let mut fleet = EngineFleet::new(0);
+    let engine = std::mem::replace(&mut fleet.engine, JobEngine::new(0, 0));
+    fleet.engine = engine.with_row_limit(limit);
+    fleet.engine.set_worker(large_worker(0), fleet.now_ms);
+    report_ends(&mut fleet, Vec::new());
+
+    // Act.
+    fleet.submit(fixtures::JOB, vec![small_step(OCCURRENCE_TASKS)]);
+    fleet.start_all();
+
+    // Assert.
+    let placed = fleet.placed_names().len();
+    let bytes = row_bytes(&fleet);
+    assert!(bytes <= limit.get(), "{bytes} bytes");
+    assert!(placed > 200, "{placed} placed");
+}
