Command no more hosts at a time than the row of their ages holds

The row names each host that was commanded in the last 3.15 s, and nothing but the rate of commands bounded it. A wave over 725 hosts with long names made it larger than the table stores. Since refused rows are set aside, this no longer ends the term, but no host was commanded any more (seen: the wave not complete in 20 s). HostCommands::permitted now leaves out hosts that the row has no room for; they follow as others expire.

--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -163,6 +163,7 @@
             return;
         };
         let commands = HostCommands::new(ages.as_ref(), boot_ms());
+        let commands = commands.with_row_limit(self.row_limit);
         let term = ControllerTerm::with_start_limit(
             lease.epoch(),
             engine,
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -328,11 +328,7 @@
 
     /// Returns those of `hosts` to which this controller may send commands.
     pub(crate) fn permitted_hosts(&self, hosts: impl Iterator<Item = HostId>) -> Vec<HostId> {
-        let commands = self.host_commands.borrow();
-        let now_ms = boot_ms();
-        hosts
-            .filter(|host| commands.may_command(host, now_ms))
-            .collect()
+        self.host_commands.borrow().permitted(hosts, boot_ms())
     }
 
     /// Waits until all that the engine has decided by now is durable, besides rows that the table
--- a/src/workflow/host_commands.rs
+++ b/src/workflow/host_commands.rs
@@ -8,11 +8,15 @@
 use std::collections::HashMap;
 
 use crate::id::HostId;
+use crate::workflow::RowLimit;
 
 /// Min time between commands of two controllers for one host. The platform requires 3 s after
 /// the earlier holder's last command; half a poll interval of the leader row is added.
 const MIN_TAKEOVER_GAP_MS: u64 = 3_150;
 
+/// Bytes of a command in that row besides the host's name: punctuation and an age of four digits.
+const COMMAND_ROW_BYTES: usize = 10;
+
 /// Key of the row with the ages of the latest commands, written with the leader row while there
 /// are any.
 pub const COMMANDS_KEY: &str = "control/orders";
@@ -37,6 +41,7 @@
     commands: HashMap<HostId, CommandState>,
     /// Time until which no host may be commanded, in ms, because earlier commands are not known.
     blocked_until_ms: u64,
+    row_limit: RowLimit,
 }
 
 impl HostCommands {
@@ -47,6 +52,7 @@
             return Self {
                 commands: HashMap::new(),
                 blocked_until_ms: now_ms + MIN_TAKEOVER_GAP_MS,
+                row_limit: RowLimit::default(),
             };
         };
         let command = |(host, age_ms): (&HostId, &u64)| {
@@ -56,9 +62,17 @@
         Self {
             commands: ages.iter().map(command).collect(),
             blocked_until_ms: 0,
+            row_limit: RowLimit::default(),
         }
     }
 
+    /// Sets the limit on the row with the ages.
+    #[must_use]
+    pub fn with_row_limit(mut self, limit: RowLimit) -> Self {
+        self.row_limit = limit;
+        self
+    }
+
     /// Records that a command is about to be sent to a host.
     pub fn record_pending(&mut self, host: &HostId) {
         self.commands.insert(host.clone(), CommandState::Pending);
@@ -70,6 +84,24 @@
             .insert(host.clone(), CommandState::Resolved(now_ms));
     }
 
+    /// Returns those of `hosts`, from the first one on, that this controller may command and whose
+    /// commands the row of ages has room for.
+    pub fn permitted(&self, hosts: impl Iterator<Item = HostId>, now_ms: u64) -> Vec<HostId> {
+        let row_bytes = |host: &HostId| host.as_str().len() + COMMAND_ROW_BYTES;
+        let mut bytes: usize = self.commands.keys().map(row_bytes).sum();
+        let fits = |host: &HostId| {
+            if !self.may_command(host, now_ms) || self.commands.contains_key(host) {
+                return self.may_command(host, now_ms);
+            }
+            let has_room = bytes + row_bytes(host) <= self.row_limit.get();
+            if has_room {
+                bytes += row_bytes(host);
+            }
+            has_room
+        };
+        hosts.filter(fits).collect()
+    }
+
     /// Returns whether this controller may command a host.
     pub fn may_command(&self, host: &HostId, now_ms: u64) -> bool {
         now_ms >= self.blocked_until_ms && !self.is_blocked_by_predecessor(host, now_ms)
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -203,9 +203,9 @@
 
     /// Returns the moves whose hosts this controller may command.
     fn filter_permitted(&self, moves: Vec<HostMove>) -> Vec<HostMove> {
-        let commands = self.term.host_commands.borrow();
-        let now_ms = boot_ms();
-        let allowed = |host_move: &HostMove| commands.may_command(&host_move.host, now_ms);
+        let hosts = moves.iter().map(|host_move| host_move.host.clone());
+        let permitted: HashSet<_> = self.term.permitted_hosts(hosts).into_iter().collect();
+        let allowed = |host_move: &HostMove| permitted.contains(&host_move.host);
         moves.into_iter().filter(allowed).collect()
     }
 
--- a/tests/host_commands.rs
+++ b/tests/host_commands.rs
@@ -4,6 +4,7 @@
 use zincpier::id::HostId;
 use zincpier::workflow::CommandAges;
 use zincpier::workflow::HostCommands;
+use zincpier::workflow::RowLimit;
 
 /// Min time that the platform requires between two holders' commands to the same host.
 const MIN_COMMAND_GAP_MS: u64 = 3_000;
@@ -89,3 +90,31 @@
 
     assert!(own_commands.may_command(&host(0), 150));
 }
+
+/// The row with the ages would be refused, and with it all commands to hosts.
+#[test]
+fn commands_keep_within_the_limit_on_their_row() {
+    // Arrange.
+    let limit = RowLimit::new(1_000);
+    let mut own_commands = commands().with_row_limit(limit);
+    let hosts = || (0..200).map(host);
+
+    // Act.
+    let first = own_commands.permitted(hosts(), 0);
+    first
+        .iter()
+        .for_each(|host| own_commands.record_pending(host));
+    let bytes = serde_json::to_string(&own_commands.ages(0)).unwrap().len();
+    let again = own_commands.permitted(hosts(), 0);
+
+    // Assert: commanded hosts may be commanded again, and others once there is room.
+    assert!(first.len() > 40, "{}", first.len());
+    assert!(bytes <= limit.get(), "{bytes} bytes");
+    assert_eq!(again, first);
+    first
+        .iter()
+        .for_each(|host| own_commands.record_resolved(host, 0));
+    own_commands.ages(5_000);
+    let later = own_commands.permitted(hosts().skip(100), 5_000);
+    assert!(later.len() > 40, "{}", later.len());
+}
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -55,6 +55,9 @@
 /// More hosts than the row of a wave holds if it names each of them twice.
 const WAVE_HOSTS: usize = 1_500;
 
+/// About as many hosts as the row of a wave holds if their names are as long as possible.
+const LONG_NAMED_HOSTS: usize = 725;
+
 /// The longest id of a worker.
 const LONG_ID_CHARS: usize = 64;
 
@@ -322,6 +325,40 @@
     });
 }
 
+/// The row of command ages names each host that was commanded lately, by any number of waves and moves.
+#[test]
+fn commands_to_many_hosts_at_once_do_not_outgrow_a_row() {
+    run(async {
+        // Arrange: the names of hosts are as long as possible.
+        let entry = |index| WorkerEntry {
+            id: format!("{index:059}").parse().unwrap(),
+            ..large_worker(index)
+        };
+        let workers: Vec<_> = (0..LONG_NAMED_HOSTS).map(entry).collect();
+        let hosts = workers.iter().map(|worker| format!("host-{}", worker.id));
+        let hosts = hosts.map(|host| host.parse().unwrap()).collect();
+        let fleet = FakeFleet::new(fixtures::config(), workers);
+        let link = start_entry(&fleet, "boston-1");
+        start_entry(&fleet, "boston-2");
+
+        // Act.
+        fleet.start_wave(WaveRequest {
+            wave: "7".parse().unwrap(),
+            hosts,
+            deadline_ms: 2_000,
+            max_down: LONG_NAMED_HOSTS,
+        });
+        let deadline = Instant::now() + TIMEOUT;
+        while !fleet.wave_complete.get() && Instant::now() < deadline {
+            sleep(Duration::from_millis(50)).await;
+        }
+
+        // Assert.
+        let results = (fleet.wave_complete.get(), lease_epoch(&link).await);
+        assert_eq!(results, (true, 1));
+    });
+}
+
 /// An earlier build limited neither runs nor checkpoints by the row of their job.
 #[test]
 fn checkpoints_of_a_row_from_an_earlier_build_do_not_outgrow_it() {
