Report jobs whose rows have no room for ready tasks

Such tasks waited beside idle workers without a word.

Before (seen): the test's metric was missing.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -60,6 +60,9 @@
     /// The longest time for which a long-running task has been without a known run, in ms, as known
     /// to the lease holder; 0 on other hosts.
     pub long_task_wait_ms: Gauge,
+    /// Jobs with ready tasks for which their durable rows have no room, as known to the lease holder;
+    /// 0 on other hosts.
+    pub full_row_jobs: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -112,6 +115,10 @@
             "long_task_wait_ms",
             "Longest time that a long-running task has been without a run, on the lease's holder",
         );
+        let full_row_jobs = gauge(
+            "full_row_jobs",
+            "Jobs with ready tasks for which their rows have no room, on the lease's holder",
+        );
         let organisations = OrganisationMetrics::register(&mut registry);
         Self {
             registry,
@@ -128,6 +135,7 @@
             organisations,
             slow_workers,
             long_task_wait_ms,
+            full_row_jobs,
         }
     }
 
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -13,6 +13,7 @@
 use crate::workflow::cap_limits::CapLimits;
 use crate::workflow::capped_arrivals::CappedArrivals;
 use crate::workflow::engine_refusals::RefusedJob;
+use crate::workflow::full_rows::FullRows;
 use crate::workflow::known_incarnations::IncarnationOrder;
 use crate::workflow::known_incarnations::KnownIncarnations;
 use crate::workflow::long_task_monitor::LongTaskMonitor;
@@ -90,6 +91,7 @@
     pub(crate) withheld_effects: Vec<CommitEffect>,
     /// The limit on the durable row of a job.
     pub(crate) row_limit: RowLimit,
+    pub(crate) full_rows: FullRows,
     /// Jobs whose rows the table has refused.
     pub(crate) refused_jobs: BTreeMap<JobId, RefusedJob>,
     pub(crate) stops: Vec<StopRequest>,
@@ -140,6 +142,7 @@
             effects: Vec::new(),
             withheld_effects: Vec::new(),
             row_limit: RowLimit::default(),
+            full_rows: FullRows::default(),
             refused_jobs: BTreeMap::new(),
             stops: Vec::new(),
             open_jobs: BTreeSet::new(),
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -41,6 +41,7 @@
 mod fleet_config;
 mod fleet_health;
 mod fleet_view;
+mod full_rows;
 mod gateway;
 mod health_state;
 mod host_commands;
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -98,6 +98,8 @@
     let wait = engine.check_long_tasks(boot_ms());
     let waited_ms = wait.map_or(0, |wait| wait.waited_ms);
     term.metrics.long_task_wait_ms.set(waited_ms as i64);
+    let full_rows = engine.check_full_rows(boot_ms());
+    term.metrics.full_row_jobs.set(full_rows as i64);
     if engine.has_changes() {
         term.commit.notify_one();
     }
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -28,6 +28,7 @@
             return;
         };
         self.has_waiting = false;
+        self.full_rows.clear();
         self.caps.refresh(&config, now_ms);
         self.forget_placed_jobs();
         let mut pools = self.placement_pools(now_ms);
@@ -135,15 +136,19 @@
         }
         let mut waiting = self.waiting_tasks(id, occurrence, step);
         waiting.truncate(usize::try_from(room).unwrap_or(usize::MAX));
+        let ready = waiting.len();
         self.retain_storable(id, &mut waiting);
+        let mut kept_back = ready - waiting.len();
         let chosen = self.choose_workers(&waiting, pool, now_ms);
         for (name, worker) in waiting.iter().zip(&chosen) {
             if self.has_row_room(id, from_ref(name), from_ref(worker), None) {
                 self.place_task(name, worker, now_ms);
             } else if let Some(spec) = self.jobs.get(id).and_then(|job| job.step(step)) {
                 pool.release(spec, from_ref(worker));
+                kept_back += 1;
             }
         }
+        self.full_rows.record(id, kept_back);
         chosen.len() == waiting.len()
     }
 
@@ -181,6 +186,7 @@
         let checkpoint = newest.map_or(String::new(), |state| state.checkpoint.clone());
         if !self.has_row_room(id, &waiting, &chosen, Some(&checkpoint)) {
             pool.release(&job.spec.steps[step as usize], &chosen);
+            self.full_rows.record(id, waiting.len());
             return true;
         }
         for (name, worker) in waiting.iter().zip(&chosen) {
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -18,10 +18,14 @@
 use serde_json::json;
 use serde_json::Value;
 use zincpier::id::JobId;
+use zincpier::process::EntryMetrics;
+use zincpier::process::ShutdownSignal;
 use zincpier::provider::TableService;
 use zincpier::workflow::CallerScope;
+use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::EndKind;
+use zincpier::workflow::FleetView;
 use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
@@ -359,6 +363,45 @@
     });
 }
 
+/// Without a word about it, tasks that wait for their job's row look as if they waited for workers.
+#[test]
+fn job_that_waits_for_its_row_is_reported() {
+    run(async {
+        // Arrange.
+        let workers = (0..4).map(large_worker).collect();
+        let fleet = FakeFleet::new(fixtures::config(), workers);
+        fleet.task_ms.set(10_000);
+        let link = FakeLink::new(&fleet);
+        let view = FleetView::new();
+        let watched = (Rc::clone(&link), Rc::clone(&view));
+        monoio::spawn(async move { watched.1.watch(watched.0.as_ref()).await });
+        let metrics = Rc::new(EntryMetrics::new());
+        let controller = Controller::new(
+            Rc::clone(&link),
+            view,
+            "boston-1".to_owned(),
+            Rc::clone(&metrics),
+            Rc::new(CountFreshness::new()),
+            ShutdownSignal::new(),
+        );
+        monoio::spawn(async move { controller.run().await });
+        let schedule = JobSchedule {
+            times: OCCURRENCES,
+            first_ms: 1,
+            interval_ms: 1,
+        };
+
+        // Act.
+        let wide = job_spec(vec![small_step(OCCURRENCE_TASKS)], Some(schedule));
+        submit(&link, 1, &wide).await;
+        sleep(Duration::from_secs(3)).await;
+
+        // Assert.
+        let text = metrics.to_text();
+        assert!(text.contains("zincpier_full_row_jobs 1"), "{text}");
+    });
+}
+
 /// An earlier build limited neither runs nor checkpoints by the row of their job.
 #[test]
 fn checkpoints_of_a_row_from_an_earlier_build_do_not_outgrow_it() {
@@ -422,4 +465,6 @@
     let bytes = row_bytes(&fleet);
     assert!(bytes <= limit.get(), "{bytes} bytes");
     assert!(placed > 200, "{placed} placed");
+    let now_ms = fleet.now_ms;
+    assert_eq!(fleet.engine.check_full_rows(now_ms), 1);
 }
