--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -42,6 +42,7 @@
 use crate::workflow::JobEngine;
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseMonitor;
+use crate::workflow::RowLimit;
 use crate::workflow::StateReader;
 use crate::workflow::COMMANDS_KEY;
 use crate::workflow::LEADER_KEY;
@@ -71,6 +72,7 @@
     backlogs: Rc<BacklogView>,
     shutdown: ShutdownSignal,
     resources: HostResources,
+    row_limit: RowLimit,
 }
 
 /// An answered read of the leader row.
@@ -99,9 +101,16 @@
             backlogs: Rc::new(BacklogView::new()),
             shutdown,
             resources: HostResources::default(),
+            row_limit: RowLimit::default(),
         }
     }
 
+    /// Sets the limit on the rows of the table.
+    pub fn with_row_limit(mut self, limit: RowLimit) -> Self {
+        self.row_limit = limit;
+        self
+    }
+
     /// Sets the view of the queues' backlogs that the controller keeps current.
     pub fn with_backlogs(mut self, backlogs: Rc<BacklogView>) -> Self {
         self.backlogs = backlogs;
@@ -182,7 +191,8 @@
 
     /// Loads the state from the table and runs one term until it ends.
     async fn run_term(&self, mut lease: LeaderLease) {
-        let mut engine = JobEngine::new(boot_ms(), lease.inherited_ms());
+        let engine = JobEngine::new(boot_ms(), lease.inherited_ms());
+        let mut engine = engine.with_row_limit(self.row_limit);
         engine.adopt_caps(&self.view);
         let is_first_term = lease.epoch() == 1;
         let ages = self
@@ -192,6 +202,7 @@
             return;
         };
         let commands = HostCommands::new(ages.as_ref(), boot_ms());
+        let commands = commands.with_row_limit(self.row_limit);
         let term = ControllerTerm::with_start_limit(
             lease.epoch(),
             engine,
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -12,6 +12,8 @@
 use crate::id::WorkerId;
 use crate::workflow::cap_limits::CapLimits;
 use crate::workflow::capped_arrivals::CappedArrivals;
+use crate::workflow::engine_refusals::RefusedJob;
+use crate::workflow::full_rows::FullRows;
 use crate::workflow::known_incarnations::IncarnationOrder;
 use crate::workflow::known_incarnations::KnownIncarnations;
 use crate::workflow::long_task_monitor::LongTaskMonitor;
@@ -27,6 +29,7 @@
 use crate::workflow::JobState;
 use crate::workflow::PeakForecast;
 use crate::workflow::RateMeter;
+use crate::workflow::RowLimit;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::WorkerEntry;
@@ -49,8 +52,8 @@
     /// its placement is committed later.
     Start(TaskName, u64),
     /// Acknowledge the worker's task ends up to this sequence number, which the incarnation with
-    /// this start has counted.
-    Acknowledge(WorkerId, Option<IncarnationStart>, u64),
+    /// this start has counted; with the number and job of each.
+    Acknowledge(WorkerId, Option<IncarnationStart>, u64, Vec<(u64, JobId)>),
 }
 
 /// A stop command to send; it does not wait for a commit.
@@ -84,6 +87,13 @@
     pub(crate) changed: BTreeSet<JobId>,
     /// Effects of the next commit.
     pub(crate) effects: Vec<CommitEffect>,
+    /// Effects of decisions that the table refuses to store.
+    pub(crate) withheld_effects: Vec<CommitEffect>,
+    /// The limit on the durable row of a job.
+    pub(crate) row_limit: RowLimit,
+    pub(crate) full_rows: FullRows,
+    /// Jobs whose rows the table has refused.
+    pub(crate) refused_jobs: BTreeMap<JobId, RefusedJob>,
     pub(crate) stops: Vec<StopRequest>,
     /// Jobs that have not ended, and ended ones that still have placed tasks.
     pub(crate) open_jobs: BTreeSet<JobId>,
@@ -130,6 +140,10 @@
             leftover_progress: Vec::new(),
             changed: BTreeSet::new(),
             effects: Vec::new(),
+            withheld_effects: Vec::new(),
+            row_limit: RowLimit::default(),
+            full_rows: FullRows::default(),
+            refused_jobs: BTreeMap::new(),
             stops: Vec::new(),
             open_jobs: BTreeSet::new(),
             waiting_jobs: BTreeSet::new(),
@@ -152,6 +166,13 @@
         }
     }
 
+    /// Sets the limit on the durable row of a job.
+    #[must_use]
+    pub fn with_row_limit(mut self, limit: RowLimit) -> Self {
+        self.row_limit = limit;
+        self
+    }
+
     /// Adds a job and restores its durable progress; a job without progress counts as a new
     /// arrival. No effect if the job is already known or archived: a feed that is read again from
     /// its start may deliver a submission that was archived meanwhile.
@@ -159,7 +180,8 @@
         if self.jobs.contains_key(&id) || self.archived.contains(&id) {
             return;
         }
-        let mut job = JobState::new(id.clone(), Rc::new(spec), now_ms);
+        let job = JobState::new(id.clone(), Rc::new(spec), now_ms);
+        let mut job = job.with_row_limit(self.row_limit);
         if progress.is_none() {
             job.is_over_rate = self.record_rate(&Rc::clone(&job.spec), now_ms);
             // Over-rate jobs request no hosts.
@@ -321,7 +343,10 @@
             Some((id, value))
         };
         let rows = changed.into_iter().filter_map(row).collect();
-        (rows, std::mem::take(&mut self.effects))
+        // Withheld acknowledgements come before later ones of the same worker.
+        let mut effects = std::mem::take(&mut self.withheld_effects);
+        effects.append(&mut self.effects);
+        (rows, effects)
     }
 
     /// Returns whether rows or effects wait for a commit.
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -12,69 +12,26 @@
 use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
 use crate::workflow::job_status::OWNER_FIELD;
 use crate::workflow::row_budget::RowBudget;
+use crate::workflow::row_bytes::RowBytes;
+use crate::workflow::row_room::RowRoom;
 use crate::workflow::running_time::RunningTime;
+use crate::workflow::task_state::exact_run_bytes;
 use crate::workflow::task_state::run_row_bytes;
 use crate::workflow::task_state::RUN_ROW_BYTES;
 use crate::workflow::CommandPhase;
 use crate::workflow::DurationTracker;
+use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobStatus;
+use crate::workflow::RowLimit;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 
-/// The limit on a job's durable row: the platform stores 64 KB in its encoding, which adds a third.
-pub(crate) const MAX_ROW_BYTES: usize = 48_000;
-
 /// The bytes of a job's durable row besides its tasks and its owner's name.
 const ROW_OVERHEAD_BYTES: usize = 100;
 
-/// The phase of a job that callers see.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum JobPhase {
-    /// No task has been placed yet.
-    Queued,
-    /// At least one task has been placed.
-    Running,
-    /// All tasks are done.
-    Complete,
-    /// A task reached its queue's limit of failed attempts.
-    Failed,
-    /// A caller cancelled it.
-    Cancelled,
-}
-
-impl JobPhase {
-    /// Returns whether the phase is final.
-    pub fn has_ended(self) -> bool {
-        matches!(self, Self::Complete | Self::Failed | Self::Cancelled)
-    }
-
-    /// Returns the phase's name in durable rows.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Queued => "queued",
-            Self::Running => "running",
-            Self::Complete => "complete",
-            Self::Failed => "failed",
-            Self::Cancelled => "cancelled",
-        }
-    }
-
-    /// Parses the phase's name from a durable row.
-    pub fn from_name(name: &str) -> Option<Self> {
-        let phases = [
-            Self::Queued,
-            Self::Running,
-            Self::Complete,
-            Self::Failed,
-            Self::Cancelled,
-        ];
-        phases.into_iter().find(|phase| phase.as_str() == name)
-    }
-}
-
 /// A job with the states of its tasks, which are ordered by occurrence, step and index.
 #[derive(Clone, Debug)]
 pub struct JobState {
@@ -96,8 +53,11 @@
     /// Its organisation had submitted more jobs a second than it is entitled to when the job arrived.
     pub is_over_rate: bool,
     tasks: Vec<TaskState>,
+    /// The durable row holds only the phase, since the table refuses a larger one.
+    omits_tasks: bool,
     /// The bytes of the durable row that the tasks reserve.
     row_budget: RefCell<RowBudget>,
+    row_limit: RowLimit,
     /// The position of each step's first task within an occurrence.
     step_offsets: Vec<usize>,
     /// The number of done tasks of each step in each occurrence; see `step_position`.
@@ -124,13 +84,22 @@
             has_begun: false,
             is_over_rate: false,
             tasks: vec![TaskState::new(); total * occurrences],
+            omits_tasks: false,
             row_budget: RefCell::default(),
+            row_limit: RowLimit::default(),
             step_offsets,
             done_counts,
             spec,
         }
     }
 
+    /// Sets the limit on the durable row.
+    #[must_use]
+    pub(crate) fn with_row_limit(mut self, limit: RowLimit) -> Self {
+        self.row_limit = limit;
+        self
+    }
+
     /// Restores the state from a durable row; `None` if the row is unreadable.
     pub fn restore(&mut self, value: &Value, now_ms: u64) -> Option<()> {
         let phase = JobPhase::from_name(value.get("phase")?.as_str()?)?;
@@ -160,11 +129,30 @@
         }
     }
 
+    /// Leaves the tasks out of the durable row of an ended job, although some may run: a successor
+    /// stops runs that it doesn't know.
+    pub(crate) fn omit_tasks(&mut self) {
+        self.omits_tasks = true;
+    }
+
+    /// Returns whether the tasks are left out of the durable row.
+    pub(crate) fn omits_tasks(&self) -> bool {
+        self.omits_tasks
+    }
+
+    /// Removes the checkpoints of all tasks, which then start from the beginning.
+    pub(crate) fn drop_checkpoints(&mut self) {
+        self.row_budget = RefCell::default();
+        for task in &mut self.tasks {
+            task.checkpoint.clear();
+        }
+    }
+
     /// Returns the durable row. It omits the tasks of an ended job without placed tasks, whose
     /// states are no longer needed.
     pub fn to_value(&self) -> Value {
         let finished = self.phase.has_ended() && self.placed_tasks().next().is_none();
-        let tasks = if finished {
+        let tasks = if finished || self.omits_tasks {
             Vec::new()
         } else {
             self.tasks.iter().map(TaskState::to_value).collect()
@@ -180,16 +168,24 @@
     /// reserve those of a usual run, and so do long-running ones from the beginning. In a job that is
     /// small enough, all do.
     pub(crate) fn row_room(&self) -> usize {
+        self.counted_room().bytes
+    }
+
+    fn counted_room(&self) -> RowRoom {
         let owner = self.spec.organisation.as_ref();
         let overhead = ROW_OVERHEAD_BYTES + owner.map_or(0, |owner| owner.as_str().len());
         let per_occurrence = self.tasks_per_occurrence();
         let bytes = |position: usize| {
+            let state = &self.tasks[position];
             let offset = position % per_occurrence;
             let step = self.step_offsets.partition_point(|first| *first <= offset) - 1;
-            self.reserved_bytes(&self.tasks[position], &self.spec.steps[step])
+            RowBytes {
+                reserved: self.reserved_bytes(state, &self.spec.steps[step]),
+                taken: state.exact_row_bytes(),
+            }
         };
-        let reserved = self.row_budget.borrow_mut().count(self.tasks.len(), bytes);
-        MAX_ROW_BYTES.saturating_sub(overhead + reserved)
+        let tasks = self.row_budget.borrow_mut().count(self.tasks.len(), bytes);
+        RowRoom::new(self.row_limit, overhead, tasks)
     }
 
     /// Returns the bytes that a run of a task on `worker` takes of the durable row beyond what the task
@@ -200,7 +196,12 @@
         worker: Option<&WorkerId>,
         checkpoint: &str,
     ) -> usize {
-        let reserved = match (self.task(name), self.step(name.step)) {
+        let state = self.task(name);
+        if self.counted_room().is_exact {
+            let taken = state.map_or(0, TaskState::exact_row_bytes);
+            return exact_run_bytes(worker, checkpoint).saturating_sub(taken);
+        }
+        let reserved = match (state, self.step(name.step)) {
             (Some(state), Some(step)) => self.reserved_bytes(state, step),
             _ => 0,
         };
@@ -221,7 +222,7 @@
         // All members of a gang resume from one checkpoint.
         let step = self.step(name.step).filter(|step| step.gang);
         let copies = step.map_or(1, |step| step.tasks as usize);
-        if added > 0 && added * copies > self.row_room() {
+        if added > 0 && added * copies > self.counted_room().checkpoint_bytes() {
             let bytes = checkpoint.len();
             log::warn!("event=checkpoint_dropped task={name} bytes={bytes}");
             return;
--- a/src/workflow/row_budget.rs
+++ b/src/workflow/row_budget.rs
@@ -1,13 +1,15 @@
-//! The bytes that the tasks of a job reserve in its durable row.
+//! The bytes that the tasks of a job take of its durable row.
 
-/// Counts the reserved bytes of a job's tasks. A worker's report may change the checkpoints of many tasks
-/// one after another, so only tasks that may have changed are counted again.
+use crate::workflow::row_bytes::RowBytes;
+
+/// Counts the bytes of a job's tasks. A worker's report may change the checkpoints of many tasks one
+/// after another, so only tasks that may have changed are counted again.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RowBudget {
     /// The bytes that each task was last counted with, by position; empty before the first count.
-    counted: Vec<usize>,
+    counted: Vec<RowBytes>,
     /// The sum of `counted`.
-    total: usize,
+    total: RowBytes,
     /// Positions of tasks that may have changed since they were counted.
     changed: Vec<usize>,
 }
@@ -26,16 +28,18 @@
     }
 
     /// Returns the bytes of `tasks` tasks, of which `bytes` returns those of the one at a position.
-    pub(crate) fn count(&mut self, tasks: usize, bytes: impl Fn(usize) -> usize) -> usize {
+    pub(crate) fn count(&mut self, tasks: usize, bytes: impl Fn(usize) -> RowBytes) -> RowBytes {
         if self.counted.is_empty() {
             self.counted = (0..tasks).map(bytes).collect();
-            self.total = self.counted.iter().sum();
+            for bytes in &self.counted {
+                self.total += *bytes;
+            }
             return self.total;
         }
         for position in self.changed.drain(..) {
             let bytes = bytes(position);
-            let before = std::mem::replace(&mut self.counted[position], bytes);
-            self.total = self.total + bytes - before;
+            self.total += bytes;
+            self.total -= std::mem::replace(&mut self.counted[position], bytes);
         }
         self.total
     }
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -62,6 +62,8 @@
 /// Time after which a call to a silent table is given up: the longest timeout of the platform's
 /// client, which it reaches after a few calls without an answer.
 const SILENT_CALL_TIME: Duration = Duration::from_millis(1_600);
+/// How long a call waits for an answer that doesn't come.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A task run on a fake worker.
 struct FakeRun {
@@ -82,6 +84,24 @@
     next_end: u64,
 }
 
+/// Rows that the table refuses for a reason that a controller doesn't know beforehand.
+pub(crate) struct RowRefusal {
+    /// What the keys of these rows begin with.
+    pub(crate) prefix: String,
+    /// The least size of these rows in bytes.
+    pub(crate) min_bytes: usize,
+    /// The status of the table's answer.
+    pub(crate) status: u16,
+}
+
+/// An order of a controller that a worker has carried out.
+#[derive(Clone, Debug)]
+pub(crate) struct CarriedOrder {
+    pub(crate) kind: &'static str,
+    pub(crate) epoch: u64,
+    pub(crate) at: Instant,
+}
+
 /// The platform shared by all controllers of a test.
 pub(crate) struct FakeFleet {
     started: Instant,
@@ -109,6 +129,12 @@
     pub(crate) page_time: Cell<Duration>,
     /// Max rows of a page.
     pub(crate) max_page_rows: Cell<usize>,
+    /// Rows that the table refuses.
+    pub(crate) row_refusals: RefCell<Vec<RowRefusal>>,
+    /// Number of transactions that the table refused for one of their rows.
+    pub(crate) refused_commits: Cell<u32>,
+    /// Max unacknowledged ends that a worker lists at a time.
+    pub(crate) max_listed_ends: Cell<usize>,
     /// The table refuses all calls.
     pub(crate) table_down: Cell<bool>,
     /// The table doesn't answer calls that it receives meanwhile.
@@ -125,6 +151,12 @@
     ended_workers: RefCell<BTreeSet<WorkerId>>,
     /// Workers that refuse each epoch as lower than one that they have accepted.
     refusing_workers: RefCell<BTreeSet<WorkerId>>,
+    /// Number of renewals that workers refused for their epoch.
+    pub(crate) refused_renewals: Cell<u32>,
+    /// The orders that workers have carried out.
+    pub(crate) carried_orders: RefCell<Vec<CarriedOrder>>,
+    /// When a worker first refused an order for its epoch.
+    pub(crate) first_refused_at: Cell<Option<Instant>>,
     /// Runs that were started before their placement was committed.
     pub(crate) uncommitted_starts: RefCell<Vec<(TaskName, u64)>>,
     /// Start commands that are on their way now.
@@ -164,6 +196,9 @@
             commit_time: Cell::new(Duration::ZERO),
             page_time: Cell::new(Duration::ZERO),
             max_page_rows: Cell::new(500),
+            row_refusals: RefCell::default(),
+            refused_commits: Cell::new(0),
+            max_listed_ends: Cell::new(500),
             table_down: Cell::new(false),
             table_silent: Cell::new(false),
             workers_hidden: Cell::new(false),
@@ -172,6 +207,9 @@
             end_next_placed_worker: Cell::new(false),
             ended_workers: RefCell::default(),
             refusing_workers: RefCell::default(),
+            refused_renewals: Cell::new(0),
+            carried_orders: RefCell::default(),
+            first_refused_at: Cell::new(None),
             uncommitted_starts: RefCell::default(),
             starts_in_flight: Cell::new(0),
             most_starts_in_flight: Cell::new(0),
@@ -192,6 +230,55 @@
         self.refusing_workers.borrow_mut().insert(worker.clone());
     }
 
+    /// Makes a worker accept epochs again.
+    pub(crate) fn accept_epochs(&self, worker: &WorkerId) {
+        self.refusing_workers.borrow_mut().remove(worker);
+    }
+
+    fn max_epoch(&self, worker: &WorkerId) -> u64 {
+        self.workers.borrow()[worker].max_epoch
+    }
+
+    fn record_order(&self, kind: &'static str, epoch: u64) {
+        let at = Instant::now();
+        let order = CarriedOrder { kind, epoch, at };
+        self.carried_orders.borrow_mut().push(order);
+    }
+
+    fn record_refused_order(&self) {
+        let first = self.first_refused_at.get().unwrap_or_else(Instant::now);
+        self.first_refused_at.set(Some(first));
+    }
+
+    /// Makes the table refuse rows of at least `min_bytes` whose keys begin with `prefix`.
+    pub(crate) fn refuse_rows(&self, prefix: &str, min_bytes: usize, status: u16) {
+        self.row_refusals.borrow_mut().push(RowRefusal {
+            prefix: prefix.to_owned(),
+            min_bytes,
+            status,
+        });
+    }
+
+    /// Refuses a transaction with a row that a test made the table refuse.
+    fn check_refusals(&self, transaction: &Transaction) -> Result<()> {
+        let refusals = self.row_refusals.borrow();
+        let sizes = transaction.writes.iter().filter_map(|write| {
+            let size = write.value.as_ref()?.to_string().len();
+            Some((&write.key, size))
+        });
+        for (key, size) in sizes {
+            let refuses = |one: &&RowRefusal| key.starts_with(&one.prefix) && size >= one.min_bytes;
+            if let Some(refusal) = refusals.iter().find(refuses) {
+                self.refused_commits.set(self.refused_commits.get() + 1);
+                return Err(Error::PlatformRefused {
+                    status: refusal.status,
+                    reason: "a row is not valid".to_owned(),
+                });
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the number of rows whose keys start with `prefix`.
     pub(crate) fn count_rows(&self, prefix: &str) -> usize {
         let rows = self.rows.borrow();
@@ -306,6 +393,7 @@
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(id).unwrap();
         if renewal.epoch < worker.max_epoch {
+            self.record_refused_order();
             return Some(RenewalOutcome::Refused(CommandRefusal::Fenced));
         }
         worker.max_epoch = renewal.epoch;
@@ -325,13 +413,20 @@
             incarnation_start: None,
             clock_ms,
             running: running.collect(),
-            ends: worker.ends.clone(),
-            has_more_ends: false,
+            has_more_ends: worker.ends.len() > self.max_listed_ends.get(),
+            ends: worker
+                .ends
+                .iter()
+                .take(self.max_listed_ends.get())
+                .cloned()
+                .collect(),
         }))
     }
 
     fn start(&self, id: &WorkerId, command: &StartCommand) -> CommandOutcome {
-        self.advance(id);
+        // Leases end on all workers, not only on those that are called.
+        let ids: Vec<_> = self.workers.borrow().keys().cloned().collect();
+        ids.iter().for_each(|id| self.advance(id));
         let runs_elsewhere = |(other, worker): (&WorkerId, &FakeWorker)| {
             other != id && worker.running.contains_key(&command.task)
         };
@@ -344,6 +439,7 @@
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(id).unwrap();
         if command.epoch < worker.max_epoch {
+            self.record_refused_order();
             return CommandOutcome::Refused(CommandRefusal::Fenced);
         }
         worker.max_epoch = command.epoch;
@@ -361,6 +457,7 @@
             until_ms: now_ms + self.task_ms.get(),
         };
         worker.running.insert(command.task.clone(), run);
+        self.record_order("start", command.epoch);
         CommandOutcome::Accepted(now_ms)
     }
 }
@@ -414,6 +511,10 @@
 pub(crate) struct FakeLink {
     pub(crate) fleet: Rc<FakeFleet>,
     pub(crate) is_disconnected: Cell<bool>,
+    /// The table doesn't answer, while the workers do.
+    pub(crate) is_table_cut: Cell<bool>,
+    /// Workers that don't answer this entry host.
+    pub(crate) silent_workers: RefCell<BTreeSet<WorkerId>>,
 }
 
 /// Starts the controller of an entry host that never shuts down. Returns its connection.
@@ -439,6 +540,8 @@
         Rc::new(Self {
             fleet: Rc::clone(fleet),
             is_disconnected: Cell::new(false),
+            is_table_cut: Cell::new(false),
+            silent_workers: RefCell::default(),
         })
     }
 
@@ -450,6 +553,15 @@
         }
     }
 
+    /// Returns whether a worker doesn't answer this entry host, once a call has waited for it.
+    async fn is_silent(&self, worker: &WorkerId) -> bool {
+        let is_silent = self.silent_workers.borrow().contains(worker);
+        if is_silent {
+            sleep(SILENCE_TIMEOUT).await;
+        }
+        is_silent
+    }
+
     /// Simulates a call's path to the table; fails during a table outage.
     async fn reach_table(&self) -> Result<()> {
         self.cross_network().await;
@@ -457,6 +569,10 @@
             sleep(SILENT_CALL_TIME).await;
             return Err(Error::PlatformSilent("no answer in time".to_owned()));
         }
+        if self.is_table_cut.get() {
+            sleep(SILENCE_TIMEOUT).await;
+            return Err(Error::PlatformSilent("cut off".to_owned()));
+        }
         if self.fleet.table_down.get() {
             return Err(Error::PlatformRefused {
                 status: 503,
@@ -475,6 +591,7 @@
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
         self.reach_table().await?;
         check_row_sizes(transaction)?;
+        self.fleet.check_refusals(transaction)?;
         self.fleet.end_placed_worker(transaction);
         sleep(self.fleet.commit_time.get()).await;
         let outcome = self.fleet.commit(transaction);
@@ -628,6 +745,9 @@
         self.cross_network().await;
         let in_flight = self.fleet.starts_in_flight.get();
         self.fleet.starts_in_flight.set(in_flight - 1);
+        if self.is_silent(&worker.id).await {
+            return CommandOutcome::Unknown("silent".to_owned());
+        }
         let outcome = self.fleet.start(&worker.id, command);
         let lost = self.fleet.lost_starts.get();
         if lost > 0 {
@@ -645,13 +765,18 @@
         epoch: u64,
     ) -> CommandOutcome {
         self.cross_network().await;
+        if self.is_silent(&worker.id).await {
+            return CommandOutcome::Unknown("silent".to_owned());
+        }
         self.fleet.advance(&worker.id);
         let now_ms = self.fleet.now_ms();
         let mut workers = self.fleet.workers.borrow_mut();
         let worker = workers.get_mut(&worker.id).unwrap();
         if epoch < worker.max_epoch {
+            self.fleet.record_refused_order();
             return CommandOutcome::Refused(CommandRefusal::Fenced);
         }
+        self.fleet.record_order("stop", epoch);
         let max_refused_run = worker.max_refused_run.entry(task.clone()).or_default();
         *max_refused_run = run.max(*max_refused_run);
         let is_running = worker
@@ -670,10 +795,18 @@
         if self.fleet.ended_workers.borrow().contains(&entry.id) {
             return RenewalOutcome::Refused(CommandRefusal::OtherIncarnation);
         }
+        if self.is_silent(&entry.id).await {
+            return RenewalOutcome::Unknown("silent".to_owned());
+        }
         if self.fleet.refusing_workers.borrow().contains(&entry.id) {
+            let refused = self.fleet.refused_renewals.get();
+            self.fleet.refused_renewals.set(refused + 1);
             return RenewalOutcome::Refused(CommandRefusal::Fenced);
         }
         self.fleet.renewals.set(self.fleet.renewals.get() + 1);
+        if self.fleet.max_epoch(&entry.id) <= renewal.epoch {
+            self.fleet.record_order("renewal", renewal.epoch);
+        }
         let deadline = Instant::now() + renewal.wait;
         loop {
             let timed_out = Instant::now() >= deadline;
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -15,16 +15,24 @@
 
 use monoio::time::sleep;
 use monoio::time::Instant;
+use serde_json::json;
+use serde_json::Value;
 use zincpier::id::JobId;
+use zincpier::process::EntryMetrics;
+use zincpier::process::ShutdownSignal;
 use zincpier::provider::TableService;
 use zincpier::workflow::CallerScope;
+use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::EndKind;
+use zincpier::workflow::FleetView;
+use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
 use zincpier::workflow::JobSpec;
 use zincpier::workflow::LookupOutcome;
+use zincpier::workflow::RowLimit;
 use zincpier::workflow::SpecError;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::SubmitOutcome;
@@ -51,6 +59,9 @@
 /// More hosts than the row of a wave holds if it names each of them twice.
 const WAVE_HOSTS: usize = 1_500;
 
+/// About as many hosts as the row of a wave holds if their names are as long as possible.
+const LONG_NAMED_HOSTS: usize = 725;
+
 /// The longest id of a worker.
 const LONG_ID_CHARS: usize = 64;
 
@@ -318,3 +329,144 @@
         assert_eq!(results, (true, 1));
     });
 }
+
+/// The row of command ages names each host that was commanded lately, by any number of waves and moves.
+#[test]
+fn commands_to_many_hosts_at_once_do_not_outgrow_a_row() {
+    run(async {
+        // Arrange: the names of hosts are as long as possible.
+        let entry = |index| WorkerEntry {
+            id: format!("{index:059}").parse().unwrap(),
+            ..large_worker(index)
+        };
+        let workers: Vec<_> = (0..LONG_NAMED_HOSTS).map(entry).collect();
+        let hosts = workers.iter().map(|worker| format!("host-{}", worker.id));
+        let hosts = hosts.map(|host| host.parse().unwrap()).collect();
+        let fleet = FakeFleet::new(fixtures::config(), workers);
+        let link = start_entry(&fleet, "boston-1");
+        start_entry(&fleet, "boston-2");
+
+        // Act.
+        fleet.start_wave(WaveRequest {
+            wave: "7".parse().unwrap(),
+            hosts,
+            unreadable_hosts: 0,
+            deadline_ms: 2_000,
+            max_down: LONG_NAMED_HOSTS,
+        });
+        let deadline = Instant::now() + TIMEOUT;
+        while !fleet.wave_complete.get() && Instant::now() < deadline {
+            sleep(Duration::from_millis(50)).await;
+        }
+
+        // Assert.
+        let results = (fleet.wave_complete.get(), lease_epoch(&link).await);
+        assert_eq!(results, (true, 1));
+    });
+}
+
+/// Without a word about it, tasks that wait for their job's row look as if they waited for workers.
+#[test]
+fn job_that_waits_for_its_row_is_reported() {
+    run(async {
+        // Arrange.
+        let workers = (0..4).map(large_worker).collect();
+        let fleet = FakeFleet::new(fixtures::config(), workers);
+        fleet.task_ms.set(10_000);
+        let link = FakeLink::new(&fleet);
+        let view = FleetView::new();
+        let watched = (Rc::clone(&link), Rc::clone(&view));
+        monoio::spawn(async move { watched.1.watch(watched.0.as_ref()).await });
+        let metrics = Rc::new(EntryMetrics::new());
+        let controller = Controller::new(
+            Rc::clone(&link),
+            view,
+            "boston-1".to_owned(),
+            Rc::clone(&metrics),
+            Rc::new(CountFreshness::new()),
+            ShutdownSignal::new(),
+        );
+        monoio::spawn(async move { controller.run().await });
+        let schedule = JobSchedule {
+            times: OCCURRENCES,
+            first_ms: 1,
+            interval_ms: 1,
+        };
+
+        // Act.
+        let wide = job_spec(vec![small_step(OCCURRENCE_TASKS)], Some(schedule));
+        submit(&link, 1, &wide).await;
+        sleep(Duration::from_secs(3)).await;
+
+        // Assert.
+        let text = metrics.to_text();
+        assert!(text.contains("zincpier_full_row_jobs 1"), "{text}");
+    });
+}
+
+/// An earlier build limited neither runs nor checkpoints by the row of their job.
+#[test]
+fn checkpoints_of_a_row_from_an_earlier_build_do_not_outgrow_it() {
+    // Arrange: more tasks run than this build starts, none with a checkpoint.
+    let mut fleet = EngineFleet::new(0);
+    fleet.engine.set_worker(large_worker(0), fleet.now_ms);
+    let schedule = JobSchedule {
+        times: OCCURRENCES,
+        first_ms: 0,
+        interval_ms: 0,
+    };
+    let spec = job_spec(vec![small_step(OCCURRENCE_TASKS)], Some(schedule));
+    let worker = large_worker(0).id;
+    let task = |number: u32| match number < 1_150 {
+        true => json!([1, 0, "", worker.as_str()]),
+        false => json!(0),
+    };
+    let tasks: Vec<Value> = (0..OCCURRENCE_TASKS * OCCURRENCES).map(task).collect();
+    let progress = json!({ "phase": "running", "tasks": tasks });
+    let id: JobId = fixtures::JOB.parse().unwrap();
+    let now_ms = fleet.now_ms;
+    fleet.engine.add_job(id, spec, Some(&progress), now_ms);
+    assert!(row_bytes(&fleet) <= MAX_ROW_BYTES);
+
+    // Act: each run is stopped, with a checkpoint, and started again.
+    let placed = fleet.placed_names();
+    assert_eq!(placed.len(), 1_150);
+    let ends = placed.iter().zip(1..).map(|(name, number)| TaskEnd {
+        number,
+        task: name.clone(),
+        run: 1,
+        kind: EndKind::Stopped,
+        checkpoint: "c".repeat(16),
+    });
+    report_ends(&mut fleet, ends.collect());
+    let ended_bytes = row_bytes(&fleet);
+    fleet.place();
+
+    // Assert: tasks run again, as many as the row holds.
+    let bytes = row_bytes(&fleet).max(ended_bytes);
+    assert!(bytes <= MAX_ROW_BYTES, "{bytes} bytes");
+    assert!(fleet.placed_names().len() > 100);
+}
+
+#[test]
+fn job_keeps_within_a_smaller_limit_on_rows() {
+    // Arrange: the row holds fewer tasks than a job may have.
+    let limit = RowLimit::new(12_000);
+    let mut fleet = EngineFleet::new(0);
+    let engine = std::mem::replace(&mut fleet.engine, JobEngine::new(0, 0));
+    fleet.engine = engine.with_row_limit(limit);
+    fleet.engine.set_worker(large_worker(0), fleet.now_ms);
+    report_ends(&mut fleet, Vec::new());
+
+    // Act.
+    fleet.submit(fixtures::JOB, vec![small_step(OCCURRENCE_TASKS)]);
+    fleet.start_all();
+
+    // Assert.
+    let placed = fleet.placed_names().len();
+    let bytes = row_bytes(&fleet);
+    assert!(bytes <= limit.get(), "{bytes} bytes");
+    assert!(placed > 200, "{placed} placed");
+    let now_ms = fleet.now_ms;
+    assert_eq!(fleet.engine.check_full_rows(now_ms), 1);
+}
