Don't choose a host again for a pool that the platform refuses it for

What callers would have seen: a move that the platform refused for good (400) was never sent again, but the host was chosen in each pass, standby hosts by name first, and counted as capacity to come: a short pool stayed without as many hosts as were refused.

Change: the plan knows for each host the pools that it was refused for in this term.

host_that_is_refused_for_a_pool_does_not_stand_in_for_others and host_that_may_not_be_switched_off_does_not_stand_in_for_others failed with the field in place and unused, and pass.

--- a/src/workflow/capacity_plan.rs
+++ b/src/workflow/capacity_plan.rs
@@ -42,6 +42,8 @@
     pub available: bool,
     /// Target pool while the host is drained for a move, otherwise `None`.
     pub leaving_to: Option<String>,
+    /// Pools to which the platform has refused to move it for good.
+    pub refused_pools: Vec<String>,
 }
 
 /// A pool as input to the capacity plan.
@@ -177,7 +179,8 @@
         let capacity = capacities[pool.name.as_str()];
         let free = move |host: &&PoolHost| {
             let fits = pool.standby || capacity >= retained_millis + host.capacity_millis;
-            !host.pinned && host.available && host.leaving_to.is_none() && fits
+            let allowed = !host.refused_pools.contains(&receiver.name);
+            !host.pinned && host.available && host.leaving_to.is_none() && allowed && fits
         };
         pool.hosts.iter().filter(free).map(move |host| (pool, host))
     });
@@ -210,7 +213,9 @@
             let retained_millis = pool.demand_millis * DONOR_RETAINED_PERCENT / 100;
             let capacity = capacities[pool.name.as_str()];
             let idle = !host.pinned && host.available && host.used_millis == 0;
-            let free = idle && host.leaving_to.is_none() && !taken.contains(&host.host);
+            let allowed = !host.refused_pools.contains(&standby.name);
+            let staying = host.leaving_to.is_none() && !taken.contains(&host.host);
+            let free = idle && allowed && staying;
             let needed = spare < reserve_millis + host.capacity_millis;
             if !free || needed || capacity < retained_millis + host.capacity_millis {
                 continue;
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -144,6 +144,9 @@
             state.is_some_and(|state| state.unresponsive_since_ms > 0 || state.entry.draining);
         let known = standby || state.is_some();
         let upkeep = cordon == Some(CordonReason::Upkeep) || upkeep_hosts.contains(&host.host);
+        let rejected = self.rejected_moves.borrow();
+        let refused = rejected.range((host.host.clone(), String::new())..);
+        let refused = refused.take_while(|(other, _)| *other == host.host);
         PoolHost {
             host: host.host.clone(),
             capacity_millis: host.capacity.cpu_millis,
@@ -154,6 +157,7 @@
                 Some(CordonReason::Move(to)) => Some(to),
                 _ => None,
             },
+            refused_pools: refused.map(|(_, pool)| pool.clone()).collect(),
         }
     }
 
--- a/tests/demand_replay.rs
+++ b/tests/demand_replay.rs
@@ -110,6 +110,7 @@
         pinned: false,
         available: true,
         leaving_to: None,
+        refused_pools: Vec::new(),
     };
     (0..count).map(host).collect()
 }
@@ -148,6 +149,35 @@
     assert!(choose_moves(&pools, u64::MAX / 2).is_empty());
 }
 
+/// A host that is chosen again after each refusal takes the place of one that would come.
+#[test]
+fn host_that_is_refused_for_a_pool_does_not_stand_in_for_others() {
+    let mut standby = pool("off", 3, 0);
+    standby.standby = true;
+    standby.hosts[0].refused_pools.push("busy".to_owned());
+    let pools = [pool("busy", 1, 100_000), standby];
+
+    let moves = choose_moves(&pools, u64::MAX / 2);
+
+    let chosen = moves.iter().map(|host_move| host_move.host.as_str());
+    assert_eq!(chosen.collect::<Vec<_>>(), ["off-1"]);
+}
+
+#[test]
+fn host_that_may_not_be_switched_off_does_not_stand_in_for_others() {
+    let mut standby = pool("off", 0, 0);
+    standby.standby = true;
+    let mut idle = pool("idle", 10, 0);
+    idle.spare_ms = 60_000;
+    idle.hosts[0].refused_pools.push("off".to_owned());
+    let pools = [idle, standby];
+
+    let moves = choose_moves(&pools, 512_000);
+
+    let chosen = moves.iter().map(|host_move| host_move.host.as_str());
+    assert_eq!(chosen.collect::<Vec<_>>(), ["idle-1", "idle-2"]);
+}
+
 #[test]
 fn nothing_is_switched_off_below_the_reserve() {
     let mut standby = pool("off", 0, 0);
