Poll the operator's rows again beside polls without an answer

Callers saw: after an outage of the table, submissions were refused for up to 1.9 s more.

A poll that was sent in the outage is waited for as long as its timeout has grown, 1.6 s at most, and the next one is sent 150 ms later.

Change: a poll without an answer 300 ms after its wait is left to wait, and another is sent beside it. Not while bytes of an answer arrive, since large configurations would share the link.

--- a/src/workflow/call_series.rs
+++ b/src/workflow/call_series.rs
@@ -39,6 +39,11 @@
         self.next_at = self.next_at.min(Instant::now() + delay);
     }
 
+    /// Puts off the next call, because an answer is arriving.
+    pub(crate) fn postpone(&mut self, interval: Duration) {
+        self.next_at = Instant::now() + interval;
+    }
+
     /// Waits for the next answer or failure of a call. Returns `None` once another call is to be sent.
     pub(crate) async fn next(&mut self) -> Option<F::Output> {
         if let Ok(Some(answer)) = timeout_at(self.next_at, self.calls.next()).await {
--- a/src/workflow/fleet_view.rs
+++ b/src/workflow/fleet_view.rs
@@ -8,9 +8,11 @@
 use monoio::time::sleep;
 
 use crate::connection::AnswerClock;
+use crate::error::Result;
 use crate::id::Revision;
 use crate::id::WaveId;
 use crate::process::boot_ms;
+use crate::workflow::call_series::CallSeries;
 use crate::workflow::cap_limits::CapLimits;
 use crate::workflow::ChangeFeed;
 use crate::workflow::ChangeSet;
@@ -34,6 +36,10 @@
 /// timeout. Bytes of an answer that is arriving count, since a large one takes longer.
 const UNREACHABLE_AFTER_MS: u64 = 1_450;
 
+/// Time after which a poll without an answer is sent again beside it, besides the wait for a change:
+/// longer than a read of a slow table takes (240 ms).
+const RESEND_DELAY: Duration = Duration::from_millis(300);
+
 /// Delay after a failed poll.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -110,8 +116,8 @@
                 true => self.poll_wait(),
                 false => Duration::ZERO,
             };
-            let sent_ms = boot_ms();
-            match feed.operator_changes(since, wait).await {
+            let (sent_ms, outcome) = self.poll(feed, since, wait).await;
+            match outcome {
                 Ok(ChangeSet::Changes(changes, revision)) => {
                     self.answers.record();
                     since = revision;
@@ -140,6 +146,34 @@
         }
     }
 
+    /// Polls the operator's changes until a poll is answered or fails. Returns when that poll was sent, in
+    /// ms. While polls are unanswered, others are sent beside them, so that the end of an outage is noticed
+    /// soon; not while an answer is arriving, since large ones would share the link.
+    async fn poll<F: ChangeFeed>(
+        &self,
+        feed: &F,
+        since: Revision,
+        wait: Duration,
+    ) -> (u64, Result<ChangeSet<OperatorChange>>) {
+        let mut polls = CallSeries::new();
+        loop {
+            let sent_ms = boot_ms();
+            let poll = async move { (sent_ms, feed.operator_changes(since, wait).await) };
+            polls.send(poll, wait + RESEND_DELAY);
+            loop {
+                match polls.next().await {
+                    Some(answer) => return answer,
+                    None if self.is_answer_arriving() => polls.postpone(RESEND_DELAY),
+                    None => break,
+                }
+            }
+        }
+    }
+
+    fn is_answer_arriving(&self) -> bool {
+        Duration::from_millis(self.answers.silent_ms()) < RESEND_DELAY
+    }
+
     fn poll_wait(&self) -> Duration {
         let config = self.config.borrow();
         let organisations = config.as_ref().map(|config| &config.organisations);
