Send no stop once the term has ended in which it waited

What callers would see: a run that the next holder of the lease keeps is ended by the last one, so that a long-running task is without a run.

Cause: send_stop waited for the end of a doubt and then sent its stop, whether the doubt had ended by a confirmation or with the term.

Change: a stop waits until this holder may decide about runs (active, not doubted, confirmed within the time in which leases are renewed), and is dropped with its term. While it waits, the run counts as one that is being stopped, so no second stop is made and nothing else is started for the task; a run that has ended or a worker that has restarted meanwhile takes the usual way. Stops of a holder that has been without a confirmation for longer than leases are renewed now wait as well; that follows from the same condition and was not the fault that was reported.

--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -58,8 +58,8 @@
 /// The interval at which an idle worker is checked for a due renewal.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The interval at which a stop command waits for the end of a doubt about the controller's lease.
-const DOUBT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The interval at which a stop command checks whether the controller's lease is confirmed.
+const PERMISSION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Renews a worker's lease and applies its reports until the worker is removed or the term ends.
 pub async fn maintain_worker_lease<G: WorkerGateway>(
@@ -345,15 +345,25 @@
     Some((entry, command))
 }
 
-/// Sends a stop command and applies its outcome. Unless it was accepted, the outcome is applied
+/// Waits until this controller may decide about runs. Returns whether it may: not once its term has
+/// ended, since another holder may then keep what this one would have stopped.
+async fn wait_for_permission(term: &ControllerTerm) -> bool {
+    while term.is_active() && !term.may_renew() {
+        sleep(PERMISSION_POLL_INTERVAL).await;
+    }
+    term.is_active()
+}
+
+/// Sends a stop command once the lease is confirmed, and applies its outcome. Until then the run
+/// counts as one that is being stopped. Unless the command was accepted, the outcome is applied
 /// after a pause, because the command is then sent again.
 pub async fn send_stop<G: WorkerGateway>(
     gateway: Rc<G>,
     term: Rc<ControllerTerm>,
     request: StopRequest,
 ) {
-    while term.is_doubted() && term.is_active() {
-        sleep(DOUBT_POLL_INTERVAL).await;
+    if !wait_for_permission(&term).await {
+        return;
     }
     let entry = {
         let engine = term.engine.borrow();
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -21,12 +21,14 @@
 use zincpier::workflow::send_start;
 use zincpier::workflow::send_stop;
 use zincpier::workflow::CommandOutcome;
+use zincpier::workflow::CommandPhase;
 use zincpier::workflow::ControllerTerm;
 use zincpier::workflow::HostCommands;
 use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobSpec;
 use zincpier::workflow::LeaseRenewal;
 use zincpier::workflow::RenewalOutcome;
+use zincpier::workflow::RunningTask;
 use zincpier::workflow::StartCommand;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::StopRequest;
@@ -181,27 +183,49 @@
     }
 }
 
+/// A term in which another worker has refused the epoch, and a stop of a task that runs.
+async fn doubted_term() -> (Rc<ControllerTerm>, StopRequest) {
+    let now_ms = boot_ms();
+    let worker = fixtures::worker_entry(0);
+    let mut engine = JobEngine::new(now_ms, 0);
+    engine.config = Some(Rc::new(fixtures::config()));
+    engine.set_worker(worker.clone(), now_ms);
+    engine.apply_report(&worker.id, &empty_report(), now_ms, now_ms);
+    let spec = spec(4, fixtures::long_running(1, 1));
+    engine.add_job(fixtures::JOB.parse().unwrap(), spec, None, now_ms);
+    engine.place_tasks(now_ms, 0);
+    let task = fixtures::task(fixtures::JOB, 0);
+    let running = RunningTask {
+        task: task.clone(),
+        run: 1,
+        checkpoint: String::new(),
+        percent: 100,
+        load: 0,
+    };
+    let state = engine.jobs.get_mut(&task.job).unwrap();
+    state.task_mut(&task).unwrap().set_sent(now_ms);
+    let report = WorkerReport {
+        running: vec![running],
+        ..empty_report()
+    };
+    engine.apply_report(&worker.id, &report, now_ms, now_ms);
+    engine.drain_worker(&worker.id, false);
+    let request = engine.take_stops().pop().unwrap();
+    let commands = HostCommands::new(None, 0);
+    let term = ControllerTerm::new(1, engine, commands, Rc::new(EntryMetrics::new()));
+    sleep(Duration::from_millis(5)).await;
+    term.doubt_lease(&fixtures::worker_entry(1).id);
+    assert!(term.is_doubted());
+    (term, request)
+}
+
 /// A stop that waits while the lease is doubted would be sent once it is known that another holder
 /// decides, and end a run that this holder keeps.
 #[test]
 fn stop_that_waited_for_a_doubt_is_not_sent_after_the_term_ended() {
     run(async {
         // Arrange: another worker knows of a later holder when a task is to be stopped.
-        let worker = fixtures::worker_entry(0);
-        let mut engine = JobEngine::new(0, 0);
-        engine.set_worker(worker.clone(), 0);
-        let commands = HostCommands::new(None, 0);
-        let term = ControllerTerm::new(1, engine, commands, Rc::new(EntryMetrics::new()));
-        sleep(Duration::from_millis(5)).await;
-        term.doubt_lease(&fixtures::worker_entry(1).id);
-        assert!(term.is_doubted());
-        let request = StopRequest {
-            worker: worker.id,
-            incarnation_start: None,
-            task: fixtures::task(fixtures::JOB, 0),
-            run: 1,
-            reason: "the worker is drained",
-        };
+        let (term, request) = doubted_term().await;
         let gateway = Rc::new(CountingGateway {
             stops: Cell::new(0),
         });
@@ -218,3 +242,32 @@
         assert_eq!(gateway.stops.get(), 0);
     });
 }
+
+/// A stop that waited would be forgotten, and the run go on.
+#[test]
+fn stop_that_waited_for_a_doubt_is_sent_once_the_lease_is_confirmed() {
+    run(async {
+        // Arrange.
+        let (term, request) = doubted_term().await;
+        let phase = |term: &ControllerTerm| {
+            let engine = term.engine.borrow();
+            let state = engine.jobs[&request.task.job].task(&request.task);
+            state.and_then(|state| state.command_phase())
+        };
+        let gateway = Rc::new(CountingGateway {
+            stops: Cell::new(0),
+        });
+        let stop = send_stop(Rc::clone(&gateway), Rc::clone(&term), request.clone());
+        let stop = monoio::spawn(stop);
+        sleep(WAIT_FOR_START).await;
+        assert_eq!(phase(&term), Some(CommandPhase::Stopping));
+
+        // Act.
+        term.record_confirmed(boot_ms());
+        stop.await;
+
+        // Assert.
+        assert_eq!(gateway.stops.get(), 1);
+        assert!(matches!(phase(&term), Some(CommandPhase::Stopped(_))));
+    });
+}
