Let a doubt about the lease last until a commit settles it

What callers would see: nothing runs for anybody while commits take over 1 s, if one worker refuses every epoch; in an outage of the table such a worker ends all runs.

Cause: a doubt had to be settled within 1 s, which a slow table can't do though the lease is held, and each successor met the same worker. While it lasted, no worker's lease was renewed, so that one worker's word cost all others theirs after 4.8 s.

Change: a doubt lasts until a commit that was sent after the refusal confirms the lease or finds it lost, and ends no term. Starts, stops and commands to hosts wait for that; leases are renewed within the usual limit of 12 s without a confirmation, for which a successor allows (INHERITED_RUN_MS; that it is enough follows from reading). A holder that is cut off from the table thus ends as it does without a doubt. A worker raises one doubt a term: its later refusals no longer put off the end of the first.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -38,10 +38,6 @@
 /// prevents a controller that was paused from sending commands after a successor has taken over.
 const MAX_COMMAND_UNCONFIRMED_MS: u64 = 1_000;
 
-/// Time within which a doubt about the lease must be settled: as long as commands to hosts are sent
-/// without a confirmation.
-const MAX_DOUBT_MS: u64 = MAX_COMMAND_UNCONFIRMED_MS;
-
 /// Max bytes of start commands that are on their way together, on a link of unknown bandwidth: what
 /// 10 Mbit/s carry in 0.1 s, so that renewals of the lease and of workers' leases find room.
 pub(crate) const DEFAULT_START_BYTES: usize = 125_000;
@@ -69,6 +65,8 @@
     pub plan: Notify,
     /// Wakes the committer before its renewal interval has passed.
     pub commit: Notify,
+    /// Wakes the starts and stops that wait for a confirmation of the lease.
+    confirmation: Notify,
     /// Bytes of start commands that may still be sent before earlier ones are answered.
     start_bytes: Semaphore,
     /// The number of permits of `start_bytes`.
@@ -81,8 +79,8 @@
     confirmed_ms: Cell<u64>,
     /// When it was last doubted that the lease is still held, in ms.
     doubted_ms: Cell<u64>,
-    /// Workers that refused this epoch, with the time of the first refusal in ms.
-    refusing_workers: RefCell<HashMap<WorkerId, u64>>,
+    /// Workers that refused this epoch.
+    refusing_workers: RefCell<HashSet<WorkerId>>,
     /// Time up to which all submissions are known, in ms.
     submissions_ms: Cell<u64>,
     /// Workers whose leases are maintained by a loop.
@@ -129,6 +127,7 @@
             lag: ControlLag::new(),
             plan: Notify::new(),
             commit: Notify::new(),
+            confirmation: Notify::new(),
             start_bytes: Semaphore::new(start_limit),
             start_limit,
             long_start_bytes: Semaphore::new(MIN_START_BYTES),
@@ -144,11 +143,8 @@
         })
     }
 
-    /// Returns whether the term has not ended. It ends if a doubt about the lease isn't settled.
+    /// Returns whether the term has not ended.
     pub fn is_active(&self) -> bool {
-        if self.is_doubted() && boot_ms() > self.doubted_ms.get() + MAX_DOUBT_MS {
-            self.end("a worker has accepted a higher epoch, and the lease is not confirmed");
-        }
         !self.ended.get()
     }
 
@@ -166,31 +162,31 @@
         }
         self.plan.notify_one();
         self.commit.notify_one();
+        self.confirmation.notify_waiters();
     }
 
     /// Records that the lease was held at `confirmed_ms`.
     pub fn record_confirmed(&self, confirmed_ms: u64) {
-        let was_doubted = self.is_doubted();
         self.confirmed_ms.set(confirmed_ms);
-        if was_doubted && !self.is_doubted() {
-            let notifiers = self.worker_notifiers.borrow();
-            notifiers.values().for_each(|wake| wake.notify_one());
-        }
+        self.confirmation.notify_waiters();
+    }
+
+    /// Waits for the next confirmation of the lease or the end of the term.
+    pub(crate) async fn wait_for_confirmation(&self) {
+        self.confirmation.notified().await;
     }
 
-    /// Doubts that the lease is still held, because `worker` has accepted a higher epoch. Nothing is renewed
-    /// or commanded until a commit that is sent from now on confirms the lease. No effect if the lease was
-    /// confirmed since the first refusal of this worker: it knows of an epoch that no holder has.
+    /// Doubts that the lease is still held, because `worker` has accepted a higher epoch. Nothing is
+    /// commanded until a commit that is sent from now on confirms the lease or finds it lost, however
+    /// long that takes. No effect if this worker has refused the epoch before: either that doubt lasts,
+    /// or a commit has shown that the worker knows of an epoch that no holder has.
     pub fn doubt_lease(&self, worker: &WorkerId) {
-        let now_ms = boot_ms();
-        let mut refusing = self.refusing_workers.borrow_mut();
-        let first_ms = *refusing.entry(worker.clone()).or_insert(now_ms);
-        if first_ms < now_ms && self.confirmed_ms.get() >= first_ms {
+        if !self.refusing_workers.borrow_mut().insert(worker.clone()) {
             return;
         }
         let epoch = self.epoch;
         log::warn!("event=lease_doubted epoch={epoch} worker={worker} reason=\"it has accepted a higher epoch\"");
-        self.doubted_ms.set(now_ms);
+        self.doubted_ms.set(boot_ms());
         self.commit.notify_one();
     }
 
@@ -229,9 +225,15 @@
         boot_ms().saturating_sub(self.confirmed_ms.get())
     }
 
-    /// Returns whether workers' leases may be renewed.
+    /// Returns whether workers' leases may be renewed. A successor allows for this time, so a doubt
+    /// about the lease takes nothing from the runs of workers that accept this epoch.
     pub fn may_renew(&self) -> bool {
-        self.is_active() && !self.is_doubted() && self.unconfirmed_ms() < MAX_RENEW_UNCONFIRMED_MS
+        self.is_active() && self.unconfirmed_ms() < MAX_RENEW_UNCONFIRMED_MS
+    }
+
+    /// Returns whether runs may be started and stopped.
+    pub fn may_direct_runs(&self) -> bool {
+        self.may_renew() && !self.is_doubted()
     }
 
     /// Returns whether commands may be sent to hosts. A successor claims the lease only once
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -58,9 +58,6 @@
 /// The interval at which an idle worker is checked for a due renewal.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The interval at which a stop command checks whether the controller's lease is confirmed.
-const PERMISSION_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Renews a worker's lease and applies its reports until the worker is removed or the term ends.
 pub async fn maintain_worker_lease<G: WorkerGateway>(
     gateway: Rc<G>,
@@ -270,7 +267,7 @@
     };
     let worker = state.worker().and_then(|id| engine.workers.get(id));
     let stays = worker.is_some_and(|worker| !worker.is_leaving());
-    state.command_phase() == Some(CommandPhase::Sent) && stays && term.may_renew()
+    state.command_phase() == Some(CommandPhase::Sent) && stays && term.may_direct_runs()
 }
 
 /// Combines the outcomes of all attempts of a start. An unanswered attempt may have taken
@@ -315,7 +312,7 @@
         return None;
     }
     // A successor may rely on no start being sent this long after the last confirmation.
-    if !term.may_renew() {
+    if !term.may_direct_runs() {
         log::info!("event=start_withdrawn task={task} reason=\"the lease is not confirmed\"");
         engine.release_task(task);
         return None;
@@ -348,8 +345,8 @@
 /// Waits until this controller may decide about runs. Returns whether it may: not once its term has
 /// ended, since another holder may then keep what this one would have stopped.
 async fn wait_for_permission(term: &ControllerTerm) -> bool {
-    while term.is_active() && !term.may_renew() {
-        sleep(PERMISSION_POLL_INTERVAL).await;
+    while term.is_active() && !term.may_direct_runs() {
+        term.wait_for_confirmation().await;
     }
     term.is_active()
 }
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -133,6 +133,8 @@
     pub(crate) done_counts: RefCell<BTreeMap<TaskName, u32>>,
     /// Tasks that were started while they ran on another worker.
     pub(crate) concurrent_tasks: RefCell<Vec<TaskName>>,
+    /// Workers with runs that ended because their lease expired.
+    pub(crate) lapsed_workers: RefCell<BTreeSet<WorkerId>>,
 }
 
 impl FakeFleet {
@@ -172,6 +174,7 @@
             unreadable_hosts: Cell::new(0),
             done_counts: RefCell::default(),
             concurrent_tasks: RefCell::default(),
+            lapsed_workers: RefCell::default(),
         })
     }
 
@@ -258,8 +261,14 @@
             .unwrap_or_default()
     }
 
+    /// Returns the number of runs on all workers.
+    pub(crate) fn running_count(&self) -> usize {
+        let workers = self.workers.borrow();
+        workers.values().map(|worker| worker.running.len()).sum()
+    }
+
     /// Ends the runs of a worker that are finished or whose lease has expired.
-    fn advance(&self, id: &WorkerId) {
+    pub(crate) fn advance(&self, id: &WorkerId) {
         let now_ms = self.now_ms();
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(id).unwrap();
@@ -274,6 +283,7 @@
         for (task, run) in ended {
             worker.running.remove(&task);
             let kind = if is_lease_expired {
+                self.lapsed_workers.borrow_mut().insert(id.clone());
                 EndKind::Lapsed
             } else {
                 *self
--- a/tests/control_inputs.rs
+++ b/tests/control_inputs.rs
@@ -367,6 +367,46 @@
     });
 }
 
+/// All runs would end, because one worker refuses an epoch while no commit can confirm the lease.
+#[test]
+fn worker_that_refuses_the_epoch_in_an_outage_of_the_table_does_not_end_the_runs_of_others() {
+    run(async {
+        // Arrange: a task runs on each worker, for longer than the outage.
+        let workers: Vec<_> = (0..4).map(fixtures::worker_entry).collect();
+        let fleet = FakeFleet::new(fixtures::config(), workers.clone());
+        fleet.task_ms.set(60_000);
+        let link = start_entry(&fleet, "boston-1");
+        let intake = JobIntake::new(Rc::clone(&link), Rc::new(CountFreshness::new()));
+        let wide = StepSpec {
+            max_per_worker: 1,
+            ..fixtures::step(4)
+        };
+        let spec = JobSpec {
+            schedule: None,
+            ..job_spec(vec![wide], 1)
+        };
+        let id = fixtures::JOB.parse().unwrap();
+        let deadline = Instant::now() + TIMEOUT;
+        let scope = CallerScope::Everything;
+        let outcome = intake.submit(&id, &spec, &scope, deadline).await;
+        assert_eq!(outcome, SubmitOutcome::Accepted);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(fleet.running_count(), 4);
+
+        // Act.
+        fleet.table_down.set(true);
+        fleet.refuse_epochs(&workers[0].id);
+        sleep(Duration::from_secs(8)).await;
+
+        // Assert: only the worker that can't be reached has lost its run.
+        for worker in &workers[1..] {
+            fleet.advance(&worker.id);
+        }
+        let lapsed = fleet.lapsed_workers.borrow();
+        assert!(lapsed.iter().all(|id| *id == workers[0].id), "{lapsed:?}");
+    });
+}
+
 /// Returns the time in which a report with these checkpoints of all placed tasks is applied.
 fn time_of_report(fleet: &mut EngineFleet, worker: &WorkerEntry, checkpoint: &str) -> Duration {
     let names = fleet.placed_names().into_iter();
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -271,3 +271,33 @@
         assert!(matches!(phase(&term), Some(CommandPhase::Stopped(_))));
     });
 }
+
+/// Workers' leases would expire although a successor allows for their renewal, and each refusal of the
+/// same worker would put off the end of the doubt on a slow table.
+#[test]
+fn doubt_lasts_until_a_later_commit_and_leaves_leases_alone() {
+    run(async {
+        // Arrange.
+        let commands = HostCommands::new(None, 0);
+        let engine = JobEngine::new(0, 0);
+        let term = ControllerTerm::new(1, engine, commands, Rc::new(EntryMetrics::new()));
+        let worker = fixtures::worker_entry(0).id;
+        let before_ms = boot_ms();
+        sleep(Duration::from_millis(5)).await;
+
+        // Act: the worker refuses again while the commit that will settle the doubt is on its way.
+        term.doubt_lease(&worker);
+        sleep(Duration::from_millis(5)).await;
+        let sent_ms = boot_ms();
+        sleep(Duration::from_millis(1_100)).await;
+        term.doubt_lease(&worker);
+        term.record_confirmed(before_ms);
+        let permissions = (term.is_active(), term.may_renew(), term.may_direct_runs());
+        let may_command = term.may_command();
+        term.record_confirmed(sent_ms);
+
+        // Assert.
+        assert_eq!((permissions, may_command), ((true, true, false), false));
+        assert!(!term.is_doubted() && term.may_direct_runs());
+    });
+}
