Let starts wait for the end of a doubt about the lease

What callers would see: the members of a gang that were started end alone, and a start whose answer was lost costs seconds, because its run is stopped and released.

Cause: each start that came up during a doubt was withdrawn by itself, also when others of its gang had been sent; an unanswered one was not sent again and counted as unknown. Found by reading, shown by the tests. That the members then end alone after the worker's limit follows from reading.

Change: a start waits until the lease is confirmed or the term has ended, then the usual checks apply (the worker still accepts tasks, the lease is confirmed). It waits with its permit, since no other start is sent meanwhile.

--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -223,6 +223,7 @@
     run: u64,
 ) {
     let mut permit = term.start_permit(&task).await;
+    wait_for_doubt(&term).await;
     let Some((entry, command)) = prepare_start(&term, &task, run) else {
         return;
     };
@@ -243,6 +244,7 @@
             break resolve_attempts(outcome, attempts);
         }
         permit = term.start_permit(&task).await;
+        wait_for_doubt(&term).await;
         if !may_resend_start(&term, &task, run) {
             break resolve_attempts(outcome, attempts);
         }
@@ -342,6 +344,14 @@
     Some((entry, command))
 }
 
+/// Waits for the end of a doubt about the lease, or of the term. A start that was withdrawn instead
+/// would leave the other members of its gang alone, and an unanswered one would have to be stopped.
+async fn wait_for_doubt(term: &ControllerTerm) {
+    while term.is_active() && term.is_doubted() {
+        term.wait_for_confirmation().await;
+    }
+}
+
 /// Waits until this controller may decide about runs. Returns whether it may: not once its term has
 /// ended, since another holder may then keep what this one would have stopped.
 async fn wait_for_permission(term: &ControllerTerm) -> bool {
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -42,6 +42,9 @@
 use crate::fake_fleet::FakeLink;
 use crate::runtime::run;
 
+/// How long a worker takes to answer a start.
+const START_TIME: Duration = Duration::from_millis(20);
+
 /// How long the start in these tests waits.
 const WAIT_FOR_START: Duration = Duration::from_millis(300);
 
@@ -152,14 +155,25 @@
     });
 }
 
-/// Workers that accept each stop, as those do that the next holder of the lease has not called yet.
+/// Workers that accept each command, as those do that the next holder of the lease has not called yet.
+#[derive(Default)]
 struct CountingGateway {
+    starts: Cell<u32>,
+    /// Number of upcoming starts whose answers are lost.
+    lost_starts: Cell<u32>,
     stops: Cell<u32>,
 }
 
 impl WorkerGateway for CountingGateway {
     async fn start_task(&self, _: &WorkerEntry, _: &StartCommand) -> CommandOutcome {
-        CommandOutcome::Unknown("not simulated".to_owned())
+        sleep(START_TIME).await;
+        let lost = self.lost_starts.get();
+        if lost > 0 {
+            self.lost_starts.set(lost - 1);
+            return CommandOutcome::Unknown("lost".to_owned());
+        }
+        self.starts.set(self.starts.get() + 1);
+        CommandOutcome::Accepted(boot_ms())
     }
 
     async fn stop_task(&self, _: &WorkerEntry, _: &TaskName, _: u64, _: u64) -> CommandOutcome {
@@ -226,9 +240,7 @@
     run(async {
         // Arrange: another worker knows of a later holder when a task is to be stopped.
         let (term, request) = doubted_term().await;
-        let gateway = Rc::new(CountingGateway {
-            stops: Cell::new(0),
-        });
+        let gateway = Rc::new(CountingGateway::default());
         let stop = send_stop(Rc::clone(&gateway), Rc::clone(&term), request);
         let stop = monoio::spawn(stop);
         sleep(WAIT_FOR_START).await;
@@ -254,9 +266,7 @@
             let state = engine.jobs[&request.task.job].task(&request.task);
             state.and_then(|state| state.command_phase())
         };
-        let gateway = Rc::new(CountingGateway {
-            stops: Cell::new(0),
-        });
+        let gateway = Rc::new(CountingGateway::default());
         let stop = send_stop(Rc::clone(&gateway), Rc::clone(&term), request.clone());
         let stop = monoio::spawn(stop);
         sleep(WAIT_FOR_START).await;
@@ -301,3 +311,88 @@
         assert!(!term.is_doubted() && term.may_direct_runs());
     });
 }
+
+/// A term whose first worker has `step` placed, and the tasks of it.
+fn placed_term(step: StepSpec) -> (Rc<ControllerTerm>, Vec<TaskName>) {
+    let now_ms = boot_ms();
+    let worker = fixtures::worker_entry(0);
+    let mut engine = JobEngine::new(now_ms, 0);
+    engine.config = Some(Rc::new(fixtures::config()));
+    engine.set_worker(worker.clone(), now_ms);
+    engine.apply_report(&worker.id, &empty_report(), now_ms, now_ms);
+    let tasks = (0..step.tasks).map(|index| fixtures::task(fixtures::JOB, index));
+    let tasks = tasks.collect();
+    engine.add_job(fixtures::JOB.parse().unwrap(), spec(4, step), None, now_ms);
+    engine.place_tasks(now_ms, 0);
+    let commands = HostCommands::new(None, 0);
+    let term = ControllerTerm::new(1, engine, commands, Rc::new(EntryMetrics::new()));
+    (term, tasks)
+}
+
+fn phase_of(term: &ControllerTerm, task: &TaskName) -> Option<CommandPhase> {
+    let engine = term.engine.borrow();
+    let state = engine.jobs[&task.job].task(task);
+    state.and_then(|state| state.command_phase())
+}
+
+/// The other members would wait for one whose start was withdrawn, and end alone.
+#[test]
+fn gang_is_not_started_in_part_during_a_doubt() {
+    run(async {
+        // Arrange: the first member is started.
+        let gang = StepSpec {
+            gang: true,
+            ..fixtures::step(2)
+        };
+        let (term, tasks) = placed_term(gang);
+        let gateway = Rc::new(CountingGateway::default());
+        let first = send_start(Rc::clone(&gateway), Rc::clone(&term), tasks[0].clone(), 1);
+        first.await;
+        sleep(Duration::from_millis(5)).await;
+
+        // Act: another worker refuses the epoch, and a commit confirms the lease.
+        term.doubt_lease(&fixtures::worker_entry(1).id);
+        let second = send_start(Rc::clone(&gateway), Rc::clone(&term), tasks[1].clone(), 1);
+        let second = monoio::spawn(second);
+        sleep(WAIT_FOR_START).await;
+        let starts_in_doubt = gateway.starts.get();
+        term.record_confirmed(boot_ms());
+        second.await;
+
+        // Assert.
+        assert_eq!((starts_in_doubt, gateway.starts.get()), (1, 2));
+        let phases = tasks.iter().map(|task| phase_of(&term, task));
+        let is_accepted = |phase| matches!(phase, Some(CommandPhase::Accepted(_)));
+        assert!(phases.into_iter().all(is_accepted));
+    });
+}
+
+/// A start that is not sent again would have to be stopped and released, which takes seconds.
+#[test]
+fn start_whose_answer_is_lost_is_sent_again_after_a_doubt() {
+    run(async {
+        // Arrange: the answer to a start is lost.
+        let (term, tasks) = placed_term(fixtures::step(1));
+        let gateway = Rc::new(CountingGateway::default());
+        gateway.lost_starts.set(1);
+        sleep(Duration::from_millis(5)).await;
+        let start = send_start(Rc::clone(&gateway), Rc::clone(&term), tasks[0].clone(), 1);
+        let start = monoio::spawn(start);
+        sleep(START_TIME / 2).await;
+
+        // Act: the lease is doubted meanwhile, and then confirmed.
+        term.doubt_lease(&fixtures::worker_entry(1).id);
+        sleep(WAIT_FOR_START).await;
+        let starts_in_doubt = gateway.starts.get();
+        term.record_confirmed(boot_ms());
+        start.await;
+
+        // Assert.
+        assert_eq!((starts_in_doubt, gateway.starts.get()), (0, 1));
+        let phase = phase_of(&term, &tasks[0]);
+        assert!(
+            matches!(phase, Some(CommandPhase::Accepted(_))),
+            "{phase:?}"
+        );
+    });
+}
