Look for a claim of the lease whose answer was lost

What callers would see: on a table that is slower than the time limit of calls, the lease passes on without end, and each holder loads the state anew.

Cause: a claim without an answer counted as failed, though it had been committed or would be; the next one took another epoch and met the same. Found by reading.

Change: such a claim is looked for by a read of the leader row, as a commit is, and sent again unchanged while the row is as before; its check of the row's revision lets only one take effect. It is given up once another host's record is there, if the table refuses the first attempt, or after 10 s.

Evidence: claim_whose_answer_is_lost_is_not_taken_for_failed, claim_on_a_table_that_is_slower_than_the_time_limit_is_not_taken_for_failed and claim_that_the_table_did_not_receive_is_sent_again failed on (no lease) and pass; claim_without_an_answer_is_given_up_once_another_host_holds_the_lease passed before and after. tests/controller_sessions.rs (17) and tests/coordination.rs (15) pass.

Not done: LeaderLease::commit reads only after a conflict, so where every answer to a transaction comes too late it does not settle either; by reading.

--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -30,6 +30,10 @@
 /// Max delay before a commit is retried: half of a lease's remaining time.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Time for which an unanswered claim is sent again and looked for, in ms: the table may commit it
+/// seconds after it was sent.
+const MAX_CLAIM_MS: u64 = 10_000;
+
 /// The lease holder as stored in the table.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaderRecord {
@@ -96,7 +100,9 @@
 
 impl LeaderLease {
     /// Tries to take over the lease from the holder in `current`. Returns `None` if another
-    /// process was faster, or if the table refused or did not answer.
+    /// process was faster, or if the table refused. A claim that got no answer may have been
+    /// committed, or be committed later, so it is looked for before it counts as failed: on a table
+    /// that is slower than the time limit of calls, the next claim would meet the same.
     pub async fn claim<T: TableService>(
         table: &T,
         current: Option<&TableRow>,
@@ -122,24 +128,59 @@
             claimed: Revision::new(0),
             confirmed_ms: boot_ms(),
         };
-        let sent_ms = boot_ms();
         let transaction = lease.transaction(Vec::new());
-        match table.transact(&transaction).await {
-            Ok(TransactionOutcome::Committed(revision)) => {
-                lease.revision = revision;
-                lease.claimed = revision;
-                lease.confirmed_ms = sent_ms;
-                Some(lease)
+        let deadline_ms = boot_ms() + MAX_CLAIM_MS;
+        let mut delay = RETRY_DELAY;
+        let mut is_unsettled = false;
+        loop {
+            let sent_ms = boot_ms();
+            let outcome = table.transact(&transaction).await;
+            let failure = match outcome {
+                Ok(TransactionOutcome::Committed(revision)) => {
+                    lease.claimed = revision;
+                    lease.record_confirmed(revision, sent_ms);
+                    return Some(lease);
+                }
+                Ok(TransactionOutcome::Conflict(_)) => "another claim was faster".to_owned(),
+                Err(error) => {
+                    is_unsettled |= !matches!(error, Error::PlatformRefused { .. });
+                    error.to_string()
+                }
+            };
+            let settled = match is_unsettled {
+                true => lease.settle_claim(table).await,
+                false => Some(false),
+            };
+            if settled == Some(true) {
+                return Some(lease);
             }
-            Ok(TransactionOutcome::Conflict(_)) => None,
-            Err(error) => {
-                log::warn!(
-                    "event=claim_failed epoch={} reason={error:?}",
-                    lease.record.epoch
-                );
-                None
+            if settled == Some(false) || boot_ms() > deadline_ms {
+                let epoch = lease.epoch();
+                log::warn!("event=claim_failed epoch={epoch} reason={failure:?}");
+                return None;
             }
+            sleep(delay).await;
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
+        }
+    }
+
+    /// Finds out whether a claim whose answer was lost has been committed. Returns `None` if that is
+    /// still unknown, and false if another process was faster.
+    async fn settle_claim<T: TableService>(&mut self, table: &T) -> Option<bool> {
+        let sent_ms = boot_ms();
+        let rows = table.read(&[LEADER_KEY]).await.ok()?;
+        let row = rows.first();
+        let revision = row.map_or(Revision::new(0), |row| row.revision);
+        if revision == self.revision {
+            return None;
+        }
+        let stored = row.and_then(read_record);
+        let is_own = stored.is_some_and(|stored| stored.is_same_commit(&self.record));
+        if is_own {
+            self.claimed = revision;
+            self.record_confirmed(revision, sent_ms);
         }
+        Some(is_own)
     }
 
     /// Returns the lease's epoch, the fencing token of its holder.
--- a/tests/common/fake_table.rs
+++ b/tests/common/fake_table.rs
@@ -5,8 +5,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use bytes::Bytes;
+use monoio::time::sleep;
+use monoio::time::Instant;
 use serde_json::Value;
 
 use zincpier::error::Error;
@@ -19,12 +22,21 @@
 use zincpier::provider::Transaction;
 use zincpier::provider::TransactionOutcome;
 
+/// Time for which the sender of a transaction waits that is committed late.
+const ANSWER_LIMIT: Duration = Duration::from_millis(50);
+
 #[derive(Default)]
 pub(crate) struct FakeTable {
     rows: RefCell<BTreeMap<String, TableRow>>,
     revision: Cell<u64>,
     /// Number of upcoming transactions that are committed but whose answers are lost.
     pub(crate) lost_answers: Cell<u32>,
+    /// Number of upcoming transactions that the table doesn't receive.
+    pub(crate) lost_requests: Cell<u32>,
+    /// Time after which transactions are committed, if there is one: longer than their sender waits.
+    pub(crate) late_time: Cell<Option<Duration>>,
+    /// Transactions that are to be committed, with the time.
+    late: RefCell<Vec<(Instant, Transaction)>>,
     /// All calls fail.
     pub(crate) unresponsive: Cell<bool>,
     /// Number of transactions received, including those that conflicted.
@@ -64,25 +76,25 @@
         self.row(key).map_or(Revision::new(0), |row| row.revision)
     }
 
-    fn check_answers(&self) -> Result<()> {
-        match self.unresponsive.get() {
-            true => Err(Error::PlatformSilent("outage".to_owned())),
-            false => Ok(()),
+    /// Commits the transactions whose time has come.
+    fn commit_late(&self) {
+        let now = Instant::now();
+        let (due, rest) = self.late.take().into_iter().partition(|(at, _)| *at <= now);
+        self.late.replace(rest);
+        let due: Vec<(Instant, Transaction)> = due;
+        for (_, transaction) in due {
+            self.commit(&transaction);
         }
     }
-}
 
-impl TableService for FakeTable {
-    async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
-        self.check_answers()?;
-        self.transactions.set(self.transactions.get() + 1);
+    fn commit(&self, transaction: &Transaction) -> TransactionOutcome {
         let conflicts = transaction
             .checks
             .iter()
             .filter(|check| self.revision_of(&check.key) != check.revision);
         let conflicts = conflicts.cloned().collect::<Vec<_>>();
         if !conflicts.is_empty() {
-            return Ok(TransactionOutcome::Conflict(conflicts));
+            return TransactionOutcome::Conflict(conflicts);
         }
         self.revision.set(self.revision.get() + 1);
         let revision = Revision::new(self.revision.get());
@@ -100,15 +112,43 @@
                 ),
             };
         }
-        if self.lost_answers.get() > 0 {
+        TransactionOutcome::Committed(revision)
+    }
+
+    fn check_answers(&self) -> Result<()> {
+        match self.unresponsive.get() {
+            true => Err(Error::PlatformSilent("outage".to_owned())),
+            false => Ok(()),
+        }
+    }
+}
+
+impl TableService for FakeTable {
+    async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
+        self.check_answers()?;
+        self.transactions.set(self.transactions.get() + 1);
+        if self.lost_requests.get() > 0 {
+            self.lost_requests.set(self.lost_requests.get() - 1);
+            return Err(Error::PlatformSilent("lost request".to_owned()));
+        }
+        if let Some(time) = self.late_time.get() {
+            let late = (Instant::now() + time, transaction.clone());
+            self.late.borrow_mut().push(late);
+            sleep(ANSWER_LIMIT).await;
+            return Err(Error::PlatformSilent("late".to_owned()));
+        }
+        let outcome = self.commit(transaction);
+        let is_committed = matches!(outcome, TransactionOutcome::Committed(_));
+        if is_committed && self.lost_answers.get() > 0 {
             self.lost_answers.set(self.lost_answers.get() - 1);
             return Err(Error::PlatformSilent("lost answer".to_owned()));
         }
-        Ok(TransactionOutcome::Committed(revision))
+        Ok(outcome)
     }
 
     async fn read(&self, keys: &[&str]) -> Result<Vec<TableRow>> {
         self.check_answers()?;
+        self.commit_late();
         Ok(keys.iter().filter_map(|key| self.row(key)).collect())
     }
 
--- a/tests/leader_lease.rs
+++ b/tests/leader_lease.rs
@@ -1,4 +1,5 @@
-//! Guards against a lease that is claimed as if there had been no earlier holder.
+//! Guards against a lease that is claimed as if there had been no earlier holder, and against claims
+//! that are taken for failed.
 
 #[path = "common/fake_table.rs"]
 mod fake_table;
@@ -6,6 +7,10 @@
 #[path = "common/runtime.rs"]
 mod runtime;
 
+use std::time::Duration;
+
+use futures::join;
+use monoio::time::sleep;
 use serde_json::json;
 use serde_json::Value;
 use zincpier::workflow::LeaderLease;
@@ -54,3 +59,59 @@
     assert!(epoch > 41, "{epoch}");
     assert_eq!(inherited_ms, INHERITED_RUN_MS);
 }
+
+/// Returns the epoch of a lease that is claimed on `table`, and the one that the row then states.
+fn claimed_epochs(table: &FakeTable) -> (Option<u64>, Option<u64>) {
+    let lease = run(async { LeaderLease::claim(table, None, "boston-1").await });
+    let row = table.row(LEADER_KEY);
+    let stored = row.and_then(|row| row.value["epoch"].as_u64());
+    (lease.map(|lease| lease.epoch()), stored)
+}
+
+/// The next claim would take another epoch, and the lease would pass on without end where each answer
+/// is lost.
+#[test]
+fn claim_whose_answer_is_lost_is_not_taken_for_failed() {
+    let table = FakeTable::default();
+    table.lost_answers.set(1);
+
+    assert_eq!(claimed_epochs(&table), (Some(1), Some(1)));
+}
+
+#[test]
+fn claim_on_a_table_that_is_slower_than_the_time_limit_is_not_taken_for_failed() {
+    let table = FakeTable::default();
+    table.late_time.set(Some(Duration::from_millis(700)));
+
+    assert_eq!(claimed_epochs(&table), (Some(1), Some(1)));
+}
+
+/// The lease would stay free for as long as the claim is waited for.
+#[test]
+fn claim_that_the_table_did_not_receive_is_sent_again() {
+    let table = FakeTable::default();
+    table.lost_requests.set(1);
+
+    assert_eq!(claimed_epochs(&table), (Some(1), Some(1)));
+}
+
+/// Two hosts would act as holders.
+#[test]
+fn claim_without_an_answer_is_given_up_once_another_host_holds_the_lease() {
+    run(async {
+        // Arrange.
+        let table = FakeTable::default();
+        table.late_time.set(Some(Duration::from_millis(700)));
+        let other = json!({ "epoch": 1, "holder": "boston-2", "commit": 0, "released": false });
+
+        // Act: another host's claim is committed first.
+        let store = async {
+            sleep(Duration::from_millis(300)).await;
+            table.store(LEADER_KEY, other.clone());
+        };
+        let (lease, ()) = join!(LeaderLease::claim(&table, None, "boston-1"), store);
+
+        // Assert.
+        assert!(lease.is_none());
+    });
+}
