--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -62,9 +62,6 @@
 /// The interval at which an idle worker is checked for a due renewal.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The interval at which a stop command waits for the end of a doubt about the controller's lease.
-const DOUBT_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Renews a worker's lease and applies its reports until the worker is removed or the term ends.
 pub async fn maintain_worker_lease<G: WorkerGateway>(
     gateway: Rc<G>,
@@ -234,6 +231,7 @@
     run: u64,
 ) {
     let mut permit = term.start_permit(&task).await;
+    wait_for_doubt(&term).await;
     let Some((entry, command)) = prepare_start(&term, &task, run) else {
         return;
     };
@@ -254,6 +252,7 @@
             break resolve_attempts(outcome, attempts);
         }
         permit = term.start_permit(&task).await;
+        wait_for_doubt(&term).await;
         if !may_resend_start(&term, &task, run) {
             break resolve_attempts(outcome, attempts);
         }
@@ -278,7 +277,7 @@
     };
     let worker = state.worker().and_then(|id| engine.workers.get(id));
     let stays = worker.is_some_and(|worker| !worker.is_leaving());
-    state.command_phase() == Some(CommandPhase::Sent) && stays && term.may_renew()
+    state.command_phase() == Some(CommandPhase::Sent) && stays && term.may_direct_runs()
 }
 
 /// Combines the outcomes of all attempts of a start. An unanswered attempt may have taken
@@ -323,7 +322,7 @@
         return None;
     }
     // A successor may rely on no start being sent this long after the last confirmation.
-    if !term.may_renew() {
+    if !term.may_direct_runs() {
         log::info!("event=start_withdrawn task={task} reason=\"the lease is not confirmed\"");
         engine.release_task(task);
         return None;
@@ -353,15 +352,33 @@
     Some((entry, command))
 }
 
-/// Sends a stop command and applies its outcome. Unless it was accepted, the outcome is applied
+/// Waits for the end of a doubt about the lease, or of the term. A start that was withdrawn instead
+/// would leave the other members of its gang alone, and an unanswered one would have to be stopped.
+async fn wait_for_doubt(term: &ControllerTerm) {
+    while term.is_active() && term.is_doubted() {
+        term.wait_for_confirmation().await;
+    }
+}
+
+/// Waits until this controller may decide about runs. Returns whether it may: not once its term has
+/// ended, since another holder may then keep what this one would have stopped.
+async fn wait_for_permission(term: &ControllerTerm) -> bool {
+    while term.is_active() && !term.may_direct_runs() {
+        term.wait_for_confirmation().await;
+    }
+    term.is_active()
+}
+
+/// Sends a stop command once the lease is confirmed, and applies its outcome. Until then the run
+/// counts as one that is being stopped. Unless the command was accepted, the outcome is applied
 /// after a pause, because the command is then sent again.
 pub async fn send_stop<G: WorkerGateway>(
     gateway: Rc<G>,
     term: Rc<ControllerTerm>,
     request: StopRequest,
 ) {
-    while term.is_doubted() && term.is_active() {
-        sleep(DOUBT_POLL_INTERVAL).await;
+    if !wait_for_permission(&term).await {
+        return;
     }
     let entry = {
         let engine = term.engine.borrow();
