--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -91,6 +91,12 @@
     pub(crate) wave_complete: Cell<bool>,
     /// The accepted upkeep commands, with the epoch of their sender.
     pub(crate) upkeeps: RefCell<Vec<(u64, HostId)>>,
+    /// Hosts whose commands are not answered.
+    pub(crate) silent_hosts: RefCell<BTreeSet<HostId>>,
+    /// Time after which a command without an answer is given up.
+    pub(crate) silence: Cell<Duration>,
+    /// The commands to silent hosts, in the order in which they were sent.
+    pub(crate) unanswered: RefCell<Vec<HostId>>,
     /// Duration of a task.
     pub(crate) task_ms: Cell<u64>,
     /// Number of upcoming transactions that are executed but whose answers are lost.
@@ -151,6 +157,9 @@
             wave: RefCell::default(),
             wave_complete: Cell::new(false),
             upkeeps: RefCell::default(),
+            silent_hosts: RefCell::default(),
+            silence: Cell::new(Duration::from_secs(5)),
+            unanswered: RefCell::default(),
             task_ms: Cell::new(100),
             lost_commits: Cell::new(0),
             lost_starts: Cell::new(0),
@@ -443,6 +452,16 @@
         }
     }
 
+    /// Returns the outcome of a command to a silent host, once it is given up; `None` for others.
+    async fn command_silent_host(&self, host: &HostId) -> Option<HostOutcome> {
+        if !self.fleet.silent_hosts.borrow().contains(host) {
+            return None;
+        }
+        self.fleet.unanswered.borrow_mut().push(host.clone());
+        sleep(self.fleet.silence.get()).await;
+        Some(HostOutcome::Unknown("silent".to_owned()))
+    }
+
     /// Simulates a call's path to the table; fails during a table outage.
     async fn reach_table(&self) -> Result<()> {
         self.cross_network().await;
@@ -707,11 +726,15 @@
 
     async fn start_upkeep(&self, host: &HostId, _: &WaveId, epoch: u64) -> HostOutcome {
         self.cross_network().await;
+        if let Some(outcome) = self.command_silent_host(host).await {
+            return outcome;
+        }
         self.fleet.upkeeps.borrow_mut().push((epoch, host.clone()));
         HostOutcome::Accepted
     }
 
-    async fn move_host(&self, _: &HostId, _: &str, _: u64) -> HostOutcome {
-        HostOutcome::Rejected("no".to_owned())
+    async fn move_host(&self, host: &HostId, _: &str, _: u64) -> HostOutcome {
+        let silent = self.command_silent_host(host).await;
+        silent.unwrap_or_else(|| HostOutcome::Rejected("no".to_owned()))
     }
 }
--- a/tests/host_commands.rs
+++ b/tests/host_commands.rs
@@ -89,3 +89,16 @@
 
     assert!(own_commands.may_command(&host(0), 150));
 }
+
+/// A second command would be sent on a list that does not show the effect of the first one.
+#[test]
+fn host_with_a_command_on_its_way_is_not_commanded_again() {
+    let mut commands = commands();
+    commands.record_pending(&host(0));
+
+    let is_permitted = commands.may_command(&host(0), 60_000);
+    commands.record_resolved(&host(0), 60_000);
+
+    assert!(!is_permitted);
+    assert!(commands.may_command(&host(0), 60_000));
+}
