Send commands to hosts beside the decisions about them

Seen: on a fleet of 1,100 hosts no pass over the hosts for 3.2 to 4.6 s while hundreds move: no wave advances and no cordon ends. One host whose command is not answered delays all others by the time limit of the call, in every deployment.

Cause: a pass awaited all its commands, the commit that announces them, and the calls that read and publish a wave's progress.

A host with a command in progress is commanded by no other, counts towards the pool that it moves to, keeps its cordon, and is not taken for a wave. A host is cordoned when its upkeep is decided, so that no task starts on it until then. Once the lease is about to be released, no command is sent. WaveRecords reads and publishes waves, one call for each wave at a time, so that running never follows complete.

Ruled out: a bound per pass, which would leave moves waiting for the next pass.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -115,6 +115,7 @@
     /// commit. Without the ages, the successor would have to wait before it commands any host.
     /// Engine decisions that are not committed yet have had no effect and are dropped.
     async fn release(&mut self, lease: &mut LeaderLease) {
+        self.term.begin_release();
         let row = self.command_row();
         let (writes, _) = self.merge_queued_rows(row.into_iter().collect());
         let mut parts = split_writes(writes, self.commit_bytes);
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -76,6 +76,7 @@
     /// Permits for starts of long-running tasks beside the others, by bytes.
     long_start_bytes: Semaphore,
     ended: Cell<bool>,
+    releasing: Cell<bool>,
     has_worker_list: Cell<bool>,
     /// When the lease was last confirmed, in ms.
     confirmed_ms: Cell<u64>,
@@ -133,6 +134,7 @@
             start_limit,
             long_start_bytes: Semaphore::new(MIN_START_BYTES),
             ended: Cell::new(false),
+            releasing: Cell::new(false),
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
             doubted_ms: Cell::new(0),
@@ -237,7 +239,13 @@
     /// Returns whether commands may be sent to hosts. A successor claims the lease only once
     /// it has not been renewed for longer than this limit.
     pub fn may_command(&self) -> bool {
-        self.is_active() && !self.is_doubted() && self.unconfirmed_ms() < MAX_COMMAND_UNCONFIRMED_MS
+        let may_end = self.releasing.get() || self.is_doubted();
+        self.is_active() && !may_end && self.unconfirmed_ms() < MAX_COMMAND_UNCONFIRMED_MS
+    }
+
+    /// Records that the lease is about to be released: no command is sent to a host any more.
+    pub(crate) fn begin_release(&self) {
+        self.releasing.set(true);
     }
 
     /// Returns the notifier that wakes the loop that maintains a worker's lease.
--- a/src/workflow/host_commands.rs
+++ b/src/workflow/host_commands.rs
@@ -70,9 +70,16 @@
             .insert(host.clone(), CommandState::Resolved(now_ms));
     }
 
-    /// Returns whether this controller may command a host.
+    /// Returns whether this controller may command a host: not while its command to the host is in
+    /// progress, or soon after an earlier controller's.
     pub fn may_command(&self, host: &HostId, now_ms: u64) -> bool {
-        now_ms >= self.blocked_until_ms && !self.is_blocked_by_predecessor(host, now_ms)
+        let is_blocked = self.is_pending(host) || self.is_blocked_by_predecessor(host, now_ms);
+        now_ms >= self.blocked_until_ms && !is_blocked
+    }
+
+    /// Returns whether a command of this controller to a host may be in progress.
+    pub fn is_pending(&self, host: &HostId) -> bool {
+        matches!(self.commands.get(host), Some(CommandState::Pending))
     }
 
     /// Returns whether an earlier controller commanded a host so recently that this one may not
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -2,25 +2,24 @@
 //! lease.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::future::join_all;
 use monoio::time::sleep;
 
 use crate::id::HostId;
 use crate::id::WaveId;
 use crate::id::WorkerId;
 use crate::process::boot_ms;
-use crate::provider::RowWrite;
 use crate::workflow::choose_upkeep;
 use crate::workflow::gateway::workers_by_host;
+use crate::workflow::host_dispatcher::HostDispatcher;
 use crate::workflow::host_listing::HostListing;
 use crate::workflow::host_listing::ListedHosts;
+use crate::workflow::wave_records::WaveRecords;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CordonReason;
 use crate::workflow::FleetPlatform;
@@ -33,7 +32,6 @@
 use crate::workflow::HostState;
 use crate::workflow::PoolView;
 use crate::workflow::WaveHost;
-use crate::workflow::WaveProgress;
 use crate::workflow::WaveRequest;
 
 /// Interval of decisions about hosts.
@@ -51,7 +49,8 @@
 struct HostManager<P> {
     platform: Rc<P>,
     term: Rc<ControllerTerm>,
-    progress: RefCell<BTreeMap<WaveId, WaveProgress>>,
+    waves: Rc<WaveRecords<P>>,
+    dispatcher: Rc<HostDispatcher>,
     /// When the last upkeep of each host was commanded or answered, in ms.
     commanded_ms: RefCell<HashMap<HostId, u64>>,
     /// The state and worker of each host in the last list.
@@ -70,13 +69,14 @@
     let lister = Rc::clone(&listing);
     monoio::spawn(lister.run(Rc::clone(&platform), Rc::clone(&term), resources));
     let mover = HostMover::new(Rc::clone(&platform), Rc::clone(&term), Rc::clone(&view));
-    let manager = HostManager {
+    let manager = Rc::new(HostManager {
+        waves: WaveRecords::new(Rc::clone(&platform), Rc::clone(&term)),
+        dispatcher: HostDispatcher::new(Rc::clone(&term)),
         platform,
         term,
-        progress: RefCell::default(),
         commanded_ms: RefCell::default(),
         states: RefCell::default(),
-    };
+    });
     let mut recorded_ms = 0;
     while manager.term.is_active() {
         sleep(PASS_INTERVAL).await;
@@ -94,12 +94,10 @@
         let pools = mover.pools(hosts, &manager.upkeep_hosts());
         for (request, first_read_ms) in view.waves() {
             let moved = mover.moved_since(listed_ms);
-            manager
-                .advance_wave(&request, first_read_ms, &list, &pools, listed_ms, &moved)
-                .await;
+            manager.advance_wave(&request, first_read_ms, &list, &pools, listed_ms, &moved);
         }
         let pools = mover.pools(hosts, &manager.upkeep_hosts());
-        mover.advance(&pools, hosts).await;
+        mover.advance(&pools, hosts);
     }
 }
 
@@ -146,16 +144,14 @@
             .iter()
             .filter(|(_, &at_ms)| now_ms < at_ms + UPKEEP_HOLD_MS);
         let mut hosts: BTreeSet<_> = recent.map(|(host, _)| host.clone()).collect();
-        for progress in self.progress.borrow().values() {
-            hosts.extend(progress.started.difference(&progress.accepted).cloned());
-        }
+        hosts.extend(self.waves.unaccepted_hosts());
         hosts
     }
 
     /// Runs one pass over a wave, based on a list of hosts that was requested at `listed_ms`. It still
     /// shows the hosts in `moved` where they were before.
-    async fn advance_wave(
-        &self,
+    fn advance_wave(
+        self: &Rc<Self>,
         request: &WaveRequest,
         first_read_ms: u64,
         list: &HostList,
@@ -165,56 +161,21 @@
     ) {
         let wave = &request.wave;
         let hosts = &list.hosts;
-        if !self.load_progress(wave).await || self.progress.borrow()[wave].complete {
+        if !self.waves.load(wave) || self.waves.progress(wave).complete {
             return;
         }
         let wave_hosts = self.wave_hosts(request, hosts, pools, listed_ms, moved);
-        self.resend_upkeeps(request).await;
-        let age_ms = self.wave_age_ms(wave, first_read_ms);
+        self.resend_upkeeps(request);
+        let age_ms = self.waves.age_ms(wave, first_read_ms);
         let remaining_ms = request.deadline_ms.saturating_sub(age_ms);
         let capacity_short = pools.iter().any(|pool| pool.lacks_capacity());
         let choice = choose_upkeep(&wave_hosts, request.max_down, remaining_ms, capacity_short);
         self.mark_due(&wave_hosts, hosts);
         self.drain(&choice.cordon, hosts, choice.force);
         if !choice.start.is_empty() {
-            self.start_upkeeps(request, &choice.start, hosts).await;
-        }
-        self.finish_wave(request, list).await;
-    }
-
-    /// Reads a wave's progress once per term. Returns whether it is known.
-    async fn load_progress(&self, wave: &WaveId) -> bool {
-        if self.progress.borrow().contains_key(wave) {
-            return true;
-        }
-        let progress = match self.platform.read(&[&WaveProgress::row_key(wave)]).await {
-            Ok(rows) => WaveProgress::from_rows(&rows),
-            Err(error) => {
-                log::warn!("event=wave_unknown wave={wave} reason=\"{error}\"");
-                return false;
-            }
-        };
-        if !progress.complete {
-            if let Err(error) = self.platform.publish_wave(wave, false).await {
-                log::warn!("event=wave_unpublished wave={wave} reason=\"{error}\"");
-            }
+            self.start_upkeeps(request, &choice.start, &workers_by_host(hosts));
         }
-        self.progress.borrow_mut().insert(wave.clone(), progress);
-        true
-    }
-
-    /// Returns the time since the wave was first read by any controller, in ms. Stores the time of
-    /// that read if none is stored, so that the deadline stays the same for a successor.
-    fn wave_age_ms(&self, wave: &WaveId, first_read_ms: u64) -> u64 {
-        let known_ms = boot_ms().saturating_sub(first_read_ms);
-        let table_ms = self.platform.clock_ms();
-        let is_stored = self.progress.borrow()[wave].read_ms.is_some();
-        if let (false, Some(table_ms)) = (is_stored, table_ms) {
-            let read_ms = table_ms.saturating_sub(known_ms);
-            self.update_progress(wave, |progress| progress.read_ms = Some(read_ms));
-            self.term.queue_row(self.wave_row(wave));
-        }
-        self.progress.borrow()[wave].age_ms(known_ms, table_ms)
+        self.waves.finish(request, list);
     }
 
     fn wave_hosts(
@@ -225,8 +186,7 @@
         listed_ms: u64,
         moved: &HashSet<HostId>,
     ) -> Vec<WaveHost> {
-        let progress = self.progress.borrow();
-        let progress = &progress[&request.wave];
+        let progress = self.waves.progress(&request.wave);
         let engine = self.term.engine.borrow();
         let commanded = self.commanded_ms.borrow();
         let commands = self.term.host_commands.borrow();
@@ -287,114 +247,80 @@
     }
 
     /// Stores the decision to take hosts down durably, then sends the commands.
-    async fn start_upkeeps(&self, request: &WaveRequest, due: &[HostId], hosts: &[HostEntry]) {
+    fn start_upkeeps(
+        self: &Rc<Self>,
+        request: &WaveRequest,
+        due: &[HostId],
+        workers: &HashMap<&HostId, Option<&WorkerId>>,
+    ) {
         let due = self.term.permitted_hosts(due.iter().cloned());
         if due.is_empty() {
             return;
         }
-        self.update_progress(&request.wave, |progress| {
-            progress.started.extend(due.iter().cloned());
-        });
-        let row = self.wave_row(&request.wave);
-        if !self.term.announce_commands(&due, Some(row)).await {
-            return;
+        let mut commands = Vec::new();
+        for host in &due {
+            let worker = workers.get(host).copied().flatten().cloned();
+            if let Some(worker) = &worker {
+                // The host is empty, and no task may start on it meanwhile.
+                let mut engine = self.term.engine.borrow_mut();
+                engine.set_cordon(worker, Some(CordonReason::Upkeep));
+            }
+            let (manager, wave) = (Rc::clone(self), request.wave.clone());
+            let started = host.clone();
+            let send = async move { manager.start_upkeep(&wave, &started, worker.as_ref()).await };
+            commands.push((host.clone(), send));
         }
-        let commands = due
-            .iter()
-            .map(|host| self.start_host_upkeep(request, host, hosts));
-        join_all(commands).await;
+        self.waves
+            .update(&request.wave, |progress| progress.started.extend(due));
+        let row = self.waves.progress(&request.wave).to_write(&request.wave);
+        self.dispatcher.dispatch(commands, Some(row));
     }
 
-    async fn start_host_upkeep(&self, request: &WaveRequest, host: &HostId, hosts: &[HostEntry]) {
-        let entry = hosts.iter().find(|entry| entry.host == *host);
-        let worker = entry.and_then(|entry| entry.worker.clone());
+    async fn start_upkeep(&self, wave: &WaveId, host: &HostId, worker: Option<&WorkerId>) {
         let sent_ms = boot_ms();
-        let is_final = self.send_upkeep(request, host).await;
+        let is_final = self.send_upkeep(wave, host).await;
         if let (true, Some(worker)) = (is_final, worker) {
             let mut engine = self.term.engine.borrow_mut();
             let reason = "host taken down for upkeep";
-            engine.end_incarnation_as_of(&worker, sent_ms, reason, boot_ms());
+            engine.end_incarnation_as_of(worker, sent_ms, reason, boot_ms());
         }
     }
 
     /// Sends the command for a host's upkeep. Returns whether the outcome is final.
-    async fn send_upkeep(&self, request: &WaveRequest, host: &HostId) -> bool {
-        let wave = &request.wave;
-        self.commanded_ms
-            .borrow_mut()
-            .insert(host.clone(), boot_ms());
-        let outcome = self
-            .platform
-            .start_upkeep(host, wave, self.term.epoch)
-            .await;
-        log::info!(
-            "event=host_upkeep host={host} wave={wave} epoch={} outcome={outcome:?}",
-            self.term.epoch
-        );
-        let now_ms = boot_ms();
-        self.commanded_ms.borrow_mut().insert(host.clone(), now_ms);
-        self.term
-            .host_commands
-            .borrow_mut()
-            .record_resolved(host, now_ms);
+    async fn send_upkeep(&self, wave: &WaveId, host: &HostId) -> bool {
+        self.record_command(host);
+        let epoch = self.term.epoch;
+        let outcome = self.platform.start_upkeep(host, wave, epoch).await;
+        log::info!("event=host_upkeep host={host} wave={wave} epoch={epoch} outcome={outcome:?}");
+        self.record_command(host);
         let is_final = matches!(outcome, HostOutcome::Accepted | HostOutcome::Rejected(_));
         if is_final {
-            self.update_progress(wave, |progress| {
+            self.waves.store(wave, |progress| {
                 progress.accepted.insert(host.clone());
             });
-            self.term.queue_row(self.wave_row(wave));
         }
         is_final
     }
 
-    /// Resends commands for upkeeps that were decided but not accepted yet.
-    async fn resend_upkeeps(&self, request: &WaveRequest) {
-        let unaccepted = {
-            let progress = self.progress.borrow();
-            let progress = &progress[&request.wave];
-            self.term
-                .permitted_hosts(progress.started.difference(&progress.accepted).cloned())
-        };
-        if unaccepted.is_empty() || !self.term.announce_commands(&unaccepted, None).await {
-            return;
-        }
-        let calls = unaccepted
-            .iter()
-            .map(|host| self.send_upkeep(request, host));
-        join_all(calls).await;
+    fn record_command(&self, host: &HostId) {
+        let mut commanded = self.commanded_ms.borrow_mut();
+        commanded.insert(host.clone(), boot_ms());
     }
 
-    /// Publishes a wave as complete once the upkeep of each of its hosts has begun. Hosts that are
-    /// gone need none, but a list with gaps does not show which are gone.
-    async fn finish_wave(&self, request: &WaveRequest, list: &HostList) {
-        let wave = &request.wave;
-        let done = {
-            let progress = self.progress.borrow();
-            let progress = &progress[wave];
-            let listed: HashSet<_> = list.hosts.iter().map(|entry| &entry.host).collect();
-            let is_gone = |host: &HostId| !list.has_gaps && !listed.contains(host);
-            let mut hosts = request.hosts.iter();
-            hosts.all(|host| progress.accepted.contains(host) || is_gone(host))
+    /// Resends commands for upkeeps that were decided but not accepted yet.
+    fn resend_upkeeps(self: &Rc<Self>, request: &WaveRequest) {
+        let progress = self.waves.progress(&request.wave);
+        let unaccepted = progress.started.difference(&progress.accepted).cloned();
+        let command = |host: HostId| {
+            let (manager, wave) = (Rc::clone(self), request.wave.clone());
+            let resent = host.clone();
+            let send = async move {
+                manager.send_upkeep(&wave, &resent).await;
+            };
+            (host, send)
         };
-        if !done {
-            return;
-        }
-        match self.platform.publish_wave(wave, true).await {
-            Ok(()) => {
-                log::info!("event=wave_complete wave={wave}");
-                self.update_progress(wave, |progress| progress.complete = true);
-                self.term.queue_row(self.wave_row(wave));
-            }
-            Err(error) => log::warn!("event=wave_unpublished wave={wave} reason=\"{error}\""),
-        }
-    }
-
-    fn update_progress<F: FnOnce(&mut WaveProgress)>(&self, wave: &WaveId, change: F) {
-        let mut progress = self.progress.borrow_mut();
-        change(progress.entry(wave.clone()).or_default());
-    }
-
-    fn wave_row(&self, wave: &WaveId) -> RowWrite {
-        self.progress.borrow()[wave].to_write(wave)
+        let unaccepted = self.term.permitted_hosts(unaccepted).into_iter();
+        self.dispatcher
+            .dispatch(unaccepted.map(command).collect(), None);
     }
 }
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -8,12 +8,12 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 
-use futures::future::join_all;
-
 use crate::id::HostId;
+use crate::id::WorkerId;
 use crate::process::boot_ms;
 use crate::workflow::choose_moves;
 use crate::workflow::gateway::workers_by_host;
+use crate::workflow::host_dispatcher::HostDispatcher;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CordonReason;
 use crate::workflow::FleetPlatform;
@@ -39,6 +39,9 @@
     platform: Rc<P>,
     term: Rc<ControllerTerm>,
     view: Rc<FleetView>,
+    dispatcher: Rc<HostDispatcher>,
+    /// Hosts with a move in progress, each with its new pool.
+    moving: RefCell<HashMap<HostId, String>>,
     /// Moved hosts, each with its new pool and the time of the move in ms.
     arriving: RefCell<HashMap<HostId, (String, u64)>>,
     /// The time in ms since which each pool has had spare capacity.
@@ -49,16 +52,18 @@
 }
 
 impl<P: FleetPlatform> HostMover<P> {
-    pub(crate) fn new(platform: Rc<P>, term: Rc<ControllerTerm>, view: Rc<FleetView>) -> Self {
-        Self {
+    pub(crate) fn new(platform: Rc<P>, term: Rc<ControllerTerm>, view: Rc<FleetView>) -> Rc<Self> {
+        Rc::new(Self {
             platform,
+            dispatcher: HostDispatcher::new(Rc::clone(&term)),
             term,
             view,
+            moving: RefCell::default(),
             arriving: RefCell::default(),
             spare_since: RefCell::default(),
             rejected_moves: RefCell::default(),
             logged_ms: Cell::new(0),
-        }
+        })
     }
 
     /// Builds the pools from the list of hosts. Those in `upkeep_hosts` are not moved.
@@ -74,6 +79,10 @@
         self.arriving
             .borrow_mut()
             .retain(|_, (_, moved_ms)| now_ms < *moved_ms + ARRIVAL_TIMEOUT_MS);
+        self.moving.borrow_mut().retain(|host, _| {
+            let commands = self.term.host_commands.borrow();
+            commands.is_pending(host)
+        });
         let demands = self.term.engine.borrow_mut().pool_demands(now_ms);
         let mut hosts_by_pool: HashMap<String, Vec<&HostEntry>> = HashMap::new();
         for host in hosts {
@@ -100,11 +109,12 @@
         config.pools.iter().map(pool).collect()
     }
 
-    /// Returns the hosts whose moves were ordered after `time_ms`.
+    /// Returns the hosts whose moves are in progress or were answered after `time_ms`.
     pub(crate) fn moved_since(&self, time_ms: u64) -> HashSet<HostId> {
-        let arriving = self.arriving.borrow();
+        let (moving, arriving) = (self.moving.borrow(), self.arriving.borrow());
         let moved = arriving.iter().filter(|(_, (_, at_ms))| *at_ms >= time_ms);
-        moved.map(|(host, _)| host.clone()).collect()
+        let moved = moved.map(|(host, _)| host);
+        moved.chain(moving.keys()).cloned().collect()
     }
 
     fn pool_of(&self, host: &HostEntry) -> String {
@@ -142,16 +152,18 @@
         let cordon = state.and_then(|state| state.cordon.clone());
         let unresponsive =
             state.is_some_and(|state| state.unresponsive_since_ms > 0 || state.entry.draining);
+        let moving_to = self.moving.borrow().get(&host.host).cloned();
+        let blocked = arriving || moving_to.is_some() || unresponsive;
         let known = standby || state.is_some();
         let upkeep = cordon == Some(CordonReason::Upkeep) || upkeep_hosts.contains(&host.host);
         PoolHost {
             host: host.host.clone(),
             capacity_millis: host.capacity.cpu_millis,
             used_millis: state.map_or(0, |state| state.used.cpu_millis),
-            pinned: !host.is_up() || !known || arriving || long_running || upkeep || unresponsive,
+            pinned: !host.is_up() || !known || blocked || long_running || upkeep,
             available: arriving || (host.is_up() && known && !unresponsive && !upkeep),
-            leaving_to: match cordon {
-                Some(CordonReason::Move(to)) => Some(to),
+            leaving_to: match (moving_to, cordon) {
+                (Some(to), _) | (None, Some(CordonReason::Move(to))) => Some(to),
                 _ => None,
             },
         }
@@ -178,7 +190,7 @@
     }
 
     /// Chooses moves, drains the hosts, and moves those that are empty.
-    pub(crate) async fn advance(&self, pools: &[PoolView], hosts: &[HostEntry]) {
+    pub(crate) fn advance(self: &Rc<Self>, pools: &[PoolView], hosts: &[HostEntry]) {
         self.log_pools(pools);
         let max_peak = self.term.engine.borrow().peak_pool_demand();
         // No hosts are switched off before a complete demand peak has been observed.
@@ -186,19 +198,18 @@
         let moves = choose_moves(pools, reserve_millis);
         let ready = self.cordon(pools, hosts, &moves);
         self.term.plan.notify_one();
-        let ready = self.filter_permitted(ready);
-        let ready_hosts: Vec<_> = ready
-            .iter()
-            .map(|host_move| host_move.host.clone())
-            .collect();
-        if !ready.is_empty() && self.term.announce_commands(&ready_hosts, None).await {
-            join_all(
-                ready
-                    .iter()
-                    .map(|host_move| self.send_move(host_move, hosts)),
-            )
-            .await;
+        let workers = workers_by_host(hosts);
+        let mut commands = Vec::new();
+        for host_move in self.filter_permitted(ready) {
+            let HostMove { host, to } = &host_move;
+            self.moving.borrow_mut().insert(host.clone(), to.clone());
+            let worker = workers.get(host).copied().flatten().cloned();
+            let mover = Rc::clone(self);
+            let host = host.clone();
+            let send = async move { mover.send_move(&host_move, worker.as_ref()).await };
+            commands.push((host, send));
         }
+        self.dispatcher.dispatch(commands, None);
     }
 
     /// Returns the moves whose hosts this controller may command.
@@ -220,6 +231,13 @@
             .collect();
         for host in pools.iter().flat_map(|pool| &pool.hosts) {
             let worker = workers.get(&host.host).copied().flatten();
+            if let Some(to) = self.moving.borrow().get(&host.host) {
+                // No task may start on a host that is about to be moved, whatever the plan is now.
+                if let Some(worker) = worker {
+                    engine.set_cordon(worker, Some(CordonReason::Move(to.clone())));
+                }
+                continue;
+            }
             let host_move = moves.get(&host.host).copied();
             match (host_move, worker) {
                 (Some(host_move), _) if self.is_rejected(host_move) => {}
@@ -251,15 +269,24 @@
         self.rejected_moves.borrow().contains(&key)
     }
 
-    async fn send_move(&self, host_move: &HostMove, hosts: &[HostEntry]) {
+    /// Returns whether a host whose move was decided is still empty and to leave for its new pool.
+    fn is_ready(&self, host_move: &HostMove, worker: Option<&WorkerId>) -> bool {
+        let engine = self.term.engine.borrow();
+        let state = worker.and_then(|worker| engine.workers.get(worker));
+        let leaving = Some(CordonReason::Move(host_move.to.clone()));
+        state.is_none_or(|state| state.tasks.is_empty() && state.cordon == leaving)
+    }
+
+    /// Sends a move unless a change since its decision speaks against it. `worker` is the one that the
+    /// host had then.
+    async fn send_move(&self, host_move: &HostMove, worker: Option<&WorkerId>) {
+        if !self.is_ready(host_move, worker) {
+            return;
+        }
         let HostMove { host, to } = host_move;
         let (epoch, sent_ms) = (self.term.epoch, boot_ms());
         let outcome = self.platform.move_host(host, to, epoch).await;
         log::info!("event=host_moved host={host} to={to} epoch={epoch} outcome={outcome:?}");
-        self.term
-            .host_commands
-            .borrow_mut()
-            .record_resolved(host, boot_ms());
         match outcome {
             HostOutcome::Accepted | HostOutcome::Unknown(_) => {
                 let mut arriving = self.arriving.borrow_mut();
@@ -271,8 +298,6 @@
             }
             HostOutcome::Busy(_) => {}
         }
-        let entry = hosts.iter().find(|entry| entry.host == *host);
-        let worker = entry.and_then(|entry| entry.worker.as_ref());
         let mut engine = self.term.engine.borrow_mut();
         match (outcome, worker) {
             (HostOutcome::Accepted, Some(worker)) => {
