--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -97,6 +97,8 @@
     pub(crate) silence: Cell<Duration>,
     /// The commands to silent hosts, in the order in which they were sent.
     pub(crate) unanswered: RefCell<Vec<HostId>>,
+    /// The workers on which tasks were started, in that order.
+    pub(crate) start_workers: RefCell<Vec<WorkerId>>,
     /// Duration of a task.
     pub(crate) task_ms: Cell<u64>,
     /// Number of upcoming transactions that are executed but whose answers are lost.
@@ -160,6 +162,7 @@
             silent_hosts: RefCell::default(),
             silence: Cell::new(Duration::from_secs(5)),
             unanswered: RefCell::default(),
+            start_workers: RefCell::default(),
             task_ms: Cell::new(100),
             lost_commits: Cell::new(0),
             lost_starts: Cell::new(0),
@@ -363,6 +366,7 @@
             until_ms: now_ms + self.task_ms.get(),
         };
         worker.running.insert(command.task.clone(), run);
+        self.start_workers.borrow_mut().push(id.clone());
         CommandOutcome::Accepted(now_ms)
     }
 }
--- a/tests/host_passes.rs
+++ b/tests/host_passes.rs
@@ -72,6 +72,23 @@
     link
 }
 
+/// Submits a job of `tasks` tasks, each of an eighth of a host.
+async fn submit(link: &Rc<FakeLink>, tasks: u32) {
+    let intake = JobIntake::new(Rc::clone(link), Rc::new(CountFreshness::new()));
+    let spec = JobSpec {
+        queue: fixtures::QUEUE.to_owned(),
+        organisation: None,
+        payload: "text".to_owned(),
+        steps: vec![fixtures::step(tasks)],
+        schedule: None,
+    };
+    let id = fixtures::JOB.parse().unwrap();
+    let deadline = Instant::now() + TIMEOUT;
+    intake
+        .submit(&id, &spec, &CallerScope::Everything, deadline)
+        .await;
+}
+
 /// Waits until `is_met`, at most for `limit`. Returns whether it is.
 async fn wait_until<F: Fn() -> bool>(is_met: F, limit: Duration) -> bool {
     let deadline = Instant::now() + limit;
@@ -151,19 +168,7 @@
         fleet.silent_hosts.borrow_mut().insert(host(1));
         fleet.task_ms.set(60_000);
         let link = start_entry(&fleet, "boston-1", &ShutdownSignal::new());
-        let intake = JobIntake::new(Rc::clone(&link), Rc::new(CountFreshness::new()));
-        let spec = JobSpec {
-            queue: fixtures::QUEUE.to_owned(),
-            organisation: None,
-            payload: "text".to_owned(),
-            steps: vec![fixtures::step(12)],
-            schedule: None,
-        };
-        let id = fixtures::JOB.parse().unwrap();
-        let deadline = Instant::now() + TIMEOUT;
-        intake
-            .submit(&id, &spec, &CallerScope::Everything, deadline)
-            .await;
+        submit(&link, 12).await;
         let is_moving = wait_until(|| !fleet.unanswered.borrow().is_empty(), TIMEOUT).await;
 
         // Act.
@@ -209,3 +214,32 @@
         assert_eq!(fleet.unanswered.borrow().len(), sent);
     });
 }
+
+/// A task that starts on a host while its upkeep is commanded would be ended by it.
+#[test]
+fn no_task_starts_on_a_host_whose_upkeep_is_commanded() {
+    run(async {
+        // Arrange: the upkeep of one of two empty hosts is not answered.
+        let entries = (0..2).map(fixtures::worker_entry).collect();
+        let fleet = FakeFleet::new(fixtures::config(), entries);
+        fleet.silent_hosts.borrow_mut().insert(host(0));
+        fleet.task_ms.set(60_000);
+        let link = start_entry(&fleet, "boston-1", &ShutdownSignal::new());
+        fleet.start_wave(wave(0..1, 1));
+        let is_commanded = wait_until(|| !fleet.unanswered.borrow().is_empty(), TIMEOUT).await;
+
+        // Act.
+        submit(&link, 12).await;
+        let is_full = wait_until(|| fleet.start_workers.borrow().len() >= 8, MAX_DELAY).await;
+        sleep(Duration::from_millis(300)).await;
+
+        // Assert.
+        assert!(is_commanded);
+        assert!(is_full);
+        let start_workers = fleet.start_workers.borrow();
+        let on_commanded = start_workers
+            .iter()
+            .filter(|worker| worker.as_str() == "w-0");
+        assert_eq!(on_commanded.count(), 0);
+    });
+}
