--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -5,6 +5,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::future::Future;
 use std::iter::once;
 use std::pin::pin;
 use std::rc::Rc;
@@ -76,6 +77,7 @@
     /// Permits for starts of long-running tasks beside the others, by bytes.
     long_start_bytes: Semaphore,
     ended: Cell<bool>,
+    releasing: Cell<bool>,
     has_worker_list: Cell<bool>,
     /// When the lease was last confirmed, in ms.
     confirmed_ms: Cell<u64>,
@@ -141,6 +143,7 @@
             start_limit,
             long_start_bytes: Semaphore::new(MIN_START_BYTES),
             ended: Cell::new(false),
+            releasing: Cell::new(false),
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
             doubted_ms: Cell::new(0),
@@ -249,7 +252,13 @@
     /// Returns whether commands may be sent to hosts. A successor claims the lease only once
     /// it has not been renewed for longer than this limit.
     pub fn may_command(&self) -> bool {
-        self.is_active() && !self.is_doubted() && self.unconfirmed_ms() < MAX_COMMAND_UNCONFIRMED_MS
+        let may_end = self.releasing.get() || self.is_doubted();
+        self.is_active() && !may_end && self.unconfirmed_ms() < MAX_COMMAND_UNCONFIRMED_MS
+    }
+
+    /// Records that the lease is about to be released: no command is sent to a host any more.
+    pub(crate) fn begin_release(&self) {
+        self.releasing.set(true);
     }
 
     /// Returns the notifier that wakes the loop that maintains a worker's lease.
@@ -305,28 +314,35 @@
     }
 
     /// Announces commands to `hosts` with the next commit, so that a successor knows which hosts
-    /// may have been commanded; the commit also writes `write`. Returns whether it succeeded in
-    /// time and the commands may be sent.
-    pub async fn announce_commands(&self, hosts: &[HostId], write: Option<RowWrite>) -> bool {
-        hosts
-            .iter()
-            .for_each(|host| self.host_commands.borrow_mut().record_pending(host));
+    /// may have been commanded; the commit also writes `write`. The returned future tells whether it
+    /// succeeded in time and the commands may be sent.
+    pub(crate) fn announce_commands(
+        self: &Rc<Self>,
+        hosts: Vec<HostId>,
+        write: Option<RowWrite>,
+    ) -> impl Future<Output = bool> + use<> {
+        for host in &hosts {
+            self.host_commands.borrow_mut().record_pending(host);
+        }
         let (sender, waiting) = oneshot::channel();
         let own_key = write.as_ref().map(|write| write.key.clone());
         let keys = once(COMMANDS_KEY.to_owned()).chain(own_key).collect();
+        // Rows are queued in the order of the decisions, since a later one replaces an earlier one.
         self.enqueue(write, Some(CommitNotice { sender, keys }));
-        let announced = timeout(ANNOUNCEMENT_TIMEOUT, waiting).await;
-        if matches!(announced, Ok(Ok(()))) && self.may_command() {
-            return true;
+        let term = Rc::clone(self);
+        async move {
+            let announced = timeout(ANNOUNCEMENT_TIMEOUT, waiting).await;
+            if matches!(announced, Ok(Ok(()))) && term.may_command() {
+                return true;
+            }
+            log::warn!("event=host_orders_postponed reason=\"lease not confirmed\"");
+            let now_ms = boot_ms();
+            for host in &hosts {
+                let mut commands = term.host_commands.borrow_mut();
+                commands.record_resolved(host, now_ms);
+            }
+            false
         }
-        log::warn!("event=host_orders_postponed reason=\"lease not confirmed\"");
-        let now_ms = boot_ms();
-        hosts.iter().for_each(|host| {
-            self.host_commands
-                .borrow_mut()
-                .record_resolved(host, now_ms)
-        });
-        false
     }
 
     /// Returns those of `hosts` to which this controller may send commands.
--- a/tests/host_commands.rs
+++ b/tests/host_commands.rs
@@ -105,16 +105,30 @@
         .iter()
         .for_each(|host| own_commands.record_pending(host));
     let bytes = serde_json::to_string(&own_commands.ages(0)).unwrap().len();
-    let again = own_commands.permitted(hosts(), 0);
+    let meanwhile = own_commands.permitted(hosts(), 0);
 
-    // Assert: commanded hosts may be commanded again, and others once there is room.
+    // Assert: commanded hosts may be commanded again once they are answered, and others once there is room.
     assert!(first.len() > 40, "{}", first.len());
     assert!(bytes <= limit.get(), "{bytes} bytes");
-    assert_eq!(again, first);
+    assert_eq!(meanwhile, []);
     first
         .iter()
         .for_each(|host| own_commands.record_resolved(host, 0));
+    assert_eq!(own_commands.permitted(hosts(), 0), first);
     own_commands.ages(5_000);
     let later = own_commands.permitted(hosts().skip(100), 5_000);
     assert!(later.len() > 40, "{}", later.len());
 }
+
+/// A second command would be sent on a list that does not show the effect of the first one.
+#[test]
+fn host_with_a_command_on_its_way_is_not_commanded_again() {
+    let mut commands = commands();
+    commands.record_pending(&host(0));
+
+    let is_permitted = commands.may_command(&host(0), 60_000);
+    commands.record_resolved(&host(0), 60_000);
+
+    assert!(!is_permitted);
+    assert!(commands.may_command(&host(0), 60_000));
+}
