Keep an end that can't be decoded from being acknowledged with a later one

What callers would see: a task that is done runs again.

Cause: an end that couldn't be decoded, or whose task's name couldn't, was left out of the report, and the next one's number became the acknowledged one, so that the worker forgot both.

Change: a report keeps the ends from the first unreadable one on apart (HeldEnd), with what can be told of it. The later ones are applied with each report, where an end whose run is over has no effect, but not acknowledged. The unreadable one is passed once its task is known not to depend on it (another run or worker has the task, its job has ended, it is long-running, which starts again however it ends) or, without a name, once the worker lists all runs placed on it. Otherwise its task stays placed and is not started again until the worker's incarnation ends. A run whose task's name can't be decoded makes the report incomplete, as other unreadable runs do.

Weighed: to report no end after the unreadable one (tasks of the worker that are done would wait for good); to acknowledge it as stopped (a done task would run again).

Left: an unreadable end without a name and a start whose answer was lost, on one worker, hold each other until the job or the worker's incarnation ends.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -45,6 +45,7 @@
             self.apply_end(id, end, now_ms);
             last = last.max(end.number);
         }
+        let last = self.apply_held_ends(id, report, last, now_ms);
         if last > applied {
             let start = self.incarnations.start(id);
             self.effects
@@ -114,7 +115,7 @@
         }
     }
 
-    fn apply_end(&mut self, worker: &WorkerId, end: &TaskEnd, now_ms: u64) {
+    pub(crate) fn apply_end(&mut self, worker: &WorkerId, end: &TaskEnd, now_ms: u64) {
         let name = &end.task;
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
@@ -262,6 +263,7 @@
         now_ms: u64,
     ) {
         let mut listed = HashSet::with_capacity(report.running.len());
+        listed.extend(report.unreadable_tasks());
         let mut unplaced = HashSet::new();
         for running in &report.running {
             let known = self.apply_running(id, running, now_ms);
--- a/src/workflow/lost_runs.rs
+++ b/src/workflow/lost_runs.rs
@@ -90,7 +90,10 @@
         if sent_ms < lost.since_ms {
             return;
         }
-        let runs = |name: &TaskName| report.running.iter().any(|running| running.task == *name);
+        let runs = |name: &TaskName| {
+            let mut running = report.running.iter().map(|running| &running.task);
+            running.any(|task| task == name) || report.unreadable_tasks().any(|task| task == name)
+        };
         let over: Vec<_> = lost
             .tasks
             .iter()
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -85,11 +85,7 @@
             record_acknowledged(&term, &id, start, renewal.acknowledged);
             retry_pause = RETRY_PAUSE;
             wait_for_commit(&term, &id, &wake).await;
-            if term.engine.borrow().has_waiting_tasks() {
-                BATCH_PAUSE
-            } else {
-                IDLE_PAUSE
-            }
+            report_pause(&term, &id)
         } else {
             let pause = retry_pause;
             retry_pause = (pause * 2).min(MAX_RETRY_PAUSE);
@@ -100,6 +96,20 @@
     term.end_maintenance(&id);
 }
 
+/// Returns the pause after a report. A worker with ends that can't be acknowledged answers at once, with
+/// all of them.
+fn report_pause(term: &ControllerTerm, id: &WorkerId) -> Duration {
+    let engine = term.engine.borrow();
+    let worker = engine.workers.get(id);
+    if worker.is_some_and(|worker| worker.held_ends > 0) {
+        return RETRY_PAUSE;
+    }
+    match engine.has_waiting_tasks() {
+        true => BATCH_PAUSE,
+        false => IDLE_PAUSE,
+    }
+}
+
 /// Records the last task end that a worker has discarded. A worker that has started again since
 /// the renewal was sent counts its ends anew.
 fn record_acknowledged(
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -6,6 +6,7 @@
 use crate::id::IncarnationStart;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::HeldEnd;
 use crate::workflow::TaskName;
 use crate::workflow::WorkerResources;
 
@@ -106,6 +107,15 @@
     pub running: Vec<RunningTask>,
     /// Ended runs that have not been acknowledged, or the first of them.
     pub ends: Vec<TaskEnd>,
-    /// The worker has more unacknowledged ends than the report lists.
+    /// The ends from the first one on that can't be decoded. Their numbers follow those of `ends`.
+    pub held_ends: Vec<HeldEnd>,
+    /// The worker may have more runs and unacknowledged ends than the report lists.
     pub has_more_ends: bool,
 }
+
+impl WorkerReport {
+    /// Returns the tasks whose ends are listed but can't be decoded.
+    pub fn unreadable_tasks(&self) -> impl Iterator<Item = &TaskName> {
+        self.held_ends.iter().filter_map(HeldEnd::unreadable_task)
+    }
+}
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -31,6 +31,10 @@
 /// short call.
 const INHERITED_STOP_MS: u64 = 650;
 
+/// The limit on ends that a worker lists again and again. The platform lists 500 at a time, and the ends
+/// of runs that the worker has by then must find room.
+const MAX_HELD_ENDS: usize = 250;
+
 /// Why a worker is cordoned.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CordonReason {
@@ -60,6 +64,8 @@
     pub durable_end: u64,
     /// The sequence number of the last task end whose acknowledgement was answered.
     pub acknowledged_end: u64,
+    /// The number of ends that the last report listed and that can't be acknowledged.
+    pub held_ends: usize,
     /// The end of the worker's lease, on the worker's clock.
     pub lease_end_ms: u64,
     /// The time of the first unanswered call since the last answer; 0 while the worker answers.
@@ -102,6 +108,7 @@
             applied_end: 0,
             durable_end: 0,
             acknowledged_end: 0,
+            held_ends: 0,
             carried_tasks: BTreeSet::new(),
             carried_until_ms: 0,
             lease_end_ms: 0,
@@ -246,6 +253,7 @@
             || now_ms < self.unresponsive_since_ms + UNRESPONSIVE_LIMIT_MS / 4;
         self.has_accepted_epoch
             && !self.is_leaving()
+            && self.held_ends < MAX_HELD_ENDS
             && responsive
             && self.health.state(now_ms) != HealthState::Quarantined
     }
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -329,6 +329,7 @@
             clock_ms,
             running: running.collect(),
             ends: worker.ends.clone(),
+            held_ends: Vec::new(),
             has_more_ends: false,
         }))
     }
--- a/tests/common/worker_replay.rs
+++ b/tests/common/worker_replay.rs
@@ -434,6 +434,7 @@
                 clock_ms: now_ms,
                 running: running.chain(unreported).collect(),
                 ends: reported.iter().map(|(_, end)| end.clone()).collect(),
+                held_ends: Vec::new(),
                 has_more_ends: false,
             };
             let known = self.engine.workers.get_mut(&id).unwrap();
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -235,6 +235,7 @@
             clock_ms: self.now_ms,
             running: running.collect(),
             ends: Vec::new(),
+            held_ends: Vec::new(),
             has_more_ends: false,
         }
     }
--- a/tests/control_inputs.rs
+++ b/tests/control_inputs.rs
@@ -126,6 +126,7 @@
         clock_ms: fleet.now_ms,
         running,
         ends: ends.collect(),
+        held_ends: Vec::new(),
         has_more_ends: false,
     };
     fleet.advance(10);
@@ -422,6 +423,7 @@
         clock_ms: fleet.now_ms,
         running: running.collect(),
         ends: Vec::new(),
+        held_ends: Vec::new(),
         has_more_ends: false,
     };
     fleet.advance(10);
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -54,6 +54,7 @@
         clock_ms: 1_000_000,
         running: Vec::new(),
         ends: Vec::new(),
+        held_ends: Vec::new(),
         has_more_ends: false,
     }
 }
--- a/tests/row_limits.rs
+++ b/tests/row_limits.rs
@@ -127,6 +127,7 @@
         clock_ms: fleet.now_ms,
         running: Vec::new(),
         ends,
+        held_ends: Vec::new(),
         has_more_ends: false,
     };
     let now_ms = fleet.now_ms;
