--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -184,9 +184,21 @@
         self.confirmation.notify_waiters();
     }
 
-    /// Waits for the next confirmation of the lease or the end of the term.
-    pub(crate) async fn wait_for_confirmation(&self) {
-        self.confirmation.notified().await;
+    /// Waits for the end of a doubt about the lease, or of the term. A start that was withdrawn instead
+    /// would leave the other members of its gang alone, and an unanswered one would have to be stopped.
+    pub(crate) async fn wait_for_doubt(&self) {
+        while self.is_active() && self.is_doubted() {
+            self.confirmation.notified().await;
+        }
+    }
+
+    /// Waits until this controller may decide about runs. Returns whether it may: not once its term has
+    /// ended, since another holder may then keep what this one would have stopped.
+    pub(crate) async fn wait_for_permission(&self) -> bool {
+        while self.is_active() && !self.may_direct_runs() {
+            self.confirmation.notified().await;
+        }
+        self.is_active()
     }
 
     /// Doubts that the lease is still held, because `worker` has accepted a higher epoch. Nothing is
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -89,11 +89,7 @@
             record_acknowledged(&term, &id, start, renewal.acknowledged);
             retry_pause = RETRY_PAUSE;
             wait_for_commit(&term, &id, &wake).await;
-            if term.engine.borrow().has_waiting_tasks() {
-                BATCH_PAUSE
-            } else {
-                IDLE_PAUSE
-            }
+            report_pause(&term, &id)
         } else {
             let max_pause = match outcome {
                 RenewalOutcome::Refused(CommandRefusal::Fenced) => MAX_FENCED_PAUSE,
@@ -108,6 +104,20 @@
     term.end_maintenance(&id);
 }
 
+/// Returns the pause after a report. A worker with ends that can't be acknowledged answers at once, with
+/// all of them.
+fn report_pause(term: &ControllerTerm, id: &WorkerId) -> Duration {
+    let engine = term.engine.borrow();
+    let worker = engine.workers.get(id);
+    if worker.is_some_and(|worker| worker.held_ends > 0) {
+        return RETRY_PAUSE;
+    }
+    match engine.has_waiting_tasks() {
+        true => BATCH_PAUSE,
+        false => IDLE_PAUSE,
+    }
+}
+
 /// Records the last task end that a worker has discarded. A worker that has started again since
 /// the renewal was sent counts its ends anew.
 fn record_acknowledged(
@@ -231,7 +241,7 @@
     run: u64,
 ) {
     let mut permit = term.start_permit(&task).await;
-    wait_for_doubt(&term).await;
+    term.wait_for_doubt().await;
     let Some((entry, command)) = prepare_start(&term, &task, run) else {
         return;
     };
@@ -252,7 +262,7 @@
             break resolve_attempts(outcome, attempts);
         }
         permit = term.start_permit(&task).await;
-        wait_for_doubt(&term).await;
+        term.wait_for_doubt().await;
         if !may_resend_start(&term, &task, run) {
             break resolve_attempts(outcome, attempts);
         }
@@ -352,23 +362,6 @@
     Some((entry, command))
 }
 
-/// Waits for the end of a doubt about the lease, or of the term. A start that was withdrawn instead
-/// would leave the other members of its gang alone, and an unanswered one would have to be stopped.
-async fn wait_for_doubt(term: &ControllerTerm) {
-    while term.is_active() && term.is_doubted() {
-        term.wait_for_confirmation().await;
-    }
-}
-
-/// Waits until this controller may decide about runs. Returns whether it may: not once its term has
-/// ended, since another holder may then keep what this one would have stopped.
-async fn wait_for_permission(term: &ControllerTerm) -> bool {
-    while term.is_active() && !term.may_direct_runs() {
-        term.wait_for_confirmation().await;
-    }
-    term.is_active()
-}
-
 /// Sends a stop command once the lease is confirmed, and applies its outcome. Until then the run
 /// counts as one that is being stopped. Unless the command was accepted, the outcome is applied
 /// after a pause, because the command is then sent again.
@@ -377,7 +370,7 @@
     term: Rc<ControllerTerm>,
     request: StopRequest,
 ) {
-    if !wait_for_permission(&term).await {
+    if !term.wait_for_permission().await {
         return;
     }
     let entry = {
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -442,6 +442,7 @@
                 .take(self.max_listed_ends.get())
                 .cloned()
                 .collect(),
+            held_ends: Vec::new(),
         }))
     }
 
