--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -40,6 +40,7 @@
 use zincpier::workflow::HostGateway;
 use zincpier::workflow::HostList;
 use zincpier::workflow::HostOutcome;
+use zincpier::workflow::HostResources;
 use zincpier::workflow::HostState;
 use zincpier::workflow::LeaseRenewal;
 use zincpier::workflow::OperatorChange;
@@ -541,20 +542,38 @@
     pub(crate) silent_workers: RefCell<BTreeSet<WorkerId>>,
 }
 
+/// What the controller of an entry host is started with.
+#[derive(Default)]
+pub(crate) struct EntryOptions {
+    pub(crate) shutdown: ShutdownSignal,
+    pub(crate) metrics: Rc<EntryMetrics>,
+    pub(crate) resources: HostResources,
+}
+
 /// Starts the controller of an entry host that never shuts down. Returns its connection.
 pub(crate) fn start_entry(fleet: &Rc<FakeFleet>, name: &str) -> Rc<FakeLink> {
+    start_entry_with(fleet, name, EntryOptions::default())
+}
+
+/// Like [`start_entry`], with options.
+pub(crate) fn start_entry_with(
+    fleet: &Rc<FakeFleet>,
+    name: &str,
+    options: EntryOptions,
+) -> Rc<FakeLink> {
     let link = FakeLink::new(fleet);
     let view = FleetView::new();
-    let link_and_view = (Rc::clone(&link), Rc::clone(&view));
-    monoio::spawn(async move { link_and_view.1.watch(link_and_view.0.as_ref()).await });
+    let watch = (Rc::clone(&link), Rc::clone(&view));
+    monoio::spawn(async move { watch.1.watch(watch.0.as_ref()).await });
     let controller = Controller::new(
         Rc::clone(&link),
         view,
         name.to_owned(),
-        Rc::new(EntryMetrics::new()),
+        options.metrics,
         Rc::new(CountFreshness::new()),
-        ShutdownSignal::new(),
+        options.shutdown,
     );
+    let controller = controller.with_resources(options.resources);
     monoio::spawn(async move { controller.run().await });
     link
 }
--- a/tests/controller_sessions.rs
+++ b/tests/controller_sessions.rs
@@ -24,9 +24,7 @@
 use zincpier::provider::Transaction;
 use zincpier::workflow::CallerScope;
 use zincpier::workflow::CancelOutcome;
-use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
-use zincpier::workflow::FleetView;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSpec;
@@ -35,6 +33,9 @@
 use zincpier::workflow::WaveRequest;
 use zincpier::workflow::LEADER_KEY;
 
+use crate::fake_fleet::start_entry;
+use crate::fake_fleet::start_entry_with;
+use crate::fake_fleet::EntryOptions;
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::FakeLink;
 use crate::runtime::run;
@@ -50,11 +51,6 @@
     FakeFleet::new(fixtures::config(), workers)
 }
 
-/// Starts the controller of an entry host that never shuts down. Returns its connection.
-fn start_entry(fleet: &Rc<FakeFleet>, name: &str) -> Rc<FakeLink> {
-    start_entry_until(fleet, name, ShutdownSignal::new())
-}
-
 /// Like [`start_entry`], but the entry host stops with `shutdown`.
 fn start_entry_until(fleet: &Rc<FakeFleet>, name: &str, shutdown: ShutdownSignal) -> Rc<FakeLink> {
     start_measured_entry(fleet, name, shutdown, Rc::new(EntryMetrics::new()))
@@ -67,20 +63,12 @@
     shutdown: ShutdownSignal,
     metrics: Rc<EntryMetrics>,
 ) -> Rc<FakeLink> {
-    let link = FakeLink::new(fleet);
-    let view = FleetView::new();
-    let link_and_view = (Rc::clone(&link), Rc::clone(&view));
-    monoio::spawn(async move { link_and_view.1.watch(link_and_view.0.as_ref()).await });
-    let controller = Controller::new(
-        Rc::clone(&link),
-        view,
-        name.to_owned(),
-        metrics,
-        Rc::new(CountFreshness::new()),
+    let options = EntryOptions {
         shutdown,
-    );
-    monoio::spawn(async move { controller.run().await });
-    link
+        metrics,
+        ..EntryOptions::default()
+    };
+    start_entry_with(fleet, name, options)
 }
 
 fn job_id(number: usize) -> JobId {
--- a/tests/host_passes.rs
+++ b/tests/host_passes.rs
@@ -15,19 +15,18 @@
 use monoio::time::sleep;
 use monoio::time::Instant;
 use zincpier::id::HostId;
-use zincpier::process::EntryMetrics;
 use zincpier::process::ShutdownSignal;
 use zincpier::workflow::CallerScope;
-use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::FleetConfig;
-use zincpier::workflow::FleetView;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobSpec;
 use zincpier::workflow::PoolConfig;
 use zincpier::workflow::WaveRequest;
 use zincpier::workflow::WorkerEntry;
 
+use crate::fake_fleet::start_entry_with;
+use crate::fake_fleet::EntryOptions;
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::FakeLink;
 use crate::runtime::run;
@@ -57,20 +56,11 @@
 }
 
 fn start_entry(fleet: &Rc<FakeFleet>, name: &str, shutdown: &ShutdownSignal) -> Rc<FakeLink> {
-    let link = FakeLink::new(fleet);
-    let view = FleetView::new();
-    let watch = (Rc::clone(&link), Rc::clone(&view));
-    monoio::spawn(async move { watch.1.watch(watch.0.as_ref()).await });
-    let controller = Controller::new(
-        Rc::clone(&link),
-        view,
-        name.to_owned(),
-        Rc::new(EntryMetrics::new()),
-        Rc::new(CountFreshness::new()),
-        shutdown.clone(),
-    );
-    monoio::spawn(async move { controller.run().await });
-    link
+    let options = EntryOptions {
+        shutdown: shutdown.clone(),
+        ..EntryOptions::default()
+    };
+    start_entry_with(fleet, name, options)
 }
 
 /// Submits a job of `tasks` tasks, each of an eighth of a host.
--- a/tests/lease_after_outage.rs
+++ b/tests/lease_after_outage.rs
@@ -15,16 +15,13 @@
 
 use monoio::time::sleep;
 use monoio::time::Instant;
-use zincpier::process::EntryMetrics;
-use zincpier::process::ShutdownSignal;
 use zincpier::provider::TableService;
-use zincpier::workflow::Controller;
-use zincpier::workflow::CountFreshness;
-use zincpier::workflow::FleetView;
 use zincpier::workflow::HostResources;
 use zincpier::workflow::LeaderRecord;
 use zincpier::workflow::LEADER_KEY;
 
+use crate::fake_fleet::start_entry_with;
+use crate::fake_fleet::EntryOptions;
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::FakeLink;
 use crate::runtime::run;
@@ -56,21 +53,11 @@
 
 /// Starts the controller of an entry host that never shuts down. Returns its connection.
 fn start_entry(fleet: &Rc<FakeFleet>, name: &str, resources: HostResources) -> Rc<FakeLink> {
-    let link = FakeLink::new(fleet);
-    let view = FleetView::new();
-    let link_and_view = (Rc::clone(&link), Rc::clone(&view));
-    monoio::spawn(async move { link_and_view.1.watch(link_and_view.0.as_ref()).await });
-    let controller = Controller::new(
-        Rc::clone(&link),
-        view,
-        name.to_owned(),
-        Rc::new(EntryMetrics::new()),
-        Rc::new(CountFreshness::new()),
-        ShutdownSignal::new(),
-    );
-    let controller = controller.with_resources(resources);
-    monoio::spawn(async move { controller.run().await });
-    link
+    let options = EntryOptions {
+        resources,
+        ..EntryOptions::default()
+    };
+    start_entry_with(fleet, name, options)
 }
 
 async fn leader(link: &FakeLink) -> LeaderRecord {
--- a/tests/wave_age.rs
+++ b/tests/wave_age.rs
@@ -15,16 +15,15 @@
 
 use monoio::time::sleep;
 use monoio::time::Instant;
-use zincpier::process::EntryMetrics;
 use zincpier::process::ShutdownSignal;
 use zincpier::workflow::CallerScope;
-use zincpier::workflow::Controller;
 use zincpier::workflow::CountFreshness;
-use zincpier::workflow::FleetView;
 use zincpier::workflow::JobIntake;
 use zincpier::workflow::JobSpec;
 use zincpier::workflow::WaveRequest;
 
+use crate::fake_fleet::start_entry_with;
+use crate::fake_fleet::EntryOptions;
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::FakeLink;
 use crate::runtime::run;
@@ -36,20 +35,11 @@
 
 /// Starts an entry host that has read nothing yet. Returns its connection.
 fn start_entry(fleet: &Rc<FakeFleet>, name: &str, shutdown: ShutdownSignal) -> Rc<FakeLink> {
-    let link = FakeLink::new(fleet);
-    let view = FleetView::new();
-    let watch = (Rc::clone(&link), Rc::clone(&view));
-    monoio::spawn(async move { watch.1.watch(watch.0.as_ref()).await });
-    let controller = Controller::new(
-        Rc::clone(&link),
-        view,
-        name.to_owned(),
-        Rc::new(EntryMetrics::new()),
-        Rc::new(CountFreshness::new()),
+    let options = EntryOptions {
         shutdown,
-    );
-    monoio::spawn(async move { controller.run().await });
-    link
+        ..EntryOptions::default()
+    };
+    start_entry_with(fleet, name, options)
 }
 
 /// Submits a job whose task runs on the only host until long after the deadline.
