--- a/src/process/log_stream.rs
+++ b/src/process/log_stream.rs
@@ -54,13 +54,18 @@
     }
 }
 
-/// Writes log lines to standard output from a dedicated thread.
+/// Writes log lines to standard output, see [`start_log_stream_to`].
+pub fn start_log_stream() -> LogStream {
+    start_log_stream_to(std::io::stdout())
+}
+
+/// Writes log lines to `output` from a dedicated thread.
 ///
 /// A line is dropped and counted if the queue is full, so that a blocked standard output does not
 /// block the code that logs. The count is logged as soon as lines are written again. Lines over the
 /// limit of the [`LogRateLimiter`] are suppressed; their count is logged before the next line of
 /// the same kind.
-pub fn start_log_stream() -> LogStream {
+pub fn start_log_stream_to(output: impl Write + Send + 'static) -> LogStream {
     let (lines, queued) = sync_channel::<String>(QUEUE_LINES);
     let counts = Arc::new(LineCounts::default());
     let sent = Arc::clone(&counts);
@@ -71,10 +76,10 @@
         };
         counter.fetch_add(1, Ordering::Release);
     };
-    let output = Output::call(move |record| send(record.args().to_string()));
+    let sender = Output::call(move |record| send(record.args().to_string()));
     let limiter = Mutex::new(LogRateLimiter::new());
     let writer_counts = Arc::clone(&counts);
-    thread::spawn(move || write_lines(&queued, &writer_counts));
+    thread::spawn(move || write_lines(output, &queued, &writer_counts));
     let dispatch = fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("zincpier", LevelFilter::Info)
@@ -99,15 +104,14 @@
                  time_ms={time_ms} level={level} {text}"
             ));
         })
-        .chain(output);
+        .chain(sender);
     // The logger is global: a second daemon in the same process logs through the first one's.
     let _ = dispatch.apply();
     LogStream { counts }
 }
 
 /// Writes queued lines in batches of about 16 KiB at most, until the logger is dropped.
-fn write_lines(queued: &Receiver<String>, counts: &LineCounts) {
-    let mut output = std::io::stdout().lock();
+fn write_lines(mut output: impl Write, queued: &Receiver<String>, counts: &LineCounts) {
     while let Ok(line) = queued.recv() {
         thread::sleep(COLLECT_TIME);
         let mut text = line;
@@ -134,7 +138,7 @@
 }
 
 fn write_text(output: &mut impl Write, text: &str, lines: u64, counts: &LineCounts) {
-    // A failure of standard output cannot be reported: it is the log's only output.
+    // A failure of the output cannot be reported: it is the log's only output.
     let _ = output.write_all(text.as_bytes());
     let _ = output.flush();
     counts.written.fetch_add(lines, Ordering::Release);
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -57,6 +57,7 @@
 pub use log_rate_limiter::LogRateLimiter;
 pub use log_setup::start_logging;
 pub use log_stream::start_log_stream;
+pub use log_stream::start_log_stream_to;
 pub use log_stream::LogStream;
 pub use member_set::Member;
 pub use member_set::MemberSet;
