Suppress log lines over the limit of their kind

What operators saw: at peaks, lines without time and level, which tools that read the log leave out, right before event=log_lines_suppressed, which counts the same lines as missing. The volume was not bounded.

Cause: fern writes a record without format if a formatter returns without a result, and the formatter returned so for lines over the limit.

Change: lines are formatted where they are queued, and those over the limit are left out there. suppressed_lines_are_not_written_without_their_time failed before and passes.

--- a/src/process/log_stream.rs
+++ b/src/process/log_stream.rs
@@ -14,8 +14,10 @@
 
 use fern::Output;
 use log::LevelFilter;
+use log::Record;
 
 use crate::process::boot_ms;
+use crate::process::now_ms;
 use crate::process::LineDecision;
 use crate::process::LogRateLimiter;
 
@@ -68,16 +70,20 @@
 pub fn start_log_stream_to(output: impl Write + Send + 'static) -> LogStream {
     let (lines, queued) = sync_channel::<String>(QUEUE_LINES);
     let counts = Arc::new(LineCounts::default());
+    let limiter = Mutex::new(LogRateLimiter::new());
     let sent = Arc::clone(&counts);
-    let send = move |line: String| {
+    // A line that a formatter of the dispatch leaves out would be written without format, so lines
+    // are formatted and suppressed here.
+    let sender = Output::call(move |record| {
+        let Some(line) = format_line(record, &limiter) else {
+            return;
+        };
         let counter = match lines.try_send(line) {
             Ok(()) => &sent.queued,
             Err(_) => &sent.dropped,
         };
         counter.fetch_add(1, Ordering::Release);
-    };
-    let sender = Output::call(move |record| send(record.args().to_string()));
-    let limiter = Mutex::new(LogRateLimiter::new());
+    });
     let writer_counts = Arc::clone(&counts);
     thread::spawn(move || write_lines(output, &queued, &writer_counts));
     let dispatch = fern::Dispatch::new()
@@ -85,31 +91,34 @@
         .level_for("zincpier", LevelFilter::Info)
         .level_for("zincpier_platform", LevelFilter::Info)
         .level_for("zincpier_entry", LevelFilter::Info)
-        .format(move |out, message, record| {
-            let text = message.to_string();
-            let kind = LogRateLimiter::kind_of(&text);
-            let mut limiter = limiter.lock().unwrap_or_else(PoisonError::into_inner);
-            let decision = limiter.check(kind, boot_ms());
-            drop(limiter);
-            let LineDecision::Write(suppressed) = decision else {
-                return;
-            };
-            let (time_ms, level) = (crate::process::now_ms(), record.level());
-            if suppressed == 0 {
-                out.finish(format_args!("time_ms={time_ms} level={level} {text}"));
-                return;
-            }
-            out.finish(format_args!(
-                "time_ms={time_ms} level=WARN event=log_lines_suppressed kind={kind} count={suppressed}\n\
-                 time_ms={time_ms} level={level} {text}"
-            ));
-        })
         .chain(sender);
     // The logger is global: a second daemon in the same process logs through the first one's.
     let _ = dispatch.apply();
     LogStream { counts }
 }
 
+/// Returns the line of a record with its time and level, and before it the number of lines of its kind
+/// that were suppressed since the last one; `None` if the line is over the limit.
+fn format_line(record: &Record<'_>, limiter: &Mutex<LogRateLimiter>) -> Option<String> {
+    let text = record.args().to_string();
+    let kind = LogRateLimiter::kind_of(&text);
+    let decision = limiter
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .check(kind, boot_ms());
+    let LineDecision::Write(suppressed) = decision else {
+        return None;
+    };
+    let (time_ms, level) = (now_ms(), record.level());
+    let line = format!("time_ms={time_ms} level={level} {text}");
+    if suppressed == 0 {
+        return Some(line);
+    }
+    Some(format!(
+        "time_ms={time_ms} level=WARN event=log_lines_suppressed kind={kind} count={suppressed}\n{line}"
+    ))
+}
+
 /// Writes queued lines in batches of about 16 KiB at most, until the logger is dropped.
 fn write_lines(mut output: impl Write, queued: &Receiver<String>, counts: &LineCounts) {
     while let Ok(line) = queued.recv() {
