Write log lines in pieces that a pipe takes whole

What operators saw: single lines of a busy host cut, and the beginning of another host's line behind them.

Cause: a batch of lines was written with one call of up to 16 KiB. POSIX promises only for PIPE_BUF, 4,096 bytes on Linux, that a write to a pipe isn't split or mixed with others'.

Change: a batch holds whole lines of at most that size; a longer line is written by itself. lines_are_written_in_pieces_that_a_pipe_takes_whole failed before with 16,451 bytes and passes.

--- a/src/process/log_stream.rs
+++ b/src/process/log_stream.rs
@@ -18,6 +18,7 @@
 
 use crate::process::boot_ms;
 use crate::process::now_ms;
+use crate::process::LineBatch;
 use crate::process::LineDecision;
 use crate::process::LogRateLimiter;
 
@@ -119,36 +120,28 @@
     ))
 }
 
-/// Writes queued lines in batches of about 16 KiB at most, until the logger is dropped.
+/// Writes queued lines in batches of whole lines until the logger is dropped.
 fn write_lines(mut output: impl Write, queued: &Receiver<String>, counts: &LineCounts) {
     while let Ok(line) = queued.recv() {
         thread::sleep(COLLECT_TIME);
-        let mut text = line;
-        text.push('\n');
-        let mut lines = 1;
+        let mut batch = LineBatch::default();
+        batch.push(&line);
         while let Ok(line) = queued.try_recv() {
-            text.push_str(&line);
-            text.push('\n');
-            lines += 1;
-            if text.len() > 16 * 1024 {
-                write_text(&mut output, &text, lines, counts);
-                text.clear();
-                lines = 0;
+            if !batch.has_room(&line) {
+                write_batch(&mut batch, &mut output, counts);
             }
+            batch.push(&line);
         }
+        write_batch(&mut batch, &mut output, counts);
         let dropped_lines = counts.dropped.swap(0, Ordering::Relaxed);
         if dropped_lines > 0 {
-            text.push_str(&format!(
-                "level=WARN event=log_lines_dropped count={dropped_lines}\n"
-            ));
+            let text = format!("level=WARN event=log_lines_dropped count={dropped_lines}\n");
+            let _ = output.write_all(text.as_bytes());
         }
-        write_text(&mut output, &text, lines, counts);
     }
 }
 
-fn write_text(output: &mut impl Write, text: &str, lines: u64, counts: &LineCounts) {
-    // A failure of the output cannot be reported: it is the log's only output.
-    let _ = output.write_all(text.as_bytes());
-    let _ = output.flush();
+fn write_batch(batch: &mut LineBatch, output: &mut impl Write, counts: &LineCounts) {
+    let lines = batch.write_to(output);
     counts.written.fetch_add(lines, Ordering::Release);
 }
