Show that upkeeps end tasks on hosts that look empty

A host's upkeep ends all of its tasks at once, without regard to how many tasks of a step may be unavailable. It is sent to hosts that look empty, and they may not be:

- The next controller sends upkeeps again that its predecessor decided and that aren't known to be accepted, after 3.15 s.
The predecessor's cordon isn't durable, so that tasks start on these hosts meanwhile, the emptiest ones.
- A host lists its worker before the list of workers does.
Such a host counts as empty, and its cordon has no effect: tasks that start once the worker is listed are ended.
- After a takeover, tasks may run on workers that only their hosts list.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -116,6 +116,10 @@
     pub(crate) wave_complete: Cell<bool>,
     /// The accepted upkeep commands, with the epoch of their sender.
     pub(crate) upkeeps: RefCell<Vec<(u64, HostId)>>,
+    /// Number of runs on the host of each accepted upkeep command when it was carried out.
+    pub(crate) upkeep_runs: RefCell<Vec<usize>>,
+    /// Workers that their hosts list and that the list of workers does not contain yet.
+    pub(crate) late_workers: RefCell<BTreeSet<WorkerId>>,
     /// Hosts whose commands are not answered.
     pub(crate) silent_hosts: RefCell<BTreeSet<HostId>>,
     /// Time after which a command without an answer is given up.
@@ -200,6 +204,8 @@
             wave: RefCell::default(),
             wave_complete: Cell::new(false),
             upkeeps: RefCell::default(),
+            upkeep_runs: RefCell::default(),
+            late_workers: RefCell::default(),
             silent_hosts: RefCell::default(),
             silence: Cell::new(Duration::from_secs(5)),
             unanswered: RefCell::default(),
@@ -374,6 +380,14 @@
         workers.values().map(|worker| worker.running.len()).sum()
     }
 
+    /// Returns the number of runs on the worker of a host.
+    fn host_runs(&self, host: &HostId) -> usize {
+        let worker = host.as_str().strip_prefix("host-").unwrap();
+        let id: WorkerId = worker.parse().unwrap();
+        self.advance(&id);
+        self.workers.borrow()[&id].running.len()
+    }
+
     /// Ends the runs of a worker that are finished or whose lease has expired.
     pub(crate) fn advance(&self, id: &WorkerId) {
         let now_ms = self.now_ms();
@@ -736,7 +750,9 @@
         if self.fleet.workers_hidden.get() {
             return Err(Error::PlatformSilent("hidden".to_owned()));
         }
-        let changes = self.fleet.entries.iter().cloned();
+        let late = self.fleet.late_workers.borrow();
+        let listed = self.fleet.entries.iter();
+        let changes = listed.filter(|entry| !late.contains(&entry.id)).cloned();
         let change = match self.fleet.workers_unlisted.get() {
             true => |entry: WorkerEntry| WorkerChange::Gone(entry.id),
             false => WorkerChange::Present,
@@ -907,6 +923,8 @@
         if let Some(outcome) = self.command_silent_host(host).await {
             return outcome;
         }
+        let runs = self.fleet.host_runs(host);
+        self.fleet.upkeep_runs.borrow_mut().push(runs);
         self.fleet.upkeeps.borrow_mut().push((epoch, host.clone()));
         HostOutcome::Accepted
     }
