Keep hosts empty until their upkeep is accepted

Callers may see long-running tasks end together, beyond what their steps allow (AVAIL): an upkeep ends all tasks of its host. Three ways led to tasks on a host whose upkeep was decided:

- A new controller sent upkeeps again that its predecessor had decided and that weren't known to be accepted, without a cordon, and 3.15 s later: its own starts had gone to just these hosts, since they were empty.
- The cordon of a host whose worker wasn't listed yet had no effect.
Tasks started once it was listed.
- A host whose worker only the host lists counted as empty, whatever an earlier controller had placed there.

Now a host stays cordoned, and is drained within the limits of its steps, as long as its upkeep is not accepted, in every term; the command is sent only while the host is empty. The cordon of a worker that is not listed yet waits for it. Restored placements on such a worker count. A held worker that runs on after the acceptance, because an earlier command had been carried out, gets tasks again.

Ruled out by reading, for tasks without an outage of their worker: stops of an earlier controller (workers refuse its epoch; those at work count as unavailable for 650 ms), moves (sent only to empty, cordoned hosts, not sent again), starts and stops whose answer is lost (they count as unavailable until settled).

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -21,6 +21,7 @@
 use crate::workflow::organisation_usage::OrganisationUsage;
 use crate::workflow::ArchivedJobs;
 use crate::workflow::CommandPhase;
+use crate::workflow::CordonReason;
 use crate::workflow::DurationTracker;
 use crate::workflow::FleetConfig;
 use crate::workflow::FleetHealth;
@@ -118,6 +119,8 @@
     pub(crate) inherited_until_ms: u64,
     /// Tasks that were restored as placed on workers that are not known yet.
     pub(crate) restored_placements: BTreeMap<WorkerId, Vec<TaskName>>,
+    /// The cordons of workers that are not listed yet.
+    pub(crate) early_cordons: BTreeMap<WorkerId, CordonReason>,
     /// Whether `config` was confirmed as the newest version within the time in which a new one must
     /// be in force. Otherwise, a lower cap may be, and organisations with a cap start nothing.
     pub is_config_recent: bool,
@@ -158,6 +161,7 @@
             lost_runs: BTreeMap::new(),
             inherited_until_ms: now_ms + inherited_ms,
             restored_placements: BTreeMap::new(),
+            early_cordons: BTreeMap::new(),
             is_config_recent: true,
             usage: OrganisationUsage::default(),
             caps: CapLimits::default(),
@@ -252,6 +256,7 @@
                 let service = &entry.service;
                 log::info!("event=worker_listed worker={id} service={service}");
                 let mut worker = WorkerState::new(entry);
+                worker.cordon = self.early_cordons.remove(&id);
                 self.add_restored_tasks(&mut worker);
                 self.workers.insert(id, worker);
             }
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -148,6 +148,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.listed = false;
         }
+        self.early_cordons.remove(id);
         self.resolve_lost_runs(id);
         self.end_worker(id, reason, now_ms);
     }
@@ -244,18 +245,26 @@
     /// Returns the placed tasks whose workers are unknown: only restored ones, since all others are
     /// placed on known workers.
     fn orphans(&self) -> Vec<TaskName> {
-        let is_placed_on = |name: &TaskName, worker: &WorkerId| {
-            let job = self.jobs.get(&name.job);
-            job.and_then(|job| job.task(name)?.worker()) == Some(worker)
-        };
         let restored = self.restored_placements.iter();
         let orphans = restored.flat_map(|(worker, names)| {
-            let placed = names.iter().filter(move |name| is_placed_on(name, worker));
+            let placed = names.iter();
+            let placed = placed.filter(move |name| self.is_placed_on(name, worker));
             placed.cloned()
         });
         orphans.collect()
     }
 
+    /// Returns whether restored tasks are placed on a worker that is unknown.
+    pub(crate) fn has_orphans(&self, worker: &WorkerId) -> bool {
+        let restored = self.restored_placements.get(worker);
+        restored.is_some_and(|names| names.iter().any(|name| self.is_placed_on(name, worker)))
+    }
+
+    fn is_placed_on(&self, name: &TaskName, worker: &WorkerId) -> bool {
+        let job = self.jobs.get(&name.job);
+        job.and_then(|job| job.task(name)?.worker()) == Some(worker)
+    }
+
     /// Adds the tasks that were restored as placed on a new worker and have not been released
     /// since. All other tasks are placed on known workers.
     pub(crate) fn add_restored_tasks(&mut self, worker: &mut WorkerState) {
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -53,6 +53,8 @@
     dispatcher: Rc<HostDispatcher>,
     /// When the last upkeep of each host was commanded or answered, in ms.
     commanded_ms: RefCell<HashMap<HostId, u64>>,
+    /// Workers that are kept empty for upkeeps that may have to be sent again, by host.
+    held_workers: RefCell<HashMap<HostId, WorkerId>>,
     /// The state and worker of each host in the last list.
     states: RefCell<HashMap<HostId, (HostState, Option<WorkerId>)>>,
 }
@@ -75,6 +77,7 @@
         platform,
         term,
         commanded_ms: RefCell::default(),
+        held_workers: RefCell::default(),
         states: RefCell::default(),
     });
     let mut recorded_ms = 0;
@@ -96,6 +99,7 @@
             let moved = mover.moved_since(listed_ms);
             manager.advance_wave(&request, first_read_ms, &list, &pools, listed_ms, &moved);
         }
+        manager.release_hosts(hosts, listed_ms);
         let pools = mover.pools(hosts, &manager.upkeep_hosts());
         mover.advance(&pools, hosts);
     }
@@ -165,12 +169,13 @@
             return;
         }
         let wave_hosts = self.wave_hosts(request, hosts, pools, listed_ms, moved);
-        self.resend_upkeeps(request);
         let age_ms = self.waves.age_ms(wave, first_read_ms);
         let remaining_ms = request.deadline_ms.saturating_sub(age_ms);
         let capacity_short = pools.iter().any(|pool| pool.lacks_capacity());
         let choice = choose_upkeep(&wave_hosts, request.max_down, remaining_ms, capacity_short);
         self.mark_due(&wave_hosts, hosts);
+        self.hold_hosts(request, &wave_hosts, hosts, choice.force);
+        self.resend_upkeeps(request);
         self.drain(&choice.cordon, hosts, choice.force);
         if !choice.start.is_empty() {
             self.start_upkeeps(request, &choice.start, &workers_by_host(hosts));
@@ -216,7 +221,7 @@
                 pool_busy: pools
                     .iter()
                     .any(|pool| pool.name == host.pool && !pool.standby && pool.spare_ms == 0),
-                empty: worker.is_none_or(|worker| worker.tasks.is_empty()),
+                empty: host.worker.as_ref().is_none_or(|id| engine.is_vacant(id)),
             }
         };
         due.map(wave_host).collect()
@@ -234,6 +239,48 @@
         self.term.plan.notify_one();
     }
 
+    /// Keeps hosts empty whose upkeep was decided and is not accepted. An earlier controller may have
+    /// emptied them, and tasks may have been placed since.
+    fn hold_hosts(
+        &self,
+        request: &WaveRequest,
+        wave_hosts: &[WaveHost],
+        hosts: &[HostEntry],
+        force: bool,
+    ) {
+        let unaccepted: HashSet<_> = self.waves.progress(&request.wave).unaccepted().collect();
+        let workers = workers_by_host(hosts);
+        let mut held = self.held_workers.borrow_mut();
+        let mut engine = self.term.engine.borrow_mut();
+        let hosts = wave_hosts.iter().map(|host| &host.host);
+        for host in hosts.filter(|host| unaccepted.contains(*host)) {
+            if let Some(worker) = workers.get(host).copied().flatten() {
+                engine.set_cordon(worker, Some(CordonReason::Upkeep));
+                engine.drain_worker(worker, force);
+                held.insert(host.clone(), worker.clone());
+            }
+        }
+    }
+
+    /// Lets tasks be placed again on held workers that run on after the upkeep was accepted, according
+    /// to a list of hosts that was requested at `listed_ms`: an earlier command had been carried out.
+    fn release_hosts(&self, hosts: &[HostEntry], listed_ms: u64) {
+        let unaccepted = self.waves.unaccepted_hosts();
+        let commanded = self.commanded_ms.borrow();
+        let workers = workers_by_host(hosts);
+        let mut engine = self.term.engine.borrow_mut();
+        self.held_workers.borrow_mut().retain(|host, worker| {
+            let at_ms = commanded.get(host).copied().unwrap_or(0);
+            if unaccepted.contains(host) || listed_ms < at_ms + MIN_DOWN_MS {
+                return true;
+            }
+            if workers.get(host).copied().flatten() == Some(&*worker) {
+                engine.set_cordon(worker, None);
+            }
+            false
+        });
+    }
+
     /// Updates the workers' `upkeep_due`: true for hosts that the wave will still take down.
     fn mark_due(&self, wave_hosts: &[WaveHost], hosts: &[HostEntry]) {
         let mut engine = self.term.engine.borrow_mut();
@@ -288,8 +335,12 @@
         }
     }
 
-    /// Sends the command for a host's upkeep. Returns whether the outcome is final.
+    /// Sends the command for a host's upkeep, unless tasks were placed there. Returns whether the outcome
+    /// is final.
     async fn send_upkeep(&self, wave: &WaveId, host: &HostId) -> bool {
+        if !self.is_vacant(host) {
+            return false;
+        }
         self.record_command(host);
         let epoch = self.term.epoch;
         let outcome = self.platform.start_upkeep(host, wave, epoch).await;
@@ -309,7 +360,14 @@
         commanded.insert(host.clone(), boot_ms());
     }
 
-    /// Resends commands for upkeeps that were decided but not accepted yet.
+    /// Returns whether no tasks are placed on the worker that a host listed last.
+    fn is_vacant(&self, host: &HostId) -> bool {
+        let states = self.states.borrow();
+        let worker = states.get(host).and_then(|(_, worker)| worker.as_ref());
+        worker.is_none_or(|worker| self.term.engine.borrow().is_vacant(worker))
+    }
+
+    /// Resends commands for upkeeps that were decided but not accepted yet, to hosts without tasks.
     fn resend_upkeeps(self: &Rc<Self>, request: &WaveRequest) {
         let progress = self.waves.progress(&request.wave);
         let command = |host: HostId| {
@@ -320,7 +378,8 @@
             };
             (host, send)
         };
-        let unaccepted = self.term.permitted_hosts(progress.unaccepted()).into_iter();
+        let vacant = progress.unaccepted().filter(|host| self.is_vacant(host));
+        let unaccepted = self.term.permitted_hosts(vacant).into_iter();
         // The decision itself may not be durable yet.
         let row = progress.to_write(&request.wave);
         self.dispatcher
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -9,13 +9,28 @@
 use crate::workflow::WorkerState;
 
 impl JobEngine {
-    /// Cordons a worker, so that it gets no new tasks, or removes its cordon if `cordon` is `None`.
+    /// Cordons a worker, so that it gets no new tasks, or removes its cordon if `cordon` is `None`. One
+    /// that is not listed yet is cordoned from the start: its host may list it earlier.
     pub fn set_cordon(&mut self, id: &WorkerId, cordon: Option<CordonReason>) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            if worker.cordon != cordon {
-                log::info!("event=worker_cordoned worker={id} reason={cordon:?}");
-                worker.cordon = cordon;
-            }
+        let Some(worker) = self.workers.get_mut(id) else {
+            match cordon {
+                Some(reason) => self.early_cordons.insert(id.clone(), reason),
+                None => self.early_cordons.remove(id),
+            };
+            return;
+        };
+        if worker.cordon != cordon {
+            log::info!("event=worker_cordoned worker={id} reason={cordon:?}");
+            worker.cordon = cordon;
+        }
+    }
+
+    /// Returns whether no tasks are placed on a worker. Those of an earlier controller may be, although
+    /// the worker is not listed.
+    pub fn is_vacant(&self, id: &WorkerId) -> bool {
+        match self.workers.get(id) {
+            Some(worker) => worker.tasks.is_empty(),
+            None => !self.has_orphans(id),
         }
     }
 
