Show that stops sent again may end too many tasks of a step

Callers could see more long-running tasks of a step stopped than may be unavailable. A start without an answer is followed by a stop once the worker doesn't list the run; if the start is executed late, before the stop is, the run is at work, and the stop that is sent again ends it, whatever else of its step is away. The task counts as unavailable all the while, so that drains keep within the limit; two such tasks of one step don't.

By the test: both tasks of a step that may miss one are stopped while at work.

--- a/tests/workflow_engine.rs
+++ b/tests/workflow_engine.rs
@@ -90,6 +90,33 @@
     assert!(!fleet.is_placed(&name));
 }
 
+/// Starts without an answer may be executed late, after their stops were sent. The runs are then at work,
+/// and stops that are sent again end more of them than their step allows.
+#[test]
+fn stops_of_starts_that_were_executed_late_keep_within_the_limit_of_their_step() {
+    // Arrange: neither the starts nor the stops of two tasks are answered.
+    let mut fleet = EngineFleet::new(3);
+    fleet.submit(JOB, vec![long_running(2, 1)]);
+    let lost = CommandOutcome::Unknown("no answer".to_owned());
+    for name in fleet.place() {
+        fleet.engine.apply_start(&name, 1, &lost, fleet.now_ms);
+    }
+    fleet.advance(100);
+    fleet.report_empty();
+    let stops = fleet.engine.take_stops();
+
+    // Act: the starts are executed before the stops are sent again.
+    fleet.report_all();
+    for stop in &stops {
+        fleet.engine.apply_stop(stop, &lost, fleet.now_ms);
+    }
+    let resent = fleet.engine.take_stops();
+
+    // Assert.
+    assert_eq!(stops.len(), 2);
+    assert!(resent.len() <= 1, "both tasks at work are stopped");
+}
+
 #[test]
 fn a_task_at_its_limit_of_attempts_fails_its_job() {
     let mut fleet = EngineFleet::new(2);
