Claim the lease above the workers' epoch after its row was deleted

Callers saw: after a deletion of the leader row nothing ran for anybody. The next holder began with epoch 1, which workers refuse as lower than one that they have accepted. A holder whose row was gone took its commit for unsettled and retried without end, so that a single entry host never claimed the lease again.

Evidence: failed before the change, on: both new tests of tests/leader_lease.rs and deleted_leader_row_does_not_stop_all_jobs (its second job was not complete after 8 s).

Change: without a leader row, the claim looks for rows that only holders write (the ages of commands, or any progress). A holder that reads that its row is gone ends its term.

--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -17,6 +17,7 @@
 use crate::workflow::call_series::CallSeries;
 use crate::workflow::leader_record::read_record;
 use crate::workflow::leader_record::unknown_record;
+use crate::workflow::lost_leader::find_lost_record;
 use crate::workflow::refused_row::lasting_refusal;
 use crate::workflow::CountStamp;
 use crate::workflow::LeaderRecord;
@@ -86,8 +87,10 @@
         current: Option<&TableRow>,
         holder: &str,
     ) -> Option<Self> {
-        let previous = current.map(|row| read_record(row).unwrap_or_else(|| unknown_record(row)));
-        let previous = previous.unwrap_or_default();
+        let previous = match current {
+            Some(row) => read_record(row).unwrap_or_else(|| unknown_record(row)),
+            None => find_lost_record(table, holder).await?,
+        };
         let record = LeaderRecord {
             epoch: previous.epoch + 1,
             holder: holder.to_owned(),
@@ -364,7 +367,10 @@
                 return None;
             }
         };
-        let row = rows.first()?;
+        let Some(row) = rows.first() else {
+            log::error!("event=leader_row_lost epoch={}", self.epoch());
+            return Some(Err(LeaseLost));
+        };
         if read_record(row).is_some_and(|stored| stored.is_same_commit(&self.record)) {
             self.record_confirmed(row.revision, sent_ms);
             return Some(Ok(()));
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -69,6 +69,7 @@
 mod limit_cause;
 mod limits_view;
 mod long_task_monitor;
+mod lost_leader;
 mod lost_runs;
 mod organisation;
 mod organisation_directory;
--- a/tests/leader_lease.rs
+++ b/tests/leader_lease.rs
@@ -11,9 +11,12 @@
 
 use futures::join;
 use monoio::time::sleep;
+use monoio::time::timeout;
 use serde_json::json;
 use serde_json::Value;
 use zincpier::workflow::LeaderLease;
+use zincpier::workflow::LeaseLost;
+use zincpier::workflow::COMMANDS_KEY;
 use zincpier::workflow::INHERITED_RUN_MS;
 use zincpier::workflow::LEADER_KEY;
 
@@ -60,6 +63,40 @@
     assert_eq!(inherited_ms, INHERITED_RUN_MS);
 }
 
+/// Workers keep the highest epoch that they have seen, so that they would refuse all commands of the first
+/// epochs after the row was deleted, and their tasks would be started again while they run.
+#[test]
+fn deleted_leader_row_does_not_begin_with_epoch_one_again() {
+    for trace in [COMMANDS_KEY, "progress/00000000000000a1"] {
+        let table = FakeTable::default();
+        (0..40).for_each(|number| table.store("queues/r-one", json!(number)));
+        table.store(trace, json!({}));
+
+        let lease = run(async { LeaderLease::claim(&table, None, "boston-1").await });
+
+        // Each term takes a transaction, so no epoch exceeds the table's revision.
+        let lease = lease.unwrap();
+        assert!(lease.epoch() > 41, "{trace}: {}", lease.epoch());
+        assert_eq!(lease.inherited_ms(), INHERITED_RUN_MS);
+    }
+}
+
+/// The holder would try to renew its lease without end, and the only entry host would never claim it again.
+#[test]
+fn holder_whose_row_is_deleted_does_not_wait_for_it() {
+    run(async {
+        let table = FakeTable::default();
+        let lease = LeaderLease::claim(&table, None, "boston-1").await;
+        let mut lease = lease.unwrap();
+
+        table.remove(LEADER_KEY);
+        let commit = lease.commit(&table, Vec::new(), None);
+        let outcome = timeout(Duration::from_secs(2), commit).await;
+
+        assert_eq!(outcome.ok(), Some(Err(LeaseLost)));
+    });
+}
+
 /// Returns the epoch of a lease that is claimed on `table`, and the one that the row then states.
 fn claimed_epochs(table: &FakeTable) -> (Option<u64>, Option<u64>) {
     let lease = run(async { LeaderLease::claim(table, None, "boston-1").await });
--- a/tests/refused_rows.rs
+++ b/tests/refused_rows.rs
@@ -16,8 +16,10 @@
 
 use monoio::time::sleep;
 use monoio::time::Instant;
+use serde_json::json;
 use zincpier::id::JobId;
 use zincpier::provider::TableService;
+use zincpier::provider::Transaction;
 use zincpier::workflow::CallerScope;
 use zincpier::workflow::CountFreshness;
 use zincpier::workflow::JobIntake;
@@ -326,3 +328,29 @@
         assert!(!fleet.upkeeps.borrow().is_empty());
     });
 }
+
+/// Workers refuse the first epochs after later ones, so that nothing would run for anybody until they are
+/// restarted.
+#[test]
+fn deleted_leader_row_does_not_stop_all_jobs() {
+    run(async {
+        // Arrange: the workers have seen the epoch of a third holder.
+        let fleet = fleet();
+        let record = json!({ "epoch": 2, "holder": "boston-9", "commit": 1, "released": true });
+        let store = Transaction::new().with_write(LEADER_KEY, record);
+        fleet.commit(&store);
+        let link = start_entry(&fleet, "boston-1");
+        submit(&link, 1).await;
+        let is_begun = reaches(&link, 1, JobPhase::Complete, Duration::from_secs(8)).await;
+
+        // Act.
+        fleet.commit(&Transaction::new().with_delete(LEADER_KEY));
+        sleep(Duration::from_millis(500)).await;
+        submit(&link, 2).await;
+        let is_complete = reaches(&link, 2, JobPhase::Complete, Duration::from_secs(8)).await;
+
+        // Assert.
+        assert_eq!((is_begun, is_complete), (true, true));
+        assert_no_task_ran_twice(&fleet);
+    });
+}
