Keep a host whose commands are refused from holding up others

Callers saw: a host whose upkeep the platform answers with 403, 404, 410 or 422 counted as down for good, so that with a cap of 1 no other host of its wave got its upkeep. The command was sent five times a second without end. A move that is refused so was sent again at the same rate, and no other host was chosen.

Change: such an answer is HostOutcome::Refused. A host whose first command of a wave is refused is due again instead of started, and its worker takes tasks. The wave is not complete without it. After an unanswered command the host keeps its place among those that are down, since the platform may carry that command out.

--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -325,6 +325,8 @@
     Busy(String),
     /// Refused for good, with the reason.
     Rejected(String),
+    /// Refused with an answer that is not expected to change soon, with the reason. Nothing was done.
+    Refused(String),
     /// No answer, with the reason. The command may have been executed.
     Unknown(String),
 }
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -2,6 +2,7 @@
 //! lease.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -19,6 +20,7 @@
 use crate::workflow::host_dispatcher::HostDispatcher;
 use crate::workflow::host_listing::HostListing;
 use crate::workflow::host_listing::ListedHosts;
+use crate::workflow::refusal_pause::RefusalPause;
 use crate::workflow::wave_records::WaveRecords;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CordonReason;
@@ -53,6 +55,8 @@
     dispatcher: Rc<HostDispatcher>,
     /// When the last upkeep of each host was commanded or answered, in ms.
     commanded_ms: RefCell<HashMap<HostId, u64>>,
+    /// Upkeeps that the platform refused, and is to be asked for again.
+    refused_upkeeps: RefCell<BTreeMap<(WaveId, HostId), RefusalPause>>,
     /// The state and worker of each host in the last list.
     states: RefCell<HashMap<HostId, (HostState, Option<WorkerId>)>>,
 }
@@ -75,6 +79,7 @@
         platform,
         term,
         commanded_ms: RefCell::default(),
+        refused_upkeeps: RefCell::default(),
         states: RefCell::default(),
     });
     let mut recorded_ms = 0;
@@ -205,7 +210,9 @@
                 recent || inherited_command_ms.is_some_and(|at_ms| listed_ms < at_ms + MIN_DOWN_MS);
             WaveHost {
                 host: host.host.clone(),
-                up: host.is_up() && !moved.contains(&host.host),
+                up: host.is_up()
+                    && !moved.contains(&host.host)
+                    && !self.is_refused(&request.wave, &host.host),
                 down: started && (!host.is_up() || !accepted || recent),
                 started,
                 used_millis: worker.map_or(0, |worker| worker.used.cpu_millis),
@@ -278,30 +285,63 @@
 
     async fn start_upkeep(&self, wave: &WaveId, host: &HostId, worker: Option<&WorkerId>) {
         let sent_ms = boot_ms();
-        let is_final = self.send_upkeep(wave, host).await;
+        let outcome = self.send_upkeep(wave, host).await;
+        if matches!(outcome, HostOutcome::Refused(_)) {
+            // The only command to this host has done nothing, so another host may be down instead.
+            self.withdraw_upkeep(wave, host, worker);
+        }
         // An earlier controller may have taken the host down, and its worker runs on.
         let is_first = !self.waves.progress(wave).is_forgotten;
-        if let (true, Some(worker)) = (is_final && is_first, worker) {
+        if let (true, true, Some(worker)) = (is_final(&outcome), is_first, worker) {
             let mut engine = self.term.engine.borrow_mut();
             let reason = "host taken down for upkeep";
             engine.end_incarnation_as_of(worker, sent_ms, reason, boot_ms());
         }
     }
 
-    /// Sends the command for a host's upkeep. Returns whether the outcome is final.
-    async fn send_upkeep(&self, wave: &WaveId, host: &HostId) -> bool {
+    /// Sends the command for a host's upkeep, and records its outcome.
+    async fn send_upkeep(&self, wave: &WaveId, host: &HostId) -> HostOutcome {
         self.record_command(host);
         let epoch = self.term.epoch;
         let outcome = self.platform.start_upkeep(host, wave, epoch).await;
         log::info!("event=host_upkeep host={host} wave={wave} epoch={epoch} outcome={outcome:?}");
         self.record_command(host);
-        let is_final = matches!(outcome, HostOutcome::Accepted | HostOutcome::Rejected(_));
-        if is_final {
+        if is_final(&outcome) {
             self.waves.store(wave, |progress| {
                 progress.accepted.insert(host.clone());
             });
         }
-        is_final
+        if matches!(outcome, HostOutcome::Refused(_)) {
+            self.record_refusal(wave, host);
+        }
+        outcome
+    }
+
+    fn record_refusal(&self, wave: &WaveId, host: &HostId) {
+        let key = (wave.clone(), host.clone());
+        let mut refused = self.refused_upkeeps.borrow_mut();
+        let pause = RefusalPause::after(refused.get(&key), boot_ms());
+        let pause_ms = pause.pause_ms();
+        log::error!("event=host_refused host={host} wave={wave} pause_ms={pause_ms}");
+        refused.insert(key, pause);
+    }
+
+    /// Returns whether the platform refused a host's upkeep lately.
+    fn is_refused(&self, wave: &WaveId, host: &HostId) -> bool {
+        let refused = self.refused_upkeeps.borrow();
+        let pause = refused.get(&(wave.clone(), host.clone()));
+        pause.is_some_and(|pause| pause.is_active(boot_ms()))
+    }
+
+    /// Makes a host due again whose upkeep was decided and refused. Its worker goes on.
+    fn withdraw_upkeep(&self, wave: &WaveId, host: &HostId, worker: Option<&WorkerId>) {
+        self.waves.store(wave, |progress| {
+            progress.started.remove(host);
+        });
+        if let Some(worker) = worker {
+            self.term.engine.borrow_mut().set_cordon(worker, None);
+        }
+        self.term.plan.notify_one();
     }
 
     fn record_command(&self, host: &HostId) {
@@ -320,10 +360,17 @@
             };
             (host, send)
         };
-        let unaccepted = self.term.permitted_hosts(progress.unaccepted()).into_iter();
+        let due = progress.unaccepted();
+        let due = due.filter(|host| !self.is_refused(&request.wave, host));
+        let unaccepted = self.term.permitted_hosts(due).into_iter();
         // The decision itself may not be durable yet.
         let row = progress.to_write(&request.wave);
         self.dispatcher
             .dispatch(unaccepted.map(command).collect(), Some(row));
     }
 }
+
+/// Returns whether a command need not be sent again.
+fn is_final(outcome: &HostOutcome) -> bool {
+    matches!(outcome, HostOutcome::Accepted | HostOutcome::Rejected(_))
+}
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -14,6 +14,7 @@
 use crate::workflow::choose_moves;
 use crate::workflow::gateway::workers_by_host;
 use crate::workflow::host_dispatcher::HostDispatcher;
+use crate::workflow::refusal_pause::RefusalPause;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CordonReason;
 use crate::workflow::FleetPlatform;
@@ -46,8 +47,8 @@
     arriving: RefCell<HashMap<HostId, (String, u64)>>,
     /// The time in ms since which each pool has had spare capacity.
     spare_since: RefCell<BTreeMap<String, u64>>,
-    /// Moves that the platform refused for good, as host and target pool.
-    rejected_moves: RefCell<BTreeSet<(HostId, String)>>,
+    /// Moves that the platform refused, as host and target pool.
+    refused_moves: RefCell<BTreeMap<(HostId, String), RefusalPause>>,
     logged_ms: Cell<u64>,
 }
 
@@ -61,7 +62,7 @@
             moving: RefCell::default(),
             arriving: RefCell::default(),
             spare_since: RefCell::default(),
-            rejected_moves: RefCell::default(),
+            refused_moves: RefCell::default(),
             logged_ms: Cell::new(0),
         })
     }
@@ -156,9 +157,11 @@
         let blocked = arriving || moving_to.is_some() || unresponsive;
         let known = standby || state.is_some();
         let upkeep = cordon == Some(CordonReason::Upkeep) || upkeep_hosts.contains(&host.host);
-        let rejected = self.rejected_moves.borrow();
-        let refused = rejected.range((host.host.clone(), String::new())..);
-        let refused = refused.take_while(|(other, _)| *other == host.host);
+        let refused_moves = self.refused_moves.borrow();
+        let now_ms = boot_ms();
+        let refused = refused_moves.range((host.host.clone(), String::new())..);
+        let refused = refused.take_while(|((other, _), _)| *other == host.host);
+        let refused = refused.filter(|(_, pause)| pause.is_active(now_ms));
         PoolHost {
             host: host.host.clone(),
             capacity_millis: host.capacity.cpu_millis,
@@ -169,7 +172,7 @@
                 (Some(to), _) | (None, Some(CordonReason::Move(to))) => Some(to),
                 _ => None,
             },
-            refused_pools: refused.map(|(_, pool)| pool.clone()).collect(),
+            refused_pools: refused.map(|((_, pool), _)| pool.clone()).collect(),
         }
     }
 
@@ -244,7 +247,7 @@
             }
             let host_move = moves.get(&host.host).copied();
             match (host_move, worker) {
-                (Some(host_move), _) if self.is_rejected(host_move) => {}
+                (Some(host_move), _) if self.is_refused(host_move) => {}
                 (Some(host_move), Some(worker)) => {
                     engine.set_cordon(worker, Some(CordonReason::Move(host_move.to.clone())));
                     if pools
@@ -268,9 +271,27 @@
         ready
     }
 
-    fn is_rejected(&self, host_move: &HostMove) -> bool {
+    fn is_refused(&self, host_move: &HostMove) -> bool {
         let key = (host_move.host.clone(), host_move.to.clone());
-        self.rejected_moves.borrow().contains(&key)
+        let refused = self.refused_moves.borrow();
+        let pause = refused.get(&key);
+        pause.is_some_and(|pause| pause.is_active(boot_ms()))
+    }
+
+    /// Keeps a move that the platform refused from being sent again, for good if `is_final`.
+    fn record_refusal(&self, host_move: &HostMove, is_final: bool) {
+        let HostMove { host, to } = host_move;
+        let mut refused = self.refused_moves.borrow_mut();
+        let key = (host.clone(), to.clone());
+        let pause = match is_final {
+            true => RefusalPause::without_end(),
+            false => RefusalPause::after(refused.get(&key), boot_ms()),
+        };
+        let pause_ms = pause.pause_ms();
+        if !is_final {
+            log::error!("event=host_refused host={host} to={to} pause_ms={pause_ms}");
+        }
+        refused.insert(key, pause);
     }
 
     /// Returns whether a host whose move was decided is still empty and to leave for its new pool.
@@ -296,10 +317,8 @@
                 let mut arriving = self.arriving.borrow_mut();
                 arriving.insert(host.clone(), (to.clone(), boot_ms()));
             }
-            HostOutcome::Rejected(_) => {
-                let key = (host.clone(), to.clone());
-                self.rejected_moves.borrow_mut().insert(key);
-            }
+            HostOutcome::Rejected(_) => self.record_refusal(host_move, true),
+            HostOutcome::Refused(_) => self.record_refusal(host_move, false),
             HostOutcome::Busy(_) => {}
         }
         let mut engine = self.term.engine.borrow_mut();
@@ -308,7 +327,9 @@
                 let reason = "host moved to another pool";
                 engine.end_incarnation_as_of(worker, sent_ms, reason, boot_ms());
             }
-            (HostOutcome::Rejected(_), Some(worker)) => engine.set_cordon(worker, None),
+            (HostOutcome::Rejected(_) | HostOutcome::Refused(_), Some(worker)) => {
+                engine.set_cordon(worker, None);
+            }
             _ => {}
         }
     }
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -88,6 +88,7 @@
 mod rate_admission;
 mod rate_limiter;
 mod rate_meter;
+mod refusal_pause;
 mod refused_row;
 mod refused_rows;
 mod resource_cap;
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -120,6 +120,10 @@
     pub(crate) silent_hosts: RefCell<BTreeSet<HostId>>,
     /// Time after which a command without an answer is given up.
     pub(crate) silence: Cell<Duration>,
+    /// Hosts whose commands are refused for an unstated reason.
+    pub(crate) refused_hosts: RefCell<BTreeSet<HostId>>,
+    /// The moves that were answered, in the order in which they were sent.
+    pub(crate) moves: RefCell<Vec<HostId>>,
     /// The commands to silent hosts, in the order in which they were sent.
     pub(crate) unanswered: RefCell<Vec<HostId>>,
     /// The workers on which tasks were started, in that order.
@@ -202,6 +206,8 @@
             upkeeps: RefCell::default(),
             silent_hosts: RefCell::default(),
             silence: Cell::new(Duration::from_secs(5)),
+            refused_hosts: RefCell::default(),
+            moves: RefCell::default(),
             unanswered: RefCell::default(),
             start_workers: RefCell::default(),
             task_ms: Cell::new(100),
@@ -912,7 +918,13 @@
     }
 
     async fn move_host(&self, host: &HostId, _: &str, _: u64) -> HostOutcome {
-        let silent = self.command_silent_host(host).await;
-        silent.unwrap_or_else(|| HostOutcome::Rejected("no".to_owned()))
+        if let Some(outcome) = self.command_silent_host(host).await {
+            return outcome;
+        }
+        self.fleet.moves.borrow_mut().push(host.clone());
+        match self.fleet.refused_hosts.borrow().contains(host) {
+            true => HostOutcome::Refused("policy".to_owned()),
+            false => HostOutcome::Rejected("no".to_owned()),
+        }
     }
 }
--- a/tests/host_passes.rs
+++ b/tests/host_passes.rs
@@ -234,3 +234,35 @@
         assert_eq!(on_commanded.count(), 0);
     });
 }
+
+/// A short pool would wait for that host, whose move is sent several times a second.
+#[test]
+fn host_whose_move_is_refused_does_not_stand_in_for_others() {
+    run(async {
+        // Arrange: demand beyond the only host of its pool, and two standby hosts.
+        let entries = vec![
+            fixtures::worker_entry(0),
+            worker_of("standby", 1),
+            worker_of("standby", 2),
+        ];
+        let fleet = FakeFleet::new(config_with_standby(), entries);
+        fleet.refused_hosts.borrow_mut().insert(host(1));
+        fleet.task_ms.set(60_000);
+        let link = start_entry(&fleet, "boston-1", &ShutdownSignal::new());
+
+        // Act.
+        submit(&link, 12).await;
+        let is_moved = |index| fleet.moves.borrow().contains(&host(index));
+        let is_refused = wait_until(|| is_moved(1), TIMEOUT).await;
+        let is_next_moved = wait_until(|| is_moved(2), MAX_DELAY).await;
+        sleep(Duration::from_secs(2)).await;
+
+        // Assert: the refused move is sent again after pauses of 1 and 2 s.
+        assert!(is_refused);
+        assert!(is_next_moved);
+        let moves = fleet.moves.borrow();
+        let refused = moves.iter().filter(|moved| **moved == host(1));
+        let refused = refused.count();
+        assert!((1..=3).contains(&refused), "{refused} moves in 3 s");
+    });
+}
