Hold a job whose progress can't be decoded

Callers saw: tasks of such a job that were done ran again, since unreadable progress counted as none; the new row replaced the unreadable one.

Evidence: job_with_unreadable_progress_runs_no_task_again failed before the change: both jobs' rows were to be written, with placements.

Change: the job is known and not open, so that nothing of it is placed and its row isn't written until it is cancelled. event=progress_unreadable says action=held.

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -174,8 +174,9 @@
     }
 
     /// Adds a job and restores its durable progress; a job without progress counts as a new
-    /// arrival. No effect if the job is already known or archived: a feed that is read again from
-    /// its start may deliver a submission that was archived meanwhile.
+    /// arrival, and one whose progress is unreadable runs nothing. No effect if the job is already
+    /// known or archived: a feed that is read again from its start may deliver a submission that was
+    /// archived meanwhile.
     pub fn add_job(&mut self, id: JobId, spec: JobSpec, progress: Option<&Value>, now_ms: u64) {
         if self.jobs.contains_key(&id) || self.archived.contains(&id) {
             return;
@@ -191,7 +192,11 @@
         }
         if let Some(progress) = progress {
             if job.restore(progress, now_ms).is_none() {
-                log::error!("event=progress_unreadable job={id}");
+                log::error!("event=progress_unreadable job={id} action=held");
+                // Its tasks may be done, so none is open to placement until it is cancelled.
+                let job = JobState::new(id.clone(), Rc::clone(&job.spec), now_ms);
+                self.jobs.insert(id, job.with_row_limit(self.row_limit));
+                return;
             }
         }
         let inherited: Vec<_> = job
