Add three failing tests of the lease and of stops during a doubt

What callers would see: all tasks of a worker end although the controller holds its lease; two holders whose commands to one host follow each other in less than the platform's 3 s; hundreds of stops sent at once when an outage ends.

A commit that searches for refused rows tells the term of its confirmations only when it is over; a commit that was found by a read counts from the read; a run that no job has is stopped anew with each report, and each of these stops waits for the doubt.

--- a/tests/common/fake_table.rs
+++ b/tests/common/fake_table.rs
@@ -15,6 +15,7 @@
 use zincpier::error::Error;
 use zincpier::error::Result;
 use zincpier::id::Revision;
+use zincpier::process::boot_ms;
 use zincpier::provider::ObjectService;
 use zincpier::provider::RowCheck;
 use zincpier::provider::TableRow;
@@ -41,6 +42,8 @@
     pub(crate) unresponsive: Cell<bool>,
     /// Number of transactions received, including those that conflicted.
     pub(crate) transactions: Cell<u64>,
+    /// When the last transaction was committed, in ms.
+    pub(crate) committed_ms: Cell<u64>,
 }
 
 impl FakeTable {
@@ -96,6 +99,7 @@
         if !conflicts.is_empty() {
             return TransactionOutcome::Conflict(conflicts);
         }
+        self.committed_ms.set(boot_ms());
         self.revision.set(self.revision.get() + 1);
         let revision = Revision::new(self.revision.get());
         for write in &transaction.writes {
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -283,6 +283,46 @@
     });
 }
 
+/// Each report lists such a run again, and hundreds of stops would be sent at once after an outage.
+#[test]
+fn stops_of_one_run_do_not_pile_up_during_a_doubt() {
+    run(async {
+        // Arrange: a worker lists a run that no job has.
+        let (term, _) = doubted_term().await;
+        let worker = fixtures::worker_entry(0).id;
+        let unknown = RunningTask {
+            task: fixtures::task("00000000000000b1", 0),
+            run: 1,
+            checkpoint: String::new(),
+            percent: 100,
+            load: 0,
+        };
+        let report = WorkerReport {
+            running: vec![unknown],
+            ..empty_report()
+        };
+
+        // Act: it does so in each report until the doubt ends.
+        let gateway = Rc::new(CountingGateway::default());
+        for _ in 0..20 {
+            let now_ms = boot_ms();
+            let mut engine = term.engine.borrow_mut();
+            engine.apply_report(&worker, &report, now_ms, now_ms);
+            let stops = engine.take_stops().into_iter();
+            drop(engine);
+            for stop in stops.filter(|stop| stop.task == report.running[0].task) {
+                monoio::spawn(send_stop(Rc::clone(&gateway), Rc::clone(&term), stop));
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        term.record_confirmed(boot_ms());
+        sleep(WAIT_FOR_START).await;
+
+        // Assert.
+        assert_eq!(gateway.stops.get(), 1);
+    });
+}
+
 /// Workers' leases would expire although a successor allows for their renewal, and each refusal of the
 /// same worker would put off the end of the doubt on a slow table.
 #[test]
--- a/tests/leader_lease.rs
+++ b/tests/leader_lease.rs
@@ -115,3 +115,26 @@
         assert!(lease.is_none());
     });
 }
+
+/// A host that claims the lease counts from the commit, so that commands of two holders to a host would
+/// follow each other too soon.
+#[test]
+fn commit_whose_answer_is_lost_does_not_prolong_the_lease() {
+    run(async {
+        // Arrange.
+        let table = FakeTable::default();
+        let mut lease = LeaderLease::claim(&table, None, "boston-1").await.unwrap();
+        table.lost_answers.set(1);
+
+        // Act: a later read shows that it was committed.
+        let refused = lease.commit(&table, Vec::new(), None).await;
+
+        // Assert.
+        assert_eq!(refused, Ok(Vec::new()));
+        let (confirmed_ms, committed_ms) = (lease.confirmed_ms(), table.committed_ms.get());
+        assert!(
+            confirmed_ms <= committed_ms,
+            "{confirmed_ms} {committed_ms}"
+        );
+    });
+}
--- a/tests/refused_rows.rs
+++ b/tests/refused_rows.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use monoio::time::sleep;
 use monoio::time::Instant;
 use zincpier::id::JobId;
@@ -47,6 +48,16 @@
 /// The size from which even the smallest row of a job's progress is refused.
 const ANY_SIZE: usize = 0;
 
+/// Rows that the table refuses while it accepts as many others, in a test of the search for them.
+const SEARCHED_ROWS: usize = 40;
+
+/// Time that a slow table takes for a commit.
+const SLOW_COMMIT: Duration = Duration::from_millis(450);
+
+/// Most of the time that the search for these rows takes on that table, and more than workers' leases
+/// last without a confirmed lease.
+const SEARCH_TIME: Duration = Duration::from_secs(19);
+
 /// More than the leader row without backlogs and limits, less than the one with them.
 const ROW_WITH_BACKLOGS: usize = 160;
 
@@ -290,6 +301,38 @@
     });
 }
 
+/// The search takes longer than workers' leases are renewed without a confirmed lease, although each of its
+/// commits renews the lease.
+#[test]
+fn search_for_refused_rows_does_not_end_the_runs_of_others() {
+    run(async {
+        // Arrange: a long run, on a table that takes long for each commit.
+        let workers = (0..SEARCHED_ROWS).map(fixtures::worker_entry).collect();
+        let fleet = FakeFleet::new(fixtures::config(), workers);
+        fleet.task_ms.set(60_000);
+        let link = start_entry(&fleet, "boston-1");
+        submit(&link, 0).await;
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(fleet.running_count(), TASKS as usize);
+        fleet.commit_time.set(SLOW_COMMIT);
+
+        // Act: every other one of many rows that change together is refused.
+        let numbers = 1..=2 * SEARCHED_ROWS;
+        for number in numbers.clone().step_by(2) {
+            fleet.refuse_rows(&progress_key(number), ANY_SIZE, 400);
+        }
+        join_all(numbers.map(|number| submit(&link, number))).await;
+        sleep(SEARCH_TIME).await;
+
+        // Assert.
+        let ids = (0..SEARCHED_ROWS).map(|number| fixtures::worker_entry(number).id);
+        ids.for_each(|id| fleet.advance(&id));
+        let lapsed = fleet.lapsed_workers.borrow().clone();
+        assert!(fleet.refused_commits.get() > SEARCHED_ROWS as u32);
+        assert_eq!((lapsed.len(), lease_epoch(&link).await), (0, 1));
+    });
+}
+
 /// A successor that doesn't know of an upkeep takes down more hosts than the wave allows.
 #[test]
 fn refused_row_of_a_wave_holds_back_its_commands_only() {
