Confirm the lease to its term with each commit of a search for refused rows

What callers would see: a search for many refused rows on a slow table ends the tasks of all workers, although the host holds the controller's lease all the while. It also keeps a doubt about the lease unsettled, and all commands to hosts back, for as long.

Cause: the term learned that the lease was confirmed once the commit was over, with all of its search. After 12 s without a confirmation workers' leases aren't renewed, and they lapse 4.8 s later.

Change: the lease tells its term of each confirmation, from the creation of the term on. A term therefore begins with the time at which its lease was last confirmed, and not with that of its creation. LeaseLost and RefusedWrites have files of their own.

Evidence: search_for_refused_rows_does_not_end_the_runs_of_others failed (1 worker lapsed) and passes, as do the other tests of refused_rows, controller_term, controller_sessions, host_passes, leader_lease, lease_after_outage and outage_end.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -198,7 +198,6 @@
         let keys = self.keys_to_record(&writes);
         let platform = self.platform.as_ref();
         let refused = lease.commit(platform, writes, self.counted_ms).await?;
-        self.term.record_confirmed(lease.confirmed_ms());
         let accepted = |key: &&String| refused.iter().all(|row| row.write.key != **key);
         keys.iter()
             .filter(accepted)
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -210,6 +210,7 @@
             Rc::clone(&self.metrics),
             self.resources.start_bytes(),
         );
+        lease.inform(Rc::clone(&term));
         let loaded = self.while_renewing(&mut lease, self.load_jobs(&term)).await;
         let Some(job_revision) = loaded else {
             term.end("the lease was lost before the state was loaded");
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -18,8 +18,11 @@
 use crate::workflow::leader_record::read_record;
 use crate::workflow::leader_record::unknown_record;
 use crate::workflow::refused_row::lasting_refusal;
+use crate::workflow::refused_writes::RefusedWrites;
+use crate::workflow::ControllerTerm;
 use crate::workflow::CountStamp;
 use crate::workflow::LeaderRecord;
+use crate::workflow::LeaseLost;
 use crate::workflow::OrganisationLimits;
 use crate::workflow::QueueBacklogs;
 use crate::workflow::RefusedRow;
@@ -63,19 +66,10 @@
     counted_ms: Option<u64>,
     /// Time until which the optional parts of the row are left out, in ms.
     reduced_until_ms: u64,
+    /// The term that is told when the lease was confirmed.
+    term: Option<Rc<ControllerTerm>>,
 }
 
-/// Rows of which the table refuses at least one, with its answer.
-struct RefusedWrites {
-    writes: Vec<RowWrite>,
-    status: u16,
-    reason: String,
-}
-
-/// The lease was lost: another holder has taken it over.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LeaseLost;
-
 impl LeaderLease {
     /// Tries to take over the lease from the holder in `current`. Returns `None` if another
     /// process was faster, or if the table refused. A claim that got no answer may have been
@@ -102,6 +96,7 @@
             confirmed_ms: boot_ms(),
             counted_ms: None,
             reduced_until_ms: 0,
+            term: None,
         };
         let transaction = lease.transaction(Vec::new());
         let deadline_ms = boot_ms() + MAX_CLAIM_MS;
@@ -158,6 +153,13 @@
         Some(is_own)
     }
 
+    /// Tells `term` when the lease was last confirmed, now and with each confirmation: a commit that
+    /// searches for refused rows has many.
+    pub(crate) fn inform(&mut self, term: Rc<ControllerTerm>) {
+        term.record_confirmed(self.confirmed_ms);
+        self.term = Some(term);
+    }
+
     /// Returns the lease's epoch, the fencing token of its holder.
     pub fn epoch(&self) -> u64 {
         self.record.epoch
@@ -376,6 +378,10 @@
     fn record_confirmed(&mut self, revision: Revision, sent_ms: u64) {
         self.revision = revision;
         self.confirmed_ms = sent_ms;
+        // Once it is released, the successor allows for no further command.
+        if let Some(term) = self.term.as_ref().filter(|_| !self.record.released) {
+            term.record_confirmed(sent_ms);
+        }
     }
 
     fn transaction(&self, writes: Vec<RowWrite>) -> Transaction {
