Count a commit that is found by a read from when it was sent

What callers would see: two holders of the lease whose commands reach one host less than the platform's 3 s apart, and both of which take hosts down for a wave.

Cause: a commit or a claim whose answer was lost, or overtaken by that of its repetition, is found by a read of the leader row, and the lease counted as confirmed when that read was sent. Other hosts count from the commit: they claim the lease 1 s after it, while this holder commanded hosts for 1 s from the read, which is some 0.6 s later at least.

Change: it counts from the first sending of that commit. The next commit follows at once, so that commands and a doubt about the lease wait no longer than before a renewal.

--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -137,7 +137,6 @@
     /// Finds out whether a claim whose answer was lost has been committed. Returns `None` if that is
     /// still unknown, and false if another process was faster.
     async fn settle_claim<T: TableService>(&mut self, table: &T) -> Option<bool> {
-        let sent_ms = boot_ms();
         let rows = table.read(&[LEADER_KEY]).await.ok()?;
         let row = rows.first();
         let revision = row.map_or(Revision::new(0), |row| row.revision);
@@ -148,7 +147,8 @@
         let is_own = stored.is_some_and(|stored| stored.is_same_commit(&self.record));
         if is_own {
             self.claimed = revision;
-            self.record_confirmed(revision, sent_ms);
+            // Other hosts count from the claim, and not from this read.
+            self.record_confirmed(revision, self.confirmed_ms);
         }
         Some(is_own)
     }
@@ -293,6 +293,7 @@
         let mut transaction = Rc::new(self.transaction(writes));
         let mut attempts = CallSeries::new();
         let mut delay = RETRY_DELAY;
+        let first_sent_ms = boot_ms();
         loop {
             let sent_ms = boot_ms();
             self.record.counts = counted_ms.map(|counted_ms| CountStamp {
@@ -312,8 +313,8 @@
                         return Ok(None);
                     }
                     Ok(TransactionOutcome::Conflict(_)) => {
-                        if let Some(outcome) = self.resolve(table).await {
-                            return outcome.map(|()| None);
+                        if let Some(is_own) = self.resolve(table, first_sent_ms).await {
+                            return is_own.then_some(None).ok_or(LeaseLost);
                         }
                     }
                     Err(error) => match lasting_refusal(error) {
@@ -356,23 +357,21 @@
     }
 
     /// Finds out whether an earlier attempt whose answer was lost has committed. Returns `None` if
-    /// that is still unknown.
-    async fn resolve<T: TableService>(&mut self, table: &T) -> Option<Result<(), LeaseLost>> {
-        let sent_ms = boot_ms();
-        let rows = match table.read(&[LEADER_KEY]).await {
-            Ok(rows) => rows,
-            Err(error) => {
-                log::warn!("event=commit_unsettled reason=\"{error}\"");
-                return None;
-            }
-        };
+    /// that is still unknown. Other hosts count from the commit, so the lease counts as confirmed at
+    /// `sent_ms`, when the first attempt was sent; the next commit follows at once.
+    async fn resolve<T: TableService>(&mut self, table: &T, sent_ms: u64) -> Option<bool> {
+        let log_error = |error: &Error| log::warn!("event=commit_unsettled reason=\"{error}\"");
+        let rows = table.read(&[LEADER_KEY]).await.inspect_err(log_error);
+        let rows = rows.ok()?;
         let row = rows.first()?;
-        if read_record(row).is_some_and(|stored| stored.is_same_commit(&self.record)) {
+        let is_own = read_record(row).is_some_and(|stored| stored.is_same_commit(&self.record));
+        if is_own {
             self.record_confirmed(row.revision, sent_ms);
-            return Some(Ok(()));
+            self.term.iter().for_each(|term| term.commit.notify_one());
+        } else {
+            log::warn!("event=lease_lost epoch={} now={}", self.epoch(), row.value);
         }
-        log::warn!("event=lease_lost epoch={} now={}", self.epoch(), row.value);
-        Some(Err(LeaseLost))
+        Some(is_own)
     }
 
     fn record_confirmed(&mut self, revision: Revision, sent_ms: u64) {
