Let a stop wait for a doubt about the lease only once

What callers would see: when an outage during a doubt ends, a flood of equal stops goes to the workers, and starts wait behind them.

Change: a term keeps the stops that wait, and drops one that is equal to one of them. CommitNotice has a file of its own.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -14,7 +14,7 @@
 use crate::process::ShutdownSignal;
 use crate::provider::RowWrite;
 use crate::workflow::admission_window::hash_text;
-use crate::workflow::controller_term::CommitNotice;
+use crate::workflow::commit_notice::CommitNotice;
 use crate::workflow::send_start;
 use crate::workflow::BacklogView;
 use crate::workflow::CommitEffect;
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -24,12 +24,14 @@
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
 use crate::provider::RowWrite;
+use crate::workflow::commit_notice::CommitNotice;
 use crate::workflow::host_resources::MIN_START_BYTES;
 use crate::workflow::ControlLag;
 use crate::workflow::HealthState;
 use crate::workflow::HostCommands;
 use crate::workflow::JobEngine;
 use crate::workflow::LeaseLost;
+use crate::workflow::StopRequest;
 use crate::workflow::TaskName;
 use crate::workflow::COMMANDS_KEY;
 
@@ -83,6 +85,8 @@
     confirmed_ms: Cell<u64>,
     /// When it was last doubted that the lease is still held, in ms.
     doubted_ms: Cell<u64>,
+    /// Stops that wait until this controller may decide about runs.
+    waiting_stops: RefCell<HashSet<StopRequest>>,
     /// Workers that refused this epoch.
     refusing_workers: RefCell<HashSet<WorkerId>>,
     /// Time up to which all submissions are known, in ms.
@@ -101,13 +105,6 @@
     pub(crate) done: Option<CommitNotice>,
 }
 
-/// A channel to notify once a commit has succeeded.
-pub(crate) struct CommitNotice {
-    pub(crate) sender: oneshot::Sender<()>,
-    /// Keys of rows without which it isn't notified.
-    pub(crate) keys: Vec<String>,
-}
-
 impl ControllerTerm {
     /// Creates a term that starts with `engine` and the commands known from earlier holders.
     /// Its lease counts as confirmed now.
@@ -147,6 +144,7 @@
             has_worker_list: Cell::new(false),
             confirmed_ms: Cell::new(boot_ms()),
             doubted_ms: Cell::new(0),
+            waiting_stops: RefCell::default(),
             refusing_workers: RefCell::default(),
             submissions_ms: Cell::new(0),
             maintained_workers: RefCell::default(),
@@ -194,13 +192,27 @@
 
     /// Waits until this controller may decide about runs. Returns whether it may: not once its term has
     /// ended, since another holder may then keep what this one would have stopped.
-    pub(crate) async fn wait_for_permission(&self) -> bool {
+    async fn wait_for_permission(&self) -> bool {
         while self.is_active() && !self.may_direct_runs() {
             self.confirmation.notified().await;
         }
         self.is_active()
     }
 
+    /// Like [`ControllerTerm::wait_for_permission`], for a stop. Returns false as well if an equal one waits
+    /// already: a run that no job has is stopped anew with each report.
+    pub(crate) async fn wait_to_stop(&self, request: &StopRequest) -> bool {
+        if self.may_direct_runs() {
+            return true;
+        }
+        if !self.waiting_stops.borrow_mut().insert(request.clone()) {
+            return false;
+        }
+        let may_stop = self.wait_for_permission().await;
+        self.waiting_stops.borrow_mut().remove(request);
+        may_stop
+    }
+
     /// Doubts that the lease is still held, because `worker` has accepted a higher epoch. Nothing is
     /// commanded until a commit that is sent from now on confirms the lease or finds it lost, however
     /// long that takes. No effect if this worker has refused the epoch before: either that doubt lasts,
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -57,7 +57,7 @@
 }
 
 /// A stop command to send; it does not wait for a commit.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct StopRequest {
     /// The worker that runs the task.
     pub worker: WorkerId,
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -15,6 +15,7 @@
 mod capacity_plan;
 mod capped_arrivals;
 mod capped_work;
+mod commit_notice;
 mod committer;
 mod config_confirmation;
 mod control_lag;
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -363,14 +363,14 @@
 }
 
 /// Sends a stop command once the lease is confirmed, and applies its outcome. Until then the run
-/// counts as one that is being stopped. Unless the command was accepted, the outcome is applied
+/// counts as one that is being stopped, and an equal request is dropped. Unless the command was accepted, the outcome is applied
 /// after a pause, because the command is then sent again.
 pub async fn send_stop<G: WorkerGateway>(
     gateway: Rc<G>,
     term: Rc<ControllerTerm>,
     request: StopRequest,
 ) {
-    if !term.wait_for_permission().await {
+    if !term.wait_to_stop(&request).await {
         return;
     }
     let entry = {
--- a/tests/controller_term.rs
+++ b/tests/controller_term.rs
@@ -306,10 +306,11 @@
         let gateway = Rc::new(CountingGateway::default());
         for _ in 0..20 {
             let now_ms = boot_ms();
-            let mut engine = term.engine.borrow_mut();
-            engine.apply_report(&worker, &report, now_ms, now_ms);
-            let stops = engine.take_stops().into_iter();
-            drop(engine);
+            let stops = {
+                let mut engine = term.engine.borrow_mut();
+                engine.apply_report(&worker, &report, now_ms, now_ms);
+                engine.take_stops().into_iter()
+            };
             for stop in stops.filter(|stop| stop.task == report.running[0].task) {
                 monoio::spawn(send_stop(Rc::clone(&gateway), Rc::clone(&term), stop));
             }
