--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -14,7 +14,7 @@
 use crate::process::ShutdownSignal;
 use crate::provider::RowWrite;
 use crate::workflow::admission_window::hash_text;
-use crate::workflow::controller_term::CommitNotice;
+use crate::workflow::commit_notice::CommitNotice;
 use crate::workflow::send_start;
 use crate::workflow::BacklogView;
 use crate::workflow::CommitEffect;
@@ -198,7 +198,6 @@
         let keys = self.keys_to_record(&writes);
         let platform = self.platform.as_ref();
         let refused = lease.commit(platform, writes, self.counted_ms).await?;
-        self.term.record_confirmed(lease.confirmed_ms());
         let accepted = |key: &&String| refused.iter().all(|row| row.write.key != **key);
         keys.iter()
             .filter(accepted)
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -19,8 +19,11 @@
 use crate::workflow::leader_record::unknown_record;
 use crate::workflow::lost_leader::find_lost_record;
 use crate::workflow::refused_row::lasting_refusal;
+use crate::workflow::refused_writes::RefusedWrites;
+use crate::workflow::ControllerTerm;
 use crate::workflow::CountStamp;
 use crate::workflow::LeaderRecord;
+use crate::workflow::LeaseLost;
 use crate::workflow::OrganisationLimits;
 use crate::workflow::QueueBacklogs;
 use crate::workflow::RefusedRow;
@@ -64,19 +67,10 @@
     counted_ms: Option<u64>,
     /// Time until which the optional parts of the row are left out, in ms.
     reduced_until_ms: u64,
+    /// The term that is told when the lease was confirmed.
+    term: Option<Rc<ControllerTerm>>,
 }
 
-/// Rows of which the table refuses at least one, with its answer.
-struct RefusedWrites {
-    writes: Vec<RowWrite>,
-    status: u16,
-    reason: String,
-}
-
-/// The lease was lost: another holder has taken it over.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LeaseLost;
-
 impl LeaderLease {
     /// Tries to take over the lease from the holder in `current`. Returns `None` if another
     /// process was faster, or if the table refused. A claim that got no answer may have been
@@ -105,6 +99,7 @@
             confirmed_ms: boot_ms(),
             counted_ms: None,
             reduced_until_ms: 0,
+            term: None,
         };
         let transaction = lease.transaction(Vec::new());
         let deadline_ms = boot_ms() + MAX_CLAIM_MS;
@@ -145,7 +140,6 @@
     /// Finds out whether a claim whose answer was lost has been committed. Returns `None` if that is
     /// still unknown, and false if another process was faster.
     async fn settle_claim<T: TableService>(&mut self, table: &T) -> Option<bool> {
-        let sent_ms = boot_ms();
         let rows = table.read(&[LEADER_KEY]).await.ok()?;
         let row = rows.first();
         let revision = row.map_or(Revision::new(0), |row| row.revision);
@@ -156,11 +150,19 @@
         let is_own = stored.is_some_and(|stored| stored.is_same_commit(&self.record));
         if is_own {
             self.claimed = revision;
-            self.record_confirmed(revision, sent_ms);
+            // Other hosts count from the claim, and not from this read.
+            self.record_confirmed(revision, self.confirmed_ms);
         }
         Some(is_own)
     }
 
+    /// Tells `term` when the lease was last confirmed, now and with each confirmation: a commit that
+    /// searches for refused rows has many.
+    pub(crate) fn inform(&mut self, term: Rc<ControllerTerm>) {
+        term.record_confirmed(self.confirmed_ms);
+        self.term = Some(term);
+    }
+
     /// Returns the lease's epoch, the fencing token of its holder.
     pub fn epoch(&self) -> u64 {
         self.record.epoch
@@ -294,6 +296,7 @@
         let mut transaction = Rc::new(self.transaction(writes));
         let mut attempts = CallSeries::new();
         let mut delay = RETRY_DELAY;
+        let first_sent_ms = boot_ms();
         loop {
             let sent_ms = boot_ms();
             self.record.counts = counted_ms.map(|counted_ms| CountStamp {
@@ -313,8 +316,8 @@
                         return Ok(None);
                     }
                     Ok(TransactionOutcome::Conflict(_)) => {
-                        if let Some(outcome) = self.resolve(table).await {
-                            return outcome.map(|()| None);
+                        if let Some(is_own) = self.resolve(table, first_sent_ms).await {
+                            return is_own.then_some(None).ok_or(LeaseLost);
                         }
                     }
                     Err(error) => match lasting_refusal(error) {
@@ -357,31 +360,33 @@
     }
 
     /// Finds out whether an earlier attempt whose answer was lost has committed. Returns `None` if
-    /// that is still unknown.
-    async fn resolve<T: TableService>(&mut self, table: &T) -> Option<Result<(), LeaseLost>> {
-        let sent_ms = boot_ms();
-        let rows = match table.read(&[LEADER_KEY]).await {
-            Ok(rows) => rows,
-            Err(error) => {
-                log::warn!("event=commit_unsettled reason=\"{error}\"");
-                return None;
-            }
-        };
+    /// that is still unknown. Other hosts count from the commit, so the lease counts as confirmed at
+    /// `sent_ms`, when the first attempt was sent; the next commit follows at once.
+    async fn resolve<T: TableService>(&mut self, table: &T, sent_ms: u64) -> Option<bool> {
+        let log_error = |error: &Error| log::warn!("event=commit_unsettled reason=\"{error}\"");
+        let rows = table.read(&[LEADER_KEY]).await.inspect_err(log_error);
+        let rows = rows.ok()?;
         let Some(row) = rows.first() else {
             log::error!("event=leader_row_lost epoch={}", self.epoch());
-            return Some(Err(LeaseLost));
+            return Some(false);
         };
-        if read_record(row).is_some_and(|stored| stored.is_same_commit(&self.record)) {
+        let is_own = read_record(row).is_some_and(|stored| stored.is_same_commit(&self.record));
+        if is_own {
             self.record_confirmed(row.revision, sent_ms);
-            return Some(Ok(()));
+            self.term.iter().for_each(|term| term.commit.notify_one());
+        } else {
+            log::warn!("event=lease_lost epoch={} now={}", self.epoch(), row.value);
         }
-        log::warn!("event=lease_lost epoch={} now={}", self.epoch(), row.value);
-        Some(Err(LeaseLost))
+        Some(is_own)
     }
 
     fn record_confirmed(&mut self, revision: Revision, sent_ms: u64) {
         self.revision = revision;
         self.confirmed_ms = sent_ms;
+        // Once it is released, the successor allows for no further command.
+        if let Some(term) = self.term.as_ref().filter(|_| !self.record.released) {
+            term.record_confirmed(sent_ms);
+        }
     }
 
     fn transaction(&self, writes: Vec<RowWrite>) -> Transaction {
