--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -36,6 +36,9 @@
 /// The most attempts of a caller.
 const ATTEMPTS: u32 = 4;
 
+/// The longest time that a caller is told, in s: its turn comes then or later.
+const MAX_RETRY_S: u64 = 8;
+
 fn service() -> ServiceId {
     "grading".parse().unwrap()
 }
@@ -69,6 +72,8 @@
     settled: u64,
     /// Attempts from `SETTLED_MS` on, and the admitted ones among them, by the attempt's number less 1.
     attempts: [(u64, u64); ATTEMPTS as usize],
+    /// Attempts from `SETTLED_MS` on by callers that were told their turn, and the admitted ones.
+    told: (u64, u64),
 }
 
 /// Time until limits are in force, in ms.
@@ -102,8 +107,8 @@
     // Rows by the time from which they can be read; submissions by the time of their read.
     let mut rows: Vec<(u64, OrganisationLimits)> = Vec::new();
     let mut read_ms: Vec<Vec<u64>> = vec![Vec::new(); surges.len()];
-    // The attempts to come: time, organisation, number of the attempt, job.
-    let mut attempts: BinaryHeap<Reverse<(u64, usize, u32, u64)>> = BinaryHeap::new();
+    // The attempts to come: time, organisation, number of the attempt, job, time that was told in s.
+    let mut attempts: BinaryHeap<Reverse<(u64, usize, u32, u64, u64)>> = BinaryHeap::new();
     for (number, surge) in surges.iter().enumerate() {
         let mut at_ms = 0.0;
         loop {
@@ -112,7 +117,7 @@
             if at_ms >= SURGE_MS as f64 {
                 break;
             }
-            attempts.push(Reverse((at_ms as u64, number, 1, random.random())));
+            attempts.push(Reverse((at_ms as u64, number, 1, random.random(), 0)));
         }
     }
     for now_ms in 0..SURGE_MS + 10_000 {
@@ -149,7 +154,7 @@
             .peek()
             .is_some_and(|Reverse(next)| next.0 <= now_ms)
         {
-            let Reverse((_, number, attempt, job)) = attempts.pop().unwrap();
+            let Reverse((_, number, attempt, job, told_s)) = attempts.pop().unwrap();
             let surge = &surges[number];
             let outcome = &mut outcomes[number];
             outcome.sent += u64::from(attempt == 1);
@@ -166,6 +171,10 @@
                 let (made, admitted) = &mut outcome.attempts[attempt as usize - 1];
                 *made += 1;
                 *admitted += u64::from(refusal.is_none());
+                if (1..MAX_RETRY_S).contains(&told_s) {
+                    outcome.told.0 += 1;
+                    outcome.told.1 += u64::from(refusal.is_none());
+                }
             }
             match refusal {
                 None => {
@@ -177,7 +186,8 @@
                 }
                 Some(refusal) if returns && attempt < ATTEMPTS => {
                     let next_ms = now_ms + refusal.retry_s * 1_000;
-                    attempts.push(Reverse((next_ms, number, attempt + 1, job)));
+                    let next = (next_ms, number, attempt + 1, job, refusal.retry_s);
+                    attempts.push(Reverse(next));
                 }
                 Some(_) => {}
             }
@@ -319,3 +329,22 @@
         }
     }
 }
+
+/// Guards against a turn that comes sooner or later than callers were told, as the admitted part
+/// changes, so that most of them return in vain.
+#[test]
+fn callers_that_return_in_their_turn_are_admitted() {
+    let surges = surges();
+    for hosts in [7, 37, 147] {
+        let runs: Vec<_> = (0..10)
+            .map(|seed| replay(hosts, &surges, true, seed))
+            .collect();
+        for (number, surge) in surges.iter().enumerate().skip(1) {
+            let made: u64 = runs.iter().map(|run| run[number].told.0).sum();
+            let admitted: u64 = runs.iter().map(|run| run[number].told.1).sum();
+            let share = admitted as f64 / made as f64;
+            println!("{hosts} {} {admitted} of {made}: {share:.2}", surge.id);
+            assert!(share > 0.7, "{hosts} {} {share}", surge.id);
+        }
+    }
+}
