Tell refused callers a turn that stays where it was told

Cause: the window of admitted positions advanced by its width, and the width follows few accepted jobs.

Evidence: of 5,309 second to fourth attempts that came before (64%) or after (36%) their turn, 75% did so because the widths had changed, 23% since more or fewer windows had passed than seconds, 2% because of the cap of 8 s.

Change: the window's end advances by a pace of its own, which changes by a quarter of the way to its wanted value in a second; the width makes up for the rest. Amounts are in hundredths of a percent. Windows widen by at most half in a second, 0.7 of the callers are first expected to return, and up to 1 s of deviation is made up for.

--- a/src/workflow/rate_limiter.rs
+++ b/src/workflow/rate_limiter.rs
@@ -10,6 +10,8 @@
 use std::collections::VecDeque;
 
 use crate::id::OrganisationId;
+use crate::workflow::admission_window::MAX_RETRY_S;
+use crate::workflow::admission_window::TURN_S;
 use crate::workflow::AdmissionWindow;
 use crate::workflow::OrganisationLimits;
 use crate::workflow::ShareWeight;
@@ -30,7 +32,7 @@
 const CORRECTION_S: f64 = 1.5;
 
 /// The largest excess or shortfall that is made up for, in s of the entitlement.
-const MAX_EXCESS_S: f64 = 0.5;
+const MAX_EXCESS_S: f64 = 1.0;
 
 /// Time of the entitlement that an organisation may exceed before it is limited, in s.
 const TOLERANCE_S: f64 = 1.0;
@@ -46,21 +48,24 @@
 /// The part of the submissions from which a limit is not worth stating, in percent.
 const MAX_PERCENT: f64 = 95.0;
 
-/// The width of a whole cycle of windows, in tenths of a percent.
-const CYCLE_WIDTH: u32 = 1_000;
+/// The advance of a window in a whole cycle, in hundredths of a percent.
+const CYCLE_ADVANCE: u32 = 10_000;
 
 /// The smallest admitted part, in percent. With 1, callers that return after a surge of thirty times
 /// the weight were admitted at one and a half times the weight in replays.
-const MIN_PERCENT: f64 = 0.1;
+const MIN_PERCENT: f64 = 0.02;
 
-/// The largest factor by which a window is widened in a second. It bounds the turns that are passed
-/// before callers return who were told them, and the time for which a window that is too narrow stays
-/// so.
-const MAX_GROWTH: f64 = 3.0;
+/// The largest factor by which a window is widened in a second, since an estimate from few jobs may
+/// be far too low.
+const MAX_GROWTH: f64 = 1.5;
+
+/// The part of the way to a new pace that is gone in a second. Turns come when they were told only if
+/// the pace changes slowly; the width makes up for the rest.
+const PACE_GAIN: f64 = 0.25;
 
 /// The part of the refused callers that is at first expected to return in their turn, and the gain
 /// with which it follows what is accepted. Ignoring returns admitted twice the weight in replays.
-const INITIAL_RETURNING: f64 = 0.5;
+const INITIAL_RETURNING: f64 = 0.7;
 const RETURNING_GAIN: f64 = 1.0;
 
 /// The interval at which windows advance, in ms.
@@ -94,7 +99,7 @@
     /// The windows that were published lately, each with the time since when, in ms, and the seconds
     /// of submissions that it admits in a second.
     published: VecDeque<(u64, f64)>,
-    /// The windows of the present cycle: the time at which each was published, in ms, and its width.
+    /// The windows of the present cycle: the time at which each was published, in ms, and its advance.
     cycle: VecDeque<(u64, u16)>,
     /// The part of the refused callers that return in their turn.
     returning: f64,
@@ -178,10 +183,14 @@
                 self.excess = 0.0;
                 let percent = 100.0 * weight / offered;
                 if percent < MAX_PERCENT {
-                    let first = AdmissionWindow { width: 0, first: 0 };
                     self.returning = INITIAL_RETURNING;
                     self.settled_ms = now_ms + SETTLING_MS;
-                    self.publish(first.next(to_width(percent)), now_ms);
+                    let first = AdmissionWindow {
+                        width: to_width(percent),
+                        first: 0,
+                        pace: to_width(self.wanted_pace(percent, 0.0)),
+                    };
+                    self.publish(first, first.width, now_ms);
                 }
             }
             Some(window) => {
@@ -201,36 +210,52 @@
                     return;
                 }
                 let target = weight - self.excess / CORRECTION_S;
-                let waiting_s = self.returning * self.turn_age_s(now_ms);
-                let percent = 100.0 * target / (offered * (1.0 + waiting_s));
-                let max_percent = window.percent() * MAX_GROWTH;
-                let width = to_width(percent.min(max_percent).min(MAX_PERCENT));
-                self.publish(window.next(width), now_ms);
+                let age_s = self.turn_age_s(now_ms);
+                let wanted_pace = self.wanted_pace(100.0 * target / offered, age_s);
+                let old_pace = f64::from(window.pace) / 100.0;
+                let pace = old_pace * (wanted_pace / old_pace).powf(PACE_GAIN);
+                let returns_percent = pace * self.returning * age_s;
+                let percent = 100.0 * target / offered - returns_percent;
+                let min_percent = pace * f64::from(TURN_S);
+                let max_percent = (window.percent() * MAX_GROWTH).min(MAX_PERCENT);
+                let width = to_width(percent.max(min_percent).min(max_percent));
+                let next = window.next(width, to_width(pace));
+                self.publish(next, window.pace, now_ms);
             }
         }
     }
 
-    fn publish(&mut self, window: AdmissionWindow, now_ms: u64) {
+    /// Returns the pace in percent per second at which new jobs, for the shortest turn, and returning
+    /// ones are as many as `percent` of the submissions. Returns are planned for the longest time that
+    /// callers are told, so that the pace doesn't fall while the first ones wait.
+    fn wanted_pace(&self, percent: f64, age_s: f64) -> f64 {
+        let returns_s = self.returning * age_s.max(MAX_RETRY_S as f64);
+        percent / (f64::from(TURN_S) + returns_s)
+    }
+
+    fn publish(&mut self, window: AdmissionWindow, advance: u16, now_ms: u64) {
         // Windows advance at a constant phase, unless an update was missed.
         let due_ms = self.advanced_ms + WINDOW_MS;
         let is_regular = now_ms < due_ms + WINDOW_MS / 2;
         self.advanced_ms = if is_regular { due_ms } else { now_ms };
-        let waiting_s = self.returning * self.turn_age_s(now_ms);
-        let admitted = window.percent() / 100.0 * (1.0 + waiting_s);
+        let returns_s = self.returning * self.turn_age_s(now_ms);
+        let returns_percent = f64::from(window.pace) / 100.0 * returns_s;
+        let admitted = (window.percent() + returns_percent) / 100.0;
         self.published.push_back((now_ms, admitted));
-        self.cycle.push_back((now_ms, window.width));
+        self.cycle.push_back((now_ms, advance));
         self.window = Some(window);
     }
 
     /// Returns the time in s since the next window's positions had their last turn, or since the
     /// limit came into force, and forgets the windows before that turn.
     fn turn_age_s(&mut self, now_ms: u64) -> f64 {
-        let mut width: u32 = self.cycle.iter().map(|(_, width)| u32::from(*width)).sum();
+        let advances = self.cycle.iter().map(|(_, advance)| u32::from(*advance));
+        let mut advance: u32 = advances.sum();
         while let Some(&(_, first)) = self.cycle.front() {
-            if width - u32::from(first) < CYCLE_WIDTH {
+            if advance - u32::from(first) < CYCLE_ADVANCE {
                 break;
             }
-            width -= u32::from(first);
+            advance -= u32::from(first);
             self.cycle.pop_front();
         }
         let turn = self.cycle.front();
@@ -258,7 +283,7 @@
     }
 }
 
-/// Converts percent to the width of a window in tenths of a percent.
+/// Converts percent to hundredths of a percent.
 fn to_width(percent: f64) -> u16 {
-    (percent.clamp(MIN_PERCENT, 100.0) * 10.0).round() as u16
+    (percent.clamp(MIN_PERCENT, 100.0) * 100.0).round() as u16
 }
