--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -53,6 +53,9 @@
     }
 }
 
+/// An attempt to come: time in ms, organisation, number of the attempt, job, time that was told in s.
+type NextAttempt = (u64, usize, u32, u64, u64);
+
 /// One organisation of a replay.
 struct Surge {
     id: OrganisationId,
@@ -107,8 +110,7 @@
     // Rows by the time from which they can be read; submissions by the time of their read.
     let mut rows: Vec<(u64, OrganisationLimits)> = Vec::new();
     let mut read_ms: Vec<Vec<u64>> = vec![Vec::new(); surges.len()];
-    // The attempts to come: time, organisation, number of the attempt, job, time that was told in s.
-    let mut attempts: BinaryHeap<Reverse<(u64, usize, u32, u64, u64)>> = BinaryHeap::new();
+    let mut attempts: BinaryHeap<Reverse<NextAttempt>> = BinaryHeap::new();
     for (number, surge) in surges.iter().enumerate() {
         let mut at_ms = 0.0;
         loop {
