Replay a longer surge in the test of later attempts

Since turns last 3 s and are told truly, the replay of 6 s has no third and fourth attempts left, and the test passed over classes without attempts. It now replays 30 s and asks for at least 50 attempts of each number; its comparison is unchanged.

--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -33,6 +33,12 @@
 /// The length of a surge, in ms.
 const SURGE_MS: u64 = 6_000;
 
+/// A surge in which callers come for the fourth time, in ms.
+const LONG_SURGE_MS: u64 = 30_000;
+
+/// The least number of attempts of which a share is compared.
+const MIN_ATTEMPTS: u64 = 50;
+
 /// The most attempts of a caller.
 const ATTEMPTS: u32 = 4;
 
@@ -97,9 +103,20 @@
     }
 }
 
+/// Replays a surge of [`SURGE_MS`], see [`replay_for`].
+fn replay(hosts: usize, surges: &[Surge], returns: bool, seed: u64) -> Vec<Outcome> {
+    replay_for(SURGE_MS, hosts, surges, returns, seed)
+}
+
 /// Replays a surge while the pool is short. A third of the connections go to one entry host. Callers
 /// come back when they were told to if `returns`.
-fn replay(hosts: usize, surges: &[Surge], returns: bool, seed: u64) -> Vec<Outcome> {
+fn replay_for(
+    surge_ms: u64,
+    hosts: usize,
+    surges: &[Surge],
+    returns: bool,
+    seed: u64,
+) -> Vec<Outcome> {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut limiter = RateLimiter::new();
     let views: Vec<_> = (0..hosts).map(|_| LimitsView::new()).collect();
@@ -116,13 +133,13 @@
         loop {
             let lot: f64 = random.random_range(1e-9..1.0);
             at_ms += -lot.ln() * 1_000.0 / (surge.weight * surge.factor);
-            if at_ms >= SURGE_MS as f64 {
+            if at_ms >= surge_ms as f64 {
                 break;
             }
             attempts.push(Reverse((at_ms as u64, number, 1, random.random(), 0)));
         }
     }
-    for now_ms in 0..SURGE_MS + 10_000 {
+    for now_ms in 0..surge_ms + 10_000 {
         if now_ms % MEASURE_MS == 0 {
             let rates: Vec<_> = surges
                 .iter()
@@ -169,7 +186,7 @@
             };
             let window = views[host].window(&surge.id, &service(), now_ms);
             let refusal = window.and_then(|(window, _)| check_rate(&spec(), &id, &window));
-            if (SETTLED_MS..SURGE_MS).contains(&now_ms) {
+            if (SETTLED_MS..surge_ms).contains(&now_ms) {
                 let (made, admitted) = &mut outcome.attempts[attempt as usize - 1];
                 *made += 1;
                 *admitted += u64::from(refusal.is_none());
@@ -182,7 +199,7 @@
                 None => {
                     outcome.accepted += 1;
                     outcome.let_in += u64::from(now_ms < SETTLED_MS);
-                    let is_settled = (SETTLED_MS..SURGE_MS).contains(&now_ms);
+                    let is_settled = (SETTLED_MS..surge_ms).contains(&now_ms);
                     outcome.settled += u64::from(is_settled);
                     read_ms[number].push(now_ms + FEED_MS);
                 }
@@ -312,7 +329,7 @@
     for number in 1..surges.len() {
         let mut attempts = [(0, 0); ATTEMPTS as usize];
         for seed in 0..10 {
-            let outcome = replay(37, &surges, true, seed)[number];
+            let outcome = replay_for(LONG_SURGE_MS, 37, &surges, true, seed)[number];
             for (sum, run) in attempts.iter_mut().zip(outcome.attempts) {
                 sum.0 += run.0;
                 sum.1 += run.1;
@@ -321,8 +338,8 @@
         println!("{} {attempts:?}", surges[number].id);
 
         let (made, admitted) = attempts[0];
-        let later = attempts[1..].iter().filter(|(made, _)| *made > 0);
-        for (later_made, later_admitted) in later {
+        for (later_made, later_admitted) in &attempts[1..] {
+            assert!(*later_made >= MIN_ATTEMPTS, "{attempts:?}");
             assert!(
                 later_admitted * made >= admitted * later_made,
                 "{} {attempts:?}",
