Move held hosts and refused upkeeps out of the host manager

What keeps hosts empty for their upkeep is HeldHosts, the pauses after refusals are UpkeepRefusals, each in a file of its own; HostOutcome tells whether it is final. No change of behaviour: upkeep_hosts (4), host_passes (5), leader_lease (10), wave_age (1) and upkeep_plan (6) pass.

--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -2,7 +2,6 @@
 //! lease.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -17,10 +16,11 @@
 use crate::process::boot_ms;
 use crate::workflow::choose_upkeep;
 use crate::workflow::gateway::workers_by_host;
+use crate::workflow::held_hosts::HeldHosts;
 use crate::workflow::host_dispatcher::HostDispatcher;
 use crate::workflow::host_listing::HostListing;
 use crate::workflow::host_listing::ListedHosts;
-use crate::workflow::refusal_pause::RefusalPause;
+use crate::workflow::upkeep_refusals::UpkeepRefusals;
 use crate::workflow::wave_records::WaveRecords;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CordonReason;
@@ -55,10 +55,8 @@
     dispatcher: Rc<HostDispatcher>,
     /// When the last upkeep of each host was commanded or answered, in ms.
     commanded_ms: RefCell<HashMap<HostId, u64>>,
-    /// Workers that are kept empty for upkeeps that may have to be sent again, by host.
-    held_workers: RefCell<HashMap<HostId, WorkerId>>,
-    /// Upkeeps that the platform refused, and is to be asked for again.
-    refused_upkeeps: RefCell<BTreeMap<(WaveId, HostId), RefusalPause>>,
+    held_hosts: HeldHosts,
+    refusals: UpkeepRefusals,
     /// The state and worker of each host in the last list.
     states: RefCell<HashMap<HostId, (HostState, Option<WorkerId>)>>,
 }
@@ -81,8 +79,8 @@
         platform,
         term,
         commanded_ms: RefCell::default(),
-        held_workers: RefCell::default(),
-        refused_upkeeps: RefCell::default(),
+        held_hosts: HeldHosts::default(),
+        refusals: UpkeepRefusals::default(),
         states: RefCell::default(),
     });
     let mut recorded_ms = 0;
@@ -217,7 +215,7 @@
                 host: host.host.clone(),
                 up: host.is_up()
                     && !moved.contains(&host.host)
-                    && !self.is_refused(&request.wave, &host.host),
+                    && !self.refusals.is_recent(&request.wave, &host.host),
                 down: started && (!host.is_up() || !accepted || recent),
                 started,
                 used_millis: worker.map_or(0, |worker| worker.used.cpu_millis),
@@ -257,35 +255,27 @@
     ) {
         let unaccepted: HashSet<_> = self.waves.progress(&request.wave).unaccepted().collect();
         let workers = workers_by_host(hosts);
-        let mut held = self.held_workers.borrow_mut();
+        let held = wave_hosts
+            .iter()
+            .map(|host| &host.host)
+            .filter(|host| unaccepted.contains(*host));
+        let held = held.filter_map(|host| Some((host, workers.get(host).copied().flatten()?)));
         let mut engine = self.term.engine.borrow_mut();
-        let hosts = wave_hosts.iter().map(|host| &host.host);
-        for host in hosts.filter(|host| unaccepted.contains(*host)) {
-            if let Some(worker) = workers.get(host).copied().flatten() {
-                engine.set_cordon(worker, Some(CordonReason::Upkeep));
-                engine.drain_worker(worker, force);
-                held.insert(host.clone(), worker.clone());
-            }
-        }
+        self.held_hosts.hold(&mut engine, held, force);
     }
 
-    /// Lets tasks be placed again on held workers that run on after the upkeep was accepted, according
-    /// to a list of hosts that was requested at `listed_ms`: an earlier command had been carried out.
+    /// Releases held hosts whose upkeep was accepted, according to a list of hosts that was requested
+    /// at `listed_ms`.
     fn release_hosts(&self, hosts: &[HostEntry], listed_ms: u64) {
         let unaccepted = self.waves.unaccepted_hosts();
         let commanded = self.commanded_ms.borrow();
-        let workers = workers_by_host(hosts);
-        let mut engine = self.term.engine.borrow_mut();
-        self.held_workers.borrow_mut().retain(|host, worker| {
+        let is_accepted = |host: &HostId| {
             let at_ms = commanded.get(host).copied().unwrap_or(0);
-            if unaccepted.contains(host) || listed_ms < at_ms + MIN_DOWN_MS {
-                return true;
-            }
-            if workers.get(host).copied().flatten() == Some(&*worker) {
-                engine.set_cordon(worker, None);
-            }
-            false
-        });
+            !unaccepted.contains(host) && listed_ms >= at_ms + MIN_DOWN_MS
+        };
+        let mut engine = self.term.engine.borrow_mut();
+        let workers = workers_by_host(hosts);
+        self.held_hosts.release(&mut engine, &workers, is_accepted);
     }
 
     /// Updates the workers' `upkeep_due`: true for hosts that the wave will still take down.
@@ -339,7 +329,7 @@
         }
         // An earlier controller may have taken the host down, and its worker runs on.
         let is_first = !self.waves.progress(wave).is_forgotten;
-        if let (true, true, Some(worker)) = (is_final(&outcome), is_first, worker) {
+        if let (true, true, Some(worker)) = (outcome.is_final(), is_first, worker) {
             let mut engine = self.term.engine.borrow_mut();
             let reason = "host taken down for upkeep";
             engine.end_incarnation_as_of(worker, sent_ms, reason, boot_ms());
@@ -356,33 +346,17 @@
         let outcome = self.platform.start_upkeep(host, wave, epoch).await;
         log::info!("event=host_upkeep host={host} wave={wave} epoch={epoch} outcome={outcome:?}");
         self.record_command(host);
-        if is_final(&outcome) {
+        if outcome.is_final() {
             self.waves.store(wave, |progress| {
                 progress.accepted.insert(host.clone());
             });
         }
         if matches!(outcome, HostOutcome::Refused(_)) {
-            self.record_refusal(wave, host);
+            self.refusals.record(wave, host);
         }
         outcome
     }
 
-    fn record_refusal(&self, wave: &WaveId, host: &HostId) {
-        let key = (wave.clone(), host.clone());
-        let mut refused = self.refused_upkeeps.borrow_mut();
-        let pause = RefusalPause::after(refused.get(&key), boot_ms());
-        let pause_ms = pause.pause_ms();
-        log::error!("event=host_refused host={host} wave={wave} pause_ms={pause_ms}");
-        refused.insert(key, pause);
-    }
-
-    /// Returns whether the platform refused a host's upkeep lately.
-    fn is_refused(&self, wave: &WaveId, host: &HostId) -> bool {
-        let refused = self.refused_upkeeps.borrow();
-        let pause = refused.get(&(wave.clone(), host.clone()));
-        pause.is_some_and(|pause| pause.is_active(boot_ms()))
-    }
-
     /// Makes a host due again whose upkeep was decided and refused. Its worker goes on.
     fn withdraw_upkeep(&self, wave: &WaveId, host: &HostId, worker: Option<&WorkerId>) {
         self.waves.store(wave, |progress| {
@@ -417,8 +391,9 @@
             };
             (host, send)
         };
+        let is_refused = |host: &HostId| self.refusals.is_recent(&request.wave, host);
         let due = progress.unaccepted();
-        let due = due.filter(|host| !self.is_refused(&request.wave, host) && self.is_vacant(host));
+        let due = due.filter(|host| !is_refused(host) && self.is_vacant(host));
         let unaccepted = self.term.permitted_hosts(due).into_iter();
         // The decision itself may not be durable yet.
         let row = progress.to_write(&request.wave);
@@ -426,8 +401,3 @@
             .dispatch(unaccepted.map(command).collect(), Some(row));
     }
 }
-
-/// Returns whether a command need not be sent again.
-fn is_final(outcome: &HostOutcome) -> bool {
-    matches!(outcome, HostOutcome::Accepted | HostOutcome::Rejected(_))
-}
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -351,12 +351,8 @@
         counted_ms: Option<u64>,
     ) {
         self.record.released = true;
-        let released = self.commit(table, writes, counted_ms).await;
-        log::info!(
-            "event=lease_released epoch={} done={}",
-            self.record.epoch,
-            released.is_ok()
-        );
+        let done = self.commit(table, writes, counted_ms).await.is_ok();
+        log::info!("event=lease_released epoch={} done={done}", self.epoch());
     }
 
     /// Finds out whether an earlier attempt whose answer was lost has committed. Returns `None` if
