Count failures from before the configuration was known against the limit

Cause: the limit of attempts was checked only when a failure is reported, and counts as unlimited without a configuration.

Change: before a job's tasks are placed, a task with failures is checked against the limit; a gang's members count together, as before.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -213,34 +213,12 @@
 
     fn fail_task(&mut self, name: &TaskName, now_ms: u64) {
         self.release_task(name);
-        let Some(job) = self.jobs.get_mut(&name.job) else {
-            return;
-        };
-        let limit = self
-            .config
-            .as_ref()
-            .and_then(|config| config.queue(&job.spec.queue))
-            .map_or(u32::MAX, |queue| queue.attempts.max(1));
-        let step = job.step(name.step);
-        let long_running = step.is_some_and(|step| step.long_running);
-        let gang = step.is_some_and(|step| step.gang);
-        let Some(state) = job.task_mut(name) else {
+        let state = self.jobs.get_mut(&name.job);
+        let Some(state) = state.and_then(|job| job.task_mut(name)) else {
             return;
         };
         state.failures += 1;
-        let mut failures = state.failures;
-        // A gang ends as a whole, so the failures of all members count against the limit.
-        if gang {
-            let members = job.step_tasks(name.occurrence, name.step).iter();
-            failures = members.map(|member| member.failures).sum();
-        }
-        if !long_running && failures >= limit && !job.phase.has_ended() {
-            log::warn!(
-                "event=job_failed job={} task={name} failures={failures} limit={limit}",
-                name.job
-            );
-            self.end_job(&name.job.clone(), JobPhase::Failed, now_ms);
-        }
+        self.end_exhausted_job(name, now_ms);
     }
 
     fn gang_members(&self, name: &TaskName) -> Vec<TaskName> {
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -28,6 +28,7 @@
 mod engine_archive;
 mod engine_caps;
 mod engine_demand;
+mod engine_failures;
 mod engine_health;
 mod engine_held_ends;
 mod engine_incarnations;
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -105,6 +105,9 @@
                     .then_some((occurrence, step))
             }));
         }
+        if self.end_if_exhausted(id, &ready_steps, now_ms) {
+            return 0;
+        }
         let mut unplaced_steps = 0;
         for (occurrence, step) in ready_steps {
             let placed = if spec.steps[step as usize].gang {
--- a/tests/engine_takeover.rs
+++ b/tests/engine_takeover.rs
@@ -9,8 +9,11 @@
 
 use serde_json::json;
 use zincpier::id::JobId;
+use zincpier::workflow::EndKind;
 use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobSpec;
+use zincpier::workflow::TaskEnd;
+use zincpier::workflow::TaskName;
 use zincpier::workflow::WorkerReport;
 
 /// Workers of the users' grown sites.
@@ -109,3 +112,45 @@
         assert_eq!(cancelled[0].1["phase"], "cancelled");
     }
 }
+
+/// A failed attempt that a new controller counts before it knows a configuration would be followed by
+/// attempts beyond the limit.
+#[test]
+fn attempts_that_failed_before_the_configuration_was_known_count_against_the_limit() {
+    // Arrange: a worker on which an earlier controller placed the last attempt that the queue allows.
+    let config = fixtures::config();
+    let attempts = config.queue(fixtures::QUEUE).unwrap().attempts;
+    let worker = fixtures::worker_entry(0);
+    let mut engine = JobEngine::new(0, 0);
+    engine.set_worker(worker.clone(), 0);
+    let id: JobId = fixtures::JOB.parse().unwrap();
+    let last = json!([attempts, attempts - 1, "", worker.id.as_str()]);
+    let progress = json!({ "phase": "running", "tasks": [last] });
+    engine.add_job(id.clone(), spec(1), Some(&progress), 0);
+
+    // Act: its end is reported while no configuration is known.
+    let end = TaskEnd {
+        number: 1,
+        task: TaskName {
+            job: id.clone(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run: u64::from(attempts),
+        kind: EndKind::Failed,
+        checkpoint: String::new(),
+    };
+    let report = WorkerReport {
+        ends: vec![end],
+        ..WorkerReport::default()
+    };
+    engine.apply_report(&worker.id, &report, 0, 0);
+    engine.config = Some(Rc::new(config));
+    engine.place_tasks(0, 0);
+
+    // Assert.
+    let (rows, _) = engine.take_changes();
+    let (_, row) = rows.iter().find(|(changed, _)| *changed == id).unwrap();
+    assert_eq!(row["phase"], "failed", "{row}");
+}
