Log which runs may have crashed a worker, and on which evidence

worker_crashed now names the evidence (host down or with another worker, no host lists it, another incarnation answers, a later start), and a line for each run that the worker isn't known to have survived for 150 ms. Workers that drain, and hosts that were commanded, are no crashes. Decisions are as before.

--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -6,6 +6,7 @@
 use crate::id::WorkerId;
 use crate::workflow::known_incarnations::IncarnationOrder;
 use crate::workflow::CommandPhase;
+use crate::workflow::CrashEvidence;
 use crate::workflow::JobEngine;
 use crate::workflow::StopRequest;
 use crate::workflow::TaskName;
@@ -70,6 +71,7 @@
     /// new incarnation has accepted a stop of the run. Inherited tasks need none: the first answer
     /// to this controller shows that the starts of earlier ones are refused.
     pub(crate) fn begin_incarnation(&mut self, id: &WorkerId, now_ms: u64) {
+        self.record_crash(id, CrashEvidence::Restarted, now_ms);
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -223,7 +225,13 @@
         });
         let unhosted: Vec<_> = unhosted.map(|(id, _)| id.clone()).collect();
         for id in unhosted {
-            self.end_unhosted_worker(&id, "no host lists it", listed_ms);
+            self.crash_unhosted_worker(&id, CrashEvidence::Unhosted, listed_ms);
+        }
+        let unknown = self.restored_placements.keys();
+        let unknown = unknown.filter(|id| !hosted.contains(id) && self.has_orphans(id));
+        let unknown: Vec<_> = unknown.cloned().collect();
+        for id in unknown {
+            self.record_crash(&id, CrashEvidence::Unhosted, listed_ms);
         }
         for name in self.orphans() {
             let job = self.jobs.get(&name.job);
@@ -235,6 +243,18 @@
         }
     }
 
+    /// Records the crash of a worker that its host no longer lists, according to a list of hosts that was
+    /// requested at `listed_ms`.
+    pub fn crash_unhosted_worker(
+        &mut self,
+        id: &WorkerId,
+        evidence: CrashEvidence,
+        listed_ms: u64,
+    ) {
+        let evidence_ms = listed_ms.saturating_sub(HOST_LIST_LAG_MS);
+        self.crash_worker(id, evidence, evidence_ms, listed_ms);
+    }
+
     /// Ends the incarnation of a worker that its host does not list, according to a list of hosts
     /// that was requested at `listed_ms`. The list may show the time before a restart.
     pub fn end_unhosted_worker(&mut self, id: &WorkerId, reason: &str, listed_ms: u64) {
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -7,6 +7,7 @@
 use crate::workflow::CommandPhase;
 use crate::workflow::CommandRefusal;
 use crate::workflow::CommitEffect;
+use crate::workflow::CrashEvidence;
 use crate::workflow::EndKind;
 use crate::workflow::JobEngine;
 use crate::workflow::JobPhase;
@@ -81,9 +82,7 @@
         match outcome {
             CommandOutcome::Accepted(_) | CommandOutcome::Unknown(_) if is_stopped => {}
             CommandOutcome::Accepted(_) => {
-                if let Some(job) = self.jobs.get_mut(&name.job) {
-                    job.has_begun = true;
-                }
+                self.record_begun(name, now_ms);
                 self.set_command_phase(name, CommandPhase::Accepted(now_ms))
             }
             CommandOutcome::Unknown(_) => {
@@ -96,6 +95,22 @@
         }
     }
 
+    /// Records that a worker has answered that it has begun a run.
+    fn record_begun(&mut self, name: &TaskName, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        job.has_begun = true;
+        let Some(state) = job.task_mut(name) else {
+            return;
+        };
+        state.started_ms = state.started_ms.or(Some(now_ms));
+        let worker = state.worker().and_then(|id| self.workers.get_mut(id));
+        if let Some(worker) = worker {
+            worker.alive_ms = worker.alive_ms.max(now_ms);
+        }
+    }
+
     /// Applies the outcome of a stop command. Unless it was accepted or another incarnation
     /// answered, it is sent again. The outcome of a stop that was meant for an earlier incarnation
     /// says nothing about the present one, for which a stop of its own was requested.
@@ -111,7 +126,8 @@
                 self.set_command_phase(&request.task, CommandPhase::Stopped(now_ms));
             }
             CommandOutcome::Refused(CommandRefusal::OtherIncarnation) => {
-                self.end_incarnation(&request.worker, "another incarnation answered", now_ms);
+                let evidence = CrashEvidence::OtherIncarnation;
+                self.crash_worker(&request.worker, evidence, now_ms, now_ms);
             }
             _ => self.stops.push(request.clone()),
         }
@@ -293,6 +309,7 @@
         };
         state.percent = running.percent;
         state.load = running.load;
+        state.started_ms = state.started_ms.or(Some(now_ms));
         match state.command_phase() {
             Some(CommandPhase::Stopping | CommandPhase::Committing) => {}
             Some(CommandPhase::Stopped(at_ms)) if now_ms < at_ms + STOP_GRACE_MS => {}
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -24,6 +24,7 @@
 use crate::workflow::wave_records::WaveRecords;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CordonReason;
+use crate::workflow::CrashEvidence;
 use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
 use crate::workflow::HostEntry;
@@ -134,12 +135,37 @@
                 entry.pool
             );
             let before = states.insert(entry.host.clone(), state);
-            let ended_worker = before.and_then(|(_, worker)| worker);
-            if let Some(ended) = ended_worker.filter(|ended| Some(ended) != entry.worker.as_ref()) {
-                let mut engine = self.term.engine.borrow_mut();
-                engine.end_unhosted_worker(&ended, "host no longer lists it", listed_ms);
-                self.term.plan.notify_one();
+            let Some((state_before, Some(ended))) = before else {
+                continue;
+            };
+            if Some(&ended) == entry.worker.as_ref() {
+                continue;
+            }
+            let crash = self.crash_evidence(entry, state_before, listed_ms);
+            let mut engine = self.term.engine.borrow_mut();
+            match crash {
+                Some(evidence) => engine.crash_unhosted_worker(&ended, evidence, listed_ms),
+                None => engine.end_unhosted_worker(&ended, "host no longer lists it", listed_ms),
             }
+            self.term.plan.notify_one();
+        }
+    }
+
+    /// Returns what shows that a host's last worker has crashed, unless a command to the host may have
+    /// ended it. `state_before` is the state in which the host listed that worker.
+    fn crash_evidence(
+        &self,
+        entry: &HostEntry,
+        state_before: HostState,
+        listed_ms: u64,
+    ) -> Option<CrashEvidence> {
+        let commands = self.term.host_commands.borrow();
+        match entry.state {
+            HostState::Down => Some(CrashEvidence::HostDown),
+            HostState::Moving | HostState::Upkeep => None,
+            HostState::Up if state_before != HostState::Up => None,
+            HostState::Up if !commands.may_command(&entry.host, listed_ms) => None,
+            HostState::Up => Some(CrashEvidence::Replaced),
         }
     }
 
--- a/src/workflow/lost_runs.rs
+++ b/src/workflow/lost_runs.rs
@@ -51,6 +51,12 @@
         self.lost_runs.contains_key(id)
     }
 
+    /// Returns the tasks that are held back for a worker's report.
+    pub(crate) fn lost_tasks(&self, id: &WorkerId) -> impl Iterator<Item = &TaskName> {
+        let lost = self.lost_runs.get(id).into_iter();
+        lost.flat_map(|lost| &lost.tasks)
+    }
+
     /// Lets a task be placed again if it is held back for this worker's report; returns whether it
     /// was.
     pub(crate) fn resolve_lost_run(&mut self, name: &TaskName, id: &WorkerId) -> bool {
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -260,6 +260,7 @@
             return;
         };
         state.last_run += 1;
+        state.started_ms = None;
         let run = state.last_run;
         state.phase = TaskPhase::Placed {
             worker: worker_id.clone(),
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -56,8 +56,8 @@
     Done,
 }
 
-/// The state of a task. The command's phase, `failed_on` and the reported `percent` and `load` are
-/// not durable.
+/// The state of a task. The command's phase, `started_ms`, `failed_on` and the reported `percent` and
+/// `load` are not durable.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TaskState {
     /// The phase; a placed task is restored with an inherited command.
@@ -70,6 +70,8 @@
     pub checkpoint: String,
     /// The worker whose report a waiting task is held back for: it may list the last run as done.
     pub lost_on: Option<WorkerId>,
+    /// When the last run was first known to have begun, in ms; `None` if it is not known to have.
+    pub started_ms: Option<u64>,
     /// The workers on which a run failed or stalled; later runs prefer others.
     pub failed_on: Vec<WorkerId>,
     /// The last reported share of the full processing rate, in percent.
@@ -88,6 +90,7 @@
             failures: 0,
             checkpoint: String::new(),
             lost_on: None,
+            started_ms: None,
             failed_on: Vec::new(),
             percent: 0,
             load: 0,
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -17,6 +17,7 @@
 use crate::workflow::CommandPhase;
 use crate::workflow::CommandRefusal;
 use crate::workflow::ControllerTerm;
+use crate::workflow::CrashEvidence;
 use crate::workflow::LeaseRenewal;
 use crate::workflow::RenewalOutcome;
 use crate::workflow::StartCommand;
@@ -208,8 +209,7 @@
             false
         }
         RenewalOutcome::Refused(CommandRefusal::OtherIncarnation) => {
-            let reason = "another incarnation answered";
-            engine.end_incarnation_as_of(id, sent_ms, reason, now_ms);
+            engine.crash_worker(id, CrashEvidence::OtherIncarnation, sent_ms, now_ms);
             false
         }
         RenewalOutcome::Refused(_) | RenewalOutcome::Unknown(_) => {
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -72,6 +72,8 @@
     pub unresponsive_since_ms: u64,
     /// The time of the last answer.
     pub answered_ms: u64,
+    /// The time of the last answer to a call of any kind.
+    pub alive_ms: u64,
     /// Why the worker gets no new tasks, if it is drained for a command to its host.
     pub cordon: Option<CordonReason>,
     /// When a run last completed successfully on the worker.
@@ -114,6 +116,7 @@
             lease_end_ms: 0,
             unresponsive_since_ms: 0,
             answered_ms: 0,
+            alive_ms: 0,
             cordon: None,
             last_success_ms: 0,
             upkeep_due: false,
@@ -198,6 +201,7 @@
         self.clock = Some((clock_ms, now_ms));
         self.unresponsive_since_ms = 0;
         self.answered_ms = now_ms;
+        self.alive_ms = now_ms;
     }
 
     /// Returns whether the runs that the worker last listed will not be ended by a stop of an earlier
