--- /dev/null
+++ b/tests/common/crashes.rs
@@ -0,0 +1,388 @@
+//! Workers that crash when they start certain tasks, and the controllers that place tasks on them.
+
+#![allow(dead_code)] // Each test file uses only some of the fixtures.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use zincpier::id::IncarnationStart;
+use zincpier::id::JobId;
+use zincpier::id::WorkerId;
+use zincpier::workflow::CommandOutcome;
+use zincpier::workflow::CommandPhase;
+use zincpier::workflow::CrashEvidence;
+use zincpier::workflow::EndKind;
+use zincpier::workflow::JobEngine;
+use zincpier::workflow::JobPhase;
+use zincpier::workflow::JobSchedule;
+use zincpier::workflow::JobSpec;
+use zincpier::workflow::RunningTask;
+use zincpier::workflow::StepSpec;
+use zincpier::workflow::TaskEnd;
+use zincpier::workflow::TaskName;
+use zincpier::workflow::WorkerEntry;
+use zincpier::workflow::WorkerReport;
+use zincpier::workflow::INHERITED_RUN_MS;
+
+use crate::fixtures::config;
+use crate::fixtures::worker_entry;
+use crate::fixtures::QUEUE;
+
+/// Starts of a task that the platform allows after its third crash, and those before.
+pub(crate) const MAX_DEADLY_STARTS: u32 = 5;
+
+/// How often the controller plans, in ms.
+const PASS_MS: u64 = 20;
+
+/// How long a task of a step runs, in ms.
+pub(crate) const RUN_MS: u64 = 800;
+
+/// After how long a host has a worker again, in ms.
+const RESTART_MS: u64 = 3_200;
+
+/// After how long the controller learns of a crash, in ms.
+const DETECTION_MS: u64 = 200;
+
+/// A run that has begun on a worker.
+struct SimulatedRun {
+    run: u64,
+    started_ms: u64,
+}
+
+/// A worker of the simulation.
+struct SimulatedWorker {
+    entry: WorkerEntry,
+    runs: BTreeMap<TaskName, SimulatedRun>,
+    ends: Vec<TaskEnd>,
+    crashed_ms: Option<u64>,
+    /// The crash is known to the controller.
+    is_noted: bool,
+}
+
+/// A pool of workers, of which each crashes that starts a deadly task.
+pub(crate) struct CrashFleet {
+    pub(crate) engine: JobEngine,
+    pub(crate) now_ms: u64,
+    pub(crate) deadly: BTreeSet<TaskName>,
+    /// The number of starts that were executed of each task.
+    pub(crate) starts: BTreeMap<TaskName, u32>,
+    /// The number of crashes.
+    pub(crate) crashes: u32,
+    workers: Vec<SimulatedWorker>,
+    specs: BTreeMap<JobId, JobSpec>,
+    keeps_ids: bool,
+}
+
+impl CrashFleet {
+    pub(crate) fn new(workers: usize) -> Self {
+        let now_ms = 1_000_000;
+        let mut engine = JobEngine::new(now_ms, 0);
+        engine.config = Some(Rc::new(config()));
+        let mut fleet = Self {
+            engine,
+            now_ms,
+            deadly: BTreeSet::new(),
+            starts: BTreeMap::new(),
+            crashes: 0,
+            workers: (0..workers)
+                .map(|index| simulated(worker_entry(index)))
+                .collect(),
+            specs: BTreeMap::new(),
+            keeps_ids: false,
+        };
+        fleet.list_workers();
+        fleet.report();
+        fleet
+    }
+
+    /// Lets workers start again under their ids, with a later start.
+    pub(crate) fn with_kept_ids(mut self) -> Self {
+        self.keeps_ids = true;
+        for worker in &mut self.workers {
+            worker.entry.incarnation_start = Some(IncarnationStart::new(self.now_ms));
+        }
+        self.list_workers();
+        self
+    }
+
+    pub(crate) fn submit(&mut self, id: &str, steps: Vec<StepSpec>) {
+        self.submit_scheduled(id, steps, None);
+    }
+
+    pub(crate) fn submit_scheduled(
+        &mut self,
+        id: &str,
+        steps: Vec<StepSpec>,
+        schedule: Option<JobSchedule>,
+    ) {
+        let spec = JobSpec {
+            queue: QUEUE.to_owned(),
+            organisation: None,
+            payload: "text".to_owned(),
+            steps,
+            schedule,
+        };
+        let id: JobId = id.parse().unwrap();
+        self.specs.insert(id.clone(), spec.clone());
+        self.engine.add_job(id, spec, None, self.now_ms);
+    }
+
+    /// Lets `time_ms` pass.
+    pub(crate) fn run(&mut self, time_ms: u64) {
+        let until_ms = self.now_ms + time_ms;
+        while self.now_ms < until_ms {
+            self.pass();
+        }
+    }
+
+    /// Runs one pass of the controller and lets the workers execute its starts.
+    pub(crate) fn pass(&mut self) {
+        self.now_ms += PASS_MS;
+        self.end_runs();
+        self.note_crashes(DETECTION_MS);
+        self.restart_workers();
+        self.report();
+        self.engine.place_tasks(self.now_ms, self.now_ms);
+        self.engine.take_changes();
+        self.answer_stops();
+        self.execute_starts(true);
+    }
+
+    /// Places tasks and lets the workers execute the starts, whose answers and whatever else happens the
+    /// controller doesn't learn.
+    pub(crate) fn start_unnoticed(&mut self) {
+        self.now_ms += PASS_MS;
+        self.engine.place_tasks(self.now_ms, self.now_ms);
+        self.engine.take_changes();
+        self.execute_starts(false);
+    }
+
+    /// Replaces the controller by one that knows only the durable rows, which are those of the last
+    /// commit if `rows` are given.
+    pub(crate) fn take_over(&mut self) {
+        let mut engine = JobEngine::new(self.now_ms, INHERITED_RUN_MS);
+        engine.config = Some(Rc::new(config()));
+        for job in self.engine.jobs.values() {
+            let progress = job.to_value();
+            let spec = self.specs[&job.id].clone();
+            engine.add_job(job.id.clone(), spec, Some(&progress), self.now_ms);
+        }
+        self.engine = engine;
+        self.list_workers();
+        let hosted: BTreeSet<_> = self.live_ids().into_iter().collect();
+        self.engine.reconcile_hosted_workers(&hosted, self.now_ms);
+        for worker in self
+            .workers
+            .iter_mut()
+            .filter(|one| one.crashed_ms.is_some())
+        {
+            worker.is_noted = true;
+        }
+        self.report();
+    }
+
+    /// Lets workers crash for a reason of their own.
+    pub(crate) fn crash(&mut self, index: usize) {
+        self.workers[index].runs.clear();
+        self.workers[index].crashed_ms = Some(self.now_ms);
+        self.workers[index].is_noted = false;
+    }
+
+    /// Returns the position of the worker that a task runs on.
+    pub(crate) fn index_of(&self, name: &TaskName) -> Option<usize> {
+        self.workers
+            .iter()
+            .position(|worker| worker.runs.contains_key(name))
+    }
+
+    pub(crate) fn set_draining(&mut self, index: usize) {
+        self.workers[index].entry.draining = true;
+        let entry = self.workers[index].entry.clone();
+        self.engine.set_worker(entry, self.now_ms);
+    }
+
+    pub(crate) fn start_count(&self, name: &TaskName) -> u32 {
+        self.starts.get(name).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn phase(&self, id: &str) -> JobPhase {
+        let id: JobId = id.parse().unwrap();
+        self.engine.jobs[&id].phase
+    }
+
+    fn live_ids(&self) -> Vec<WorkerId> {
+        let live = self
+            .workers
+            .iter()
+            .filter(|worker| worker.crashed_ms.is_none());
+        live.map(|worker| worker.entry.id.clone()).collect()
+    }
+
+    fn list_workers(&mut self) {
+        for worker in self
+            .workers
+            .iter()
+            .filter(|worker| worker.crashed_ms.is_none())
+        {
+            self.engine.set_worker(worker.entry.clone(), self.now_ms);
+        }
+    }
+
+    /// Reports each live worker's runs and ends.
+    pub(crate) fn report(&mut self) {
+        for worker in self
+            .workers
+            .iter()
+            .filter(|worker| worker.crashed_ms.is_none())
+        {
+            let running = worker.runs.iter().map(|(name, run)| RunningTask {
+                task: name.clone(),
+                run: run.run,
+                checkpoint: String::new(),
+                percent: 100,
+                load: 0,
+            });
+            let report = WorkerReport {
+                incarnation_start: worker.entry.incarnation_start,
+                clock_ms: self.now_ms,
+                running: running.collect(),
+                ends: worker.ends.clone(),
+                ..WorkerReport::default()
+            };
+            let id = &worker.entry.id;
+            self.engine
+                .apply_report(id, &report, self.now_ms, self.now_ms);
+        }
+    }
+
+    fn end_runs(&mut self) {
+        for worker in &mut self.workers {
+            let specs = &self.specs;
+            let is_over = |name: &TaskName, run: &SimulatedRun| {
+                let step = &specs[&name.job].steps[name.step as usize];
+                !step.long_running && self.now_ms >= run.started_ms + RUN_MS
+            };
+            let over: Vec<_> = worker
+                .runs
+                .iter()
+                .filter(|(name, run)| is_over(name, run))
+                .map(|(name, run)| (name.clone(), run.run))
+                .collect();
+            for (name, run) in over {
+                worker.runs.remove(&name);
+                worker.ends.push(TaskEnd {
+                    number: worker.ends.len() as u64 + 1,
+                    task: name,
+                    run,
+                    kind: EndKind::Done,
+                    checkpoint: String::new(),
+                });
+            }
+        }
+    }
+
+    fn note_crashes(&mut self, after_ms: u64) {
+        let now_ms = self.now_ms;
+        let mut noted = Vec::new();
+        for worker in &mut self.workers {
+            let is_due = worker
+                .crashed_ms
+                .is_some_and(|at_ms| now_ms >= at_ms + after_ms);
+            if is_due && !worker.is_noted {
+                worker.is_noted = true;
+                noted.push((worker.entry.id.clone(), worker.entry.draining));
+            }
+        }
+        for (id, _) in noted {
+            if !self.keeps_ids {
+                self.engine
+                    .crash_worker(&id, CrashEvidence::HostDown, now_ms, now_ms);
+            }
+        }
+    }
+
+    fn restart_workers(&mut self) {
+        let now_ms = self.now_ms;
+        let mut listed = Vec::new();
+        for (index, worker) in self.workers.iter_mut().enumerate() {
+            if !worker
+                .crashed_ms
+                .is_some_and(|at_ms| now_ms >= at_ms + RESTART_MS)
+            {
+                continue;
+            }
+            let mut entry = worker.entry.clone();
+            entry.draining = false;
+            match self.keeps_ids {
+                true => entry.incarnation_start = Some(IncarnationStart::new(now_ms)),
+                false => entry.id = format!("w-{index}-{now_ms}").parse().unwrap(),
+            }
+            *worker = simulated(entry);
+            listed.push(worker.entry.clone());
+        }
+        for entry in listed {
+            self.engine.set_worker(entry, now_ms);
+        }
+    }
+
+    fn answer_stops(&mut self) {
+        for stop in self.engine.take_stops() {
+            let worker = self
+                .workers
+                .iter_mut()
+                .find(|one| one.entry.id == stop.worker);
+            let Some(worker) = worker.filter(|worker| worker.crashed_ms.is_none()) else {
+                continue;
+            };
+            worker.runs.remove(&stop.task);
+            let accepted = CommandOutcome::Accepted(self.now_ms);
+            self.engine.apply_stop(&stop, &accepted, self.now_ms);
+        }
+    }
+
+    fn execute_starts(&mut self, is_answered: bool) {
+        let jobs = self.engine.jobs.values();
+        let placed = jobs.flat_map(|job| job.placed_tasks());
+        let committing = placed
+            .filter(|(_, state)| state.command_phase() == Some(CommandPhase::Committing))
+            .map(|(name, state)| (name, state.last_run, state.worker().unwrap().clone()));
+        let committing: Vec<_> = committing.collect();
+        for (name, run, id) in committing {
+            let now_ms = self.now_ms;
+            let job = self.engine.jobs.get_mut(&name.job).unwrap();
+            job.task_mut(&name).unwrap().set_sent(now_ms);
+            let worker = self.workers.iter_mut().find(|worker| worker.entry.id == id);
+            let worker = worker.filter(|worker| worker.crashed_ms.is_none());
+            let outcome = match worker {
+                None => CommandOutcome::NotSent("refused".to_owned()),
+                Some(worker) => {
+                    *self.starts.entry(name.clone()).or_default() += 1;
+                    let started_ms = now_ms;
+                    worker
+                        .runs
+                        .insert(name.clone(), SimulatedRun { run, started_ms });
+                    if self.deadly.contains(&name) {
+                        worker.runs.clear();
+                        worker.crashed_ms = Some(now_ms);
+                        self.crashes += 1;
+                    }
+                    CommandOutcome::Accepted(now_ms)
+                }
+            };
+            if is_answered {
+                self.engine.apply_start(&name, run, &outcome, now_ms);
+            }
+        }
+    }
+}
+
+fn simulated(entry: WorkerEntry) -> SimulatedWorker {
+    SimulatedWorker {
+        entry,
+        runs: BTreeMap::new(),
+        ends: Vec::new(),
+        crashed_ms: None,
+        is_noted: false,
+    }
+}
