Give up tasks that crash each worker that starts them

Callers of innocent jobs waited or failed while one task was started up to 122 times, each time on a worker that was gone 3 to 10 ms later with all it ran.

Cause: only ends that a worker reports as failed count as attempts, and a worker that crashes reports nothing (hypothesis 1; it happens with one holder as with several, so 2 was ruled out as the cause, but a count in memory would have brought it). About 16 tasks go down together, often 10 to 22 of them just started, so a count for all would give up innocents (hypothesis 3).

Crashes count against the runs that the worker isn't known to have survived for 150 ms. A task that was a possible cause starts again on trial: on one of a few workers of the pool that take nothing else meanwhile, one at a time. The next crash then has one possible cause, and the second of these gives the job up. The count is in the job's row and is stored with the next placement, before its start is sent; a new holder counts the crash from the placement if its predecessor could not. docs/design/worker-crashes.md has evidence, states and what was weighed.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -63,6 +63,9 @@
     /// Jobs with ready tasks for which their durable rows have no room, as known to the lease holder;
     /// 0 on other hosts.
     pub full_row_jobs: Gauge,
+    /// Tasks that may crash their workers and await a trial or are on it, as known to the lease
+    /// holder; 0 on other hosts.
+    pub suspect_tasks: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -119,6 +122,10 @@
             "full_row_jobs",
             "Jobs with ready tasks for which their rows have no room, on the lease's holder",
         );
+        let suspect_tasks = gauge(
+            "suspect_tasks",
+            "Tasks that may crash their workers, on the lease's holder",
+        );
         let organisations = OrganisationMetrics::register(&mut registry);
         Self {
             registry,
@@ -136,6 +143,7 @@
             slow_workers,
             long_task_wait_ms,
             full_row_jobs,
+            suspect_tasks,
         }
     }
 
@@ -148,6 +156,15 @@
         self.outcomes.get_or_create(&labels).inc();
     }
 
+    /// Adds to the counter of an action's outcome.
+    pub fn count_times(&self, action: &'static str, outcome: &str, times: u64) {
+        let labels = OutcomeLabels {
+            action,
+            outcome: outcome.to_owned(),
+        };
+        self.outcomes.get_or_create(&labels).inc_by(times);
+    }
+
     /// Returns how often an action has had this outcome since the process started.
     pub fn outcome_count(&self, action: &'static str, outcome: &str) -> u64 {
         let labels = OutcomeLabels {
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -19,6 +19,7 @@
 use crate::workflow::long_task_monitor::LongTaskMonitor;
 use crate::workflow::lost_runs::LostRuns;
 use crate::workflow::organisation_usage::OrganisationUsage;
+use crate::workflow::suspect_tasks::SuspectTasks;
 use crate::workflow::ArchivedJobs;
 use crate::workflow::CommandPhase;
 use crate::workflow::CordonReason;
@@ -124,6 +125,7 @@
     /// Whether `config` was confirmed as the newest version within the time in which a new one must
     /// be in force. Otherwise, a lower cap may be, and organisations with a cap start nothing.
     pub is_config_recent: bool,
+    pub(crate) suspects: SuspectTasks,
     pub(crate) usage: OrganisationUsage,
     pub(crate) caps: CapLimits,
     pub(crate) capped_arrivals: CappedArrivals,
@@ -163,6 +165,7 @@
             restored_placements: BTreeMap::new(),
             early_cordons: BTreeMap::new(),
             is_config_recent: true,
+            suspects: SuspectTasks::default(),
             usage: OrganisationUsage::default(),
             caps: CapLimits::default(),
             capped_arrivals: CappedArrivals::default(),
@@ -212,7 +215,8 @@
             self.waiting_jobs.insert(id.clone());
         }
         let spec = Rc::clone(&job.spec);
-        self.jobs.insert(id, job);
+        self.jobs.insert(id.clone(), job);
+        self.restore_suspects(&id, now_ms);
         for (name, worker) in inherited {
             self.usage.add(&spec, &spec.steps[name.step as usize]);
             match self.workers.get_mut(&worker) {
--- a/src/workflow/engine_crashes.rs
+++ b/src/workflow/engine_crashes.rs
@@ -1,15 +1,19 @@
-//! Tells which runs may have crashed their worker.
+//! Counts the crashes of workers against the tasks that may have caused them, and gives up tasks that
+//! crash each worker that starts them; see docs/design/worker-crashes.md.
 //!
 //! A worker that has crashed reports nothing, so the cause is told from which runs it had begun
 //! shortly before it was last heard of.
 
 use std::collections::BTreeSet;
 
+use crate::id::JobId;
 use crate::id::WorkerId;
 use crate::workflow::CommandPhase;
 use crate::workflow::CrashEvidence;
 use crate::workflow::JobEngine;
+use crate::workflow::JobPhase;
 use crate::workflow::TaskName;
+use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 
 /// The time in ms for which a worker must be heard of after it has begun a run, for the run not to
@@ -17,6 +21,45 @@
 /// start.
 const START_WINDOW_MS: u64 = 150;
 
+/// Crashes after which a task is given up, if it was the only possible cause of the last one. The
+/// platform allows a task to be given up after two.
+const MAX_CERTAIN_CRASHES: u32 = 2;
+
+/// Crashes after which a task is given up that was only the likely cause of the last one. The
+/// platform forbids three more starts after three crashes.
+const MAX_LIKELY_CRASHES: u32 = 3;
+
+/// How certain it is that a task has caused a crash.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CauseCertainty {
+    /// Other tasks may have caused it as well.
+    Possible,
+    /// No other task is likely to have, but the worker may have been lost with its rack, or the
+    /// controller does not know what it had survived.
+    Likely,
+    /// No other task can have caused it.
+    Certain,
+}
+
+impl CauseCertainty {
+    /// Returns the number of crashes from which a task is given up; `None` if it is not for such a one.
+    fn limit(self) -> Option<u32> {
+        match self {
+            Self::Possible => None,
+            Self::Likely => Some(MAX_LIKELY_CRASHES),
+            Self::Certain => Some(MAX_CERTAIN_CRASHES),
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Possible => "possible",
+            Self::Likely => "likely",
+            Self::Certain => "certain",
+        }
+    }
+}
+
 impl JobEngine {
     /// Records that a worker has crashed, on evidence from `evidence_ms`, and releases its tasks. No
     /// effect if it is known to have started again since.
@@ -35,28 +78,178 @@
         self.end_incarnation(id, evidence.as_str(), now_ms);
     }
 
-    /// Records the crash of a worker's incarnation whose tasks are still placed. Runs on a worker that is
-    /// draining end when it leaves, which is no crash.
-    pub(crate) fn record_crash(&mut self, id: &WorkerId, evidence: CrashEvidence, _now_ms: u64) {
+    /// Counts the crash of a worker's incarnation, whose tasks are still placed, against those that may
+    /// have caused it. Runs on a worker that is draining end when it leaves, which is no crash.
+    pub(crate) fn record_crash(&mut self, id: &WorkerId, evidence: CrashEvidence, now_ms: u64) {
         let worker = self.workers.get(id);
         if worker.is_some_and(|worker| worker.entry.draining) {
             return;
         }
         let runs = worker.map_or(0, |worker| worker.tasks.len());
+        let rack = worker.and_then(|worker| worker.entry.rack().map(str::to_owned));
+        let is_rack_loss =
+            rack.is_some_and(|rack| self.suspects.record_rack_crash(&rack, id, now_ms));
         let causes = self.possible_causes(id);
         if causes.is_empty() {
             return;
         }
         log::warn!(
-            "event=worker_crashed worker={id} evidence=\"{evidence}\" runs={runs} causes={}",
+            "event=worker_crashed worker={id} evidence=\"{evidence}\" runs={runs} causes={} rack_lost={is_rack_loss}",
             causes.len()
         );
+        self.suspects.count_crash();
+        let is_inherited = causes.iter().any(|name| self.is_inherited(name));
+        let likely = self.likely_cause(&causes);
         for name in &causes {
-            let run = self.task_state(name).map_or(0, |state| state.last_run);
+            let unit = self.crash_unit(name);
+            let is_only = causes.iter().all(|other| self.crash_unit(other) == unit);
+            let certainty = match (is_only, is_inherited || is_rack_loss) {
+                (true, false) => CauseCertainty::Certain,
+                (true, true) => CauseCertainty::Likely,
+                (false, _) if is_inherited && likely.as_ref() == Some(&unit) => {
+                    CauseCertainty::Likely
+                }
+                (false, _) => CauseCertainty::Possible,
+            };
+            self.count_crash(name, id, certainty, now_ms);
+        }
+    }
+
+    /// Returns the unit of the only task among the possible causes that has been one before. An earlier
+    /// controller has started it on a worker that had survived the starts of the others.
+    fn likely_cause(&self, causes: &BTreeSet<TaskName>) -> Option<TaskName> {
+        let repeated = causes.iter().filter(|name| self.crash_count(name) > 0);
+        let units: BTreeSet<_> = repeated.map(|name| self.crash_unit(name)).collect();
+        match units.len() {
+            1 => units.into_iter().next(),
+            _ => None,
+        }
+    }
+
+    /// Counts a crash of a worker against a task, and gives the task up if it has crashed too many.
+    fn count_crash(
+        &mut self,
+        name: &TaskName,
+        worker: &WorkerId,
+        certainty: CauseCertainty,
+        now_ms: u64,
+    ) {
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        let occurrences = job.spec.occurrences();
+        let has_ended = job.phase.has_ended();
+        let Some(state) = job.task_mut(name) else {
+            return;
+        };
+        state.crashes += 1;
+        state.crashed_on.push(worker.clone());
+        let (run, workers) = (state.last_run, state.crashed_on.clone());
+        self.changed.insert(name.job.clone());
+        let crashes = self.crash_count(name);
+        log::warn!(
+            "event=crash_counted job={} task={name} run={run} worker={worker} crashes={crashes} certainty={}",
+            name.job,
+            certainty.as_str()
+        );
+        if has_ended {
+            return;
+        }
+        for occurrence in 0..occurrences {
+            let same = TaskName {
+                occurrence,
+                ..name.clone()
+            };
+            let is_open = |state: &TaskState| state.phase != TaskPhase::Done;
+            if self.task_state(&same).is_some_and(is_open) {
+                self.suspects.insert(same, now_ms);
+            }
+        }
+        if certainty.limit().is_some_and(|limit| crashes >= limit) {
+            let workers: Vec<_> = workers.iter().map(WorkerId::as_str).collect();
             log::warn!(
-                "event=crash_cause_possible job={} task={name} run={run} worker={id}",
-                name.job
+                "event=job_failed job={} task={name} crashes={crashes} workers={} reason=\"the task crashes its workers\"",
+                name.job,
+                workers.join(",")
+            );
+            self.suspects.count_given_up();
+            self.end_job(&name.job.clone(), JobPhase::Failed, now_ms);
+        }
+    }
+
+    /// Returns the number of crashes that a task may have caused. The occurrences of a job run the same
+    /// task, and all members of a gang start again for each.
+    pub(crate) fn crash_count(&self, name: &TaskName) -> u32 {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return 0;
+        };
+        let is_gang = job.step(name.step).is_some_and(|step| step.gang);
+        let of_occurrence = |occurrence| {
+            let tasks = job.step_tasks(occurrence, name.step);
+            match is_gang {
+                true => tasks.iter().map(|task| task.crashes).max(),
+                false => tasks.get(name.index as usize).map(|task| task.crashes),
+            }
+        };
+        let occurrences = 0..job.spec.occurrences();
+        occurrences.filter_map(of_occurrence).sum()
+    }
+
+    /// Restores the suspects among a job's tasks from its durable progress.
+    pub(crate) fn restore_suspects(&mut self, id: &JobId, now_ms: u64) {
+        let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
+            return;
+        };
+        if !job.has_crashes() {
+            return;
+        }
+        let names = job.task_names().filter(|name| {
+            let is_open = job
+                .task(name)
+                .is_some_and(|state| state.phase != TaskPhase::Done);
+            is_open && self.crash_count(name) > 0
+        });
+        let names: Vec<_> = names.collect();
+        for name in names {
+            self.suspects.insert(name, now_ms);
+        }
+    }
+
+    /// Clears the suspects whose worker has survived their start, and forgets those that are done.
+    pub(crate) fn clear_suspects(&mut self) {
+        let suspects: Vec<_> = self.suspects.iter().cloned().collect();
+        for name in suspects {
+            let job = self
+                .jobs
+                .get(&name.job)
+                .filter(|job| !job.phase.has_ended());
+            let state = job.and_then(|job| job.task(&name));
+            let Some(state) = state.filter(|state| state.phase != TaskPhase::Done) else {
+                self.suspects.remove(&name);
+                continue;
+            };
+            let worker = state.worker().and_then(|id| self.workers.get(id));
+            let is_running = matches!(
+                state.command_phase(),
+                Some(CommandPhase::Accepted(_) | CommandPhase::Running)
             );
+            if is_running && worker.is_some_and(|worker| has_survived(state, worker.alive_ms)) {
+                self.clear_suspect(&name);
+            } else if self.crash_count(&name) == 0 {
+                self.suspects.remove(&name);
+            }
+        }
+    }
+
+    fn clear_suspect(&mut self, name: &TaskName) {
+        log::info!("event=suspect_cleared job={} task={name}", name.job);
+        self.suspects.remove(name);
+        self.suspects.count_cleared();
+        let job = self.jobs.get_mut(&name.job);
+        if let Some(state) = job.and_then(|job| job.task_mut(name)) {
+            state.crashes = 0;
+            state.crashed_on.clear();
+            self.changed.insert(name.job.clone());
         }
     }
 
@@ -80,9 +273,36 @@
         runs.filter(may_have_begun).cloned().collect()
     }
 
+    /// Returns whether a worker is known to have survived the starts of all its tasks.
+    pub(crate) fn has_survived_all(&self, id: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get(id) else {
+            return false;
+        };
+        let mut tasks = worker.tasks.iter();
+        tasks.all(|name| {
+            let state = self.task_state(name);
+            state.is_some_and(|state| has_survived(state, worker.alive_ms))
+        })
+    }
+
     pub(crate) fn task_state(&self, name: &TaskName) -> Option<&TaskState> {
         self.jobs.get(&name.job)?.task(name)
     }
+
+    fn is_inherited(&self, name: &TaskName) -> bool {
+        let phase = self.task_state(name).and_then(TaskState::command_phase);
+        matches!(phase, None | Some(CommandPhase::Inherited(_)))
+    }
+
+    /// Returns what starts together with a task: the first member of its gang, or the task itself.
+    fn crash_unit(&self, name: &TaskName) -> TaskName {
+        let job = self.jobs.get(&name.job);
+        let is_gang = job.is_some_and(|job| job.step(name.step).is_some_and(|step| step.gang));
+        TaskName {
+            index: if is_gang { 0 } else { name.index },
+            ..name.clone()
+        }
+    }
 }
 
 /// Returns whether a worker that was last heard of at `alive_ms` has survived the start of a run.
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -29,6 +29,10 @@
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 
+/// The field of a job's durable row with the crashes that its tasks may have caused: rows of a task's
+/// position and the number.
+const CRASHES_FIELD: &str = "crashes";
+
 /// The bytes of a job's durable row besides its tasks and its owner's name.
 const ROW_OVERHEAD_BYTES: usize = 100;
 
@@ -115,7 +119,10 @@
         if phase.has_ended() {
             self.ended_ms = now_ms;
         }
-        let has_ended_run = |task: &TaskState| task.phase == TaskPhase::Done || task.failures > 0;
+        self.restore_crashes(value);
+        let has_ended_run = |task: &TaskState| {
+            task.phase == TaskPhase::Done || task.failures > 0 || task.crashes > 0
+        };
         self.has_begun = self.tasks.iter().any(has_ended_run);
         self.recount_done();
         Some(())
@@ -157,13 +164,41 @@
         } else {
             self.tasks.iter().map(TaskState::to_value).collect()
         };
+        let has_tasks = !tasks.is_empty();
         let mut row = json!({ "phase": self.phase.as_str(), "tasks": tasks });
+        if has_tasks && self.has_crashes() {
+            let counted = self.tasks.iter().enumerate();
+            let counted = counted.filter(|(_, task)| task.crashes > 0);
+            let counts: Vec<_> = counted
+                .map(|(position, task)| (position, task.crashes))
+                .collect();
+            row[CRASHES_FIELD] = json!(counts);
+        }
         if let Some(owner) = &self.spec.organisation {
             row[OWNER_FIELD] = json!(owner);
         }
         row
     }
 
+    /// Returns whether tasks may have caused crashes of workers.
+    pub(crate) fn has_crashes(&self) -> bool {
+        self.tasks.iter().any(|task| task.crashes > 0)
+    }
+
+    /// Restores the numbers of crashes from a durable row. Those that can't be decoded, or are of no task,
+    /// count as none: the other progress still holds.
+    fn restore_crashes(&mut self, value: &Value) {
+        let counts = value.get(CRASHES_FIELD).and_then(Value::as_array);
+        for entry in counts.into_iter().flatten() {
+            let position = entry.get(0).and_then(Value::as_u64);
+            let count = entry.get(1).and_then(Value::as_u64);
+            let task = position.and_then(|position| self.tasks.get_mut(position as usize));
+            if let (Some(task), Some(count)) = (task, count) {
+                task.crashes = u32::try_from(count).unwrap_or(u32::MAX);
+            }
+        }
+    }
+
     /// Returns the bytes that the durable row has left. Tasks that have started and are not done
     /// reserve those of a usual run, and so do long-running ones from the beginning. In a job that is
     /// small enough, all do.
@@ -197,15 +232,17 @@
         checkpoint: &str,
     ) -> usize {
         let state = self.task(name);
+        let crash_bytes = state.map_or(0, TaskState::crash_row_bytes);
         if self.counted_room().is_exact {
             let taken = state.map_or(0, TaskState::exact_row_bytes);
-            return exact_run_bytes(worker, checkpoint).saturating_sub(taken);
+            let needed = exact_run_bytes(worker, checkpoint) + crash_bytes;
+            return needed.saturating_sub(taken);
         }
         let reserved = match (state, self.step(name.step)) {
             (Some(state), Some(step)) => self.reserved_bytes(state, step),
             _ => 0,
         };
-        run_row_bytes(worker, checkpoint).saturating_sub(reserved)
+        (run_row_bytes(worker, checkpoint) + crash_bytes).saturating_sub(reserved)
     }
 
     /// Sets the checkpoint of a task unless it is empty, or too long for the durable row; the task
@@ -338,6 +375,7 @@
             return;
         }
         state.phase = TaskPhase::Done;
+        state.crashes = 0;
         let position = self.step_position(name.occurrence, name.step);
         self.done_counts[position] += 1;
     }
--- a/src/workflow/placement_pool.rs
+++ b/src/workflow/placement_pool.rs
@@ -7,6 +7,7 @@
 //! A best-fit choice keeps the larger gaps for larger tasks. Tasks of long-running steps are
 //! spread over racks, so that the loss of one rack affects few of them.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -29,6 +30,18 @@
     /// The worker is tried with few tasks, whatever it is thought of.
     is_probe: bool,
     slowdown: SlowdownFactor,
+    trial: TrialState,
+}
+
+/// Whether a worker takes tasks that may crash it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum TrialState {
+    /// It takes ordinary tasks.
+    None,
+    /// It takes one such task.
+    Free,
+    /// It takes no task, since it may not have survived the last starts yet.
+    Occupied,
 }
 
 impl Candidate {
@@ -44,6 +57,7 @@
     /// each worker.
     fn fits(&self, step: &StepSpec, reserved: &WorkerResources, due: &DueTime) -> bool {
         self.slots > 0
+            && self.trial == TrialState::None
             && reserved.fits(&self.free)
             && self.has_label(step)
             && (!self.is_slow() || self.slowdown.stretch(due.expected_ms) <= due.limit_ms)
@@ -108,6 +122,7 @@
             slots: slots.unwrap_or(u32::MAX),
             is_probe: limit.is_some(),
             slowdown,
+            trial: TrialState::None,
         };
         let cpu_millis = worker.entry.capacity.cpu_millis;
         self.capacity.add(&WorkerResources {
@@ -203,6 +218,93 @@
         chosen
     }
 
+    /// Returns the number of workers.
+    pub(crate) fn len(&self) -> usize {
+        self.candidates.len()
+    }
+
+    /// Returns whether a worker accepts tasks.
+    pub(crate) fn contains(&self, id: &WorkerId) -> bool {
+        self.candidates.iter().any(|one| one.entry.id == *id)
+    }
+
+    /// Keeps a worker for tasks that may crash it. It takes one if `is_free`.
+    pub(crate) fn set_trial(&mut self, id: &WorkerId, is_free: bool) {
+        let candidate = self.candidates.iter_mut().find(|one| one.entry.id == *id);
+        if let Some(candidate) = candidate {
+            candidate.trial = match is_free {
+                true => TrialState::Free,
+                false => TrialState::Occupied,
+            };
+        }
+    }
+
+    /// Returns the worker, not one of `chosen`, whose crash would harm the fewest tasks and that is large
+    /// enough for a task of a step.
+    pub(crate) fn best_trial_worker(
+        &self,
+        step: &StepSpec,
+        chosen: &BTreeSet<WorkerId>,
+    ) -> Option<WorkerId> {
+        let reserved = step.reserved();
+        let suits = |candidate: &&Candidate| {
+            candidate.has_label(step)
+                && reserved.fits(&candidate.entry.capacity)
+                && !chosen.contains(&candidate.entry.id)
+        };
+        let harm = |candidate: &&Candidate| {
+            let free_millis = candidate.free.cpu_millis;
+            let used_millis = candidate.entry.capacity.cpu_millis - free_millis;
+            (candidate.has_long_running, candidate.is_probe, used_millis)
+        };
+        let best = self.candidates.iter().filter(suits).min_by_key(harm);
+        best.map(|candidate| candidate.entry.id.clone())
+    }
+
+    /// Chooses workers that are kept for trials for the `waiting` tasks of a step, which start together,
+    /// and reserves their resources; none if one of them fits nowhere.
+    pub(crate) fn choose_on_trial(
+        &mut self,
+        step: &StepSpec,
+        waiting: &[&TaskState],
+        placed: &[&WorkerState],
+    ) -> Vec<WorkerId> {
+        let reserved = step.reserved();
+        let mut siblings = StepSiblings::new(step, placed);
+        let mut positions = Vec::with_capacity(waiting.len());
+        for task in waiting {
+            let fitting = self
+                .candidates
+                .iter()
+                .enumerate()
+                .filter(|(position, one)| {
+                    let is_kept = one.trial == TrialState::Free || positions.contains(position);
+                    let has_room = one.slots > 0 && reserved.fits(&one.free) && one.has_label(step);
+                    is_kept && has_room && siblings.permit(step, &one.entry.id)
+                });
+            let best = fitting.min_by_key(|(_, one)| cost(one, step, task, &siblings));
+            let Some((position, _)) = best else {
+                let chosen: Vec<_> = self.ids(&positions);
+                self.release(step, &chosen);
+                for position in positions {
+                    self.candidates[position].trial = TrialState::Free;
+                }
+                return Vec::new();
+            };
+            self.reserve(position, step, &mut siblings);
+            self.candidates[position].trial = TrialState::Occupied;
+            positions.push(position);
+        }
+        self.ids(&positions)
+    }
+
+    fn ids(&self, positions: &[usize]) -> Vec<WorkerId> {
+        let ids = positions
+            .iter()
+            .map(|&position| &self.candidates[position].entry.id);
+        ids.cloned().collect()
+    }
+
     /// Returns the resources of tasks of a step that were chosen but are not placed.
     pub fn release(&mut self, step: &StepSpec, chosen: &[WorkerId]) {
         for id in chosen {
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -100,6 +100,15 @@
     term.metrics.long_task_wait_ms.set(waited_ms as i64);
     let full_rows = engine.check_full_rows(boot_ms());
     term.metrics.full_row_jobs.set(full_rows as i64);
+    let counts = engine.take_crash_counts();
+    term.metrics.count_times("crash", "counted", counts.crashes);
+    term.metrics
+        .count_times("crash", "job-given-up", counts.given_up);
+    term.metrics
+        .count_times("crash", "suspect-cleared", counts.cleared);
+    term.metrics
+        .suspect_tasks
+        .set(engine.suspect_count() as i64);
     if engine.has_changes() {
         term.commit.notify_one();
     }
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -36,6 +36,7 @@
             let largest = self.pool_capacities.entry(service.clone()).or_default();
             *largest = pool.capacity_millis().max(*largest);
         }
+        self.place_suspects(&mut pools, now_ms, wall_ms);
         let plan = self.plan_pass(&config, &pools, now_ms);
         self.log_oversized(plan.oversized);
         for (service, mut jobs) in plan.by_service {
@@ -138,6 +139,7 @@
             return true;
         }
         let mut waiting = self.waiting_tasks(id, occurrence, step);
+        waiting.retain(|name| !self.awaits_trial(name, now_ms));
         waiting.truncate(usize::try_from(room).unwrap_or(usize::MAX));
         let ready = waiting.len();
         self.retain_storable(id, &mut waiting);
@@ -166,6 +168,47 @@
         step: u32,
         pool: &mut PlacementPool,
         now_ms: u64,
+    ) -> bool {
+        if self.gang_awaits_trial(id, occurrence, step, now_ms) {
+            return true;
+        }
+        self.place_members(
+            id,
+            occurrence,
+            step,
+            pool,
+            now_ms,
+            |engine, waiting, pool| engine.choose_workers(waiting, pool, now_ms),
+        )
+    }
+
+    /// Like [`JobEngine::place_gang`], on workers that are kept for trials.
+    pub(crate) fn place_gang_on_trial(
+        &mut self,
+        id: &JobId,
+        occurrence: u32,
+        step: u32,
+        pool: &mut PlacementPool,
+        now_ms: u64,
+    ) -> bool {
+        self.place_members(
+            id,
+            occurrence,
+            step,
+            pool,
+            now_ms,
+            |engine, waiting, pool| engine.choose_on_trial(waiting, pool),
+        )
+    }
+
+    fn place_members(
+        &mut self,
+        id: &JobId,
+        occurrence: u32,
+        step: u32,
+        pool: &mut PlacementPool,
+        now_ms: u64,
+        choose: impl Fn(&Self, &[TaskName], &mut PlacementPool) -> Vec<WorkerId>,
     ) -> bool {
         let waiting = self.waiting_tasks(id, occurrence, step);
         let Some(job) = self.jobs.get(id) else {
@@ -179,7 +222,7 @@
         if self.cap_room(id, step) < waiting.len() as u64 {
             return true;
         }
-        let chosen = self.choose_workers(&waiting, pool, now_ms);
+        let chosen = choose(self, &waiting, pool);
         if chosen.len() < waiting.len() {
             pool.release(&job.spec.steps[step as usize], &chosen);
             return false;
@@ -248,7 +291,7 @@
         pool.choose_workers(step, &states, &placed, times)
     }
 
-    fn place_task(&mut self, name: &TaskName, worker_id: &WorkerId, now_ms: u64) {
+    pub(crate) fn place_task(&mut self, name: &TaskName, worker_id: &WorkerId, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -12,6 +12,9 @@
 /// The bytes in a job's row of a task that has not run or is done: a digit and a comma.
 const IDLE_ROW_BYTES: usize = 2;
 
+/// The bytes in a job's row of the crashes that a task may have caused: position and count.
+const CRASH_ROW_BYTES: usize = 12;
+
 /// The bytes of a task in a job's row besides its checkpoint and worker: punctuation, and up to six
 /// digits for run and failures.
 const RUN_OVERHEAD_BYTES: usize = 16;
@@ -56,8 +59,8 @@
     Done,
 }
 
-/// The state of a task. The command's phase, `started_ms`, `failed_on` and the reported `percent` and
-/// `load` are not durable.
+/// The state of a task. The command's phase, `started_ms`, `crashed_on`, `failed_on` and the reported
+/// `percent` and `load` are not durable; `crashes` are stored with the job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TaskState {
     /// The phase; a placed task is restored with an inherited command.
@@ -72,6 +75,10 @@
     pub lost_on: Option<WorkerId>,
     /// When the last run was first known to have begun, in ms; `None` if it is not known to have.
     pub started_ms: Option<u64>,
+    /// The number of crashes of workers that the task may have caused, since one survived its start.
+    pub crashes: u32,
+    /// The workers of these crashes, as far as this controller has seen them.
+    pub crashed_on: Vec<WorkerId>,
     /// The workers on which a run failed or stalled; later runs prefer others.
     pub failed_on: Vec<WorkerId>,
     /// The last reported share of the full processing rate, in percent.
@@ -91,6 +98,8 @@
             checkpoint: String::new(),
             lost_on: None,
             started_ms: None,
+            crashes: 0,
+            crashed_on: Vec::new(),
             failed_on: Vec::new(),
             percent: 0,
             load: 0,
@@ -154,7 +163,7 @@
             return IDLE_ROW_BYTES;
         }
         let worker = self.worker().or(self.lost_on.as_ref());
-        run_row_bytes(worker, &self.checkpoint)
+        run_row_bytes(worker, &self.checkpoint) + self.crash_row_bytes()
     }
 
     /// Returns the bytes of its job's row that the task takes, without those that it reserves.
@@ -163,7 +172,15 @@
             return IDLE_ROW_BYTES;
         }
         let worker = self.worker().or(self.lost_on.as_ref());
-        exact_run_bytes(worker, &self.checkpoint)
+        exact_run_bytes(worker, &self.checkpoint) + self.crash_row_bytes()
+    }
+
+    /// Returns the bytes of its job's row that the crashes take.
+    pub(crate) fn crash_row_bytes(&self) -> usize {
+        match self.crashes {
+            0 => 0,
+            _ => CRASH_ROW_BYTES,
+        }
     }
 
     /// Encodes the durable part: 0 before the first run, 1 when done, otherwise an array of
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -165,11 +165,12 @@
     if !due || !term.may_renew() {
         return Some(None);
     }
-    // Tasks of an earlier incarnation wait for the next report, not for an end.
+    // Tasks of an earlier incarnation and those on trial wait for the next report, not for an end.
     let may_wait = busy
         && worker.has_accepted_epoch
         && worker.unresponsive_since_ms == 0
-        && !worker.has_carried_tasks();
+        && !worker.has_carried_tasks()
+        && !engine.is_trial_worker(id);
     let renewal = LeaseRenewal {
         epoch: term.epoch,
         lease_end_ms: worker.next_lease_end_ms(WORKER_LEASE_MS, boot_ms()),
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -60,6 +60,20 @@
     is_noted: bool,
 }
 
+impl SimulatedWorker {
+    /// Ends a run and lists its end.
+    fn end(&mut self, task: TaskName, run: u64, kind: EndKind) {
+        self.runs.remove(&task);
+        self.ends.push(TaskEnd {
+            number: self.ends.len() as u64 + 1,
+            task,
+            run,
+            kind,
+            checkpoint: String::new(),
+        });
+    }
+}
+
 /// A pool of workers, of which each crashes that starts a deadly task.
 pub(crate) struct CrashFleet {
     pub(crate) engine: JobEngine,
@@ -270,14 +284,7 @@
                 .map(|(name, run)| (name.clone(), run.run))
                 .collect();
             for (name, run) in over {
-                worker.runs.remove(&name);
-                worker.ends.push(TaskEnd {
-                    number: worker.ends.len() as u64 + 1,
-                    task: name,
-                    run,
-                    kind: EndKind::Done,
-                    checkpoint: String::new(),
-                });
+                worker.end(name, run, EndKind::Done);
             }
         }
     }
@@ -348,6 +355,7 @@
             .filter(|(_, state)| state.command_phase() == Some(CommandPhase::Committing))
             .map(|(name, state)| (name, state.last_run, state.worker().unwrap().clone()));
         let committing: Vec<_> = committing.collect();
+        let mut broken = Vec::new();
         for (name, run, id) in committing {
             let now_ms = self.now_ms;
             let job = self.engine.jobs.get_mut(&name.job).unwrap();
@@ -366,6 +374,7 @@
                         worker.runs.clear();
                         worker.crashed_ms = Some(now_ms);
                         self.crashes += 1;
+                        broken.push(name.clone());
                     }
                     CommandOutcome::Accepted(now_ms)
                 }
@@ -374,6 +383,26 @@
                 self.engine.apply_start(&name, run, &outcome, now_ms);
             }
         }
+        for name in broken {
+            self.break_gang(&name);
+        }
+    }
+
+    /// Ends the runs of the other members of a gang.
+    fn break_gang(&mut self, lost: &TaskName) {
+        if !self.specs[&lost.job].steps[lost.step as usize].gang {
+            return;
+        }
+        for worker in &mut self.workers {
+            let members = worker.runs.keys().filter(|name| {
+                (&name.job, name.occurrence, name.step) == (&lost.job, lost.occurrence, lost.step)
+            });
+            let members: Vec<_> = members.cloned().collect();
+            for name in members {
+                let run = worker.runs[&name].run;
+                worker.end(name, run, EndKind::Broken);
+            }
+        }
     }
 }
 
