Try suspects on more workers while a pool has room

Up to three quarters of a pool's workers are kept for trials while less than half of its CPU is in use, and those with room are chosen first.

--- a/src/workflow/placement_pool.rs
+++ b/src/workflow/placement_pool.rs
@@ -255,7 +255,13 @@
         let harm = |candidate: &&Candidate| {
             let free_millis = candidate.free.cpu_millis;
             let used_millis = candidate.entry.capacity.cpu_millis - free_millis;
-            (candidate.has_long_running, candidate.is_probe, used_millis)
+            let is_full = !reserved.fits(&candidate.free);
+            (
+                is_full,
+                candidate.has_long_running,
+                candidate.is_probe,
+                used_millis,
+            )
         };
         let best = self.candidates.iter().filter(suits).min_by_key(harm);
         best.map(|candidate| candidate.entry.id.clone())
--- a/src/workflow/suspect_placer.rs
+++ b/src/workflow/suspect_placer.rs
@@ -24,6 +24,10 @@
 /// tasks that are not suspected.
 const MAX_TRIAL_PERCENT: usize = 25;
 
+/// The limit while less than half of the pool's CPU is in use: the other tasks need fewer workers then,
+/// and suspects that a load peak has left behind should not wait for each other.
+const MAX_IDLE_TRIAL_PERCENT: usize = 75;
+
 /// How long a suspect waits for its trial, in ms. Then it is placed like other tasks, unless it has been
 /// a possible cause too often.
 const MAX_TRIAL_WAIT_MS: u64 = 2_000;
@@ -141,7 +145,7 @@
         let most = match is_gang {
             // The members of a gang start together.
             true => pool.len(),
-            false => (pool.len() * MAX_TRIAL_PERCENT / 100).max(1),
+            false => (pool.len() * max_trial_percent(pool) / 100).max(1),
         };
         let needed: usize = steps.iter().map(|step| trial_workers_of(step)).sum();
         let wanted = needed.min(most);
@@ -247,6 +251,14 @@
     }
 }
 
+/// Returns the limit on the workers of a pool on which suspects are tried, in percent.
+fn max_trial_percent(pool: &PlacementPool) -> usize {
+    match 2 * pool.used().cpu_millis < pool.capacity_millis() {
+        true => MAX_IDLE_TRIAL_PERCENT,
+        false => MAX_TRIAL_PERCENT,
+    }
+}
+
 /// Returns the number of workers that a trial of a step's task may take.
 fn trial_workers_of(step: &StepSpec) -> usize {
     match step.gang {
