--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -258,6 +258,11 @@
                 if entry.draining && !worker.entry.draining {
                     log::info!("event=worker_draining worker={id}");
                 }
+                if entry.capacity != worker.entry.capacity {
+                    let [cpu, memory, gpus] = entry.capacity.amounts();
+                    let used = worker.used.cpu_millis;
+                    log::info!("event=worker_capacity_changed worker={id} cpu_millis={cpu} memory_mb={memory} gpus={gpus} used_millis={used}");
+                }
                 worker.entry = Rc::new(entry);
                 worker.listed = true;
             }
