Keep starts within the capacity that a worker states when they are sent

A worker that doesn't guard its capacity would be brought over it, and one that does would refuse starts for want of room.

Cause: the capacity was compared with when a task is placed, and only with the tasks that the controller had placed. Ruled out: what is being stopped counts until its end is listed, and a shrunken capacity stops nothing (both by a test that passed before).

A start, or its next attempt, is withdrawn if the worker no longer holds all that is placed on it or runs there; of a gang, all members. Listed runs without a placed task take capacity: that of their step, or all of it if their job is not known. A restarted worker gets nothing until its entry is of the new incarnation. Workers of pools that don't guard get no start on a list of workers older than 3 s, so not on placements from an outage of the table.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -43,6 +43,10 @@
 /// prevents a controller that was paused from sending commands after a successor has taken over.
 const MAX_COMMAND_UNCONFIRMED_MS: u64 = 1_000;
 
+/// Age of the list of workers up to which the capacities that it states are relied on. The platform
+/// allows 3 s and a heartbeat until a smaller one counts; the feed answers at least each 1.3 s.
+const MAX_WORKER_LIST_AGE_MS: u64 = 3_000;
+
 /// Max bytes of start commands that are on their way together, on a link of unknown bandwidth: what
 /// 10 Mbit/s carry in 0.1 s, so that renewals of the lease and of workers' leases find room.
 pub(crate) const DEFAULT_START_BYTES: usize = 125_000;
@@ -80,7 +84,8 @@
     long_start_bytes: Semaphore,
     ended: Cell<bool>,
     releasing: Cell<bool>,
-    has_worker_list: Cell<bool>,
+    /// When the list of workers was last known to be current, in ms.
+    worker_list_ms: Cell<Option<u64>>,
     /// When the lease was last confirmed, in ms.
     confirmed_ms: Cell<u64>,
     /// When it was last doubted that the lease is still held, in ms.
@@ -141,7 +146,7 @@
             long_start_bytes: Semaphore::new(MIN_START_BYTES),
             ended: Cell::new(false),
             releasing: Cell::new(false),
-            has_worker_list: Cell::new(false),
+            worker_list_ms: Cell::new(None),
             confirmed_ms: Cell::new(boot_ms()),
             doubted_ms: Cell::new(0),
             waiting_stops: RefCell::default(),
@@ -243,14 +248,20 @@
         self.submissions_ms.get()
     }
 
-    /// Records that the list of workers has been read.
+    /// Records that the list of workers has been read, or its feed has answered, just now.
     pub fn record_worker_list(&self) {
-        self.has_worker_list.set(true);
+        self.worker_list_ms.set(Some(boot_ms()));
+    }
+
+    /// Returns whether the list of workers is recent enough to rely on the capacities that it states.
+    pub fn has_recent_worker_list(&self) -> bool {
+        let listed_ms = self.worker_list_ms.get();
+        listed_ms.is_some_and(|listed_ms| boot_ms() < listed_ms + MAX_WORKER_LIST_AGE_MS)
     }
 
     /// Returns whether the list of workers has been read in this term.
     pub fn has_worker_list(&self) -> bool {
-        self.has_worker_list.get()
+        self.worker_list_ms.get().is_some()
     }
 
     /// Ends the term after a failed commit.
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -25,6 +25,13 @@
         self.incarnations.start(id)
     }
 
+    /// Returns whether a worker's entry is of its newest known incarnation, which may have less capacity
+    /// than earlier ones.
+    pub(crate) fn has_current_entry(&self, worker: &WorkerState) -> bool {
+        let listed = worker.entry.incarnation_start;
+        listed.is_none() || listed == self.incarnation_start(&worker.entry.id)
+    }
+
     /// Returns whether a stop is meant for the newest known incarnation of its worker.
     pub(crate) fn is_current(&self, request: &StopRequest) -> bool {
         request.incarnation_start == self.incarnation_start(&request.worker)
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -17,6 +17,7 @@
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::WorkerReport;
+use crate::workflow::WorkerResources;
 
 /// How long a run may still be listed after its stop was answered. The platform allows
 /// 400 ms for this, and a report may be as old as one long poll.
@@ -261,6 +262,7 @@
         let mut listed = HashSet::with_capacity(report.running.len());
         listed.extend(report.unreadable_tasks());
         let mut unplaced = HashSet::new();
+        let mut unplaced_demand = Some(WorkerResources::default());
         for running in &report.running {
             let known = self.apply_running(id, running, now_ms);
             if known {
@@ -269,6 +271,11 @@
                 let job = self.jobs.get(&running.task.job);
                 let spec = job.map(|job| job.spec.as_ref());
                 unplaced.insert((&running.task, running.run));
+                let step = spec.and_then(|spec| spec.steps.get(running.task.step as usize));
+                unplaced_demand = unplaced_demand.zip(step).map(|(mut sum, step)| {
+                    sum.add(&step.reserved());
+                    sum
+                });
                 self.usage
                     .add_unplaced_run(id, &running.task, running.run, spec);
                 self.push_stop(id, &running.task, running.run, "unknown run");
@@ -276,6 +283,9 @@
         }
         self.usage
             .retain_unplaced_runs(id, |task, run| unplaced.contains(&(task, run)));
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unplaced = unplaced_demand.unwrap_or(worker.entry.capacity);
+        }
         // A missing run may be among the ends that the report leaves out.
         if report.has_more_ends {
             return;
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -66,7 +66,9 @@
             return pools;
         }
         let workers = self.workers.values();
-        for worker in workers.filter(|worker| worker.accepts_tasks(now_ms)) {
+        let accepting =
+            workers.filter(|worker| worker.accepts_tasks(now_ms) && self.has_current_entry(worker));
+        for worker in accepting {
             match pools.get_mut(&worker.entry.service) {
                 Some(pool) => pool.add_worker(worker, now_ms),
                 None => {
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -18,6 +18,7 @@
 use crate::workflow::CommandRefusal;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CrashEvidence;
+use crate::workflow::JobEngine;
 use crate::workflow::LeaseRenewal;
 use crate::workflow::RenewalOutcome;
 use crate::workflow::StartCommand;
@@ -287,7 +288,7 @@
         return false;
     };
     let worker = state.worker().and_then(|id| engine.workers.get(id));
-    let stays = worker.is_some_and(|worker| !worker.is_leaving());
+    let stays = worker.is_some_and(|worker| !worker.is_leaving() && worker.is_within_capacity());
     state.command_phase() == Some(CommandPhase::Sent) && stays && term.may_direct_runs()
 }
 
@@ -338,6 +339,12 @@
         engine.release_task(task);
         return None;
     }
+    if let Some(reason) = lacks_capacity(term, engine, task) {
+        log::info!("event=start_withdrawn task={task} reason=\"{reason}\"");
+        engine.withdraw_start(task);
+        return None;
+    }
+    let state = engine.jobs.get_mut(&task.job)?.task_mut(task)?;
     let worker = state
         .worker()
         .and_then(|worker| engine.workers.get_mut(worker));
@@ -363,6 +370,27 @@
     Some((entry, command))
 }
 
+/// Returns why the worker of a placed task may lack the capacity for it, if it may. The capacity may have
+/// shrunk since the placement.
+fn lacks_capacity(
+    term: &ControllerTerm,
+    engine: &JobEngine,
+    task: &TaskName,
+) -> Option<&'static str> {
+    let state = engine.jobs.get(&task.job)?.task(task)?;
+    let worker = engine.workers.get(state.worker()?)?;
+    let config = engine.config.as_ref();
+    let pool = config.and_then(|config| config.pool(&worker.entry.service));
+    let is_guarded = pool.is_some_and(|pool| pool.rejects_overload);
+    if !worker.is_within_capacity() {
+        return Some("the worker's capacity has shrunk");
+    }
+    if !is_guarded && !term.has_recent_worker_list() {
+        return Some("the worker's capacity is not known to be current");
+    }
+    None
+}
+
 /// Sends a stop command once the lease is confirmed, and applies its outcome. Until then the run
 /// counts as one that is being stopped, and an equal request is dropped. Unless the command was
 /// accepted, the outcome is applied after a pause, because the command is then sent again.
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -56,6 +56,9 @@
     pub has_accepted_epoch: bool,
     /// The resources that the placed tasks reserve.
     pub used: WorkerResources,
+    /// The resources of listed runs that no task is placed for; all of the capacity if one of them is of
+    /// an unknown job.
+    pub unplaced: WorkerResources,
     /// The tasks placed on the worker, whether they run yet or not.
     pub tasks: BTreeSet<TaskName>,
     /// The sequence number of the last task end that was applied.
@@ -105,6 +108,7 @@
             listed: true,
             has_accepted_epoch: false,
             used: WorkerResources::default(),
+            unplaced: WorkerResources::default(),
             tasks: BTreeSet::new(),
             long_running_tasks: 0,
             applied_end: 0,
@@ -127,9 +131,17 @@
         }
     }
 
-    /// Returns the capacity that no placed task reserves.
+    /// Returns the capacity that no placed task reserves and no other run takes.
     pub fn free_capacity(&self) -> WorkerResources {
-        self.entry.capacity.saturating_sub(&self.used)
+        let free = self.entry.capacity.saturating_sub(&self.used);
+        free.saturating_sub(&self.unplaced)
+    }
+
+    /// Returns whether the capacity that the worker states holds all that is placed on it or runs there.
+    pub fn is_within_capacity(&self) -> bool {
+        let mut taken = self.used;
+        taken.add(&self.unplaced);
+        taken.fits(&self.entry.capacity)
     }
 
     /// Adds a task and reserves its resources; no effect if it is already placed. The worker's tasks
