Count a crash only against tasks whose start was answered

A run whose start was not answered makes its task a suspect, which is started on trial; the crash counts only if no other task can have caused it. The test fails before ([1, 1] for [1, 0]).

--- a/src/workflow/engine_crashes.rs
+++ b/src/workflow/engine_crashes.rs
@@ -111,7 +111,18 @@
                 }
                 (false, _) => CauseCertainty::Possible,
             };
-            self.count_crash(name, id, certainty, now_ms);
+            let state = self.task_state(name);
+            let has_begun = state.is_some_and(|state| state.started_ms.is_some());
+            if has_begun || certainty != CauseCertainty::Possible {
+                self.count_crash(name, id, certainty, now_ms);
+            } else {
+                // Its start may have come after the crash, which then was none under this task.
+                log::info!(
+                    "event=crash_suspected job={} task={name} worker={id}",
+                    name.job
+                );
+                self.suspects.insert(name.clone(), now_ms);
+            }
         }
     }
 
@@ -235,8 +246,6 @@
             );
             if is_running && worker.is_some_and(|worker| has_survived(state, worker.alive_ms)) {
                 self.clear_suspect(&name);
-            } else if self.crash_count(&name) == 0 {
-                self.suspects.remove(&name);
             }
         }
     }
@@ -251,6 +260,9 @@
             state.crashed_on.clear();
             self.changed.insert(name.job.clone());
         }
+        if self.crash_count(name) == 0 {
+            self.suspects.remove_occurrences(name);
+        }
     }
 
     /// Returns the tasks whose runs may have crashed a worker: those that it is not known to have survived.
--- a/src/workflow/suspect_tasks.rs
+++ b/src/workflow/suspect_tasks.rs
@@ -57,6 +57,13 @@
         self.since_ms.remove(name);
     }
 
+    /// Clears all occurrences of a suspect.
+    pub(crate) fn remove_occurrences(&mut self, name: &TaskName) {
+        let key = |name: &TaskName| (name.job.clone(), name.step, name.index);
+        let cleared = key(name);
+        self.since_ms.retain(|other, _| key(other) != cleared);
+    }
+
     /// Returns when a task last became a suspect, in ms; `None` if it is none.
     pub(crate) fn since_ms(&self, name: &TaskName) -> Option<u64> {
         self.since_ms.get(name).copied()
--- a/tests/worker_crashes.rs
+++ b/tests/worker_crashes.rs
@@ -6,6 +6,8 @@
 #[path = "common/crashes.rs"]
 mod crashes;
 
+use zincpier::workflow::CommandOutcome;
+use zincpier::workflow::CrashEvidence;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
 use zincpier::workflow::StepSpec;
@@ -15,6 +17,8 @@
 use crate::fixtures::long_running;
 use crate::fixtures::step;
 use crate::fixtures::task;
+use crate::fixtures::worker_entry;
+use crate::fixtures::EngineFleet;
 use crate::fixtures::JOB;
 
 const OTHER_JOBS: [&str; 6] = [
@@ -202,6 +206,34 @@
     assert_eq!(fleet.phase(JOB), JobPhase::Failed);
 }
 
+/// The start may have come after the crash. A task under which one worker has crashed may not be given
+/// up yet.
+#[test]
+fn crash_before_a_start_was_answered_is_not_counted_while_others_may_have_caused_it() {
+    let mut fleet = EngineFleet::new(1);
+    fleet.submit(JOB, vec![step(2)]);
+    let tasks = fleet.place();
+    for name in &tasks {
+        fleet.send(name);
+    }
+    let now_ms = fleet.now_ms;
+    let (accepted, lost) = (
+        CommandOutcome::Accepted(now_ms),
+        CommandOutcome::Unknown("the connection ended".to_owned()),
+    );
+    fleet.engine.apply_start(&tasks[0], 1, &accepted, now_ms);
+    fleet.engine.apply_start(&tasks[1], 1, &lost, now_ms);
+
+    let worker = worker_entry(0).id;
+    fleet
+        .engine
+        .crash_worker(&worker, CrashEvidence::HostDown, now_ms, now_ms);
+
+    let crashes = tasks.iter().map(|name| fleet.state(name).crashes);
+    assert_eq!(crashes.collect::<Vec<_>>(), [1, 0]);
+    assert_eq!(fleet.engine.suspect_count(), 2);
+}
+
 /// Workers that leave after a drain end their tasks, which is not the tasks' doing.
 #[test]
 fn workers_that_drain_and_leave_count_as_no_crashes() {
