--- a/src/operator/job_diagnosis.rs
+++ b/src/operator/job_diagnosis.rs
@@ -18,6 +18,16 @@
         /// Longest time without an answer that a refused submission logged, in ms; 0 if none did.
         unanswered_ms: u64,
     },
+    /// One of its tasks crashed workers.
+    #[error("failed: task {task} crashed {crashes} workers: {workers}")]
+    CrashesWorkers {
+        /// The task.
+        task: String,
+        /// Number of crashes that counted against it.
+        crashes: u64,
+        /// The workers of these crashes that were logged, separated by commas.
+        workers: String,
+    },
     /// The table did not store it; holds the logged reason.
     #[error("refused: the table did not store the job: {0}")]
     TableRefused(String),
--- a/src/operator/job_timeline.rs
+++ b/src/operator/job_timeline.rs
@@ -173,6 +173,18 @@
 
     fn diagnose_failure(&self, failed: &LogLine) -> JobDiagnosis {
         let task = failed.field("task").to_owned();
+        if let Some(crashes) = failed.u64_field("crashes") {
+            // Earlier holders of the lease have logged the crashes that they have seen.
+            let counted = self.events("crash_counted");
+            let counted = counted.filter(|line| line.field("task") == task);
+            let workers: BTreeSet<_> = counted.map(|line| line.field("worker")).collect();
+            let workers: Vec<_> = workers.into_iter().collect();
+            return JobDiagnosis::CrashesWorkers {
+                task,
+                crashes,
+                workers: workers.join(","),
+            };
+        }
         let failures = failed.u64_field("failures").unwrap_or(0);
         let ends = self.events("task_ended");
         let failed_ends =
--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -29,12 +29,22 @@
     state: &'static str,
 }
 
+/// Labels of the `suspect_crashes` gauge.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct SuspectLabels {
+    /// The task that may crash its workers.
+    task: String,
+    /// The worker that it is tried on; `none` while it waits.
+    worker: String,
+}
+
 /// All metrics of an entry host and the registry that encodes them.
 #[derive(Debug)]
 pub struct EntryMetrics {
     registry: Registry,
     outcomes: Family<OutcomeLabels, Counter>,
     workers: Family<WorkerLabels, Gauge>,
+    suspects: Family<SuspectLabels, Gauge>,
     /// Latency of calls to the table, in seconds.
     pub table_seconds: Histogram,
     /// Latency of commands to workers, in seconds. Lease renewals that wait for the end of a task
@@ -86,6 +96,12 @@
             "Workers by how far they are trusted, on the lease's holder",
             workers.clone(),
         );
+        let suspects = Family::default();
+        registry.register(
+            "suspect_crashes",
+            "Crashes that tasks on trial or waiting for one may have caused, on the lease's holder",
+            suspects.clone(),
+        );
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(exponential_buckets(0.000_5, 2.0, 16));
             registry.register(name, help, histogram.clone());
@@ -131,6 +147,7 @@
             registry,
             outcomes,
             workers,
+            suspects,
             table_seconds,
             command_seconds,
             answer_seconds,
@@ -180,6 +197,19 @@
         self.workers.get_or_create(&labels).set(count as i64);
     }
 
+    /// Forgets the tasks that may crash their workers.
+    pub fn clear_suspects(&self) {
+        self.suspects.clear();
+        self.suspect_tasks.set(0);
+    }
+
+    /// Sets the number of crashes that a task may have caused. `worker` is the one it is tried on, or
+    /// `none`.
+    pub fn set_suspect(&self, task: String, worker: String, crashes: u32) {
+        let labels = SuspectLabels { task, worker };
+        self.suspects.get_or_create(&labels).set(i64::from(crashes));
+    }
+
     /// Records a duration in a histogram, in seconds.
     pub fn observe(histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -171,7 +171,7 @@
             self.metrics.slow_workers.set(0);
             self.metrics.long_task_wait_ms.set(0);
             self.metrics.full_row_jobs.set(0);
-            self.metrics.suspect_tasks.set(0);
+            self.metrics.clear_suspects();
             for state in HealthState::ALL {
                 self.metrics.set_worker_count(state.as_str(), 0);
             }
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -11,8 +11,10 @@
 use crate::process::now_ms;
 use crate::workflow::send_stop;
 use crate::workflow::ControllerTerm;
+use crate::workflow::CrashCounts;
 use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
+use crate::workflow::JobEngine;
 use crate::workflow::StopRequest;
 
 /// Time after which a pass runs without a notification.
@@ -34,6 +36,9 @@
 /// Min time between looks for expired leases, which compare all workers. Leases last seconds.
 const EXPIRY_INTERVAL_MS: u64 = 50;
 
+/// The limit on tasks that are listed by name in the metrics.
+const MAX_LISTED_SUSPECTS: usize = 50;
+
 /// Runs placement passes until the term ends.
 pub(crate) async fn run_planner<P: FleetPlatform>(
     platform: Rc<P>,
@@ -75,6 +80,35 @@
     log::warn!("event=control_lag epoch={} lag_ms={lag_ms}", term.epoch);
 }
 
+/// Publishes the tasks that may crash their workers, and counts what became of them.
+fn publish_suspects(term: &ControllerTerm, engine: &mut JobEngine) {
+    let metrics = &term.metrics;
+    let CrashCounts {
+        crashes,
+        given_up,
+        cleared,
+    } = engine.take_crash_counts();
+    for (outcome, times) in [
+        ("counted", crashes),
+        ("job-given-up", given_up),
+        ("suspect-cleared", cleared),
+    ] {
+        if times > 0 {
+            metrics.count_times("crash", outcome, times);
+        }
+    }
+    let count = engine.suspect_count();
+    if count == 0 && metrics.suspect_tasks.get() == 0 {
+        return;
+    }
+    metrics.clear_suspects();
+    metrics.suspect_tasks.set(count as i64);
+    for (task, crashes, worker) in engine.suspect_tasks().into_iter().take(MAX_LISTED_SUSPECTS) {
+        let worker = worker.map_or("none".to_owned(), |worker| worker.to_string());
+        metrics.set_suspect(task.to_string(), worker, crashes);
+    }
+}
+
 /// Releases lost and stalled tasks, places waiting ones and returns the stop requests to send.
 /// `expired_ms` is when leases were last looked at, in ms.
 fn run_pass(term: &ControllerTerm, view: &FleetView, expired_ms: &mut u64) -> Vec<StopRequest> {
@@ -100,15 +134,7 @@
     term.metrics.long_task_wait_ms.set(waited_ms as i64);
     let full_rows = engine.check_full_rows(boot_ms());
     term.metrics.full_row_jobs.set(full_rows as i64);
-    let counts = engine.take_crash_counts();
-    term.metrics.count_times("crash", "counted", counts.crashes);
-    term.metrics
-        .count_times("crash", "job-given-up", counts.given_up);
-    term.metrics
-        .count_times("crash", "suspect-cleared", counts.cleared);
-    term.metrics
-        .suspect_tasks
-        .set(engine.suspect_count() as i64);
+    publish_suspects(term, &mut engine);
     if engine.has_changes() {
         term.commit.notify_one();
     }
