--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -172,8 +172,7 @@
         self.execute_starts(false);
     }
 
-    /// Replaces the controller by one that knows only the durable rows, which are those of the last
-    /// commit if `rows` are given.
+    /// Replaces the controller by one that knows only the durable rows.
     pub(crate) fn take_over(&mut self) {
         let mut engine = JobEngine::new(self.now_ms, INHERITED_RUN_MS);
         engine.config = Some(Rc::new(config()));
@@ -298,10 +297,10 @@
                 .is_some_and(|at_ms| now_ms >= at_ms + after_ms);
             if is_due && !worker.is_noted {
                 worker.is_noted = true;
-                noted.push((worker.entry.id.clone(), worker.entry.draining));
+                noted.push(worker.entry.id.clone());
             }
         }
-        for (id, _) in noted {
+        for id in noted {
             if !self.keeps_ids {
                 self.engine
                     .crash_worker(&id, CrashEvidence::HostDown, now_ms, now_ms);
@@ -313,10 +312,8 @@
         let now_ms = self.now_ms;
         let mut listed = Vec::new();
         for (index, worker) in self.workers.iter_mut().enumerate() {
-            if !worker
-                .crashed_ms
-                .is_some_and(|at_ms| now_ms >= at_ms + RESTART_MS)
-            {
+            let crashed_ms = worker.crashed_ms;
+            if crashed_ms.is_none_or(|at_ms| now_ms < at_ms + RESTART_MS) {
                 continue;
             }
             let mut entry = worker.entry.clone();
