Leave the capacity of runs without a task to workers that guard theirs

Members of a gang are listed for a moment after one of them has ended for all, and took room then; and a restarted worker got nothing until its new entry was listed. A worker that guards its capacity refuses what doesn't fit, and earlier deployments are to be served as before.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -283,8 +283,14 @@
         }
         self.usage
             .retain_unplaced_runs(id, |task, run| unplaced.contains(&(task, run)));
+        let guards = self.guards_capacity(id);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.unplaced = unplaced_demand.unwrap_or(worker.entry.capacity);
+            let demand = unplaced_demand.unwrap_or(worker.entry.capacity);
+            // A worker that guards its capacity refuses what those runs leave no room for.
+            worker.unplaced = match guards {
+                true => WorkerResources::default(),
+                false => demand,
+            };
         }
         // A missing run may be among the ends that the report leaves out.
         if report.has_more_ends {
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -379,13 +379,10 @@
 ) -> Option<&'static str> {
     let state = engine.jobs.get(&task.job)?.task(task)?;
     let worker = engine.workers.get(state.worker()?)?;
-    let config = engine.config.as_ref();
-    let pool = config.and_then(|config| config.pool(&worker.entry.service));
-    let is_guarded = pool.is_some_and(|pool| pool.rejects_overload);
     if !worker.is_within_capacity() {
         return Some("the worker's capacity has shrunk");
     }
-    if !is_guarded && !term.has_recent_worker_list() {
+    if !engine.guards_capacity(&worker.entry.id) && !term.has_recent_worker_list() {
         return Some("the worker's capacity is not known to be current");
     }
     None
--- a/tests/worker_capacity.rs
+++ b/tests/worker_capacity.rs
@@ -237,6 +237,7 @@
 #[test]
 fn capacity_of_runs_without_a_placed_task_is_not_given_to_others() {
     let mut fleet = EngineFleet::new(1);
+    fleet.engine.config = Some(Rc::new(unguarded_config()));
     fleet.submit(JOB, vec![step(6)]);
     let worker = worker_entry(0).id;
     let late = (0..6).map(|index| run_of(task(JOB, index), 9)).collect();
@@ -255,6 +256,7 @@
 #[test]
 fn worker_with_a_run_of_an_unknown_job_gets_no_tasks_until_the_run_is_over() {
     let mut fleet = EngineFleet::new(1);
+    fleet.engine.config = Some(Rc::new(unguarded_config()));
     fleet.submit(JOB, vec![step(1)]);
     let worker = worker_entry(0).id;
 
@@ -272,6 +274,7 @@
 #[test]
 fn restarted_worker_gets_no_tasks_until_its_new_entry_shows_its_capacity() {
     let mut fleet = RestartFleet::new(1);
+    fleet.engine.config = Some(Rc::new(unguarded_config()));
 
     fleet.answer(&restarts::report(NEW));
     fleet.place_and_send();
