Keep with the job which tasks are suspects, not only counted crashes

Holders that are killed before an answer leave only placements. Of several tasks on a worker that is gone none counted the crash, since their starts may not have come; they became suspects in memory, which went with the next kill. The task was then started once for each holder.

The row now holds each suspect, with a count of 0 if need be. A new holder that finds one suspect among the placements on a lost worker counts the crash against it, since it was started there alone; it is given up after three such.

Encoding moves to crash_rows.rs.

--- a/src/workflow/engine_crashes.rs
+++ b/src/workflow/engine_crashes.rs
@@ -121,16 +121,34 @@
                     "event=crash_suspected job={} task={name} worker={id}",
                     name.job
                 );
-                self.suspects.insert(name.clone(), now_ms);
+                self.suspect_task(name, now_ms);
             }
         }
     }
 
-    /// Returns the unit of the only task among the possible causes that has been one before. An earlier
-    /// controller has started it on a worker that had survived the starts of the others.
+    /// Makes a task a suspect, from the next start on.
+    fn suspect_task(&mut self, name: &TaskName, now_ms: u64) {
+        let job = self.jobs.get_mut(&name.job);
+        let Some(job) = job.filter(|job| !job.phase.has_ended()) else {
+            return;
+        };
+        if let Some(state) = job.task_mut(name) {
+            state.is_suspect = true;
+            self.changed.insert(name.job.clone());
+            self.suspects.insert(name.clone(), now_ms);
+        }
+    }
+
+    /// Returns whether one of a task's occurrences may have crashed its worker.
+    fn is_suspect(&self, name: &TaskName) -> bool {
+        self.suspects.since_ms(name).is_some()
+    }
+
+    /// Returns the unit of the only suspect among the possible causes. An earlier controller has started it
+    /// on a worker that had survived the starts of the others.
     fn likely_cause(&self, causes: &BTreeSet<TaskName>) -> Option<TaskName> {
-        let repeated = causes.iter().filter(|name| self.crash_count(name) > 0);
-        let units: BTreeSet<_> = repeated.map(|name| self.crash_unit(name)).collect();
+        let suspects = causes.iter().filter(|name| self.is_suspect(name));
+        let units: BTreeSet<_> = suspects.map(|name| self.crash_unit(name)).collect();
         match units.len() {
             1 => units.into_iter().next(),
             _ => None,
@@ -153,6 +171,7 @@
         let Some(state) = job.task_mut(name) else {
             return;
         };
+        state.is_suspect = true;
         state.crashes += 1;
         state.crashed_on.push(worker.clone());
         let (run, workers) = (state.last_run, state.crashed_on.clone());
@@ -211,14 +230,14 @@
         let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
             return;
         };
-        if !job.has_crashes() {
+        if !job.has_suspects() {
             return;
         }
         let names = job.task_names().filter(|name| {
-            let is_open = job
-                .task(name)
-                .is_some_and(|state| state.phase != TaskPhase::Done);
-            is_open && self.crash_count(name) > 0
+            let state = job.task(name);
+            let is_open = state.is_some_and(|state| state.phase != TaskPhase::Done);
+            let is_suspect = state.is_some_and(|state| state.is_suspect);
+            is_open && (is_suspect || self.crash_count(name) > 0)
         });
         let names: Vec<_> = names.collect();
         for name in names {
@@ -256,8 +275,7 @@
         self.suspects.count_cleared();
         let job = self.jobs.get_mut(&name.job);
         if let Some(state) = job.and_then(|job| job.task_mut(name)) {
-            state.crashes = 0;
-            state.crashed_on.clear();
+            state.clear_suspicion();
             self.changed.insert(name.job.clone());
         }
         if self.crash_count(name) == 0 {
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -9,6 +9,9 @@
 use crate::id::JobId;
 use crate::id::Revision;
 use crate::id::WorkerId;
+use crate::workflow::crash_rows::encode_crashes;
+use crate::workflow::crash_rows::restore_crashes;
+use crate::workflow::crash_rows::CRASHES_FIELD;
 use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
 use crate::workflow::job_status::OWNER_FIELD;
 use crate::workflow::row_budget::RowBudget;
@@ -29,10 +32,6 @@
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 
-/// The field of a job's durable row with the crashes that its tasks may have caused: rows of a task's
-/// position and the number.
-const CRASHES_FIELD: &str = "crashes";
-
 /// The bytes of a job's durable row besides its tasks and its owner's name.
 const ROW_OVERHEAD_BYTES: usize = 100;
 
@@ -119,7 +118,7 @@
         if phase.has_ended() {
             self.ended_ms = now_ms;
         }
-        self.restore_crashes(value);
+        restore_crashes(&mut self.tasks, value.get(CRASHES_FIELD));
         let has_ended_run = |task: &TaskState| {
             task.phase == TaskPhase::Done || task.failures > 0 || task.crashes > 0
         };
@@ -166,13 +165,8 @@
         };
         let has_tasks = !tasks.is_empty();
         let mut row = json!({ "phase": self.phase.as_str(), "tasks": tasks });
-        if has_tasks && self.has_crashes() {
-            let counted = self.tasks.iter().enumerate();
-            let counted = counted.filter(|(_, task)| task.crashes > 0);
-            let counts: Vec<_> = counted
-                .map(|(position, task)| (position, task.crashes))
-                .collect();
-            row[CRASHES_FIELD] = json!(counts);
+        if let Some(crashes) = encode_crashes(&self.tasks).filter(|_| has_tasks) {
+            row[CRASHES_FIELD] = crashes;
         }
         if let Some(owner) = &self.spec.organisation {
             row[OWNER_FIELD] = json!(owner);
@@ -180,23 +174,9 @@
         row
     }
 
-    /// Returns whether tasks may have caused crashes of workers.
-    pub(crate) fn has_crashes(&self) -> bool {
-        self.tasks.iter().any(|task| task.crashes > 0)
-    }
-
-    /// Restores the numbers of crashes from a durable row. Those that can't be decoded, or are of no task,
-    /// count as none: the other progress still holds.
-    fn restore_crashes(&mut self, value: &Value) {
-        let counts = value.get(CRASHES_FIELD).and_then(Value::as_array);
-        for entry in counts.into_iter().flatten() {
-            let position = entry.get(0).and_then(Value::as_u64);
-            let count = entry.get(1).and_then(Value::as_u64);
-            let task = position.and_then(|position| self.tasks.get_mut(position as usize));
-            if let (Some(task), Some(count)) = (task, count) {
-                task.crashes = u32::try_from(count).unwrap_or(u32::MAX);
-            }
-        }
+    /// Returns whether tasks may have crashed their workers.
+    pub(crate) fn has_suspects(&self) -> bool {
+        self.tasks.iter().any(|task| task.is_suspect)
     }
 
     /// Returns the bytes that the durable row has left. Tasks that have started and are not done
@@ -375,7 +355,7 @@
             return;
         }
         state.phase = TaskPhase::Done;
-        state.crashes = 0;
+        state.clear_suspicion();
         let position = self.step_position(name.occurrence, name.step);
         self.done_counts[position] += 1;
     }
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -23,6 +23,7 @@
 mod controller_term;
 mod count_freshness;
 mod crash_evidence;
+mod crash_rows;
 mod distrust_cause;
 mod duration_tracker;
 mod engine;
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -60,7 +60,7 @@
 }
 
 /// The state of a task. The command's phase, `started_ms`, `crashed_on`, `failed_on` and the reported
-/// `percent` and `load` are not durable; `crashes` are stored with the job.
+/// `percent` and `load` are not durable; `is_suspect` and `crashes` are stored with the job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TaskState {
     /// The phase; a placed task is restored with an inherited command.
@@ -75,7 +75,9 @@
     pub lost_on: Option<WorkerId>,
     /// When the last run was first known to have begun, in ms; `None` if it is not known to have.
     pub started_ms: Option<u64>,
-    /// The number of crashes of workers that the task may have caused, since one survived its start.
+    /// A run may have crashed its worker, and no worker is known to have survived a start since.
+    pub is_suspect: bool,
+    /// The number of crashes that count against the task while it is a suspect.
     pub crashes: u32,
     /// The workers of these crashes, as far as this controller has seen them.
     pub crashed_on: Vec<WorkerId>,
@@ -98,6 +100,7 @@
             checkpoint: String::new(),
             lost_on: None,
             started_ms: None,
+            is_suspect: false,
             crashes: 0,
             crashed_on: Vec::new(),
             failed_on: Vec::new(),
@@ -177,12 +180,19 @@
 
     /// Returns the bytes of its job's row that the crashes take.
     pub(crate) fn crash_row_bytes(&self) -> usize {
-        match self.crashes {
-            0 => 0,
-            _ => CRASH_ROW_BYTES,
+        match self.is_suspect {
+            true => CRASH_ROW_BYTES,
+            false => 0,
         }
     }
 
+    /// Forgets that the task may have crashed its workers.
+    pub(crate) fn clear_suspicion(&mut self) {
+        self.is_suspect = false;
+        self.crashes = 0;
+        self.crashed_on.clear();
+    }
+
     /// Encodes the durable part: 0 before the first run, 1 when done, otherwise an array of
     /// run, failures, checkpoint and, if placed, worker. A task that is held back for its worker's
     /// report is encoded as placed there, so that a successor waits for that report as well.
--- a/tests/worker_crashes.rs
+++ b/tests/worker_crashes.rs
@@ -149,6 +149,28 @@
     assert!(starts <= MAX_DEADLY_STARTS, "{starts} starts");
 }
 
+/// No holder learns of an answer, so that each finds only placements of several tasks on a worker that is
+/// gone. What an earlier one suspected must tell the next which of them it was.
+#[test]
+fn suspicion_survives_holders_that_find_only_placements_of_several_tasks() {
+    let mut fleet = CrashFleet::new(12);
+    fleet.submit(LONG_JOB, vec![long_running(12, 1)]);
+    fleet.run(1_000);
+    fleet.deadly.insert(task(JOB, 0));
+    fleet.submit(JOB, vec![step(1)]);
+
+    for _ in 0..12 {
+        fleet.start_unnoticed();
+        fleet.take_over();
+    }
+    fleet.run(8_000);
+
+    let starts = fleet.start_count(&task(JOB, 0));
+    assert!(starts <= MAX_DEADLY_STARTS, "{starts} starts");
+    assert_eq!(fleet.phase(JOB), JobPhase::Failed);
+    assert_eq!(fleet.phase(LONG_JOB), JobPhase::Running);
+}
+
 /// A long-running task that crashes its workers has no limit of failed runs.
 #[test]
 fn long_running_task_that_crashes_each_worker_is_given_up() {
