Split what decides about capacity and crashes from the files it had made long

A worker as a placement pass sees it is now PlacementCandidate in a file of its own; the checks of capacity are engine_capacity.rs, and capacity_doubt says why a start is held; what a host's states say of a crash is CrashEvidence::from_host, beside the evidence. No behaviour changes: the tests of crashes, capacity, health, restarts and takeovers pass as before.

--- a/src/workflow/crash_evidence.rs
+++ b/src/workflow/crash_evidence.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::workflow::HostState;
+
 /// What shows that a worker's incarnation has ended without a shutdown or a command to its host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashEvidence {
@@ -18,6 +20,21 @@
 }
 
 impl CrashEvidence {
+    /// Returns what shows that a host's worker has crashed, if the host listed it in the state `before` and
+    /// no longer does in the state `after`. A host that `was_commanded` may have ended it for that.
+    pub(crate) fn from_host(
+        before: HostState,
+        after: HostState,
+        was_commanded: bool,
+    ) -> Option<Self> {
+        match (before, after) {
+            (_, HostState::Down) => Some(Self::HostDown),
+            (_, HostState::Moving | HostState::Upkeep) => None,
+            (HostState::Up, HostState::Up) if !was_commanded => Some(Self::Replaced),
+            (_, HostState::Up) => None,
+        }
+    }
+
     /// Returns the evidence in words, for the log.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -258,11 +258,7 @@
                 if entry.draining && !worker.entry.draining {
                     log::info!("event=worker_draining worker={id}");
                 }
-                if entry.capacity != worker.entry.capacity {
-                    let [cpu, memory, gpus] = entry.capacity.amounts();
-                    let used = worker.used.cpu_millis;
-                    log::info!("event=worker_capacity_changed worker={id} cpu_millis={cpu} memory_mb={memory} gpus={gpus} used_millis={used}");
-                }
+                worker.log_capacity_change(&entry.capacity);
                 worker.entry = Rc::new(entry);
                 worker.listed = true;
             }
@@ -354,22 +350,6 @@
         }
     }
 
-    /// Takes back a placement whose start was not sent, and with it those of the other members of a gang,
-    /// which would wait for it in vain.
-    pub(crate) fn withdraw_start(&mut self, name: &TaskName) {
-        let job = self.jobs.get(&name.job);
-        let step = job.and_then(|job| job.step(name.step));
-        let members = step.filter(|step| step.gang).map_or(0, |step| step.tasks);
-        self.release_task(name);
-        for index in 0..members {
-            let member = TaskName {
-                index,
-                ..name.clone()
-            };
-            self.request_stop(&member, "a member of its gang can't start");
-        }
-    }
-
     /// Takes the changed rows, and the effects to apply once they are durable.
     pub fn take_changes(&mut self) -> (Vec<(JobId, Value)>, Vec<CommitEffect>) {
         let changed = std::mem::take(&mut self.changed);
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -25,23 +25,6 @@
         self.incarnations.start(id)
     }
 
-    /// Returns whether a worker's entry is of its newest known incarnation, which may have less capacity
-    /// than earlier ones, or the worker guards its capacity.
-    pub(crate) fn has_current_entry(&self, worker: &WorkerState) -> bool {
-        let id = &worker.entry.id;
-        let listed = worker.entry.incarnation_start;
-        let is_current = listed.is_none() || listed == self.incarnation_start(id);
-        is_current || self.guards_capacity(id)
-    }
-
-    /// Returns whether a worker refuses tasks beyond its capacity, as far as the configuration says so.
-    pub(crate) fn guards_capacity(&self, id: &WorkerId) -> bool {
-        let service = self.workers.get(id).map(|worker| &worker.entry.service);
-        let config = self.config.as_ref();
-        let pool = config.and_then(|config| config.pool(service?));
-        pool.is_some_and(|pool| pool.rejects_overload)
-    }
-
     /// Returns whether a stop is meant for the newest known incarnation of its worker.
     pub(crate) fn is_current(&self, request: &StopRequest) -> bool {
         request.incarnation_start == self.incarnation_start(&request.worker)
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -141,7 +141,9 @@
             if Some(&ended) == entry.worker.as_ref() {
                 continue;
             }
-            let crash = self.crash_evidence(entry, state_before, listed_ms);
+            let commands = self.term.host_commands.borrow();
+            let was_commanded = !commands.may_command(&entry.host, listed_ms);
+            let crash = CrashEvidence::from_host(state_before, entry.state, was_commanded);
             let mut engine = self.term.engine.borrow_mut();
             match crash {
                 Some(evidence) => engine.crash_unhosted_worker(&ended, evidence, listed_ms),
@@ -151,24 +153,6 @@
         }
     }
 
-    /// Returns what shows that a host's last worker has crashed, unless a command to the host may have
-    /// ended it. `state_before` is the state in which the host listed that worker.
-    fn crash_evidence(
-        &self,
-        entry: &HostEntry,
-        state_before: HostState,
-        listed_ms: u64,
-    ) -> Option<CrashEvidence> {
-        let commands = self.term.host_commands.borrow();
-        match entry.state {
-            HostState::Down => Some(CrashEvidence::HostDown),
-            HostState::Moving | HostState::Upkeep => None,
-            HostState::Up if state_before != HostState::Up => None,
-            HostState::Up if !commands.may_command(&entry.host, listed_ms) => None,
-            HostState::Up => Some(CrashEvidence::Replaced),
-        }
-    }
-
     /// Returns the hosts whose upkeep was decided and that may be down for it.
     fn upkeep_hosts(&self) -> BTreeSet<HostId> {
         let commanded = self.commanded_ms.borrow();
--- a/src/workflow/placement_pool.rs
+++ b/src/workflow/placement_pool.rs
@@ -12,6 +12,9 @@
 use std::rc::Rc;
 
 use crate::id::WorkerId;
+use crate::workflow::placement_candidate::DueTime;
+use crate::workflow::placement_candidate::PlacementCandidate;
+use crate::workflow::placement_candidate::TrialState;
 use crate::workflow::SlowdownFactor;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskState;
@@ -19,77 +22,10 @@
 use crate::workflow::WorkerResources;
 use crate::workflow::WorkerState;
 
-/// A worker that accepts tasks.
-struct Candidate {
-    entry: Rc<WorkerEntry>,
-    free: WorkerResources,
-    has_long_running: bool,
-    upkeep_due: bool,
-    /// How many more tasks may be placed.
-    slots: u32,
-    /// The worker is tried with few tasks, whatever it is thought of.
-    is_probe: bool,
-    slowdown: SlowdownFactor,
-    trial: TrialState,
-}
-
-/// Whether a worker takes tasks that may crash it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum TrialState {
-    /// It takes ordinary tasks.
-    None,
-    /// It takes one such task.
-    Free,
-    /// It takes no task, since it may not have survived the last starts yet.
-    Occupied,
-}
-
-impl Candidate {
-    fn rack(&self) -> Option<&str> {
-        self.entry.rack()
-    }
-
-    fn is_slow(&self) -> bool {
-        self.slowdown > SlowdownFactor::NONE && !self.is_probe
-    }
-
-    /// Returns whether a task of the step fits and ends in time, apart from the step's limit for
-    /// each worker.
-    fn fits(&self, step: &StepSpec, reserved: &WorkerResources, due: &DueTime) -> bool {
-        self.slots > 0
-            && self.trial == TrialState::None
-            && reserved.fits(&self.free)
-            && self.has_label(step)
-            && (!self.is_slow() || self.slowdown.stretch(due.expected_ms) <= due.limit_ms)
-    }
-
-    fn has_label(&self, step: &StepSpec) -> bool {
-        let label = step.required_label.as_ref();
-        label.is_none_or(|label| self.entry.labels.contains(label))
-    }
-
-    /// Returns a number that orders workers by when a task ends there; 0 for a worker as fast as
-    /// expected.
-    fn rank(&self) -> u64 {
-        match (self.is_probe, self.slowdown) {
-            (true, _) => 1,
-            (false, SlowdownFactor::NONE) => 0,
-            (false, slowdown) => slowdown.per_mille(),
-        }
-    }
-}
-
-/// Until when the tasks of a step should end on a slow worker; later, they end sooner by waiting.
-struct DueTime {
-    expected_ms: u64,
-    /// The time in ms, from now, in which a task ends that waits for another worker.
-    limit_ms: u64,
-}
-
 /// The workers of one service that accept tasks, for the length of a placement pass.
 #[derive(Default)]
 pub struct PlacementPool {
-    candidates: Vec<Candidate>,
+    candidates: Vec<PlacementCandidate>,
     /// A slow worker's CPU counts by the work that it does.
     capacity: WorkerResources,
     used: WorkerResources,
@@ -114,7 +50,7 @@
         let slowdown = worker.health.slowdown();
         let limit = worker.health.task_limit(now_ms);
         let slots = limit.map(|limit| limit.saturating_sub(worker.tasks.len() as u32));
-        let candidate = Candidate {
+        let candidate = PlacementCandidate {
             entry: Rc::clone(&worker.entry),
             free: worker.free_capacity(),
             has_long_running: worker.has_long_running(),
@@ -247,12 +183,12 @@
         chosen: &BTreeSet<WorkerId>,
     ) -> Option<WorkerId> {
         let reserved = step.reserved();
-        let suits = |candidate: &&Candidate| {
+        let suits = |candidate: &&PlacementCandidate| {
             candidate.has_label(step)
                 && reserved.fits(&candidate.entry.capacity)
                 && !chosen.contains(&candidate.entry.id)
         };
-        let harm = |candidate: &&Candidate| {
+        let harm = |candidate: &&PlacementCandidate| {
             let free_millis = candidate.free.cpu_millis;
             let used_millis = candidate.entry.capacity.cpu_millis - free_millis;
             let is_full = !reserved.fits(&candidate.free);
@@ -325,7 +261,7 @@
     /// Returns whether a worker as fast as expected has the capacity for a task of the step, used or
     /// not.
     fn has_fast_worker(&self, step: &StepSpec, reserved: &WorkerResources) -> bool {
-        let suits = |candidate: &Candidate| {
+        let suits = |candidate: &PlacementCandidate| {
             !candidate.is_slow()
                 && !candidate.is_probe
                 && candidate.has_label(step)
@@ -368,7 +304,7 @@
 /// element is 1 for a worker on which the task has failed and, if the task is long-running,
 /// also for one that is slow or on probation or whose host is due for upkeep.
 fn cost(
-    candidate: &Candidate,
+    candidate: &PlacementCandidate,
     step: &StepSpec,
     task: &TaskState,
     siblings: &StepSiblings,
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -18,7 +18,6 @@
 use crate::workflow::CommandRefusal;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CrashEvidence;
-use crate::workflow::JobEngine;
 use crate::workflow::LeaseRenewal;
 use crate::workflow::RenewalOutcome;
 use crate::workflow::StartCommand;
@@ -339,7 +338,8 @@
         engine.release_task(task);
         return None;
     }
-    if let Some(reason) = lacks_capacity(term, engine, task) {
+    let is_list_recent = term.has_recent_worker_list();
+    if let Some(reason) = engine.capacity_doubt(task, is_list_recent) {
         log::info!("event=start_withdrawn task={task} reason=\"{reason}\"");
         engine.withdraw_start(task);
         return None;
@@ -370,24 +370,6 @@
     Some((entry, command))
 }
 
-/// Returns why the worker of a placed task may lack the capacity for it, if it may. The capacity may have
-/// shrunk since the placement.
-fn lacks_capacity(
-    term: &ControllerTerm,
-    engine: &JobEngine,
-    task: &TaskName,
-) -> Option<&'static str> {
-    let state = engine.jobs.get(&task.job)?.task(task)?;
-    let worker = engine.workers.get(state.worker()?)?;
-    if !worker.is_within_capacity() {
-        return Some("the worker's capacity has shrunk");
-    }
-    if !engine.guards_capacity(&worker.entry.id) && !term.has_recent_worker_list() {
-        return Some("the worker's capacity is not known to be current");
-    }
-    None
-}
-
 /// Sends a stop command once the lease is confirmed, and applies its outcome. Until then the run
 /// counts as one that is being stopped, and an equal request is dropped. Unless the command was
 /// accepted, the outcome is applied after a pause, because the command is then sent again.
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -137,6 +137,16 @@
         free.saturating_sub(&self.unplaced)
     }
 
+    /// Logs the capacity that the worker states from now on, if it differs.
+    pub(crate) fn log_capacity_change(&self, next: &WorkerResources) {
+        if *next == self.entry.capacity {
+            return;
+        }
+        let (id, [cpu, memory, gpus]) = (&self.entry.id, next.amounts());
+        let used = self.used.cpu_millis;
+        log::info!("event=worker_capacity_changed worker={id} cpu_millis={cpu} memory_mb={memory} gpus={gpus} used_millis={used}");
+    }
+
     /// Returns whether the capacity that the worker states holds all that is placed on it or runs there.
     pub fn is_within_capacity(&self) -> bool {
         let mut taken = self.used;
