Log how long a lost worker was silent, removed hosts, and tasks on silent workers

A task whose worker doesn't answer now counts as waiting, worker_lost states for how long the worker was silent, and host_removed tells when a complete list of hosts no longer has a host. No decision changes.

--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -164,7 +164,11 @@
         // All runs of the worker are over.
         self.usage.retain_unplaced_runs(id, |_, _| false);
         let tasks = worker.tasks.len();
-        log::warn!("event=worker_lost worker={id} tasks={tasks} reason={reason:?}");
+        let silent_ms = match worker.unresponsive_since_ms {
+            0 => 0,
+            since_ms => now_ms.saturating_sub(since_ms),
+        };
+        log::warn!("event=worker_lost worker={id} tasks={tasks} silent_ms={silent_ms} reason={reason:?}");
         for task in &worker.tasks {
             self.release_task(task);
         }
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -109,6 +109,25 @@
     }
 }
 
+/// Logs and forgets the hosts that a complete list no longer has.
+fn log_removed_hosts(
+    states: &mut HashMap<HostId, (HostState, Option<WorkerId>)>,
+    list: &HostList,
+) {
+    if list.has_gaps || states.len() <= list.hosts.len() {
+        return;
+    }
+    let listed: HashSet<_> = list.hosts.iter().map(|entry| &entry.host).collect();
+    states.retain(|host, (_, worker)| {
+        let is_listed = listed.contains(host);
+        if !is_listed {
+            let worker = worker.as_ref().map_or("none", WorkerId::as_str);
+            log::info!("event=host_removed host={host} worker={worker}");
+        }
+        is_listed
+    });
+}
+
 impl<P: FleetPlatform> HostManager<P> {
     /// Records the state of each host. The incarnation that a host listed before has ended if the
     /// host now lists no worker or a different one. The list was requested at `listed_ms`.
@@ -119,6 +138,7 @@
             engine.reconcile_hosted_workers(&hosted.collect(), listed_ms);
         }
         let mut states = self.states.borrow_mut();
+        log_removed_hosts(&mut states, list);
         for entry in &list.hosts {
             let state = (entry.state, entry.worker.clone());
             if states.get(&entry.host) == Some(&state) {
--- a/src/workflow/long_task_monitor.rs
+++ b/src/workflow/long_task_monitor.rs
@@ -118,7 +118,16 @@
             TaskPhase::Waiting => return Some("no worker has room for it"),
             TaskPhase::Placed { command, .. } => command,
         };
+        let is_silent = |id: &WorkerId| {
+            let worker = self.workers.get(id);
+            worker.is_none_or(|worker| worker.unresponsive_since_ms > 0)
+        };
         match command {
+            CommandPhase::Accepted(_) | CommandPhase::Running
+                if state.worker().is_some_and(is_silent) =>
+            {
+                Some("its worker does not answer")
+            }
             CommandPhase::Accepted(_) | CommandPhase::Running => None,
             CommandPhase::Committing => Some("its placement is not committed"),
             CommandPhase::Sent => Some("its start is not answered"),
--- a/tests/long_task_waits.rs
+++ b/tests/long_task_waits.rs
@@ -106,3 +106,27 @@
     // Assert.
     assert_eq!(wait, Some((0, "its organisation is at its cap")));
 }
+
+/// A worker that ends with its tasks reports nothing, so its tasks would count as running.
+#[test]
+fn a_task_of_a_silent_worker_is_reported_until_it_runs_again() {
+    // Arrange.
+    let mut fleet = EngineFleet::new(2);
+    fleet.submit(JOB, vec![long_running(1, 1)]);
+    fleet.start_all();
+    fleet.report_all();
+    let silent = fleet.worker_of(&task(JOB, 0));
+    let running = longest_wait(&mut fleet);
+    fleet.advance(500);
+
+    // Act.
+    fleet.mark_unresponsive_by_id(&silent);
+    let first = longest_wait(&mut fleet);
+    fleet.advance(2_000);
+    let second = longest_wait(&mut fleet);
+
+    // Assert.
+    let reason = "its worker does not answer";
+    assert_eq!(running, None);
+    assert_eq!((first, second), (Some((0, reason)), Some((2_000, reason))));
+}
