--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -168,7 +168,9 @@
             0 => 0,
             since_ms => now_ms.saturating_sub(since_ms),
         };
-        log::warn!("event=worker_lost worker={id} tasks={tasks} silent_ms={silent_ms} reason={reason:?}");
+        log::warn!(
+            "event=worker_lost worker={id} tasks={tasks} silent_ms={silent_ms} reason={reason:?}"
+        );
         for task in &worker.tasks {
             self.release_task(task);
         }
--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -110,10 +110,7 @@
 }
 
 /// Logs and forgets the hosts that a complete list no longer has.
-fn log_removed_hosts(
-    states: &mut HashMap<HostId, (HostState, Option<WorkerId>)>,
-    list: &HostList,
-) {
+fn log_removed_hosts(states: &mut HashMap<HostId, (HostState, Option<WorkerId>)>, list: &HostList) {
     if list.has_gaps || states.len() <= list.hosts.len() {
         return;
     }
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -260,6 +260,14 @@
         worker.record_unresponsive(self.now_ms);
     }
 
+    /// Lists a worker as about to leave.
+    pub(crate) fn set_draining(&mut self, id: &WorkerId) {
+        let entry = self.workers.iter_mut().find(|entry| entry.id == *id);
+        let entry = entry.unwrap();
+        entry.draining = true;
+        self.engine.set_worker(entry.clone(), self.now_ms);
+    }
+
     pub(crate) fn unlist_worker(&mut self, index: usize) {
         let id = self.workers[index].id.clone();
         self.engine.unlist_worker(&id);
