Move long-running tasks off workers that are about to leave

Callers of a long-running job were served in part, or not at all, for 10 s after a worker had left as announced.

In each placement pass the long-running tasks of such workers are now stopped as far as other workers have room for them, which stays reserved until they have started there; one after another as far as their step allows for 600 ms, then all. AVAIL doesn't count a stop on a draining worker. A task without another place stays where it is.

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -122,6 +122,8 @@
     pub(crate) restored_placements: BTreeMap<WorkerId, Vec<TaskName>>,
     /// The cordons of workers that are not listed yet.
     pub(crate) early_cordons: BTreeMap<WorkerId, CordonReason>,
+    /// Workers with long-running tasks that are about to leave, and since when this is known, in ms.
+    pub(crate) leaving_workers: BTreeMap<WorkerId, u64>,
     /// Whether `config` was confirmed as the newest version within the time in which a new one must
     /// be in force. Otherwise, a lower cap may be, and organisations with a cap start nothing.
     pub is_config_recent: bool,
@@ -164,6 +166,7 @@
             inherited_until_ms: now_ms + inherited_ms,
             restored_placements: BTreeMap::new(),
             early_cordons: BTreeMap::new(),
+            leaving_workers: BTreeMap::new(),
             is_config_recent: true,
             suspects: SuspectTasks::default(),
             usage: OrganisationUsage::default(),
@@ -253,6 +256,9 @@
         if order == IncarnationOrder::New {
             self.begin_incarnation(&id, now_ms);
         }
+        if entry.draining {
+            self.record_leaving(&id, now_ms);
+        }
         match self.workers.get_mut(&id) {
             Some(worker) => {
                 if entry.draining && !worker.entry.draining {
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -74,6 +74,7 @@
 mod leader_record;
 mod lease_lost;
 mod lease_monitor;
+mod leaving_workers;
 mod limit_cause;
 mod limits_view;
 mod long_task_monitor;
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -37,6 +37,7 @@
             *largest = pool.capacity_millis().max(*largest);
         }
         self.place_suspects(&mut pools, now_ms, wall_ms);
+        self.move_leaving_tasks(&mut pools, now_ms);
         let plan = self.plan_pass(&config, &pools, now_ms);
         self.log_oversized(plan.oversized);
         for (service, mut jobs) in plan.by_service {
@@ -62,7 +63,7 @@
     /// Returns the workers that accept tasks, by service.
     fn placement_pools(&self, now_ms: u64) -> BTreeMap<ServiceId, PlacementPool> {
         let mut pools: BTreeMap<ServiceId, PlacementPool> = BTreeMap::new();
-        if self.waiting_jobs.is_empty() {
+        if self.waiting_jobs.is_empty() && self.leaving_workers.is_empty() {
             return pools;
         }
         let workers = self.workers.values();
@@ -264,7 +265,7 @@
     }
 
     /// Chooses workers for waiting tasks of one step, in order, until one fits nowhere.
-    fn choose_workers(
+    pub(crate) fn choose_workers(
         &self,
         waiting: &[TaskName],
         pool: &mut PlacementPool,
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -70,7 +70,7 @@
         long_running.all(|name| self.can_spare(name))
     }
 
-    fn is_long_running(&self, name: &TaskName) -> bool {
+    pub(crate) fn is_long_running(&self, name: &TaskName) -> bool {
         let job = self.jobs.get(&name.job);
         job.and_then(|job| job.step(name.step))
             .is_some_and(|step| step.long_running)
