Release the tasks of workers whose entry and host are gone at once

A worker that has neither an entry nor a host, and hasn't answered for as long as the list of hosts may be behind (1 s), has ended; its tasks wait for a place at once. A worker that is cut off loses its entry too, but not its host, and one that answers keeps its tasks.

--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -19,6 +19,13 @@
 /// state from before for up to a second.
 const HOST_LIST_LAG_MS: u64 = 1_000;
 
+/// Returns whether a worker had neither an entry nor answered for as long as a list of hosts that was
+/// requested at `listed_ms` may be behind. One that is cut off is the same but for its host.
+fn has_left(worker: &WorkerState, listed_ms: u64) -> bool {
+    let silent_since_ms = worker.unresponsive_since_ms;
+    !worker.listed && silent_since_ms > 0 && silent_since_ms + HOST_LIST_LAG_MS <= listed_ms
+}
+
 impl JobEngine {
     /// Returns the start of a worker's newest known incarnation; `None` if it states none.
     pub fn incarnation_start(&self, id: &WorkerId) -> Option<IncarnationStart> {
@@ -221,13 +228,14 @@
         }
     }
 
-    /// Releases inherited tasks whose worker no host lists, because such a worker has ended. Only
-    /// workers that are unknown or have not answered this controller are checked. The list of hosts
-    /// was requested at `listed_ms`.
+    /// Releases the tasks of workers that no host lists, because such a worker has ended: of those that
+    /// are unknown, have not answered this controller, or neither answer nor have an entry any more. The
+    /// list of hosts was requested at `listed_ms`.
     pub fn reconcile_hosted_workers(&mut self, hosted: &BTreeSet<WorkerId>, listed_ms: u64) {
         let unhosted = self.workers.iter().filter(|(id, worker)| {
             let has_runs = !worker.tasks.is_empty() || self.has_lost_runs(id);
-            !worker.has_accepted_epoch && has_runs && !hosted.contains(id)
+            let may_have_ended = !worker.has_accepted_epoch || has_left(worker, listed_ms);
+            may_have_ended && has_runs && !hosted.contains(id)
         });
         let unhosted: Vec<_> = unhosted.map(|(id, _)| id.clone()).collect();
         for id in unhosted {
