Take an inherited lease for as long as controllers request, not as workers grant

The first answer to a new holder shows that later calls of earlier ones are refused, so the lease ends 4.8 s later at most, if holders never request more by the worker's clock. They did by up to 2% of the time since its last answer, so the estimate now allows for a slow clock, an idle worker's clock is read again after 30 s, and 0.7 s are added for builds before this one.

--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -13,6 +13,7 @@
 use crate::id::WorkerId;
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
+use crate::workflow::worker_state::WORKER_LEASE_MS;
 use crate::workflow::CommandOutcome;
 use crate::workflow::CommandPhase;
 use crate::workflow::CommandRefusal;
@@ -26,10 +27,6 @@
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerGateway;
 
-/// The length of a worker lease, in ms. It must outlast a change of the controller, which takes up
-/// to 2 s, and a lost call and its retry, which take another 2 s.
-const WORKER_LEASE_MS: u64 = 4_800;
-
 /// How long a worker may wait for a task end before it answers a renewal.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(900);
 
@@ -161,7 +158,10 @@
     let engine = term.engine.borrow();
     let worker = engine.workers.get(id)?;
     let busy = !worker.tasks.is_empty();
-    let due = busy || !worker.has_accepted_epoch || worker.durable_end > worker.acknowledged_end;
+    let due = busy
+        || !worker.has_accepted_epoch
+        || worker.durable_end > worker.acknowledged_end
+        || worker.is_clock_old(boot_ms());
     if !due || !term.may_renew() {
         return Some(None);
     }
@@ -355,7 +355,7 @@
         engine.release_task(task);
         return None;
     };
-    let lease_end_ms = clock_ms + WORKER_LEASE_MS;
+    let lease_end_ms = clock_ms.saturating_add(WORKER_LEASE_MS);
     worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms);
     let entry = Rc::clone(&worker.entry);
     let command = StartCommand {
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -18,8 +18,17 @@
 /// new tasks once a quarter of this limit has passed since its first unanswered call.
 const UNRESPONSIVE_LIMIT_MS: u64 = 1_600;
 
-/// The longest lease that a worker grants; set by the platform.
-const MAX_LEASE_MS: u64 = 10_000;
+/// The length of the leases that a controller requests, in ms. A lease must outlast a change of the
+/// controller, which takes up to 2 s, and a lost call and its retry, which take another 2 s.
+pub(crate) const WORKER_LEASE_MS: u64 = 4_800;
+
+/// How far the lease that an earlier controller requested may go beyond [`WORKER_LEASE_MS`]: builds that
+/// didn't allow for a slow clock took it for up to 2% of the time since its last answer ahead.
+const INHERITED_LEASE_EXCESS_MS: u64 = 700;
+
+/// The age of a worker's clock from which an idle worker is asked for it, in ms. The lease of the next
+/// start is shorter by what a slow clock may have lost meanwhile.
+const MAX_CLOCK_AGE_MS: u64 = 30_000;
 
 /// How long after the end of an incarnation a run of its tasks may continue in the next one: a start
 /// may be executed 12 s after it was sent, whatever its lease on the old clock, and then holds the
@@ -216,8 +225,9 @@
     /// Records an answer that carries the worker's clock.
     pub fn record_answer(&mut self, clock_ms: u64, now_ms: u64) {
         if self.clock.is_none() && !self.tasks.is_empty() {
-            // An earlier controller requested the lease, so assume the latest possible end.
-            self.lease_end_ms = self.lease_end_ms.max(clock_ms + MAX_LEASE_MS);
+            // An earlier controller requested the lease, at the latest just before this answer.
+            let length_ms = WORKER_LEASE_MS + INHERITED_LEASE_EXCESS_MS;
+            self.lease_end_ms = self.lease_end_ms.max(clock_ms.saturating_add(length_ms));
             self.unsettled_until_ms = now_ms + INHERITED_STOP_MS;
         }
         self.clock = Some((clock_ms, now_ms));
@@ -248,23 +258,28 @@
         if self.tasks.is_empty() || self.unresponsive_since_ms > 0 {
             return None;
         }
-        Some(self.clock_ms(now_ms)? + length_ms)
+        Some(self.clock_ms(now_ms)?.saturating_add(length_ms))
     }
 
-    /// Estimates the worker's clock; `None` before its first answer.
+    /// Returns the least that the worker's clock shows by now; `None` before its first answer. A lease
+    /// that is requested from it on never ends later than its length says.
     pub fn clock_ms(&self, now_ms: u64) -> Option<u64> {
-        self.clock
-            .map(|(clock_ms, read_ms)| clock_ms + now_ms.saturating_sub(read_ms))
+        let (clock_ms, read_ms) = self.clock?;
+        let elapsed_ms = now_ms.saturating_sub(read_ms);
+        let drift_ms = elapsed_ms * CLOCK_DRIFT_PER_MILLE / 1_000;
+        Some(clock_ms.saturating_add(elapsed_ms - drift_ms))
+    }
+
+    /// Returns whether the worker's clock was read so long ago that it has to be read again.
+    pub(crate) fn is_clock_old(&self, now_ms: u64) -> bool {
+        let read_ms = self.clock.map(|(_, read_ms)| read_ms);
+        read_ms.is_some_and(|read_ms| now_ms > read_ms + MAX_CLOCK_AGE_MS)
     }
 
     /// Returns whether the worker's lease has certainly expired, even if its clock runs slow.
     pub fn is_lease_expired(&self, now_ms: u64) -> bool {
-        let Some((clock_ms, read_ms)) = self.clock else {
-            return false;
-        };
-        let elapsed_ms = now_ms.saturating_sub(read_ms);
-        let min_elapsed_ms = elapsed_ms - elapsed_ms * CLOCK_DRIFT_PER_MILLE / 1_000;
-        clock_ms + min_elapsed_ms > self.lease_end_ms
+        let clock_ms = self.clock_ms(now_ms);
+        clock_ms.is_some_and(|clock_ms| clock_ms > self.lease_end_ms)
     }
 
     /// Returns whether the worker is unlisted, draining or cordoned, so that nothing may be
