Add failing tests of the waits from the loss of a worker to the next run

Users saw a long-running task without a run for 9.4 s.

- a worker that refuses a task for want of room is chosen again at once;
- a single list of hosts without the host of a silent worker without an entry releases its tasks, though it may be cut off with its lease running.

The stand-in of the platform can lose starts before they reach their worker.

--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -138,6 +138,8 @@
     pub(crate) lost_commits: Cell<u32>,
     /// Number of upcoming start commands that are executed but whose answers are lost.
     pub(crate) lost_starts: Cell<u32>,
+    /// Number of upcoming start commands that are given up before they reach their worker.
+    pub(crate) unreached_starts: Cell<u32>,
     /// How far the table's clock is ahead of this process's, in ms.
     pub(crate) clock_ahead_ms: Cell<u64>,
     /// Time that the table takes for a transaction, besides the network.
@@ -219,6 +221,7 @@
             task_ms: Cell::new(100),
             lost_commits: Cell::new(0),
             lost_starts: Cell::new(0),
+            unreached_starts: Cell::new(0),
             clock_ahead_ms: Cell::new(0),
             commit_time: Cell::new(Duration::ZERO),
             page_time: Cell::new(Duration::ZERO),
@@ -823,6 +826,12 @@
         if self.is_silent(&worker.id).await {
             return CommandOutcome::Unknown("silent".to_owned());
         }
+        let unreached = self.fleet.unreached_starts.get();
+        if unreached > 0 {
+            self.fleet.unreached_starts.set(unreached - 1);
+            sleep(SILENCE_TIMEOUT).await;
+            return CommandOutcome::Unknown("lost on its way".to_owned());
+        }
         let outcome = self.fleet.start(&worker.id, command);
         let lost = self.fleet.lost_starts.get();
         if lost > 0 {
--- a/tests/long_task_gaps.rs
+++ b/tests/long_task_gaps.rs
@@ -13,6 +13,8 @@
 use fixtures::EngineFleet;
 use fixtures::JOB;
 use zincpier::id::WorkerId;
+use zincpier::workflow::CommandOutcome;
+use zincpier::workflow::CommandRefusal;
 
 /// The platform counts a long-running task as lost from 6 s after its last run.
 const MAX_GAP_MS: u64 = 6_000;
@@ -151,3 +153,51 @@
     // Assert.
     assert_eq!(stops, []);
 }
+
+/// A list of hosts is read in pages, so that a host may be missing in one of them while it changes its
+/// place. A worker that is cut off, and whose entry lapsed in an outage of the table, runs its tasks on.
+#[test]
+fn worker_that_is_missing_from_one_list_of_hosts_keeps_its_tasks() {
+    for is_taken_over in [false, true] {
+        // Arrange.
+        let (mut fleet, worker) = fleet_with_a_long_task();
+        if is_taken_over {
+            fleet = fleet.successor();
+        }
+        let all: BTreeSet<_> = (0..2).map(|index| worker_entry(index).id).collect();
+        let others = all.iter().filter(|id| **id != worker).cloned().collect();
+        silence(&mut fleet, &worker);
+        fleet.engine.unlist_worker(&worker);
+        fleet.advance(2_000);
+
+        // Act.
+        fleet.engine.reconcile_hosted_workers(&others, fleet.now_ms);
+        fleet.advance(200);
+        fleet.engine.reconcile_hosted_workers(&all, fleet.now_ms);
+        let gap_ms = gap_ms(&mut fleet, Some(&all), 1_000);
+
+        // Assert.
+        assert_eq!(gap_ms, 1_000, "taken over: {is_taken_over}");
+    }
+}
+
+/// A worker may refuse a task for what no report shows. Of workers that suit it equally, always the same
+/// one comes first.
+#[test]
+fn long_running_task_that_a_worker_refuses_for_want_of_room_goes_to_another() {
+    // Arrange.
+    let mut fleet = EngineFleet::new(3);
+    fleet.submit(JOB, vec![long_running(1, 1)]);
+    fleet.place();
+    let name = task(JOB, 0);
+    let refusing = fleet.worker_of(&name);
+    fleet.send(&name);
+
+    // Act.
+    let refusal = CommandOutcome::Refused(CommandRefusal::NoRoom);
+    fleet.engine.apply_start(&name, 1, &refusal, fleet.now_ms);
+    fleet.place();
+
+    // Assert.
+    assert_ne!(fleet.worker_of(&name), refusing);
+}
