Ask a worker without long polls what became of an unanswered long-running start

After four attempts without an answer, a report that was requested later has to show whether the run is there; if not, it is stopped, and another such report releases the task. Each of the two could be two long polls of 900 ms away, since only the end of a run answers them early, and there is none: 3.5 s to the next start, after whatever the loss itself took.

While a long-running task is in either state, its worker is asked without a wait. Ordinary tasks and runs that were seen stay as they were: a stop of those ends the poll.

--- a/src/workflow/long_task_monitor.rs
+++ b/src/workflow/long_task_monitor.rs
@@ -11,6 +11,7 @@
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
+use crate::workflow::WorkerState;
 
 /// Min time between checks, which look at all long-running tasks.
 const CHECK_INTERVAL_MS: u64 = 500;
@@ -108,6 +109,22 @@
         })
     }
 
+    /// Returns whether a report of a worker that doesn't list one of its long-running tasks decides what
+    /// becomes of it: its start has no answer, or its stop was accepted before it was known to have begun.
+    pub(crate) fn has_unsettled_long_tasks(&self, worker: &WorkerState) -> bool {
+        let is_unsettled = |name: &TaskName| {
+            let state = self.task_state(name);
+            state.is_some_and(|state| match state.command_phase() {
+                Some(CommandPhase::Unknown(_)) => true,
+                Some(CommandPhase::Stopped(_)) => state.started_ms.is_none(),
+                _ => false,
+            })
+        };
+        let mut tasks = worker.tasks.iter();
+        worker.has_long_running()
+            && tasks.any(|name| self.is_long_running(name) && is_unsettled(name))
+    }
+
     /// Returns what a task waits for, or `None` if it is known to run or is done.
     fn wait_reason(&self, name: &TaskName, state: &TaskState) -> Option<&'static str> {
         let command = match &state.phase {
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -165,11 +165,13 @@
     if !due || !term.may_renew() {
         return Some(None);
     }
-    // Tasks of an earlier incarnation and those on trial wait for the next report, not for an end.
+    // Tasks of an earlier incarnation, those on trial and long-running ones whose start may not have come
+    // wait for the next report, not for an end.
     let may_wait = busy
         && worker.has_accepted_epoch
         && worker.unresponsive_since_ms == 0
         && !worker.has_carried_tasks()
+        && !engine.has_unsettled_long_tasks(worker)
         && !engine.is_trial_worker(id);
     let renewal = LeaseRenewal {
         epoch: term.epoch,
