Let a long-running task that a worker refuses go to another worker

A refusal for want of room, or by an unhealthy worker, released the task, and the next pass chose the same worker: equal workers are compared in a fixed order, and no report need show the reason. The task stayed without a run for as long as the reason lasted, with a commit and a refused start in each pass.

The task now prefers other workers, as after a run that failed, in this term. Ordinary tasks are not changed: their workers fill and empty within a second.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -91,6 +91,7 @@
                 self.set_command_phase(name, CommandPhase::Unknown(now_ms))
             }
             CommandOutcome::NotSent(_) | CommandOutcome::Refused(_) => {
+                self.avoid_refusing_worker(name, outcome);
                 self.release_task(name);
             }
         }
--- a/src/workflow/stalled_workers.rs
+++ b/src/workflow/stalled_workers.rs
@@ -9,6 +9,8 @@
 use crate::workflow::running_time::RunningTime;
 use crate::workflow::slow_runs::START_MS;
 use crate::workflow::slow_runs::STOP_MS;
+use crate::workflow::CommandOutcome;
+use crate::workflow::CommandRefusal;
 use crate::workflow::DistrustCause;
 use crate::workflow::JobEngine;
 use crate::workflow::TaskName;
@@ -61,10 +63,26 @@
     /// Records that a task failed or stalled on a worker, so that its next run prefers others.
     pub(crate) fn record_failed_on(&mut self, name: &TaskName, worker: &WorkerId) {
         let job = self.jobs.get_mut(&name.job);
-        if let Some(state) = job.and_then(|job| job.task_mut(name)) {
+        let state = job.and_then(|job| job.task_mut(name));
+        if let Some(state) = state.filter(|state| !state.failed_on.contains(worker)) {
             state.failed_on.push(worker.clone());
         }
     }
+
+    /// Lets a long-running task prefer other workers if its worker has refused it for reasons of its own,
+    /// which no report may show. Of equal workers the same one would be chosen again and again.
+    pub(crate) fn avoid_refusing_worker(&mut self, name: &TaskName, outcome: &CommandOutcome) {
+        let refusals = [CommandRefusal::NoRoom, CommandRefusal::Unhealthy];
+        let is_own_reason =
+            matches!(outcome, CommandOutcome::Refused(refusal) if refusals.contains(refusal));
+        if !is_own_reason || !self.is_long_running(name) {
+            return;
+        }
+        let state = self.task_state(name);
+        if let Some(worker) = state.and_then(|state| state.worker()).cloned() {
+            self.record_failed_on(name, &worker);
+        }
+    }
 }
 
 /// Returns a worker's overdue tasks; empty if they do not show a stall. `running` holds the times of
