Release the tasks of unhosted workers only after two lists of hosts in turn

Found by a test of the fix for workers whose entry and host are gone: a silent worker without an entry had its tasks released on the first list of hosts without its host. A list is read in pages, and a host that changes its place meanwhile is on none. A worker that is cut off, and whose entry lapsed in an outage of the table, would have run its tasks beside the next run. The same held after a takeover, without the condition on the entry.

Two lists in turn must lack the host, which costs an interval of the lists: 200 ms, more on a thin link with hundreds of hosts.

The fixture of crashes reads the list twice after a takeover.

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -124,6 +124,8 @@
     pub(crate) early_cordons: BTreeMap<WorkerId, CordonReason>,
     /// Workers with long-running tasks that are about to leave, and since when this is known, in ms.
     pub(crate) leaving_workers: BTreeMap<WorkerId, u64>,
+    /// Workers that the last list of hosts showed on no host, although they may have runs.
+    pub(crate) unhosted: BTreeSet<WorkerId>,
     /// Whether `config` was confirmed as the newest version within the time in which a new one must
     /// be in force. Otherwise, a lower cap may be, and organisations with a cap start nothing.
     pub is_config_recent: bool,
@@ -167,6 +169,7 @@
             restored_placements: BTreeMap::new(),
             early_cordons: BTreeMap::new(),
             leaving_workers: BTreeMap::new(),
+            unhosted: BTreeSet::new(),
             is_config_recent: true,
             suspects: SuspectTasks::default(),
             usage: OrganisationUsage::default(),
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -230,33 +230,40 @@
 
     /// Releases the tasks of workers that no host lists, because such a worker has ended: of those that
     /// are unknown, have not answered this controller, or neither answer nor have an entry any more. The
-    /// list of hosts was requested at `listed_ms`.
+    /// list of hosts was requested at `listed_ms`. Two lists in turn must lack the host: it may change its
+    /// place while the pages of one are read.
     pub fn reconcile_hosted_workers(&mut self, hosted: &BTreeSet<WorkerId>, listed_ms: u64) {
-        let unhosted = self.workers.iter().filter(|(id, worker)| {
-            let has_runs = !worker.tasks.is_empty() || self.has_lost_runs(id);
-            let may_have_ended = !worker.has_accepted_epoch || has_left(worker, listed_ms);
-            may_have_ended && has_runs && !hosted.contains(id)
-        });
-        let unhosted: Vec<_> = unhosted.map(|(id, _)| id.clone()).collect();
-        for id in unhosted {
-            self.crash_unhosted_worker(&id, CrashEvidence::Unhosted, listed_ms);
-        }
-        let unknown = self.restored_placements.keys();
-        let unknown = unknown.filter(|id| !hosted.contains(id) && self.has_orphans(id));
-        let unknown: Vec<_> = unknown.cloned().collect();
-        for id in unknown {
-            self.record_crash(&id, CrashEvidence::Unhosted, listed_ms);
+        let unhosted = self.unhosted_workers(hosted, listed_ms);
+        let before = std::mem::replace(&mut self.unhosted, unhosted.clone());
+        let gone: BTreeSet<_> = unhosted.intersection(&before).cloned().collect();
+        for id in &gone {
+            match self.workers.contains_key(id) {
+                true => self.crash_unhosted_worker(id, CrashEvidence::Unhosted, listed_ms),
+                false => self.record_crash(id, CrashEvidence::Unhosted, listed_ms),
+            }
         }
         for name in self.orphans() {
             let job = self.jobs.get(&name.job);
             let worker = job.and_then(|job| job.task(&name)?.worker());
-            if worker.is_some_and(|worker| !hosted.contains(worker)) {
+            if worker.is_some_and(|worker| gone.contains(worker)) {
                 log::warn!("event=task_orphaned task={name} reason=\"no host lists its worker\"");
                 self.release_task(&name);
             }
         }
     }
 
+    /// Returns the workers with runs that have ended if no host lists them, which is so in this list.
+    fn unhosted_workers(&self, hosted: &BTreeSet<WorkerId>, listed_ms: u64) -> BTreeSet<WorkerId> {
+        let known = self.workers.iter().filter(|(id, worker)| {
+            let has_runs = !worker.tasks.is_empty() || self.has_lost_runs(id);
+            let may_have_ended = !worker.has_accepted_epoch || has_left(worker, listed_ms);
+            may_have_ended && has_runs && !hosted.contains(id)
+        });
+        let unknown = self.restored_placements.keys();
+        let unknown = unknown.filter(|id| !hosted.contains(id) && self.has_orphans(id));
+        known.map(|(id, _)| id).chain(unknown).cloned().collect()
+    }
+
     /// Records the crash of a worker that its host no longer lists, according to a list of hosts that was
     /// requested at `listed_ms`.
     pub fn crash_unhosted_worker(
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -184,7 +184,10 @@
         self.engine = engine;
         self.list_workers();
         let hosted: BTreeSet<_> = self.live_ids().into_iter().collect();
-        self.engine.reconcile_hosted_workers(&hosted, self.now_ms);
+        // One list may lack a host that is there.
+        for _ in 0..2 {
+            self.engine.reconcile_hosted_workers(&hosted, self.now_ms);
+        }
         for worker in self
             .workers
             .iter_mut()
