Keep connections that a late client opened, and read answers it notices late

Cause: a client short of processor time made itself slower. A connection that was established in time but noticed late was dropped, or the request was sent although its time was over and counted as unanswered at once. Answers that had arrived were given up when more than 1,024 connections were readable (the driver takes notice of that many at once). Any failed call closed all idle connections to its server, also those that had answered since.

Change: connections are opened beside the request and kept if they come late; a request takes whichever connection is free first. Before a read is given up the driver polls once more. Responses without a limit on silence have one timer less.

--- a/src/connection/client_cache.rs
+++ b/src/connection/client_cache.rs
@@ -75,8 +75,13 @@
             };
             clients.retain(|_, cached| !unused(cached));
         }
-        let client = HttpClient::with_idle_budget(address, Rc::clone(&self.idle_budget));
-        let client = Rc::new(client.with_usual_connections(Rc::clone(&self.usual_connections)));
+        let budget = Rc::clone(&self.idle_budget);
+        let usual_connections = Rc::clone(&self.usual_connections);
+        let client = Rc::new(HttpClient::with_idle_budget(
+            address,
+            budget,
+            usual_connections,
+        ));
         let cached = CachedClient {
             client: Rc::clone(&client),
             used: Instant::now(),
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -155,8 +155,13 @@
         let last_deadline = self.budget.start_response(deadline, limits.silence);
         let sent = timeout_at(deadline, self.send_request(request)).await;
         sent.map_err(|_| ExchangeError::TimedOut)??;
-        let response = timeout_at(last_deadline, self.read_response(limits)).await;
-        let response = response.map_err(|_| ExchangeError::TimedOut)??;
+        let response = match last_deadline {
+            None => self.read_response(limits).await,
+            Some(last_deadline) => timeout_at(last_deadline, self.read_response(limits))
+                .await
+                .map_err(|_| ExchangeError::TimedOut)?,
+        };
+        let response = response?;
         self.last_used = Instant::now();
         self.reusable = !has_connection_close(&response);
         Ok(response)
--- a/src/connection/limited_reader.rs
+++ b/src/connection/limited_reader.rs
@@ -12,6 +12,7 @@
 use monoio::io::AsyncReadRent;
 use monoio::io::CancelableAsyncReadRent;
 use monoio::io::Canceller;
+use monoio::time::timeout;
 use monoio::time::timeout_at;
 use monoio::time::Instant;
 use monoio::BufResult;
@@ -33,6 +34,13 @@
 /// The buffer size for reads of discarded bytes.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
+/// How long a response is read for after its deadline. The wait lets the driver look for bytes that
+/// have arrived, which a process short of processor time may not have noticed in time.
+const LATE_READ_TIME: Duration = Duration::from_millis(2);
+
+/// How long after its deadline a response is given up, though bytes of it have arrived.
+const MAX_READ_DELAY: Duration = Duration::from_secs(1);
+
 /// The part of a message that is being read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum MessagePart {
@@ -102,13 +110,17 @@
 
     /// Starts waiting for a response, all of which must arrive before `deadline`, or, given a
     /// `silence`, without a longer pause between its bytes and within the body's time limit after
-    /// `deadline`. Returns the time at which it must have arrived in any case.
-    pub(crate) fn start_response(&self, deadline: Instant, silence: Option<Duration>) -> Instant {
+    /// `deadline`. Returns, given a `silence`, the time at which it must have arrived in any case.
+    pub(crate) fn start_response(
+        &self,
+        deadline: Instant,
+        silence: Option<Duration>,
+    ) -> Option<Instant> {
         self.response_deadline.set(Some(deadline));
         self.silence.set(silence);
         self.report_to(None);
         self.start_message();
-        silence.map_or(deadline, |_| deadline + self.limits.body)
+        silence.map(|_| deadline + self.limits.body)
     }
 
     /// Records the response that has begun, and the arrival of its bytes, in `clock`.
@@ -170,6 +182,12 @@
         }
     }
 
+    /// Returns whether the deadline of a response lies so far back that it must be given up.
+    fn is_overdue(&self) -> bool {
+        let deadline = self.response_deadline.get();
+        deadline.is_some_and(|deadline| deadline + MAX_READ_DELAY < Instant::now())
+    }
+
     /// Counts bytes read; the first byte of a message starts the time limit of its head.
     fn consume(&self, bytes: usize) {
         if self.part.get() == MessagePart::Idle {
@@ -241,6 +259,10 @@
         if let Err(error) = self.budget.check_size() {
             return (Err(error), buffer);
         }
+        if self.budget.is_overdue() {
+            let refusal = ReadRefusal::TooSlow(self.budget.part());
+            return (Err(self.budget.refuse(refusal)), buffer);
+        }
         let deadline = self.budget.deadline.get();
         match read_until(&mut self.inner, buffer, deadline).await {
             Ok(result) => self.count_read(result),
@@ -260,7 +282,8 @@
     }
 }
 
-/// Reads until a deadline; on expiry cancels the read and returns the buffer.
+/// Reads until a deadline, and for [`LATE_READ_TIME`] after it was noticed; then cancels the read and
+/// returns the buffer.
 async fn read_until<R, T>(
     reader: &mut R,
     buffer: T,
@@ -275,6 +298,9 @@
     if let Ok(result) = timeout_at(deadline, &mut read).await {
         return Ok(result);
     }
+    if let Ok(result) = timeout(LATE_READ_TIME, &mut read).await {
+        return Ok(result);
+    }
     canceller.cancel();
     let (_, buffer) = read.await;
     Err(buffer)
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,6 +5,7 @@
 mod body_time;
 mod caller;
 mod client_cache;
+mod connection_pool;
 mod dial;
 pub(crate) mod exchange;
 mod framing;
