Reserve an idle connection for each worker, and drop those of gone workers early

Cause: of 3,600 connections one was reserved for each client, and the others were one budget of idle ones, first come, first served. Workers that were idle between two peaks lost their connections after 5 s.

Change: each client may keep one idle connection without the budget while the limit allows two for each server.

Before: the two new tests of tests/client_cache.rs: 5 connections for 5 requests after a burst to another server; the other one needs the new rule.

--- a/src/connection/client_cache.rs
+++ b/src/connection/client_cache.rs
@@ -12,7 +12,8 @@
 use crate::connection::HttpClient;
 use crate::connection::IdleBudget;
 
-/// The minimum time between searches for clients of servers that are gone.
+/// The minimum time between searches for clients of servers that are gone, and the time without a
+/// request after which a client's connections are tested.
 const PURGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The fewest connections to one server that its requests share: one for a call that the server
@@ -28,8 +29,8 @@
 /// open more only if none becomes free shortly.
 ///
 /// A server that moves comes back at another address. The clients of addresses that are no longer
-/// used are dropped with their connections; otherwise they would use up the limit, and each request
-/// to the others would open a connection.
+/// used are dropped with their connections, early if the server has closed them; otherwise they would
+/// use up the limit, and each request to the others would open a connection.
 pub struct ClientCache {
     clients: RefCell<HashMap<SocketAddr, CachedClient>>,
     /// The limit on the connections of all clients together.
@@ -48,8 +49,8 @@
 }
 
 impl ClientCache {
-    /// Creates an empty cache, whose clients keep at most `max_connections` connections: one is
-    /// reserved for each server, the others may be idle.
+    /// Creates an empty cache, whose clients keep at most `max_connections` connections: one, or two
+    /// if there are enough, are reserved for each server, the others may be idle.
     pub fn new(max_connections: usize, unused_time: Duration) -> Self {
         Self {
             clients: RefCell::default(),
@@ -70,10 +71,7 @@
         }
         if self.purged.get().elapsed() >= PURGE_INTERVAL {
             self.purged.set(Instant::now());
-            let unused = |cached: &CachedClient| {
-                !cached.client.is_busy() && cached.used.elapsed() >= self.unused_time
-            };
-            clients.retain(|_, cached| !unused(cached));
+            clients.retain(|_, cached| !self.is_unused(cached));
         }
         let budget = Rc::clone(&self.idle_budget);
         let usual_connections = Rc::clone(&self.usual_connections);
@@ -87,8 +85,12 @@
             used: Instant::now(),
         };
         clients.insert(address, cached);
-        let idle_limit = self.max_connections.saturating_sub(clients.len());
-        self.idle_budget.set_max(idle_limit);
+        // One connection to each server is in use, and a further one is kept if the limit allows.
+        let reserves_idle = 2 * clients.len() <= self.max_connections;
+        let reserved = clients.len() * (1 + usize::from(reserves_idle));
+        self.idle_budget.set_reserve(reserves_idle);
+        self.idle_budget
+            .set_max(self.max_connections.saturating_sub(reserved));
         // Half of the limit is left for what a burst opens beyond the usual number.
         let usual = self.max_connections / (2 * clients.len());
         self.usual_connections
@@ -96,6 +98,14 @@
         client
     }
 
+    /// Returns whether a client's server is gone or has not been called for long.
+    fn is_unused(&self, cached: &CachedClient) -> bool {
+        let unused_time = cached.used.elapsed();
+        !cached.client.is_busy()
+            && (unused_time >= self.unused_time
+                || unused_time >= PURGE_INTERVAL && !cached.client.close_broken())
+    }
+
     /// Returns the number of clients.
     pub fn len(&self) -> usize {
         self.clients.borrow().len()
--- a/src/connection/connection_pool.rs
+++ b/src/connection/connection_pool.rs
@@ -39,7 +39,8 @@
 pub(crate) struct ConnectionPool {
     address: SocketAddr,
     limits: MessageLimits,
-    idle: RefCell<Vec<(HttpConnection, IdlePermit)>>,
+    /// The idle connections; one without a permit is the one that is reserved for the server.
+    idle: RefCell<Vec<(HttpConnection, Option<IdlePermit>)>>,
     budget: Rc<IdleBudget>,
     /// Connections that carry a request or are being established.
     busy: Cell<usize>,
@@ -77,9 +78,15 @@
     pub(crate) fn release(self) {
         let Self { connection, count } = self;
         let pool = &count.0;
-        let permit = connection.is_reusable().then(|| pool.budget.try_acquire());
-        if let Some(permit) = permit.flatten() {
-            pool.idle.borrow_mut().push((connection, permit));
+        if !connection.is_reusable() {
+            return;
+        }
+        let mut idle = pool.idle.borrow_mut();
+        let has_reserved = idle.iter().any(|(_, permit)| permit.is_none());
+        if pool.budget.reserves_connections() && !has_reserved {
+            idle.push((connection, None));
+        } else if let Some(permit) = pool.budget.try_acquire() {
+            idle.push((connection, Some(permit)));
         }
     }
 }
@@ -145,6 +152,13 @@
         self.idle.borrow_mut().clear();
     }
 
+    /// Closes the idle connections that the server has closed. Returns whether any connection is left.
+    pub(crate) fn close_broken(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain_mut(|(connection, _)| connection.is_open_and_idle());
+        self.is_busy() || !idle.is_empty()
+    }
+
     /// Returns whether a request is under way.
     pub(crate) fn is_busy(&self) -> bool {
         self.busy.get() > 0
--- a/src/connection/dial.rs
+++ b/src/connection/dial.rs
@@ -26,10 +26,9 @@
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(
         Domain::for_address(address),
-        Type::STREAM,
+        Type::STREAM.nonblocking(),
         Some(Protocol::TCP),
     )?;
-    socket.set_nonblocking(true)?;
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
     socket.set_linger(Some(Duration::ZERO))?;
     if let Err(error) = socket.connect(&address.into()) {
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -84,7 +84,8 @@
 }
 
 impl HttpConnection {
-    /// Connects to `address` before `deadline`.
+    /// Connects to `address` before `deadline`. TCP keep-alive watches the connection while it is
+    /// idle.
     ///
     /// # Errors
     ///
@@ -95,22 +96,58 @@
         limits: MessageLimits,
         deadline: Instant,
     ) -> Result<Self, ExchangeError> {
-        let connected = timeout_at(deadline, connect(address)).await;
-        let stream = connected
+        let stream = Self::connect_until(address, deadline).await?;
+        let keep_alive = stream.set_tcp_keepalive(
+            Some(KEEPALIVE_IDLE),
+            Some(KEEPALIVE_INTERVAL),
+            Some(KEEPALIVE_PROBES),
+        );
+        keep_alive.map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
+        Ok(Self::new(stream, limits))
+    }
+
+    /// Like [`HttpConnection::dial`], without TCP keep-alive, whose four options cost as much as the
+    /// rest of a connection. For servers that are called so often that a call notices first that one
+    /// is unreachable.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::NotConnected`] if the connection is refused or not established in
+    /// time.
+    pub(crate) async fn dial_unwatched(
+        address: SocketAddr,
+        limits: MessageLimits,
+        deadline: Instant,
+    ) -> Result<Self, ExchangeError> {
+        let stream = Self::connect_until(address, deadline).await?;
+        Ok(Self::new(stream, limits))
+    }
+
+    async fn connect_until(
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<TcpStream, ExchangeError> {
+        let stream = timeout_at(deadline, connect(address))
+            .await
             .map_err(|_| ExchangeError::NotConnected("no answer in time".to_owned()))?
             .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
-        Self::set_options(&stream)
+        stream
+            .set_nodelay(true)
             .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
+        Ok(stream)
+    }
+
+    fn new(stream: TcpStream, limits: MessageLimits) -> Self {
         let budget = ReadBudget::new(limits);
         let (reader, writer) = stream.into_split();
         let reader = LimitedReader::new(reader, Rc::clone(&budget));
-        Ok(Self {
+        Self {
             decoder: ResponseDecoder::new(reader),
             encoder: GenericEncoder::new(writer),
             budget,
             last_used: Instant::now(),
             reusable: true,
-        })
+        }
     }
 
     /// Returns when the last response completed, or when the connection was established.
@@ -218,15 +255,6 @@
             None => ExchangeError::InvalidResponse(reason.to_owned()),
         }
     }
-
-    fn set_options(stream: &TcpStream) -> std::io::Result<()> {
-        stream.set_nodelay(true)?;
-        stream.set_tcp_keepalive(
-            Some(KEEPALIVE_IDLE),
-            Some(KEEPALIVE_INTERVAL),
-            Some(KEEPALIVE_PROBES),
-        )
-    }
 }
 
 /// Reads a complete body into one buffer.
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -105,6 +105,11 @@
         self.pool.close_unanswered(time);
     }
 
+    /// Closes the idle connections that the server has closed. Returns whether any connection is left.
+    pub fn close_broken(&self) -> bool {
+        self.pool.close_broken()
+    }
+
     /// Closes every idle connection.
     pub fn close_idle(&self) {
         self.pool.close_idle();
--- a/src/connection/idle_budget.rs
+++ b/src/connection/idle_budget.rs
@@ -11,6 +11,8 @@
 pub struct IdleBudget {
     in_use: Cell<usize>,
     max: Cell<usize>,
+    /// Whether each client may keep one idle connection without a permit.
+    reserves_connections: Cell<bool>,
 }
 
 impl IdleBudget {
@@ -19,6 +21,7 @@
         Rc::new(Self {
             in_use: Cell::new(0),
             max: Cell::new(max),
+            reserves_connections: Cell::new(false),
         })
     }
 
@@ -27,6 +30,17 @@
         self.max.set(max);
     }
 
+    /// Sets whether each client may keep one idle connection without a permit, so that what a burst to
+    /// other servers left behind doesn't make each of its requests open one.
+    pub fn set_reserve(&self, reserves_connections: bool) {
+        self.reserves_connections.set(reserves_connections);
+    }
+
+    /// Returns whether each client may keep one idle connection without a permit.
+    pub fn reserves_connections(&self) -> bool {
+        self.reserves_connections.get()
+    }
+
     /// Takes a permit, if one is left; dropping it releases it.
     pub fn try_acquire(self: &Rc<Self>) -> Option<IdlePermit> {
         if self.in_use.get() >= self.max.get() {
--- a/tests/client_cache.rs
+++ b/tests/client_cache.rs
@@ -11,6 +11,7 @@
 use http::Response;
 use monoio::net::TcpListener;
 use monoio::time::sleep;
+use monoio::time::timeout;
 use monoio::LegacyDriver;
 use monoio::RuntimeBuilder;
 use zincpier::connection::serve_connection;
@@ -58,6 +59,25 @@
     (address, accepted)
 }
 
+/// Starts a server that closes each connection after some milliseconds. Returns its address.
+fn start_closing_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    monoio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handler = SlowServer {
+                delay: Duration::ZERO,
+            };
+            monoio::spawn(async move {
+                let signal = ShutdownSignal::new();
+                let served = serve_connection(stream, &handler, MessageLimits::default(), signal);
+                let _ = timeout(Duration::from_millis(200), served).await;
+            });
+        }
+    });
+    address
+}
+
 async fn send_together(cache: &ClientCache, address: SocketAddr, count: usize) -> usize {
     let requests = (0..count).map(|_| async {
         let mut request = Request::new(Bytes::new());
@@ -119,3 +139,42 @@
         assert_eq!(accepted.get(), 1);
     });
 }
+
+/// Guards against a burst to one server whose idle connections use up the limit, so that each request
+/// to the others opens one.
+#[test]
+fn each_server_keeps_a_connection_after_a_burst_to_another_one() {
+    run(async {
+        let cache = ClientCache::new(20, RESPONSE_TIMEOUT);
+        let (busy_address, _) = start_server(Duration::from_millis(400));
+        let (address, accepted) = start_server(Duration::ZERO);
+        cache.get(address);
+        assert_eq!(send_together(&cache, busy_address, 30).await, 30);
+
+        for _ in 0..5 {
+            assert_eq!(send_together(&cache, address, 1).await, 1);
+        }
+
+        assert_eq!(accepted.get(), 1);
+    });
+}
+
+/// Guards against idle connections to servers that have closed them, which count towards the limit for
+/// as long as those to idle servers are kept.
+#[test]
+fn clients_of_servers_that_closed_their_connections_are_dropped_early() {
+    run(async {
+        let cache = ClientCache::new(20, Duration::from_secs(60));
+        let (idle_address, idle_accepted) = start_server(Duration::ZERO);
+        let gone_address = start_closing_server();
+        assert_eq!(send_together(&cache, idle_address, 1).await, 1);
+        assert_eq!(send_together(&cache, gone_address, 1).await, 1);
+        sleep(Duration::from_millis(1_100)).await;
+
+        cache.get(SocketAddr::from(([127, 0, 0, 9], 1)));
+
+        assert_eq!(cache.len(), 2);
+        assert_eq!(send_together(&cache, idle_address, 1).await, 1);
+        assert_eq!(idle_accepted.get(), 1);
+    });
+}
