--- a/src/connection/connection_pool.rs
+++ b/src/connection/connection_pool.rs
@@ -46,6 +46,8 @@
     busy: Cell<usize>,
     /// Connections in use from which on a request waits for one of them.
     usual_connections: Rc<Cell<usize>>,
+    /// Whether TCP keep-alive watches idle connections.
+    has_keep_alive: bool,
     /// Notified when a connection in use becomes free or is closed.
     released: Notify,
 }
@@ -101,6 +103,7 @@
             budget,
             busy: Cell::new(0),
             usual_connections: Rc::new(Cell::new(usize::MAX)),
+            has_keep_alive: true,
             released: Notify::new(),
         }
     }
@@ -112,6 +115,12 @@
         self
     }
 
+    /// Leaves it to the requests to notice that an idle connection is broken.
+    pub(crate) fn without_keep_alive(mut self) -> Self {
+        self.has_keep_alive = false;
+        self
+    }
+
     /// Takes an idle connection, waits for one, or opens one.
     ///
     /// # Errors
@@ -189,7 +198,11 @@
         monoio::spawn(async move {
             let deadline = Instant::now() + DIAL_TIME;
             let pool = &count.0;
-            let dialled = HttpConnection::dial(pool.address, pool.limits, deadline).await;
+            let (address, limits) = (pool.address, pool.limits);
+            let dialled = match pool.has_keep_alive {
+                true => HttpConnection::dial(address, limits, deadline).await,
+                false => HttpConnection::dial_unwatched(address, limits, deadline).await,
+            };
             let dialled = dialled.map(|connection| BusyConnection { connection, count });
             if let Err(Ok(unwanted)) = sender.send(dialled) {
                 unwanted.release();
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -39,13 +39,16 @@
 
     /// Creates a client of the server at `address` whose idle connections count towards a shared
     /// `budget`. Requests share `usual_connections`, rather than opening more, if one becomes free
-    /// shortly; later changes of that number take effect.
+    /// shortly; later changes of that number take effect. The server is called so often that requests
+    /// notice broken connections before TCP keep-alive would.
     pub fn with_idle_budget(
         address: SocketAddr,
         budget: Rc<IdleBudget>,
         usual_connections: Rc<Cell<usize>>,
     ) -> Self {
-        let pool = Self::new_pool(address, budget).with_usual_connections(usual_connections);
+        let pool = Self::new_pool(address, budget)
+            .with_usual_connections(usual_connections)
+            .without_keep_alive();
         Self::with_pool(address, pool)
     }
 
