Look at each host once for all moves to a pool

Cause: for each move the capacity plan searched all hosts of all pools. At the start of a demand peak of 1,100 hosts that are hundreds of searches in one pass, five passes a second.

Change: the hosts that may be moved are sorted once; a pool takes them in that order. While it takes hosts, the others only lose capacity, so a host that can't be taken now can't be taken later either.

--- a/src/workflow/capacity_plan.rs
+++ b/src/workflow/capacity_plan.rs
@@ -112,9 +112,19 @@
         .iter()
         .map(|host_move| host_move.host.clone())
         .collect();
+    let donors = match short_pools.is_empty() {
+        true => Vec::new(),
+        false => sorted_donors(pools),
+    };
     for pool in short_pools {
+        // Until the pool has its capacity, a host that can't be taken now can't be taken later either,
+        // so one look at each host serves for all moves to the pool.
+        let mut left = donors.iter();
         while capacities[pool.name.as_str()] < target_millis(pool) {
-            let Some((donor, host)) = find_donor(pools, pool, &capacities, &taken) else {
+            let donor = left.find(|(donor, host)| {
+                !taken.contains(&host.host) && may_give(donor, host, pool, &capacities)
+            });
+            let Some((donor, host)) = donor else {
                 break;
             };
             *capacities.entry(&donor.name).or_default() -= host.capacity_millis;
@@ -154,14 +164,25 @@
     host_moves.collect()
 }
 
-/// Returns the host to move to `receiver` and its current pool: from the standby pool if
-/// possible, otherwise the host with the least CPU in use.
-fn find_donor<'p>(
-    pools: &'p [PoolView],
+/// Returns the hosts that may be moved, each with its pool, in the order in which they are taken: those
+/// of the standby pool first, then those with the least CPU in use.
+fn sorted_donors(pools: &[PoolView]) -> Vec<(&PoolView, &PoolHost)> {
+    let hosts = pools
+        .iter()
+        .flat_map(|pool| pool.hosts.iter().map(move |host| (pool, host)));
+    let is_free = |host: &PoolHost| !host.pinned && host.available && host.leaving_to.is_none();
+    let mut donors: Vec<_> = hosts.filter(|(_, host)| is_free(host)).collect();
+    donors.sort_by_key(|(pool, host)| (!pool.standby, host.used_millis, &host.host));
+    donors
+}
+
+/// Returns whether a pool can spare a host for `receiver`.
+fn may_give(
+    donor: &PoolView,
+    host: &PoolHost,
     receiver: &PoolView,
     capacities: &BTreeMap<&str, u64>,
-    taken: &HashSet<HostId>,
-) -> Option<(&'p PoolView, &'p PoolHost)> {
+) -> bool {
     let in_shortage =
         capacities[receiver.name.as_str()] * 100 < receiver.demand_millis * SHORTAGE_PERCENT;
     let percent = if in_shortage {
@@ -169,24 +190,14 @@
     } else {
         DONOR_RETAINED_PERCENT
     };
-    let spare = |pool: &&PoolView| {
-        let retained_millis = pool.demand_millis * percent / 100;
-        pool.name != receiver.name
-            && (pool.standby || capacities[pool.name.as_str()] > retained_millis)
-    };
-    let hosts = pools.iter().filter(spare).flat_map(|pool| {
-        let retained_millis = pool.demand_millis * percent / 100;
-        let capacity = capacities[pool.name.as_str()];
-        let free = move |host: &&PoolHost| {
-            let fits = pool.standby || capacity >= retained_millis + host.capacity_millis;
-            let allowed = !host.refused_pools.contains(&receiver.name);
-            !host.pinned && host.available && host.leaving_to.is_none() && allowed && fits
-        };
-        pool.hosts.iter().filter(free).map(move |host| (pool, host))
-    });
-    hosts
-        .filter(|(_, host)| !taken.contains(&host.host))
-        .min_by_key(|(pool, host)| (!pool.standby, host.used_millis, &host.host))
+    if donor.name == receiver.name || host.refused_pools.contains(&receiver.name) {
+        return false;
+    }
+    let retained_millis = donor.demand_millis * percent / 100;
+    let capacity = capacities[donor.name.as_str()];
+    let has_spare =
+        capacity > retained_millis && capacity >= retained_millis + host.capacity_millis;
+    donor.standby || has_spare
 }
 
 /// Chooses hosts to switch off: idle ones in pools that have had spare capacity for
