Pass on to the next holder when the runs on silent workers are over

A holder knows when the lease of a worker that doesn't answer ends, but a new one didn't: it waited 6 s from its takeover, so that a worker that ended 1 s before a planned restart cost its long-running tasks 7.4 s, and each further restart began the wait anew (11.0 s with three, 1.8 s apart).

With the release, the holder states such workers and for how long their runs may continue: the rest of the lease, or of what it waited for itself. From then on it requests no lease from them and starts nothing there, even if they answer, so that the statement stays true. The record of a holder that didn't release says nothing, since it may renew leases after its last commit. Ordinary tasks that may be done are held for their worker's report for as long as before.

--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -28,6 +28,7 @@
 use crate::workflow::PublishedCounts;
 use crate::workflow::RefusedRow;
 use crate::workflow::RefusedRows;
+use crate::workflow::SilentWorkers;
 use crate::workflow::COMMANDS_KEY;
 
 /// Key prefix of the progress rows, one for each job.
@@ -132,7 +133,13 @@
             }
         }
         let platform = self.platform.as_ref();
-        lease.release(platform, last, self.counted_ms).await;
+        let silent = self.give_up_silent_workers();
+        lease.release(platform, last, self.counted_ms, silent).await;
+    }
+
+    fn give_up_silent_workers(&self) -> SilentWorkers {
+        let mut engine = self.term.engine.borrow_mut();
+        engine.give_up_silent_workers(boot_ms())
     }
 
     /// Merges the queued rows into `writes`. Also returns the channels to notify after the commit.
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -194,6 +194,7 @@
         let engine = JobEngine::new(boot_ms(), lease.inherited_ms());
         let mut engine = engine.with_row_limit(self.row_limit);
         engine.adopt_caps(&self.view);
+        engine.adopt_silent_workers(lease.silent_workers(), boot_ms());
         let is_first_term = lease.epoch() == 1;
         let ages = self
             .while_renewing(&mut lease, self.load_command_ages(is_first_term))
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -118,6 +118,10 @@
     pub(crate) lost_runs: BTreeMap<WorkerId, LostRuns>,
     /// The time until which runs of earlier controllers may continue unobserved, in ms.
     pub(crate) inherited_until_ms: u64,
+    /// The same for workers of which the last holder stated it.
+    pub(crate) silent_until_ms: BTreeMap<WorkerId, u64>,
+    /// Workers that this holder leaves to the next one.
+    pub(crate) given_up_workers: BTreeSet<WorkerId>,
     /// Tasks that were restored as placed on workers that are not known yet.
     pub(crate) restored_placements: BTreeMap<WorkerId, Vec<TaskName>>,
     /// The cordons of workers that are not listed yet.
@@ -166,6 +170,8 @@
             incarnations: KnownIncarnations::default(),
             lost_runs: BTreeMap::new(),
             inherited_until_ms: now_ms + inherited_ms,
+            silent_until_ms: BTreeMap::new(),
+            given_up_workers: BTreeSet::new(),
             restored_placements: BTreeMap::new(),
             early_cordons: BTreeMap::new(),
             leaving_workers: BTreeMap::new(),
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -5,6 +5,7 @@
 use crate::id::IncarnationStart;
 use crate::id::WorkerId;
 use crate::workflow::known_incarnations::IncarnationOrder;
+use crate::workflow::lost_runs::MAX_SILENCE_MS;
 use crate::workflow::CommandPhase;
 use crate::workflow::CrashEvidence;
 use crate::workflow::JobEngine;
@@ -196,9 +197,10 @@
     pub fn expire_workers(&mut self, now_ms: u64) {
         let inherited_runs_ended = now_ms > self.inherited_until_ms;
         let usage = &self.usage;
+        let unobserved_until_ms = |id: &WorkerId| self.unobserved_until_ms(id);
         let has_expired = |id: &WorkerId, worker: &WorkerState| {
             let unresponsive = worker.unresponsive_since_ms > 0;
-            let never_answered = inherited_runs_ended && !worker.has_accepted_epoch;
+            let never_answered = !worker.has_accepted_epoch && now_ms > unobserved_until_ms(id);
             unresponsive
                 && (!worker.tasks.is_empty() || usage.has_unplaced_runs(id))
                 && (worker.is_lease_expired(now_ms) || never_answered)
@@ -210,10 +212,15 @@
             .filter(|(id, worker)| has_expired(id, worker));
         let expired: Vec<_> = workers.map(|(id, _)| id.clone()).collect();
         for id in expired {
-            // The runs of a worker that never answered were waited for all the while.
             let worker = self.workers.get(&id);
-            if worker.is_some_and(|worker| worker.has_accepted_epoch) {
-                self.hold_lost_runs(&id, now_ms);
+            let has_answered = worker.is_some_and(|worker| worker.has_accepted_epoch);
+            let since_ms = match has_answered {
+                true => now_ms,
+                // What may be done on a worker that never answered is held until the inherited runs end.
+                false => self.inherited_until_ms.saturating_sub(MAX_SILENCE_MS),
+            };
+            if has_answered || !inherited_runs_ended {
+                self.hold_lost_runs(&id, since_ms);
             }
             self.end_worker(&id, "its lease has expired", now_ms);
         }
@@ -223,9 +230,7 @@
             let has_runs = !worker.tasks.is_empty() || usage.has_unplaced_runs(id);
             worker.listed || has_runs || lost_runs.contains_key(id)
         });
-        if inherited_runs_ended {
-            self.release_orphans();
-        }
+        self.release_orphans(now_ms);
     }
 
     /// Releases the tasks of workers that no host lists, because such a worker has ended: of those that
@@ -322,8 +327,20 @@
         }
     }
 
-    fn release_orphans(&mut self) {
-        for name in self.orphans() {
+    /// Releases the tasks of unknown workers whose inherited runs have ended. The lease alone doesn't tell
+    /// whether one that ends is done.
+    fn release_orphans(&mut self, now_ms: u64) {
+        let may_run = |name: &TaskName| {
+            let worker = self.task_state(name).and_then(TaskState::worker);
+            let until_ms = match worker.filter(|_| self.is_long_running(name)) {
+                Some(worker) => self.unobserved_until_ms(worker),
+                None => self.inherited_until_ms,
+            };
+            now_ms <= until_ms
+        };
+        let mut ended = self.orphans();
+        ended.retain(|name| !may_run(name));
+        for name in ended {
             log::warn!("event=task_orphaned task={name}");
             self.release_task(&name);
         }
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -27,6 +27,7 @@
 use crate::workflow::OrganisationLimits;
 use crate::workflow::QueueBacklogs;
 use crate::workflow::RefusedRow;
+use crate::workflow::SilentWorkers;
 
 /// Key of the leader row, which names the holder of the controller's lease.
 pub const LEADER_KEY: &str = "control/leader";
@@ -67,6 +68,8 @@
     counted_ms: Option<u64>,
     /// Time until which the optional parts of the row are left out, in ms.
     reduced_until_ms: u64,
+    /// The workers that didn't answer the last holder when it released the lease.
+    silent_workers: SilentWorkers,
     /// The term that is told when the lease was confirmed.
     term: Option<Rc<ControllerTerm>>,
 }
@@ -81,7 +84,7 @@
         current: Option<&TableRow>,
         holder: &str,
     ) -> Option<Self> {
-        let previous = match current {
+        let mut previous = match current {
             Some(row) => read_record(row).unwrap_or_else(|| unknown_record(row)),
             None => find_lost_record(table, holder).await?,
         };
@@ -100,6 +103,7 @@
             counted_ms: None,
             reduced_until_ms: 0,
             term: None,
+            silent_workers: previous.take_silent_workers(),
         };
         let transaction = lease.transaction(Vec::new());
         let deadline_ms = boot_ms() + MAX_CLAIM_MS;
@@ -178,6 +182,11 @@
         self.record.inherited_ms
     }
 
+    /// Returns the workers that didn't answer the last holder when it released the lease.
+    pub fn silent_workers(&self) -> &SilentWorkers {
+        &self.silent_workers
+    }
+
     /// Sets the time for which runs of earlier holders may continue unobserved, in ms. The next
     /// commit stores it.
     pub fn set_inherited_ms(&mut self, inherited_ms: u64) {
@@ -343,13 +352,15 @@
     }
 
     /// Commits the last rows and releases the lease, so that another holder need not wait until
-    /// it expires.
+    /// it expires. No lease of `silent_workers` may be requested any more.
     pub async fn release<T: TableService>(
         &mut self,
         table: &T,
         writes: Vec<RowWrite>,
         counted_ms: Option<u64>,
+        silent_workers: SilentWorkers,
     ) {
+        self.record.silent_workers = silent_workers;
         self.record.released = true;
         let done = self.commit(table, writes, counted_ms).await.is_ok();
         log::info!("event=lease_released epoch={} done={done}", self.epoch());
--- a/src/workflow/leader_record.rs
+++ b/src/workflow/leader_record.rs
@@ -10,6 +10,7 @@
 use crate::workflow::CountStamp;
 use crate::workflow::OrganisationLimits;
 use crate::workflow::QueueBacklogs;
+use crate::workflow::SilentWorkers;
 use crate::workflow::INHERITED_RUN_MS;
 use crate::workflow::RELEASED_RUN_MS;
 
@@ -52,6 +53,13 @@
         skip_serializing_if = "OrganisationLimits::is_empty"
     )]
     pub limits: OrganisationLimits,
+    /// The workers that don't answer the holder, stated with the release.
+    #[serde(
+        default,
+        deserialize_with = "decode_statement",
+        skip_serializing_if = "SilentWorkers::is_empty"
+    )]
+    pub silent_workers: SilentWorkers,
 }
 
 impl LeaderRecord {
@@ -72,15 +80,26 @@
         }
     }
 
+    /// Takes what the holder stated of workers that don't answer; nothing unless it released the lease, since
+    /// a holder that goes on may renew their leases once they answer.
+    pub(crate) fn take_silent_workers(&mut self) -> SilentWorkers {
+        let silent = std::mem::take(&mut self.silent_workers);
+        match self.released {
+            true => silent,
+            false => SilentWorkers::default(),
+        }
+    }
+
     /// Returns whether the record has parts without which it can be stored as well.
     pub(crate) fn has_optional_parts(&self) -> bool {
-        !self.backlogs.is_empty() || !self.limits.is_empty()
+        !self.backlogs.is_empty() || !self.limits.is_empty() || !self.silent_workers.is_empty()
     }
 
     /// Removes the parts without which the record can be stored as well.
     pub(crate) fn drop_optional_parts(&mut self) {
         self.backlogs = QueueBacklogs::new();
         self.limits = OrganisationLimits::default();
+        self.silent_workers = SilentWorkers::default();
     }
 }
 
--- a/src/workflow/lost_runs.rs
+++ b/src/workflow/lost_runs.rs
@@ -15,7 +15,7 @@
 
 /// The limit on how long tasks are held back for a worker that stays silent: as long as the longest
 /// lease that a worker grants.
-const MAX_SILENCE_MS: u64 = 10_000;
+pub(crate) const MAX_SILENCE_MS: u64 = 10_000;
 
 /// The runs that were lost with one worker's lease.
 #[derive(Default)]
@@ -25,10 +25,11 @@
 }
 
 impl JobEngine {
-    /// Holds back the tasks of a worker whose lease has expired, once they are released. Excepted
+    /// Holds back the tasks of a worker whose lease has expired, once they are released, for
+    /// [`MAX_SILENCE_MS`] from `since_ms`. Excepted
     /// are tasks whose start was not sent, long-running ones, which are restarted however they
     /// end, and those of ended jobs.
-    pub(crate) fn hold_lost_runs(&mut self, id: &WorkerId, now_ms: u64) {
+    pub(crate) fn hold_lost_runs(&mut self, id: &WorkerId, since_ms: u64) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -41,7 +42,7 @@
             };
             state.lost_on = Some(id.clone());
             let lost = self.lost_runs.entry(id.clone()).or_default();
-            lost.since_ms = now_ms;
+            lost.since_ms = since_ms;
             lost.tasks.insert(name);
         }
     }
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -175,7 +175,10 @@
         && !engine.is_trial_worker(id);
     let renewal = LeaseRenewal {
         epoch: term.epoch,
-        lease_end_ms: worker.next_lease_end_ms(WORKER_LEASE_MS, boot_ms()),
+        lease_end_ms: match engine.has_given_up(id) {
+            true => None,
+            false => worker.next_lease_end_ms(WORKER_LEASE_MS, boot_ms()),
+        },
         acknowledged: worker.durable_end,
         wait: if may_wait {
             LONG_POLL_WAIT
@@ -349,6 +352,7 @@
     let state = engine.jobs.get_mut(&task.job)?.task_mut(task)?;
     let worker = state
         .worker()
+        .filter(|worker| !engine.given_up_workers.contains(*worker))
         .and_then(|worker| engine.workers.get_mut(worker));
     let accepting = worker.filter(|worker| worker.accepts_tasks(now_ms));
     let with_clock = accepting.and_then(|worker| Some((worker.clock_ms(now_ms)?, worker)));
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -282,6 +282,14 @@
         clock_ms.is_some_and(|clock_ms| clock_ms > self.lease_end_ms)
     }
 
+    /// Returns the time after which the worker's lease has certainly expired, in ms; `None` before its first
+    /// answer.
+    pub(crate) fn lease_left_ms(&self, now_ms: u64) -> Option<u64> {
+        let left_ms = self.lease_end_ms.saturating_sub(self.clock_ms(now_ms)?);
+        // The clock may run slow, and both times are rounded down.
+        Some((left_ms + 1) * 1_000 / (1_000 - CLOCK_DRIFT_PER_MILLE) + 1)
+    }
+
     /// Returns whether the worker is unlisted, draining or cordoned, so that nothing may be
     /// started there.
     pub fn is_leaving(&self) -> bool {
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -899,6 +899,9 @@
             }
             sleep(POLL_INTERVAL).await;
             self.cross_network().await;
+            if self.is_silent(&entry.id).await {
+                return RenewalOutcome::Unknown("silent".to_owned());
+            }
         }
     }
 
