--- a/src/workflow/worker_resources.rs
+++ b/src/workflow/worker_resources.rs
@@ -3,6 +3,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The limit on each resource of one worker: 100,000 cores in millicores, 100 TB in MB.
+const MAX_WORKER_AMOUNT: u64 = 100_000_000;
+
 /// An amount of CPU, memory and accelerators.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkerResources {
@@ -25,11 +28,18 @@
             && self.gpus <= free_capacity.gpus
     }
 
-    /// Adds each resource of `other`.
+    /// Returns whether one worker can have these resources. Sums over workers don't overflow then.
+    pub fn is_plausible(&self) -> bool {
+        self.amounts()
+            .iter()
+            .all(|amount| *amount <= MAX_WORKER_AMOUNT)
+    }
+
+    /// Adds each resource of `other`, up to the largest number.
     pub fn add(&mut self, other: &Self) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_mb += other.memory_mb;
-        self.gpus += other.gpus;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.gpus = self.gpus.saturating_add(other.gpus);
     }
 
     /// Returns the amounts of CPU, memory and accelerators, in this order.
