--- a/src/workflow/job_urgency.rs
+++ b/src/workflow/job_urgency.rs
@@ -80,10 +80,11 @@
             }
         });
         let stretched_ms = critical_path_ms as f64 * queue.stretch;
-        let objective_ms = stretched_ms as i64 + queue.objective_ms as i64;
+        let objective_ms = (stretched_ms as i64).saturating_add_unsigned(queue.objective_ms);
         let age_ms = now_ms.saturating_sub(job.first_read_ms) as i64;
-        let slack_ms = objective_ms - age_ms - remaining_ms as i64;
-        let late_slack_ms = slack_ms + 2 * objective_ms;
+        let slack_ms = objective_ms.saturating_sub(age_ms);
+        let slack_ms = slack_ms.saturating_sub_unsigned(remaining_ms);
+        let late_slack_ms = slack_ms.saturating_add(objective_ms.saturating_mul(2));
         let class = match (slack_ms >= 0, late_slack_ms >= 0, job.is_over_rate) {
             (true, _, false) => ON_TIME,
             (true, _, true) => OVER_RATE_ON_TIME,
@@ -181,7 +182,8 @@
     /// Returns the time in ms until a job of the class must have its capacity to end
     /// `extra_objectives` objectives after its own; `None` for other classes.
     fn remaining_ms(&self, class: u8, extra_objectives: i64) -> Option<u64> {
-        let slack_ms = self.slack_ms + extra_objectives * self.objective_ms;
+        let extra_ms = self.objective_ms.saturating_mul(extra_objectives);
+        let slack_ms = self.slack_ms.saturating_add(extra_ms);
         u64::try_from(slack_ms).ok().filter(|_| self.class == class)
     }
 }
