Take stored rows with numbers that no holder writes for unreadable

Rows of ours that another writer left ended each entry host that read them: an epoch near 2^64 in the leader row in the claim (leader_lease.rs:89), so that no host became ready, and a run near 2^64 in a job's progress at its next start (task_placer.rs:307). Found by reading beside these: the time left by a released lease is added to the clock, failures are counted on, and the tasks of a stored job are allocated as it states them (4 billion at most).

An epoch over 2^53 makes the row unreadable, so that the next holder replaces it with the row's revision as its epoch; the time of a released lease stays within 6 to 17 s, which no holder exceeds. A run over 2^53 makes the progress unreadable, and the job is held.

Before (dev profile): odd_numbers_in_the_leader_row_end_no_process and odd_stored_jobs_and_progress_end_no_process fail with the panics above; ages of commands and extreme submissions passed. After: all of odd_rows.rs pass.

--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -53,7 +53,7 @@
     let spec = serde_json::from_value::<JobSpec>(row.value.clone());
     match (parse_job_key(&row.key), spec) {
         (Some((id, true)), _) => engine.cancel_job(&id, boot_ms()),
-        (Some((id, false)), Ok(spec)) => {
+        (Some((id, false)), Ok(spec)) if spec.is_plausible() => {
             log_job(engine, &id, &spec);
             engine.add_job(id.clone(), spec, progress, boot_ms());
             let submitted_ms = row.value.get(SUBMITTED_FIELD).and_then(Value::as_u64);
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -18,6 +18,9 @@
 /// The limit on each resource of a task: 10,000 cores in millicores, 10,000 GB in MB.
 const MAX_RESOURCE_AMOUNT: u64 = 10_000_000;
 
+/// The limit on the tasks and steps of all occurrences of a stored job, whichever version accepted it.
+const MAX_STORED_TASKS: u64 = 100_000;
+
 /// One step of a job: a number of identical tasks.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
@@ -181,6 +184,16 @@
             .or_else(|| self.long_running_error())
     }
 
+    /// Returns whether a stored job can be held and added up: an older version may have accepted more
+    /// than this one, and what another writer stored may be anything.
+    pub(crate) fn is_plausible(&self) -> bool {
+        let steps = self.steps.iter();
+        let size: u64 = steps.map(|step| u64::from(step.tasks) + 1).sum();
+        let size = size.saturating_mul(u64::from(self.occurrences()));
+        let mut steps = self.steps.iter();
+        size <= MAX_STORED_TASKS && steps.all(|step| step.demand.is_plausible())
+    }
+
     /// Returns an error if the long-running tasks of all occurrences, none of which ends, can't run at the
     /// same time beside the other tasks of one occurrence.
     fn long_running_error(&self) -> Option<SpecError> {
--- a/src/workflow/leader_record.rs
+++ b/src/workflow/leader_record.rs
@@ -13,6 +13,9 @@
 use crate::workflow::INHERITED_RUN_MS;
 use crate::workflow::RELEASED_RUN_MS;
 
+/// The limit on epochs. Each takes a transaction, so a higher one is not a holder's.
+const MAX_EPOCH: u64 = 1 << 53;
+
 /// The lease holder as stored in the table.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaderRecord {
@@ -67,7 +70,7 @@
     pub(crate) fn unobserved_ms(&self) -> u64 {
         match (self.epoch, self.released) {
             (0, _) => 0,
-            (_, true) => self.inherited_ms.max(RELEASED_RUN_MS),
+            (_, true) => self.inherited_ms.clamp(RELEASED_RUN_MS, INHERITED_RUN_MS),
             (_, false) => INHERITED_RUN_MS,
         }
     }
@@ -106,7 +109,8 @@
     Ok(serde_json::from_value(value).unwrap_or_default())
 }
 
-/// Decodes the leader row. Returns `None` if it cannot be decoded.
+/// Decodes the leader row. Returns `None` if it cannot be decoded, or if no claims add up to its epoch.
 pub(crate) fn read_record(row: &TableRow) -> Option<LeaderRecord> {
-    serde_json::from_value(row.value.clone()).ok()
+    let record: LeaderRecord = serde_json::from_value(row.value.clone()).ok()?;
+    (record.epoch <= MAX_EPOCH).then_some(record)
 }
--- a/src/workflow/task_state.rs
+++ b/src/workflow/task_state.rs
@@ -5,6 +5,10 @@
 
 use crate::id::WorkerId;
 
+/// The limits on the stored numbers of a task's last run and failures, to which more are added.
+const MAX_RUN: u64 = 1 << 53;
+const MAX_FAILURES: u32 = 1_000_000;
+
 /// The bytes of a job's row that each task reserves from its first run until it is done: run, failures, a
 /// checkpoint and a worker's id of usual length.
 pub(crate) const RUN_ROW_BYTES: usize = 48;
@@ -218,8 +222,11 @@
             Value::Number(number) if number.as_u64() == Some(1) => state.phase = TaskPhase::Done,
             Value::Number(_) => {}
             Value::Array(parts) => {
-                state.last_run = parts.first()?.as_u64()?;
-                state.failures = u32::try_from(parts.get(1)?.as_u64()?).ok()?;
+                let run = parts.first()?.as_u64()?;
+                state.last_run = (run <= MAX_RUN).then_some(run)?;
+                state.failures = u32::try_from(parts.get(1)?.as_u64()?)
+                    .ok()?
+                    .min(MAX_FAILURES);
                 state.checkpoint = parts.get(2)?.as_str()?.to_owned();
                 if let Some(worker) = parts.get(3) {
                     state.phase = TaskPhase::Placed {
