Take the lease of a restarted worker for the longest that workers grant

Found by review of the shorter inherited lease: a start for an earlier incarnation states its end on a clock that was far ahead, so the new one shortens it to 10 s, not to 4.8 s, and that lease holds for all of its tasks. Until the tasks of the earlier incarnation are released, the first answer of the new one now counts with 10 s again.

lease_of_a_restarted_worker_covers_a_late_start_with_a_deadline_on_the_earlier_clock failed before (assumed to end at 6000, 10500 needed) and passes.

--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -22,6 +22,9 @@
 /// controller, which takes up to 2 s, and a lost call and its retry, which take another 2 s.
 pub(crate) const WORKER_LEASE_MS: u64 = 4_800;
 
+/// The longest lease that a worker grants; set by the platform.
+const MAX_LEASE_MS: u64 = 10_000;
+
 /// How far the lease that an earlier controller requested may go beyond [`WORKER_LEASE_MS`]: builds that
 /// didn't allow for a slow clock took it for up to 2% of the time since its last answer ahead.
 const INHERITED_LEASE_EXCESS_MS: u64 = 700;
@@ -225,8 +228,12 @@
     /// Records an answer that carries the worker's clock.
     pub fn record_answer(&mut self, clock_ms: u64, now_ms: u64) {
         if self.clock.is_none() && !self.tasks.is_empty() {
-            // An earlier controller requested the lease, at the latest just before this answer.
-            let length_ms = WORKER_LEASE_MS + INHERITED_LEASE_EXCESS_MS;
+            // An earlier controller requested the lease, at the latest just before this answer. A start
+            // for an earlier incarnation states its end on another clock.
+            let length_ms = match self.has_carried_tasks() {
+                true => MAX_LEASE_MS,
+                false => WORKER_LEASE_MS + INHERITED_LEASE_EXCESS_MS,
+            };
             self.lease_end_ms = self.lease_end_ms.max(clock_ms.saturating_add(length_ms));
             self.unsettled_until_ms = now_ms + INHERITED_STOP_MS;
         }
