Don't count the removal of a host as a crash under its tasks

Found by review: a worker that answered, then lost entry and host, went the way of crashed ones, so that its tasks became suspects, waited for a trial and were given up after two such removals. The host of a worker that crashed stays in the list, without a worker.

removal_of_a_host_does_not_count_as_a_crash_of_its_tasks failed before and passes; one_list_without_the_host_does_not_release_the_tasks_of_a_worker_that_is_cut_off failed before two lists had to lack the host.

--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -242,9 +242,13 @@
         let before = std::mem::replace(&mut self.unhosted, unhosted.clone());
         let gone: BTreeSet<_> = unhosted.intersection(&before).cloned().collect();
         for id in &gone {
-            match self.workers.contains_key(id) {
-                true => self.crash_unhosted_worker(id, CrashEvidence::Unhosted, listed_ms),
-                false => self.record_crash(id, CrashEvidence::Unhosted, listed_ms),
+            match self.workers.get(id) {
+                // The host of a worker that crashed stays listed.
+                Some(worker) if worker.has_accepted_epoch => {
+                    self.end_unhosted_worker(id, "its host was removed", listed_ms);
+                }
+                Some(_) => self.crash_unhosted_worker(id, CrashEvidence::Unhosted, listed_ms),
+                None => self.record_crash(id, CrashEvidence::Unhosted, listed_ms),
             }
         }
         for name in self.orphans() {
