Stop only as many tasks on leaving workers as may start elsewhere

Found by review: places were looked for one task at a time, so that two tasks of a step with one task a worker were both stopped for the only place left; and a task was stopped although its organisation may start nothing (over its cap, or the configuration not confirmed), it awaits a trial, its row is set aside, or its queue has moved to another pool. The second one served nobody until the reason was over, while its worker would have run it for seconds more.

The tasks of a step are now placed together, those that are being stopped first, in the pool of their queue, and a task stays that may not be started.

second_task_of_a_step_with_one_a_worker_stays_when_one_other_worker_is_left (2 stops in place of 1) and both of tests/leaving_worker_moves.rs (stranded in place of staying) failed before and pass.

--- a/src/workflow/leaving_workers.rs
+++ b/src/workflow/leaving_workers.rs
@@ -5,20 +5,30 @@
 //! that is not, for as long as it takes to know that its worker has ended.
 
 use std::collections::BTreeMap;
-use std::slice::from_ref;
 
 use crate::id::ServiceId;
 use crate::id::WorkerId;
 use crate::workflow::CommandPhase;
+use crate::workflow::FleetConfig;
 use crate::workflow::JobEngine;
 use crate::workflow::PlacementPool;
 use crate::workflow::TaskName;
+use crate::workflow::TaskState;
 
 /// How long the tasks of a step leave one after another, as far as their step's `max_unavailable`
 /// allows, in ms. From then on all that have a place to go are stopped: a worker may leave 2 s after it
 /// said so, and a task takes up to a second to move.
 const ORDERLY_MOVE_MS: u64 = 600;
 
+/// A long-running task on a worker that is about to leave.
+struct LeavingTask {
+    name: TaskName,
+    /// A stop of its run was requested.
+    is_stopping: bool,
+    /// The worker may leave before its tasks could move one after another.
+    is_urgent: bool,
+}
+
 impl JobEngine {
     /// Records that a worker is about to leave.
     pub(crate) fn record_leaving(&mut self, id: &WorkerId, now_ms: u64) {
@@ -29,6 +39,7 @@
     /// for them, and reserves that room for this pass.
     pub(crate) fn move_leaving_tasks(
         &mut self,
+        config: &FleetConfig,
         pools: &mut BTreeMap<ServiceId, PlacementPool>,
         now_ms: u64,
     ) {
@@ -37,46 +48,73 @@
             let worker = workers.get(id);
             worker.is_some_and(|worker| worker.entry.draining && worker.has_long_running())
         });
-        let leaving: Vec<_> = self
-            .leaving_workers
-            .iter()
-            .map(|(id, &since_ms)| (id.clone(), now_ms >= since_ms + ORDERLY_MOVE_MS))
-            .collect();
-        for (id, is_urgent) in leaving {
-            let Some(worker) = self.workers.get(&id) else {
-                continue;
-            };
-            let Some(pool) = pools.get_mut(&worker.entry.service) else {
-                continue;
-            };
-            let tasks = worker.tasks.iter();
-            let long_running = tasks.filter(|name| self.is_long_running(name));
-            let long_running: Vec<_> = long_running.cloned().collect();
-            for name in &long_running {
-                self.move_leaving_task(name, is_urgent, pool, now_ms);
+        // Tasks of one step share the places that the step's limit on each worker leaves.
+        let mut by_step: BTreeMap<_, Vec<LeavingTask>> = BTreeMap::new();
+        for task in self.leaving_tasks(now_ms) {
+            let key = (task.name.job.clone(), task.name.occurrence, task.name.step);
+            by_step.entry(key).or_default().push(task);
+        }
+        for tasks in by_step.into_values() {
+            let queue = self.jobs.get(&tasks[0].name.job);
+            let queue = queue.and_then(|job| config.queue(&job.spec.queue));
+            if let Some(pool) = queue.and_then(|queue| pools.get_mut(&queue.service)) {
+                self.move_siblings(tasks, pool, now_ms);
+            }
+        }
+    }
+
+    fn leaving_tasks(&self, now_ms: u64) -> Vec<LeavingTask> {
+        let mut leaving = Vec::new();
+        for (id, &since_ms) in &self.leaving_workers {
+            let tasks = self.workers.get(id).into_iter();
+            let tasks = tasks.flat_map(|worker| &worker.tasks);
+            for name in tasks.filter(|name| self.is_long_running(name)) {
+                let state = self.jobs.get(&name.job).and_then(|job| job.task(name));
+                let is_stopping = match state.and_then(TaskState::command_phase) {
+                    Some(CommandPhase::Accepted(_) | CommandPhase::Running) => false,
+                    Some(CommandPhase::Stopping | CommandPhase::Stopped(_)) => true,
+                    _ => continue,
+                };
+                leaving.push(LeavingTask {
+                    name: name.clone(),
+                    is_stopping,
+                    is_urgent: now_ms >= since_ms + ORDERLY_MOVE_MS,
+                });
             }
         }
+        leaving
     }
 
-    fn move_leaving_task(
+    /// Stops tasks of one step that have a place to go. Those that are being stopped keep theirs.
+    fn move_siblings(
         &mut self,
-        name: &TaskName,
-        is_urgent: bool,
+        mut tasks: Vec<LeavingTask>,
         pool: &mut PlacementPool,
         now_ms: u64,
     ) {
-        let state = self.jobs.get(&name.job).and_then(|job| job.task(name));
-        let Some(phase) = state.and_then(|state| state.command_phase()) else {
-            return;
-        };
-        let is_running = matches!(phase, CommandPhase::Accepted(_) | CommandPhase::Running);
-        let is_stopping = matches!(phase, CommandPhase::Stopping | CommandPhase::Stopped(_));
-        if !is_running && !is_stopping {
-            return;
-        }
-        let has_place = !self.choose_workers(from_ref(name), pool, now_ms).is_empty();
-        if is_running && has_place && (is_urgent || self.can_spare(name)) {
-            self.request_stop(name, "its worker is about to leave");
+        tasks.retain(|task| task.is_stopping || self.may_restart(&task.name, now_ms));
+        tasks.sort_by_key(|task| !task.is_stopping);
+        let names: Vec<_> = tasks.iter().map(|task| task.name.clone()).collect();
+        let places = self.choose_workers(&names, pool, now_ms).len();
+        for task in tasks.iter().take(places).filter(|task| !task.is_stopping) {
+            if task.is_urgent || self.can_spare(&task.name) {
+                self.request_stop(&task.name, "its worker is about to leave");
+            }
         }
     }
+
+    /// Returns whether a running task may be started again once it is stopped, besides the room that it
+    /// needs.
+    fn may_restart(&self, name: &TaskName, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return false;
+        };
+        // Without the table no placement is durable.
+        let is_startable = self.is_config_recent && !self.is_held(&name.job, now_ms);
+        let is_trusted = job.task(name).is_some_and(|state| !state.is_suspect);
+        let cap = self.cap_of(&job.spec);
+        let is_within_cap = cap
+            .is_none_or(|(organisation, cap)| cap.allows(&self.organisation_usage(organisation)));
+        is_startable && is_trusted && is_within_cap
+    }
 }
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -37,7 +37,7 @@
             *largest = pool.capacity_millis().max(*largest);
         }
         self.place_suspects(&mut pools, now_ms, wall_ms);
-        self.move_leaving_tasks(&mut pools, now_ms);
+        self.move_leaving_tasks(&config, &mut pools, now_ms);
         let plan = self.plan_pass(&config, &pools, now_ms);
         self.log_oversized(plan.oversized);
         for (service, mut jobs) in plan.by_service {
