Build the view of the pools once for each pass over the hosts

Cause: each pass over the hosts, five a second, built the view of all pools twice, the first one for waves even if there were none. For each host it copied the name of its pool, read the clock three times, and searched the refused moves. The shortage of a pool was summed up again for each host that was to move there.

Ruled out: other decisions; the first view only served the waves, and what it updates is updated by the second one in the same pass (tests/host_passes.rs, tests/upkeep_hosts.rs, tests/demand_replay.rs pass).

--- a/src/workflow/host_manager.rs
+++ b/src/workflow/host_manager.rs
@@ -98,10 +98,13 @@
             continue;
         }
         let hosts = &list.hosts;
-        let pools = mover.pools(hosts, &manager.upkeep_hosts());
-        for (request, first_read_ms) in view.waves() {
-            let moved = mover.moved_since(listed_ms);
-            manager.advance_wave(&request, first_read_ms, &list, &pools, listed_ms, &moved);
+        let waves = view.waves();
+        if !waves.is_empty() {
+            let pools = mover.pools(hosts, &manager.upkeep_hosts());
+            for (request, first_read_ms) in waves {
+                let moved = mover.moved_since(listed_ms);
+                manager.advance_wave(&request, first_read_ms, &list, &pools, listed_ms, &moved);
+            }
         }
         manager.release_hosts(hosts, listed_ms);
         let pools = mover.pools(hosts, &manager.upkeep_hosts());
--- a/src/workflow/host_mover.rs
+++ b/src/workflow/host_mover.rs
@@ -24,6 +24,7 @@
 use crate::workflow::HostOutcome;
 use crate::workflow::PoolHost;
 use crate::workflow::PoolView;
+use crate::workflow::WorkerState;
 
 /// How long a moved host counts towards its new pool, even if the platform still lists it in
 /// another: twice the time that the platform states for a move.
@@ -85,16 +86,18 @@
             commands.is_pending(host)
         });
         let demands = self.term.engine.borrow_mut().pool_demands(now_ms);
-        let mut hosts_by_pool: HashMap<String, Vec<&HostEntry>> = HashMap::new();
+        let arriving = self.arriving.borrow();
+        let mut hosts_by_pool: HashMap<&str, Vec<&HostEntry>> = HashMap::new();
         for host in hosts {
-            let members = hosts_by_pool.entry(self.pool_of(host)).or_default();
-            members.push(host);
+            let moved = arriving.get(&host.host).map(|(pool, _)| pool);
+            let pool = moved.unwrap_or(&host.pool);
+            hosts_by_pool.entry(pool).or_default().push(host);
         }
         let pool = |pool: &crate::workflow::PoolConfig| {
             let name = pool.service.to_string();
-            let members = hosts_by_pool.get(&name).into_iter().flatten();
+            let members = hosts_by_pool.get(name.as_str()).into_iter().flatten();
             let members: Vec<_> = members
-                .map(|host| self.pool_host(host, pool.standby, upkeep_hosts))
+                .map(|host| self.pool_host(host, pool.standby, upkeep_hosts, now_ms))
                 .collect();
             let demand_millis = demands.get(&pool.service).copied().unwrap_or(0);
             let capacity: u64 = members.iter().map(|host| host.capacity_millis).sum();
@@ -118,13 +121,6 @@
         moved.chain(moving.keys()).cloned().collect()
     }
 
-    fn pool_of(&self, host: &HostEntry) -> String {
-        let arriving = self.arriving.borrow();
-        arriving
-            .get(&host.host)
-            .map_or_else(|| host.pool.clone(), |(pool, _)| pool.clone())
-    }
-
     fn spare_ms(&self, pool: &str, spare: bool, now_ms: u64) -> u64 {
         let mut since = self.spare_since.borrow_mut();
         if !spare {
@@ -139,17 +135,18 @@
         host: &HostEntry,
         standby: bool,
         upkeep_hosts: &BTreeSet<HostId>,
+        now_ms: u64,
     ) -> PoolHost {
         let engine = self.term.engine.borrow();
         let worker = host.worker.as_ref();
         let state = worker.and_then(|id| engine.workers.get(id));
         let inherited = {
             let commands = self.term.host_commands.borrow();
-            commands.is_blocked_by_predecessor(&host.host, boot_ms())
+            commands.is_blocked_by_predecessor(&host.host, now_ms)
         };
         // A host that the predecessor commanded may still be moving to its new pool.
         let arriving = inherited || self.arriving.borrow().contains_key(&host.host);
-        let long_running = worker.is_some_and(|id| engine.has_long_running(id));
+        let long_running = state.is_some_and(WorkerState::has_long_running);
         let cordon = state.and_then(|state| state.cordon.clone());
         let unresponsive =
             state.is_some_and(|state| state.unresponsive_since_ms > 0 || state.entry.draining);
@@ -157,11 +154,6 @@
         let blocked = arriving || moving_to.is_some() || unresponsive;
         let known = standby || state.is_some();
         let upkeep = cordon == Some(CordonReason::Upkeep) || upkeep_hosts.contains(&host.host);
-        let refused_moves = self.refused_moves.borrow();
-        let now_ms = boot_ms();
-        let refused = refused_moves.range((host.host.clone(), String::new())..);
-        let refused = refused.take_while(|((other, _), _)| *other == host.host);
-        let refused = refused.filter(|(_, pause)| pause.is_active(now_ms));
         PoolHost {
             host: host.host.clone(),
             capacity_millis: host.capacity.cpu_millis,
@@ -172,8 +164,20 @@
                 (Some(to), _) | (None, Some(CordonReason::Move(to))) => Some(to),
                 _ => None,
             },
-            refused_pools: refused.map(|((_, pool), _)| pool.clone()).collect(),
+            refused_pools: self.refused_pools(&host.host, now_ms),
+        }
+    }
+
+    /// Returns the pools to which moves of a host are refused, which seldom are any.
+    fn refused_pools(&self, host: &HostId, now_ms: u64) -> Vec<String> {
+        let refused_moves = self.refused_moves.borrow();
+        if refused_moves.is_empty() {
+            return Vec::new();
         }
+        let refused = refused_moves.range((host.clone(), String::new())..);
+        let refused = refused.take_while(|((other, _), _)| other == host);
+        let refused = refused.filter(|(_, pause)| pause.is_active(now_ms));
+        refused.map(|((_, pool), _)| pool.clone()).collect()
     }
 
     /// Logs each pool, at most once per [`POOL_LOG_INTERVAL_MS`].
@@ -236,6 +240,11 @@
             .iter()
             .map(|host_move| (&host_move.host, host_move))
             .collect();
+        let short_pools: HashSet<_> = pools
+            .iter()
+            .filter(|pool| pool.lacks_capacity())
+            .map(|pool| pool.name.as_str())
+            .collect();
         for host in pools.iter().flat_map(|pool| &pool.hosts) {
             let worker = workers.get(&host.host).copied().flatten();
             if let Some(to) = self.moving.borrow().get(&host.host) {
@@ -250,10 +259,7 @@
                 (Some(host_move), _) if self.is_refused(host_move) => {}
                 (Some(host_move), Some(worker)) => {
                     engine.set_cordon(worker, Some(CordonReason::Move(host_move.to.clone())));
-                    if pools
-                        .iter()
-                        .any(|pool| pool.name == host_move.to && pool.lacks_capacity())
-                    {
+                    if short_pools.contains(host_move.to.as_str()) {
                         engine.stop_resumable(worker);
                     }
                     let state = engine.workers.get(worker);
@@ -272,6 +278,9 @@
     }
 
     fn is_refused(&self, host_move: &HostMove) -> bool {
+        if self.refused_moves.borrow().is_empty() {
+            return false;
+        }
         let key = (host_move.host.clone(), host_move.to.clone());
         let refused = self.refused_moves.borrow();
         let pause = refused.get(&key);
--- a/src/workflow/worker_drain.rs
+++ b/src/workflow/worker_drain.rs
@@ -6,7 +6,6 @@
 use crate::workflow::JobEngine;
 use crate::workflow::TaskName;
 use crate::workflow::TaskState;
-use crate::workflow::WorkerState;
 
 impl JobEngine {
     /// Cordons a worker, so that it gets no new tasks, or removes its cordon if `cordon` is `None`. One
@@ -34,12 +33,6 @@
         }
     }
 
-    /// Returns whether long-running tasks are placed on a worker.
-    pub fn has_long_running(&self, id: &WorkerId) -> bool {
-        let worker = self.workers.get(id);
-        worker.is_some_and(WorkerState::has_long_running)
-    }
-
     /// Stops a worker's long-running tasks as far as their steps' `max_unavailable` allows, and
     /// with `force` the other tasks too; returns whether the worker is empty.
     pub fn drain_worker(&mut self, id: &WorkerId, force: bool) -> bool {
