Format only the kinds of log lines that are over the limit

Cause: at a peak thousands of starts and ends a second are logged, of which 500 of a kind are written. The others were formatted as a whole and thrown away, and those written were formatted twice.

Change: the first word is formatted, the limit is asked, and only then the line is formatted.

What is written stays: tests/log_stream.rs and tests/log_rate_limiter.rs pass.

--- a/src/process/log_stream.rs
+++ b/src/process/log_stream.rs
@@ -1,5 +1,6 @@
 //! Writes log lines to standard output without blocking the caller, at a limited rate.
 
+use std::fmt::Write as _;
 use std::io::Write;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -20,6 +21,7 @@
 use crate::process::now_ms;
 use crate::process::LineBatch;
 use crate::process::LineDecision;
+use crate::process::LineStart;
 use crate::process::LogRateLimiter;
 
 /// The capacity of the line queue: a few seconds of logging at peak load.
@@ -101,8 +103,10 @@
 /// Returns the line of a record with its time and level, and before it the number of lines of its kind
 /// that were suppressed since the last one; `None` if the line is over the limit.
 fn format_line(record: &Record<'_>, limiter: &Mutex<LogRateLimiter>) -> Option<String> {
-    let text = record.args().to_string();
-    let kind = LogRateLimiter::kind_of(&text);
+    // Of lines over the limit, which most are at a peak, only the first word is formatted.
+    let mut start = LineStart::default();
+    let _ = start.write_fmt(*record.args());
+    let kind = LogRateLimiter::kind_of(start.as_str());
     let decision = limiter
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
@@ -110,7 +114,7 @@
     let LineDecision::Write(suppressed) = decision else {
         return None;
     };
-    let (time_ms, level) = (now_ms(), record.level());
+    let (time_ms, level, text) = (now_ms(), record.level(), record.args());
     let line = format!("time_ms={time_ms} level={level} {text}");
     if suppressed == 0 {
         return Some(line);
