Wake the loops of idle workers from one look at all workers

Cause: each idle worker had a timer of 500 ms of its own, after which its loop looked for work: 2,200 wake-ups and look-ups a second with 1,100 workers. Every 50 ms each worker was also looked up among the unplaced runs, and every 250 ms all ids were copied to find new workers.

Change: loops of idle workers wait for their notifier. The planner looks at all workers in one walk, every 500 ms as before, and wakes those that are due or no longer known. The end of the term wakes all of them. A listed worker is not looked up among the unplaced runs, and ids are copied for new workers only.

Ruled out: loops that stay after the term or their worker; missed wake-ups: controller_sessions, controller_term, control_inputs, worker_restarts, lease_after_outage and upkeep_hosts pass.

--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -3,7 +3,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::future::Future;
 use std::iter::once;
@@ -26,6 +25,7 @@
 use crate::provider::RowWrite;
 use crate::workflow::commit_notice::CommitNotice;
 use crate::workflow::host_resources::MIN_START_BYTES;
+use crate::workflow::worker_loops::WorkerLoops;
 use crate::workflow::ControlLag;
 use crate::workflow::HealthState;
 use crate::workflow::HostCommands;
@@ -96,10 +96,7 @@
     refusing_workers: RefCell<HashSet<WorkerId>>,
     /// Time up to which all submissions are known, in ms.
     submissions_ms: Cell<u64>,
-    /// Workers whose leases are maintained by a loop.
-    maintained_workers: RefCell<HashSet<WorkerId>>,
-    /// Notifiers of the loops that maintain the workers' leases.
-    worker_notifiers: RefCell<HashMap<WorkerId, Rc<Notify>>>,
+    worker_loops: WorkerLoops,
     queued_rows: RefCell<Vec<QueuedRow>>,
 }
 
@@ -152,8 +149,7 @@
             waiting_stops: RefCell::default(),
             refusing_workers: RefCell::default(),
             submissions_ms: Cell::new(0),
-            maintained_workers: RefCell::default(),
-            worker_notifiers: RefCell::default(),
+            worker_loops: WorkerLoops::default(),
             queued_rows: RefCell::default(),
         })
     }
@@ -180,6 +176,7 @@
         self.plan.notify_one();
         self.commit.notify_one();
         self.confirmation.notify_waiters();
+        self.worker_loops.wake_all();
     }
 
     /// Records that the lease was held at `confirmed_ms`.
@@ -299,19 +296,23 @@
 
     /// Returns the notifier that wakes the loop that maintains a worker's lease.
     pub fn worker_notifier(&self, worker: &WorkerId) -> Rc<Notify> {
-        let mut notifiers = self.worker_notifiers.borrow_mut();
-        Rc::clone(notifiers.entry(worker.clone()).or_default())
+        self.worker_loops.notifier(worker)
     }
 
     /// Records that a worker's lease is maintained; returns whether it was not before.
     pub fn begin_maintenance(&self, worker: &WorkerId) -> bool {
-        self.maintained_workers.borrow_mut().insert(worker.clone())
+        self.worker_loops.begin(worker)
     }
 
     /// Records that a worker's lease is no longer maintained, until the worker is listed again.
     pub fn end_maintenance(&self, worker: &WorkerId) {
-        self.maintained_workers.borrow_mut().remove(worker);
-        self.worker_notifiers.borrow_mut().remove(worker);
+        self.worker_loops.end(worker);
+    }
+
+    /// Wakes the loops of workers that have become due without a notification.
+    pub(crate) fn wake_due_workers(&self) {
+        let engine = self.engine.borrow();
+        self.worker_loops.wake_due(&engine.workers, boot_ms());
     }
 
     /// Waits until a start command of the task fits among those that are on their way. The permit
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -207,8 +207,10 @@
         self.expire_lost_runs(now_ms);
         let (lost_runs, usage) = (&self.lost_runs, &self.usage);
         self.workers.retain(|id, worker| {
-            let has_runs = !worker.tasks.is_empty() || usage.has_unplaced_runs(id);
-            worker.listed || has_runs || lost_runs.contains_key(id)
+            worker.listed
+                || !worker.tasks.is_empty()
+                || usage.has_unplaced_runs(id)
+                || lost_runs.contains_key(id)
         });
         if inherited_runs_ended {
             self.release_orphans();
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -166,11 +166,10 @@
         since = revision;
         apply_workers(&term, changes, is_full_list);
         term.record_worker_list();
-        let listed: Vec<_> = term.engine.borrow().workers.keys().cloned().collect();
-        for id in listed {
-            if term.begin_maintenance(&id) {
-                let platform = Rc::clone(&platform);
-                monoio::spawn(maintain_worker_lease(platform, Rc::clone(&term), id));
+        for id in term.engine.borrow().workers.keys() {
+            if term.begin_maintenance(id) {
+                let (platform, term) = (Rc::clone(&platform), Rc::clone(&term));
+                monoio::spawn(maintain_worker_lease(platform, term, id.clone()));
             }
         }
         term.plan.notify_one();
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -128,6 +128,7 @@
 mod worker_drain;
 mod worker_entry;
 mod worker_health;
+mod worker_loops;
 mod worker_pace;
 mod worker_resources;
 mod worker_state;
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -58,6 +58,7 @@
         for stop in run_pass(&term, &view, &mut expired_ms) {
             monoio::spawn(send_stop(Rc::clone(&platform), Rc::clone(&term), stop));
         }
+        term.wake_due_workers();
         let pause = started.elapsed() * PAUSE_FACTOR;
         let pause = term.lag.lengthen(pause.max(MIN_PLAN_INTERVAL));
         let pause = pause.min(MAX_PLAN_INTERVAL);
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use monoio::time::sleep;
-use monoio::time::timeout;
 use monoio::time::timeout_at;
 use monoio::time::Instant;
 use tokio::sync::Notify;
@@ -60,9 +59,6 @@
 /// seconds.
 const MAX_START_ATTEMPTS: u32 = 4;
 
-/// The interval at which an idle worker is checked for a due renewal.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Renews a worker's lease and applies its reports until the worker is removed or the term ends.
 pub async fn maintain_worker_lease<G: WorkerGateway>(
     gateway: Rc<G>,
@@ -76,8 +72,8 @@
             break;
         };
         let Some((entry, renewal)) = next else {
-            // After a missed notification, the next check comes with the timeout.
-            let _ = timeout(IDLE_POLL_INTERVAL, wake.notified()).await;
+            // The planner looks for workers that have become due.
+            wake.notified().await;
             continue;
         };
         let sent_ms = boot_ms();
@@ -161,8 +157,7 @@
     let engine = term.engine.borrow();
     let worker = engine.workers.get(id)?;
     let busy = !worker.tasks.is_empty();
-    let due = busy || !worker.has_accepted_epoch || worker.durable_end > worker.acknowledged_end;
-    if !due || !term.may_renew() {
+    if !worker.is_renewal_due() || !term.may_renew() {
         return Some(None);
     }
     // Tasks of an earlier incarnation and those on trial wait for the next report, not for an end.
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -241,6 +241,14 @@
         }
     }
 
+    /// Returns whether the worker has to be called: it holds tasks, does not know the controller's epoch,
+    /// or lists ends that are durable.
+    pub(crate) fn is_renewal_due(&self) -> bool {
+        !self.tasks.is_empty()
+            || !self.has_accepted_epoch
+            || self.durable_end > self.acknowledged_end
+    }
+
     /// Returns the end of the next lease to request, on the worker's clock in ms. No lease is
     /// requested from an unresponsive worker, because its tasks can be released only after its last
     /// lease has expired.
