Skip placement passes in which no task can be placed

Cause: a pass ordered all open jobs of each service with unplaced tasks, also where all of these wait for a step that runs, which is most of the time beside a peak. For each job it looked up the history of the queue twice a step, built two lists for the critical path, and searched the waiting jobs.

Change: services without a ready task, or a failed one that may end its job, are left out; with caps, which hold for several services, only if no service has one. A pass without any ends before the workers are looked at; the largest capacity of each pool is then noted every 250 ms. The history is looked up once a job, and both paths are summed in one walk.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -9,6 +9,7 @@
 
 use fixtures::organisation;
 use fixtures::step;
+use fixtures::step_after;
 use fixtures::EngineFleet;
 
 /// Workers of the target size.
@@ -23,6 +24,10 @@
 /// Time between two arrivals, in ms. The oldest jobs are then expired, others late or on time.
 const ARRIVAL_MS: u64 = 1;
 
+/// Workers and running jobs of two steps on a large fleet beside its peaks.
+const LARGE_WORKERS: usize = 1_100;
+const RUNNING_JOBS: usize = 800;
+
 const PASSES: usize = 60;
 
 fn main() {
@@ -36,6 +41,32 @@
             fastest.as_micros()
         );
     }
+    let times = measure_waiting_steps();
+    println!(
+        "workers={LARGE_WORKERS} running_jobs={RUNNING_JOBS} median_us={} fastest_us={}",
+        times[times.len() / 2].as_micros(),
+        times[0].as_micros()
+    );
+}
+
+/// Returns the durations of passes over jobs whose unplaced tasks all wait for a step that runs, in
+/// ascending order.
+fn measure_waiting_steps() -> Vec<Duration> {
+    let mut fleet = EngineFleet::new(LARGE_WORKERS);
+    for number in 0..RUNNING_JOBS {
+        let steps = vec![step(TASKS), step_after(TASKS, 0)];
+        fleet.submit(&format!("{number:016x}"), steps);
+    }
+    fleet.start_all();
+    let mut times = Vec::with_capacity(PASSES);
+    for _ in 0..PASSES {
+        fleet.advance(8);
+        let started = Instant::now();
+        fleet.engine.place_tasks(fleet.now_ms, 0);
+        times.push(started.elapsed());
+    }
+    times.sort();
+    times
 }
 
 /// Returns the durations of passes over a full pool, in ascending order.
--- a/src/workflow/duration_tracker.rs
+++ b/src/workflow/duration_tracker.rs
@@ -52,21 +52,42 @@
 
     /// Predicts a task's duration in ms; falls back to the estimate without enough history.
     pub fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
-        let expected_ms = self
-            .history_based_ms(queue, estimate_ms)
-            .unwrap_or(estimate_ms);
-        expected_ms.min(MAX_EXPECTED_MS)
+        self.history(queue).expected_ms(estimate_ms)
     }
 
     /// Predicts a task's duration in ms, or returns `None` while the queue has too few
     /// completed tasks.
     pub fn history_based_ms(&self, queue: &str, estimate_ms: u64) -> Option<u64> {
-        let durations = self.queues.get(queue)?;
-        if durations.sample_count < MIN_SAMPLES {
-            return None;
+        self.history(queue).history_based_ms(estimate_ms)
+    }
+
+    /// Returns what is known of a queue, for several predictions.
+    pub(crate) fn history(&self, queue: &str) -> QueueHistory {
+        let durations = self.queues.get(queue);
+        let durations = durations.filter(|durations| durations.sample_count >= MIN_SAMPLES);
+        QueueHistory {
+            mean_ms: durations.map(|durations| durations.mean_ms),
         }
+    }
+}
+
+/// Predicts the durations of the tasks of one queue.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QueueHistory {
+    /// `None` while there are too few completed tasks.
+    mean_ms: Option<f64>,
+}
+
+impl QueueHistory {
+    /// Predicts a task's duration in ms; falls back to the estimate without enough history.
+    pub(crate) fn expected_ms(self, estimate_ms: u64) -> u64 {
+        let expected_ms = self.history_based_ms(estimate_ms).unwrap_or(estimate_ms);
+        expected_ms.min(MAX_EXPECTED_MS)
+    }
+
+    fn history_based_ms(self, estimate_ms: u64) -> Option<u64> {
         let estimated = estimate_ms as f64 * ESTIMATE_SHARE;
-        let history = durations.mean_ms * (1.0 - ESTIMATE_SHARE);
+        let history = self.mean_ms? * (1.0 - ESTIMATE_SHARE);
         Some((estimated + history) as u64)
     }
 }
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -103,6 +103,8 @@
     pub(crate) waiting_jobs: BTreeSet<JobId>,
     /// The largest CPU capacity that each pool's workers had in this term, in millicores.
     pub(crate) pool_capacities: BTreeMap<ServiceId, u64>,
+    /// When these were last looked at, in ms.
+    pub(crate) capacities_ms: u64,
     pub(crate) forecast: PeakForecast,
     pub(crate) durations: DurationTracker,
     /// The rates of organisations in this term.
@@ -153,6 +155,7 @@
             open_jobs: BTreeSet::new(),
             waiting_jobs: BTreeSet::new(),
             pool_capacities: BTreeMap::new(),
+            capacities_ms: 0,
             forecast: PeakForecast::new(),
             durations: DurationTracker::new(),
             rates: RateMeter::new(),
--- a/src/workflow/engine_shares.rs
+++ b/src/workflow/engine_shares.rs
@@ -2,7 +2,6 @@
 //! organisations.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::id::ServiceId;
 use crate::workflow::pass_plan::OrderedJobs;
@@ -23,18 +22,20 @@
 use crate::workflow::ShareOrder;
 use crate::workflow::ShareWeight;
 use crate::workflow::StepSpec;
+use crate::workflow::TaskState;
 use crate::workflow::WorkerResources;
 
 impl JobEngine {
-    /// Returns the jobs with unplaced tasks of each service, the first one to place first; caps,
+    /// Returns the jobs with unplaced tasks of each of `services`, the first one to place first; caps,
     /// deferral and shares are applied.
     pub(crate) fn plan_pass(
         &self,
         config: &FleetConfig,
         pools: &BTreeMap<ServiceId, PlacementPool>,
+        services: &[&ServiceId],
         now_ms: u64,
     ) -> PassPlan {
-        let mut planned = self.planned_jobs(config, now_ms);
+        let mut planned = self.planned_jobs(config, services, now_ms);
         let oversized = match self.caps.is_empty() {
             true => Vec::new(),
             false => self.block_capped_jobs(&mut planned),
@@ -52,24 +53,52 @@
         }
     }
 
-    /// Returns the open jobs of each service with unplaced tasks. Jobs that run take part in the
-    /// deferral: their capacity is not free.
+    /// Returns the services with tasks that may be placed now. Where all unplaced tasks wait for earlier
+    /// steps, the order of the jobs decides nothing. A cap may hold for several services, so with caps
+    /// one such service is a reason to look at all.
+    pub(crate) fn placeable_services<'a>(&self, config: &'a FleetConfig) -> Vec<&'a ServiceId> {
+        let (mut placeable, mut others) = (Vec::new(), Vec::new());
+        for job in self.waiting_jobs.iter().filter_map(|id| self.jobs.get(id)) {
+            let queue = config.queue(&job.spec.queue);
+            let service = queue.map(|queue| &queue.service);
+            let Some(service) = service.filter(|service| !placeable.contains(service)) else {
+                continue;
+            };
+            if may_place_tasks(job) {
+                others.retain(|other| *other != service);
+                placeable.push(service);
+            } else if !others.contains(&service) {
+                others.push(service);
+            }
+        }
+        if !placeable.is_empty() && !self.caps.is_empty() {
+            placeable.append(&mut others);
+        }
+        placeable
+    }
+
+    /// Returns the open jobs of each of `services`. Jobs that run take part in the deferral: their
+    /// capacity is not free.
     fn planned_jobs<'a>(
         &'a self,
         config: &'a FleetConfig,
+        services: &[&ServiceId],
         now_ms: u64,
     ) -> BTreeMap<ServiceId, Vec<PlannedJob<'a>>> {
         let mut planned: BTreeMap<ServiceId, Vec<PlannedJob<'a>>> = BTreeMap::new();
-        let waiting = self.waiting_jobs.iter();
-        let services: BTreeSet<_> = waiting
-            .filter_map(|id| Some(&config.queue(&self.jobs.get(id)?.spec.queue)?.service))
-            .collect();
+        if services.is_empty() {
+            return planned;
+        }
+        let mut waiting = self.waiting_jobs.iter().peekable();
         for id in &self.open_jobs {
+            // Both sets are in the order of the ids.
+            while waiting.next_if(|next| *next < id).is_some() {}
+            let is_waiting = waiting.peek() == Some(&id);
             let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
                 continue;
             };
             let queue = config.queue(&job.spec.queue);
-            let Some(queue) = queue.filter(|queue| services.contains(&queue.service)) else {
+            let Some(queue) = queue.filter(|queue| services.contains(&&queue.service)) else {
                 continue;
             };
             let (group, priority) = group_of(config, job);
@@ -81,7 +110,7 @@
                 queue,
                 urgency,
                 group,
-                is_waiting: self.waiting_jobs.contains(id),
+                is_waiting,
                 is_blocked: false,
                 is_beyond_share: false,
             };
@@ -218,6 +247,19 @@
     }
 }
 
+/// Returns whether a step of a job is ready with a task to place, or with one that has failed and may end
+/// the job.
+fn may_place_tasks(job: &JobState) -> bool {
+    let is_open = |state: &TaskState| state.is_placeable() || state.failures > 0;
+    (0..job.spec.occurrences()).any(|occurrence| {
+        let mut steps = 0..job.spec.steps.len() as u32;
+        steps.any(|step| {
+            let mut tasks = job.step_tasks(occurrence, step).iter();
+            job.is_step_ready(occurrence, step) && tasks.any(is_open)
+        })
+    })
+}
+
 /// Returns the group of a job, and the priority of its organisation. Jobs without an organisation,
 /// or of one that is no longer configured, are of the last group.
 fn group_of(config: &FleetConfig, job: &JobState) -> (usize, u32) {
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -147,16 +147,30 @@
 
     /// Returns the length in ms of the critical path, where `step_ms` gives each step's duration.
     pub fn critical_path_ms(&self, step_ms: impl Fn(usize, &StepSpec) -> u64) -> u64 {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        let (length, _) = self.critical_paths_ms(|number, step| (step_ms(number, step), 0));
+        length
+    }
+
+    /// Like [`JobSpec::critical_path_ms`], for two durations of each step.
+    pub(crate) fn critical_paths_ms(
+        &self,
+        step_ms: impl Fn(usize, &StepSpec) -> (u64, u64),
+    ) -> (u64, u64) {
+        let latest = |one: (u64, u64), other: &(u64, u64)| (one.0.max(other.0), one.1.max(other.1));
+        let mut ends: Vec<(u64, u64)> = Vec::with_capacity(self.steps.len());
         for (number, step) in self.steps.iter().enumerate() {
             let dependencies = step
                 .after
                 .iter()
                 .filter_map(|&step| ends.get(step as usize));
-            let start = dependencies.copied().max().unwrap_or(0);
-            ends.push(start.saturating_add(step_ms(number, step)));
+            let start = dependencies.fold((0, 0), latest);
+            let took = step_ms(number, step);
+            ends.push((
+                start.0.saturating_add(took.0),
+                start.1.saturating_add(took.1),
+            ));
         }
-        ends.into_iter().max().unwrap_or(0)
+        ends.iter().fold((0, 0), latest)
     }
 
     /// Returns the first reason why the job cannot be accepted, or `None` for a valid job.
--- a/src/workflow/job_urgency.rs
+++ b/src/workflow/job_urgency.rs
@@ -9,7 +9,6 @@
 use crate::workflow::DurationTracker;
 use crate::workflow::JobState;
 use crate::workflow::QueueConfig;
-use crate::workflow::StepSpec;
 
 /// Class of jobs that run until they are cancelled.
 const LONG_RUNNING: u8 = 0;
@@ -69,14 +68,12 @@
                 objective_ms: 0,
             };
         }
-        let expected = |step: &StepSpec| durations.expected_ms(&queue.name, step.estimate_ms);
-        let critical_path_ms = job.spec.critical_path_ms(|_, step| expected(step));
-        let is_unfinished = |number| !job.is_step_done(0, number as u32);
-        let remaining_ms = job.spec.critical_path_ms(|number, step| {
-            if is_unfinished(number) {
-                expected(step)
-            } else {
-                0
+        let history = durations.history(&queue.name);
+        let (critical_path_ms, remaining_ms) = job.spec.critical_paths_ms(|number, step| {
+            let expected_ms = history.expected_ms(step.estimate_ms);
+            match job.is_step_done(0, number as u32) {
+                true => (expected_ms, 0),
+                false => (expected_ms, expected_ms),
             }
         });
         let stretched_ms = critical_path_ms as f64 * queue.stretch;
--- a/src/workflow/planned_job.rs
+++ b/src/workflow/planned_job.rs
@@ -68,11 +68,12 @@
         if !self.is_waiting {
             return amounts;
         }
+        let history = durations.history(&self.queue.name);
         for (number, step) in self.job.spec.steps.iter().enumerate() {
             let tasks = self.job.step_tasks(0, number as u32).iter();
             let waiting = tasks.filter(|state| state.phase == TaskPhase::Waiting);
             let waiting = waiting.count() as u64;
-            let expected_ms = durations.expected_ms(&self.queue.name, step.estimate_ms);
+            let expected_ms = history.expected_ms(step.estimate_ms);
             let amount = amount(step);
             amounts.work.add(&amount.times(waiting * expected_ms));
             if self.job.is_step_ready(0, number as u32) {
--- a/src/workflow/task_placer.rs
+++ b/src/workflow/task_placer.rs
@@ -21,6 +21,9 @@
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 
+/// Max time between looks at the capacities of pools while jobs wait for earlier steps only, in ms.
+const CAPACITY_INTERVAL_MS: u64 = 250;
+
 impl JobEngine {
     /// Runs one placement pass; `wall_ms` is the time since the Unix epoch.
     pub fn place_tasks(&mut self, now_ms: u64, wall_ms: u64) {
@@ -31,13 +34,19 @@
         self.full_rows.clear();
         self.caps.refresh(&config, now_ms);
         self.forget_placed_jobs();
+        let services = self.placeable_services(&config);
+        let has_work = !services.is_empty() || !self.suspects.is_empty();
+        if !has_work && now_ms < self.capacities_ms + CAPACITY_INTERVAL_MS {
+            return;
+        }
         let mut pools = self.placement_pools(now_ms);
+        self.capacities_ms = now_ms;
         for (service, pool) in &pools {
             let largest = self.pool_capacities.entry(service.clone()).or_default();
             *largest = pool.capacity_millis().max(*largest);
         }
         self.place_suspects(&mut pools, now_ms, wall_ms);
-        let plan = self.plan_pass(&config, &pools, now_ms);
+        let plan = self.plan_pass(&config, &pools, &services, now_ms);
         self.log_oversized(plan.oversized);
         for (service, mut jobs) in plan.by_service {
             let pool = pools.entry(service).or_default();
