--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -101,9 +101,8 @@
     pub(crate) open_jobs: BTreeSet<JobId>,
     /// Open jobs that may have unplaced tasks.
     pub(crate) waiting_jobs: BTreeSet<JobId>,
-    /// The largest CPU capacity that each pool's workers had in this term, in millicores.
+    /// The largest CPU capacity, in millicores, of each pool's workers in this term, and when it was noted.
     pub(crate) pool_capacities: BTreeMap<ServiceId, u64>,
-    /// When these were last looked at, in ms.
     pub(crate) capacities_ms: u64,
     pub(crate) forecast: PeakForecast,
     pub(crate) durations: DurationTracker,
--- a/tests/placement_passes.rs
+++ b/tests/placement_passes.rs
@@ -18,6 +18,7 @@
 use zincpier::workflow::JobState;
 use zincpier::workflow::JobUrgency;
 use zincpier::workflow::StepSpec;
+use zincpier::workflow::TaskName;
 
 /// Guards against passes that skip a job whose only unplaced task waits for an earlier step, although a
 /// failed run has become one too many by a new configuration.
@@ -87,7 +88,7 @@
         let mut job = JobState::new(id.parse().unwrap(), Rc::new(spec), 1_000);
         let done = random.random_range(0..=job.spec.steps.len() as u32);
         for step in 0..done {
-            job.mark_done(&zincpier::workflow::TaskName {
+            job.mark_done(&TaskName {
                 step,
                 ..task(&id, 0)
             });
