--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -101,8 +101,9 @@
     pub(crate) open_jobs: BTreeSet<JobId>,
     /// Open jobs that may have unplaced tasks.
     pub(crate) waiting_jobs: BTreeSet<JobId>,
-    /// The largest CPU capacity that each pool's workers had in this term, in millicores.
+    /// The largest CPU capacity, in millicores, of each pool's workers in this term, and when it was noted.
     pub(crate) pool_capacities: BTreeMap<ServiceId, u64>,
+    pub(crate) capacities_ms: u64,
     pub(crate) forecast: PeakForecast,
     pub(crate) durations: DurationTracker,
     /// The rates of organisations in this term.
@@ -161,6 +162,7 @@
             open_jobs: BTreeSet::new(),
             waiting_jobs: BTreeSet::new(),
             pool_capacities: BTreeMap::new(),
+            capacities_ms: 0,
             forecast: PeakForecast::new(),
             durations: DurationTracker::new(),
             rates: RateMeter::new(),
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -258,6 +258,15 @@
         }
     }
 
+    /// Returns whether the worker has to be called: it holds tasks, does not know the controller's epoch,
+    /// or lists ends that are durable.
+    pub(crate) fn is_renewal_due(&self, now_ms: u64) -> bool {
+        !self.tasks.is_empty()
+            || !self.has_accepted_epoch
+            || self.durable_end > self.acknowledged_end
+            || self.is_clock_old(now_ms)
+    }
+
     /// Returns the end of the next lease to request, on the worker's clock in ms. No lease is
     /// requested from an unresponsive worker, because its tasks can be released only after its last
     /// lease has expired.
@@ -278,7 +287,7 @@
     }
 
     /// Returns whether the worker's clock was read so long ago that it has to be read again.
-    pub(crate) fn is_clock_old(&self, now_ms: u64) -> bool {
+    fn is_clock_old(&self, now_ms: u64) -> bool {
         let read_ms = self.clock.map(|(_, read_ms)| read_ms);
         read_ms.is_some_and(|read_ms| now_ms > read_ms + MAX_CLOCK_AGE_MS)
     }
