Send the requests whose connections a late client has opened late

Cause: the pool gave up a request whose connection wasn't there by its deadline.

Change: after the deadline was noticed, a request waits 50 ms more for the connection that is being opened, and may be sent up to a second (or its time, if longer) after it.

--- a/src/connection/connection_pool.rs
+++ b/src/connection/connection_pool.rs
@@ -35,6 +35,13 @@
 /// open the next.
 const DIAL_TIME: Duration = Duration::from_secs(1);
 
+/// How long a request waits after its deadline was noticed, for a connection that a client short of
+/// processor time has begun to open late: many round trips within a region.
+const LATE_DIAL_TIME: Duration = Duration::from_millis(50);
+
+/// How long after its deadline a request may still be sent, if its time is not longer.
+const MIN_SEND_DELAY: Duration = Duration::from_secs(1);
+
 /// The open connections to one server: those that are in use are counted, the idle ones are kept here.
 pub(crate) struct ConnectionPool {
     address: SocketAddr,
@@ -121,19 +128,21 @@
         self
     }
 
-    /// Takes an idle connection, waits for one, or opens one.
+    /// Takes an idle connection, waits for one, or opens one, within `time`.
     ///
     /// # Errors
     ///
-    /// Returns [`ExchangeError::NotConnected`] if there is no connection before `deadline`. One that
-    /// is established later is kept for the next request.
+    /// Returns [`ExchangeError::NotConnected`] if there is no connection in time, or if it was noticed
+    /// so late that the request must not be sent any more. A connection that is established later is
+    /// kept for the next request.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
-        deadline: Instant,
+        time: Duration,
     ) -> Result<BusyConnection, ExchangeError> {
         if let Some(connection) = self.take_idle() {
             return Ok(connection);
         }
+        let deadline = Instant::now() + time;
         let shared = match self.has_usual_connections() {
             true => timeout(CONNECTION_WAIT, self.wait_for_share()).await,
             false => Ok(None),
@@ -142,8 +151,8 @@
             Ok(Some(connection)) => connection,
             _ => self.dial_or_reuse(deadline).await?,
         };
-        // Whether the request may still be sent was decided in view of the deadline.
-        if Instant::now() >= deadline {
+        // Whether the request may be sent was decided when it was made.
+        if Instant::now() >= deadline + time.max(MIN_SEND_DELAY) {
             connection.release();
             return Err(late_connection());
         }
@@ -184,7 +193,12 @@
     ) -> Result<BusyConnection, ExchangeError> {
         let dialled = self.start_dial();
         let reused = pin!(self.wait_for_idle());
-        match timeout_at(deadline, select(dialled, reused)).await {
+        let mut connected = select(dialled, reused);
+        let mut outcome = timeout_at(deadline, &mut connected).await;
+        if outcome.is_err() {
+            outcome = timeout(LATE_DIAL_TIME, &mut connected).await;
+        }
+        match outcome {
             Ok(Either::Left((dialled, _))) => dialled.unwrap_or_else(|_| Err(late_connection())),
             Ok(Either::Right((connection, _))) => Ok(connection),
             Err(_) => Err(late_connection()),
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -74,8 +74,9 @@
         self.address
     }
 
-    /// Sends a request and waits for its complete response. It is sent within the time of `limits`,
-    /// or not at all; the response then has as long again. `limits` may be a plain time.
+    /// Sends a request and waits for its complete response. The connection and the response each have
+    /// the time of `limits`, which may be a plain time. A process that gets processor time late sends
+    /// the request up to a second, or that time if it is longer, after it had to be sent.
     ///
     /// Sets the `Host` header. Keeps the connection for reuse if the idle budget permits it.
     ///
@@ -89,7 +90,7 @@
     ) -> Result<Response<Bytes>, ExchangeError> {
         let limits = limits.into();
         request.headers_mut().insert(HOST, self.host.clone());
-        let mut busy = self.pool.acquire(Instant::now() + limits.time).await?;
+        let mut busy = self.pool.acquire(limits.time).await?;
         let deadline = Instant::now() + limits.time;
         let exchange = busy.connection.exchange_within(request, deadline, &limits);
         let response = exchange.await?;
