--- a/src/provider/table_clock.rs
+++ b/src/provider/table_clock.rs
@@ -21,9 +21,13 @@
     }
 
     /// Records the table's time in an answer that was received at `received_ms`. An answer that took
-    /// longer gives a smaller offset, so the largest of those that are recent counts.
+    /// longer gives a smaller offset, so the largest of those that are recent counts. A time beyond
+    /// all clocks is ignored.
     pub fn record(&self, table_ms: u64, received_ms: u64) {
-        let offset = table_ms as i64 - received_ms as i64;
+        let offset = i64::try_from(table_ms).ok();
+        let Some(offset) = offset.and_then(|ms| ms.checked_sub_unsigned(received_ms)) else {
+            return;
+        };
         let is_newer = match self.offset.get() {
             Some((known, recorded_ms)) => {
                 offset > known || received_ms > recorded_ms + OFFSET_LIFETIME_MS
@@ -39,6 +43,6 @@
     /// answer.
     pub fn table_ms(&self, now_ms: u64) -> Option<u64> {
         let (offset, _) = self.offset.get()?;
-        u64::try_from(now_ms as i64 + offset).ok()
+        now_ms.checked_add_signed(offset)
     }
 }
