Limit sums of work, demand and settings that no number holds

A stored job with more tasks than are accepted today overflowed its work (engine_demand.rs:198). A link_mbps near 0 ended the process at its first list of hosts (a Duration from infinite seconds); nan and inf are numbers in TOML, and counted as some bandwidth.

Work saturates, and a pool's demand ends at 10^15 millicores, far above all hosts.

--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -21,6 +21,10 @@
 /// The most queues whose backlogs are told: a few KB of the leader row, which holds 64 KB.
 const MAX_BACKLOGS: usize = 64;
 
+/// The limit on a pool's demand, in millicores, which is multiplied by percentages: ten thousand of the
+/// largest workers, a thousand times over.
+const MAX_DEMAND_MILLIS: u64 = 1_000_000_000_000_000;
+
 /// Wait from which a queue counts as having a backlog, in ms.
 const MIN_BACKLOG_MS: u64 = 1_000;
 
@@ -55,9 +59,9 @@
         let cap = self.cap_of(&job.spec).map(|(_, cap)| cap);
         let steps = waiting_steps(job, cap).map(|(step, tasks)| {
             let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
-            tasks * step.reserved().cpu_millis * expected_ms
+            step_work(step, tasks, expected_ms)
         });
-        steps.sum()
+        steps.fold(0, u64::saturating_add)
     }
 
     /// Returns the part of a new job's work that the cap of its organisation allows to run.
@@ -124,7 +128,7 @@
             let (mut work, mut wanted) = (0, WorkerResources::default());
             for (step, tasks) in waiting_steps(job, cap.map(|(_, cap)| cap)) {
                 let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
-                work += tasks * step.reserved().cpu_millis * expected_ms;
+                work = step_work(step, tasks, expected_ms).saturating_add(work);
                 wanted.add(&step.demand.times(tasks));
             }
             match cap {
@@ -195,7 +199,7 @@
                 let unstarted = tasks.filter(|state| state.phase == TaskPhase::Waiting);
                 let unstarted = unstarted.count() as u64;
                 let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
-                let millis = unstarted * step.reserved().cpu_millis * expected_ms / backlog_ms;
+                let millis = step_work(step, unstarted, expected_ms) / backlog_ms;
                 if let Some((id, _)) = cap {
                     // The tasks that must run at a time to start all of them in time.
                     let wanted = step.demand.times(unstarted);
@@ -224,13 +228,20 @@
                 service.clone(),
                 forecast_millis
                     .max(used_millis)
-                    .saturating_add(backlog_millis),
+                    .saturating_add(backlog_millis)
+                    .min(MAX_DEMAND_MILLIS),
             );
         }
         demands
     }
 }
 
+/// Returns the work of tasks of a step, in millicores times ms.
+fn step_work(step: &StepSpec, tasks: u64, expected_ms: u64) -> u64 {
+    let millis = step.reserved().times(tasks).cpu_millis;
+    millis.saturating_mul(expected_ms)
+}
+
 /// Iterates over a job's steps with waiting tasks, each with their number, without steps that can
 /// never run under the cap.
 fn waiting_steps<'a>(
--- a/src/workflow/host_resources.rs
+++ b/src/workflow/host_resources.rs
@@ -70,7 +70,8 @@
             return Duration::ZERO;
         };
         let link_s = (hosts * HOST_LIST_BYTES) as f64 / (mbps * BYTES_PER_MBPS * 10.0);
-        Duration::from_secs_f64(link_s * LIST_LINK_SHARE).min(MAX_LIST_INTERVAL)
+        let interval_s = (link_s * LIST_LINK_SHARE).min(MAX_LIST_INTERVAL.as_secs_f64());
+        Duration::from_secs_f64(interval_s)
     }
 
     /// Returns the processor time in millicores, if it is known.
