Count the reserved idle connections of workers in the shared limit

Cause: a reserved connection had no permit, and the reserve was switched off when there were more than 1,800 clients. Those kept until then came on top of the limit: up to 5,400 connections where 3,900 descriptors are left.

Change: first and further idle connections share one count. A further one is kept only if permits for the first ones of all other clients are left.

Shown by tests/idle_budget.rs (the new test) and tests/client_cache.rs.

--- a/src/connection/client_cache.rs
+++ b/src/connection/client_cache.rs
@@ -49,8 +49,8 @@
 }
 
 impl ClientCache {
-    /// Creates an empty cache, whose clients keep at most `max_connections` connections: one, or two
-    /// if there are enough, are reserved for each server, the others may be idle.
+    /// Creates an empty cache, whose clients keep at most `max_connections` connections: one is
+    /// reserved for each server, the others may be idle, one for each server before further ones.
     pub fn new(max_connections: usize, unused_time: Duration) -> Self {
         Self {
             clients: RefCell::default(),
@@ -85,12 +85,9 @@
             used: Instant::now(),
         };
         clients.insert(address, cached);
-        // One connection to each server is in use, and a further one is kept if the limit allows.
-        let reserves_idle = 2 * clients.len() <= self.max_connections;
-        let reserved = clients.len() * (1 + usize::from(reserves_idle));
-        self.idle_budget.set_reserve(reserves_idle);
-        self.idle_budget
-            .set_max(self.max_connections.saturating_sub(reserved));
+        let idle_limit = self.max_connections.saturating_sub(clients.len());
+        self.idle_budget.set_max(idle_limit);
+        self.idle_budget.set_clients(clients.len());
         // Half of the limit is left for what a burst opens beyond the usual number.
         let usual = self.max_connections / (2 * clients.len());
         self.usual_connections
--- a/src/connection/connection_pool.rs
+++ b/src/connection/connection_pool.rs
@@ -46,8 +46,7 @@
 pub(crate) struct ConnectionPool {
     address: SocketAddr,
     limits: MessageLimits,
-    /// The idle connections; one without a permit is the one that is reserved for the server.
-    idle: RefCell<Vec<(HttpConnection, Option<IdlePermit>)>>,
+    idle: RefCell<Vec<(HttpConnection, IdlePermit)>>,
     budget: Rc<IdleBudget>,
     /// Connections that carry a request or are being established.
     busy: Cell<usize>,
@@ -91,12 +90,11 @@
             return;
         }
         let mut idle = pool.idle.borrow_mut();
-        let has_reserved = idle.iter().any(|(_, permit)| permit.is_none());
-        if pool.budget.reserves_connections() && !has_reserved {
-            idle.push((connection, None));
-        } else if let Some(permit) = pool.budget.try_acquire() {
-            idle.push((connection, Some(permit)));
-        }
+        let permit = match idle.is_empty() {
+            true => pool.budget.try_acquire_first(),
+            false => pool.budget.try_acquire(),
+        };
+        idle.extend(permit.map(|permit| (connection, permit)));
     }
 }
 
--- a/src/connection/idle_budget.rs
+++ b/src/connection/idle_budget.rs
@@ -11,8 +11,10 @@
 pub struct IdleBudget {
     in_use: Cell<usize>,
     max: Cell<usize>,
-    /// Whether each client may keep one idle connection without a permit.
-    reserves_connections: Cell<bool>,
+    /// Clients, each of which may need a permit for its first idle connection.
+    clients: Cell<usize>,
+    /// Permits for first idle connections.
+    firsts: Cell<usize>,
 }
 
 impl IdleBudget {
@@ -21,7 +23,8 @@
         Rc::new(Self {
             in_use: Cell::new(0),
             max: Cell::new(max),
-            reserves_connections: Cell::new(false),
+            clients: Cell::new(0),
+            firsts: Cell::new(0),
         })
     }
 
@@ -30,33 +33,48 @@
         self.max.set(max);
     }
 
-    /// Sets whether each client may keep one idle connection without a permit, so that what a burst to
-    /// other servers left behind doesn't make each of its requests open one.
-    pub fn set_reserve(&self, reserves_connections: bool) {
-        self.reserves_connections.set(reserves_connections);
+    /// Changes the number of clients. A permit is left for the first idle connection of each, so that
+    /// what a burst to other servers left behind doesn't make each of its requests open one.
+    pub fn set_clients(&self, clients: usize) {
+        self.clients.set(clients);
     }
 
-    /// Returns whether each client may keep one idle connection without a permit.
-    pub fn reserves_connections(&self) -> bool {
-        self.reserves_connections.get()
+    /// Takes a permit, if one is left beside those for first connections; dropping it releases it.
+    pub fn try_acquire(self: &Rc<Self>) -> Option<IdlePermit> {
+        let reserved = self.clients.get().saturating_sub(self.firsts.get());
+        self.acquire(self.max.get().saturating_sub(reserved), false)
     }
 
-    /// Takes a permit, if one is left; dropping it releases it.
-    pub fn try_acquire(self: &Rc<Self>) -> Option<IdlePermit> {
-        if self.in_use.get() >= self.max.get() {
+    /// Takes a permit for a client without an idle connection, if any is left.
+    pub fn try_acquire_first(self: &Rc<Self>) -> Option<IdlePermit> {
+        self.acquire(self.max.get(), true)
+    }
+
+    fn acquire(self: &Rc<Self>, limit: usize, is_first: bool) -> Option<IdlePermit> {
+        if self.in_use.get() >= limit {
             return None;
         }
         self.in_use.set(self.in_use.get() + 1);
-        Some(IdlePermit(Rc::clone(self)))
+        self.firsts.set(self.firsts.get() + usize::from(is_first));
+        Some(IdlePermit {
+            budget: Rc::clone(self),
+            is_first,
+        })
     }
 }
 
 /// Permission to keep one idle connection, released on drop.
 #[derive(Debug)]
-pub struct IdlePermit(Rc<IdleBudget>);
+pub struct IdlePermit {
+    budget: Rc<IdleBudget>,
+    is_first: bool,
+}
 
 impl Drop for IdlePermit {
     fn drop(&mut self) {
-        self.0.in_use.set(self.0.in_use.get() - 1);
+        let budget = &self.budget;
+        budget.in_use.set(budget.in_use.get() - 1);
+        let firsts = budget.firsts.get() - usize::from(self.is_first);
+        budget.firsts.set(firsts);
     }
 }
--- a/tests/idle_budget.rs
+++ b/tests/idle_budget.rs
@@ -47,3 +47,22 @@
     let reacquired: Vec<_> = (0..3).map(|_| budget.try_acquire()).collect();
     assert_eq!(reacquired.iter().flatten().count(), 2);
 }
+
+/// Guards against clients that get no permit for their only idle connection, and against such
+/// permits beyond the limit, of which there would be too many in a fleet that grows.
+#[test]
+fn permits_are_left_for_first_connections_within_the_limit() {
+    let budget = IdleBudget::new(3);
+    budget.set_clients(2);
+
+    let permits = [
+        budget.try_acquire(),
+        budget.try_acquire(),
+        budget.try_acquire_first(),
+        budget.try_acquire_first(),
+        budget.try_acquire_first(),
+    ];
+
+    let granted = permits.map(|permit| permit.is_some());
+    assert_eq!(granted, [true, false, true, true, false]);
+}
