--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -106,9 +106,9 @@
         Ok(Self::new(stream, limits))
     }
 
-    /// Like [`HttpConnection::dial`], without TCP keep-alive, whose four options cost as much as the
-    /// rest of a connection. For servers that are called so often that a call notices first that one
-    /// is unreachable.
+    /// Like [`HttpConnection::dial`], without TCP keep-alive, whose options are a quarter of a
+    /// connection's system calls. For servers that are called so often that a call notices first that
+    /// one is unreachable.
     ///
     /// # Errors
     ///
