Let no task leave beyond its step's limit while a sibling's stop is under way

siblings_that_leave_together_wait_for_a_stop_on_a_worker_that_stays failed before (two stops beside it) and passes.

--- a/src/workflow/leaving_workers.rs
+++ b/src/workflow/leaving_workers.rs
@@ -96,13 +96,33 @@
         tasks.sort_by_key(|task| !task.is_stopping);
         let names: Vec<_> = tasks.iter().map(|task| task.name.clone()).collect();
         let places = self.choose_workers(&names, pool, now_ms).len();
+        let may_exceed = !names
+            .first()
+            .is_some_and(|name| self.is_sibling_stopping(name));
         for task in tasks.iter().take(places).filter(|task| !task.is_stopping) {
-            if task.is_urgent || self.can_spare(&task.name) {
+            if (task.is_urgent && may_exceed) || self.can_spare(&task.name) {
                 self.request_stop(&task.name, "its worker is about to leave");
             }
         }
     }
 
+    /// Returns whether a task of the same step is being stopped on a worker that stays. That stop must still
+    /// be within the step's limit when it takes effect.
+    fn is_sibling_stopping(&self, name: &TaskName) -> bool {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return false;
+        };
+        let mut siblings = job.step_tasks(name.occurrence, name.step).iter();
+        siblings.any(|state| {
+            let is_stopping = matches!(
+                state.command_phase(),
+                Some(CommandPhase::Stopping | CommandPhase::Stopped(_))
+            );
+            let worker = state.worker();
+            is_stopping && worker.is_some_and(|id| !self.leaving_workers.contains_key(id))
+        })
+    }
+
     /// Returns whether a running task may be started again once it is stopped, besides the room that it
     /// needs.
     fn may_restart(&self, name: &TaskName, now_ms: u64) -> bool {
