Reword comments that would stop a reader

Found by reading the change again: what a refusal is, when a worker counts as gone, and which evidence Unhosted stands for since workers that answered are ended without a crash. Comments only; format checked, nothing else run.

--- a/src/workflow/crash_evidence.rs
+++ b/src/workflow/crash_evidence.rs
@@ -11,7 +11,7 @@
     HostDown,
     /// Its host is listed with another worker, and was not commanded.
     Replaced,
-    /// No host lists it, as a new controller finds.
+    /// No host lists it, and it has not answered this controller.
     Unhosted,
     /// Another worker answers at its address.
     OtherIncarnation,
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -20,8 +20,8 @@
 /// state from before for up to a second.
 const HOST_LIST_LAG_MS: u64 = 1_000;
 
-/// Returns whether a worker had neither an entry nor answered for as long as a list of hosts that was
-/// requested at `listed_ms` may be behind. One that is cut off is the same but for its host.
+/// Returns whether a worker has no entry and has not answered for [`HOST_LIST_LAG_MS`] before a list of hosts
+/// was requested at `listed_ms`. This also holds for a worker that is cut off, but its host stays listed.
 fn has_left(worker: &WorkerState, listed_ms: u64) -> bool {
     let silent_since_ms = worker.unresponsive_since_ms;
     !worker.listed && silent_since_ms > 0 && silent_since_ms + HOST_LIST_LAG_MS <= listed_ms
--- a/src/workflow/lost_runs.rs
+++ b/src/workflow/lost_runs.rs
@@ -26,9 +26,8 @@
 
 impl JobEngine {
     /// Holds back the tasks of a worker whose lease has expired, once they are released, for
-    /// [`MAX_SILENCE_MS`] from `since_ms`. Excepted
-    /// are tasks whose start was not sent, long-running ones, which are restarted however they
-    /// end, and those of ended jobs.
+    /// [`MAX_SILENCE_MS`] from `since_ms`. Excepted are tasks whose start was not sent, long-running ones,
+    /// which are restarted however they end, and those of ended jobs.
     pub(crate) fn hold_lost_runs(&mut self, id: &WorkerId, since_ms: u64) {
         let Some(worker) = self.workers.get(id) else {
             return;
--- a/src/workflow/stalled_workers.rs
+++ b/src/workflow/stalled_workers.rs
@@ -69,8 +69,9 @@
         }
     }
 
-    /// Lets a long-running task prefer other workers if its worker has refused it for reasons of its own,
-    /// which no report may show. Of equal workers the same one would be chosen again and again.
+    /// Makes a long-running task prefer other workers after its worker has refused it for want of room or as
+    /// unhealthy. Reports need not show either, and equal workers are compared in a fixed order, so the next
+    /// pass would choose the same one.
     pub(crate) fn avoid_refusing_worker(&mut self, name: &TaskName, outcome: &CommandOutcome) {
         let refusals = [CommandRefusal::NoRoom, CommandRefusal::Unhealthy];
         let is_own_reason =
