Sample log lines by job at a peak

Cause: each kind of line has a limit of 500 a second, so at a peak of thousands of runs a second each kind loses other lines, and hardly any job has all of its lines: the seconds that fail can't be explained. Each change is one line, event=log_sampling, with the lines dropped. Warnings and lines with the target of long-running tasks keep the limit of their kind, as lines without a job do. The start of a line is formatted up to its second space instead of the first; no log line had to be reordered, since those about jobs that are no warnings have job= or task= there.

--- a/src/process/line_start.rs
+++ b/src/process/line_start.rs
@@ -1,13 +1,17 @@
-//! The first word of a log line.
+//! The first words of a log line.
 
 use std::fmt::Error;
 use std::fmt::Result;
 use std::fmt::Write;
 
-/// Takes a line up to its first space, and fails there, so that the rest is not formatted.
+/// The number of words that are taken: the event, and the job or task that it is about.
+const WORDS: usize = 2;
+
+/// Takes a line up to its second space, and fails there, so that the rest is not formatted.
 #[derive(Debug, Default)]
 pub(crate) struct LineStart {
     text: String,
+    spaces: usize,
 }
 
 impl LineStart {
@@ -19,11 +23,14 @@
 
 impl Write for LineStart {
     fn write_str(&mut self, text: &str) -> Result {
-        let end = text.find(' ');
-        self.text.push_str(&text[..end.unwrap_or(text.len())]);
-        match end {
-            Some(_) => Err(Error),
-            None => Ok(()),
+        for (place, _) in text.match_indices(' ') {
+            self.spaces += 1;
+            if self.spaces == WORDS {
+                self.text.push_str(&text[..place]);
+                return Err(Error);
+            }
         }
+        self.text.push_str(text);
+        Ok(())
     }
 }
--- a/src/process/log_stream.rs
+++ b/src/process/log_stream.rs
@@ -22,7 +22,9 @@
 use crate::process::LineBatch;
 use crate::process::LineDecision;
 use crate::process::LineStart;
+use crate::process::LogLimits;
 use crate::process::LogRateLimiter;
+use crate::process::SamplingChange;
 
 /// The capacity of the line queue: a few seconds of logging at peak load.
 const QUEUE_LINES: usize = 4_096;
@@ -69,16 +71,17 @@
 /// A line is dropped and counted if the queue is full, so that a blocked standard output does not
 /// block the code that logs. The count is logged as soon as lines are written again. Lines over the
 /// limit of the [`LogRateLimiter`] are suppressed; their count is logged before the next line of
-/// the same kind.
+/// the same kind. Lines about jobs are sampled by job, see [`crate::process::JobSampler`]; each change
+/// of the rate is logged.
 pub fn start_log_stream_to(output: impl Write + Send + 'static) -> LogStream {
     let (lines, queued) = sync_channel::<String>(QUEUE_LINES);
     let counts = Arc::new(LineCounts::default());
-    let limiter = Mutex::new(LogRateLimiter::new());
+    let limits = Mutex::new(LogLimits::default());
     let sent = Arc::clone(&counts);
     // A line that a formatter of the dispatch leaves out would be written without format, so lines
     // are formatted and suppressed here.
     let sender = Output::call(move |record| {
-        let Some(line) = format_line(record, &limiter) else {
+        let Some(line) = format_line(record, &limits) else {
             return;
         };
         let counter = match lines.try_send(line) {
@@ -100,28 +103,40 @@
     LogStream { counts }
 }
 
-/// Returns the line of a record with its time and level, and before it the number of lines of its kind
-/// that were suppressed since the last one; `None` if the line is over the limit.
-fn format_line(record: &Record<'_>, limiter: &Mutex<LogRateLimiter>) -> Option<String> {
-    // Of lines over the limit, which most are at a peak, only the first word is formatted.
+/// Returns the line of a record with its time and level; before it, the number of lines of its kind that
+/// were suppressed since the last one, and a change of the sampling. `None` if nothing is to be written.
+fn format_line(record: &Record<'_>, limits: &Mutex<LogLimits>) -> Option<String> {
+    // Of lines over a limit, which most are at a peak, only the first words are formatted.
     let mut start = LineStart::default();
     let _ = start.write_fmt(*record.args());
-    let kind = LogRateLimiter::kind_of(start.as_str());
-    let decision = limiter
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .check(kind, boot_ms());
+    let start = start.as_str();
+    let (decision, change) = {
+        let mut limits = limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let decision = limits.check(start, record.level(), record.target(), boot_ms());
+        (decision, limits.take_change())
+    };
+    let time_ms = now_ms();
+    let change = change.map(|change| {
+        let SamplingChange {
+            kept_per_mille,
+            dropped,
+        } = change;
+        format!("time_ms={time_ms} level=WARN event=log_sampling kept_per_mille={kept_per_mille} dropped={dropped}")
+    });
     let LineDecision::Write(suppressed) = decision else {
-        return None;
+        return change;
     };
-    let (time_ms, level, text) = (now_ms(), record.level(), record.args());
+    let suppressed = (suppressed > 0).then(|| {
+        let kind = LogRateLimiter::kind_of(start);
+        format!("time_ms={time_ms} level=WARN event=log_lines_suppressed kind={kind} count={suppressed}")
+    });
+    let (level, text) = (record.level(), record.args());
     let line = format!("time_ms={time_ms} level={level} {text}");
-    if suppressed == 0 {
+    if change.is_none() && suppressed.is_none() {
         return Some(line);
     }
-    Some(format!(
-        "time_ms={time_ms} level=WARN event=log_lines_suppressed kind={kind} count={suppressed}\n{line}"
-    ))
+    let lines: Vec<_> = change.into_iter().chain(suppressed).chain([line]).collect();
+    Some(lines.join("\n"))
 }
 
 /// Writes queued lines in batches of whole lines until the logger is dropped.
--- a/tests/log_stream.rs
+++ b/tests/log_stream.rs
@@ -1,45 +1,20 @@
 //! Tests the log stream: what is written of lines at a high rate.
 
-use std::io::Result as IoResult;
-use std::io::Write;
-use std::sync::Arc;
-use std::sync::Mutex;
+#[path = "common/write_recorder.rs"]
+mod write_recorder;
+
 use std::sync::OnceLock;
 use std::time::Duration;
 
 use zincpier::process::start_log_stream_to;
 use zincpier::process::LogStream;
+use zincpier::process::LONG_RUNNING_TARGET;
+
+use crate::write_recorder::WriteRecorder;
 
 /// The largest write that a pipe takes as a whole, in bytes: `PIPE_BUF` of Linux.
 const ATOMIC_WRITE_BYTES: usize = 4_096;
 
-/// An output that keeps each write.
-#[derive(Clone, Default)]
-struct WriteRecorder {
-    writes: Arc<Mutex<Vec<Vec<u8>>>>,
-}
-
-impl WriteRecorder {
-    /// Returns the lines that contain `text`.
-    fn lines_with(&self, text: &str) -> Vec<String> {
-        let written = self.writes.lock().unwrap().concat();
-        let written = String::from_utf8(written).unwrap();
-        let lines = written.lines().filter(|line| line.contains(text));
-        lines.map(str::to_owned).collect()
-    }
-}
-
-impl Write for WriteRecorder {
-    fn write(&mut self, bytes: &[u8]) -> IoResult<usize> {
-        self.writes.lock().unwrap().push(bytes.to_vec());
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> IoResult<()> {
-        Ok(())
-    }
-}
-
 /// Returns the log stream of this process, since there is one logger per process, and its output.
 fn log_stream() -> &'static (LogStream, WriteRecorder) {
     static STREAM: OnceLock<(LogStream, WriteRecorder)> = OnceLock::new();
@@ -82,3 +57,31 @@
     let is_whole = |bytes: &Vec<u8>| bytes.ends_with(b"\n");
     assert!(writes.iter().all(is_whole));
 }
+
+/// Logs `count` warnings and then `count` lines with the target of long-running tasks, of one kind each and
+/// about as many jobs, during a peak of lines about jobs. Returns the numbers of those written.
+fn log_beside_a_peak(count: usize) -> (usize, usize) {
+    let (stream, recorder) = log_stream();
+    for number in 0..20_000 {
+        log::info!(target: "zincpier", "event=peak_line job={number:016x}");
+    }
+    for number in 0..count {
+        log::warn!(target: "zincpier", "event=peak_warning job={number:016x} failures=4");
+        log::info!(target: LONG_RUNNING_TARGET, "event=peak_start task={number:016x}.0.0.0 run=1");
+    }
+    stream.flush(Duration::from_secs(5));
+    let warnings = recorder.lines_with("event=peak_warning ").len();
+    (warnings, recorder.lines_with("event=peak_start ").len())
+}
+
+/// Guards against a peak at which the lines that matter most are left to chance.
+#[test]
+fn sampling_never_drops_warnings() {
+    let (warnings, long_running) = log_beside_a_peak(300);
+
+    assert_eq!((warnings, long_running), (300, 300));
+    let (_, recorder) = log_stream();
+    let lines = recorder.lines_with("event=peak_line ").len();
+    assert!((1..3_500).contains(&lines), "{lines} lines written");
+    assert!(!recorder.lines_with("event=log_sampling ").is_empty());
+}
