Let explain say that a job's lines were left out by sampling

Cause: a job without lines is said to be unknown, as if no host had seen it, although a host may have dropped its lines at a peak. Change: for such a job, explain looks at the log_sampling lines of each host. If a rate in force did not keep the job, by the same hash as the hosts use, it says "not logged", the times, the lowest rate, and the largest lag that a control_lag line has in these times. A job that every rate keeps stays unknown. The reason of an inconclusive job names sampling and lag between its lines as well; that a late job names the controller's lag was there already. Such a job doesn't count as explained (exit code).

--- a/src/bin/zincpier/explain_command.rs
+++ b/src/bin/zincpier/explain_command.rs
@@ -68,7 +68,9 @@
         let diagnosis = timeline.diagnose(arguments.late_ms);
         all_explained &= !matches!(
             diagnosis,
-            JobDiagnosis::Inconclusive(_) | JobDiagnosis::NoLogLines
+            JobDiagnosis::Inconclusive(_)
+                | JobDiagnosis::NoLogLines
+                | JobDiagnosis::NotSampled { .. }
         );
         print_diagnosis(job, &timeline, &diagnosis, arguments);
     }
--- a/src/operator/job_diagnosis.rs
+++ b/src/operator/job_diagnosis.rs
@@ -10,6 +10,20 @@
     /// No log line mentions the job.
     #[error("no log line mentions this job")]
     NoLogLines,
+    /// No log line mentions the job, and it is not among those whose lines were kept at some time.
+    #[error("not logged: from {from_ms} to {to_ms} the log was sampled, down to {kept_per_mille} of 1,000 jobs{}", lag_text(*lag_ms, *lag_time_ms))]
+    NotSampled {
+        /// When lines about this job were dropped first, in ms since the Unix epoch.
+        from_ms: u64,
+        /// When they were kept again, or the last line's time, in ms since the Unix epoch.
+        to_ms: u64,
+        /// Jobs of a thousand whose lines were kept at the lowest rate.
+        kept_per_mille: u64,
+        /// The largest lag that a controller logged meanwhile, in ms; 0 for none.
+        lag_ms: u64,
+        /// When it was logged, in ms since the Unix epoch.
+        lag_time_ms: u64,
+    },
     /// It was refused while the table was unreachable.
     #[error("refused: the table did not answer {hosts} entry hosts for up to {unanswered_ms} ms")]
     TableUnreachable {
@@ -176,3 +190,11 @@
     #[error("inconclusive: {0}")]
     Inconclusive(String),
 }
+
+/// Returns the part of a diagnosis that says how far the controller was behind, if it was.
+fn lag_text(lag_ms: u64, time_ms: u64) -> String {
+    match lag_ms {
+        0 => String::new(),
+        _ => format!("; the controller was behind by up to {lag_ms} ms at {time_ms}"),
+    }
+}
--- a/src/operator/job_timeline.rs
+++ b/src/operator/job_timeline.rs
@@ -5,6 +5,7 @@
 
 use crate::operator::JobDiagnosis;
 use crate::operator::LogLine;
+use crate::operator::SampledLog;
 
 /// A loss of the table counts as the cause of a refusal if it was logged at most this long before
 /// the job's first submission, since callers retry through outages of up to this length.
@@ -26,18 +27,20 @@
 /// The log lines about one job, sorted by time, and the lines of all entry hosts for context.
 #[derive(Debug)]
 pub struct JobTimeline<'l> {
+    job: &'l str,
     all_lines: &'l [LogLine],
     job_lines: Vec<&'l LogLine>,
 }
 
 impl<'l> JobTimeline<'l> {
     /// Collects the lines about a job; `all_lines` must be sorted by time.
-    pub fn new(all_lines: &'l [LogLine], job: &str) -> Self {
+    pub fn new(all_lines: &'l [LogLine], job: &'l str) -> Self {
         let job_lines = all_lines
             .iter()
             .filter(|line| line.is_about_job(job))
             .collect();
         Self {
+            job,
             all_lines,
             job_lines,
         }
@@ -51,9 +54,20 @@
     /// Returns the cause of the job's outcome; a job is late if it has not completed within
     /// `late_ms` of its first log line.
     pub fn diagnose(&self, late_ms: u64) -> JobDiagnosis {
-        let Some(first) = self.job_lines.first() else {
-            return JobDiagnosis::NoLogLines;
+        let log = SampledLog::new(self.all_lines);
+        let (Some(first), Some(last)) = (self.job_lines.first(), self.job_lines.last()) else {
+            return log.diagnose(self.job);
         };
+        match self.diagnose_lines(first, late_ms) {
+            JobDiagnosis::Inconclusive(reason) => {
+                let context = log.context(first.time_ms, last.time_ms);
+                JobDiagnosis::Inconclusive(reason + &context)
+            }
+            diagnosis => diagnosis,
+        }
+    }
+
+    fn diagnose_lines(&self, first: &LogLine, late_ms: u64) -> JobDiagnosis {
         if let Some(failed) = self.last_line("job_failed") {
             return self.diagnose_failure(failed);
         }
--- a/tests/job_diagnosis.rs
+++ b/tests/job_diagnosis.rs
@@ -4,6 +4,7 @@
 use zincpier::operator::JobDiagnosis;
 use zincpier::operator::JobTimeline;
 use zincpier::operator::LogLine;
+use zincpier::process::JobSampler;
 
 /// Jobs that take longer count as late in these tests.
 const LATE_MS: u64 = 5_000;
@@ -357,3 +358,70 @@
         JobDiagnosis::CompletedInTime(1_500)
     );
 }
+
+/// Returns the id of a job whose lines are not kept at 250 of 1,000, but are at 500.
+fn job_left_out_at_250() -> String {
+    let jobs = (0..).map(|number| format!("{number:016x}"));
+    let mut left_out =
+        jobs.filter(|job| JobSampler::is_kept_at(job, 500) && !JobSampler::is_kept_at(job, 250));
+    left_out.next().unwrap()
+}
+
+/// Guards against a job of a peak that is said to be unknown, as if it had never been submitted.
+#[test]
+fn job_without_lines_in_a_sampled_log_is_said_to_be_left_out() {
+    let text = "
+e-2 time_ms=1000 level=WARN event=log_sampling kept_per_mille=500 dropped=12
+e-2 time_ms=2000 level=WARN event=log_sampling kept_per_mille=250 dropped=1234
+e-2 time_ms=3000 level=WARN event=control_lag epoch=3 lag_ms=910
+e-2 time_ms=4000 level=WARN event=log_sampling kept_per_mille=500 dropped=4321
+e-2 time_ms=9000 level=WARN event=control_lag epoch=3 lag_ms=2000
+";
+
+    let diagnosis = diagnose(text, &job_left_out_at_250());
+
+    let expected = JobDiagnosis::NotSampled {
+        from_ms: 2_000,
+        to_ms: 4_000,
+        kept_per_mille: 250,
+        lag_ms: 910,
+        lag_time_ms: 3_000,
+    };
+    assert_eq!(diagnosis, expected);
+    let text = diagnosis.to_string();
+    assert!(
+        text.contains("sampled") && text.contains("behind by up to 910 ms"),
+        "{text}"
+    );
+}
+
+/// Guards against sampling as an excuse for jobs whose lines are kept at every rate that was in force.
+#[test]
+fn job_without_lines_that_sampling_keeps_is_not_said_to_be_left_out() {
+    let text = "
+e-1 time_ms=1000 level=WARN event=log_sampling kept_per_mille=500 dropped=12
+e-2 time_ms=2000 level=WARN event=log_sampling kept_per_mille=1000 dropped=0
+";
+
+    assert_eq!(
+        diagnose(text, &job_left_out_at_250()),
+        JobDiagnosis::NoLogLines
+    );
+}
+
+/// Guards against lines that are missing without a word, and against a late controller that is not named.
+#[test]
+fn inconclusive_job_of_a_sampled_time_names_sampling_and_lag() {
+    let text = "
+e-1 time_ms=500 level=WARN event=log_sampling kept_per_mille=500 dropped=12
+e-1 time_ms=1000 level=INFO event=submit job=aa queue=q outcome=NotStored
+e-2 time_ms=1100 level=WARN event=control_lag epoch=3 lag_ms=120
+";
+
+    let JobDiagnosis::Inconclusive(reason) = diagnose(text, "aa") else {
+        panic!("conclusive");
+    };
+
+    assert!(reason.contains("the log was sampled"), "{reason}");
+    assert!(reason.contains("behind by up to 120 ms"), "{reason}");
+}
