Let other entry hosts make the holder's calls to workers of a large fleet

Callers of a large site saw lasting tasks without a run and requests that were late: the holder of the lease makes all calls to workers, each an HTTP exchange of its own, so the connections, link and processor time of one host bound the whole fleet.

Change: src/carrier/. Each entry host connects to the holder that the leader row names, takes orders in batches over tarpc, makes the calls and returns the outcomes; reports travel as differences. The holder alone decides. Each order has the holder's epoch, and starts and renewals their end on the worker's clock, so an order that is carried out late is refused or grants nothing more; an order without an outcome is a call without an answer.

--- /dev/null
+++ b/src/carrier/carrier_pool.rs
@@ -0,0 +1,220 @@
+//! Hands calls to carriers and waits for their outcomes, on the thread that decides.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use monoio::time::timeout;
+use tokio::sync::oneshot;
+
+use crate::carrier::CallOrder;
+use crate::carrier::CallOutcome;
+use crate::carrier::CarrierBoard;
+use crate::carrier::CarrierPlan;
+use crate::carrier::WorkerCall;
+use crate::carrier::WorkerTarget;
+use crate::id::DataCentreId;
+use crate::id::WorkerId;
+use crate::process::boot_ms;
+use crate::workflow::HostResources;
+use crate::workflow::WorkerEntry;
+
+/// How often the carriers in use are chosen anew.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How much longer than its own wait a call may take through a carrier: the limits of a direct call, two
+/// messages with their windows, and a late holder.
+const CARRIER_MARGIN: Duration = Duration::from_millis(900);
+
+/// For how long a new holder leaves its calls to carriers that are about to connect: each host reads the leader
+/// row every 300 ms.
+const JOIN_TIME_MS: u64 = 800;
+
+/// How often a call that waits for the first carriers looks for them.
+const JOIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Workers that a holder calls itself, for each core of its processor time.
+const OWN_WORKERS_PER_CORE: u64 = 200;
+
+/// The outcome of handing a call to a carrier.
+#[derive(Debug)]
+pub(crate) enum CarriedCall {
+    /// What the carrier returned.
+    Done(CallOutcome),
+    /// No carrier was handed the call.
+    NotHandedOut,
+    /// The carrier returned nothing in time.
+    Unanswered,
+}
+
+/// The carriers of one process, in the terms for which it holds the lease.
+pub struct CarrierPool {
+    board: Arc<CarrierBoard>,
+    own_workers: usize,
+    plan: RefCell<CarrierPlan>,
+    fleet: RefCell<BTreeMap<DataCentreId, usize>>,
+    pending: RefCell<HashMap<u64, oneshot::Sender<CallOutcome>>>,
+    /// The calls of a worker that failed in a row.
+    failures: RefCell<HashMap<WorkerId, usize>>,
+    next_number: Cell<u64>,
+    opened_ms: Cell<u64>,
+    is_open: Cell<bool>,
+}
+
+impl CarrierPool {
+    /// Creates the pool of a process with these resources.
+    pub fn new(board: Arc<CarrierBoard>, resources: HostResources) -> Rc<Self> {
+        let millis = resources.processor_millis().unwrap_or(1_000);
+        Rc::new(Self {
+            board,
+            own_workers: (millis * OWN_WORKERS_PER_CORE / 1_000) as usize,
+            plan: RefCell::default(),
+            fleet: RefCell::default(),
+            pending: RefCell::default(),
+            failures: RefCell::default(),
+            next_number: Cell::new(1),
+            opened_ms: Cell::new(0),
+            is_open: Cell::new(false),
+        })
+    }
+
+    /// Takes carriers from now on, for a term that begins.
+    pub(crate) fn open(self: &Rc<Self>) {
+        self.opened_ms.set(boot_ms());
+        self.fleet.borrow_mut().clear();
+        self.failures.borrow_mut().clear();
+        self.board.open();
+        if !self.is_open.replace(true) {
+            monoio::spawn(Rc::clone(self).resolve_results());
+            monoio::spawn(Rc::clone(self).keep_plan());
+        }
+    }
+
+    /// Dismisses the carriers at the end of a term. Calls without an outcome count as unanswered.
+    pub(crate) fn close(&self) {
+        self.is_open.set(false);
+        self.board.close();
+        self.plan.take();
+        self.pending.borrow_mut().clear();
+    }
+
+    /// Sets the number of workers of each data centre, by which carriers are chosen.
+    pub(crate) fn set_fleet(&self, fleet: BTreeMap<DataCentreId, usize>) {
+        let is_first = self.fleet.borrow().is_empty();
+        self.fleet.replace(fleet);
+        if is_first {
+            self.choose_carriers();
+        }
+    }
+
+    /// Tells carriers how late the holder is, so that messages are fewer and larger.
+    pub(crate) fn set_lag(&self, lag: Duration) {
+        self.board.set_lag(lag);
+    }
+
+    /// Returns whether the fleet is larger than what this host calls itself.
+    fn needs_carriers(&self) -> bool {
+        self.is_open.get() && self.fleet.borrow().values().sum::<usize>() > self.own_workers
+    }
+
+    /// Hands a call to the worker's carrier and waits for its outcome.
+    pub(crate) async fn call(&self, worker: &WorkerEntry, call: WorkerCall) -> CarriedCall {
+        if !self.needs_carriers() {
+            return CarriedCall::NotHandedOut;
+        }
+        self.wait_for_carriers().await;
+        let wait = call.wait() + CARRIER_MARGIN;
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let order = CallOrder {
+            number,
+            target: WorkerTarget::from(worker),
+            call,
+        };
+        let Some(carrier) = self.carrier_of(worker) else {
+            return CarriedCall::NotHandedOut;
+        };
+        let (sender, outcome) = oneshot::channel();
+        self.pending.borrow_mut().insert(number, sender);
+        if self.board.submit(&carrier, order).is_err() {
+            self.pending.borrow_mut().remove(&number);
+            self.record_failure(&worker.id);
+            return CarriedCall::NotHandedOut;
+        }
+        let answered = timeout(wait, outcome).await;
+        self.pending.borrow_mut().remove(&number);
+        let Ok(Ok(outcome)) = answered else {
+            self.record_failure(&worker.id);
+            return match self.board.withdraw(&carrier, number) {
+                true => CarriedCall::NotHandedOut,
+                false => CarriedCall::Unanswered,
+            };
+        };
+        match outcome.is_answer() {
+            true => drop(self.failures.borrow_mut().remove(&worker.id)),
+            false => self.record_failure(&worker.id),
+        }
+        CarriedCall::Done(outcome)
+    }
+
+    fn carrier_of(&self, worker: &WorkerEntry) -> Option<String> {
+        let failures = self.failures.borrow().get(&worker.id).copied();
+        let plan = self.plan.borrow();
+        let carrier = plan.carrier_for(
+            &worker.id,
+            &worker.data_centre,
+            failures.unwrap_or_default(),
+        );
+        carrier.map(str::to_owned)
+    }
+
+    fn record_failure(&self, worker: &WorkerId) {
+        let mut failures = self.failures.borrow_mut();
+        *failures.entry(worker.clone()).or_default() += 1;
+    }
+
+    /// Waits for the first carriers of a term, as long as they may be about to connect.
+    async fn wait_for_carriers(&self) {
+        while self.plan.borrow().is_empty() && boot_ms() < self.opened_ms.get() + JOIN_TIME_MS {
+            sleep(JOIN_POLL_INTERVAL).await;
+            self.choose_carriers();
+        }
+    }
+
+    fn choose_carriers(&self) {
+        if !self.needs_carriers() {
+            return;
+        }
+        let plan = CarrierPlan::new(&self.board.offers(), &self.fleet.borrow());
+        self.board.set_used(|name| plan.uses(name));
+        self.plan.replace(plan);
+    }
+
+    /// Chooses the carriers anew at regular intervals until the pool is closed.
+    async fn keep_plan(self: Rc<Self>) {
+        while self.is_open.get() {
+            self.board.drop_absent();
+            self.choose_carriers();
+            sleep(PLAN_INTERVAL).await;
+        }
+    }
+
+    /// Passes results to the calls that wait for them until the pool is closed.
+    async fn resolve_results(self: Rc<Self>) {
+        while self.is_open.get() {
+            let results = self.board.next_results().await;
+            let mut pending = self.pending.borrow_mut();
+            for result in results {
+                if let Some(waiting) = pending.remove(&result.number) {
+                    // The call may have been given up just now.
+                    let _ = waiting.send(result.outcome);
+                }
+            }
+        }
+    }
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -45,6 +45,7 @@
 pub use peer_service::PeerHeartbeat;
 pub use peer_service::PeerReply;
 pub use peer_service::SlotRequest;
+pub(crate) use peer_transport::peer_transport;
 pub use response_limits::ResponseLimits;
 pub use server_connections::ReusePolicy;
 pub use server_connections::ServerConnections;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,9 +8,10 @@
 //!
 //! State of the daemon is grouped into modules by its lifetime: [`request`],
 //! [`connection`], [`version`], [`process`] and [`wave`]. [`job`] and [`workflow`]
-//! run jobs on workers, [`operator`] has the operators' interfaces, [`provider`]
+//! run jobs on workers, [`carrier`] makes calls to them for other hosts, [`operator`] has the operators' interfaces, [`provider`]
 //! calls the platform and [`standin`] simulates it.
 
+pub mod carrier;
 pub mod connection;
 pub mod error;
 pub mod finding;
--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -29,6 +29,7 @@
 use crate::workflow::RefusedRow;
 use crate::workflow::RefusedRows;
 use crate::workflow::SilentWorkers;
+use crate::workflow::WorkerGateway;
 use crate::workflow::COMMANDS_KEY;
 
 /// Key prefix of the progress rows, one for each job.
@@ -54,8 +55,9 @@
 const COUNT_INTERVAL_MS: u64 = 250;
 
 /// Commits the changes of one term of the controller.
-pub(crate) struct Committer<P> {
+pub(crate) struct Committer<P, G> {
     platform: Rc<P>,
+    gateway: Rc<G>,
     term: Rc<ControllerTerm>,
     freshness: Rc<CountFreshness>,
     backlogs: Rc<BacklogView>,
@@ -73,9 +75,9 @@
     refused_rows: RefusedRows,
 }
 
-impl<P: FleetPlatform> Committer<P> {
+impl<P: FleetPlatform, G: WorkerGateway + 'static> Committer<P, G> {
     pub(crate) fn new(
-        platform: Rc<P>,
+        (platform, gateway): (Rc<P>, Rc<G>),
         term: Rc<ControllerTerm>,
         freshness: Rc<CountFreshness>,
         backlogs: Rc<BacklogView>,
@@ -84,6 +86,7 @@
         let organisations = OrganisationMonitor::new(Rc::clone(&term.metrics));
         Self {
             platform,
+            gateway,
             term,
             freshness,
             backlogs,
@@ -313,8 +316,8 @@
         for effect in effects {
             match effect {
                 CommitEffect::Start(task, run) => {
-                    let platform = Rc::clone(&self.platform);
-                    monoio::spawn(send_start(platform, Rc::clone(&self.term), task, run));
+                    let gateway = Rc::clone(&self.gateway);
+                    monoio::spawn(send_start(gateway, Rc::clone(&self.term), task, run));
                 }
                 CommitEffect::Acknowledge(worker, start, last_end, _) => {
                     let mut engine = self.term.engine.borrow_mut();
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +15,11 @@
 use monoio::time::sleep;
 use monoio::time::timeout;
 use monoio::time::Instant;
+use tokio::sync::watch;
 
+use crate::carrier::CarriedGateway;
+use crate::carrier::CarrierPool;
+use crate::carrier::HolderAddress;
 use crate::id::Revision;
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
@@ -29,6 +34,7 @@
 use crate::workflow::job_archiver::JobArchiver;
 use crate::workflow::job_key::parse_job_key;
 use crate::workflow::job_key::JOB_TABLE;
+use crate::workflow::leader_record::read_record;
 use crate::workflow::manage_hosts;
 use crate::workflow::planner_loop::run_planner;
 use crate::workflow::BacklogView;
@@ -73,6 +79,15 @@
     shutdown: ShutdownSignal,
     resources: HostResources,
     row_limit: RowLimit,
+    carriers: Option<CarrierAccess>,
+}
+
+/// The carriers of this process while it holds the lease, and what makes it a carrier of another holder.
+struct CarrierAccess {
+    pool: Rc<CarrierPool>,
+    /// Where this process takes carriers.
+    address: SocketAddr,
+    holder: watch::Sender<Option<HolderAddress>>,
 }
 
 /// An answered read of the leader row.
@@ -102,9 +117,26 @@
             shutdown,
             resources: HostResources::default(),
             row_limit: RowLimit::default(),
+            carriers: None,
         }
     }
 
+    /// Makes calls to workers through the carriers of `pool`, which connect at `address`, and tells `holder`
+    /// which other process to serve as a carrier.
+    pub fn with_carriers(
+        mut self,
+        pool: Rc<CarrierPool>,
+        address: SocketAddr,
+        holder: watch::Sender<Option<HolderAddress>>,
+    ) -> Self {
+        self.carriers = Some(CarrierAccess {
+            pool,
+            address,
+            holder,
+        });
+        self
+    }
+
     /// Sets the limit on the rows of the table.
     pub fn with_row_limit(mut self, limit: RowLimit) -> Self {
         self.row_limit = limit;
@@ -133,6 +165,7 @@
                 let row = read.row.as_ref();
                 self.counts.record_read(row, read.sent_ms);
                 self.backlogs.record_read(row, read.sent_ms);
+                self.serve_holder(row);
                 let now_ms = boot_ms();
                 let read_ms = now_ms.saturating_sub(read.sent_ms);
                 if monitor.may_claim(row, &self.name, read_ms, now_ms) {
@@ -175,8 +208,30 @@
         None
     }
 
+    /// Serves the holder in the leader row as a carrier, or none.
+    fn serve_holder(&self, row: Option<&TableRow>) {
+        let Some(carriers) = &self.carriers else {
+            return;
+        };
+        let record = row.and_then(read_record);
+        let record = record.filter(|record| !record.released && record.holder != self.name);
+        let holder = record.and_then(|record| {
+            let epoch = record.epoch;
+            record
+                .carriers
+                .map(|address| HolderAddress { epoch, address })
+        });
+        carriers.holder.send_if_modified(|current| {
+            let is_changed = *current != holder;
+            *current = holder;
+            is_changed
+        });
+    }
+
     async fn claim(&self, row: Option<&TableRow>) {
-        let lease = LeaderLease::claim(self.platform.as_ref(), row, &self.name).await;
+        let address = self.carriers.as_ref().map(|carriers| carriers.address);
+        let platform = self.platform.as_ref();
+        let lease = LeaderLease::claim_with_carriers(platform, row, &self.name, address).await;
         if let Some(mut lease) = lease {
             log::info!(
                 "event=lease_gained epoch={} processor_millis={:?} link_mbps={:?}",
@@ -185,7 +240,15 @@
                 self.resources.link_mbps
             );
             lease.set_processor_millis(self.resources.processor_millis().unwrap_or_default());
+            let pool = self.carriers.as_ref().map(|carriers| &carriers.pool);
+            if let Some(pool) = pool {
+                self.serve_holder(None);
+                pool.open();
+            }
             self.run_term(lease).await;
+            if let Some(pool) = pool {
+                pool.close();
+            }
         }
     }
 
@@ -222,9 +285,16 @@
             Rc::clone(&term),
             job_revision,
         ));
-        monoio::spawn(watch_workers(Rc::clone(&self.platform), Rc::clone(&term)));
-        monoio::spawn(run_planner(
+        let pool = self.carriers.as_ref().map(|carriers| &carriers.pool);
+        let gateway = CarriedGateway::new(Rc::clone(&self.platform)).with_carriers(pool.cloned());
+        let gateway = Rc::new(gateway);
+        monoio::spawn(watch_workers(
             Rc::clone(&self.platform),
+            Rc::clone(&gateway),
+            Rc::clone(&term),
+        ));
+        monoio::spawn(run_planner(
+            Rc::clone(&gateway),
             Rc::clone(&term),
             Rc::clone(&self.view),
         ));
@@ -237,7 +307,7 @@
         let archiver = JobArchiver::new(Rc::clone(&self.platform), Rc::clone(&term));
         monoio::spawn(archiver.run());
         let mut committer = Committer::new(
-            Rc::clone(&self.platform),
+            (Rc::clone(&self.platform), gateway),
             Rc::clone(&term),
             Rc::clone(&self.counts),
             Rc::clone(&self.backlogs),
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -7,6 +7,7 @@
 use monoio::time::sleep;
 use serde_json::Value;
 
+use crate::carrier::CarriedGateway;
 use crate::error::Result;
 use crate::id::JobId;
 use crate::id::Revision;
@@ -152,7 +153,11 @@
 
 /// Watches the list of workers until the term ends, and starts to maintain the lease of each worker
 /// that is new or listed again.
-pub(crate) async fn watch_workers<P: FleetPlatform>(platform: Rc<P>, term: Rc<ControllerTerm>) {
+pub(crate) async fn watch_workers<P: FleetPlatform>(
+    platform: Rc<P>,
+    gateway: Rc<CarriedGateway<P>>,
+    term: Rc<ControllerTerm>,
+) {
     let mut since = Revision::new(0);
     let mut wait = FeedWait::new();
     while term.is_active() {
@@ -166,10 +171,11 @@
         since = revision;
         apply_workers(&term, changes, is_full_list);
         term.record_worker_list();
+        gateway.update(&term.engine.borrow().workers, term.lag.average());
         for id in term.engine.borrow().workers.keys() {
             if term.begin_maintenance(id) {
-                let (platform, term) = (Rc::clone(&platform), Rc::clone(&term));
-                monoio::spawn(maintain_worker_lease(platform, term, id.clone()));
+                let (gateway, term) = (Rc::clone(&gateway), Rc::clone(&term));
+                monoio::spawn(maintain_worker_lease(gateway, term, id.clone()));
             }
         }
         term.plan.notify_one();
--- a/src/workflow/gateway.rs
+++ b/src/workflow/gateway.rs
@@ -4,6 +4,9 @@
 use std::future::Future;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::error::Result;
 use crate::id::HostId;
 use crate::id::Revision;
@@ -93,7 +96,7 @@
 }
 
 /// Command to a worker to start a task.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StartCommand {
     /// The task to start.
     pub task: TaskName,
@@ -110,7 +113,7 @@
 }
 
 /// Outcome of a command to a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum CommandOutcome {
     /// Executed. Contains the worker's clock, in ms.
     Accepted(u64),
@@ -135,7 +138,7 @@
 }
 
 /// Why a worker refused a command.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CommandRefusal {
     /// The worker has received a higher epoch.
     Fenced,
@@ -166,7 +169,7 @@
 }
 
 /// Outcome of a lease renewal.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum RenewalOutcome {
     /// The lease is renewed.
     Report(WorkerReport),
@@ -252,7 +255,7 @@
 }
 
 /// A renewal of a worker's lease.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseRenewal {
     /// Epoch of the controller's lease, the fencing token.
     pub epoch: u64,
--- a/src/workflow/held_end.rs
+++ b/src/workflow/held_end.rs
@@ -1,11 +1,14 @@
 //! A run end that follows one that can't be decoded, in a worker's report.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::workflow::TaskEnd;
 use crate::workflow::TaskName;
 
 /// A run end that can't be decoded, or one that is listed after it. An acknowledgement covers all ends
 /// before it, so such ends are acknowledged only once it is known that nothing is lost with the former.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum HeldEnd {
     /// An end that was decoded.
     Readable(TaskEnd),
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -1,5 +1,6 @@
 //! The controller's lease and the commits that only its holder can make.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -83,6 +84,16 @@
         table: &T,
         current: Option<&TableRow>,
         holder: &str,
+    ) -> Option<Self> {
+        Self::claim_with_carriers(table, current, holder, None).await
+    }
+
+    /// Like [`LeaderLease::claim`], and states where the holder takes carriers.
+    pub async fn claim_with_carriers<T: TableService>(
+        table: &T,
+        current: Option<&TableRow>,
+        holder: &str,
+        carriers: Option<SocketAddr>,
     ) -> Option<Self> {
         let mut previous = match current {
             Some(row) => read_record(row).unwrap_or_else(|| unknown_record(row)),
@@ -92,6 +103,7 @@
             epoch: previous.epoch + 1,
             holder: holder.to_owned(),
             inherited_ms: previous.unobserved_ms(),
+            carriers,
             ..LeaderRecord::default()
         };
         let revision = current.map_or(Revision::new(0), |row| row.revision);
--- a/src/workflow/leader_record.rs
+++ b/src/workflow/leader_record.rs
@@ -1,5 +1,7 @@
 //! The leader row, which names the holder of the controller's lease.
 
+use std::net::SocketAddr;
+
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Deserializer;
@@ -41,6 +43,13 @@
     /// The processor time of the holder's entry host, in millicores; 0 if unknown.
     #[serde(default, deserialize_with = "decode_statement")]
     pub processor_millis: u64,
+    /// Where the holder takes carriers; none if it makes all calls to workers itself.
+    #[serde(
+        default,
+        deserialize_with = "decode_statement",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub carriers: Option<SocketAddr>,
     /// The backlogs of queues, as of this commit.
     #[serde(
         default,
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -12,10 +12,10 @@
 use crate::workflow::send_stop;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CrashCounts;
-use crate::workflow::FleetPlatform;
 use crate::workflow::FleetView;
 use crate::workflow::JobEngine;
 use crate::workflow::StopRequest;
+use crate::workflow::WorkerGateway;
 
 /// Time after which a pass runs without a notification.
 const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -40,8 +40,8 @@
 const MAX_LISTED_SUSPECTS: usize = 50;
 
 /// Runs placement passes until the term ends.
-pub(crate) async fn run_planner<P: FleetPlatform>(
-    platform: Rc<P>,
+pub(crate) async fn run_planner<G: WorkerGateway + 'static>(
+    gateway: Rc<G>,
     term: Rc<ControllerTerm>,
     view: Rc<FleetView>,
 ) {
@@ -56,7 +56,7 @@
         }
         let started = Instant::now();
         for stop in run_pass(&term, &view, &mut expired_ms) {
-            monoio::spawn(send_stop(Rc::clone(&platform), Rc::clone(&term), stop));
+            monoio::spawn(send_stop(Rc::clone(&gateway), Rc::clone(&term), stop));
         }
         term.wake_due_workers();
         let pause = started.elapsed() * PAUSE_FACTOR;
--- a/src/workflow/task_name.rs
+++ b/src/workflow/task_name.rs
@@ -3,11 +3,14 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::id::JobId;
 use crate::id::NameError;
 
 /// Identifies a task by its job, occurrence, step and index within the step.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TaskName {
     /// The id of the job that the task belongs to.
     pub job: JobId,
--- a/src/workflow/worker_entry.rs
+++ b/src/workflow/worker_entry.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::id::DataCentreId;
 use crate::id::IncarnationStart;
 use crate::id::ServiceId;
@@ -50,7 +53,7 @@
 }
 
 /// A running task in a worker's report.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RunningTask {
     /// The task's name.
     pub task: TaskName,
@@ -65,7 +68,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum EndKind {
     /// The run completed successfully.
     Done,
@@ -82,7 +85,7 @@
 }
 
 /// The end of a run, reported until it is acknowledged.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TaskEnd {
     /// The sequence number among the worker's ends, from 1.
     pub number: u64,
@@ -97,7 +100,7 @@
 }
 
 /// A worker's answer to a lease renewal: its running tasks and the ended runs.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct WorkerReport {
     /// When the incarnation that answers started; `None` if the worker does not say.
     pub incarnation_start: Option<IncarnationStart>,
