Stop using a carrier that returns nothing for a while

Cause: a paused or overloaded carrier kept its workers' calls, each of which waited 0.9 s, and the first carrier of a term got the calls of all data centres.

Change: three orders in a row without an outcome suspend a carrier for 3 s; an order that a carrier doesn't take is offered to the next; calls wait only for carriers of their own data centre.

--- a/src/carrier/carrier_plan.rs
+++ b/src/carrier/carrier_plan.rs
@@ -60,9 +60,9 @@
         self.all.iter().any(|used| used == name)
     }
 
-    /// Returns whether there is no carrier.
-    pub fn is_empty(&self) -> bool {
-        self.all.is_empty()
+    /// Returns whether a data centre has carriers of its own.
+    pub fn covers(&self, data_centre: &DataCentreId) -> bool {
+        self.carriers.contains_key(data_centre)
     }
 
     /// Returns the carrier for a worker's call, or `None` without any. After each failure the next of the
--- a/src/carrier/carrier_pool.rs
+++ b/src/carrier/carrier_pool.rs
@@ -27,13 +27,26 @@
 /// How often the carriers in use are chosen anew.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How much longer than its own wait a call may take through a carrier: the limits of a direct call, two
-/// messages with their windows, and a late holder.
-const CARRIER_MARGIN: Duration = Duration::from_millis(900);
+/// How much longer than its own wait a call may take through a carrier: the limit of a direct call (400 ms) and
+/// two messages with their windows. A late holder allows for its lag as well.
+const CARRIER_MARGIN: Duration = Duration::from_millis(550);
+
+/// The multiple of the holder's lag that a call may take in addition: its order and its result each wait behind
+/// other work of the holder.
+const LAG_FACTOR: u32 = 4;
 
 /// For how long a new holder leaves its calls to carriers that are about to connect: each host reads the leader
 /// row every 300 ms.
-const JOIN_TIME_MS: u64 = 800;
+const JOIN_TIME_MS: u64 = 500;
+
+/// Calls without any outcome in a row after which a carrier is not used for [`SUSPENSION_MS`].
+const MAX_UNANSWERED: u32 = 3;
+
+/// Time for which a carrier that returned nothing is not used, in ms.
+const SUSPENSION_MS: u64 = 3_000;
+
+/// The limit on carriers to which an order is offered before the holder makes the call itself.
+const MAX_OFFERS: usize = 3;
 
 /// How often a call that waits for the first carriers looks for them.
 const JOIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -61,6 +74,9 @@
     pending: RefCell<HashMap<u64, oneshot::Sender<CallOutcome>>>,
     /// The calls of a worker that failed in a row.
     failures: RefCell<HashMap<WorkerId, usize>>,
+    /// The orders of a carrier in a row that it returned nothing for, and when the last one was given up, in ms.
+    unanswered: RefCell<HashMap<String, (u32, u64)>>,
+    lag: Cell<Duration>,
     next_number: Cell<u64>,
     opened_ms: Cell<u64>,
     is_open: Cell<bool>,
@@ -77,6 +93,8 @@
             fleet: RefCell::default(),
             pending: RefCell::default(),
             failures: RefCell::default(),
+            unanswered: RefCell::default(),
+            lag: Cell::default(),
             next_number: Cell::new(1),
             opened_ms: Cell::new(0),
             is_open: Cell::new(false),
@@ -88,6 +106,7 @@
         self.opened_ms.set(boot_ms());
         self.fleet.borrow_mut().clear();
         self.failures.borrow_mut().clear();
+        self.unanswered.borrow_mut().clear();
         self.board.open();
         if !self.is_open.replace(true) {
             monoio::spawn(Rc::clone(self).resolve_results());
@@ -114,6 +133,7 @@
 
     /// Tells carriers how late the holder is, so that messages are fewer and larger.
     pub(crate) fn set_lag(&self, lag: Duration) {
+        self.lag.set(lag);
         self.board.set_lag(lag);
     }
 
@@ -127,8 +147,8 @@
         if !self.needs_carriers() {
             return CarriedCall::NotHandedOut;
         }
-        self.wait_for_carriers().await;
-        let wait = call.wait() + CARRIER_MARGIN;
+        self.wait_for_carriers(&worker.data_centre).await;
+        let wait = call.wait() + CARRIER_MARGIN + self.lag.get() * LAG_FACTOR;
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         let order = CallOrder {
@@ -136,25 +156,23 @@
             target: WorkerTarget::from(worker),
             call,
         };
-        let Some(carrier) = self.carrier_of(worker) else {
-            return CarriedCall::NotHandedOut;
-        };
         let (sender, outcome) = oneshot::channel();
         self.pending.borrow_mut().insert(number, sender);
-        if self.board.submit(&carrier, order).is_err() {
+        let Some(carrier) = self.hand_out(worker, order) else {
             self.pending.borrow_mut().remove(&number);
-            self.record_failure(&worker.id);
             return CarriedCall::NotHandedOut;
-        }
+        };
         let answered = timeout(wait, outcome).await;
         self.pending.borrow_mut().remove(&number);
         let Ok(Ok(outcome)) = answered else {
             self.record_failure(&worker.id);
+            self.record_unanswered(&carrier);
             return match self.board.withdraw(&carrier, number) {
                 true => CarriedCall::NotHandedOut,
                 false => CarriedCall::Unanswered,
             };
         };
+        self.unanswered.borrow_mut().remove(&carrier);
         match outcome.is_answer() {
             true => drop(self.failures.borrow_mut().remove(&worker.id)),
             false => self.record_failure(&worker.id),
@@ -162,6 +180,19 @@
         CarriedCall::Done(outcome)
     }
 
+    /// Offers an order to the worker's carriers in turn. Returns the one that has it.
+    fn hand_out(&self, worker: &WorkerEntry, mut order: CallOrder) -> Option<String> {
+        for _ in 0..MAX_OFFERS {
+            let carrier = self.carrier_of(worker)?;
+            match self.board.submit(&carrier, order) {
+                Ok(()) => return Some(carrier),
+                Err(refused) => order = refused,
+            }
+            self.record_failure(&worker.id);
+        }
+        None
+    }
+
     fn carrier_of(&self, worker: &WorkerEntry) -> Option<String> {
         let failures = self.failures.borrow().get(&worker.id).copied();
         let plan = self.plan.borrow();
@@ -173,14 +204,36 @@
         carrier.map(str::to_owned)
     }
 
+    /// Records that a carrier returned nothing for an order. After some in a row, others are used.
+    fn record_unanswered(&self, carrier: &str) {
+        let now_ms = boot_ms();
+        let mut unanswered = self.unanswered.borrow_mut();
+        let (count, last_ms) = unanswered.entry(carrier.to_owned()).or_default();
+        *count += 1;
+        *last_ms = now_ms;
+        if *count == MAX_UNANSWERED {
+            log::warn!("event=carrier_suspended carrier={carrier} unanswered={count}");
+            drop(unanswered);
+            self.choose_carriers();
+        }
+    }
+
+    fn is_suspended(&self, carrier: &str) -> bool {
+        let unanswered = self.unanswered.borrow();
+        unanswered.get(carrier).is_some_and(|(count, last_ms)| {
+            *count >= MAX_UNANSWERED && boot_ms() < last_ms + SUSPENSION_MS
+        })
+    }
+
     fn record_failure(&self, worker: &WorkerId) {
         let mut failures = self.failures.borrow_mut();
         *failures.entry(worker.clone()).or_default() += 1;
     }
 
-    /// Waits for the first carriers of a term, as long as they may be about to connect.
-    async fn wait_for_carriers(&self) {
-        while self.plan.borrow().is_empty() && boot_ms() < self.opened_ms.get() + JOIN_TIME_MS {
+    /// Waits for the first carriers of a data centre, as long as they may be about to connect.
+    async fn wait_for_carriers(&self, data_centre: &DataCentreId) {
+        let joining_until_ms = self.opened_ms.get() + JOIN_TIME_MS;
+        while !self.plan.borrow().covers(data_centre) && boot_ms() < joining_until_ms {
             sleep(JOIN_POLL_INTERVAL).await;
             self.choose_carriers();
         }
@@ -190,7 +243,9 @@
         if !self.needs_carriers() {
             return;
         }
-        let plan = CarrierPlan::new(&self.board.offers(), &self.fleet.borrow());
+        let mut offers = self.board.offers();
+        offers.retain(|offer| !self.is_suspended(&offer.name));
+        let plan = CarrierPlan::new(&offers, &self.fleet.borrow());
         self.board.set_used(|name| plan.uses(name));
         self.plan.replace(plan);
     }
