Choose carriers by what they can carry, and none for a fleet that the holder can call itself

Change: a host carries workers by its processor time, the strongest first, and a holder calls up to 800 workers a core itself. After the carriers of a data centre, the holder is the last turn of a worker's calls.

--- a/src/carrier/carrier_plan.rs
+++ b/src/carrier/carrier_plan.rs
@@ -15,12 +15,12 @@
 use crate::id::DataCentreId;
 use crate::id::WorkerId;
 
-/// Workers for each carrier, so that a batch of a peak second has several calls.
-const WORKERS_PER_CARRIER: usize = 64;
+/// Workers that a carrier with a whole core carries. At a peak, a worker gets some ten calls a second of about
+/// 0.1 ms each, and callers need part of the processor as well.
+const WORKERS_PER_CORE: u64 = 512;
 
-/// Carriers that a data centre with workers has at least, as far as there are hosts: after the loss of one, the
-/// other goes on without a change of connections.
-const MIN_CARRIERS: usize = 2;
+/// The fewest workers of a carrier, so that a batch of a peak second has several calls.
+const MIN_WORKERS: usize = 48;
 
 /// The carriers in use, by data centre.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,7 +36,6 @@
     pub fn new(offers: &[CarrierOffer], workers: &BTreeMap<DataCentreId, usize>) -> Self {
         let mut plan = Self::default();
         for (data_centre, workers) in workers {
-            let wanted = workers.div_ceil(WORKERS_PER_CARRIER).max(MIN_CARRIERS);
             let mut local: Vec<_> = offers
                 .iter()
                 .filter(|offer| offer.data_centre == *data_centre)
@@ -45,8 +44,15 @@
                 let strength = (offer.processor_millis, offer.link_kbps);
                 (Reverse(strength), offer.name.clone())
             });
-            let names = local.into_iter().take(wanted);
-            let names: Vec<_> = names.map(|offer| offer.name.clone()).collect();
+            let mut left = *workers;
+            let mut names = Vec::new();
+            for offer in local {
+                if left == 0 {
+                    break;
+                }
+                left = left.saturating_sub(carried_workers(offer));
+                names.push(offer.name.clone());
+            }
             plan.all.extend(names.iter().cloned());
             if !names.is_empty() {
                 plan.carriers.insert(data_centre.clone(), names);
@@ -65,8 +71,9 @@
         self.carriers.contains_key(data_centre)
     }
 
-    /// Returns the carrier for a worker's call, or `None` without any. After each failure the next of the
-    /// worker's carriers is used, so that one that is cut off from the worker doesn't keep its calls.
+    /// Returns the carrier for a worker's call, or `None` if the holder makes it itself. After each failure the
+    /// next of the worker's carriers is used, and then the holder, so that a carrier that is cut off from the
+    /// worker doesn't keep its calls.
     pub fn carrier_for(
         &self,
         worker: &WorkerId,
@@ -74,17 +81,23 @@
         failures: usize,
     ) -> Option<&str> {
         let names = self.carriers.get(data_centre).unwrap_or(&self.all);
-        if names.is_empty() {
-            return None;
-        }
         let mut ranked: Vec<_> = names.iter().collect();
         ranked.sort_by_key(|name| rank(worker, name));
-        ranked
-            .get(failures % ranked.len())
-            .map(|name| name.as_str())
+        let turn = failures % (ranked.len() + 1);
+        ranked.get(turn).map(|name| name.as_str())
     }
 }
 
+/// Returns how many workers a carrier is to carry. Unknown processor time counts as a whole core.
+fn carried_workers(offer: &CarrierOffer) -> usize {
+    let millis = match offer.processor_millis {
+        0 => 1_000,
+        millis => millis,
+    };
+    let workers = (millis * WORKERS_PER_CORE / 1_000) as usize;
+    workers.max(MIN_WORKERS)
+}
+
 /// Returns the worker's order of preference of a carrier (rendezvous hashing, Thaler and Ravishankar 1998): a
 /// carrier that comes or goes changes that of few workers.
 fn rank(worker: &WorkerId, carrier: &str) -> u64 {
--- a/src/carrier/carrier_pool.rs
+++ b/src/carrier/carrier_pool.rs
@@ -51,8 +51,9 @@
 /// How often a call that waits for the first carriers looks for them.
 const JOIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Workers that a holder calls itself, for each core of its processor time.
-const OWN_WORKERS_PER_CORE: u64 = 200;
+/// Workers that a holder calls itself, for each core of its processor time: below that, calls of its own cost it
+/// no more than messages to carriers.
+const OWN_WORKERS_PER_CORE: u64 = 800;
 
 /// The outcome of handing a call to a carrier.
 #[derive(Debug)]
