--- a/src/carrier/call_order.rs
+++ b/src/carrier/call_order.rs
@@ -15,8 +15,10 @@
 /// A call to a worker that a carrier is to make.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CallOrder {
-    /// Numbers the orders of a holder's process.
+    /// The order's number. Those of two epochs differ.
     pub number: u64,
+    /// How long the order waited before it was handed out, in ms.
+    pub age_ms: u64,
     /// The worker to call.
     pub target: WorkerTarget,
     /// What to send.
--- a/src/carrier/carried_gateway.rs
+++ b/src/carrier/carried_gateway.rs
@@ -71,6 +71,7 @@
 fn command_outcome(carried: CarriedCall) -> CommandOutcome {
     match carried {
         CarriedCall::Done(CallOutcome::Command(outcome)) => outcome,
+        CarriedCall::NotSent => CommandOutcome::NotSent("no carrier took it in time".to_owned()),
         _ => CommandOutcome::Unknown("no answer of the carrier".to_owned()),
     }
 }
--- a/src/carrier/carrier_board.rs
+++ b/src/carrier/carrier_board.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::carrier::call_order::SentResult;
+use crate::carrier::carrier_runner::unsent_outcome;
 use crate::carrier::carrier_seat::CarrierSeat;
 use crate::carrier::CallOrder;
 use crate::carrier::CallResult;
@@ -51,6 +52,8 @@
     state: Mutex<BoardState>,
     /// Wakes the thread that decides.
     delivered: Notify,
+    /// Wakes the requests of carriers that came before this process held the lease.
+    opened: Notify,
 }
 
 impl CarrierBoard {
@@ -64,6 +67,8 @@
         let mut state = self.lock();
         state.is_holder = true;
         state.window_ms = BATCH_WINDOW_MS;
+        drop(state);
+        self.opened.notify_waiters();
     }
 
     /// Drops all orders that were not handed out, at the end of a term.
@@ -118,10 +123,22 @@
             return false;
         };
         let count = seat.queue.len();
-        seat.queue.retain(|order| order.number != number);
+        seat.queue.retain(|(_, order)| order.number != number);
         seat.queue.len() < count
     }
 
+    /// Returns whether a carrier has delivered results since `since_ms`.
+    pub fn has_delivered_since(&self, carrier: &str, since_ms: u64) -> bool {
+        let state = self.lock();
+        let seat = state.seats.get(carrier);
+        seat.is_some_and(|seat| seat.delivered_ms >= since_ms)
+    }
+
+    /// Takes the results that were delivered so far.
+    pub fn take_results(&self) -> Vec<CallResult> {
+        std::mem::take(&mut self.lock().results)
+    }
+
     /// Waits for results and takes them; there are none once the board is closed.
     pub async fn next_results(&self) -> Vec<CallResult> {
         loop {
@@ -141,6 +158,8 @@
         let began_ms = boot_ms();
         let name = offer.name.clone();
         let Some((queued, max_wait)) = self.begin_take(offer, session) else {
+            // A host that claims the lease soon finds its carriers waiting.
+            let _ = timeout(MAX_IDLE_WAIT, self.opened.notified()).await;
             return OrderBatch::default();
         };
         // A request is dropped without an answer if its connection breaks.
@@ -163,8 +182,14 @@
         let Some(seat) = current.filter(|seat| seat.session == session) else {
             return OrderBatch::default();
         };
+        let (orders, expired) = seat.take(MAX_BATCH_BYTES, boot_ms());
+        if !expired.is_empty() {
+            let unsent = expired.into_iter().map(unsent_result);
+            state.results.extend(unsent);
+            self.delivered.notify_one();
+        }
         OrderBatch {
-            orders: seat.take(MAX_BATCH_BYTES),
+            orders,
             held_ms: boot_ms().saturating_sub(began_ms),
             window_ms,
             is_holder,
@@ -215,6 +240,7 @@
         let Some(seat) = current.filter(|seat| seat.session == session) else {
             return false;
         };
+        seat.delivered_ms = boot_ms();
         let decoded = results.into_iter().map(|sent| seat.memory.decode(sent));
         state.results.extend(decoded);
         self.delivered.notify_one();
@@ -240,6 +266,14 @@
     }
 }
 
+/// Returns the result of an order that was not handed out in time.
+fn unsent_result(order: CallOrder) -> CallResult {
+    CallResult {
+        number: order.number,
+        outcome: unsent_outcome(&order.call, "the order is too old".to_owned()),
+    }
+}
+
 /// A carrier's request that waits for orders.
 struct WaitingTake<'a> {
     board: &'a CarrierBoard,
--- a/src/carrier/carrier_link.rs
+++ b/src/carrier/carrier_link.rs
@@ -29,6 +29,12 @@
 /// The limit on the time for an answer: the holder keeps a request for orders for 3 s, and may be late.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The same while calls go through this carrier: a connection may fall silent without an error.
+const USED_TIMEOUT: Duration = Duration::from_millis(1_800);
+
+/// The limit on the time for which results are held back, in ms, whatever the holder says.
+const MAX_WINDOW_MS: u64 = 200;
+
 /// The pause before the next connection.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -121,21 +127,27 @@
     batches: &mpsc::Sender<ReceivedBatch>,
     (holder, window_ms): (HolderAddress, &AtomicU64),
 ) {
+    let mut is_used = false;
     loop {
         let sent_ms = boot_ms();
-        let taken = client.take(call_context(), offer.clone(), session).await;
+        let context = call_context(match is_used {
+            true => USED_TIMEOUT,
+            false => CALL_TIMEOUT,
+        });
+        let taken = client.take(context, offer.clone(), session).await;
         let Ok(batch) = taken else {
             return;
         };
         if !batch.is_holder {
             return;
         }
-        window_ms.store(batch.window_ms, Ordering::Relaxed);
+        window_ms.store(batch.window_ms.min(MAX_WINDOW_MS), Ordering::Relaxed);
+        is_used = !batch.orders.is_empty();
         if batch.orders.is_empty() {
             continue;
         }
         // The holder handed the orders out this long after the request was sent, or later.
-        let handed_out_ms = sent_ms + batch.held_ms;
+        let handed_out_ms = sent_ms.saturating_add(batch.held_ms).min(boot_ms());
         let received = ReceivedBatch {
             epoch: holder.epoch,
             orders: batch.orders,
@@ -174,15 +186,15 @@
         if sent.is_empty() {
             continue;
         }
-        let delivered = client.deliver(call_context(), name.to_owned(), session, sent);
+        let delivered = client.deliver(call_context(USED_TIMEOUT), name.to_owned(), session, sent);
         if !matches!(delivered.await, Ok(true)) {
             return;
         }
     }
 }
 
-fn call_context() -> Context {
+fn call_context(timeout: Duration) -> Context {
     let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + CALL_TIMEOUT;
+    context.deadline = Instant::now() + timeout;
     context
 }
--- a/src/carrier/carrier_plan.rs
+++ b/src/carrier/carrier_plan.rs
@@ -71,19 +71,19 @@
         self.carriers.contains_key(data_centre)
     }
 
-    /// Returns the carrier for a worker's call, or `None` if the holder makes it itself. After each failure the
-    /// next of the worker's carriers is used, and then the holder, so that a carrier that is cut off from the
-    /// worker doesn't keep its calls.
+    /// Returns the carrier for a worker's call at a turn, or `None` if the holder makes it itself: the turns go
+    /// through the worker's carriers and then the holder, so that a carrier that is cut off from the worker
+    /// doesn't keep its calls.
     pub fn carrier_for(
         &self,
         worker: &WorkerId,
         data_centre: &DataCentreId,
-        failures: usize,
+        turn: usize,
     ) -> Option<&str> {
         let names = self.carriers.get(data_centre).unwrap_or(&self.all);
         let mut ranked: Vec<_> = names.iter().collect();
         ranked.sort_by_key(|name| rank(worker, name));
-        let turn = failures % (ranked.len() + 1);
+        let turn = turn % (ranked.len() + 1);
         ranked.get(turn).map(|name| name.as_str())
     }
 }
@@ -94,7 +94,7 @@
         0 => 1_000,
         millis => millis,
     };
-    let workers = (millis * WORKERS_PER_CORE / 1_000) as usize;
+    let workers = (millis.saturating_mul(WORKERS_PER_CORE) / 1_000) as usize;
     workers.max(MIN_WORKERS)
 }
 
--- a/src/carrier/carrier_pool.rs
+++ b/src/carrier/carrier_pool.rs
@@ -14,6 +14,7 @@
 
 use crate::carrier::CallOrder;
 use crate::carrier::CallOutcome;
+use crate::carrier::CallResult;
 use crate::carrier::CarrierBoard;
 use crate::carrier::CarrierPlan;
 use crate::carrier::WorkerCall;
@@ -55,6 +56,15 @@
 /// no more than messages to carriers.
 const OWN_WORKERS_PER_CORE: u64 = 800;
 
+/// Time after which a worker's calls go back to its preferred carrier, in ms.
+const TURN_MS: u64 = 3_000;
+
+/// The limit on the time that a call may take because the holder is late.
+const MAX_LAG_ALLOWANCE: Duration = Duration::from_millis(500);
+
+/// The bits of an order's number below its epoch.
+const EPOCH_SHIFT: u32 = 32;
+
 /// The outcome of handing a call to a carrier.
 #[derive(Debug)]
 pub(crate) enum CarriedCall {
@@ -62,6 +72,8 @@
     Done(CallOutcome),
     /// No carrier was handed the call.
     NotHandedOut,
+    /// The call was certainly not sent, and is too old to be sent now.
+    NotSent,
     /// The carrier returned nothing in time.
     Unanswered,
 }
@@ -73,8 +85,8 @@
     plan: RefCell<CarrierPlan>,
     fleet: RefCell<BTreeMap<DataCentreId, usize>>,
     pending: RefCell<HashMap<u64, oneshot::Sender<CallOutcome>>>,
-    /// The calls of a worker that failed in a row.
-    failures: RefCell<HashMap<WorkerId, usize>>,
+    /// The turns of workers whose preferred carrier failed, and when they last changed, in ms.
+    turns: RefCell<HashMap<WorkerId, (usize, u64)>>,
     /// The orders of a carrier in a row that it returned nothing for, and when the last one was given up, in ms.
     unanswered: RefCell<HashMap<String, (u32, u64)>>,
     lag: Cell<Duration>,
@@ -93,7 +105,7 @@
             plan: RefCell::default(),
             fleet: RefCell::default(),
             pending: RefCell::default(),
-            failures: RefCell::default(),
+            turns: RefCell::default(),
             unanswered: RefCell::default(),
             lag: Cell::default(),
             next_number: Cell::new(1),
@@ -103,10 +115,11 @@
     }
 
     /// Takes carriers from now on, for a term that begins.
-    pub(crate) fn open(self: &Rc<Self>) {
+    pub(crate) fn open(self: &Rc<Self>, epoch: u64) {
         self.opened_ms.set(boot_ms());
+        self.next_number.set(epoch << EPOCH_SHIFT);
         self.fleet.borrow_mut().clear();
-        self.failures.borrow_mut().clear();
+        self.turns.borrow_mut().clear();
         self.unanswered.borrow_mut().clear();
         self.board.open();
         if !self.is_open.replace(true) {
@@ -149,33 +162,47 @@
             return CarriedCall::NotHandedOut;
         }
         self.wait_for_carriers(&worker.data_centre).await;
-        let wait = call.wait() + CARRIER_MARGIN + self.lag.get() * LAG_FACTOR;
+        if !self.is_open.get() {
+            return CarriedCall::NotSent;
+        }
+        let allowance = (self.lag.get() * LAG_FACTOR).min(MAX_LAG_ALLOWANCE);
+        let wait = call.wait() + CARRIER_MARGIN + allowance;
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         let order = CallOrder {
             number,
             target: WorkerTarget::from(worker),
+            age_ms: 0,
             call,
         };
-        let (sender, outcome) = oneshot::channel();
+        let sent_ms = boot_ms();
+        let (sender, mut outcome) = oneshot::channel();
         self.pending.borrow_mut().insert(number, sender);
         let Some(carrier) = self.hand_out(worker, order) else {
             self.pending.borrow_mut().remove(&number);
             return CarriedCall::NotHandedOut;
         };
-        let answered = timeout(wait, outcome).await;
+        let answered = match timeout(wait, &mut outcome).await {
+            Ok(answered) => answered.ok(),
+            // A process that was late or paused finds the timer before the result.
+            Err(_) => {
+                self.resolve(self.board.take_results());
+                outcome.try_recv().ok()
+            }
+        };
         self.pending.borrow_mut().remove(&number);
-        let Ok(Ok(outcome)) = answered else {
+        let Some(outcome) = answered else {
             self.record_failure(&worker.id);
-            self.record_unanswered(&carrier);
+            if !self.board.has_delivered_since(&carrier, sent_ms) {
+                self.record_unanswered(&carrier);
+            }
             return match self.board.withdraw(&carrier, number) {
-                true => CarriedCall::NotHandedOut,
+                true => CarriedCall::NotSent,
                 false => CarriedCall::Unanswered,
             };
         };
-        self.unanswered.borrow_mut().remove(&carrier);
         match outcome.is_answer() {
-            true => drop(self.failures.borrow_mut().remove(&worker.id)),
+            true => drop(self.unanswered.borrow_mut().remove(&carrier)),
             false => self.record_failure(&worker.id),
         }
         CarriedCall::Done(outcome)
@@ -195,13 +222,9 @@
     }
 
     fn carrier_of(&self, worker: &WorkerEntry) -> Option<String> {
-        let failures = self.failures.borrow().get(&worker.id).copied();
         let plan = self.plan.borrow();
-        let carrier = plan.carrier_for(
-            &worker.id,
-            &worker.data_centre,
-            failures.unwrap_or_default(),
-        );
+        let turn = self.turn_of(&worker.id);
+        let carrier = plan.carrier_for(&worker.id, &worker.data_centre, turn);
         carrier.map(str::to_owned)
     }
 
@@ -226,9 +249,19 @@
         })
     }
 
+    /// Returns the turn at which the worker's last call was answered, or the first one after a while.
+    fn turn_of(&self, worker: &WorkerId) -> usize {
+        let turns = self.turns.borrow();
+        let turn = turns.get(worker);
+        let turn = turn.filter(|(_, changed_ms)| boot_ms() <= changed_ms + TURN_MS);
+        turn.map_or(0, |(turn, _)| *turn)
+    }
+
+    /// Goes on to the worker's next turn.
     fn record_failure(&self, worker: &WorkerId) {
-        let mut failures = self.failures.borrow_mut();
-        *failures.entry(worker.clone()).or_default() += 1;
+        let turn = self.turn_of(worker) + 1;
+        let mut turns = self.turns.borrow_mut();
+        turns.insert(worker.clone(), (turn, boot_ms()));
     }
 
     /// Waits for the first carriers of a data centre, as long as they may be about to connect.
@@ -264,12 +297,16 @@
     async fn resolve_results(self: Rc<Self>) {
         while self.is_open.get() {
             let results = self.board.next_results().await;
-            let mut pending = self.pending.borrow_mut();
-            for result in results {
-                if let Some(waiting) = pending.remove(&result.number) {
-                    // The call may have been given up just now.
-                    let _ = waiting.send(result.outcome);
-                }
+            self.resolve(results);
+        }
+    }
+
+    fn resolve(&self, results: Vec<CallResult>) {
+        let mut pending = self.pending.borrow_mut();
+        for result in results {
+            if let Some(waiting) = pending.remove(&result.number) {
+                // The call may have been given up just now.
+                let _ = waiting.send(result.outcome);
             }
         }
     }
--- a/src/carrier/carrier_runner.rs
+++ b/src/carrier/carrier_runner.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::carrier::carrier_seat::max_age_ms;
 use crate::carrier::CallExecutor;
 use crate::carrier::CallOrder;
 use crate::carrier::CallOutcome;
@@ -13,10 +14,6 @@
 use crate::workflow::CommandOutcome;
 use crate::workflow::RenewalOutcome;
 
-/// The age from which an order is not carried out, in ms: the holder counts a call without an answer as lost
-/// by then. A carrier that was paused sends nothing on a permission that has run out meanwhile.
-const MAX_ORDER_AGE_MS: u64 = 600;
-
 /// Orders as they were received.
 #[derive(Debug)]
 pub(crate) struct ReceivedBatch {
@@ -37,14 +34,21 @@
 
 /// Carries out orders, each beside the others, until the thread that receives them has ended.
 pub async fn run_carrier<E: CallExecutor + 'static>(executor: Rc<E>, channels: CarrierChannels) {
+    let holder = channels.holder_sender();
     let (mut batches, results) = channels.into_parts();
     while let Some(batch) = batches.recv().await {
         for order in batch.orders {
+            let holder = holder.clone();
             let executor = Rc::clone(&executor);
             let results = results.clone();
             let (epoch, handed_out_ms) = (batch.epoch, batch.handed_out_ms);
             monoio::spawn(async move {
-                let outcome = carry_out(executor.as_ref(), &order, handed_out_ms).await;
+                // Orders of a holder that this host knows to be replaced are not carried out.
+                let is_current = holder.borrow().is_some_and(|now| now.epoch == epoch);
+                let outcome = match is_current {
+                    true => carry_out(executor.as_ref(), &order, handed_out_ms).await,
+                    false => unsent_outcome(&order.call, "another holder is known".to_owned()),
+                };
                 let result = RunnerResult {
                     epoch,
                     worker: order.target.id,
@@ -60,14 +64,15 @@
     }
 }
 
-/// Makes a call unless the order is too old.
+/// Makes a call unless the order is too old: a carrier that was paused sends nothing on a permission that has
+/// run out meanwhile.
 async fn carry_out<E: CallExecutor>(
     executor: &E,
     order: &CallOrder,
     handed_out_ms: u64,
 ) -> CallOutcome {
-    let age_ms = boot_ms().saturating_sub(handed_out_ms);
-    if age_ms > MAX_ORDER_AGE_MS {
+    let age_ms = order.age_ms + boot_ms().saturating_sub(handed_out_ms);
+    if age_ms > max_age_ms(&order.call) {
         log::warn!(
             "event=order_expired number={} worker={} age_ms={age_ms}",
             order.number,
--- a/src/carrier/carrier_seat.rs
+++ b/src/carrier/carrier_seat.rs
@@ -8,11 +8,18 @@
 use crate::carrier::CallOrder;
 use crate::carrier::CarrierOffer;
 use crate::carrier::ReportMemory;
+use crate::carrier::WorkerCall;
 
 /// Time without a request after which a carrier counts as away, in ms: its requests wait at the holder, and it
 /// sends the next one within a round trip.
 const MAX_SILENCE_MS: u64 = 400;
 
+/// The age from which a command is not handed out, in ms. Its permission was checked when it was queued.
+pub(crate) const MAX_COMMAND_AGE_MS: u64 = 600;
+
+/// The same for a renewal, which names the end that it grants: a late one grants nothing more.
+pub(crate) const MAX_RENEWAL_AGE_MS: u64 = 2_000;
+
 /// The limit on orders that wait for one carrier. A carrier that falls behind gets no more.
 const MAX_QUEUED_ORDERS: usize = 2_000;
 
@@ -21,7 +28,8 @@
 pub(crate) struct CarrierSeat {
     pub(crate) offer: CarrierOffer,
     pub(crate) session: u64,
-    pub(crate) queue: VecDeque<CallOrder>,
+    /// The orders to hand out, with the times in ms at which they were queued.
+    pub(crate) queue: VecDeque<(u64, CallOrder)>,
     /// Wakes the request that waits for orders.
     pub(crate) queued: Arc<Notify>,
     pub(crate) memory: ReportMemory,
@@ -31,6 +39,8 @@
     waiting: usize,
     /// When the carrier's last request was answered, in ms.
     answered_ms: u64,
+    /// When the carrier last delivered results, in ms.
+    pub(crate) delivered_ms: u64,
 }
 
 impl CarrierSeat {
@@ -44,6 +54,7 @@
             is_used: false,
             waiting: 0,
             answered_ms: 0,
+            delivered_ms: 0,
         }
     }
 
@@ -68,18 +79,27 @@
         if !self.is_present(now_ms) || self.queue.len() >= MAX_QUEUED_ORDERS {
             return Err(order);
         }
-        self.queue.push_back(order);
+        self.queue.push_back((now_ms, order));
         if self.queue.len() == 1 {
             self.queued.notify_one();
         }
         Ok(())
     }
 
-    /// Takes the next orders, up to `max_bytes`.
-    pub(crate) fn take(&mut self, max_bytes: usize) -> Vec<CallOrder> {
+    /// Takes the next orders, up to `max_bytes`. Also returns those that have become too old.
+    pub(crate) fn take(
+        &mut self,
+        max_bytes: usize,
+        now_ms: u64,
+    ) -> (Vec<CallOrder>, Vec<CallOrder>) {
         let mut bytes = 0;
-        let mut orders = Vec::new();
-        while let Some(order) = self.queue.pop_front() {
+        let (mut orders, mut expired) = (Vec::new(), Vec::new());
+        while let Some((queued_ms, mut order)) = self.queue.pop_front() {
+            order.age_ms = now_ms.saturating_sub(queued_ms);
+            if order.age_ms > max_age_ms(&order.call) {
+                expired.push(order);
+                continue;
+            }
             bytes += order.call.size();
             orders.push(order);
             if bytes >= max_bytes {
@@ -89,6 +109,14 @@
         if !self.queue.is_empty() {
             self.queued.notify_one();
         }
-        orders
+        (orders, expired)
+    }
+}
+
+/// Returns the age from which a call is not made, in ms.
+pub(crate) fn max_age_ms(call: &WorkerCall) -> u64 {
+    match call {
+        WorkerCall::Renew(_) => MAX_RENEWAL_AGE_MS,
+        _ => MAX_COMMAND_AGE_MS,
     }
 }
--- a/src/carrier/carrier_server.rs
+++ b/src/carrier/carrier_server.rs
@@ -8,6 +8,7 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::carrier::call_order::SentResult;
@@ -20,6 +21,9 @@
 /// The pause after a connection that can't be accepted, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The limit on open connections.
+const MAX_CONNECTIONS: usize = 1_000;
+
 /// Serves the calls of one carrier.
 #[derive(Clone)]
 struct CarrierServer {
@@ -44,11 +48,15 @@
 
 /// Accepts and serves the connections of carriers; never returns.
 pub(crate) async fn serve_carriers(listener: TcpListener, board: Arc<CarrierBoard>) {
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            continue;
+        };
         if stream.set_nodelay(true).is_err() {
             continue;
         }
@@ -61,6 +69,9 @@
             .for_each_concurrent(None, |call| async move {
                 call.await;
             });
-        tokio::spawn(served);
+        tokio::spawn(async move {
+            served.await;
+            drop(place);
+        });
     }
 }
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -35,13 +35,13 @@
 
 /// How long after the end of an incarnation a run of its tasks may continue in the next one: a start
 /// may be executed 12 s after it was sent, whatever its lease on the old clock, and then holds the
-/// longest lease of 10 s, on a clock that runs up to 2.5% slow.
-const CARRIED_RUN_MS: u64 = 22_300;
+/// longest lease of 10 s, on a clock that runs up to 2.5% slow. A carrier may send it 0.6 s late.
+const CARRIED_RUN_MS: u64 = 23_000;
 
 /// How long after a worker's first answer a run may be listed that an earlier controller has
 /// stopped: the platform allows a stop 400 ms, and the answer may be on its way for as long as a
-/// short call.
-const INHERITED_STOP_MS: u64 = 650;
+/// short call, 250 ms, and a message of a carrier, 550 ms.
+const INHERITED_STOP_MS: u64 = 1_200;
 
 /// The limit on ends that a worker lists again and again. The platform lists 500 at a time, and the ends
 /// of runs that the worker has by then must find room.
