Keep workers' leases while a new holder loads the state

Cause: a new holder listed and called workers only after it had read the ages of host commands and all progress and job rows. Workers' leases last 4.8 s and the lease of a killed holder expires after 1 to 2 s, so on a thin host, where the load takes 3.2 s and more, every run lapsed during the load, long-running ones included.

Change: src/workflow/takeover/ holds what is done before all jobs are known. From the beginning of a term a keeper lists the workers, calls each without acknowledging ends, and requests a lease of those whose reports list runs, every 1.2 s. The engine knows no worker meanwhile, so nothing is stopped, acknowledged, placed, released or expired. After the load the list is handed over with the end of each requested lease: workers that started again meanwhile with their earlier entry first, so that their tasks count as carried over, and those that left the list as unlisted. The first report after that is applied as the first one was before. Tasks of a worker that doesn't answer after the load wait for the lease that was requested during it. Loading moved out of controller.rs unchanged, besides the ages of host commands, which are now put into a term that exists already.

--- a/src/carrier/carried_gateway.rs
+++ b/src/carrier/carried_gateway.rs
@@ -8,7 +8,6 @@
 use crate::carrier::CallOutcome;
 use crate::carrier::CarrierPool;
 use crate::carrier::WorkerCall;
-use crate::id::WorkerId;
 use crate::workflow::CommandOutcome;
 use crate::workflow::LeaseRenewal;
 use crate::workflow::RenewalOutcome;
@@ -37,12 +36,12 @@
     }
 
     /// Tells the carriers' choice the present fleet and how late this process is.
-    pub(crate) fn update(&self, workers: &BTreeMap<WorkerId, WorkerState>, lag: Duration) {
+    pub(crate) fn update<'a>(&self, workers: impl Iterator<Item = &'a WorkerState>, lag: Duration) {
         let Some(pool) = &self.pool else {
             return;
         };
         let mut fleet = BTreeMap::new();
-        for worker in workers.values() {
+        for worker in workers {
             let data_centre = &worker.entry.data_centre;
             match fleet.get_mut(data_centre) {
                 Some(count) => *count += 1,
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -3,7 +3,6 @@
 //!
 //! A term lasts from the takeover of the lease until it is lost or released.
 
-use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -14,31 +13,27 @@
 use futures::future::Either;
 use monoio::time::sleep;
 use monoio::time::timeout;
-use monoio::time::Instant;
 use tokio::sync::watch;
 
 use crate::carrier::CarriedGateway;
 use crate::carrier::CarrierPool;
 use crate::carrier::HolderAddress;
-use crate::id::Revision;
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
 use crate::process::ShutdownSignal;
 use crate::provider::TableRow;
 use crate::workflow::call_series::CallSeries;
 use crate::workflow::committer::Committer;
-use crate::workflow::committer::PROGRESS_PREFIX;
-use crate::workflow::feed_watcher::apply_job_row;
 use crate::workflow::feed_watcher::watch_jobs;
 use crate::workflow::feed_watcher::watch_workers;
 use crate::workflow::job_archiver::JobArchiver;
-use crate::workflow::job_key::parse_job_key;
-use crate::workflow::job_key::JOB_TABLE;
 use crate::workflow::leader_record::read_record;
 use crate::workflow::manage_hosts;
 use crate::workflow::planner_loop::run_planner;
+use crate::workflow::takeover::keep_leases;
+use crate::workflow::takeover::LeaseKeeper;
+use crate::workflow::takeover::StateLoader;
 use crate::workflow::BacklogView;
-use crate::workflow::CommandAges;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CountFreshness;
 use crate::workflow::FleetPlatform;
@@ -49,8 +44,6 @@
 use crate::workflow::LeaderLease;
 use crate::workflow::LeaseMonitor;
 use crate::workflow::RowLimit;
-use crate::workflow::StateReader;
-use crate::workflow::COMMANDS_KEY;
 use crate::workflow::LEADER_KEY;
 
 /// Interval at which an entry host without the lease reads the leader row, whether or not earlier reads
@@ -60,13 +53,6 @@
 /// Interval at which the lease is renewed while the state is loaded.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Delay before a failed read of the state is retried.
-const LOAD_RETRY_DELAY: Duration = Duration::from_millis(200);
-
-/// Time for which a new holder tries to read the ages of its predecessor's commands. Without them it
-/// has to wait for about as long before it commands hosts, while jobs go on.
-const COMMAND_AGES_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Tries to claim the controller's lease, and controls jobs and hosts while this entry host holds
 /// it.
 pub struct Controller<P> {
@@ -252,46 +238,46 @@
         }
     }
 
-    /// Loads the state from the table and runs one term until it ends.
+    /// Loads the state from the table while the workers' leases are kept, and runs one term until it ends.
     async fn run_term(&self, mut lease: LeaderLease) {
         let engine = JobEngine::new(boot_ms(), lease.inherited_ms());
         let mut engine = engine.with_row_limit(self.row_limit);
         engine.adopt_caps(&self.view);
         engine.adopt_silent_workers(lease.silent_workers(), boot_ms());
-        let is_first_term = lease.epoch() == 1;
-        let ages = self
-            .while_renewing(&mut lease, self.load_command_ages(is_first_term))
-            .await;
-        let Some(ages) = ages else {
-            return;
-        };
-        let commands = HostCommands::new(ages.as_ref(), boot_ms());
-        let commands = commands.with_row_limit(self.row_limit);
         let term = ControllerTerm::with_start_limit(
             lease.epoch(),
             engine,
-            commands,
+            HostCommands::new(None, boot_ms()),
             Rc::clone(&self.metrics),
             self.resources.start_bytes(),
         );
         lease.inform(Rc::clone(&term));
-        let loaded = self.while_renewing(&mut lease, self.load_jobs(&term)).await;
+        let pool = self.carriers.as_ref().map(|carriers| &carriers.pool);
+        let gateway = CarriedGateway::new(Rc::clone(&self.platform)).with_carriers(pool.cloned());
+        let gateway = Rc::new(gateway);
+        let keeper = LeaseKeeper::new(Rc::clone(&term));
+        monoio::spawn(keep_leases(
+            Rc::clone(&self.platform),
+            Rc::clone(&gateway),
+            Rc::clone(&keeper),
+        ));
+        let loader = StateLoader::new(self.platform.as_ref(), &term, self.row_limit);
+        let loaded = self.while_renewing(&mut lease, loader.load()).await;
         let Some(job_revision) = loaded else {
             term.end("the lease was lost before the state was loaded");
             return;
         };
+        let worker_revision = keeper.hand_over();
         monoio::spawn(watch_jobs(
             Rc::clone(&self.platform),
             Rc::clone(&term),
             job_revision,
         ));
-        let pool = self.carriers.as_ref().map(|carriers| &carriers.pool);
-        let gateway = CarriedGateway::new(Rc::clone(&self.platform)).with_carriers(pool.cloned());
-        let gateway = Rc::new(gateway);
         monoio::spawn(watch_workers(
             Rc::clone(&self.platform),
             Rc::clone(&gateway),
             Rc::clone(&term),
+            worker_revision,
         ));
         monoio::spawn(run_planner(
             Rc::clone(&gateway),
@@ -345,75 +331,4 @@
             }
         }
     }
-
-    /// Reads the ages of the latest commands to hosts. Returns `None` if they are unknown: the last
-    /// holder wrote no ages, or the row is unreadable or can't be read for a while. In the very first
-    /// term there is no predecessor, so a missing row means that no host was commanded.
-    async fn load_command_ages(&self, is_first_term: bool) -> Option<CommandAges> {
-        let deadline = Instant::now() + COMMAND_AGES_TIMEOUT;
-        while Instant::now() < deadline {
-            match self.platform.read(&[COMMANDS_KEY]).await {
-                Ok(rows) => {
-                    let Some(row) = rows.into_iter().next() else {
-                        return is_first_term.then(CommandAges::new);
-                    };
-                    let ages = serde_json::from_value(row.value);
-                    let log_error = |error| {
-                        log::error!("event=command_ages_unknown reason=\"{error}\"");
-                    };
-                    return ages.map_err(log_error).ok();
-                }
-                Err(error) => {
-                    log::warn!("event=load_retried prefix={COMMANDS_KEY} reason=\"{error}\"")
-                }
-            }
-            sleep(LOAD_RETRY_DELAY).await;
-        }
-        log::error!(
-            "event=command_ages_unknown reason=\"no answer within {COMMAND_AGES_TIMEOUT:?}\""
-        );
-        None
-    }
-
-    /// Loads all jobs and their progress. Returns the revision from which to watch for changes.
-    ///
-    /// Progress is written only by commits that check the lease, so it doesn't change while this
-    /// entry host loads. With the progress at hand, jobs are applied as their pages arrive.
-    async fn load_jobs(&self, term: &ControllerTerm) -> Revision {
-        let started_ms = boot_ms();
-        let mut reader = StateReader::new(self.platform.as_ref());
-        let mut progress = BTreeMap::new();
-        let add_progress = |row: TableRow| {
-            progress.insert(row.key[PROGRESS_PREFIX.len()..].to_owned(), row.value);
-        };
-        reader.read_table(PROGRESS_PREFIX, add_progress).await;
-        // A cancellation can only be applied to a known job, so submissions come first.
-        let mut cancels = Vec::new();
-        let add_job = |row: TableRow| match parse_job_key(&row.key) {
-            Some((_, true)) => cancels.push(row),
-            _ => {
-                let id = row.key.rsplit('/').next().unwrap_or_default();
-                let progress = progress.remove(id);
-                let table_ms = self.platform.clock_ms();
-                let mut engine = term.engine.borrow_mut();
-                apply_job_row(&mut engine, &row, progress.as_ref(), table_ms);
-            }
-        };
-        let read_ms = boot_ms();
-        let revision = reader.read_table(JOB_TABLE, add_job).await;
-        term.record_submissions(read_ms);
-        let mut engine = term.engine.borrow_mut();
-        for row in &cancels {
-            apply_job_row(&mut engine, row, None, None);
-        }
-        engine.set_leftover_progress(progress.keys());
-        let (jobs, open) = (engine.jobs.len(), engine.open_jobs.len());
-        let took_ms = boot_ms().saturating_sub(started_ms);
-        log::info!(
-            "event=jobs_loaded epoch={} jobs={jobs} open={open} {} took_ms={took_ms}",
-            term.epoch,
-            reader.totals()
-        );
-        revision
-    }
 }
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -121,6 +121,8 @@
     pub(crate) inherited_until_ms: u64,
     /// The same for workers of which the last holder stated it.
     pub(crate) silent_until_ms: BTreeMap<WorkerId, u64>,
+    /// The time up to which leases may last that were requested while the state was loaded, in ms.
+    pub(crate) early_leases_ms: BTreeMap<WorkerId, u64>,
     /// Workers that this holder leaves to the next one.
     pub(crate) given_up_workers: BTreeSet<WorkerId>,
     /// Tasks that were restored as placed on workers that are not known yet.
@@ -173,6 +175,7 @@
             lost_runs: BTreeMap::new(),
             inherited_until_ms: now_ms + inherited_ms,
             silent_until_ms: BTreeMap::new(),
+            early_leases_ms: BTreeMap::new(),
             given_up_workers: BTreeSet::new(),
             restored_placements: BTreeMap::new(),
             early_cordons: BTreeMap::new(),
--- a/src/workflow/engine_incarnations.rs
+++ b/src/workflow/engine_incarnations.rs
@@ -338,10 +338,15 @@
     fn release_orphans(&mut self, now_ms: u64) {
         let may_run = |name: &TaskName| {
             let worker = self.task_state(name).and_then(TaskState::worker);
-            let until_ms = match worker.filter(|_| self.is_long_running(name)) {
-                Some(worker) => self.unobserved_until_ms(worker),
-                None => self.inherited_until_ms,
-            };
+            let until_ms = worker.map_or(self.inherited_until_ms, |worker| {
+                match self.is_long_running(name) {
+                    true => self.unobserved_until_ms(worker),
+                    false => {
+                        let early_ms = self.early_lease_until_ms(worker);
+                        self.inherited_until_ms.max(early_ms)
+                    }
+                }
+            });
             now_ms <= until_ms
         };
         let mut ended = self.orphans();
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -26,9 +26,10 @@
 use crate::workflow::StateReader;
 use crate::workflow::TableChange;
 use crate::workflow::WorkerChange;
+use crate::workflow::WorkerGateway;
 
 /// Delay after a failed poll of a feed: a few round trips to the table.
-const FEED_RETRY_DELAY: Duration = Duration::from_millis(100);
+pub(crate) const FEED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Delay before the submissions are read in full again because the feed still has no history: their
 /// pages may take seconds, and the table's calls are limited.
@@ -151,15 +152,16 @@
     }
 }
 
-/// Watches the list of workers until the term ends, and starts to maintain the lease of each worker
-/// that is new or listed again.
+/// Watches the list of workers from `since` until the term ends, and starts to maintain the lease of each
+/// worker that is known or new or listed again.
 pub(crate) async fn watch_workers<P: FleetPlatform>(
     platform: Rc<P>,
     gateway: Rc<CarriedGateway<P>>,
     term: Rc<ControllerTerm>,
+    mut since: Revision,
 ) {
-    let mut since = Revision::new(0);
     let mut wait = FeedWait::new();
+    maintain_workers(&gateway, &term);
     while term.is_active() {
         let is_full_list = since == Revision::new(0);
         let changes = platform.worker_changes(since, wait.get()).await;
@@ -171,18 +173,23 @@
         since = revision;
         apply_workers(&term, changes, is_full_list);
         term.record_worker_list();
-        gateway.update(&term.engine.borrow().workers, term.lag.average());
-        for id in term.engine.borrow().workers.keys() {
-            if term.begin_maintenance(id) {
-                let (gateway, term) = (Rc::clone(&gateway), Rc::clone(&term));
-                monoio::spawn(maintain_worker_lease(gateway, term, id.clone()));
-            }
-        }
+        gateway.update(term.engine.borrow().workers.values(), term.lag.average());
+        maintain_workers(&gateway, &term);
         term.plan.notify_one();
         sleep(WORKER_POLL_INTERVAL).await;
     }
 }
 
+/// Starts to maintain the leases of workers that are not maintained.
+fn maintain_workers<G: WorkerGateway + 'static>(gateway: &Rc<G>, term: &Rc<ControllerTerm>) {
+    for id in term.engine.borrow().workers.keys() {
+        if term.begin_maintenance(id) {
+            let (gateway, term) = (Rc::clone(gateway), Rc::clone(term));
+            monoio::spawn(maintain_worker_lease(gateway, term, id.clone()));
+        }
+    }
+}
+
 /// Applies changes to the list of workers. A full list also unlists the workers that it omits.
 fn apply_workers(term: &ControllerTerm, changes: Vec<WorkerChange>, is_full_list: bool) {
     let mut engine = term.engine.borrow_mut();
@@ -212,7 +219,7 @@
 
 /// Returns the changes of a feed's answer, and the revision to continue from. If the history is
 /// lost, resets `since` so that all rows are read again.
-fn accept_changes<T>(
+pub(crate) fn accept_changes<T>(
     feed: &str,
     answer: Result<ChangeSet<T>>,
     since: &mut Revision,
--- a/src/workflow/silent_workers.rs
+++ b/src/workflow/silent_workers.rs
@@ -65,7 +65,8 @@
     /// answered this one, in ms.
     pub(crate) fn unobserved_until_ms(&self, id: &WorkerId) -> u64 {
         let stated_ms = self.silent_until_ms.get(id).copied();
-        stated_ms.unwrap_or(u64::MAX).min(self.inherited_until_ms)
+        let inherited_ms = stated_ms.unwrap_or(u64::MAX).min(self.inherited_until_ms);
+        inherited_ms.max(self.early_lease_until_ms(id))
     }
 
     /// Returns for how long runs on a worker that doesn't answer may continue, in ms; `None` if it answers,
