Log and publish what a late controller does meanwhile

Cause: event=control_lag says how late the holder is and not what it spends its time on, so a peak of a thin holder can't be explained from its log. Change: starts sent, ends applied, renewals sent and unanswered, commits and their bytes, and passes are counted in cells of the term; once a second they are published as zincpier_control_work{kind}, with open jobs, waiting tasks, the longest time that a renewal has been due and unsent, and carriers in use. The line control_lag has the same, at most once a second; its lag_ms is the largest of that second now, so a short lag is not missed, and the line comes at the end of the second. Bytes are those that the split of the commit adds up anyway. term_began is not added: lease_gained and jobs_loaded say it. Gauges are cleared at the end of the term. Beside it, job_seen, task_start, task_stop and task_ended of long-running tasks get the log target that is not sampled. Tests: late_controller_says_what_it_did_in_the_last_second failed with the fields taken out of the line; a first version of it, with too little time for the controller between its blocks, failed before any start was sent, and was given more. Passes, with controller_sessions (18), controller_term (9), control_lag (3).

--- a/src/carrier/carried_gateway.rs
+++ b/src/carrier/carried_gateway.rs
@@ -52,6 +52,12 @@
         pool.set_lag(lag);
     }
 
+    /// Returns the number of carriers in use.
+    pub(crate) fn carrier_count(&self) -> usize {
+        let pool = self.pool.as_ref();
+        pool.map_or(0, |pool| pool.carrier_count())
+    }
+
     /// Hands a call to a carrier. Returns `None` if none was handed it.
     async fn carry(
         &self,
--- a/src/carrier/carrier_plan.rs
+++ b/src/carrier/carrier_plan.rs
@@ -71,6 +71,11 @@
         self.carriers.contains_key(data_centre)
     }
 
+    /// Returns the number of carriers in use.
+    pub fn carrier_count(&self) -> usize {
+        self.all.len()
+    }
+
     /// Returns the carrier for a worker's call at a turn, or `None` if the holder makes it itself: the turns go
     /// through the worker's carriers and then the holder, so that a carrier that is cut off from the worker
     /// doesn't keep its calls.
--- a/src/carrier/carrier_pool.rs
+++ b/src/carrier/carrier_pool.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Returns the number of carriers in use.
+    pub(crate) fn carrier_count(&self) -> usize {
+        self.plan.borrow().carrier_count()
+    }
+
     /// Tells carriers how late the holder is, so that messages are fewer and larger.
     pub(crate) fn set_lag(&self, lag: Duration) {
         self.lag.set(lag);
--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -29,6 +29,13 @@
     state: &'static str,
 }
 
+/// Labels of the `control_work` gauge.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct WorkLabels {
+    /// What is counted, such as `starts`.
+    kind: &'static str,
+}
+
 /// Labels of the `suspect_crashes` gauge.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct SuspectLabels {
@@ -45,6 +52,7 @@
     outcomes: Family<OutcomeLabels, Counter>,
     workers: Family<WorkerLabels, Gauge>,
     suspects: Family<SuspectLabels, Gauge>,
+    control_work: Family<WorkLabels, Gauge>,
     /// Latency of calls to the table, in seconds.
     pub table_seconds: Histogram,
     /// Latency of commands to workers, in seconds. Lease renewals that wait for the end of a task
@@ -102,6 +110,12 @@
             "Crashes that tasks on trial or waiting for one may have caused, on the lease's holder",
             suspects.clone(),
         );
+        let control_work = Family::default();
+        registry.register(
+            "control_work",
+            "Work of the controller in its last second, on the lease's holder",
+            control_work.clone(),
+        );
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(exponential_buckets(0.000_5, 2.0, 16));
             registry.register(name, help, histogram.clone());
@@ -148,6 +162,7 @@
             outcomes,
             workers,
             suspects,
+            control_work,
             table_seconds,
             command_seconds,
             answer_seconds,
@@ -197,6 +212,17 @@
         self.workers.get_or_create(&labels).set(count as i64);
     }
 
+    /// Sets what the lease holder counted of a kind in its last second.
+    pub fn set_control_work(&self, kind: &'static str, count: u64) {
+        let labels = WorkLabels { kind };
+        self.control_work.get_or_create(&labels).set(count as i64);
+    }
+
+    /// Forgets the work of a lease holder.
+    pub fn clear_control_work(&self) {
+        self.control_work.clear();
+    }
+
     /// Forgets the tasks that may crash their workers.
     pub fn clear_suspects(&self) {
         self.suspects.clear();
--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -29,6 +29,7 @@
 use crate::workflow::RefusedRow;
 use crate::workflow::RefusedRows;
 use crate::workflow::SilentWorkers;
+use crate::workflow::WorkKind;
 use crate::workflow::WorkerGateway;
 use crate::workflow::COMMANDS_KEY;
 
@@ -127,7 +128,7 @@
         self.term.begin_release();
         let row = self.command_row();
         let (writes, _) = self.merge_queued_rows(row.into_iter().collect());
-        let mut parts = split_writes(writes, self.commit_bytes);
+        let (mut parts, _) = split_writes(writes, self.commit_bytes);
         let last = parts.pop().unwrap_or_default();
         for writes in parts {
             if let Err(lost) = self.commit_part(lease, writes).await {
@@ -172,7 +173,8 @@
         let (counts, counted_ms) = self.changed_counts();
         writes.extend(counts);
         let due = self.refused_rows.withhold(&mut writes, boot_ms());
-        let mut parts = split_writes(writes, self.commit_bytes);
+        let (mut parts, bytes) = split_writes(writes, self.commit_bytes);
+        self.term.work.add(WorkKind::CommitBytes, bytes as u64);
         let last = parts.pop().unwrap_or_default();
         // A row that was refused before must not make the others part of a search again.
         for writes in due.map(|write| vec![write]).into_iter().chain(parts) {
@@ -205,6 +207,7 @@
         lease: &mut LeaderLease,
         writes: Vec<RowWrite>,
     ) -> Result<(), LeaseLost> {
+        self.term.work.add(WorkKind::Commits, 1);
         let keys = self.keys_to_record(&writes);
         let platform = self.platform.as_ref();
         let refused = lease.commit(platform, writes, self.counted_ms).await?;
@@ -357,10 +360,11 @@
 }
 
 /// Splits writes into transactions within the platform's limits and of `max_bytes`, unless a single
-/// row is larger. Returns at least one, which may be empty.
-fn split_writes(writes: Vec<RowWrite>, max_bytes: usize) -> Vec<Vec<RowWrite>> {
+/// row is larger. Returns at least one, which may be empty, and the bytes of all.
+fn split_writes(writes: Vec<RowWrite>, max_bytes: usize) -> (Vec<Vec<RowWrite>>, usize) {
     let mut parts = vec![Vec::new()];
     let mut bytes = 0;
+    let mut all_bytes = 0;
     for write in writes {
         let size = write.value.as_ref().map_or(0, value_size) + write.key.len();
         let row_count = parts.last().map_or(0, Vec::len);
@@ -369,11 +373,12 @@
             bytes = 0;
         }
         bytes += size;
+        all_bytes += size;
         if let Some(part) = parts.last_mut() {
             part.push(write);
         }
     }
-    parts
+    (parts, all_bytes)
 }
 
 /// Estimates the encoded size of a value, in bytes; numbers, booleans and null count as 8.
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -27,6 +27,7 @@
 use crate::workflow::host_resources::MIN_START_BYTES;
 use crate::workflow::worker_loops::WorkerLoops;
 use crate::workflow::ControlLag;
+use crate::workflow::ControlWork;
 use crate::workflow::HealthState;
 use crate::workflow::HostCommands;
 use crate::workflow::JobEngine;
@@ -70,6 +71,8 @@
     pub metrics: Rc<EntryMetrics>,
     /// How far the controller's work is behind.
     pub lag: ControlLag,
+    /// What the controller has done lately.
+    pub work: ControlWork,
     /// Wakes the planner before its interval has passed.
     pub plan: Notify,
     /// Wakes the committer before its renewal interval has passed.
@@ -135,6 +138,7 @@
             engine: RefCell::new(engine),
             host_commands: RefCell::new(host_commands),
             lag: ControlLag::new(),
+            work: ControlWork::new(),
             plan: Notify::new(),
             commit: Notify::new(),
             confirmation: Notify::new(),
@@ -168,6 +172,7 @@
             self.metrics.long_task_wait_ms.set(0);
             self.metrics.full_row_jobs.set(0);
             self.metrics.clear_suspects();
+            self.metrics.clear_control_work();
             for state in HealthState::ALL {
                 self.metrics.set_worker_count(state.as_str(), 0);
             }
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use crate::id::WorkerId;
+use crate::workflow::engine_log::log_target;
 use crate::workflow::CommandOutcome;
 use crate::workflow::CommandPhase;
 use crate::workflow::CommandRefusal;
@@ -158,6 +159,7 @@
         job.set_checkpoint(name, &end.checkpoint);
         let run = end.run;
         log::info!(
+            target: log_target(long_running),
             "event=task_ended task={name} run={run} worker={worker} how={:?}",
             end.kind
         );
--- a/src/workflow/feed_watcher.rs
+++ b/src/workflow/feed_watcher.rs
@@ -13,6 +13,7 @@
 use crate::id::Revision;
 use crate::process::boot_ms;
 use crate::provider::TableRow;
+use crate::workflow::engine_log::log_target;
 use crate::workflow::job_key::parse_job_key;
 use crate::workflow::job_key::JOB_TABLE;
 use crate::workflow::job_key::SUBMITTED_FIELD;
@@ -86,6 +87,7 @@
     let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
     let long_running = spec.steps.iter().any(|step| step.long_running);
     log::info!(
+        target: log_target(long_running),
         "event=job_seen job={id} queue={} service={service} tasks={tasks} occurrences={} long_running={long_running}",
         spec.queue,
         spec.occurrences()
@@ -174,6 +176,7 @@
         apply_workers(&term, changes, is_full_list);
         term.record_worker_list();
         gateway.update(term.engine.borrow().workers.values(), term.lag.average());
+        term.work.set_carriers(gateway.carrier_count());
         maintain_workers(&gateway, &term);
         term.plan.notify_one();
         sleep(WORKER_POLL_INTERVAL).await;
--- a/src/workflow/job_state.rs
+++ b/src/workflow/job_state.rs
@@ -278,6 +278,14 @@
         tasks.any(|state| state.phase == TaskPhase::Waiting)
     }
 
+    /// Returns the number of waiting tasks.
+    pub fn waiting_task_count(&self) -> usize {
+        let tasks = self.tasks.iter();
+        tasks
+            .filter(|state| state.phase == TaskPhase::Waiting)
+            .count()
+    }
+
     /// Returns a task's state; `None` if the job has no such task.
     pub fn task(&self, name: &TaskName) -> Option<&TaskState> {
         self.tasks.get(self.position(name)?)
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -15,6 +15,7 @@
 use crate::workflow::FleetView;
 use crate::workflow::JobEngine;
 use crate::workflow::StopRequest;
+use crate::workflow::WorkKind;
 use crate::workflow::WorkerGateway;
 
 /// Time after which a pass runs without a notification.
@@ -30,7 +31,7 @@
 /// Lag that is logged, in ms: a tenth of a usual task's duration.
 const MIN_LOGGED_LAG_MS: u64 = 80;
 
-/// Min time between log lines about the lag.
+/// Min time between log lines about the lag, and between values of the work's metrics.
 const LAG_LOG_INTERVAL_MS: u64 = 1_000;
 
 /// Min time between looks for expired leases, which compare all workers. Leases last seconds.
@@ -46,7 +47,6 @@
     view: Rc<FleetView>,
 ) {
     let mut expired_ms = 0;
-    let mut logged_ms = 0;
     while term.is_active() {
         // A pass after a timeout handles expired leases, stalled tasks and due occurrences.
         let _ = timeout(MAX_PLAN_INTERVAL, term.plan.notified()).await;
@@ -55,6 +55,7 @@
             return;
         }
         let started = Instant::now();
+        term.work.add(WorkKind::Passes, 1);
         for stop in run_pass(&term, &view, &mut expired_ms) {
             monoio::spawn(send_stop(Rc::clone(&gateway), Rc::clone(&term), stop));
         }
@@ -65,20 +66,46 @@
         let slept = Instant::now();
         sleep(pause).await;
         term.lag.record(pause, slept.elapsed());
-        log_lag(&term, &mut logged_ms);
+        publish_lag(&term);
+        publish_work(&term);
     }
 }
 
-/// Publishes the controller's lag, and logs it at most once per [`LAG_LOG_INTERVAL_MS`] while it
-/// delays jobs. `logged_ms` is when it was last logged, in ms.
-fn log_lag(term: &ControllerTerm, logged_ms: &mut u64) {
+/// Publishes how far the controller is behind.
+fn publish_lag(term: &ControllerTerm) {
     let lag_ms = term.lag.average().as_millis() as u64;
+    term.work.record_lag(lag_ms);
     term.metrics.control_lag_ms.set(lag_ms as i64);
-    if lag_ms < MIN_LOGGED_LAG_MS || boot_ms() < *logged_ms + LAG_LOG_INTERVAL_MS {
+}
+
+/// Publishes what the controller did in the last [`LAG_LOG_INTERVAL_MS`], and logs it if the lag has delayed
+/// jobs meanwhile.
+fn publish_work(term: &ControllerTerm) {
+    let Some(work) = term.work.take(LAG_LOG_INTERVAL_MS) else {
         return;
+    };
+    let (open_jobs, waiting_tasks, renewal_overdue_ms) = {
+        let engine = term.engine.borrow();
+        let overdue_ms = engine.renewal_overdue_ms(boot_ms());
+        let open_jobs = engine.open_jobs.len() as u64;
+        (open_jobs, engine.waiting_task_count(), overdue_ms)
+    };
+    let counts = work.counts.map(|(kind, count)| (kind.as_str(), count));
+    let state = [
+        ("open_jobs", open_jobs),
+        ("waiting_tasks", waiting_tasks),
+        ("renewal_overdue_ms", renewal_overdue_ms),
+        ("carriers", term.work.carriers()),
+    ];
+    let mut text = String::new();
+    for (name, value) in counts.into_iter().chain(state) {
+        term.metrics.set_control_work(name, value);
+        text.push_str(&format!(" {name}={value}"));
+    }
+    if work.max_lag_ms >= MIN_LOGGED_LAG_MS {
+        let (epoch, lag_ms, covered_ms) = (term.epoch, work.max_lag_ms, work.covered_ms);
+        log::warn!("event=control_lag epoch={epoch} lag_ms={lag_ms} covered_ms={covered_ms}{text}");
     }
-    *logged_ms = boot_ms();
-    log::warn!("event=control_lag epoch={} lag_ms={lag_ms}", term.epoch);
 }
 
 /// Publishes the tasks that may crash their workers, and counts what became of them.
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -18,11 +18,13 @@
 use crate::workflow::CommandRefusal;
 use crate::workflow::ControllerTerm;
 use crate::workflow::CrashEvidence;
+use crate::workflow::JobEngine;
 use crate::workflow::LeaseRenewal;
 use crate::workflow::RenewalOutcome;
 use crate::workflow::StartCommand;
 use crate::workflow::StopRequest;
 use crate::workflow::TaskName;
+use crate::workflow::WorkKind;
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerGateway;
 
@@ -69,6 +71,7 @@
             break;
         };
         let Some((entry, renewal)) = next else {
+            term.engine.borrow_mut().record_next_renewal(&id, None);
             // The planner looks for workers that have become due.
             wake.notified().await;
             continue;
@@ -78,6 +81,8 @@
         if let Some(lease_end_ms) = renewal.lease_end_ms {
             extend_lease(&term, &id, lease_end_ms);
         }
+        term.engine.borrow_mut().record_next_renewal(&id, None);
+        term.work.add(WorkKind::Renewals, 1);
         let outcome = gateway.renew_lease(&entry, &renewal).await;
         let pause = if apply_renewal(&term, &id, &outcome, sent_ms) {
             record_acknowledged(&term, &id, start, renewal.acknowledged);
@@ -93,7 +98,12 @@
             retry_pause = pause * 2;
             pause
         };
-        sleep(term.lag.lengthen(pause)).await;
+        let pause = term.lag.lengthen(pause);
+        let due_ms = boot_ms() + pause.as_millis() as u64;
+        term.engine
+            .borrow_mut()
+            .record_next_renewal(&id, Some(due_ms));
+        sleep(pause).await;
     }
     term.end_maintenance(&id);
 }
@@ -193,7 +203,13 @@
     let mut engine = term.engine.borrow_mut();
     let answered = match outcome {
         RenewalOutcome::Report(report) => {
+            let applied_end =
+                |engine: &JobEngine| engine.workers.get(id).map(|one| one.applied_end);
+            let before = applied_end(&engine);
             let applied = engine.apply_report(id, report, sent_ms, now_ms);
+            if let (Some(before), Some(after)) = (before, applied_end(&engine)) {
+                term.work.add(WorkKind::Ends, after.saturating_sub(before));
+            }
             if !applied {
                 log::info!("event=report_ignored worker={id}");
             }
@@ -214,6 +230,9 @@
             if let Some(worker) = engine.workers.get_mut(id) {
                 worker.record_unresponsive(now_ms);
             }
+            if matches!(outcome, RenewalOutcome::Unknown(_)) {
+                term.work.add(WorkKind::UnansweredRenewals, 1);
+            }
             log::warn!("event=worker_silent worker={id} outcome={outcome:?}");
             false
         }
@@ -244,11 +263,14 @@
         return;
     };
     let (worker, epoch) = (&entry.id, command.epoch);
+    let target = term.engine.borrow().log_target(&task);
     let mut attempts = 0;
     let outcome = loop {
+        term.work.add(WorkKind::Starts, 1);
         let outcome = gateway.start_task(&entry, &command).await;
         attempts += 1;
         log::info!(
+            target: target,
             "event=task_start task={task} run={run} worker={worker} epoch={epoch} try={attempts} outcome={outcome:?}"
         );
         drop(permit.take());
@@ -397,7 +419,9 @@
         ..
     } = &request;
     let outcome = gateway.stop_task(&entry, task, *run, term.epoch).await;
+    let target = term.engine.borrow().log_target(task);
     log::info!(
+        target: target,
         "event=task_stop task={task} run={run} worker={worker} reason={reason:?} outcome={outcome:?}"
     );
     term.metrics.count("stop", outcome.name());
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -87,6 +87,8 @@
     pub unresponsive_since_ms: u64,
     /// The time of the last answer.
     pub answered_ms: u64,
+    /// When the next renewal is due, in ms; `None` while one is on its way, and before the first.
+    pub(crate) next_renewal_ms: Option<u64>,
     /// The time of the last answer to a call of any kind.
     pub alive_ms: u64,
     /// Why the worker gets no new tasks, if it is drained for a command to its host.
@@ -133,6 +135,7 @@
             unresponsive_since_ms: 0,
             answered_ms: 0,
             alive_ms: 0,
+            next_renewal_ms: None,
             cordon: None,
             last_success_ms: 0,
             upkeep_due: false,
@@ -267,6 +270,12 @@
             || self.is_clock_old(now_ms)
     }
 
+    /// Returns for how long a renewal has been due and not sent, in ms.
+    pub(crate) fn renewal_overdue_ms(&self, now_ms: u64) -> u64 {
+        let due_ms = self.next_renewal_ms.filter(|_| self.is_renewal_due(now_ms));
+        due_ms.map_or(0, |due_ms| now_ms.saturating_sub(due_ms))
+    }
+
     /// Returns the end of the next lease to request, on the worker's clock in ms. No lease is
     /// requested from an unresponsive worker, because its tasks can be released only after its last
     /// lease has expired.
