Leave 16 times a placement pass's duration to other work

Cause: with the carriers' messages in common windows, a quarter of the holder's processor time were placement passes (perf, 1,100 workers, 26% of 690 samples); a pass compares all workers of the services that have waiting tasks, however few tasks wait, and ran again after 8 times its duration.

Change: the next pass waits 16 times the duration of the last one. A pass of a small fleet is below 0.5 ms, so its interval stays 8 ms; the limit of 100 ms stays as well.

--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -25,8 +25,8 @@
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(8);
 
 /// Multiple of a pass's duration that is left to other work before the next pass. With many open
-/// jobs, passes would otherwise take the processor time that commits and starts need.
-const PAUSE_FACTOR: u32 = 8;
+/// jobs or workers, passes would otherwise take the processor time that commits and starts need.
+const PAUSE_FACTOR: u32 = 16;
 
 /// Lag that is logged, in ms: a tenth of a usual task's duration.
 const MIN_LOGGED_LAG_MS: u64 = 80;
