Bound the runs that a connection of carriers keeps and repeats

Cause: an update of 8 bytes may repeat a run of any size, and any number of updates could name the same run, so a message of 4 MB at the carriers' port stood for gigabytes; the memory had no limit in bytes either.

Change: a report may refer to each earlier run once; the encoder sends a run that is listed twice in full. A memory keeps 2 MB of runs, counted alike at both ends. It also tells whether a report could not be read, for the board.

--- a/src/carrier/report_memory.rs
+++ b/src/carrier/report_memory.rs
@@ -16,11 +16,19 @@
 /// The limit on workers whose runs are kept. Beyond it, reports are sent in full.
 const MAX_WORKERS: usize = 2_000;
 
+/// The limit on the bytes of the runs that are kept. Beyond it, reports are sent in full.
+const MAX_KEPT_BYTES: usize = 2_000_000;
+
+/// The bytes of a kept run without its checkpoint, estimated.
+const RUN_BYTES: usize = 150;
+
 /// The runs of the last report of each worker that passed a connection, in either direction. Results
 /// must be decoded in the order in which they were encoded; a new connection needs a new memory.
 #[derive(Debug, Default)]
 pub struct ReportMemory {
     runs: HashMap<WorkerId, Vec<RunningTask>>,
+    kept_bytes: usize,
+    has_unreadable: bool,
 }
 
 impl ReportMemory {
@@ -29,6 +37,11 @@
         Self::default()
     }
 
+    /// Returns whether a report could not be decoded. Those that follow may refer to its runs.
+    pub fn has_unreadable(&self) -> bool {
+        self.has_unreadable
+    }
+
     /// Encodes a result of a call to `worker`.
     pub fn encode(&mut self, worker: &WorkerId, result: CallResult) -> SentResult {
         let CallResult { number, outcome } = result;
@@ -43,8 +56,15 @@
 
     fn encode_report(&mut self, worker: &WorkerId, report: WorkerReport) -> SentReport {
         let last = self.runs.get(worker).map_or(&[][..], Vec::as_slice);
-        let runs = report.running.iter().cloned();
-        let runs = runs.map(|run| RunUpdate::between(last, run)).collect();
+        let mut used = vec![false; last.len()];
+        let runs = report.running.iter().map(|run| {
+            let update = RunUpdate::between(last, run.clone());
+            match use_once(&mut used, &update) {
+                true => update,
+                false => RunUpdate::New(run.clone()),
+            }
+        });
+        let runs = runs.collect();
         self.keep(worker, report.running);
         SentReport {
             worker: worker.clone(),
@@ -64,6 +84,7 @@
             SentOutcome::Other(outcome) => outcome,
             SentOutcome::Report(report) => {
                 let decoded = self.decode_report(*report);
+                self.has_unreadable |= decoded.is_none();
                 let unreadable = || RenewalOutcome::Unknown("unreadable report".to_owned());
                 CallOutcome::Renewal(decoded.map_or_else(unreadable, RenewalOutcome::Report))
             }
@@ -73,6 +94,11 @@
 
     fn decode_report(&mut self, sent: SentReport) -> Option<WorkerReport> {
         let last = self.runs.get(&sent.worker).map_or(&[][..], Vec::as_slice);
+        // Without this, a short message could stand for a report of any size.
+        let mut used = vec![false; last.len()];
+        if !sent.runs.iter().all(|run| use_once(&mut used, run)) {
+            return None;
+        }
         let runs = sent.runs.into_iter().map(|run| run.apply(last));
         let running: Vec<_> = runs.collect::<Option<_>>()?;
         self.keep(&sent.worker, running.clone());
@@ -88,11 +114,28 @@
 
     /// Keeps the runs of the last report. Both ends keep those of the same workers.
     fn keep(&mut self, worker: &WorkerId, runs: Vec<RunningTask>) {
-        let has_room = self.runs.len() < MAX_WORKERS;
-        if let Some(kept) = self.runs.get_mut(worker) {
-            *kept = runs;
-        } else if has_room {
+        if let Some(earlier) = self.runs.remove(worker) {
+            self.kept_bytes -= bytes_of(&earlier);
+        }
+        let bytes = self.kept_bytes + bytes_of(&runs);
+        if self.runs.len() < MAX_WORKERS && bytes <= MAX_KEPT_BYTES {
+            self.kept_bytes = bytes;
             self.runs.insert(worker.clone(), runs);
         }
     }
 }
+
+/// Returns whether an update refers to no run of the last report, or to one that no other refers to.
+fn use_once(used: &mut [bool], update: &RunUpdate) -> bool {
+    let index = match update {
+        RunUpdate::New(_) => return true,
+        RunUpdate::Same(index) | RunUpdate::Figures { index, .. } => *index,
+    };
+    let entry = used.get_mut(index as usize);
+    entry.is_some_and(|is_used| !std::mem::replace(is_used, true))
+}
+
+fn bytes_of(runs: &[RunningTask]) -> usize {
+    let sizes = runs.iter().map(|run| RUN_BYTES + run.checkpoint.len());
+    sizes.sum()
+}
