--- a/src/carrier/call_order.rs
+++ b/src/carrier/call_order.rs
@@ -15,7 +15,7 @@
 /// A call to a worker that a carrier is to make.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CallOrder {
-    /// The order's number. Those of two epochs differ.
+    /// The order's number. Those of two processes differ.
     pub number: u64,
     /// How long the order waited before it was handed out, in ms.
     pub age_ms: u64,
--- a/src/carrier/carrier_pool.rs
+++ b/src/carrier/carrier_pool.rs
@@ -62,12 +62,9 @@
 /// The limit on the time that a call may take because the holder is late.
 const MAX_LAG_ALLOWANCE: Duration = Duration::from_millis(500);
 
-/// The bits of an order's number below its epoch.
-const EPOCH_SHIFT: u32 = 32;
-
 /// The outcome of handing a call to a carrier.
 #[derive(Debug)]
-pub(crate) enum CarriedCall {
+pub enum CarriedCall {
     /// What the carrier returned.
     Done(CallOutcome),
     /// No carrier was handed the call.
@@ -93,6 +90,8 @@
     next_number: Cell<u64>,
     opened_ms: Cell<u64>,
     is_open: Cell<bool>,
+    /// Numbers the terms of this process. The loops of a term end with it, even if the next one has begun.
+    term: Cell<u64>,
 }
 
 impl CarrierPool {
@@ -108,28 +107,30 @@
             turns: RefCell::default(),
             unanswered: RefCell::default(),
             lag: Cell::default(),
-            next_number: Cell::new(1),
+            // A carrier may still hold results for an earlier process at the same address.
+            next_number: Cell::new(rand::random::<u64>() >> 1),
             opened_ms: Cell::new(0),
             is_open: Cell::new(false),
+            term: Cell::new(0),
         })
     }
 
     /// Takes carriers from now on, for a term that begins.
-    pub(crate) fn open(self: &Rc<Self>, epoch: u64) {
+    pub fn open(self: &Rc<Self>) {
         self.opened_ms.set(boot_ms());
-        self.next_number.set(epoch << EPOCH_SHIFT);
         self.fleet.borrow_mut().clear();
         self.turns.borrow_mut().clear();
         self.unanswered.borrow_mut().clear();
         self.board.open();
-        if !self.is_open.replace(true) {
-            monoio::spawn(Rc::clone(self).resolve_results());
-            monoio::spawn(Rc::clone(self).keep_plan());
-        }
+        self.is_open.set(true);
+        let term = self.term.get() + 1;
+        self.term.set(term);
+        monoio::spawn(Rc::clone(self).resolve_results(term));
+        monoio::spawn(Rc::clone(self).keep_plan(term));
     }
 
     /// Dismisses the carriers at the end of a term. Calls without an outcome count as unanswered.
-    pub(crate) fn close(&self) {
+    pub fn close(&self) {
         self.is_open.set(false);
         self.board.close();
         self.plan.take();
@@ -137,7 +138,11 @@
     }
 
     /// Sets the number of workers of each data centre, by which carriers are chosen.
-    pub(crate) fn set_fleet(&self, fleet: BTreeMap<DataCentreId, usize>) {
+    pub fn set_fleet(&self, fleet: BTreeMap<DataCentreId, usize>) {
+        let now_ms = boot_ms();
+        let mut turns = self.turns.borrow_mut();
+        turns.retain(|_, (_, changed_ms)| now_ms <= *changed_ms + TURN_MS);
+        drop(turns);
         let is_first = self.fleet.borrow().is_empty();
         self.fleet.replace(fleet);
         if is_first {
@@ -156,13 +161,17 @@
         self.board.set_lag(lag);
     }
 
+    fn is_current(&self, term: u64) -> bool {
+        self.is_open.get() && self.term.get() == term
+    }
+
     /// Returns whether the fleet is larger than what this host calls itself.
     fn needs_carriers(&self) -> bool {
         self.is_open.get() && self.fleet.borrow().values().sum::<usize>() > self.own_workers
     }
 
     /// Hands a call to the worker's carrier and waits for its outcome.
-    pub(crate) async fn call(&self, worker: &WorkerEntry, call: WorkerCall) -> CarriedCall {
+    pub async fn call(&self, worker: &WorkerEntry, call: WorkerCall) -> CarriedCall {
         if !self.needs_carriers() {
             return CarriedCall::NotHandedOut;
         }
@@ -289,18 +298,18 @@
         self.plan.replace(plan);
     }
 
-    /// Chooses the carriers anew at regular intervals until the pool is closed.
-    async fn keep_plan(self: Rc<Self>) {
-        while self.is_open.get() {
+    /// Chooses the carriers anew at regular intervals until the term ends.
+    async fn keep_plan(self: Rc<Self>, term: u64) {
+        while self.is_current(term) {
             self.board.drop_absent();
             self.choose_carriers();
             sleep(PLAN_INTERVAL).await;
         }
     }
 
-    /// Passes results to the calls that wait for them until the pool is closed.
-    async fn resolve_results(self: Rc<Self>) {
-        while self.is_open.get() {
+    /// Passes results to the calls that wait for them until the term ends.
+    async fn resolve_results(self: Rc<Self>, term: u64) {
+        while self.is_current(term) {
             let results = self.board.next_results().await;
             self.resolve(results);
         }
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -229,7 +229,7 @@
             let pool = self.carriers.as_ref().map(|carriers| &carriers.pool);
             if let Some(pool) = pool {
                 self.serve_holder(None);
-                pool.open(lease.epoch());
+                pool.open();
             }
             self.run_term(lease).await;
             if let Some(pool) = pool {
