Number carriers' connections at the holder, bound what they may do

Cause: the carrier numbered its connections by wall-clock time, which repeats and goes back, and a late request of an earlier connection took the seat back with its orders. A carrier that the holder had forgotten went on with a memory out of step, its reports unreadable for as long as the connection lasted.

Closing a board wakes all that wait for results.

--- a/src/carrier/carrier_board.rs
+++ b/src/carrier/carrier_board.rs
@@ -18,6 +18,7 @@
 use crate::carrier::CallResult;
 use crate::carrier::CarrierOffer;
 use crate::carrier::OrderBatch;
+use crate::id::check_name;
 use crate::process::boot_ms;
 
 /// How long a request for orders waits at most, of a carrier in use: its loss is noticed after this.
@@ -36,6 +37,9 @@
 /// The limit on the bytes of one batch of orders, far below that of a message.
 const MAX_BATCH_BYTES: usize = 200_000;
 
+/// The limit on results that wait for the thread that decides. Further ones count as no answer.
+const MAX_RESULTS: usize = 20_000;
+
 /// The limit on carriers. Further ones are told that this process has no orders.
 const MAX_CARRIERS: usize = 1_000;
 
@@ -80,7 +84,7 @@
         for seat in std::mem::take(&mut state.seats).into_values() {
             seat.queued.notify_one();
         }
-        self.delivered.notify_one();
+        self.delivered.notify_waiters();
     }
 
     /// Sets which carriers are in use.
@@ -110,10 +114,10 @@
     /// # Errors
     ///
     /// Returns the order if the carrier is away or too far behind.
-    pub fn submit(&self, carrier: &str, order: CallOrder) -> Result<(), CallOrder> {
+    pub fn submit(&self, carrier: &str, order: CallOrder) -> Result<(), Box<CallOrder>> {
         match self.lock().seats.get_mut(carrier) {
             Some(seat) => seat.push(order, boot_ms()),
-            None => Err(order),
+            None => Err(Box::new(order)),
         }
     }
 
@@ -135,27 +139,26 @@
         seat.is_some_and(|seat| seat.delivered_ms >= since_ms)
     }
 
-    /// Takes the results that were delivered so far.
-    pub fn take_results(&self) -> Vec<CallResult> {
-        std::mem::take(&mut self.lock().results)
-    }
-
-    /// Waits for results and takes them; there are none once the board is closed.
+    /// Waits for results and takes them. Returns none if the board is closed meanwhile, even if it is open
+    /// again.
     pub async fn next_results(&self) -> Vec<CallResult> {
-        loop {
-            let (results, is_holder) = {
-                let mut state = self.lock();
-                (std::mem::take(&mut state.results), state.is_holder)
-            };
-            if !results.is_empty() || !is_holder {
-                return results;
-            }
-            self.delivered.notified().await;
+        let (results, is_holder) = self.take_results();
+        if !results.is_empty() || !is_holder {
+            return results;
         }
+        self.delivered.notified().await;
+        self.take_results().0
+    }
+
+    /// Takes the results that were delivered so far. Also returns whether the board is open.
+    pub fn take_results(&self) -> (Vec<CallResult>, bool) {
+        let mut state = self.lock();
+        (std::mem::take(&mut state.results), state.is_holder)
     }
 
-    /// Serves a carrier's request for orders. Orders are handed out as a batch window ends.
-    pub(crate) async fn take(&self, offer: CarrierOffer, session: u64) -> OrderBatch {
+    /// Serves a carrier's request for orders. `session` numbers the connections; a request of an earlier
+    /// one than the carrier's last gets none. Orders are handed out as a batch window ends.
+    pub async fn take(&self, offer: CarrierOffer, session: u64) -> OrderBatch {
         let began_ms = boot_ms();
         let name = offer.name.clone();
         let Some((queued, max_wait)) = self.begin_take(offer, session) else {
@@ -209,6 +212,9 @@
         let mut state = self.lock();
         let state = &mut *state;
         let is_known = state.seats.contains_key(&offer.name);
+        if check_name(&offer.name).is_err() || check_name(offer.data_centre.as_str()).is_err() {
+            return None;
+        }
         if !state.is_holder || (!is_known && state.seats.len() >= MAX_CARRIERS) {
             return None;
         }
@@ -218,7 +224,10 @@
             log::info!("event=carrier_joined carrier={name} data_centre={data_centre}");
             CarrierSeat::new(offer.clone(), session)
         });
-        if seat.session != session {
+        if seat.session > session {
+            return None;
+        }
+        if seat.session < session {
             // Orders that were handed out on the earlier connection stay with it.
             let queue = std::mem::take(&mut seat.queue);
             seat.queued.notify_one();
@@ -233,8 +242,9 @@
         Some((Arc::clone(&seat.queued), max_wait))
     }
 
-    /// Applies a carrier's results; returns whether its session is current.
-    pub(crate) fn deliver(&self, name: &str, session: u64, results: Vec<SentResult>) -> bool {
+    /// Applies a carrier's results; returns whether its session is current and all reports
+    /// of the session could be read. Otherwise the carrier must connect anew.
+    pub fn deliver(&self, name: &str, session: u64, results: Vec<SentResult>) -> bool {
         let mut state = self.lock();
         let state = &mut *state;
         let current = state.seats.get_mut(name);
@@ -242,10 +252,15 @@
             return false;
         };
         seat.delivered_ms = boot_ms();
-        let decoded = results.into_iter().map(|sent| seat.memory.decode(sent));
-        state.results.extend(decoded);
+        for sent in results {
+            // The memory is kept in step also by results without room.
+            let result = seat.memory.decode(sent);
+            if state.results.len() < MAX_RESULTS {
+                state.results.push(result);
+            }
+        }
         self.delivered.notify_one();
-        true
+        !seat.memory.has_unreadable()
     }
 
     /// Forgets carriers that have been away for a while, and returns their names.
--- a/src/carrier/carrier_link.rs
+++ b/src/carrier/carrier_link.rs
@@ -22,7 +22,6 @@
 use crate::carrier::ReportMemory;
 use crate::connection::peer_transport;
 use crate::process::boot_ms;
-use crate::process::now_ms;
 
 /// The limit on the time in which a connection is established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -87,19 +86,11 @@
 
     /// Carries calls for one holder until the connection breaks or another holder is known.
     async fn serve(&mut self, client: CarrierServiceClient, holder: HolderAddress) {
-        let session = now_ms();
         let window_ms = AtomicU64::new(0);
-        let taken = take_orders(
-            &client,
-            &self.offer,
-            session,
-            &self.batches,
-            (holder, &window_ms),
-        );
+        let taken = take_orders(&client, &self.offer, &self.batches, (holder, &window_ms));
         let delivered = deliver_results(
             &client,
             &self.offer.name,
-            session,
             &mut self.results,
             (holder.epoch, &window_ms),
         );
@@ -124,7 +115,6 @@
 async fn take_orders(
     client: &CarrierServiceClient,
     offer: &CarrierOffer,
-    session: u64,
     batches: &mpsc::Sender<ReceivedBatch>,
     (holder, window_ms): (HolderAddress, &AtomicU64),
 ) {
@@ -135,7 +125,7 @@
             true => USED_TIMEOUT,
             false => CALL_TIMEOUT,
         });
-        let taken = client.take(context, offer.clone(), session).await;
+        let taken = client.take(context, offer.clone()).await;
         let Ok(batch) = taken else {
             return;
         };
@@ -147,7 +137,7 @@
         if batch.orders.is_empty() {
             continue;
         }
-        // The holder handed the orders out this long after the request was sent, or later.
+        // The holder handed the orders out this long after the request was sent, or later, but before now.
         let handed_out_ms = sent_ms.saturating_add(batch.held_ms).min(boot_ms());
         let received = ReceivedBatch {
             epoch: holder.epoch,
@@ -164,7 +154,6 @@
 async fn deliver_results(
     client: &CarrierServiceClient,
     name: &str,
-    session: u64,
     results: &mut mpsc::Receiver<RunnerResult>,
     (epoch, window_ms): (u64, &AtomicU64),
 ) {
@@ -188,7 +177,7 @@
         if sent.is_empty() {
             continue;
         }
-        let delivered = client.deliver(call_context(USED_TIMEOUT), name.to_owned(), session, sent);
+        let delivered = client.deliver(call_context(USED_TIMEOUT), name.to_owned(), sent);
         if !matches!(delivered.await, Ok(true)) {
             return;
         }
--- a/src/carrier/carrier_pool.rs
+++ b/src/carrier/carrier_pool.rs
@@ -200,7 +200,7 @@
             Ok(answered) => answered.ok(),
             // A process that was late or paused finds the timer before the result.
             Err(_) => {
-                self.resolve(self.board.take_results());
+                self.resolve(self.board.take_results().0);
                 outcome.try_recv().ok()
             }
         };
@@ -228,7 +228,7 @@
             let carrier = self.carrier_of(worker)?;
             match self.board.submit(&carrier, order) {
                 Ok(()) => return Some(carrier),
-                Err(refused) => order = refused,
+                Err(refused) => order = *refused,
             }
             self.record_failure(&worker.id);
         }
--- a/src/carrier/carrier_seat.rs
+++ b/src/carrier/carrier_seat.rs
@@ -75,9 +75,9 @@
     }
 
     /// Queues an order; returns it if the carrier is away or too far behind.
-    pub(crate) fn push(&mut self, order: CallOrder, now_ms: u64) -> Result<(), CallOrder> {
+    pub(crate) fn push(&mut self, order: CallOrder, now_ms: u64) -> Result<(), Box<CallOrder>> {
         if !self.is_present(now_ms) || self.queue.len() >= MAX_QUEUED_ORDERS {
-            return Err(order);
+            return Err(Box::new(order));
         }
         self.queue.push_back((now_ms, order));
         if self.queue.len() == 1 {
