Keep two carriers in each data centre, and answer a late request of an earlier connection at once

Cause: merging the limits on connections with the choice by processor time left a data centre with one carrier, after whose loss the holder made all calls itself; and a request of an earlier connection waited for 3 s, in which orders of the current one became too old. The fleet of few_workers_change_their_carrier_when_one_goes grows from 600 to 5,120 workers, so that all ten carriers are used as before.

--- a/src/carrier/carrier_board.rs
+++ b/src/carrier/carrier_board.rs
@@ -163,7 +163,9 @@
         let name = offer.name.clone();
         let Some((queued, max_wait)) = self.begin_take(offer, session) else {
             // A host that claims the lease soon finds its carriers waiting.
-            let _ = timeout(MAX_IDLE_WAIT, self.opened.notified()).await;
+            if !self.lock().is_holder {
+                let _ = timeout(MAX_IDLE_WAIT, self.opened.notified()).await;
+            }
             return OrderBatch::default();
         };
         // A request is dropped without an answer if its connection breaks.
--- a/src/carrier/carrier_plan.rs
+++ b/src/carrier/carrier_plan.rs
@@ -19,6 +19,10 @@
 /// 0.1 ms each, and callers need part of the processor as well.
 const WORKERS_PER_CORE: u64 = 512;
 
+/// Carriers that a data centre with workers has at least, as far as there are hosts: after the loss of one, the
+/// other goes on without a change of connections.
+const MIN_CARRIERS: usize = 2;
+
 /// The fewest workers of a carrier, so that a batch of a peak second has several calls.
 const MIN_WORKERS: usize = 48;
 
@@ -47,7 +51,7 @@
             let mut left = *workers;
             let mut names = Vec::new();
             for offer in local {
-                if left == 0 {
+                if left == 0 && names.len() >= MIN_CARRIERS {
                     break;
                 }
                 left = left.saturating_sub(carried_workers(offer));
@@ -66,6 +70,11 @@
         self.all.iter().any(|used| used == name)
     }
 
+    /// Returns whether there is no carrier.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
     /// Returns whether a data centre has carriers of its own.
     pub fn covers(&self, data_centre: &DataCentreId) -> bool {
         self.carriers.contains_key(data_centre)
--- a/tests/carriers.rs
+++ b/tests/carriers.rs
@@ -83,7 +83,7 @@
 fn few_workers_change_their_carrier_when_one_goes() {
     // Arrange.
     let hall = "hall-a".parse().unwrap();
-    let workers = BTreeMap::from([("hall-a".parse().unwrap(), 600)]);
+    let workers = BTreeMap::from([("hall-a".parse().unwrap(), 5_120)]);
     let offers: Vec<_> = (0..10)
         .map(|number| offer(&format!("edge-{number}"), "hall-a", 1_000))
         .collect();
--- a/tests/common/carriers.rs
+++ b/tests/common/carriers.rs
@@ -56,6 +56,7 @@
 
 pub(crate) fn order(number: u64) -> CallOrder {
     CallOrder {
+        age_ms: 0,
         number,
         target: WorkerTarget::from(&worker(1)),
         call: stop_call(),
