Keep the text of short names inline

Names of up to 23 bytes are now kept in the key itself and compared as three numbers; longer ones are shared as before.

--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -3,24 +3,24 @@
 /// Defines a newtype for a validated name, with `Display` and `FromStr`.
 ///
 /// A name has 1 to 64 characters: ASCII letters, digits, `-`, `_` and `.`. `FromStr` checks this;
-/// `Deserialize` does not. Clones share the text, since names are copied far more often than made.
+/// `Deserialize` does not.
 macro_rules! name_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, serde::Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize)]
         #[serde(transparent)]
-        pub struct $name(std::sync::Arc<str>);
+        pub struct $name($crate::id::name_text::NameText);
 
         impl $name {
             /// Returns the name as a string slice.
             pub fn as_str(&self) -> &str {
-                &self.0
+                self.0.as_str()
             }
         }
 
         impl std::fmt::Display for $name {
             fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-                formatter.pad(&self.0)
+                formatter.pad(self.as_str())
             }
         }
 
@@ -29,7 +29,7 @@
 
             fn from_str(text: &str) -> Result<Self, Self::Err> {
                 $crate::id::check_name(text)?;
-                Ok(Self(text.into()))
+                Ok(Self($crate::id::name_text::NameText::new(text)))
             }
         }
     };
@@ -43,6 +43,7 @@
 mod incarnation_start;
 mod job_id;
 mod name_error;
+mod name_text;
 mod organisation_id;
 mod pool_id;
 mod rack_id;
