Log what starts of a late controller wait for

The logs could not tell the cost of a run from the pauses.

control_lag now has the time of passes and of commits, the time from placements to their start commands, and the processor time, and is also written while starts wait 80 ms or more on average.

--- a/src/operator/sampled_log.rs
+++ b/src/operator/sampled_log.rs
@@ -12,6 +12,9 @@
 /// Interval at which a controller logs its lag, in ms.
 const LAG_LOG_INTERVAL_MS: u64 = 1_000;
 
+/// The lag from which a controller counts as late, in ms. It logs shorter ones if starts wait.
+const MIN_LATE_MS: u64 = 80;
+
 /// A time in which an entry host kept the lines of a part of the jobs only.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct SampledTime {
@@ -79,6 +82,7 @@
         let late =
             lines.filter(|line| line.event == "control_lag" && times.contains(&line.time_ms));
         late.filter_map(|line| Some((line.u64_field("lag_ms")?, line.time_ms)))
+            .filter(|(lag_ms, _)| *lag_ms >= MIN_LATE_MS)
             .max()
     }
 
--- a/src/workflow/committer.rs
+++ b/src/workflow/committer.rs
@@ -6,6 +6,7 @@
 
 use monoio::time::sleep;
 use monoio::time::timeout;
+use monoio::time::Instant;
 use serde_json::json;
 use serde_json::Value;
 
@@ -210,7 +211,10 @@
         self.term.work.add(WorkKind::Commits, 1);
         let keys = self.keys_to_record(&writes);
         let platform = self.platform.as_ref();
+        let started = Instant::now();
         let refused = lease.commit(platform, writes, self.counted_ms).await?;
+        let took_us = started.elapsed().as_micros() as u64;
+        self.term.work.add(WorkKind::CommitTime, took_us);
         let accepted = |key: &&String| refused.iter().all(|row| row.write.key != **key);
         keys.iter()
             .filter(accepted)
--- a/src/workflow/control_work.rs
+++ b/src/workflow/control_work.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 
 use crate::process::boot_ms;
+use crate::process::processor_time;
 use crate::workflow::WorkKind;
 use crate::workflow::WorkSummary;
 
@@ -13,6 +14,8 @@
     carriers: Cell<u64>,
     max_lag_ms: Cell<u64>,
     taken_ms: Cell<u64>,
+    /// The processor time of the process when the counts were last taken, in us.
+    processor_us: Cell<u64>,
 }
 
 impl ControlWork {
@@ -20,6 +23,7 @@
     pub fn new() -> Self {
         let work = Self::default();
         work.taken_ms.set(boot_ms());
+        work.processor_us.set(processor_us());
         work
     }
 
@@ -51,6 +55,9 @@
             return None;
         }
         self.taken_ms.set(boot_ms());
+        let used_us = processor_us();
+        let earlier_us = self.processor_us.replace(used_us);
+        self.add(WorkKind::ProcessorTime, used_us.saturating_sub(earlier_us));
         Some(WorkSummary {
             counts: WorkKind::ALL.map(|kind| (kind, self.counts[kind as usize].take())),
             max_lag_ms: self.max_lag_ms.take(),
@@ -58,3 +65,7 @@
         })
     }
 }
+
+fn processor_us() -> u64 {
+    processor_time().as_micros() as u64
+}
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -28,7 +28,7 @@
 /// jobs or workers, passes would otherwise take the processor time that commits and starts need.
 const PAUSE_FACTOR: u32 = 16;
 
-/// Lag that is logged, in ms: a tenth of a usual task's duration.
+/// Lag, or time that starts wait on average, that is logged, in ms: a tenth of a usual task's duration.
 const MIN_LOGGED_LAG_MS: u64 = 80;
 
 /// Min time between log lines about the lag, and between values of the work's metrics.
@@ -60,7 +60,9 @@
             monoio::spawn(send_stop(Rc::clone(&gateway), Rc::clone(&term), stop));
         }
         term.wake_due_workers();
-        let pause = started.elapsed() * PAUSE_FACTOR;
+        let took = started.elapsed();
+        term.work.add(WorkKind::PassTime, took.as_micros() as u64);
+        let pause = took * PAUSE_FACTOR;
         let pause = term.lag.lengthen(pause.max(MIN_PLAN_INTERVAL));
         let pause = pause.min(MAX_PLAN_INTERVAL);
         let slept = Instant::now();
@@ -78,8 +80,8 @@
     term.metrics.control_lag_ms.set(lag_ms as i64);
 }
 
-/// Publishes what the controller did in the last [`LAG_LOG_INTERVAL_MS`], and logs it if the lag has delayed
-/// jobs meanwhile.
+/// Publishes what the controller did in the last [`LAG_LOG_INTERVAL_MS`], and logs it if jobs were delayed
+/// meanwhile. Starts can wait without a lag, since a controller that is short of processor time pauses for longer.
 fn publish_work(term: &ControllerTerm) {
     let Some(work) = term.work.take(LAG_LOG_INTERVAL_MS) else {
         return;
@@ -90,6 +92,7 @@
         let open_jobs = engine.open_jobs.len() as u64;
         (open_jobs, engine.waiting_task_count(), overdue_ms)
     };
+    let start_wait_ms = work.mean_start_wait_ms();
     let counts = work.counts.map(|(kind, count)| (kind.as_str(), count));
     let state = [
         ("open_jobs", open_jobs),
@@ -102,7 +105,7 @@
         term.metrics.set_control_work(name, value);
         text.push_str(&format!(" {name}={value}"));
     }
-    if work.max_lag_ms >= MIN_LOGGED_LAG_MS {
+    if work.max_lag_ms.max(start_wait_ms) >= MIN_LOGGED_LAG_MS {
         let (epoch, lag_ms, covered_ms) = (term.epoch, work.max_lag_ms, work.covered_ms);
         log::warn!("event=control_lag epoch={epoch} lag_ms={lag_ms} covered_ms={covered_ms}{text}");
     }
--- a/src/workflow/work_kind.rs
+++ b/src/workflow/work_kind.rs
@@ -17,11 +17,19 @@
     CommitBytes,
     /// Placement passes.
     Passes,
+    /// The time that placement passes took, in us.
+    PassTime,
+    /// The time that transactions took until their answer, in us.
+    CommitTime,
+    /// The time from a placement until its start command was sent, in ms, summed over all starts.
+    StartWait,
+    /// The processor time of the process, in us.
+    ProcessorTime,
 }
 
 impl WorkKind {
     /// All kinds, in the order of the log line.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 11] = [
         Self::Starts,
         Self::Ends,
         Self::Renewals,
@@ -29,6 +37,10 @@
         Self::Commits,
         Self::CommitBytes,
         Self::Passes,
+        Self::PassTime,
+        Self::CommitTime,
+        Self::StartWait,
+        Self::ProcessorTime,
     ];
 
     /// Returns the kind's name in logs and metrics.
@@ -41,6 +53,10 @@
             Self::Commits => "commits",
             Self::CommitBytes => "commit_bytes",
             Self::Passes => "passes",
+            Self::PassTime => "pass_us",
+            Self::CommitTime => "commit_us",
+            Self::StartWait => "start_wait_ms",
+            Self::ProcessorTime => "processor_us",
         }
     }
 }
--- a/src/workflow/work_summary.rs
+++ b/src/workflow/work_summary.rs
@@ -12,3 +12,18 @@
     /// The length of the time, in ms.
     pub covered_ms: u64,
 }
+
+impl WorkSummary {
+    /// Returns the count of a kind.
+    pub fn count(&self, kind: WorkKind) -> u64 {
+        self.counts[kind as usize].1
+    }
+
+    /// Returns for how long a start waited between its placement and its command on average, in ms.
+    pub fn mean_start_wait_ms(&self) -> u64 {
+        let waited_ms = self.count(WorkKind::StartWait);
+        waited_ms
+            .checked_div(self.count(WorkKind::Starts))
+            .unwrap_or(0)
+    }
+}
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -24,6 +24,7 @@
 use crate::workflow::StartCommand;
 use crate::workflow::StopRequest;
 use crate::workflow::TaskName;
+use crate::workflow::TaskPhase;
 use crate::workflow::WorkKind;
 use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerGateway;
@@ -386,6 +387,10 @@
         epoch: term.epoch,
         checkpoint: state.checkpoint.clone(),
     };
+    if let TaskPhase::Placed { since_ms, .. } = &state.phase {
+        let waited_ms = now_ms.saturating_sub(*since_ms);
+        term.work.add(WorkKind::StartWait, waited_ms);
+    }
     state.set_sent(now_ms);
     Some((entry, command))
 }
--- a/tests/control_work.rs
+++ b/tests/control_work.rs
@@ -44,7 +44,7 @@
 const YIELD_TIME: Duration = Duration::from_millis(30);
 
 /// Fields of the line about the lag that say what the controller did.
-const FIELDS: [&str; 11] = [
+const FIELDS: [&str; 15] = [
     "starts",
     "ends",
     "renewals",
@@ -52,6 +52,10 @@
     "commits",
     "commit_bytes",
     "passes",
+    "pass_us",
+    "commit_us",
+    "start_wait_ms",
+    "processor_us",
     "open_jobs",
     "waiting_tasks",
     "renewal_overdue_ms",
@@ -129,7 +133,15 @@
         }
         assert!(lines[1].time_ms >= lines[0].time_ms + 900);
         assert!(total(&lines, "starts") >= 6, "{lines:?}");
-        for name in ["renewals", "commits", "commit_bytes", "passes"] {
+        for name in [
+            "renewals",
+            "commits",
+            "commit_bytes",
+            "passes",
+            "pass_us",
+            "commit_us",
+            "processor_us",
+        ] {
             assert!(total(&lines, name) > 0, "{name} in {lines:?}");
         }
         let text = metrics.to_text();
@@ -140,6 +152,22 @@
     });
 }
 
+/// Guards against a controller whose starts wait although its timers fire in time, and whose log says nothing.
+#[test]
+fn mean_wait_of_starts_is_told_apart_from_the_lag() {
+    let work = ControlWork::new();
+    work.add(WorkKind::Starts, 4);
+    work.add(WorkKind::StartWait, 1_000);
+    work.record_lag(5);
+
+    let summary = work.take(0).unwrap();
+    let idle = work.take(0).unwrap();
+
+    assert_eq!(summary.mean_start_wait_ms(), 250);
+    assert_eq!(summary.max_lag_ms, 5);
+    assert_eq!(idle.mean_start_wait_ms(), 0);
+}
+
 /// Counts that were not taken whole would be told twice, or never.
 #[test]
 fn work_is_taken_once_and_only_after_its_interval() {
