Apply the effects of a commit's stored rows without waiting for the others

A change of more rows than one transaction holds, as at each demand peak, is committed in several transactions, one after another. Starts and acknowledgements waited for the last one: at 36 commits of 20 ms a second, starts of stored placements waited for up to 0.1 s more.

Each effect now waits for the transaction that stores the row that caused it; an acknowledgement also for those of the worker's earlier ones, since a worker discards all ends up to it.

--- a/src/workflow/committer.rs
+++ b/src/workflow/commit/committer.rs
@@ -15,7 +15,8 @@
 use crate::process::ShutdownSignal;
 use crate::provider::RowWrite;
 use crate::workflow::admission_window::hash_text;
-use crate::workflow::commit_notice::CommitNotice;
+use crate::workflow::commit::commit_notice::CommitNotice;
+use crate::workflow::commit::effect_order::EffectOrder;
 use crate::workflow::send_start;
 use crate::workflow::BacklogView;
 use crate::workflow::CommitEffect;
@@ -176,10 +177,17 @@
         let due = self.refused_rows.withhold(&mut writes, boot_ms());
         let (mut parts, bytes) = split_writes(writes, self.commit_bytes);
         self.term.work.add(WorkKind::CommitBytes, bytes as u64);
+        let jobs: Vec<_> = parts.iter().map(|writes| jobs_of(writes)).collect();
+        let mut effects = EffectOrder::new(effects, &jobs);
+        let last_part = parts.len().saturating_sub(1);
         let last = parts.pop().unwrap_or_default();
         // A row that was refused before must not make the others part of a search again.
-        for writes in due.map(|write| vec![write]).into_iter().chain(parts) {
+        if let Some(write) = due {
+            self.commit_part(lease, vec![write]).await?;
+        }
+        for (part, writes) in parts.into_iter().enumerate() {
             self.commit_part(lease, writes).await?;
+            self.apply_effects(effects.take(part));
         }
         // Only the last part completes the counts.
         let published_ms = self.counted_ms;
@@ -190,8 +198,7 @@
         if self.refused_rows.contains_prefix(QUEUE_PREFIX) {
             self.counted_ms = published_ms;
         }
-        let effects = self.term.engine.borrow_mut().permitted_effects(effects);
-        self.apply_effects(effects);
+        self.apply_effects(effects.take(last_part));
         for CommitNotice { sender, keys } in notices {
             if !keys.iter().any(|key| self.refused_rows.contains(key)) {
                 // The receiver may have timed out and been dropped.
@@ -318,9 +325,10 @@
         (writes, Some(self.term.submissions_ms()))
     }
 
-    /// Applies effects whose rows are committed.
+    /// Applies effects whose rows were committed, except for those of rows that the table refused.
     fn apply_effects(&self, effects: Vec<CommitEffect>) {
-        for effect in effects {
+        let permitted = self.term.engine.borrow_mut().permitted_effects(effects);
+        for effect in permitted {
             match effect {
                 CommitEffect::Start(task, run) => {
                     let gateway = Rc::clone(&self.gateway);
@@ -351,6 +359,12 @@
     format!("{QUEUE_PREFIX}{}{hash}", &queue[..end])
 }
 
+/// Returns the jobs whose progress a transaction writes.
+fn jobs_of(writes: &[RowWrite]) -> Vec<JobId> {
+    let keys = writes.iter().map(|write| write.key.as_str());
+    keys.filter_map(job_of_progress).collect()
+}
+
 /// Returns the job of a progress row's key.
 fn job_of_progress(key: &str) -> Option<JobId> {
     key.strip_prefix(PROGRESS_PREFIX)?.parse().ok()
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -23,7 +23,7 @@
 use crate::process::ShutdownSignal;
 use crate::provider::TableRow;
 use crate::workflow::call_series::CallSeries;
-use crate::workflow::committer::Committer;
+use crate::workflow::commit::committer::Committer;
 use crate::workflow::feed_watcher::watch_jobs;
 use crate::workflow::feed_watcher::watch_workers;
 use crate::workflow::job_archiver::JobArchiver;
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -23,7 +23,7 @@
 use crate::process::boot_ms;
 use crate::process::EntryMetrics;
 use crate::provider::RowWrite;
-use crate::workflow::commit_notice::CommitNotice;
+use crate::workflow::commit::commit_notice::CommitNotice;
 use crate::workflow::host_resources::MIN_START_BYTES;
 use crate::workflow::worker_loops::WorkerLoops;
 use crate::workflow::ControlLag;
--- a/src/workflow/engine_refusals.rs
+++ b/src/workflow/engine_refusals.rs
@@ -4,8 +4,8 @@
 //! must keep neither the jobs that share its workers from going on, nor later controllers.
 
 use crate::id::JobId;
-use crate::workflow::refused_rows::FIRST_PAUSE_MS;
-use crate::workflow::refused_rows::MAX_PAUSE_MS;
+use crate::workflow::commit::refused_rows::FIRST_PAUSE_MS;
+use crate::workflow::commit::refused_rows::MAX_PAUSE_MS;
 use crate::workflow::CommandPhase;
 use crate::workflow::CommitEffect;
 use crate::workflow::JobEngine;
@@ -84,7 +84,15 @@
         }
         let mut permitted = Vec::with_capacity(effects.len());
         let mut withheld = Vec::new();
-        let mut blocked = Vec::new();
+        // An earlier transaction of the same commit may have withheld some.
+        let earlier = self
+            .withheld_effects
+            .iter()
+            .filter_map(|effect| match effect {
+                CommitEffect::Acknowledge(worker, start, ..) => Some((worker.clone(), *start)),
+                CommitEffect::Start(..) => None,
+            });
+        let mut blocked: Vec<_> = earlier.collect();
         for effect in effects {
             let (worker, start, last, mut jobs) = match effect {
                 CommitEffect::Start(task, _) if self.is_unsaved(&task.job) => continue,
--- a/src/workflow/takeover/state_loader.rs
+++ b/src/workflow/takeover/state_loader.rs
@@ -9,7 +9,7 @@
 use crate::id::Revision;
 use crate::process::boot_ms;
 use crate::provider::TableRow;
-use crate::workflow::committer::PROGRESS_PREFIX;
+use crate::workflow::commit::committer::PROGRESS_PREFIX;
 use crate::workflow::feed_watcher::apply_job_row;
 use crate::workflow::job_key::parse_job_key;
 use crate::workflow::job_key::JOB_TABLE;
