Review case 1: a task that crashes its executors late is started without end

Tried: one task that crashes each executor 1.5 s after its start, on six executors, three entry hosts as processes. Rule BUDGET allows two more starts after three executors have crashed under a task.

Cause, as far as known: a crash counts against a task only if its worker hasn't been heard of 150 ms after the start.

--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,43 @@
+//! Plays a case of the review. Exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
+
+mod fleet;
+mod http_server;
+mod late_crash;
+mod world;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use fleet::Record;
+
+fn main() -> ExitCode {
+    let arguments: Vec<_> = std::env::args().collect();
+    let [_, case, directory, record] = &arguments[..] else {
+        eprintln!("usage: review-case CASE DIRECTORY RECORD");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let record = Record::create(Path::new(record)).unwrap();
+    let directory = Path::new(directory);
+    let play = match case.as_str() {
+        "late-crash" => late_crash::play,
+        _ => {
+            eprintln!("unknown case: {case}");
+            return ExitCode::from(2);
+        }
+    };
+    match play(directory, &record, has_trouble) {
+        Ok(true) => {
+            record.say("result: the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            record.say("result: the rule was broken");
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            record.say(&format!("can't run: {error}"));
+            ExitCode::from(2)
+        }
+    }
+}
