--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod http_server;
 mod late_crash;
+mod lost_executor;
 mod world;
 
 use std::path::Path;
@@ -21,6 +22,7 @@
     let directory = Path::new(directory);
     let play = match case.as_str() {
         "late-crash" => late_crash::play,
+        "lost-executor" => lost_executor::play,
         _ => {
             eprintln!("unknown case: {case}");
             return ExitCode::from(2);
