--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays a case of the review. Exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 
 mod fleet;
+mod hopeless_jobs;
 mod http_server;
 mod late_crash;
 mod lost_executor;
@@ -21,6 +22,7 @@
     let record = Record::create(Path::new(record)).unwrap();
     let directory = Path::new(directory);
     let play = match case.as_str() {
+        "hopeless-jobs" => hopeless_jobs::play,
         "late-crash" => late_crash::play,
         "lost-executor" => lost_executor::play,
         _ => {
