Review case 4: accepted jobs of a dropped route never go on

Tried: a version of the config that drops a route while the first steps of six accepted jobs run. Rule LOST: no second step is started although all executors are idle.

Cause, as far as known: jobs whose queue isn't in the newest configuration are left out of placement.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,5 +1,6 @@
 //! Plays a case of the review. Exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 
+mod dropped_route;
 mod fleet;
 mod hopeless_jobs;
 mod http_server;
@@ -22,6 +23,7 @@
     let record = Record::create(Path::new(record)).unwrap();
     let directory = Path::new(directory);
     let play = match case.as_str() {
+        "dropped-route" => dropped_route::play,
         "hopeless-jobs" => hopeless_jobs::play,
         "late-crash" => late_crash::play,
         "lost-executor" => lost_executor::play,
