--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod http_server;
 mod late_crash;
 mod lost_executor;
+mod scheduled_jobs;
 mod world;
 
 use std::path::Path;
@@ -27,6 +28,7 @@
         "hopeless-jobs" => hopeless_jobs::play,
         "late-crash" => late_crash::play,
         "lost-executor" => lost_executor::play,
+        "scheduled-jobs" => scheduled_jobs::play,
         _ => {
             eprintln!("unknown case: {case}");
             return ExitCode::from(2);
