--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cancelled_early;
 mod dropped_route;
+mod failed_gang;
 mod fleet;
 mod hopeless_jobs;
 mod http_server;
@@ -28,6 +29,7 @@
     let play = match case.as_str() {
         "cancelled-early" => cancelled_early::play,
         "dropped-route" => dropped_route::play,
+        "failed-gang" => failed_gang::play,
         "hopeless-jobs" => hopeless_jobs::play,
         "late-crash" => late_crash::play,
         "lost-executor" => lost_executor::play,
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -214,6 +214,21 @@
         }
     }
 
+    /// Fails all that runs on an executor, which goes on after that.
+    pub fn fail_runs(&mut self, executor: &str) {
+        let failed: Vec<_> = self.running_on(executor).collect();
+        self.record.line(&format!(
+            "executor {executor} fails its {} runs",
+            failed.len()
+        ));
+        for index in &failed {
+            self.end_run(*index, "failed");
+        }
+        for index in failed {
+            self.break_gang(index);
+        }
+    }
+
     /// Returns the machine of an executor.
     pub fn machine_of(&self, executor: &str) -> Option<String> {
         let mut machines = self.machines.iter();
