--- a/src/workflow/job_archiver.rs
+++ b/src/workflow/archive/job_archiver.rs
@@ -29,16 +29,16 @@
 use crate::provider::TableService;
 use crate::provider::Transaction;
 use crate::provider::TransactionOutcome;
+use crate::workflow::archive::engine_archive::EndedJob;
 use crate::workflow::cancel_key;
 use crate::workflow::commit::committer::PROGRESS_PREFIX;
 use crate::workflow::commit::refused_row::lasting_refusal;
 use crate::workflow::ended_key;
-use crate::workflow::engine_archive::EndedJob;
+use crate::workflow::intake::job_key::job_partition;
+use crate::workflow::intake::job_key::parse_job_key;
+use crate::workflow::intake::job_key::ENDED_TABLE;
+use crate::workflow::intake::job_key::PARTITIONS;
 use crate::workflow::job_key;
-use crate::workflow::job_key::job_partition;
-use crate::workflow::job_key::parse_job_key;
-use crate::workflow::job_key::ENDED_TABLE;
-use crate::workflow::job_key::PARTITIONS;
 use crate::workflow::ControllerTerm;
 
 /// Time between passes: short against the time that a job stays loaded after its end, yet long
--- /dev/null
+++ b/src/workflow/archive/mod.rs
@@ -0,0 +1,7 @@
+//! Moves ended jobs out of the rows that a takeover loads, and deletes what is kept of them in time.
+
+mod archived_jobs;
+pub(crate) mod engine_archive;
+pub(crate) mod job_archiver;
+
+pub use archived_jobs::ArchivedJobs;
--- /dev/null
+++ b/src/workflow/intake/mod.rs
@@ -0,0 +1,17 @@
+//! Stores, looks up and cancels jobs for callers, on any entry host.
+
+mod caller_scope;
+mod job_intake;
+pub(crate) mod job_key;
+pub(crate) mod job_status;
+
+pub use caller_scope::CallerScope;
+pub use job_intake::CancelOutcome;
+pub use job_intake::JobIntake;
+pub use job_intake::LookupOutcome;
+pub use job_intake::PendingOutcome;
+pub use job_intake::SubmitOutcome;
+pub use job_key::cancel_key;
+pub use job_key::ended_key;
+pub use job_key::job_key;
+pub use job_status::JobStatus;
--- a/src/workflow/engine_shares.rs
+++ b/src/workflow/placement/engine_shares.rs
@@ -4,12 +4,12 @@
 use std::collections::BTreeMap;
 
 use crate::id::ServiceId;
-use crate::workflow::pass_plan::OrderedJobs;
-use crate::workflow::pass_plan::PassPlan;
-use crate::workflow::pass_plan::PlacementLane;
-use crate::workflow::planned_job::PlannedJob;
-use crate::workflow::planned_job::WaitingAmounts;
-use crate::workflow::planned_job::SLACK_RULES;
+use crate::workflow::placement::pass_plan::OrderedJobs;
+use crate::workflow::placement::pass_plan::PassPlan;
+use crate::workflow::placement::pass_plan::PlacementLane;
+use crate::workflow::placement::planned_job::PlannedJob;
+use crate::workflow::placement::planned_job::WaitingAmounts;
+use crate::workflow::placement::planned_job::SLACK_RULES;
 use crate::workflow::select_deferred_jobs;
 use crate::workflow::select_group_deferrals;
 use crate::workflow::FleetConfig;
--- a/src/workflow/pass_plan.rs
+++ b/src/workflow/placement/pass_plan.rs
@@ -6,7 +6,7 @@
 
 use crate::id::JobId;
 use crate::id::ServiceId;
-use crate::workflow::planned_job::PlannedJob;
+use crate::workflow::placement::planned_job::PlannedJob;
 
 /// The number of steps with unplaced tasks after which the rest of a lane's jobs wait for the next
 /// pass; the little capacity that is left would serve few of them.
--- a/src/workflow/placement_pool.rs
+++ b/src/workflow/placement/placement_pool.rs
@@ -12,9 +12,9 @@
 use std::rc::Rc;
 
 use crate::id::WorkerId;
-use crate::workflow::placement_candidate::DueTime;
-use crate::workflow::placement_candidate::PlacementCandidate;
-use crate::workflow::placement_candidate::TrialState;
+use crate::workflow::placement::placement_candidate::DueTime;
+use crate::workflow::placement::placement_candidate::PlacementCandidate;
+use crate::workflow::placement::placement_candidate::TrialState;
 use crate::workflow::SlowdownFactor;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskState;
