Keep a job from being stored once its cancellation was answered

Cause: an answer of 'no such job' came from two reads and left nothing behind, while the submission's transaction goes through whenever neither a submission nor an ended row exists.

Ruled out: a holder that starts a cancelled job (no cancellation row was ever written) and stale reads (the table's are linearizable).

A submission of another organisation replaces the record. One of the cancelled job is accepted and shown as cancelled. Ordinary submissions and cancellations make the same calls as before.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -84,6 +84,9 @@
     /// Tasks that may crash their workers and await a trial or are on it, as known to the lease
     /// holder; 0 on other hosts.
     pub suspect_tasks: Gauge,
+    /// Records of cancellations that were answered before their jobs were stored, as known to the lease
+    /// holder; 0 on other hosts.
+    pub early_cancels: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -156,6 +159,10 @@
             "suspect_tasks",
             "Tasks that may crash their workers, on the lease's holder",
         );
+        let early_cancels = gauge(
+            "early_cancels",
+            "Cancelled ids of which no job is stored, on the lease's holder",
+        );
         let organisations = OrganisationMetrics::register(&mut registry);
         Self {
             registry,
@@ -176,6 +183,7 @@
             long_task_wait_ms,
             full_row_jobs,
             suspect_tasks,
+            early_cancels,
         }
     }
 
--- a/src/workflow/archive/job_archiver.rs
+++ b/src/workflow/archive/job_archiver.rs
@@ -24,7 +24,9 @@
 
 use crate::error::Result;
 use crate::id::JobId;
+use crate::id::Revision;
 use crate::process::boot_ms;
+use crate::provider::RowCheck;
 use crate::provider::TableRow;
 use crate::provider::TableService;
 use crate::provider::Transaction;
@@ -40,6 +42,7 @@
 use crate::workflow::intake::job_key::PARTITIONS;
 use crate::workflow::job_key;
 use crate::workflow::ControllerTerm;
+use crate::workflow::EarlyCancel;
 
 /// Time between passes: short against the time that a job stays loaded after its end, yet long
 /// enough for one move to take several jobs.
@@ -55,6 +58,9 @@
 /// Max rows deleted in one transaction; the platform accepts 100.
 const MAX_DELETED_ROWS: usize = 90;
 
+/// Max records of early cancellations deleted in one transaction, which takes three entries each.
+const MAX_DELETED_RECORDS: usize = 30;
+
 /// Rows of a page of ended jobs: less than 30 KB by their format, which a link of 10 Mbit/s carries
 /// in a tenth of a renewal interval of the lease.
 const PAGE_ROWS: usize = 200;
@@ -106,6 +112,7 @@
     async fn run_pass(&mut self) -> Result<()> {
         self.archive_ended_jobs().await;
         self.delete_expired_rows().await?;
+        self.delete_early_cancels().await?;
         self.read_ended_rows().await?;
         self.delete_leftover_progress().await;
         Ok(())
@@ -247,6 +254,57 @@
         Ok(())
     }
 
+    /// Deletes the records of early cancellations whose time is over.
+    async fn delete_early_cancels(&self) -> Result<()> {
+        let expired = self.term.engine.borrow().early_cancels.expired(boot_ms());
+        for records in by_partition(expired, |(id, _)| id).values() {
+            for batch in records.chunks(MAX_DELETED_RECORDS) {
+                if !self.term.is_active() {
+                    return Ok(());
+                }
+                self.delete_records(batch).await?;
+                sleep(BATCH_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Deletes records that still have their revisions: a job of another organisation, or a newer record,
+    /// may have replaced them.
+    async fn delete_records(&self, batch: &[(JobId, Revision)]) -> Result<()> {
+        let deletions = batch
+            .iter()
+            .fold(Transaction::new(), |rows, (id, revision)| {
+                EarlyCancel::delete(rows, id).with_check(cancel_key(id), *revision)
+            });
+        let replaced = match self.table.transact(&deletions).await {
+            Ok(TransactionOutcome::Committed(_)) => None,
+            Ok(TransactionOutcome::Conflict(rows)) => Some(rows),
+            Err(error) => {
+                // A successor reads the rows and tries again.
+                let (status, reason) = lasting_refusal(error)?;
+                let rows = batch.len();
+                log::error!(
+                    "event=archive_refused deletions={rows} status={status} reason={reason:?}"
+                );
+                None
+            }
+        };
+        let mut engine = self.term.engine.borrow_mut();
+        let mut removed = 0;
+        for (id, revision) in batch {
+            let key = cancel_key(id);
+            let is_gone = |rows: &Vec<RowCheck>| rows.iter().any(|row| row.key == key);
+            if replaced.as_ref().is_none_or(is_gone) {
+                engine.early_cancels.remove(id, *revision);
+                removed += 1;
+            }
+        }
+        let left = engine.early_cancels.len();
+        log::info!("event=early_cancels_removed removed={removed} left={left}");
+        Ok(())
+    }
+
     /// Reads the rows that earlier controllers wrote, once, so that they are deleted in time.
     async fn read_ended_rows(&mut self) -> Result<()> {
         while let Some(partition) = self.unread_partitions.front() {
@@ -285,6 +343,8 @@
         let mut engine = self.term.engine.borrow_mut();
         for row in rows {
             match parse_job_key(&row.key) {
+                // Its row beside the submissions tells of it.
+                Some((_, false)) if EarlyCancel::from_row(&row.value).is_some() => {}
                 Some((id, false)) => engine.archived.insert(id, boot_ms()),
                 _ => log::warn!("event=ended_row_unreadable key={}", row.key),
             }
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -168,6 +168,7 @@
         if !self.ended.replace(true) {
             self.metrics.lease_epoch.set(0);
             self.metrics.open_jobs.set(0);
+            self.metrics.early_cancels.set(0);
             self.metrics.slow_workers.set(0);
             self.metrics.long_task_wait_ms.set(0);
             self.metrics.full_row_jobs.set(0);
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -24,6 +24,7 @@
 use crate::workflow::CommandPhase;
 use crate::workflow::CordonReason;
 use crate::workflow::DurationTracker;
+use crate::workflow::EarlyCancels;
 use crate::workflow::FleetConfig;
 use crate::workflow::FleetHealth;
 use crate::workflow::JobPhase;
@@ -83,6 +84,8 @@
     pub workers: BTreeMap<WorkerId, WorkerState>,
     /// Ended jobs that are no longer among `jobs`.
     pub(crate) archived: ArchivedJobs,
+    /// Cancellations that were answered before their jobs were stored.
+    pub early_cancels: EarlyCancels,
     /// Jobs with loaded progress but without submissions, since their move was not finished.
     pub(crate) leftover_progress: Vec<JobId>,
     /// Jobs whose progress rows must be written with the next commit.
@@ -153,6 +156,7 @@
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             archived: ArchivedJobs::new(),
+            early_cancels: EarlyCancels::new(),
             leftover_progress: Vec::new(),
             changed: BTreeSet::new(),
             effects: Vec::new(),
--- a/src/workflow/feed/feed_watcher.rs
+++ b/src/workflow/feed/feed_watcher.rs
@@ -20,6 +20,7 @@
 use crate::workflow::maintain_worker_lease;
 use crate::workflow::ChangeSet;
 use crate::workflow::ControllerTerm;
+use crate::workflow::EarlyCancel;
 use crate::workflow::FeedWait;
 use crate::workflow::FleetPlatform;
 use crate::workflow::JobEngine;
@@ -46,7 +47,7 @@
 const WORKER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Applies the row of a submission, with the job's durable progress if any, or of a cancellation.
-/// `table_ms` is the table's time, if known, from which the job's age follows.
+/// `table_ms` is the table's time, if known, from which ages follow.
 pub(crate) fn apply_job_row(
     engine: &mut JobEngine,
     row: &TableRow,
@@ -55,7 +56,14 @@
 ) {
     let spec = serde_json::from_value::<JobSpec>(row.value.clone());
     match (parse_job_key(&row.key), spec) {
-        (Some((id, true)), _) => engine.cancel_job(&id, boot_ms()),
+        (Some((id, true)), _) => match EarlyCancel::from_row(&row.value) {
+            Some(record) => {
+                let age_ms = record.age_ms(table_ms).unwrap_or(0);
+                let records = &mut engine.early_cancels;
+                records.insert(id, row.revision, age_ms, boot_ms());
+            }
+            None => engine.cancel_job(&id, boot_ms()),
+        },
         (Some((id, false)), Ok(spec)) if spec.is_plausible() => {
             log_job(engine, &id, &spec);
             engine.add_job(id.clone(), spec, progress, boot_ms());
--- a/src/workflow/intake/caller_scope.rs
+++ b/src/workflow/intake/caller_scope.rs
@@ -1,9 +1,13 @@
 //! The jobs that a caller may see and cancel.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::id::OrganisationId;
 
 /// Whose jobs a caller may see and cancel. Its own jobs belong to its organisation.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum CallerScope {
     /// All jobs, since the configuration has no organisations.
     Everything,
--- a/src/workflow/intake/job_intake.rs
+++ b/src/workflow/intake/job_intake.rs
@@ -13,6 +13,7 @@
 use crate::id::JobId;
 use crate::id::Revision;
 use crate::process::boot_ms;
+use crate::provider::RowCheck;
 use crate::provider::TableRow;
 use crate::provider::TableService;
 use crate::provider::Transaction;
@@ -26,9 +27,11 @@
 use crate::workflow::job_key;
 use crate::workflow::CallerScope;
 use crate::workflow::CountFreshness;
+use crate::workflow::EarlyCancel;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobStatus;
+use crate::workflow::RecordLimiter;
 
 /// Delay before a call that was refused or not answered is retried: a few round trips to the
 /// table.
@@ -38,6 +41,9 @@
 /// answer may have had an effect.
 const MAX_REFUSED_ATTEMPTS: u32 = 2;
 
+/// The limit on how often a call begins anew because the rows of its job have changed meanwhile.
+const MAX_ROUNDS: u32 = 8;
+
 /// Outcome of a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SubmitOutcome {
@@ -58,7 +64,7 @@
 pub enum CancelOutcome {
     /// The cancellation is stored. It has no effect on a job that has ended.
     Accepted,
-    /// No job with this id is stored, or the caller may not see it.
+    /// No job with this id that the caller may see is stored, and a submission under way won't store one.
     NoJob,
     /// The table refused or did not answer; the cancellation may be stored.
     Unknown,
@@ -88,12 +94,17 @@
 pub struct JobIntake<T> {
     table: Rc<T>,
     counts: Rc<CountFreshness>,
+    limiter: RecordLimiter,
 }
 
 impl<T: TableService> JobIntake<T> {
     /// Creates an intake that stores jobs in `table` and gives counts that are fresh by `counts`.
     pub fn new(table: Rc<T>, counts: Rc<CountFreshness>) -> Self {
-        Self { table, counts }
+        Self {
+            table,
+            counts,
+            limiter: RecordLimiter::new(),
+        }
     }
 
     /// Stores a job of a caller with `scope` unless it is already stored. Retries until `deadline`.
@@ -111,66 +122,133 @@
             row.insert(SUBMITTED_FIELD.to_owned(), now_ms.into());
         }
         let key = job_key(id);
-        let insert = Transaction::new()
+        let mut insert = Transaction::new()
             .with_check(key.as_str(), Revision::new(0))
             .with_check(ended_key(id), Revision::new(0))
-            .with_write(key.as_str(), value);
-        match self.insert(&insert, deadline).await {
-            InsertOutcome::Inserted => SubmitOutcome::Accepted,
-            InsertOutcome::Exists => self.find_known(id, scope, deadline).await,
-            InsertOutcome::Refused => SubmitOutcome::NotStored,
-            InsertOutcome::Unknown => SubmitOutcome::Unknown,
+            .with_write(key.as_str(), value.clone());
+        for _ in 0..MAX_ROUNDS {
+            let conflicts = match self.insert(&insert, deadline).await {
+                InsertOutcome::Inserted => return SubmitOutcome::Accepted,
+                InsertOutcome::Exists(conflicts) => conflicts,
+                InsertOutcome::Refused => return SubmitOutcome::NotStored,
+                InsertOutcome::Unknown => return SubmitOutcome::Unknown,
+            };
+            // Without organisations every job is visible to the caller, and nothing is read.
+            let is_stored = conflicts.iter().any(|check| check.key == key);
+            if is_stored && *scope == CallerScope::Everything {
+                return SubmitOutcome::Known;
+            }
+            let stored = match timeout_at(deadline, self.read_stored(id)).await {
+                Ok(Ok(stored)) => stored,
+                Ok(Err(error)) => {
+                    log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
+                    return SubmitOutcome::Unknown;
+                }
+                Err(_) => return SubmitOutcome::Unknown,
+            };
+            let (row, record) = match stored {
+                Some(StoredJob::Cancelled(row, record)) => (row, record),
+                Some(stored) => return stored.submit_outcome(scope),
+                None => return SubmitOutcome::Unknown,
+            };
+            if record.covers(spec.organisation.as_ref()) {
+                return self
+                    .accept_cancelled(id, spec, &record, row, deadline)
+                    .await;
+            }
+            // Only callers of other organisations have cancelled the id, so the record gives way.
+            insert = EarlyCancel::delete(Transaction::new(), id)
+                .with_check(key.as_str(), Revision::new(0))
+                .with_check(row.key, row.revision)
+                .with_write(key.as_str(), value.clone());
         }
+        SubmitOutcome::Unknown
     }
 
-    /// Finds out whether the job that a submission conflicted with is visible to the caller. Without
-    /// organisations it always is, and nothing is read.
-    async fn find_known(
+    /// Accepts a job that was cancelled before it was stored, as a cancelled one. An earlier submission of it
+    /// may have been answered, so that the caller must find it.
+    async fn accept_cancelled(
         &self,
         id: &JobId,
-        scope: &CallerScope,
+        spec: &JobSpec,
+        record: &EarlyCancel,
+        row: TableRow,
         deadline: Instant,
     ) -> SubmitOutcome {
-        if *scope == CallerScope::Everything {
-            return SubmitOutcome::Known;
+        let owner = spec.organisation.as_ref();
+        let record = record.clone().with_submission(owner, self.table.clock_ms());
+        let update = record.write(Transaction::new(), id, row.revision);
+        log::info!("event=cancelled_job_submitted job={id}");
+        match self.insert(&update, deadline).await {
+            InsertOutcome::Inserted => SubmitOutcome::Known,
+            // An attempt without an answer may have stored it; the caller asks again.
+            _ => SubmitOutcome::Unknown,
         }
-        let stored = match timeout_at(deadline, self.read_stored(id)).await {
-            Ok(Ok(stored)) => stored,
-            Ok(Err(error)) => {
-                log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
-                return SubmitOutcome::Unknown;
+    }
+
+    /// Cancels a job that a caller with `scope` may see. Retries until `deadline`. The cancellation of an
+    /// archived job has no effect and isn't stored. That of an unknown job is recorded, so that a
+    /// submission under way is not stored later.
+    pub async fn cancel(
+        &self,
+        id: &JobId,
+        scope: &CallerScope,
+        deadline: Instant,
+    ) -> CancelOutcome {
+        for _ in 0..MAX_ROUNDS {
+            let stored = match timeout_at(deadline, self.read_stored(id)).await {
+                Ok(Ok(stored)) => stored,
+                Ok(Err(error)) => return unknown_cancel(id, &error.to_string()),
+                Err(_) => return unknown_cancel(id, "no answer in time"),
+            };
+            let now_ms = self.table.clock_ms();
+            let (record, revision) = match stored {
+                Some(StoredJob::Submitted(row)) => {
+                    return self.cancel_stored(id, row, scope, deadline).await;
+                }
+                Some(StoredJob::Ended(row)) => return cancel_ended(id, &row, scope),
+                Some(StoredJob::Cancelled(_, record)) if record.is_fresh(scope, now_ms) => {
+                    return CancelOutcome::NoJob;
+                }
+                Some(StoredJob::Cancelled(row, record)) => (record, row.revision),
+                None => (EarlyCancel::new(now_ms), Revision::new(0)),
+            };
+            if !self.limiter.admit(boot_ms()) {
+                return unknown_cancel(id, "too many cancellations of unknown jobs");
+            }
+            let record = record.with_caller(scope, now_ms);
+            let free = Transaction::new().with_check(job_key(id), Revision::new(0));
+            match self
+                .insert(&record.write(free, id, revision), deadline)
+                .await
+            {
+                InsertOutcome::Inserted => {
+                    log::info!("event=early_cancel_recorded job={id}");
+                    return CancelOutcome::NoJob;
+                }
+                InsertOutcome::Exists(_) => {}
+                InsertOutcome::Refused | InsertOutcome::Unknown => return CancelOutcome::Unknown,
             }
-            Err(_) => return SubmitOutcome::Unknown,
-        };
-        match stored.and_then(|stored| stored.is_visible(scope)) {
-            Some(true) => SubmitOutcome::Known,
-            Some(false) => SubmitOutcome::Taken,
-            None => SubmitOutcome::Unknown,
         }
+        unknown_cancel(id, "the rows of the job keep changing")
     }
 
-    /// Stores the cancellation of a known job that a caller with `scope` may see. Retries until
-    /// `deadline`. That of an archived job has no effect and isn't stored.
-    pub async fn cancel(
+    /// Stores the cancellation of a job with a submission.
+    async fn cancel_stored(
         &self,
         id: &JobId,
+        submission: TableRow,
         scope: &CallerScope,
         deadline: Instant,
     ) -> CancelOutcome {
-        let stored = match self.read_stored(id).await {
-            Ok(Some(stored)) => stored,
-            Ok(None) => return CancelOutcome::NoJob,
-            Err(error) => return unknown_cancel(id, &error),
-        };
-        let submission = match (stored.is_visible(scope), stored) {
-            (Some(false), _) => return CancelOutcome::NoJob,
-            (None, _) => {
+        match is_row_visible(&submission.value, scope) {
+            Some(true) => {}
+            Some(false) => return CancelOutcome::NoJob,
+            None => {
                 log::error!("event=owner_unreadable job={id}");
                 return CancelOutcome::Unknown;
             }
-            (Some(true), StoredJob::Ended(_)) => return CancelOutcome::Accepted,
-            (Some(true), StoredJob::Submitted(row)) => row,
-        };
+        }
         let key = cancel_key(id);
         // If the job is archived meanwhile, the check of its submission fails, and no row is left
         // behind for a job that has ended.
@@ -179,7 +257,7 @@
             .with_check(key.as_str(), Revision::new(0))
             .with_write(key.as_str(), Value::Bool(true));
         match self.insert(&insert, deadline).await {
-            InsertOutcome::Inserted | InsertOutcome::Exists => CancelOutcome::Accepted,
+            InsertOutcome::Inserted | InsertOutcome::Exists(_) => CancelOutcome::Accepted,
             InsertOutcome::Refused | InsertOutcome::Unknown => CancelOutcome::Unknown,
         }
     }
@@ -236,6 +314,9 @@
         let Some(ended) = self.read_row(&ended_key(id)).await? else {
             return Ok(None);
         };
+        if EarlyCancel::from_row(&ended.value).is_some_and(|record| !record.is_submitted()) {
+            return Ok(None);
+        }
         let status = JobStatus::from_ended(&ended.value);
         if status.is_none() {
             log::error!("event=ended_row_unreadable key={}", ended.key);
@@ -245,13 +326,19 @@
         ))
     }
 
-    /// Reads a job's submission, or its ended row if it is archived.
+    /// Reads a job's submission, or its ended row if it is archived or was cancelled early.
     async fn read_stored(&self, id: &JobId) -> Result<Option<StoredJob>> {
         if let Some(row) = self.read_row(&job_key(id)).await? {
             return Ok(Some(StoredJob::Submitted(row)));
         }
-        let ended = self.read_row(&ended_key(id)).await?;
-        Ok(ended.map(StoredJob::Ended))
+        let Some(row) = self.read_row(&ended_key(id)).await? else {
+            return Ok(None);
+        };
+        let record = EarlyCancel::from_row(&row.value);
+        Ok(Some(match record.filter(|record| !record.is_submitted()) {
+            Some(record) => StoredJob::Cancelled(row, record),
+            None => StoredJob::Ended(row),
+        }))
     }
 
     /// Returns the number of a queue's jobs of which no task has started, unless the published
@@ -310,7 +397,7 @@
             };
             match answer {
                 Ok(TransactionOutcome::Committed(_)) => return InsertOutcome::Inserted,
-                Ok(TransactionOutcome::Conflict(_)) => return InsertOutcome::Exists,
+                Ok(TransactionOutcome::Conflict(rows)) => return InsertOutcome::Exists(rows),
                 Err(Error::PlatformRefused { status, reason }) => {
                     refusals += 1;
                     if !answer_lost && refusals >= MAX_REFUSED_ATTEMPTS {
@@ -335,15 +422,28 @@
     }
 }
 
-fn unknown_cancel(id: &JobId, error: &Error) -> CancelOutcome {
-    log::warn!("event=lookup_failed job={id} reason=\"{error}\"");
+fn unknown_cancel(id: &JobId, reason: &str) -> CancelOutcome {
+    log::warn!("event=cancel_unknown job={id} reason={reason:?}");
     CancelOutcome::Unknown
 }
 
+/// Returns the outcome of the cancellation of an archived job, which has no effect.
+fn cancel_ended(id: &JobId, row: &TableRow, scope: &CallerScope) -> CancelOutcome {
+    match is_row_visible(&row.value, scope) {
+        Some(true) => CancelOutcome::Accepted,
+        Some(false) => CancelOutcome::NoJob,
+        None => {
+            log::error!("event=owner_unreadable job={id}");
+            CancelOutcome::Unknown
+        }
+    }
+}
+
 /// Outcome of the insertion of a row.
 enum InsertOutcome {
     Inserted,
-    Exists,
+    /// Contains the rows that did not have the required revision.
+    Exists(Vec<RowCheck>),
     Refused,
     Unknown,
 }
@@ -355,16 +455,21 @@
     Unreadable,
 }
 
-/// The row that states a stored job's owner.
+/// The row that states a stored job's owner, or that its id was cancelled before.
 enum StoredJob {
     Submitted(TableRow),
     Ended(TableRow),
+    Cancelled(TableRow, EarlyCancel),
 }
 
 impl StoredJob {
-    /// Returns whether a caller may see the job, or `None` if its owner is unreadable.
-    fn is_visible(&self, scope: &CallerScope) -> Option<bool> {
-        let (Self::Submitted(row) | Self::Ended(row)) = self;
-        is_row_visible(&row.value, scope)
+    /// Returns what a submission that conflicts with the row comes to.
+    fn submit_outcome(&self, scope: &CallerScope) -> SubmitOutcome {
+        let (Self::Submitted(row) | Self::Ended(row) | Self::Cancelled(row, _)) = self;
+        match is_row_visible(&row.value, scope) {
+            Some(true) => SubmitOutcome::Known,
+            Some(false) => SubmitOutcome::Taken,
+            None => SubmitOutcome::Unknown,
+        }
     }
 }
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -155,6 +155,8 @@
     engine.release_stalled(boot_ms());
     engine.place_tasks(boot_ms(), now_ms());
     term.metrics.open_jobs.set(engine.open_jobs.len() as i64);
+    let early_cancels = engine.early_cancels.len() as i64;
+    term.metrics.early_cancels.set(early_cancels);
     let health = &engine.fleet_health;
     for (state, count) in &health.counts {
         term.metrics.set_worker_count(state.as_str(), *count);
--- a/src/workflow/takeover/state_loader.rs
+++ b/src/workflow/takeover/state_loader.rs
@@ -110,9 +110,10 @@
         let read_ms = boot_ms();
         let revision = reader.read_table(JOB_TABLE, add_job).await;
         term.record_submissions(read_ms);
+        let table_ms = self.platform.clock_ms();
         let mut engine = term.engine.borrow_mut();
         for row in &cancels {
-            apply_job_row(&mut engine, row, None, None);
+            apply_job_row(&mut engine, row, None, table_ms);
         }
         engine.set_leftover_progress(progress.keys());
         let (jobs, open) = (engine.jobs.len(), engine.open_jobs.len());
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -325,8 +325,13 @@
         let stored_revision =
             |key: &str| rows.get(key).map_or(Revision::new(0), |row| row.revision);
         let conflicts = |check: &&RowCheck| stored_revision(&check.key) != check.revision;
-        if transaction.checks.iter().any(|check| conflicts(&check)) {
-            return TransactionOutcome::Conflict(Vec::new());
+        let conflicts: Vec<_> = transaction.checks.iter().filter(conflicts).collect();
+        if !conflicts.is_empty() {
+            let actual = conflicts.into_iter().map(|check| RowCheck {
+                key: check.key.clone(),
+                revision: stored_revision(&check.key),
+            });
+            return TransactionOutcome::Conflict(actual.collect());
         }
         let number = self.revision.get() + 1;
         self.revision.set(number);
--- a/tests/common/fake_table.rs
+++ b/tests/common/fake_table.rs
@@ -79,6 +79,13 @@
         self.row(key).map_or(Revision::new(0), |row| row.revision)
     }
 
+    /// Commits the transactions that are late, whatever their time.
+    pub(crate) fn commit_all_late(&self) {
+        for (_, transaction) in self.late.take() {
+            self.commit(&transaction);
+        }
+    }
+
     /// Commits the transactions whose time has come.
     fn commit_late(&self) {
         let now = Instant::now();
@@ -90,7 +97,8 @@
         }
     }
 
-    fn commit(&self, transaction: &Transaction) -> TransactionOutcome {
+    /// Commits a transaction, unless one of its checks fails.
+    pub(crate) fn commit(&self, transaction: &Transaction) -> TransactionOutcome {
         let conflicts = transaction
             .checks
             .iter()
