Keep workers for trials only while the trial has room on them

Cause: workers were kept by capacity, before it was known whether all members of the gang fit, whether cap and row leave room, and whether all members were released; only the trial ended it.

Ruled out: room for the second steps (0% of the CPU in use), and a wrong suspicion of the gang.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -84,6 +84,9 @@
     /// Tasks that may crash their workers and await a trial or are on it, as known to the lease
     /// holder; 0 on other hosts.
     pub suspect_tasks: Gauge,
+    /// Workers that get no other tasks than those that may crash them, as known to the lease holder; 0 on
+    /// other hosts.
+    pub trial_workers: Gauge,
     /// Records of cancellations that were answered before their jobs were stored, as known to the lease
     /// holder; 0 on other hosts.
     pub early_cancels: Gauge,
@@ -159,6 +162,10 @@
             "suspect_tasks",
             "Tasks that may crash their workers, on the lease's holder",
         );
+        let trial_workers = gauge(
+            "trial_workers",
+            "Workers kept for tasks that may crash them, on the lease's holder",
+        );
         let early_cancels = gauge(
             "early_cancels",
             "Cancelled ids of which no job is stored, on the lease's holder",
@@ -183,6 +190,7 @@
             long_task_wait_ms,
             full_row_jobs,
             suspect_tasks,
+            trial_workers,
             early_cancels,
         }
     }
@@ -235,6 +243,7 @@
     pub fn clear_suspects(&self) {
         self.suspects.clear();
         self.suspect_tasks.set(0);
+        self.trial_workers.set(0);
     }
 
     /// Sets the number of crashes that a task may have caused. `worker` is the one it is tried on, or
--- a/src/workflow/crash/suspect_placer.rs
+++ b/src/workflow/crash/suspect_placer.rs
@@ -5,6 +5,9 @@
 //! crash would tell as little. A few workers of the pool therefore get no other tasks while
 //! suspects wait, and one suspect at a time, once they have survived the starts of all
 //! that they run.
+//!
+//! A worker is kept for a suspect only while the suspect, with all members of its gang, could be placed on
+//! the kept workers at once but for that: their room is free, and nothing else holds its job back.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,6 +15,7 @@
 use crate::id::JobId;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::crash::trial_workers::KeptWorker;
 use crate::workflow::CommandPhase;
 use crate::workflow::CrashCounts;
 use crate::workflow::JobEngine;
@@ -44,7 +48,8 @@
         now_ms < since_ms + MAX_TRIAL_WAIT_MS || self.crash_count(name) >= MIN_TRIAL_ONLY_CRASHES
     }
 
-    /// Chooses the workers of each pool on which suspects are tried, and places as many as possible.
+    /// Places as many suspects as possible on workers that can show whether they crash them, and keeps workers
+    /// for the next ones.
     pub(crate) fn place_suspects(
         &mut self,
         pools: &mut BTreeMap<ServiceId, PlacementPool>,
@@ -55,28 +60,20 @@
             return;
         }
         self.clear_suspects();
+        self.suspects.open_expired(now_ms);
         let waiting = self.waiting_suspects(wall_ms);
         let occupied = self.occupied_workers();
-        let kept = std::mem::take(&mut self.suspects.trial_workers);
         for (service, pool) in pools.iter_mut() {
             let names = waiting.get(service).map_or(&[][..], Vec::as_slice);
-            let steps: Vec<_> = names.iter().filter_map(|name| self.step_of(name)).collect();
-            let kept = kept.get(service);
-            let chosen = self.choose_trial_workers(pool, &steps, kept, &occupied);
-            for id in &chosen {
-                pool.set_trial(id, self.has_survived_all(id));
-            }
-            if !chosen.is_empty() {
-                self.suspects.trial_workers.insert(service.clone(), chosen);
-            }
-            for name in names {
-                self.place_suspect(name, pool, now_ms);
-            }
+            let kept = self.place_on_trial(names, &occupied, pool, now_ms);
+            self.suspects.trial_workers.replace(service, kept, now_ms);
         }
+        let has_pool = |service: &ServiceId| pools.contains_key(service);
+        self.suspects.trial_workers.retain_services(has_pool);
     }
 
-    /// Returns the suspects that are ready to start, by service: those that have been possible causes
-    /// least often first, of gangs one member each.
+    /// Returns the suspects that are ready to start, by service, of gangs one member each: first those for
+    /// which workers were not kept in vain, and of these those that have been possible causes least often.
     fn waiting_suspects(&self, wall_ms: u64) -> BTreeMap<ServiceId, Vec<TaskName>> {
         let mut waiting: BTreeMap<_, Vec<_>> = BTreeMap::new();
         let mut gangs = BTreeSet::new();
@@ -100,6 +97,7 @@
                 continue;
             }
             let rank = (
+                self.suspects.expired_ms(name),
                 !step.long_running,
                 self.crash_count(name),
                 self.suspects.since_ms(name),
@@ -115,83 +113,80 @@
         waiting.into_iter().map(order).collect()
     }
 
-    /// Returns the workers that run a suspect whose start they are not known to have survived.
-    fn occupied_workers(&self) -> BTreeSet<WorkerId> {
+    /// Returns the workers that run a suspect whose start they are not known to have survived, each with one
+    /// of them.
+    fn occupied_workers(&self) -> BTreeMap<WorkerId, TaskName> {
         let placed = self.suspects.iter().filter_map(|name| {
             let state = self.task_state(name)?;
-            state.worker().cloned()
+            Some((state.worker()?.clone(), name.clone()))
         });
         placed.collect()
     }
 
-    /// Chooses the workers of a pool on which suspects are tried. Those of the last pass and those that
-    /// run one stay.
-    fn choose_trial_workers(
-        &self,
-        pool: &PlacementPool,
-        steps: &[&StepSpec],
-        kept: Option<&BTreeSet<WorkerId>>,
-        occupied: &BTreeSet<WorkerId>,
-    ) -> BTreeSet<WorkerId> {
-        let mut chosen: BTreeSet<_> = occupied
-            .iter()
-            .filter(|id| pool.contains(id))
-            .cloned()
-            .collect();
-        if steps.is_empty() {
-            return chosen;
+    /// Tries the suspects of one pool in order, and returns the workers that are kept for them afterwards.
+    fn place_on_trial(
+        &mut self,
+        names: &[TaskName],
+        occupied: &BTreeMap<WorkerId, TaskName>,
+        pool: &mut PlacementPool,
+        now_ms: u64,
+    ) -> BTreeMap<WorkerId, KeptWorker> {
+        let mut kept = BTreeMap::new();
+        for (id, task) in occupied.iter().filter(|(id, _)| pool.contains(id)) {
+            let task = task.clone();
+            kept.insert(
+                id.clone(),
+                KeptWorker {
+                    task,
+                    is_tried: true,
+                },
+            );
         }
-        let is_gang = steps.iter().any(|step| step.gang);
-        let most = match is_gang {
-            // The members of a gang start together.
-            true => pool.len(),
-            false => (pool.len() * max_trial_percent(pool) / 100).max(1),
-        };
-        let needed: usize = steps.iter().map(|step| trial_workers_of(step)).sum();
-        let wanted = needed.min(most);
-        let kept = kept.into_iter().flatten();
-        for id in kept.filter(|id| pool.contains(id)) {
-            if chosen.len() < wanted {
-                chosen.insert(id.clone());
+        kept.keys().for_each(|id| pool.keep(id));
+        let limit = (pool.len() * max_trial_percent(pool) / 100).max(1);
+        for name in names {
+            let names = self.trial_unit(name, now_ms);
+            let chosen = self.choose_for_trial(&names, pool);
+            let workers: BTreeSet<_> = chosen.iter().cloned().collect();
+            // A gang that needs more workers than trials may take is tried alone.
+            if chosen.is_empty() || (!kept.is_empty() && kept.len() + workers.len() > limit) {
+                continue;
             }
-        }
-        for step in steps.iter().cycle().take(needed) {
-            if chosen.len() >= wanted {
-                break;
+            let is_quiet = workers.iter().all(|id| self.has_survived_all(id));
+            if is_quiet {
+                self.place_unit(&names, &chosen, now_ms);
+            }
+            for id in workers {
+                pool.keep(&id);
+                let task = name.clone();
+                let is_tried = is_quiet;
+                kept.insert(id, KeptWorker { task, is_tried });
             }
-            chosen.extend(pool.best_trial_worker(step, &chosen));
         }
-        chosen
+        kept
     }
 
     fn step_of(&self, name: &TaskName) -> Option<&StepSpec> {
         self.jobs.get(&name.job)?.step(name.step)
     }
 
-    fn place_suspect(&mut self, name: &TaskName, pool: &mut PlacementPool, now_ms: u64) {
-        if self.is_held(&name.job, now_ms) || self.cap_room(&name.job, name.step) == 0 {
-            return;
-        }
-        if self.step_of(name).is_some_and(|step| step.gang) {
-            self.place_gang_on_trial(&name.job, name.occurrence, name.step, pool, now_ms);
-            return;
-        }
-        let names = [name.clone()];
-        let chosen = self.choose_on_trial(&names, pool);
-        let [worker] = &chosen[..] else {
-            return;
+    /// Returns the tasks that start together with a suspect; none if they may not start now, whatever room
+    /// there is.
+    fn trial_unit(&self, name: &TaskName, now_ms: u64) -> Vec<TaskName> {
+        let is_gang = self.step_of(name).is_some_and(|step| step.gang);
+        let names = match is_gang {
+            true => self.startable_members(&name.job, name.occurrence, name.step),
+            false => vec![name.clone()],
         };
-        if self.has_row_room(&name.job, &names, &chosen, None) {
-            self.place_task(name, worker, now_ms);
+        let room = self.cap_room(&name.job, name.step);
+        match self.is_held(&name.job, now_ms) || room < names.len() as u64 {
+            true => Vec::new(),
+            false => names,
         }
     }
 
-    /// Chooses trial workers for tasks of one step that start together, or none.
-    pub(crate) fn choose_on_trial(
-        &self,
-        names: &[TaskName],
-        pool: &mut PlacementPool,
-    ) -> Vec<WorkerId> {
+    /// Chooses workers with room for tasks of one step that start together, or none.
+    fn choose_for_trial(&self, names: &[TaskName], pool: &PlacementPool) -> Vec<WorkerId> {
         let first = names.first().and_then(|name| {
             let job = self.jobs.get(&name.job)?;
             Some((name, job, job.step(name.step)?))
@@ -203,7 +198,32 @@
         let siblings = job.step_tasks(name.occurrence, name.step).iter();
         let placed = siblings.filter_map(|state| self.workers.get(state.worker()?));
         let placed: Vec<_> = placed.collect();
-        pool.choose_on_trial(step, &states, &placed)
+        let trial_workers = &self.suspects.trial_workers;
+        let chosen = pool.choose_for_trial(
+            step,
+            &states,
+            &placed,
+            |id| trial_workers.may_keep(id),
+            |id| trial_workers.contains(id),
+        );
+        match self.has_row_room(&name.job, names, &chosen, self.gang_checkpoint(name)) {
+            true => chosen,
+            false => Vec::new(),
+        }
+    }
+
+    /// Places tasks that start together.
+    fn place_unit(&mut self, names: &[TaskName], workers: &[WorkerId], now_ms: u64) {
+        if names
+            .first()
+            .is_some_and(|name| self.gang_checkpoint(name).is_some())
+        {
+            self.place_gang_members(names, workers, now_ms);
+            return;
+        }
+        for (name, worker) in names.iter().zip(workers) {
+            self.place_task(name, worker, now_ms);
+        }
     }
 
     /// Returns whether a member of a gang awaits its trial, and with it the gang.
@@ -222,7 +242,12 @@
 
     /// Returns whether tasks are tried on a worker that may crash it.
     pub fn is_trial_worker(&self, id: &WorkerId) -> bool {
-        self.suspects.is_trial_worker(id)
+        self.suspects.trial_workers.contains(id)
+    }
+
+    /// Returns the number of workers that get no other tasks than those that may crash them.
+    pub fn trial_worker_count(&self) -> usize {
+        self.suspects.trial_workers.len()
     }
 
     /// Takes the numbers of crashes and of what followed since the last call.
@@ -258,11 +283,3 @@
         false => MAX_TRIAL_PERCENT,
     }
 }
-
-/// Returns the number of workers that a trial of a step's task may take.
-fn trial_workers_of(step: &StepSpec) -> usize {
-    match step.gang {
-        true => step.tasks as usize,
-        false => 1,
-    }
-}
--- a/src/workflow/crash/suspect_tasks.rs
+++ b/src/workflow/crash/suspect_tasks.rs
@@ -1,11 +1,10 @@
 //! Tasks that may crash their workers, and the workers on which they are tried.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::id::JobId;
-use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::crash::trial_workers::TrialWorkers;
 use crate::workflow::TaskName;
 
 /// The time in ms within which the loss of another worker of a rack makes it likely that the rack was
@@ -17,8 +16,10 @@
 pub(crate) struct SuspectTasks {
     /// The suspects, with the time of the last crash that counted, in ms.
     since_ms: BTreeMap<TaskName, u64>,
+    /// When workers were last kept in vain for a suspect, in ms.
+    expired_ms: BTreeMap<TaskName, u64>,
     /// The workers on which suspects are tried, which get no other tasks.
-    pub(crate) trial_workers: BTreeMap<ServiceId, BTreeSet<WorkerId>>,
+    pub(crate) trial_workers: TrialWorkers,
     /// The last crashes, by rack.
     rack_crashes: BTreeMap<String, (WorkerId, u64)>,
     /// Crashes that counted, and jobs that were given up, since they were last taken.
@@ -55,6 +56,7 @@
     /// Clears a suspect.
     pub(crate) fn remove(&mut self, name: &TaskName) {
         self.since_ms.remove(name);
+        self.expired_ms.remove(name);
     }
 
     /// Clears all occurrences of a suspect.
@@ -62,6 +64,20 @@
         let key = |name: &TaskName| (name.job.clone(), name.step, name.index);
         let cleared = key(name);
         self.since_ms.retain(|other, _| key(other) != cleared);
+        self.expired_ms.retain(|other, _| key(other) != cleared);
+    }
+
+    /// Opens the workers that were kept for too long, and lets the suspects that they were kept for wait for
+    /// the others.
+    pub(crate) fn open_expired(&mut self, now_ms: u64) {
+        for name in self.trial_workers.open_expired(now_ms) {
+            self.expired_ms.insert(name, now_ms);
+        }
+    }
+
+    /// Returns when workers were last kept in vain for a suspect, in ms; 0 if they never were.
+    pub(crate) fn expired_ms(&self, name: &TaskName) -> u64 {
+        self.expired_ms.get(name).copied().unwrap_or(0)
     }
 
     /// Returns when a task last became a suspect, in ms; `None` if it is none.
@@ -79,12 +95,6 @@
         self.since_ms.keys().filter(move |name| name.job == *job)
     }
 
-    /// Returns whether suspects are tried on a worker.
-    pub(crate) fn is_trial_worker(&self, id: &WorkerId) -> bool {
-        let mut pools = self.trial_workers.values();
-        pools.any(|workers| workers.contains(id))
-    }
-
     /// Records the crash of a worker in a rack. Returns whether another one crashed there at about the
     /// same time.
     pub(crate) fn record_rack_crash(&mut self, rack: &str, id: &WorkerId, now_ms: u64) -> bool {
--- a/src/workflow/placement/placement_candidate.rs
+++ b/src/workflow/placement/placement_candidate.rs
@@ -18,18 +18,8 @@
     /// The worker is tried with few tasks, whatever it is thought of.
     pub(crate) is_probe: bool,
     pub(crate) slowdown: SlowdownFactor,
-    pub(crate) trial: TrialState,
-}
-
-/// Whether a worker takes tasks that may crash it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum TrialState {
-    /// It takes ordinary tasks.
-    None,
-    /// It takes one such task.
-    Free,
-    /// It takes no task, since it may not have survived the last starts yet.
-    Occupied,
+    /// It is kept for a task that may crash it.
+    pub(crate) is_kept: bool,
 }
 
 impl PlacementCandidate {
@@ -45,7 +35,7 @@
     /// each worker.
     pub(crate) fn fits(&self, step: &StepSpec, reserved: &WorkerResources, due: &DueTime) -> bool {
         self.slots > 0
-            && self.trial == TrialState::None
+            && !self.is_kept
             && reserved.fits(&self.free)
             && self.has_label(step)
             && (!self.is_slow() || self.slowdown.stretch(due.expected_ms) <= due.limit_ms)
--- a/src/workflow/placement/placement_pool.rs
+++ b/src/workflow/placement/placement_pool.rs
@@ -7,14 +7,12 @@
 //! A best-fit choice keeps the larger gaps for larger tasks. Tasks of long-running steps are
 //! spread over racks, so that the loss of one rack affects few of them.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 
 use crate::id::WorkerId;
 use crate::workflow::placement::placement_candidate::DueTime;
 use crate::workflow::placement::placement_candidate::PlacementCandidate;
-use crate::workflow::placement::placement_candidate::TrialState;
 use crate::workflow::SlowdownFactor;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskState;
@@ -58,7 +56,7 @@
             slots: slots.unwrap_or(u32::MAX),
             is_probe: limit.is_some(),
             slowdown,
-            trial: TrialState::None,
+            is_kept: false,
         };
         let cpu_millis = worker.entry.capacity.cpu_millis;
         self.capacity.add(&WorkerResources {
@@ -164,77 +162,59 @@
         self.candidates.iter().any(|one| one.entry.id == *id)
     }
 
-    /// Keeps a worker for tasks that may crash it. It takes one if `is_free`.
-    pub(crate) fn set_trial(&mut self, id: &WorkerId, is_free: bool) {
+    /// Keeps a worker for a task that may crash it: no other one is placed there.
+    pub(crate) fn keep(&mut self, id: &WorkerId) {
         let candidate = self.candidates.iter_mut().find(|one| one.entry.id == *id);
         if let Some(candidate) = candidate {
-            candidate.trial = match is_free {
-                true => TrialState::Free,
-                false => TrialState::Occupied,
-            };
+            candidate.is_kept = true;
         }
     }
 
-    /// Returns the worker, not one of `chosen`, whose crash would harm the fewest tasks and that is large
-    /// enough for a task of a step.
-    pub(crate) fn best_trial_worker(
+    /// Chooses workers for the `waiting` tasks of a step, which may crash them and start together: those
+    /// whose crash would harm the fewest tasks, if possible ones that `was_kept` names, and only such as
+    /// `may_keep` allows. `placed` are the workers of the step's other tasks. Returns none if one of the
+    /// tasks has no room now. Reserves nothing.
+    pub(crate) fn choose_for_trial(
         &self,
         step: &StepSpec,
-        chosen: &BTreeSet<WorkerId>,
-    ) -> Option<WorkerId> {
-        let reserved = step.reserved();
-        let suits = |candidate: &&PlacementCandidate| {
-            candidate.has_label(step)
-                && reserved.fits(&candidate.entry.capacity)
-                && !chosen.contains(&candidate.entry.id)
-        };
-        let harm = |candidate: &&PlacementCandidate| {
-            let free_millis = candidate.free.cpu_millis;
-            let used_millis = candidate.entry.capacity.cpu_millis - free_millis;
-            let is_full = !reserved.fits(&candidate.free);
-            (
-                is_full,
-                candidate.has_long_running,
-                candidate.is_probe,
-                used_millis,
-            )
-        };
-        let best = self.candidates.iter().filter(suits).min_by_key(harm);
-        best.map(|candidate| candidate.entry.id.clone())
-    }
-
-    /// Chooses workers that are kept for trials for the `waiting` tasks of a step, which start together,
-    /// and reserves their resources; none if one of them fits nowhere.
-    pub(crate) fn choose_on_trial(
-        &mut self,
-        step: &StepSpec,
         waiting: &[&TaskState],
         placed: &[&WorkerState],
+        may_keep: impl Fn(&WorkerId) -> bool,
+        was_kept: impl Fn(&WorkerId) -> bool,
     ) -> Vec<WorkerId> {
         let reserved = step.reserved();
         let mut siblings = StepSiblings::new(step, placed);
-        let mut positions = Vec::with_capacity(waiting.len());
+        let mut positions: Vec<usize> = Vec::with_capacity(waiting.len());
         for task in waiting {
             let fitting = self
                 .candidates
                 .iter()
                 .enumerate()
                 .filter(|(position, one)| {
-                    let is_kept = one.trial == TrialState::Free || positions.contains(position);
-                    let has_room = one.slots > 0 && reserved.fits(&one.free) && one.has_label(step);
-                    is_kept && has_room && siblings.permit(step, &one.entry.id)
+                    let chosen = positions.iter().filter(|other| *other == position).count();
+                    let count = chosen as u64 + 1;
+                    let has_room = u64::from(one.slots) >= count
+                        && reserved.times(count).fits(&one.free)
+                        && one.has_label(step);
+                    let id = &one.entry.id;
+                    !one.is_kept && has_room && siblings.permit(step, id) && may_keep(id)
                 });
-            let best = fitting.min_by_key(|(_, one)| cost(one, step, task, &siblings));
-            let Some((position, _)) = best else {
-                let chosen: Vec<_> = self.ids(&positions);
-                self.release(step, &chosen);
-                for position in positions {
-                    self.candidates[position].trial = TrialState::Free;
-                }
+            let best = fitting.min_by_key(|(position, one)| {
+                let capacity = &one.entry.capacity;
+                (
+                    task.failed_on.contains(&one.entry.id),
+                    !positions.contains(position),
+                    !was_kept(&one.entry.id),
+                    one.has_long_running,
+                    one.rank(),
+                    capacity.saturating_sub(&one.free).cpu_millis,
+                    cost(one, step, task, &siblings),
+                )
+            });
+            let Some((position, candidate)) = best else {
                 return Vec::new();
             };
-            self.reserve(position, step, &mut siblings);
-            self.candidates[position].trial = TrialState::Occupied;
+            siblings.add(step, &candidate.entry);
             positions.push(position);
         }
         self.ids(&positions)
--- a/src/workflow/placement/task_placer.rs
+++ b/src/workflow/placement/task_placer.rs
@@ -185,78 +185,76 @@
         if self.gang_awaits_trial(id, occurrence, step, now_ms) {
             return true;
         }
-        self.place_members(
-            id,
-            occurrence,
-            step,
-            pool,
-            now_ms,
-            |engine, waiting, pool| engine.choose_workers(waiting, pool, now_ms),
-        )
-    }
-
-    /// Like [`JobEngine::place_gang`], on workers that are kept for trials.
-    pub(crate) fn place_gang_on_trial(
-        &mut self,
-        id: &JobId,
-        occurrence: u32,
-        step: u32,
-        pool: &mut PlacementPool,
-        now_ms: u64,
-    ) -> bool {
-        self.place_members(
-            id,
-            occurrence,
-            step,
-            pool,
-            now_ms,
-            |engine, waiting, pool| engine.choose_on_trial(waiting, pool),
-        )
-    }
-
-    fn place_members(
-        &mut self,
-        id: &JobId,
-        occurrence: u32,
-        step: u32,
-        pool: &mut PlacementPool,
-        now_ms: u64,
-        choose: impl Fn(&Self, &[TaskName], &mut PlacementPool) -> Vec<WorkerId>,
-    ) -> bool {
-        let waiting = self.waiting_tasks(id, occurrence, step);
-        let Some(job) = self.jobs.get(id) else {
+        let waiting = self.startable_members(id, occurrence, step);
+        let Some(first) = waiting.first() else {
             return true;
         };
-        let tasks = job.step_tasks(occurrence, step);
-        // A gang starts together, so it waits until all members of its last run are released.
-        if waiting.is_empty() || waiting.len() < tasks.len() {
-            return true;
-        }
         if self.cap_room(id, step) < waiting.len() as u64 {
             return true;
         }
-        let chosen = choose(self, &waiting, pool);
+        let chosen = self.choose_workers(&waiting, pool, now_ms);
+        let Some(spec) = self.jobs.get(id).and_then(|job| job.step(step)) else {
+            return true;
+        };
         if chosen.len() < waiting.len() {
-            pool.release(&job.spec.steps[step as usize], &chosen);
+            pool.release(spec, &chosen);
             return false;
         }
-        let last_run = tasks.iter().map(|state| state.last_run).max().unwrap_or(0);
-        let newest = tasks.iter().max_by_key(|state| state.last_run);
-        let checkpoint = newest.map_or(String::new(), |state| state.checkpoint.clone());
-        if !self.has_row_room(id, &waiting, &chosen, Some(&checkpoint)) {
-            pool.release(&job.spec.steps[step as usize], &chosen);
+        if !self.has_row_room(id, &waiting, &chosen, self.gang_checkpoint(first)) {
+            pool.release(spec, &chosen);
             self.full_rows.record(id, waiting.len());
             return true;
         }
-        for (name, worker) in waiting.iter().zip(&chosen) {
-            let job = self.jobs.get_mut(id);
+        self.place_gang_members(&waiting, &chosen, now_ms);
+        true
+    }
+
+    /// Returns the members of a gang if all of them can start. A gang starts together, so it waits until all
+    /// members of its last run are released.
+    pub(crate) fn startable_members(
+        &self,
+        id: &JobId,
+        occurrence: u32,
+        step: u32,
+    ) -> Vec<TaskName> {
+        let mut waiting = self.waiting_tasks(id, occurrence, step);
+        let job = self.jobs.get(id);
+        if job.is_none_or(|job| waiting.len() < job.step_tasks(occurrence, step).len()) {
+            waiting.clear();
+        }
+        waiting
+    }
+
+    /// Returns the checkpoint of the member of a task's gang that ran last; `None` for a task that is no
+    /// member.
+    pub(crate) fn gang_checkpoint(&self, name: &TaskName) -> Option<&str> {
+        let job = self.jobs.get(&name.job)?;
+        job.step(name.step).filter(|step| step.gang)?;
+        let tasks = job.step_tasks(name.occurrence, name.step).iter();
+        let newest = tasks.max_by_key(|state| state.last_run);
+        Some(newest.map_or("", |state| &state.checkpoint))
+    }
+
+    /// Places all members of a gang, with the run number and checkpoint of the one that ran last.
+    pub(crate) fn place_gang_members(
+        &mut self,
+        names: &[TaskName],
+        workers: &[WorkerId],
+        now_ms: u64,
+    ) {
+        let newest = names.iter().filter_map(|name| self.task_state(name));
+        let Some(newest) = newest.max_by_key(|state| state.last_run) else {
+            return;
+        };
+        let (last_run, checkpoint) = (newest.last_run, newest.checkpoint.clone());
+        for (name, worker) in names.iter().zip(workers) {
+            let job = self.jobs.get_mut(&name.job);
             if let Some(state) = job.and_then(|job| job.task_mut(name)) {
                 state.last_run = last_run;
                 state.checkpoint.clone_from(&checkpoint);
             }
             self.place_task(name, worker, now_ms);
         }
-        true
     }
 
     fn waiting_tasks(&self, id: &JobId, occurrence: u32, step: u32) -> Vec<TaskName> {
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -134,6 +134,8 @@
     }
     metrics.clear_suspects();
     metrics.suspect_tasks.set(count as i64);
+    let trial_workers = engine.trial_worker_count() as i64;
+    metrics.trial_workers.set(trial_workers);
     for (task, crashes, worker) in engine.suspect_tasks().into_iter().take(MAX_LISTED_SUSPECTS) {
         let worker = worker.map_or("none".to_owned(), |worker| worker.to_string());
         metrics.set_suspect(task.to_string(), worker, crashes);
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -13,16 +13,21 @@
 use zincpier::workflow::CommandPhase;
 use zincpier::workflow::CrashEvidence;
 use zincpier::workflow::EndKind;
+use zincpier::workflow::FleetConfig;
 use zincpier::workflow::JobEngine;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
 use zincpier::workflow::JobSpec;
+use zincpier::workflow::Organisation;
+use zincpier::workflow::OrganisationDirectory;
+use zincpier::workflow::QueueConfig;
 use zincpier::workflow::RunningTask;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::TaskEnd;
 use zincpier::workflow::TaskName;
 use zincpier::workflow::WorkerEntry;
 use zincpier::workflow::WorkerReport;
+use zincpier::workflow::WorkerResources;
 use zincpier::workflow::INHERITED_RUN_MS;
 
 use crate::fixtures::config;
@@ -56,6 +61,8 @@
     runs: BTreeMap<TaskName, SimulatedRun>,
     ends: Vec<TaskEnd>,
     crashed_ms: Option<u64>,
+    /// It doesn't start again after its crash.
+    is_lost: bool,
     /// The crash is known to the controller.
     is_noted: bool,
 }
@@ -85,6 +92,8 @@
     pub(crate) crashes: u32,
     workers: Vec<SimulatedWorker>,
     specs: BTreeMap<JobId, JobSpec>,
+    /// How long the tasks of some jobs run, in ms.
+    run_ms: BTreeMap<JobId, u64>,
     keeps_ids: bool,
 }
 
@@ -103,6 +112,7 @@
                 .map(|index| simulated(worker_entry(index)))
                 .collect(),
             specs: BTreeMap::new(),
+            run_ms: BTreeMap::new(),
             keeps_ids: false,
         };
         fleet.list_workers();
@@ -124,6 +134,91 @@
         self.submit_scheduled(id, steps, None);
     }
 
+    /// Submits a job whose tasks run for `run_ms`.
+    pub(crate) fn submit_lasting(&mut self, id: &str, steps: Vec<StepSpec>, run_ms: u64) {
+        self.run_ms.insert(id.parse().unwrap(), run_ms);
+        self.submit(id, steps);
+    }
+
+    /// Submits a job of an organisation.
+    pub(crate) fn submit_for(&mut self, organisation: &str, id: &str, steps: Vec<StepSpec>) {
+        let spec = JobSpec {
+            queue: QUEUE.to_owned(),
+            organisation: Some(organisation.parse().unwrap()),
+            payload: "text".to_owned(),
+            steps,
+            schedule: None,
+        };
+        let id: JobId = id.parse().unwrap();
+        self.specs.insert(id.clone(), spec.clone());
+        self.engine.add_job(id, spec, None, self.now_ms);
+    }
+
+    /// Adds a queue of the same service to the configuration.
+    pub(crate) fn add_queue(&mut self, name: &str, priority: u32) {
+        let mut next = FleetConfig::clone(self.engine.config.as_ref().unwrap());
+        next.version += 1;
+        let queue = next.queues[0].clone();
+        next.queues.push(QueueConfig {
+            name: name.to_owned(),
+            prefix: format!("/{name}/"),
+            priority,
+            ..queue
+        });
+        self.engine.config = Some(Rc::new(next));
+    }
+
+    pub(crate) fn submit_to(&mut self, queue: &str, id: &str, steps: Vec<StepSpec>) {
+        let spec = JobSpec {
+            queue: queue.to_owned(),
+            organisation: None,
+            payload: "text".to_owned(),
+            steps,
+            schedule: None,
+        };
+        let id: JobId = id.parse().unwrap();
+        self.specs.insert(id.clone(), spec.clone());
+        self.engine.add_job(id, spec, None, self.now_ms);
+    }
+
+    /// Puts organisations in force.
+    pub(crate) fn set_organisations(&mut self, organisations: Vec<Organisation>) {
+        let mut next = FleetConfig::clone(self.engine.config.as_ref().unwrap());
+        next.version += 1;
+        next.organisations = Some(OrganisationDirectory::new(organisations));
+        self.engine.config = Some(Rc::new(next));
+    }
+
+    /// Changes the CPU capacity of a worker.
+    pub(crate) fn resize(&mut self, index: usize, cpu_millis: u64) {
+        self.workers[index].entry.capacity.cpu_millis = cpu_millis;
+        let entry = self.workers[index].entry.clone();
+        if self.workers[index].crashed_ms.is_none() {
+            self.engine.set_worker(entry, self.now_ms);
+        }
+    }
+
+    /// Takes a worker away for good; gangs that lose a member end.
+    pub(crate) fn lose(&mut self, index: usize) {
+        let lost: Vec<_> = self.workers[index].runs.keys().cloned().collect();
+        self.crash(index);
+        self.workers[index].is_lost = true;
+        lost.iter().for_each(|name| self.break_gang(name));
+    }
+
+    /// Returns what is free on each worker that is up, and its whole CPU, by what runs there.
+    pub(crate) fn free_resources(&self) -> Vec<(WorkerResources, u64)> {
+        let up = self.workers.iter().filter(|one| one.crashed_ms.is_none());
+        let free = up.map(|worker| {
+            let capacity = worker.entry.capacity;
+            let free = worker.runs.keys().fold(capacity, |free, name| {
+                free.saturating_sub(&self.specs[&name.job].steps[name.step as usize].reserved())
+            });
+            (free, capacity.cpu_millis)
+        });
+        free.collect()
+    }
+
     pub(crate) fn submit_scheduled(
         &mut self,
         id: &str,
@@ -275,9 +370,11 @@
     fn end_runs(&mut self) {
         for worker in &mut self.workers {
             let specs = &self.specs;
+            let run_ms = &self.run_ms;
             let is_over = |name: &TaskName, run: &SimulatedRun| {
                 let step = &specs[&name.job].steps[name.step as usize];
-                !step.long_running && self.now_ms >= run.started_ms + RUN_MS
+                let run_ms = run_ms.get(&name.job).copied().unwrap_or(RUN_MS);
+                !step.long_running && self.now_ms >= run.started_ms + run_ms
             };
             let over: Vec<_> = worker
                 .runs
@@ -316,7 +413,7 @@
         let mut listed = Vec::new();
         for (index, worker) in self.workers.iter_mut().enumerate() {
             let crashed_ms = worker.crashed_ms;
-            if crashed_ms.is_none_or(|at_ms| now_ms < at_ms + RESTART_MS) {
+            if worker.is_lost || crashed_ms.is_none_or(|at_ms| now_ms < at_ms + RESTART_MS) {
                 continue;
             }
             let mut entry = worker.entry.clone();
@@ -412,6 +509,7 @@
         runs: BTreeMap::new(),
         ends: Vec::new(),
         crashed_ms: None,
+        is_lost: false,
         is_noted: false,
     }
 }
--- a/tests/common/workflow.rs
+++ b/tests/common/workflow.rs
@@ -437,6 +437,23 @@
     }
 }
 
+/// Returns a step whose tasks each take `cpu_millis`.
+pub(crate) fn with_cpu(cpu_millis: u64, step: StepSpec) -> StepSpec {
+    let demand = WorkerResources {
+        cpu_millis,
+        ..step.demand
+    };
+    StepSpec { demand, ..step }
+}
+
+/// Returns a step whose tasks, of `cpu_millis` each, work only together.
+pub(crate) fn gang(members: u32, cpu_millis: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..with_cpu(cpu_millis, step(members))
+    }
+}
+
 pub(crate) fn step_after(tasks: u32, before: u32) -> StepSpec {
     StepSpec {
         after: vec![before],
