Try each waiting job in turn, whatever can't be placed before it

Cause: a pass ends its tries of a lane after 24 steps without a worker, and each pass begins with the same jobs. Steps at their limit on each worker, or gangs wider than the pool, do the same.

Ruled out: admission (all jobs were accepted) and a feasibility test as the whole remedy: limits on each worker and wide gangs starve others as well.

Change: the jobs that passes leave out take turns, so that each is tried once in 1.5 s; the head of the order is tried first in every pass as before. Up to 64 steps that no worker could hold, however idle, don't count towards the bound. A step larger than what any worker has free is turned down without a look at each worker.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -84,6 +84,9 @@
     /// Tasks that may crash their workers and await a trial or are on it, as known to the lease
     /// holder; 0 on other hosts.
     pub suspect_tasks: Gauge,
+    /// Jobs that the last placement pass left out after too many that found no worker, as known to the lease
+    /// holder; 0 on other hosts.
+    pub left_out_jobs: Gauge,
     /// Workers that get no other tasks than those that may crash them, as known to the lease holder; 0 on
     /// other hosts.
     pub trial_workers: Gauge,
@@ -162,6 +165,10 @@
             "suspect_tasks",
             "Tasks that may crash their workers, on the lease's holder",
         );
+        let left_out_jobs = gauge(
+            "left_out_jobs",
+            "Waiting jobs that the last placement pass did not try, on the lease's holder",
+        );
         let trial_workers = gauge(
             "trial_workers",
             "Workers kept for tasks that may crash them, on the lease's holder",
@@ -190,6 +197,7 @@
             long_task_wait_ms,
             full_row_jobs,
             suspect_tasks,
+            left_out_jobs,
             trial_workers,
             early_cancels,
         }
--- a/src/workflow/controller_term.rs
+++ b/src/workflow/controller_term.rs
@@ -169,6 +169,7 @@
             self.metrics.lease_epoch.set(0);
             self.metrics.open_jobs.set(0);
             self.metrics.early_cancels.set(0);
+            self.metrics.left_out_jobs.set(0);
             self.metrics.slow_workers.set(0);
             self.metrics.long_task_wait_ms.set(0);
             self.metrics.full_row_jobs.set(0);
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -20,6 +20,7 @@
 use crate::workflow::long_task_monitor::LongTaskMonitor;
 use crate::workflow::lost_runs::LostRuns;
 use crate::workflow::organisation_usage::OrganisationUsage;
+use crate::workflow::placement::waiting_turns::WaitingTurns;
 use crate::workflow::ArchivedJobs;
 use crate::workflow::CommandPhase;
 use crate::workflow::CordonReason;
@@ -113,6 +114,9 @@
     pub(crate) rates: RateMeter,
     /// The last placement pass left tasks without a worker.
     pub(crate) has_waiting: bool,
+    /// Whose turn it is among the jobs that passes leave out, and how many the last one left out.
+    pub(crate) turns: WaitingTurns,
+    pub(crate) left_out: usize,
     /// What the regular check of all workers keeps.
     pub fleet_health: FleetHealth,
     pub(crate) long_tasks: LongTaskMonitor,
@@ -173,6 +177,8 @@
             durations: DurationTracker::new(),
             rates: RateMeter::new(),
             has_waiting: false,
+            turns: WaitingTurns::default(),
+            left_out: 0,
             fleet_health: FleetHealth::default(),
             long_tasks: LongTaskMonitor::default(),
             incarnations: KnownIncarnations::default(),
@@ -398,6 +404,11 @@
         self.has_waiting
     }
 
+    /// Returns the number of jobs that the last placement pass left out.
+    pub fn left_out_count(&self) -> usize {
+        self.left_out
+    }
+
     /// Returns the remaining time for which runs of earlier controllers may continue unobserved,
     /// in ms.
     pub fn inherited_ms(&self, now_ms: u64) -> u64 {
--- a/src/workflow/engine_health.rs
+++ b/src/workflow/engine_health.rs
@@ -51,7 +51,8 @@
                 self.add_waiting_work(&id, pool);
                 continue;
             }
-            attempts += self.place_job(&id, pool, now_ms, wall_ms).min(1);
+            let unplaced = self.place_job(&id, pool, now_ms, wall_ms);
+            attempts += unplaced.waiting.min(1);
             if attempts >= MAX_SLOW_ATTEMPTS {
                 return;
             }
--- a/src/workflow/placement/mod.rs
+++ b/src/workflow/placement/mod.rs
@@ -6,5 +6,7 @@
 mod placement_pool;
 pub(crate) mod planned_job;
 mod task_placer;
+mod unplaced_steps;
+pub(crate) mod waiting_turns;
 
 pub use placement_pool::PlacementPool;
--- a/src/workflow/placement/pass_plan.rs
+++ b/src/workflow/placement/pass_plan.rs
@@ -7,6 +7,7 @@
 use crate::id::JobId;
 use crate::id::ServiceId;
 use crate::workflow::placement::planned_job::PlannedJob;
+use crate::workflow::placement::unplaced_steps::UnplacedSteps;
 
 /// The number of steps with unplaced tasks after which the rest of a lane's jobs wait for the next
 /// pass; the little capacity that is left would serve few of them.
@@ -16,6 +17,10 @@
 /// nowhere then doesn't end the pass for the others.
 const MIN_GROUP_UNPLACED_STEPS: u32 = 4;
 
+/// The number of steps that no worker could hold after which they count like the others. Until then they
+/// keep no job of their lane from being tried.
+const MAX_TOO_LARGE_STEPS: u32 = 64;
+
 /// What decides whether jobs that come later in a pass are likely to fit nowhere, too. Jobs that wait
 /// for other workers, or long-running ones for another gap, are in different lanes.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -63,6 +68,8 @@
     jobs: IntoIter<(JobId, usize)>,
     /// The unplaced steps that are left to each lane until its rest waits.
     steps_left: Vec<u32>,
+    /// The steps too large for all workers that are left until more of them count.
+    too_large_left: u32,
     last_lane: usize,
     /// The jobs of lanes that have reached their limit.
     skipped: Vec<JobId>,
@@ -85,6 +92,7 @@
         Self {
             jobs: numbered.into_iter(),
             steps_left: vec![limit; lanes.len()],
+            too_large_left: MAX_TOO_LARGE_STEPS,
             last_lane: 0,
             skipped: Vec::new(),
         }
@@ -108,8 +116,11 @@
         self.skipped.into_iter().chain(rest)
     }
 
-    /// Records the number of steps with unplaced tasks of the job that was returned last.
-    pub(crate) fn record_unplaced(&mut self, steps: u32) {
+    /// Records the steps with unplaced tasks of the job that was returned last.
+    pub(crate) fn record_unplaced(&mut self, unplaced: UnplacedSteps) {
+        let uncounted = unplaced.too_large.min(self.too_large_left);
+        self.too_large_left -= uncounted;
+        let steps = unplaced.waiting + unplaced.too_large - uncounted;
         let left = &mut self.steps_left[self.last_lane];
         *left = left.saturating_sub(steps);
     }
--- a/src/workflow/placement/placement_pool.rs
+++ b/src/workflow/placement/placement_pool.rs
@@ -27,6 +27,9 @@
     /// A slow worker's CPU counts by the work that it does.
     capacity: WorkerResources,
     used: WorkerResources,
+    /// The largest capacity of a worker, and an upper bound of what is free on one, each resource by itself.
+    largest_capacity: WorkerResources,
+    largest_free: WorkerResources,
     /// The CPU capacity of workers that are as fast as expected, in millicores.
     fast_millis: u64,
     /// The smallest slowdown of a slow worker.
@@ -64,6 +67,8 @@
             ..worker.entry.capacity
         });
         self.used.add(&worker.used);
+        self.largest_capacity.extend_to(&worker.entry.capacity);
+        self.largest_free.extend_to(&candidate.free);
         if candidate.is_slow() {
             let smallest = self.min_slowdown.unwrap_or(slowdown);
             self.min_slowdown = Some(smallest.min(slowdown));
@@ -129,6 +134,9 @@
         (expected_ms, waited_ms): (u64, u64),
     ) -> Vec<WorkerId> {
         let reserved = step.reserved();
+        if !self.may_fit(&reserved) {
+            return Vec::new();
+        }
         let mut due = self.due_time(expected_ms, waited_ms);
         if step.long_running || !self.has_fast_worker(step, &reserved) {
             due.limit_ms = u64::MAX;
@@ -143,6 +151,7 @@
             });
             let best = again.or_else(|| self.best_fit(step, task, &siblings, &due));
             let Some(position) = best else {
+                self.update_largest_free();
                 return chosen;
             };
             last = is_ordinary(step, task).then_some(position);
@@ -152,6 +161,25 @@
         chosen
     }
 
+    /// Returns whether a worker may have `reserved` free: if not, none has.
+    pub(crate) fn may_fit(&self, reserved: &WorkerResources) -> bool {
+        reserved.fits(&self.largest_free)
+    }
+
+    /// Returns whether no worker has the capacity for `reserved`, used or not, although there are some.
+    pub(crate) fn is_too_small(&self, reserved: &WorkerResources) -> bool {
+        !self.candidates.is_empty() && !reserved.fits(&self.largest_capacity)
+    }
+
+    fn update_largest_free(&mut self) {
+        let open = self.candidates.iter();
+        let open = open.filter(|one| one.slots > 0 && !one.is_kept);
+        self.largest_free = open.fold(WorkerResources::default(), |mut largest, one| {
+            largest.extend_to(&one.free);
+            largest
+        });
+    }
+
     /// Returns the number of workers.
     pub(crate) fn len(&self) -> usize {
         self.candidates.len()
@@ -234,6 +262,7 @@
             if let Some(candidate) = candidate {
                 candidate.free.add(&step.reserved());
                 candidate.slots = candidate.slots.saturating_add(1);
+                self.largest_free.extend_to(&candidate.free);
             }
         }
     }
--- a/src/workflow/placement/task_placer.rs
+++ b/src/workflow/placement/task_placer.rs
@@ -11,6 +11,7 @@
 use crate::id::JobId;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::placement::unplaced_steps::UnplacedSteps;
 use crate::workflow::running_time::RunningTime;
 use crate::workflow::CommandPhase;
 use crate::workflow::CommitEffect;
@@ -31,6 +32,7 @@
             return;
         };
         self.has_waiting = false;
+        self.left_out = 0;
         self.full_rows.clear();
         self.caps.refresh(&config, now_ms);
         self.forget_placed_jobs();
@@ -51,16 +53,31 @@
         let plan = self.plan_pass(&config, &pools, &services, now_ms);
         self.log_oversized(plan.oversized);
         for (service, mut jobs) in plan.by_service {
-            let pool = pools.entry(service).or_default();
+            let pool = pools.entry(service.clone()).or_default();
             while let Some(job) = jobs.next() {
-                let unplaced_steps = self.place_job(&job, pool, now_ms, wall_ms);
-                jobs.record_unplaced(unplaced_steps);
-                self.has_waiting |= unplaced_steps > 0;
+                let unplaced = self.place_job(&job, pool, now_ms, wall_ms);
+                jobs.record_unplaced(unplaced);
+                self.has_waiting |= unplaced.waiting + unplaced.too_large > 0;
             }
-            self.place_on_slow_workers(jobs.into_rest(), pool, now_ms, wall_ms);
+            let left_out: Vec<_> = jobs.into_rest().collect();
+            self.left_out += left_out.len();
+            for id in self.turns.take(&service, &left_out, now_ms) {
+                if self.may_fit(&id, pool) {
+                    self.place_job(&id, pool, now_ms, wall_ms);
+                }
+            }
+            self.place_on_slow_workers(left_out.into_iter(), pool, now_ms, wall_ms);
         }
     }
 
+    /// Returns whether there may be room for a task of a job that is ready, by what is free on the pool's
+    /// workers.
+    fn may_fit(&self, id: &JobId, pool: &PlacementPool) -> bool {
+        let steps = self.jobs.get(id).map(|job| &job.spec.steps);
+        let mut steps = steps.into_iter().flatten();
+        steps.any(|step| pool.may_fit(&step.reserved()))
+    }
+
     /// Removes the jobs from `waiting_jobs` that have no unplaced tasks any more.
     fn forget_placed_jobs(&mut self) {
         let jobs = &self.jobs;
@@ -91,17 +108,18 @@
         pools
     }
 
-    /// Places as many of a job's tasks as possible; returns the number of steps with tasks left. A job
-    /// whose row was refused lately is left out.
+    /// Places as many of a job's tasks as possible; returns the steps with tasks left. A job whose row was
+    /// refused lately is left out.
     pub(crate) fn place_job(
         &mut self,
         id: &JobId,
         pool: &mut PlacementPool,
         now_ms: u64,
         wall_ms: u64,
-    ) -> u32 {
+    ) -> UnplacedSteps {
+        let mut unplaced = UnplacedSteps::default();
         let Some(job) = self.jobs.get(id).filter(|_| !self.is_held(id, now_ms)) else {
-            return 0;
+            return unplaced;
         };
         let spec = Rc::clone(&job.spec);
         let mut ready_steps = Vec::new();
@@ -120,21 +138,26 @@
             }));
         }
         if self.end_if_exhausted(id, &ready_steps, now_ms) {
-            return 0;
+            return unplaced;
         }
-        let mut unplaced_steps = 0;
         for (occurrence, step) in ready_steps {
             let placed = if spec.steps[step as usize].gang {
                 self.place_gang(id, occurrence, step, pool, now_ms)
             } else {
                 self.place_step(id, occurrence, step, pool, now_ms)
             };
-            unplaced_steps += u32::from(!placed);
+            if !placed {
+                let reserved = spec.steps[step as usize].reserved();
+                match pool.is_too_small(&reserved) {
+                    true => unplaced.too_large += 1,
+                    false => unplaced.waiting += 1,
+                }
+            }
         }
-        if unplaced_steps > 0 {
+        if unplaced.waiting > 0 {
             self.add_waiting_work(id, pool);
         }
-        unplaced_steps
+        unplaced
     }
 
     /// Places as many of a step's waiting tasks as possible; returns whether all were placed that the
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -157,6 +157,8 @@
     engine.release_stalled(boot_ms());
     engine.place_tasks(boot_ms(), now_ms());
     term.metrics.open_jobs.set(engine.open_jobs.len() as i64);
+    let left_out = engine.left_out_count() as i64;
+    term.metrics.left_out_jobs.set(left_out);
     let early_cancels = engine.early_cancels.len() as i64;
     term.metrics.early_cancels.set(early_cancels);
     let health = &engine.fleet_health;
--- a/src/workflow/worker_resources.rs
+++ b/src/workflow/worker_resources.rs
@@ -42,6 +42,13 @@
         self.gpus = self.gpus.saturating_add(other.gpus);
     }
 
+    /// Raises each resource to that of `other`, if it is larger.
+    pub fn extend_to(&mut self, other: &Self) {
+        self.cpu_millis = self.cpu_millis.max(other.cpu_millis);
+        self.memory_mb = self.memory_mb.max(other.memory_mb);
+        self.gpus = self.gpus.max(other.gpus);
+    }
+
     /// Returns the amounts of CPU, memory and accelerators, in this order.
     pub fn amounts(&self) -> [u64; 3] {
         [self.cpu_millis, self.memory_mb, self.gpus]
