Split the outcomes and rows of the job intake into files of their own

Each type is in a file of its own now, and the count of left out jobs stands beside the pass that counts them.

--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -404,11 +404,6 @@
         self.has_waiting
     }
 
-    /// Returns the number of jobs that the last placement pass left out.
-    pub fn left_out_count(&self) -> usize {
-        self.left_out
-    }
-
     /// Returns the remaining time for which runs of earlier controllers may continue unobserved,
     /// in ms.
     pub fn inherited_ms(&self, now_ms: u64) -> u64 {
--- a/src/workflow/intake/job_intake.rs
+++ b/src/workflow/intake/job_intake.rs
@@ -13,7 +13,6 @@
 use crate::id::JobId;
 use crate::id::Revision;
 use crate::process::boot_ms;
-use crate::provider::RowCheck;
 use crate::provider::TableRow;
 use crate::provider::TableService;
 use crate::provider::Transaction;
@@ -22,16 +21,22 @@
 use crate::workflow::commit::committer::count_key;
 use crate::workflow::commit::committer::PROGRESS_PREFIX;
 use crate::workflow::ended_key;
+use crate::workflow::intake::insert_outcome::InsertOutcome;
 use crate::workflow::intake::job_key::SUBMITTED_FIELD;
 use crate::workflow::intake::job_status::is_row_visible;
+use crate::workflow::intake::status_outcome::StatusOutcome;
+use crate::workflow::intake::stored_job::StoredJob;
 use crate::workflow::job_key;
 use crate::workflow::CallerScope;
+use crate::workflow::CancelOutcome;
 use crate::workflow::CountFreshness;
 use crate::workflow::EarlyCancel;
-use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobStatus;
+use crate::workflow::LookupOutcome;
+use crate::workflow::PendingOutcome;
 use crate::workflow::RecordLimiter;
+use crate::workflow::SubmitOutcome;
 
 /// Delay before a call that was refused or not answered is retried: a few round trips to the
 /// table.
@@ -44,52 +49,6 @@
 /// The limit on how often a call begins anew because the rows of its job have changed meanwhile.
 const MAX_ROUNDS: u32 = 8;
 
-/// Outcome of a submission.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SubmitOutcome {
-    /// The job was stored by this call.
-    Accepted,
-    /// The job was already stored, perhaps by an attempt of this call whose answer was lost.
-    Known,
-    /// The job is not stored and this call will not store it later.
-    NotStored,
-    /// Another organisation's job has this id. The job is not stored.
-    Taken,
-    /// The job may be stored.
-    Unknown,
-}
-
-/// Outcome of a cancellation.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CancelOutcome {
-    /// The cancellation is stored. It has no effect on a job that has ended.
-    Accepted,
-    /// No job with this id that the caller may see is stored, and a submission under way won't store one.
-    NoJob,
-    /// The table refused or did not answer; the cancellation may be stored.
-    Unknown,
-}
-
-/// Outcome of a look-up.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LookupOutcome {
-    /// The job is in this phase.
-    Found(JobPhase),
-    /// No job with this id is stored, or the caller may not see it.
-    NoJob,
-    /// The table refused or did not answer.
-    Unknown,
-}
-
-/// Outcome of a request for the number of a queue's pending jobs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PendingOutcome {
-    /// So many jobs wait, as of at most [`crate::workflow::MAX_COUNT_AGE_MS`] ago.
-    Known(u64),
-    /// Nobody has counted lately, or the count could not be read.
-    Unknown,
-}
-
 /// Stores jobs and cancellations in the table and looks up their phase.
 pub struct JobIntake<T> {
     table: Rc<T>,
@@ -438,38 +397,3 @@
         }
     }
 }
-
-/// Outcome of the insertion of a row.
-enum InsertOutcome {
-    Inserted,
-    /// Contains the rows that did not have the required revision.
-    Exists(Vec<RowCheck>),
-    Refused,
-    Unknown,
-}
-
-/// Outcome of the search for a job's status.
-enum StatusOutcome {
-    Found(JobStatus),
-    NoJob,
-    Unreadable,
-}
-
-/// The row that states a stored job's owner, or that its id was cancelled before.
-enum StoredJob {
-    Submitted(TableRow),
-    Ended(TableRow),
-    Cancelled(TableRow, EarlyCancel),
-}
-
-impl StoredJob {
-    /// Returns what a submission that conflicts with the row comes to.
-    fn submit_outcome(&self, scope: &CallerScope) -> SubmitOutcome {
-        let (Self::Submitted(row) | Self::Ended(row) | Self::Cancelled(row, _)) = self;
-        match is_row_visible(&row.value, scope) {
-            Some(true) => SubmitOutcome::Known,
-            Some(false) => SubmitOutcome::Taken,
-            None => SubmitOutcome::Unknown,
-        }
-    }
-}
--- a/src/workflow/placement/task_placer.rs
+++ b/src/workflow/placement/task_placer.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns the number of jobs that the last placement pass left out.
+    pub fn left_out_count(&self) -> usize {
+        self.left_out
+    }
+
     /// Returns whether there may be room for a task of a job that is ready, by what is free on the pool's
     /// workers.
     fn may_fit(&self, id: &JobId, pool: &PlacementPool) -> bool {
