Leave the small gaps of a busy pool to the urgent jobs

Cause: jobs that a pass leaves out had their turns at a peak as well, and took gaps on full workers that would have grown until the urgent jobs before them fit.

Change: left out jobs have turns only while at most three quarters of the pool's CPU are in use. On a busier pool they wait for room, and the bound of a pass stands as before.

--- a/src/workflow/placement/placement_pool.rs
+++ b/src/workflow/placement/placement_pool.rs
@@ -94,6 +94,11 @@
         &self.used
     }
 
+    /// Returns whether tasks reserved more than three quarters of the CPU when the workers were added.
+    pub(crate) fn is_busy(&self) -> bool {
+        4 * self.used.cpu_millis > 3 * self.capacity.cpu_millis
+    }
+
     /// Adds work of more urgent jobs that waits for workers, in millicores times ms.
     pub fn add_waiting_work(&mut self, work: u64) {
         self.waiting_work = self.waiting_work.saturating_add(work);
--- a/src/workflow/placement/task_placer.rs
+++ b/src/workflow/placement/task_placer.rs
@@ -61,7 +61,10 @@
             }
             let left_out: Vec<_> = jobs.into_rest().collect();
             self.left_out += left_out.len();
-            for id in self.turns.take(&service, &left_out, now_ms) {
+            // On a busy pool they wait for room, and small gaps are left to the urgent jobs until these fit.
+            let has_turns = !pool.is_busy();
+            let turn = self.turns.take(&service, &left_out, now_ms).into_iter();
+            for id in turn.filter(|_| has_turns) {
                 if self.may_fit(&id, pool) {
                     self.place_job(&id, pool, now_ms, wall_ms);
                 }
--- a/src/workflow/placement/waiting_turns.rs
+++ b/src/workflow/placement/waiting_turns.rs
@@ -3,6 +3,7 @@
 //! A pass ends its tries of a lane after a number of steps that found no worker, since at a demand peak the
 //! next ones would find none either. Jobs that can't be placed for another reason, such as a limit on the
 //! tasks of each worker, would keep all that come after them from being tried, however idle the pool is.
+//! On a busy pool the jobs that are left out wait for room like those before them, and are not tried.
 
 use std::collections::BTreeMap;
 
