--- a/review/standin-2/src/case.rs
+++ b/review/standin-2/src/case.rs
@@ -31,11 +31,13 @@
 const CALL_TIME: Duration = Duration::from_secs(3);
 const RETRIES: u32 = 6;
 /// Large jobs a second, evenly and in a queue's turn; the length of a turn and how much of it has jobs.
-const EVEN_PER_S: f64 = 2.0;
+const EVEN_PER_S: f64 = 6.0;
 const PEAK_PER_S: f64 = 10.0;
 const TURN_S: f64 = 4.5;
 const PEAK_SHARE: f64 = 0.6;
 const TURNS_TIME_S: f64 = 70.0;
+/// How many times as long as estimated the task of the long job takes.
+const LONGER: u64 = 6;
 /// The limit on a whole run.
 const MAX_TIME: Duration = Duration::from_secs(115);
 /// The time after the end of the traffic after which no job may be idle: `finish_s`.
@@ -383,7 +385,7 @@
                 false => 1.0 / EVEN_PER_S,
             };
         }
-        sleep(Duration::from_millis(50));
+        sleep(Duration::from_millis(30));
     }
     stage.wait_for_ends(Duration::from_secs(20));
 }
@@ -438,10 +440,43 @@
     });
 }
 
+/// One job whose task takes several times as long as the others, and gangs after it on an idle pool.
+fn run_long_job(stage: &mut Stage) {
+    let step = |count: u32, longer: u64, gang: bool| Step {
+        count,
+        cpu: 3_500,
+        mem_mb: 3_600,
+        work_ms: 800,
+        longer,
+        gang,
+        ..Step::default()
+    };
+    let job = |text: String, step: Step| Job {
+        queue: 0,
+        spec: text,
+        steps: vec![step],
+        ..Job::default()
+    };
+    for number in 0..40 {
+        stage.submit(job(format!("usual {number}"), step(6, 1, false)));
+        sleep(Duration::from_millis(100));
+    }
+    if stage.has_trouble {
+        stage.submit(job("long".to_owned(), step(1, LONGER, false)));
+    }
+    sleep(Duration::from_secs(30));
+    for number in 0..3 {
+        stage.submit(job(format!("gang {number}"), step(12, 1, true)));
+    }
+    stage.wait_for_ends(FINISH_TIME);
+    stage.judge_idle_jobs();
+}
+
 /// Runs a case. Returns 1 if its rule was broken, 0 if not, and 2 if it couldn't run.
 pub fn run(name: &str, record: &str) -> ExitCode {
     let (rule, count, play): (&str, usize, fn(&mut Stage)) = match name {
         "route-replaced" => ("LOST", 8, run_route_replaced),
+        "long-job" => ("LOST", 8, run_long_job),
         "timed-crash" => ("LOST", 8, run_timed_crash),
         "gang-failures" => ("LOST", 12, run_gang_failures),
         "gang-turns" => ("GANG", 8, run_gang_turns),
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -36,6 +36,8 @@
     pub cpu: u64,
     pub mem_mb: u64,
     pub work_ms: u64,
+    /// How many times as long as the consumer's estimate a task takes; 0 counts as 1.
+    pub longer: u64,
     pub after: Vec<u32>,
     pub gang: bool,
     pub max_per_server: u32,
@@ -501,7 +503,7 @@
             let mut ended = None;
             for (position, run) in executor.runs.iter().enumerate() {
                 let step = self.step(&run.name).unwrap_or_default();
-                let work = Duration::from_millis(step.work_ms);
+                let work = Duration::from_millis(step.work_ms * step.longer.max(1));
                 let is_done = run.begun.is_some_and(|begun| now >= begun + work);
                 let waits =
                     run.begun.is_none() && run.started.elapsed().as_millis() as u64 >= GANG_MS;
