Drop case 6 of this review and renumber the others

The stand-in learns the limit on memory and scheduled jobs, for the next case, and loses the changes of the config.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-standin-2
 [ -x "$program" ] && [ -x target/release/zincpier-entry ] || exit 2
-TROUBLE="${TROUBLE:-1}" exec "$program" route-replaced review/6/record.txt
+TROUBLE="${TROUBLE:-1}" exec "$program" timed-crash review/6/record.txt
--- a/review/standin-2/src/case.rs
+++ b/review/standin-2/src/case.rs
@@ -38,6 +38,9 @@
 const TURNS_TIME_S: f64 = 70.0;
 /// How many times as long as estimated the task of the long job takes.
 const LONGER: u64 = 6;
+/// `memory-mb` of the site's entry hosts, and how many scheduled jobs are handed in.
+const MEMORY_MB: u64 = 260;
+const SCHEDULED_JOBS: u32 = 200;
 /// The limit on a whole run.
 const MAX_TIME: Duration = Duration::from_secs(115);
 /// The time after the end of the traffic after which no job may be idle: `finish_s`.
@@ -61,7 +64,6 @@
     pub entries: Vec<Entry>,
     pub draw: Draw,
     pub has_trouble: bool,
-    pub table: Arc<Table>,
     is_over: Arc<AtomicBool>,
 }
 
@@ -121,21 +123,12 @@
             entries,
             draw: Draw(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1),
             has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
-            table,
             is_over: Arc::default(),
         };
         stage.poll_states();
         Some(stage)
     }
 
-    fn put_config(&self, version: u64, pools: &[Pool], queues: &[Queue], text: &str) {
-        self.fleet
-            .lock()
-            .log(format!("config version {version} {text}"));
-        self.table
-            .put("op", "config", &config(version, pools, queues));
-    }
-
     /// Asks for the states of all jobs again and again.
     fn poll_states(&self) {
         let (fleet, is_over) = (self.fleet.clone(), Arc::clone(&self.is_over));
@@ -146,7 +139,7 @@
                 let open: Vec<_> = {
                     let world = fleet.lock();
                     let jobs = world.jobs.iter();
-                    let jobs = jobs.filter(|(_, job)| job.accepted && job.state != "complete");
+                    let jobs = jobs.filter(|(_, job)| is_open(job));
                     jobs.map(|(id, job)| (id.clone(), world.queues[job.queue].prefix.clone()))
                         .collect()
                 };
@@ -239,9 +232,11 @@
     }
 }
 
-/// Returns whether a job was accepted and is not shown as ended.
+/// Returns whether a job was accepted, is due and is not shown as ended.
 fn is_open(job: &Job) -> bool {
-    job.accepted && !["complete", "failed", "aborted"].contains(&job.state.as_str())
+    job.accepted
+        && job.first_ms <= unix_ms()
+        && !["complete", "failed", "aborted"].contains(&job.state.as_str())
 }
 
 fn pool(name: &str) -> Pool {
@@ -390,54 +385,51 @@
     stage.wait_for_ends(Duration::from_secs(20));
 }
 
-/// Jobs of several steps, while two versions of the config remove their route and add it again.
-fn run_route_replaced(stage: &mut Stage) {
-    for number in 0..20 {
-        submit_grade(stage, number);
-        sleep(Duration::from_millis(100));
-    }
-    if stage.has_trouble {
-        let (pools, mut queues) = {
-            let world = stage.fleet.lock();
-            (world.pools.clone(), world.queues.clone())
-        };
-        let name = queues[0].name.clone();
-        let mut route = queues.remove(0);
-        stage.put_config(8, &pools, &queues, &format!("removes route {name}"));
-        sleep(Duration::from_millis(2_500));
-        route.name = format!("{name}-2");
-        let text = format!(
-            "adds route {} with the same host, prefix and service",
-            route.name
-        );
-        queues.insert(0, route);
-        stage.put_config(9, &pools, &queues, &text);
-    }
-    // The config is in force everywhere 2 s later.
-    sleep(Duration::from_millis(2_500));
-    for number in 20..40 {
-        submit_grade(stage, number);
-        sleep(Duration::from_millis(100));
+/// Scheduled jobs of which none is due, and some others after them.
+fn run_scheduled_jobs(stage: &mut Stage) {
+    for (number, entry) in stage.entries.iter().enumerate() {
+        let fleet = stage.fleet.clone();
+        entry.limit_memory(MEMORY_MB, move |taken_mb| {
+            let line = format!("entry host {number} takes {taken_mb} MB and is ended");
+            fleet.lock().log(line);
+        });
     }
-    stage.wait_for_ends(FINISH_TIME);
-    stage.judge_idle_jobs();
-}
-
-fn submit_grade(stage: &mut Stage, number: u32) {
-    let step = |after: &[u32]| Step {
-        count: 6,
+    let step = |count: u32| Step {
+        count,
         cpu: 3_500,
         mem_mb: 3_600,
         work_ms: 800,
-        after: after.to_vec(),
         ..Step::default()
     };
-    stage.submit(Job {
-        queue: 0,
-        spec: format!("grade {number}"),
-        steps: vec![step(&[]), step(&[0]), step(&[1])],
-        ..Job::default()
-    });
+    let first_ms = unix_ms() + 3_600_000;
+    for number in 0..SCHEDULED_JOBS {
+        stage.submit(Job {
+            queue: 0,
+            spec: format!("scheduled {number}"),
+            steps: vec![step(1)],
+            times: if stage.has_trouble { 7_000 } else { 7 },
+            first_ms,
+            interval_ms: 60_000,
+            ..Job::default()
+        });
+        sleep(Duration::from_millis(10));
+    }
+    for number in 0..6 {
+        stage.submit(Job {
+            queue: 0,
+            spec: format!("usual {number}"),
+            steps: vec![
+                step(6),
+                Step {
+                    after: vec![0],
+                    ..step(6)
+                },
+            ],
+            ..Job::default()
+        });
+    }
+    stage.wait_for_ends(FINISH_TIME);
+    stage.judge_idle_jobs();
 }
 
 /// One job whose task takes several times as long as the others, and gangs after it on an idle pool.
@@ -475,7 +467,7 @@
 /// Runs a case. Returns 1 if its rule was broken, 0 if not, and 2 if it couldn't run.
 pub fn run(name: &str, record: &str) -> ExitCode {
     let (rule, count, play): (&str, usize, fn(&mut Stage)) = match name {
-        "route-replaced" => ("LOST", 8, run_route_replaced),
+        "scheduled-jobs" => ("LOST", 8, run_scheduled_jobs),
         "long-job" => ("LOST", 8, run_long_job),
         "timed-crash" => ("LOST", 8, run_timed_crash),
         "gang-failures" => ("LOST", 12, run_gang_failures),
--- a/review/standin-2/src/entries.rs
+++ b/review/standin-2/src/entries.rs
@@ -5,10 +5,14 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::exit;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
 use std::thread::sleep;
@@ -20,6 +24,9 @@
 /// The program that `deploy/system.toml` starts, relative to the root of the repository.
 const PROGRAM: &str = "target/release/zincpier-entry";
 
+/// The delay before a process that has ended is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+
 /// The ids of all processes that were started and have not been ended.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -40,7 +47,10 @@
 pub struct Entry {
     pub callers: SocketAddr,
     ready: SocketAddr,
-    child: Child,
+    child: Arc<Mutex<Child>>,
+    settings: PathBuf,
+    log: PathBuf,
+    is_over: Arc<AtomicBool>,
 }
 
 impl Entry {
@@ -67,11 +77,14 @@
         let path = directory.join(format!("entry-{number}.toml"));
         fs::write(&path, settings).expect("the settings file");
         let log = directory.join(format!("entry-{number}.log"));
-        let child = spawn(&path, &log);
+        let child = Arc::new(Mutex::new(spawn(&path, &log)));
         Self {
             callers: ports[0],
             ready: ports[1],
             child,
+            settings: path,
+            log,
+            is_over: Arc::default(),
         }
     }
 
@@ -99,26 +112,55 @@
         false
     }
 
-    fn kill(&mut self) {
-        let id = self.child.id();
-        RUNNING
-            .lock()
-            .expect("the process ids")
-            .retain(|other| *other != id);
-        // Errors only mean that the process has already ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+    /// Ends the process whenever it takes more memory than `memory-mb` allows, and starts it again after a
+    /// short delay, as the platform does. Calls `record` each time.
+    pub fn limit_memory(&self, limit_mb: u64, record: impl Fn(u64) + Send + 'static) {
+        let (child, is_over) = (Arc::clone(&self.child), Arc::clone(&self.is_over));
+        let (settings, log) = (self.settings.clone(), self.log.clone());
+        thread::spawn(move || {
+            while !is_over.load(Ordering::Relaxed) {
+                sleep(Duration::from_millis(20));
+                let mut child = child.lock().expect("the child");
+                let taken_mb = resident_mb(child.id());
+                if taken_mb <= limit_mb || is_over.load(Ordering::Relaxed) {
+                    continue;
+                }
+                record(taken_mb);
+                end(&mut child);
+                sleep(RESTART_DELAY);
+                *child = spawn(&settings, &log);
+            }
+        });
     }
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.kill();
+        self.is_over.store(true, Ordering::Relaxed);
+        end(&mut self.child.lock().expect("the child"));
     }
 }
 
+/// Returns the memory that a process takes, in MB; 0 if that can't be read.
+fn resident_mb(id: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let mut lines = status.lines();
+    let line = lines.find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kb.unwrap_or(0) / 1_024
+}
+
+fn end(child: &mut Child) {
+    let id = child.id();
+    let mut running = RUNNING.lock().expect("the process ids");
+    running.retain(|other| *other != id);
+    // Errors only mean that the process has already ended.
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
 fn spawn(settings: &Path, log: &Path) -> Child {
-    let output = fs::File::create(log);
+    let output = fs::OpenOptions::new().create(true).append(true).open(log);
     let child = Command::new(PROGRAM)
         .env("ZINCPIER_BOOT", settings)
         .stdout(Stdio::from(output.expect("the log file")))
