--- a/review/standin-2/src/case.rs
+++ b/review/standin-2/src/case.rs
@@ -299,6 +299,7 @@
 
 /// Gangs that fit on one executor, while one of twelve executors fails all that it starts.
 fn run_gang_failures(stage: &mut Stage) {
+    let started = Instant::now();
     for number in 0..80 {
         if number == 15 && stage.has_trouble {
             let mut world = stage.fleet.lock();
@@ -323,7 +324,9 @@
             steps: vec![step],
             ..Job::default()
         });
-        sleep(Duration::from_millis(90));
+        // At a fixed rate, so that all executors are in use however long a call takes.
+        let next = started + Duration::from_millis(100) * (number + 1);
+        sleep(next.saturating_duration_since(Instant::now()));
     }
     stage.wait_for_ends(Duration::from_secs(40));
 }
