Move health and progress of the workflow into folders

No change of the code: files move, and the paths that name them.

health/ holds what is learnt of workers and how far they are trusted, progress/ the state of jobs and tasks with their durable rows.

--- a/src/workflow/engine_trust.rs
+++ b/src/workflow/health/engine_trust.rs
@@ -5,7 +5,7 @@
 use crate::id::DataCentreId;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
-use crate::workflow::worker_health::SILENCE_WINDOW_MS;
+use crate::workflow::health::worker_health::SILENCE_WINDOW_MS;
 use crate::workflow::CommandPhase;
 use crate::workflow::DistrustCause;
 use crate::workflow::EndKind;
--- a/src/workflow/running_time.rs
+++ b/src/workflow/health/running_time.rs
@@ -1,6 +1,6 @@
 //! For how long a placed task has run, relative to what is expected.
 
-use crate::workflow::worker_pace::SLOW_RATIO;
+use crate::workflow::health::worker_pace::SLOW_RATIO;
 
 /// The longest time in ms between two looks at the running tasks of a worker, since expected
 /// durations change with each ended task.
--- a/src/workflow/stalled_workers.rs
+++ b/src/workflow/health/stalled_workers.rs
@@ -6,9 +6,9 @@
 //! worker.
 
 use crate::id::WorkerId;
-use crate::workflow::running_time::RunningTime;
-use crate::workflow::slow_runs::START_MS;
-use crate::workflow::slow_runs::STOP_MS;
+use crate::workflow::health::running_time::RunningTime;
+use crate::workflow::health::slow_runs::START_MS;
+use crate::workflow::health::slow_runs::STOP_MS;
 use crate::workflow::CommandOutcome;
 use crate::workflow::CommandRefusal;
 use crate::workflow::DistrustCause;
--- /dev/null
+++ b/src/workflow/progress/mod.rs
@@ -0,0 +1,11 @@
+//! The progress of jobs and their tasks, its durable rows, and the bounds of these.
+
+pub(crate) mod engine_failures;
+pub(crate) mod engine_rows;
+pub(crate) mod full_rows;
+pub(crate) mod job_state;
+pub(crate) mod row_budget;
+pub(crate) mod row_bytes;
+pub(crate) mod row_limit;
+pub(crate) mod row_room;
+pub(crate) mod task_state;
--- a/src/workflow/row_budget.rs
+++ b/src/workflow/progress/row_budget.rs
@@ -1,6 +1,6 @@
 //! The bytes that the tasks of a job take of its durable row.
 
-use crate::workflow::row_bytes::RowBytes;
+use crate::workflow::progress::row_bytes::RowBytes;
 
 /// Counts the bytes of a job's tasks. A worker's report may change the checkpoints of many tasks one
 /// after another, so only tasks that may have changed are counted again.
--- a/src/workflow/row_room.rs
+++ b/src/workflow/progress/row_room.rs
@@ -1,7 +1,7 @@
 //! The bytes that a job's durable row has left.
 
-use crate::workflow::row_bytes::RowBytes;
-use crate::workflow::task_state::RUN_ROW_BYTES;
+use crate::workflow::progress::row_bytes::RowBytes;
+use crate::workflow::progress::task_state::RUN_ROW_BYTES;
 use crate::workflow::RowLimit;
 
 /// Bytes that checkpoints leave to further runs where bytes are counted as they are: a hundred runs.
