Count crashes for each task, not over all occurrences of a job

Cause: crash_count summed a step's task over all occurrences, so one event counted once for each occurrence that it took. The sum was there so that a scheduled job with a deadly text doesn't take two executors for each of its occurrences.

Change: the count is that of the task. The evidence is shared in another way: while an occurrence is a suspect, the others of its task wait for its trial, 3 s from its last crash at most; if it is survived, all are cleared, and if not, the job ends.

--- a/src/workflow/crash/engine_crashes.rs
+++ b/src/workflow/crash/engine_crashes.rs
@@ -139,7 +139,7 @@
         }
     }
 
-    /// Returns whether one of a task's occurrences may have crashed its worker.
+    /// Returns whether a task may have crashed its worker.
     fn is_suspect(&self, name: &TaskName) -> bool {
         self.suspects.since_ms(name).is_some()
     }
@@ -166,7 +166,6 @@
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
-        let occurrences = job.spec.occurrences();
         let has_ended = job.phase.has_ended();
         let Some(state) = job.task_mut(name) else {
             return;
@@ -185,16 +184,7 @@
         if has_ended {
             return;
         }
-        for occurrence in 0..occurrences {
-            let same = TaskName {
-                occurrence,
-                ..name.clone()
-            };
-            let is_open = |state: &TaskState| state.phase != TaskPhase::Done;
-            if self.task_state(&same).is_some_and(is_open) {
-                self.suspects.insert(same, now_ms);
-            }
-        }
+        self.suspects.insert(name.clone(), now_ms);
         if certainty.limit().is_some_and(|limit| crashes >= limit) {
             let workers: Vec<_> = workers.iter().map(WorkerId::as_str).collect();
             log::warn!(
@@ -207,22 +197,17 @@
         }
     }
 
-    /// Returns the number of crashes that a task may have caused. The occurrences of a job run the same
-    /// task, and all members of a gang start again for each.
+    /// Returns the number of crashes that a task may have caused; of a gang, those of the member with the
+    /// most, since all members start again for each. Each occurrence of a job has tasks of its own.
     pub(crate) fn crash_count(&self, name: &TaskName) -> u32 {
         let Some(job) = self.jobs.get(&name.job) else {
             return 0;
         };
-        let is_gang = job.step(name.step).is_some_and(|step| step.gang);
-        let of_occurrence = |occurrence| {
-            let tasks = job.step_tasks(occurrence, name.step);
-            match is_gang {
-                true => tasks.iter().map(|task| task.crashes).max(),
-                false => tasks.get(name.index as usize).map(|task| task.crashes),
-            }
-        };
-        let occurrences = 0..job.spec.occurrences();
-        occurrences.filter_map(of_occurrence).sum()
+        if !job.step(name.step).is_some_and(|step| step.gang) {
+            return job.task(name).map_or(0, |task| task.crashes);
+        }
+        let members = job.step_tasks(name.occurrence, name.step).iter();
+        members.map(|task| task.crashes).max().unwrap_or(0)
     }
 
     /// Restores the suspects among a job's tasks from its durable progress.
@@ -236,8 +221,7 @@
         let names = job.task_names().filter(|name| {
             let state = job.task(name);
             let is_open = state.is_some_and(|state| state.phase != TaskPhase::Done);
-            let is_suspect = state.is_some_and(|state| state.is_suspect);
-            is_open && (is_suspect || self.crash_count(name) > 0)
+            is_open && state.is_some_and(|state| state.is_suspect)
         });
         let names: Vec<_> = names.collect();
         for name in names {
@@ -269,17 +253,21 @@
         }
     }
 
+    /// Clears a suspect, and the other occurrences of its task, which run the same text.
     fn clear_suspect(&mut self, name: &TaskName) {
-        log::info!("event=suspect_cleared job={} task={name}", name.job);
-        self.suspects.remove(name);
-        self.suspects.count_cleared();
-        let job = self.jobs.get_mut(&name.job);
-        if let Some(state) = job.and_then(|job| job.task_mut(name)) {
-            state.clear_suspicion();
-            self.changed.insert(name.job.clone());
-        }
-        if self.crash_count(name) == 0 {
-            self.suspects.remove_occurrences(name);
+        let unit = self.crash_unit(name);
+        let others = self.suspects.of_job(&name.job);
+        let others = others.filter(|other| same_text(&self.crash_unit(other), &unit));
+        let cleared: Vec<_> = others.filter(|other| *other != name).cloned().collect();
+        for name in cleared.iter().chain([name]) {
+            log::info!("event=suspect_cleared job={} task={name}", name.job);
+            self.suspects.remove(name);
+            self.suspects.count_cleared();
+            let job = self.jobs.get_mut(&name.job);
+            if let Some(state) = job.and_then(|job| job.task_mut(name)) {
+                state.clear_suspicion();
+                self.changed.insert(name.job.clone());
+            }
         }
     }
 
@@ -325,7 +313,7 @@
     }
 
     /// Returns what starts together with a task: the first member of its gang, or the task itself.
-    fn crash_unit(&self, name: &TaskName) -> TaskName {
+    pub(crate) fn crash_unit(&self, name: &TaskName) -> TaskName {
         let job = self.jobs.get(&name.job);
         let is_gang = job.is_some_and(|job| job.step(name.step).is_some_and(|step| step.gang));
         TaskName {
@@ -335,6 +323,11 @@
     }
 }
 
+/// Returns whether two tasks or gangs are occurrences of the same one.
+pub(crate) fn same_text(one: &TaskName, other: &TaskName) -> bool {
+    (&one.job, one.step, one.index) == (&other.job, other.step, other.index)
+}
+
 /// Returns whether a worker that was last heard of at `alive_ms` has survived the start of a run.
 pub(crate) fn has_survived(state: &TaskState, alive_ms: u64) -> bool {
     state
--- a/src/workflow/crash/suspect_placer.rs
+++ b/src/workflow/crash/suspect_placer.rs
@@ -9,12 +9,14 @@
 //! A worker is kept for a suspect only while the suspect, with all members of its gang, could be placed on
 //! the kept workers at once but for that: their room is free, and nothing else holds its job back.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::id::JobId;
 use crate::id::ServiceId;
 use crate::id::WorkerId;
+use crate::workflow::crash::engine_crashes::same_text;
 use crate::workflow::crash::trial_workers::KeptWorker;
 use crate::workflow::CommandPhase;
 use crate::workflow::CrashCounts;
@@ -36,18 +38,46 @@
 /// a possible cause too often.
 const MAX_TRIAL_WAIT_MS: u64 = 2_000;
 
+/// How long the other occurrences of a suspect wait for its trial from its last crash on, in ms: until it has
+/// begun, and has been survived or not.
+const MAX_OCCURRENCE_WAIT_MS: u64 = MAX_TRIAL_WAIT_MS + 1_000;
+
 /// The number of crashes from which a task is started on trial only.
 const MIN_TRIAL_ONLY_CRASHES: u32 = 2;
 
 impl JobEngine {
-    /// Returns whether a task must wait for its trial.
+    /// Returns whether a task must wait for its trial, or for that of another of its occurrences.
     pub(crate) fn awaits_trial(&self, name: &TaskName, now_ms: u64) -> bool {
+        if self.suspects.is_empty() {
+            return false;
+        }
+        if self.awaits_other_occurrence(name, now_ms) {
+            return true;
+        }
         let Some(since_ms) = self.suspects.since_ms(name) else {
             return false;
         };
         now_ms < since_ms + MAX_TRIAL_WAIT_MS || self.crash_count(name) >= MIN_TRIAL_ONLY_CRASHES
     }
 
+    /// Returns whether another occurrence of a task is to be tried first. Occurrences run the same text: if it
+    /// crashes workers, one of them shows it, and the job ends before the others start.
+    fn awaits_other_occurrence(&self, name: &TaskName, now_ms: u64) -> bool {
+        let unit = self.crash_unit(name);
+        let rank = |name: &TaskName| {
+            let crashes = self.crash_count(name);
+            (Reverse(crashes), name.occurrence)
+        };
+        let mut suspects = self.suspects.of_job(&name.job);
+        suspects.any(|other| {
+            let since_ms = self.suspects.since_ms(other).unwrap_or(0);
+            other.occurrence != name.occurrence
+                && now_ms < since_ms + MAX_OCCURRENCE_WAIT_MS
+                && same_text(&self.crash_unit(other), &unit)
+                && rank(other) < rank(name)
+        })
+    }
+
     /// Places as many suspects as possible on workers that can show whether they crash them, and keeps workers
     /// for the next ones.
     pub(crate) fn place_suspects(
@@ -61,7 +91,7 @@
         }
         self.clear_suspects();
         self.suspects.open_expired(now_ms);
-        let waiting = self.waiting_suspects(wall_ms);
+        let waiting = self.waiting_suspects(now_ms, wall_ms);
         let occupied = self.occupied_workers();
         for (service, pool) in pools.iter_mut() {
             let names = waiting.get(service).map_or(&[][..], Vec::as_slice);
@@ -74,7 +104,7 @@
 
     /// Returns the suspects that are ready to start, by service, of gangs one member each: first those for
     /// which workers were not kept in vain, and of these those that have been possible causes least often.
-    fn waiting_suspects(&self, wall_ms: u64) -> BTreeMap<ServiceId, Vec<TaskName>> {
+    fn waiting_suspects(&self, now_ms: u64, wall_ms: u64) -> BTreeMap<ServiceId, Vec<TaskName>> {
         let mut waiting: BTreeMap<_, Vec<_>> = BTreeMap::new();
         let mut gangs = BTreeSet::new();
         for name in self.suspects.iter() {
@@ -96,6 +126,9 @@
             if !is_ready || !is_waiting || (step.gang && !gangs.insert(gang)) {
                 continue;
             }
+            if self.awaits_other_occurrence(name, now_ms) {
+                continue;
+            }
             let rank = (
                 self.suspects.expired_ms(name),
                 !step.long_running,
@@ -234,10 +267,19 @@
         step: u32,
         now_ms: u64,
     ) -> bool {
+        let first = TaskName {
+            job: id.clone(),
+            occurrence,
+            step,
+            index: 0,
+        };
         let mut members = self.suspects.of_job(id);
-        members.any(|name| {
-            name.occurrence == occurrence && name.step == step && self.awaits_trial(name, now_ms)
-        })
+        self.awaits_trial(&first, now_ms)
+            || members.any(|name| {
+                name.occurrence == occurrence
+                    && name.step == step
+                    && self.awaits_trial(name, now_ms)
+            })
     }
 
     /// Returns whether tasks are tried on a worker that may crash it.
--- a/src/workflow/crash/suspect_tasks.rs
+++ b/src/workflow/crash/suspect_tasks.rs
@@ -59,14 +59,6 @@
         self.expired_ms.remove(name);
     }
 
-    /// Clears all occurrences of a suspect.
-    pub(crate) fn remove_occurrences(&mut self, name: &TaskName) {
-        let key = |name: &TaskName| (name.job.clone(), name.step, name.index);
-        let cleared = key(name);
-        self.since_ms.retain(|other, _| key(other) != cleared);
-        self.expired_ms.retain(|other, _| key(other) != cleared);
-    }
-
     /// Opens the workers that were kept for too long, and lets the suspects that they were kept for wait for
     /// the others.
     pub(crate) fn open_expired(&mut self, now_ms: u64) {
@@ -92,7 +84,14 @@
 
     /// Iterates over the suspects of a job.
     pub(crate) fn of_job<'a>(&'a self, job: &'a JobId) -> impl Iterator<Item = &'a TaskName> {
-        self.since_ms.keys().filter(move |name| name.job == *job)
+        let first = TaskName {
+            job: job.clone(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let names = self.since_ms.range(first..).map(|(name, _)| name);
+        names.take_while(move |name| name.job == *job)
     }
 
     /// Records the crash of a worker in a rack. Returns whether another one crashed there at about the
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use serde_json::Value;
 use zincpier::id::IncarnationStart;
 use zincpier::id::JobId;
 use zincpier::id::WorkerId;
@@ -90,6 +91,12 @@
     pub(crate) starts: BTreeMap<TaskName, u32>,
     /// The number of crashes.
     pub(crate) crashes: u32,
+    /// The number of workers that crashed under each task.
+    pub(crate) crashed_under: BTreeMap<TaskName, u32>,
+    /// The runs of each task, or of each gang by its first member, in which one ended as failed.
+    pub(crate) failed_runs: BTreeMap<TaskName, BTreeSet<u64>>,
+    /// Workers that fail all that they start.
+    pub(crate) failing: BTreeSet<usize>,
     workers: Vec<SimulatedWorker>,
     specs: BTreeMap<JobId, JobSpec>,
     /// How long the tasks of some jobs run, in ms.
@@ -108,6 +115,9 @@
             deadly: BTreeSet::new(),
             starts: BTreeMap::new(),
             crashes: 0,
+            crashed_under: BTreeMap::new(),
+            failed_runs: BTreeMap::new(),
+            failing: BTreeSet::new(),
             workers: (0..workers)
                 .map(|index| simulated(worker_entry(index)))
                 .collect(),
@@ -269,10 +279,15 @@
 
     /// Replaces the controller by one that knows only the durable rows.
     pub(crate) fn take_over(&mut self) {
+        self.take_over_from(|row| row);
+    }
+
+    /// Like [`Self::take_over`], with rows that `rewrite` returns for those of the last controller.
+    pub(crate) fn take_over_from(&mut self, rewrite: impl Fn(Value) -> Value) {
         let mut engine = JobEngine::new(self.now_ms, INHERITED_RUN_MS);
-        engine.config = Some(Rc::new(config()));
+        engine.config.clone_from(&self.engine.config);
         for job in self.engine.jobs.values() {
-            let progress = job.to_value();
+            let progress = rewrite(job.to_value());
             let spec = self.specs[&job.id].clone();
             engine.add_job(job.id.clone(), spec, Some(&progress), self.now_ms);
         }
@@ -295,9 +310,32 @@
 
     /// Lets workers crash for a reason of their own.
     pub(crate) fn crash(&mut self, index: usize) {
-        self.workers[index].runs.clear();
+        let lost = std::mem::take(&mut self.workers[index].runs);
         self.workers[index].crashed_ms = Some(self.now_ms);
         self.workers[index].is_noted = false;
+        for name in lost.into_keys() {
+            *self.crashed_under.entry(name).or_default() += 1;
+        }
+    }
+
+    /// Lets all workers crash that `indices` name at the same moment; gangs that lose a member end.
+    pub(crate) fn crash_together(&mut self, indices: &[usize]) {
+        let up = indices.iter().copied();
+        let up = up.filter(|&index| self.workers[index].crashed_ms.is_none());
+        let up: Vec<_> = up.collect();
+        let runs = up.iter().flat_map(|&index| self.workers[index].runs.keys());
+        let lost: Vec<_> = runs.cloned().collect();
+        up.iter().for_each(|&index| self.crash(index));
+        lost.iter().for_each(|name| self.break_gang(name));
+    }
+
+    /// Returns the task that stands for those that start together: the first member of a gang.
+    fn unit_of(&self, name: &TaskName) -> TaskName {
+        let is_gang = self.specs[&name.job].steps[name.step as usize].gang;
+        TaskName {
+            index: if is_gang { 0 } else { name.index },
+            ..name.clone()
+        }
     }
 
     /// Returns the position of the worker that a task runs on.
@@ -455,23 +493,32 @@
         let mut broken = Vec::new();
         for (name, run, id) in committing {
             let now_ms = self.now_ms;
+            let unit = self.unit_of(&name);
             let job = self.engine.jobs.get_mut(&name.job).unwrap();
             job.task_mut(&name).unwrap().set_sent(now_ms);
-            let worker = self.workers.iter_mut().find(|worker| worker.entry.id == id);
-            let worker = worker.filter(|worker| worker.crashed_ms.is_none());
+            let workers = self.workers.iter_mut().enumerate();
+            let mut workers = workers.filter(|(_, worker)| worker.crashed_ms.is_none());
+            let worker = workers.find(|(_, worker)| worker.entry.id == id);
             let outcome = match worker {
                 None => CommandOutcome::NotSent("refused".to_owned()),
-                Some(worker) => {
+                Some((index, worker)) => {
                     *self.starts.entry(name.clone()).or_default() += 1;
                     let started_ms = now_ms;
                     worker
                         .runs
                         .insert(name.clone(), SimulatedRun { run, started_ms });
                     if self.deadly.contains(&name) {
-                        worker.runs.clear();
+                        for lost in std::mem::take(&mut worker.runs).into_keys() {
+                            *self.crashed_under.entry(lost).or_default() += 1;
+                        }
                         worker.crashed_ms = Some(now_ms);
+                        worker.is_noted = false;
                         self.crashes += 1;
                         broken.push(name.clone());
+                    } else if self.failing.contains(&index) {
+                        worker.end(name.clone(), run, EndKind::Failed);
+                        self.failed_runs.entry(unit).or_default().insert(run);
+                        broken.push(name.clone());
                     }
                     CommandOutcome::Accepted(now_ms)
                 }
--- a/tests/worker_crashes.rs
+++ b/tests/worker_crashes.rs
@@ -11,12 +11,14 @@
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
 use zincpier::workflow::StepSpec;
+use zincpier::workflow::TaskName;
 
 use crate::crashes::CrashFleet;
 use crate::crashes::MAX_DEADLY_STARTS;
 use crate::fixtures::long_running;
 use crate::fixtures::step;
 use crate::fixtures::task;
+use crate::fixtures::with_cpu;
 use crate::fixtures::worker_entry;
 use crate::fixtures::EngineFleet;
 use crate::fixtures::JOB;
@@ -228,6 +230,53 @@
     assert_eq!(fleet.phase(JOB), JobPhase::Failed);
 }
 
+/// Guards against one loss of a rack that is counted once for each occurrence: under each task, one worker has
+/// crashed.
+#[test]
+fn loss_of_a_rack_under_several_occurrences_is_one_crash_of_each() {
+    let mut fleet = CrashFleet::new(8);
+    let schedule = JobSchedule {
+        times: 6,
+        first_ms: fleet.now_ms,
+        interval_ms: 20,
+    };
+    fleet.submit_scheduled(JOB, vec![with_cpu(5_000, step(1))], Some(schedule));
+    fleet.run(120);
+
+    fleet.crash_together(&[0, 1, 2, 3]);
+    fleet.run(6_000);
+
+    let crashed: Vec<_> = fleet.crashed_under.values().copied().collect();
+    assert!(crashed.len() > 2, "{crashed:?}");
+    assert!(crashed.iter().all(|crashes| *crashes == 1), "{crashed:?}");
+    assert_eq!(fleet.phase(JOB), JobPhase::Complete);
+}
+
+/// Guards against occurrences that each take two workers before one of them is given up: the text is the same,
+/// so that further ones wait while one is on trial.
+#[test]
+fn occurrences_of_a_deadly_task_wait_for_the_trial_of_one() {
+    let mut fleet = CrashFleet::new(12);
+    let schedule = JobSchedule {
+        times: 40,
+        first_ms: fleet.now_ms,
+        interval_ms: 100,
+    };
+    for occurrence in 0..40 {
+        let name = TaskName {
+            occurrence,
+            ..task(JOB, 0)
+        };
+        fleet.deadly.insert(name);
+    }
+    fleet.submit_scheduled(JOB, vec![step(1)], Some(schedule));
+
+    fleet.run(30_000);
+
+    assert!(fleet.crashes <= 5, "{} crashes", fleet.crashes);
+    assert_eq!(fleet.phase(JOB), JobPhase::Failed);
+}
+
 /// The start may have come after the crash. A task under which one worker has crashed may not be given
 /// up yet.
 #[test]
