Count a failed run of a gang once, however many of its members failed

Cause: end_exhausted_job added up the failures of all members, and an executor that fails all that it starts ends several members of one run. Neither that sum nor the largest member is the number of failed runs.

Change: a gang's failures are those of its first member, which counts each run once. The last run that it includes is stored in the job's row (failed-runs), so that the end of another member that a later controller learns doesn't count the run again. Members avoid the workers on which any of them has failed, since they start again together.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -170,8 +170,8 @@
         match end.kind {
             EndKind::Done if !long_running => self.finish_task(name, now_ms),
             EndKind::Failed => {
-                self.record_failed_on(name, worker);
-                self.fail_task(name, now_ms);
+                self.record_failed_unit(name, worker);
+                self.fail_task(name, end.run, now_ms);
             }
             _ => self.release_task(name),
         }
@@ -231,16 +231,28 @@
         }
     }
 
-    fn fail_task(&mut self, name: &TaskName, now_ms: u64) {
+    fn fail_task(&mut self, name: &TaskName, run: u64, now_ms: u64) {
         self.release_task(name);
-        let state = self.jobs.get_mut(&name.job);
-        let Some(state) = state.and_then(|job| job.task_mut(name)) else {
-            return;
-        };
-        state.failures += 1;
+        if let Some(job) = self.jobs.get_mut(&name.job) {
+            job.record_failure(name, run);
+        }
         self.end_exhausted_job(name, now_ms);
     }
 
+    /// Records that a task failed on a worker; the other members of its gang avoid it too, since they start
+    /// again with it.
+    fn record_failed_unit(&mut self, name: &TaskName, worker: &WorkerId) {
+        let job = self.jobs.get(&name.job);
+        let is_gang = job.is_some_and(|job| job.step(name.step).is_some_and(|step| step.gang));
+        match is_gang {
+            true => self
+                .gang_members(name)
+                .iter()
+                .for_each(|member| self.record_failed_on(member, worker)),
+            false => self.record_failed_on(name, worker),
+        }
+    }
+
     fn gang_members(&self, name: &TaskName) -> Vec<TaskName> {
         let Some(job) = self.jobs.get(&name.job) else {
             return Vec::new();
--- a/src/workflow/progress/engine_failures.rs
+++ b/src/workflow/progress/engine_failures.rs
@@ -18,13 +18,7 @@
             return false;
         };
         let limit = queue.attempts.max(1);
-        // A gang ends as a whole, so the failures of all members count against the limit.
-        let failures = if step.gang {
-            let members = job.step_tasks(name.occurrence, name.step).iter();
-            members.map(|member| member.failures).sum()
-        } else {
-            job.task(name).map_or(0, |task| task.failures)
-        };
+        let failures = job.failure_count(name);
         if step.long_running || failures < limit || job.phase.has_ended() {
             return false;
         }
--- a/src/workflow/progress/job_state.rs
+++ b/src/workflow/progress/job_state.rs
@@ -15,6 +15,10 @@
 use crate::workflow::health::running_time::RunningTime;
 use crate::workflow::intake::job_status::OWNER_FIELD;
 use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
+use crate::workflow::progress::failed_runs::encode_failed_runs;
+use crate::workflow::progress::failed_runs::merge_member_failures;
+use crate::workflow::progress::failed_runs::restore_failed_runs;
+use crate::workflow::progress::failed_runs::FAILED_RUNS_FIELD;
 use crate::workflow::progress::row_budget::RowBudget;
 use crate::workflow::progress::row_bytes::RowBytes;
 use crate::workflow::progress::row_room::RowRoom;
@@ -119,6 +123,12 @@
             self.ended_ms = now_ms;
         }
         restore_crashes(&mut self.tasks, value.get(CRASHES_FIELD));
+        restore_failed_runs(&mut self.tasks, value.get(FAILED_RUNS_FIELD));
+        for occurrence in 0..self.spec.occurrences() {
+            for step in 0..self.spec.steps.len() as u32 {
+                self.merge_gang_failures(occurrence, step);
+            }
+        }
         let has_ended_run = |task: &TaskState| {
             task.phase == TaskPhase::Done || task.failures > 0 || task.crashes > 0
         };
@@ -168,6 +178,9 @@
         if let Some(crashes) = encode_crashes(&self.tasks).filter(|_| has_tasks) {
             row[CRASHES_FIELD] = crashes;
         }
+        if let Some(runs) = encode_failed_runs(&self.tasks).filter(|_| has_tasks) {
+            row[FAILED_RUNS_FIELD] = runs;
+        }
         if let Some(owner) = &self.spec.organisation {
             row[OWNER_FIELD] = json!(owner);
         }
@@ -212,17 +225,17 @@
         checkpoint: &str,
     ) -> usize {
         let state = self.task(name);
-        let crash_bytes = state.map_or(0, TaskState::crash_row_bytes);
+        let extra_bytes = state.map_or(0, TaskState::extra_row_bytes);
         if self.counted_room().is_exact {
             let taken = state.map_or(0, TaskState::exact_row_bytes);
-            let needed = exact_run_bytes(worker, checkpoint) + crash_bytes;
+            let needed = exact_run_bytes(worker, checkpoint) + extra_bytes;
             return needed.saturating_sub(taken);
         }
         let reserved = match (state, self.step(name.step)) {
             (Some(state), Some(step)) => self.reserved_bytes(state, step),
             _ => 0,
         };
-        (run_row_bytes(worker, checkpoint) + crash_bytes).saturating_sub(reserved)
+        (run_row_bytes(worker, checkpoint) + extra_bytes).saturating_sub(reserved)
     }
 
     /// Sets the checkpoint of a task unless it is empty, or too long for the durable row; the task
@@ -368,6 +381,41 @@
         self.done_counts[position] += 1;
     }
 
+    /// Counts the failed run of a task. A failed run of a gang counts once, however many of its members failed.
+    pub(crate) fn record_failure(&mut self, name: &TaskName, run: u64) {
+        let is_gang = self.step(name.step).is_some_and(|step| step.gang);
+        let counted = TaskName {
+            index: if is_gang { 0 } else { name.index },
+            ..name.clone()
+        };
+        let Some(state) = self.task_mut(&counted) else {
+            return;
+        };
+        if !is_gang {
+            state.failures += 1;
+        } else if state.failed_run.is_none_or(|last| last < run) {
+            state.failures += 1;
+            state.failed_run = Some(run);
+        }
+    }
+
+    /// Returns the number of failed runs of a task, or of its gang.
+    pub(crate) fn failure_count(&self, name: &TaskName) -> u32 {
+        let is_gang = self.step(name.step).is_some_and(|step| step.gang);
+        let index = if is_gang { 0 } else { name.index as usize };
+        let tasks = self.step_tasks(name.occurrence, name.step);
+        tasks.get(index).map_or(0, |task| task.failures)
+    }
+
+    fn merge_gang_failures(&mut self, occurrence: u32, step: u32) {
+        let Some(spec) = self.spec.steps.get(step as usize).filter(|step| step.gang) else {
+            return;
+        };
+        let start =
+            occurrence as usize * self.tasks_per_occurrence() + self.step_offsets[step as usize];
+        merge_member_failures(&mut self.tasks[start..start + spec.tasks as usize]);
+    }
+
     /// Returns whether all tasks of all occurrences are done.
     pub fn is_done(&self) -> bool {
         let steps = self.spec.steps.len() as u32;
--- a/src/workflow/progress/mod.rs
+++ b/src/workflow/progress/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod engine_failures;
 pub(crate) mod engine_rows;
+pub(crate) mod failed_runs;
 pub(crate) mod full_rows;
 pub(crate) mod job_state;
 pub(crate) mod row_budget;
--- a/src/workflow/progress/task_state.rs
+++ b/src/workflow/progress/task_state.rs
@@ -19,6 +19,9 @@
 /// The bytes in a job's row of the crashes that a task may have caused: position and count.
 const CRASH_ROW_BYTES: usize = 12;
 
+/// The bytes in a job's row of the last failed run of a gang: position and run.
+const FAILED_RUN_ROW_BYTES: usize = 16;
+
 /// The bytes of a task in a job's row besides its checkpoint and worker: punctuation, and up to six
 /// digits for run and failures.
 const RUN_OVERHEAD_BYTES: usize = 16;
@@ -64,15 +67,17 @@
 }
 
 /// The state of a task. The command's phase, `started_ms`, `crashed_on`, `failed_on` and the reported
-/// `percent` and `load` are not durable; `is_suspect` and `crashes` are stored with the job.
+/// `percent` and `load` are not durable; `is_suspect`, `crashes` and `failed_run` are stored with the job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TaskState {
     /// The phase; a placed task is restored with an inherited command.
     pub phase: TaskPhase,
     /// The number of the last run; 0 before the first.
     pub last_run: u64,
-    /// The number of failed runs.
+    /// The number of failed runs; of a gang, those of the first member are the gang's.
     pub failures: u32,
+    /// The last run of the gang that its failures include, at the first member; `None` elsewhere.
+    pub failed_run: Option<u64>,
     /// The last checkpoint; empty for none.
     pub checkpoint: String,
     /// The worker whose report a waiting task is held back for: it may list the last run as done.
@@ -101,6 +106,7 @@
             phase: TaskPhase::Waiting,
             last_run: 0,
             failures: 0,
+            failed_run: None,
             checkpoint: String::new(),
             lost_on: None,
             started_ms: None,
@@ -170,7 +176,7 @@
             return IDLE_ROW_BYTES;
         }
         let worker = self.worker().or(self.lost_on.as_ref());
-        run_row_bytes(worker, &self.checkpoint) + self.crash_row_bytes()
+        run_row_bytes(worker, &self.checkpoint) + self.extra_row_bytes()
     }
 
     /// Returns the bytes of its job's row that the task takes, without those that it reserves.
@@ -179,15 +185,16 @@
             return IDLE_ROW_BYTES;
         }
         let worker = self.worker().or(self.lost_on.as_ref());
-        exact_run_bytes(worker, &self.checkpoint) + self.crash_row_bytes()
+        exact_run_bytes(worker, &self.checkpoint) + self.extra_row_bytes()
     }
 
-    /// Returns the bytes of its job's row that the crashes take.
-    pub(crate) fn crash_row_bytes(&self) -> usize {
-        match self.is_suspect {
+    /// Returns the bytes of its job's row that the crashes and the gang's last failed run take.
+    pub(crate) fn extra_row_bytes(&self) -> usize {
+        let crash_bytes = match self.is_suspect {
             true => CRASH_ROW_BYTES,
             false => 0,
-        }
+        };
+        crash_bytes + self.failed_run.map_or(0, |_| FAILED_RUN_ROW_BYTES)
     }
 
     /// Forgets that the task may have crashed its workers.
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -33,6 +33,7 @@
 
 use crate::fixtures::config;
 use crate::fixtures::worker_entry;
+use crate::fixtures::ATTEMPTS;
 use crate::fixtures::QUEUE;
 
 /// Starts of a task that the platform allows after its third crash, and those before.
@@ -95,6 +96,12 @@
     pub(crate) crashed_under: BTreeMap<TaskName, u32>,
     /// The runs of each task, or of each gang by its first member, in which one ended as failed.
     pub(crate) failed_runs: BTreeMap<TaskName, BTreeSet<u64>>,
+    /// Those of `failed_runs` whose end a controller has learnt.
+    pub(crate) noted_failures: BTreeMap<TaskName, BTreeSet<u64>>,
+    /// Starts of tasks that had failed as often as their queue allows, as far as a controller had learnt it.
+    pub(crate) exhausted_starts: Vec<TaskName>,
+    /// The number of starts of each task after three workers had crashed under it.
+    pub(crate) late_starts: BTreeMap<TaskName, u32>,
     /// Workers that fail all that they start.
     pub(crate) failing: BTreeSet<usize>,
     workers: Vec<SimulatedWorker>,
@@ -117,6 +124,9 @@
             crashes: 0,
             crashed_under: BTreeMap::new(),
             failed_runs: BTreeMap::new(),
+            noted_failures: BTreeMap::new(),
+            exhausted_starts: Vec::new(),
+            late_starts: BTreeMap::new(),
             failing: BTreeSet::new(),
             workers: (0..workers)
                 .map(|index| simulated(worker_entry(index)))
@@ -329,15 +339,6 @@
         lost.iter().for_each(|name| self.break_gang(name));
     }
 
-    /// Returns the task that stands for those that start together: the first member of a gang.
-    fn unit_of(&self, name: &TaskName) -> TaskName {
-        let is_gang = self.specs[&name.job].steps[name.step as usize].gang;
-        TaskName {
-            index: if is_gang { 0 } else { name.index },
-            ..name.clone()
-        }
-    }
-
     /// Returns the position of the worker that a task runs on.
     pub(crate) fn index_of(&self, name: &TaskName) -> Option<usize> {
         self.workers
@@ -402,6 +403,12 @@
             let id = &worker.entry.id;
             self.engine
                 .apply_report(id, &report, self.now_ms, self.now_ms);
+            let failed = worker.ends.iter().filter(|end| end.kind == EndKind::Failed);
+            for end in failed {
+                let unit = unit_of(&self.specs, &end.task);
+                let runs = self.noted_failures.entry(unit).or_default();
+                runs.insert(end.run);
+            }
         }
     }
 
@@ -493,7 +500,7 @@
         let mut broken = Vec::new();
         for (name, run, id) in committing {
             let now_ms = self.now_ms;
-            let unit = self.unit_of(&name);
+            let unit = unit_of(&self.specs, &name);
             let job = self.engine.jobs.get_mut(&name.job).unwrap();
             job.task_mut(&name).unwrap().set_sent(now_ms);
             let workers = self.workers.iter_mut().enumerate();
@@ -503,6 +510,13 @@
                 None => CommandOutcome::NotSent("refused".to_owned()),
                 Some((index, worker)) => {
                     *self.starts.entry(name.clone()).or_default() += 1;
+                    let failures = self.noted_failures.get(&unit).map_or(0, BTreeSet::len);
+                    if failures >= ATTEMPTS as usize {
+                        self.exhausted_starts.push(name.clone());
+                    }
+                    if self.crashed_under.get(&name).copied().unwrap_or(0) >= 3 {
+                        *self.late_starts.entry(name.clone()).or_default() += 1;
+                    }
                     let started_ms = now_ms;
                     worker
                         .runs
@@ -550,6 +564,15 @@
     }
 }
 
+/// Returns the task that stands for those that start together: the first member of a gang.
+fn unit_of(specs: &BTreeMap<JobId, JobSpec>, name: &TaskName) -> TaskName {
+    let is_gang = specs[&name.job].steps[name.step as usize].gang;
+    TaskName {
+        index: if is_gang { 0 } else { name.index },
+        ..name.clone()
+    }
+}
+
 fn simulated(entry: WorkerEntry) -> SimulatedWorker {
     SimulatedWorker {
         entry,
