End distrust of workers by time, and let tasks take longer than estimated

Cause: a task that took longer than 3.3 times what is usual was stopped on each worker as late as on the first, for good, and each of these workers was distrusted for it. A distrusted worker gets 1, 2, 4 tasks until three runs there have ended well. A gang waits until all its members have places, so on an idle pool no run ever ended the distrust.

Change: - A task that was stopped as stalled may run twice as long the next time, and then tells nothing of its worker. At the first sight, a stalled worker loses its tasks as before, and later all that are overdue. - The limit of a worker on probation doubles every 4 s and ends after 20 s, whatever ends there. It still comes after all trusted ones. - A job that has waited 1.5 s on a pool of which less than half is in use is placed whatever is thought of the workers, trusted ones first; quarantines of those that it needs end. On a busy pool nothing changes. - event=gang_waiting says how many places a gang found and how many workers are limited, event=task_stalled counts a task's stalls, the gauge limited_workers tells the workers of a pool that distrust limits.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::id::ServiceId;
 use crate::process::OrganisationMetrics;
 
 /// Labels of the `outcomes` counter.
@@ -29,6 +30,13 @@
     state: &'static str,
 }
 
+/// Labels of the `limited_workers` gauge.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct PoolLabels {
+    /// The service whose pool it is.
+    service: String,
+}
+
 /// Labels of the `control_work` gauge.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct WorkLabels {
@@ -51,6 +59,7 @@
     registry: Registry,
     outcomes: Family<OutcomeLabels, Counter>,
     workers: Family<WorkerLabels, Gauge>,
+    limited_workers: Family<PoolLabels, Gauge>,
     suspects: Family<SuspectLabels, Gauge>,
     control_work: Family<WorkLabels, Gauge>,
     /// Latency of calls to the table, in seconds.
@@ -113,6 +122,12 @@
             "Workers by how far they are trusted, on the lease's holder",
             workers.clone(),
         );
+        let limited_workers = Family::default();
+        registry.register(
+            "limited_workers",
+            "Workers that distrust limits to few tasks or none, by pool, on the lease's holder",
+            limited_workers.clone(),
+        );
         let suspects = Family::default();
         registry.register(
             "suspect_crashes",
@@ -182,6 +197,7 @@
             registry,
             outcomes,
             workers,
+            limited_workers,
             suspects,
             control_work,
             table_seconds,
@@ -236,6 +252,16 @@
         self.workers.get_or_create(&labels).set(count as i64);
     }
 
+    /// Sets the number of workers of a pool that distrust limits, as known to the lease holder.
+    pub fn set_limited_workers(&self, service: &ServiceId, count: u64) {
+        let labels = PoolLabels {
+            service: service.to_string(),
+        };
+        self.limited_workers
+            .get_or_create(&labels)
+            .set(count as i64);
+    }
+
     /// Sets what the lease holder counted of a kind in its last second.
     pub fn set_control_work(&self, kind: &'static str, count: u64) {
         let labels = WorkLabels { kind };
--- a/src/workflow/health/engine_health.rs
+++ b/src/workflow/health/engine_health.rs
@@ -7,7 +7,8 @@
 use crate::id::WorkerId;
 use crate::workflow::health::running_time::RunningTime;
 use crate::workflow::health::running_time::MAX_REVIEW_MS;
-use crate::workflow::health::stalled_workers::overdue_tasks;
+use crate::workflow::health::stalled_workers::find_stalls;
+use crate::workflow::health::stalled_workers::FoundStalls;
 use crate::workflow::CommandPhase;
 use crate::workflow::JobEngine;
 use crate::workflow::JobState;
@@ -76,7 +77,7 @@
     ///
     /// Tasks younger than twice their expected duration tell nothing about a worker that is not slow,
     /// so only workers with older ones are looked at, and each worker with tasks once a second.
-    pub(crate) fn review_workers(&mut self, now_ms: u64) -> Vec<(WorkerId, Vec<TaskName>)> {
+    pub(crate) fn review_workers(&mut self, now_ms: u64) -> Vec<(WorkerId, FoundStalls)> {
         let common = self.common_log_ratios();
         let (jobs, durations) = (&self.jobs, &self.durations);
         let times = |name: &TaskName| jobs.get(&name.job)?.running_time(name, durations, now_ms);
@@ -112,9 +113,9 @@
                 let slowdown = pace.slowdown();
                 log::info!("event=worker_pace_changed worker={id} slowdown={slowdown}");
             }
-            let overdue = overdue_tasks(worker, &running, now_ms);
-            if !overdue.is_empty() {
-                stalled.push((id.clone(), overdue));
+            let found = find_stalls(worker, &running, now_ms);
+            if !found.overdue.is_empty() {
+                stalled.push((id.clone(), found));
             }
         }
         stalled
--- a/src/workflow/health/engine_trust.rs
+++ b/src/workflow/health/engine_trust.rs
@@ -11,6 +11,7 @@
 use crate::workflow::EndKind;
 use crate::workflow::HealthState;
 use crate::workflow::JobEngine;
+use crate::workflow::PlacementPool;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
 use crate::workflow::WorkerState;
@@ -38,6 +39,9 @@
 /// The share of failed runs from which a worker is bad, however many runs fail in its pool.
 const MAX_COMMON_LIMIT: f64 = 0.9;
 
+/// Min time for which a gang has waited before it is logged, and between two such lines, in ms.
+const GANG_LOG_INTERVAL_MS: u64 = 1_000;
+
 /// The workers of a pool in one data centre whose calls had no answer lately.
 #[derive(Default)]
 struct SilentWorkers {
@@ -75,6 +79,47 @@
         self.limit_quarantines(&service, now_ms);
     }
 
+    /// Ends the quarantines of workers that tasks need which have waited for too long.
+    pub(crate) fn end_quarantines(&mut self, ids: &[WorkerId], now_ms: u64) {
+        for id in ids {
+            let worker = self.workers.get_mut(id);
+            let is_quarantined =
+                |worker: &&mut WorkerState| worker.health.state(now_ms) == HealthState::Quarantined;
+            if let Some(worker) = worker.filter(is_quarantined) {
+                log::info!(
+                    "event=quarantine_ended worker={id} reason=\"tasks have waited for it\""
+                );
+                worker.health.end_quarantine(now_ms);
+            }
+        }
+    }
+
+    /// Logs why a gang that waits is not placed, once a second at most.
+    pub(crate) fn log_waiting_gang(
+        &mut self,
+        first: &TaskName,
+        members: usize,
+        found: usize,
+        pool: &PlacementPool,
+        now_ms: u64,
+    ) {
+        let since_ms = self
+            .jobs
+            .get(&first.job)
+            .and_then(|job| job.waiting_since_ms);
+        let waited_ms = since_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms));
+        let next_ms = self.fleet_health.gang_logged_ms + GANG_LOG_INTERVAL_MS;
+        if waited_ms < GANG_LOG_INTERVAL_MS || now_ms < next_ms {
+            return;
+        }
+        self.fleet_health.gang_logged_ms = now_ms;
+        let (workers, limited) = (pool.len(), pool.limited_count());
+        log::warn!(
+            "event=gang_waiting job={} task={first} waited_ms={waited_ms} members={members} found={found} workers={workers} limited={limited}",
+            first.job
+        );
+    }
+
     /// Updates a worker's health from the end of a run. A failure counts only if the task has not
     /// failed elsewhere before, since its job is then more likely at fault.
     pub(crate) fn record_run_end(
@@ -209,6 +254,12 @@
             counts[state as usize].1 += 1;
             slow_count += u64::from(worker.health.pace.is_slow());
         }
+        let mut limited = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.listed) {
+            let count = limited.entry(worker.entry.service.clone()).or_default();
+            *count += u64::from(worker.health.task_limit(now_ms).is_some());
+        }
+        self.fleet_health.limited = limited;
         self.fleet_health.counts = counts.into();
         self.fleet_health.slow_count = slow_count;
     }
--- a/src/workflow/health/fleet_health.rs
+++ b/src/workflow/health/fleet_health.rs
@@ -14,6 +14,10 @@
     pub counts: BTreeMap<HealthState, u64>,
     /// The number of listed workers that were slow at the last check.
     pub slow_count: u64,
+    /// The number of listed workers of each pool that distrust limits to few tasks or none, as of the last check.
+    pub limited: BTreeMap<ServiceId, u64>,
+    /// When a waiting gang was last logged, in ms.
+    pub(crate) gang_logged_ms: u64,
     /// The number of workers whose running tasks were looked at in the last check.
     pub reviewed_workers: u64,
     /// The share of failed runs in each pool.
--- a/src/workflow/health/slow_runs.rs
+++ b/src/workflow/health/slow_runs.rs
@@ -70,7 +70,7 @@
             return Vec::new();
         };
         let slowdown = worker.health.pace.slowdown();
-        let is_probe = worker.health.task_limit(now_ms).is_some();
+        let is_probe = worker.health.is_probe(now_ms);
         let ends_sooner = |name: &TaskName| {
             let (age_ms, expected_ms) = self.age_and_expected_ms(name, now_ms)?;
             if is_probe && age_ms < expected_ms * PROBE_AGES {
--- a/src/workflow/health/stalled_workers.rs
+++ b/src/workflow/health/stalled_workers.rs
@@ -4,6 +4,11 @@
 //! answers and accepts tasks. Its tasks would then be late. Tasks that run far longer than usual
 //! for their queue are therefore restarted elsewhere, unless a task has recently completed on their
 //! worker.
+//!
+//! A task may also just take longer than estimated. Each time that it is stopped, its next run may take twice
+//! as long, so that it ends in time that is in proportion to its own, and what becomes of that run tells
+//! nothing about the worker. Members of gangs and long-running tasks have no expected duration and are never
+//! stopped for it.
 
 use crate::id::WorkerId;
 use crate::workflow::health::running_time::RunningTime;
@@ -30,6 +35,15 @@
 
 const STALL_CHECK_INTERVAL_MS: u64 = 250;
 
+/// What the running tasks of a worker show.
+#[derive(Debug, Default)]
+pub(crate) struct FoundStalls {
+    /// The tasks to be started elsewhere.
+    pub(crate) overdue: Vec<TaskName>,
+    /// The worker makes no progress. Otherwise, the tasks may just take long.
+    pub(crate) is_worker_stalled: bool,
+}
+
 impl JobEngine {
     /// Checks all workers: learns their speeds, quarantines stalled and unstable ones, and stops overdue
     /// tasks, so that these are started elsewhere.
@@ -41,10 +55,12 @@
         let stalled = self.review_workers(now_ms);
         self.record_long_runs(now_ms);
         self.distrust_unstable(now_ms);
-        for (id, overdue) in stalled {
-            self.distrust_worker(&id, DistrustCause::Stall, now_ms);
-            for name in &overdue {
-                self.record_failed_on(name, &id);
+        for (id, found) in stalled {
+            if found.is_worker_stalled {
+                self.distrust_worker(&id, DistrustCause::Stall, now_ms);
+            }
+            for name in &found.overdue {
+                self.record_stall(name, &id);
                 self.request_stop(name, "the task is stalled");
             }
         }
@@ -69,6 +85,21 @@
         }
     }
 
+    /// Records that a run of a task is stopped as stalled.
+    fn record_stall(&mut self, name: &TaskName, worker: &WorkerId) {
+        self.record_failed_on(name, worker);
+        let job = self.jobs.get_mut(&name.job);
+        let Some(state) = job.and_then(|job| job.task_mut(name)) else {
+            return;
+        };
+        state.stalls += 1;
+        let (run, stalls) = (state.last_run, state.stalls);
+        log::info!(
+            "event=task_stalled job={} task={name} run={run} worker={worker} stalls={stalls}",
+            name.job
+        );
+    }
+
     /// Makes a long-running task prefer other workers after its worker has refused it for want of room or as
     /// unhealthy. Reports need not show either, and equal workers are compared in a fixed order, so the next
     /// pass would choose the same one.
@@ -86,20 +117,24 @@
     }
 }
 
-/// Returns a worker's overdue tasks; empty if they do not show a stall. `running` holds the times of
-/// the worker's tasks, in their order, and is empty if the worker does not answer.
-pub(crate) fn overdue_tasks(
+/// Returns what the running tasks of a worker show. `running` holds the times of its tasks, in their order, and
+/// is empty if the worker does not answer.
+pub(crate) fn find_stalls(
     worker: &WorkerState,
     running: &[Option<RunningTime>],
     now_ms: u64,
-) -> Vec<TaskName> {
+) -> FoundStalls {
     // Tasks that ended on a slow worker show that it makes progress.
     let slowdown = worker.health.pace.proven_slowdown();
     let mut overdue = Vec::new();
+    let mut outlasting = Vec::new();
+    let mut witnesses = 0;
     let mut proves_stall = false;
     for (name, time) in worker.tasks.iter().zip(running) {
-        let times = time.and_then(|time| time.age_and_expected_ms());
-        let Some((age_ms, expected_ms)) = times else {
+        let Some(time) = time else {
+            continue;
+        };
+        let Some((age_ms, expected_ms)) = time.age_and_expected_ms() else {
             continue;
         };
         // A shorter run ends sooner where it is, even if it needs as long again.
@@ -111,14 +146,27 @@
         if worker.last_success_ms + expected_ms + OVERHEAD_MS > now_ms {
             continue;
         }
-        if age_ms > expected_ms * OVERDUE_PERCENT / 100 + OVERHEAD_MS {
+        let limit_ms = |percent: u64| expected_ms * percent / 100 + OVERHEAD_MS;
+        let is_witness = time.stalls == 0;
+        if age_ms > limit_ms(OVERDUE_PERCENT) {
             overdue.push(name.clone());
+            witnesses += usize::from(is_witness);
+        }
+        proves_stall |= is_witness && age_ms > limit_ms(SINGLE_STALL_PERCENT);
+        if age_ms
+            > time
+                .patience()
+                .saturating_mul(limit_ms(SINGLE_STALL_PERCENT))
+        {
+            outlasting.push(name.clone());
         }
-        proves_stall |= age_ms > expected_ms * SINGLE_STALL_PERCENT / 100 + OVERHEAD_MS;
     }
-    if overdue.len() >= MIN_OVERDUE_TASKS || proves_stall {
-        overdue
-    } else {
-        Vec::new()
+    let is_worker_stalled = witnesses >= MIN_OVERDUE_TASKS || proves_stall;
+    FoundStalls {
+        overdue: match is_worker_stalled {
+            true => overdue,
+            false => outlasting,
+        },
+        is_worker_stalled,
     }
 }
--- a/src/workflow/health/worker_health.rs
+++ b/src/workflow/health/worker_health.rs
@@ -25,6 +25,12 @@
 /// at its capacity after about three tasks in turn.
 const PROBE_SUCCESSES: u32 = 3;
 
+/// The time in ms after which a worker on probation gets twice as many tasks although no run there has ended,
+/// and the number of doublings after which it has no limit. Its tasks may last, or a gang may need it that
+/// doesn't fit under the limit.
+const PROBE_DOUBLING_MS: u64 = 4_000;
+const MAX_PROBE_DOUBLINGS: u64 = 5;
+
 /// The weight of a run in the share of failed runs.
 const FAILURE_WEIGHT: f64 = 0.125;
 
@@ -186,11 +192,26 @@
         match self.state(now_ms) {
             HealthState::Trusted if self.pace.is_probe_due(now_ms) => Some(1),
             HealthState::Trusted => None,
-            HealthState::Probing => Some(1 << self.probe_successes),
+            HealthState::Probing => self.probe_limit(now_ms),
             HealthState::Quarantined => Some(0),
         }
     }
 
+    /// Returns whether the worker is tried with few tasks, and gets none that fit on others.
+    pub fn is_probe(&self, now_ms: u64) -> bool {
+        match self.state(now_ms) {
+            HealthState::Trusted => self.pace.is_probe_due(now_ms),
+            HealthState::Probing | HealthState::Quarantined => true,
+        }
+    }
+
+    fn probe_limit(&self, now_ms: u64) -> Option<u32> {
+        let probed_ms = now_ms.saturating_sub(self.quarantined_until_ms);
+        let doublings = probed_ms / PROBE_DOUBLING_MS;
+        (doublings < MAX_PROBE_DOUBLINGS)
+            .then(|| 1 << (u64::from(self.probe_successes) + doublings))
+    }
+
     /// Returns how many times as long as expected a task takes on the worker.
     pub fn slowdown(&self) -> SlowdownFactor {
         self.pace.slowdown()
--- a/src/workflow/placement/placement_pool.rs
+++ b/src/workflow/placement/placement_pool.rs
@@ -36,6 +36,9 @@
     min_slowdown: Option<SlowdownFactor>,
     /// The work that waits for workers as fast as expected, in millicores times ms.
     waiting_work: u64,
+    /// The CPU capacity of all workers, those in quarantine included, and what tasks reserve of it, in millicores.
+    listed_millis: u64,
+    reserved_millis: u64,
 }
 
 /// The placed tasks of one step, by worker and rack.
@@ -48,19 +51,8 @@
     /// Adds a worker that accepts tasks. Of workers that suit a task equally, the first one added is
     /// chosen.
     pub fn add_worker(&mut self, worker: &WorkerState, now_ms: u64) {
-        let slowdown = worker.health.slowdown();
-        let limit = worker.health.task_limit(now_ms);
-        let slots = limit.map(|limit| limit.saturating_sub(worker.tasks.len() as u32));
-        let candidate = PlacementCandidate {
-            entry: Rc::clone(&worker.entry),
-            free: worker.free_capacity(),
-            has_long_running: worker.has_long_running(),
-            upkeep_due: worker.upkeep_due,
-            slots: slots.unwrap_or(u32::MAX),
-            is_probe: limit.is_some(),
-            slowdown,
-            is_kept: false,
-        };
+        let candidate = self.new_candidate(worker, now_ms);
+        let slowdown = candidate.slowdown;
         let cpu_millis = worker.entry.capacity.cpu_millis;
         self.capacity.add(&WorkerResources {
             cpu_millis: slowdown.shrink(cpu_millis),
@@ -78,6 +70,47 @@
         self.candidates.push(candidate);
     }
 
+    /// Adds a worker in quarantine, which gets no tasks but those that [`Self::choose_despite_health`] places.
+    pub(crate) fn add_quarantined(&mut self, worker: &WorkerState, now_ms: u64) {
+        let mut candidate = self.new_candidate(worker, now_ms);
+        candidate.slots = 0;
+        candidate.is_quarantined = true;
+        self.candidates.push(candidate);
+    }
+
+    fn new_candidate(&mut self, worker: &WorkerState, now_ms: u64) -> PlacementCandidate {
+        self.listed_millis += worker.entry.capacity.cpu_millis;
+        self.reserved_millis += worker.used.cpu_millis;
+        let limit = worker.health.task_limit(now_ms);
+        let slots = limit.map(|limit| limit.saturating_sub(worker.tasks.len() as u32));
+        PlacementCandidate {
+            entry: Rc::clone(&worker.entry),
+            free: worker.free_capacity(),
+            has_long_running: worker.has_long_running(),
+            upkeep_due: worker.upkeep_due,
+            slots: slots.unwrap_or(u32::MAX),
+            excess: 0,
+            is_probe: worker.health.is_probe(now_ms),
+            is_quarantined: false,
+            slowdown: worker.health.slowdown(),
+            is_kept: false,
+        }
+    }
+
+    /// Returns whether tasks that have waited for long may be placed whatever is thought of the workers: some
+    /// are limited by it, and less than half of the CPU of all is in use, so that others are not kept from
+    /// better ones.
+    pub(crate) fn may_ignore_health(&self) -> bool {
+        2 * self.reserved_millis < self.listed_millis
+            && self.candidates.iter().any(PlacementCandidate::is_limited)
+    }
+
+    /// Returns the number of workers that distrust limits.
+    pub(crate) fn limited_count(&self) -> usize {
+        let limited = self.candidates.iter().filter(|one| one.is_limited());
+        limited.count()
+    }
+
     /// Returns the CPU capacity of all workers, used or not, in millicores. A slow worker counts by
     /// the work that it does.
     pub fn capacity_millis(&self) -> u64 {
@@ -124,6 +157,7 @@
         DueTime {
             expected_ms,
             limit_ms: wait_ms.saturating_add(expected_ms),
+            ignores_health: false,
         }
     }
 
@@ -146,15 +180,42 @@
         if step.long_running || !self.has_fast_worker(step, &reserved) {
             due.limit_ms = u64::MAX;
         }
+        self.choose_within(step, waiting, placed, &due)
+    }
+
+    /// Like [`Self::choose_workers`], for tasks that have waited for so long that distrust no longer keeps them
+    /// from any worker. Trusted ones are still preferred.
+    pub(crate) fn choose_despite_health(
+        &mut self,
+        step: &StepSpec,
+        waiting: &[&TaskState],
+        placed: &[&WorkerState],
+    ) -> Vec<WorkerId> {
+        let due = DueTime {
+            expected_ms: 0,
+            limit_ms: u64::MAX,
+            ignores_health: true,
+        };
+        self.choose_within(step, waiting, placed, &due)
+    }
+
+    fn choose_within(
+        &mut self,
+        step: &StepSpec,
+        waiting: &[&TaskState],
+        placed: &[&WorkerState],
+        due: &DueTime,
+    ) -> Vec<WorkerId> {
+        let reserved = step.reserved();
         let mut siblings = StepSiblings::new(step, placed);
         let mut chosen: Vec<WorkerId> = Vec::with_capacity(waiting.len());
         let mut last: Option<usize> = None;
         for task in waiting {
             // Best fit chooses the worker that the last task was placed on until it is full.
             let again = last.filter(|&position| {
-                is_ordinary(step, task) && self.candidates[position].fits(step, &reserved, &due)
+                is_ordinary(step, task) && self.candidates[position].fits(step, &reserved, due)
             });
-            let best = again.or_else(|| self.best_fit(step, task, &siblings, &due));
+            let best = again.or_else(|| self.best_fit(step, task, &siblings, due));
             let Some(position) = best else {
                 self.update_largest_free();
                 return chosen;
@@ -173,7 +234,7 @@
 
     /// Returns whether no worker has the capacity for `reserved`, used or not, although there are some.
     pub(crate) fn is_too_small(&self, reserved: &WorkerResources) -> bool {
-        !self.candidates.is_empty() && !reserved.fits(&self.largest_capacity)
+        self.len() > 0 && !reserved.fits(&self.largest_capacity)
     }
 
     fn update_largest_free(&mut self) {
@@ -185,14 +246,18 @@
         });
     }
 
-    /// Returns the number of workers.
+    /// Returns the number of workers that accept tasks.
     pub(crate) fn len(&self) -> usize {
-        self.candidates.len()
+        self.accepting().count()
     }
 
     /// Returns whether a worker accepts tasks.
     pub(crate) fn contains(&self, id: &WorkerId) -> bool {
-        self.candidates.iter().any(|one| one.entry.id == *id)
+        self.accepting().any(|one| one.entry.id == *id)
+    }
+
+    fn accepting(&self) -> impl Iterator<Item = &PlacementCandidate> {
+        self.candidates.iter().filter(|one| !one.is_quarantined)
     }
 
     /// Keeps a worker for a task that may crash it: no other one is placed there.
@@ -266,7 +331,7 @@
             let candidate = self.candidates.iter_mut().find(|one| one.entry.id == *id);
             if let Some(candidate) = candidate {
                 candidate.free.add(&step.reserved());
-                candidate.slots = candidate.slots.saturating_add(1);
+                candidate.return_slot();
                 self.largest_free.extend_to(&candidate.free);
             }
         }
@@ -303,7 +368,7 @@
         let candidate = &mut self.candidates[position];
         candidate.free = candidate.free.saturating_sub(&step.reserved());
         candidate.has_long_running |= step.long_running;
-        candidate.slots -= 1;
+        candidate.take_slot();
         siblings.add(step, &candidate.entry);
     }
 }
--- a/src/workflow/placement/task_placer.rs
+++ b/src/workflow/placement/task_placer.rs
@@ -15,12 +15,20 @@
 use crate::workflow::placement::unplaced_steps::UnplacedSteps;
 use crate::workflow::CommandPhase;
 use crate::workflow::CommitEffect;
+use crate::workflow::HealthState;
 use crate::workflow::JobEngine;
 use crate::workflow::JobPhase;
 use crate::workflow::JobState;
 use crate::workflow::PlacementPool;
+use crate::workflow::StepSpec;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
+use crate::workflow::TaskState;
+use crate::workflow::WorkerState;
+
+/// The time for which a job has waited for room from which on distrust no longer keeps its tasks from workers of
+/// a pool that is mostly idle, in ms.
+const MAX_DISTRUST_WAIT_MS: u64 = 1_500;
 
 /// Max time between looks at the capacities of pools while jobs wait for earlier steps only, in ms.
 const CAPACITY_INTERVAL_MS: u64 = 250;
@@ -83,7 +91,7 @@
     fn may_fit(&self, id: &JobId, pool: &PlacementPool) -> bool {
         let steps = self.jobs.get(id).map(|job| &job.spec.steps);
         let mut steps = steps.into_iter().flatten();
-        steps.any(|step| pool.may_fit(&step.reserved()))
+        pool.may_ignore_health() || steps.any(|step| pool.may_fit(&step.reserved()))
     }
 
     /// Removes the jobs from `waiting_jobs` that have no unplaced tasks any more.
@@ -102,15 +110,17 @@
             return pools;
         }
         let workers = self.workers.values();
-        let accepting =
-            workers.filter(|worker| worker.accepts_tasks(now_ms) && self.has_current_entry(worker));
-        for worker in accepting {
-            match pools.get_mut(&worker.entry.service) {
+        let current = workers.filter(|worker| self.has_current_entry(worker));
+        for worker in current.filter(|worker| worker.may_accept_tasks(now_ms)) {
+            let is_quarantined = worker.health.state(now_ms) == HealthState::Quarantined;
+            let service = &worker.entry.service;
+            if !pools.contains_key(service) {
+                pools.insert(service.clone(), PlacementPool::default());
+            }
+            match pools.get_mut(service) {
+                Some(pool) if is_quarantined => pool.add_quarantined(worker, now_ms),
                 Some(pool) => pool.add_worker(worker, now_ms),
-                None => {
-                    let pool = pools.entry(worker.entry.service.clone()).or_default();
-                    pool.add_worker(worker, now_ms);
-                }
+                None => {}
             }
         }
         pools
@@ -165,6 +175,11 @@
         if unplaced.waiting > 0 {
             self.add_waiting_work(id, pool);
         }
+        if let Some(job) = self.jobs.get_mut(id) {
+            let is_waiting = unplaced.waiting + unplaced.too_large > 0;
+            let since_ms = job.waiting_since_ms.unwrap_or(now_ms);
+            job.waiting_since_ms = is_waiting.then_some(since_ms);
+        }
         unplaced
     }
 
@@ -188,7 +203,7 @@
         let ready = waiting.len();
         self.retain_storable(id, &mut waiting);
         let mut kept_back = ready - waiting.len();
-        let chosen = self.choose_workers(&waiting, pool, now_ms);
+        let chosen = self.choose_for_step(&waiting, pool, now_ms);
         for (name, worker) in waiting.iter().zip(&chosen) {
             if self.has_row_room(id, from_ref(name), from_ref(worker), None) {
                 self.place_task(name, worker, now_ms);
@@ -223,12 +238,14 @@
         if self.cap_room(id, step) < waiting.len() as u64 {
             return true;
         }
-        let chosen = self.choose_workers(&waiting, pool, now_ms);
+        let chosen = self.choose_for_step(&waiting, pool, now_ms);
         let Some(spec) = self.jobs.get(id).and_then(|job| job.step(step)) else {
             return true;
         };
         if chosen.len() < waiting.len() {
             pool.release(spec, &chosen);
+            let found = chosen.len();
+            self.log_waiting_gang(first, waiting.len(), found, pool, now_ms);
             return false;
         }
         if !self.has_row_room(id, &waiting, &chosen, self.gang_checkpoint(first)) {
@@ -303,6 +320,54 @@
         waiting.map(|(index, _)| name(index)).collect()
     }
 
+    /// Like [`Self::choose_workers`]; ends the quarantine of workers that tasks which have waited for long need.
+    fn choose_for_step(
+        &mut self,
+        waiting: &[TaskName],
+        pool: &mut PlacementPool,
+        now_ms: u64,
+    ) -> Vec<WorkerId> {
+        let chosen = self.choose_workers(waiting, pool, now_ms);
+        let first = waiting.first().filter(|_| chosen.len() < waiting.len());
+        let job = first.and_then(|name| self.jobs.get(&name.job));
+        let since_ms = job.and_then(|job| job.waiting_since_ms);
+        let has_waited = since_ms.is_some_and(|at_ms| now_ms >= at_ms + MAX_DISTRUST_WAIT_MS);
+        if !has_waited || !pool.may_ignore_health() {
+            return chosen;
+        }
+        let Some((step, states, placed)) = self.placement_inputs(waiting) else {
+            return chosen;
+        };
+        pool.release(step, &chosen);
+        let chosen = pool.choose_despite_health(step, &states, &placed);
+        let is_gang = step.gang;
+        if !is_gang || chosen.len() == waiting.len() {
+            self.end_quarantines(&chosen, now_ms);
+        }
+        chosen
+    }
+
+    /// Returns the step of waiting tasks, their states, and the workers of its placed tasks.
+    fn placement_inputs(
+        &self,
+        waiting: &[TaskName],
+    ) -> Option<(&StepSpec, Vec<&TaskState>, Vec<&WorkerState>)> {
+        let name = waiting.first()?;
+        let job = self.jobs.get(&name.job)?;
+        let step = job.step(name.step)?;
+        let states = waiting.iter().filter_map(|name| job.task(name)).collect();
+        // Siblings matter only to few steps.
+        let placed = match step.long_running || step.max_per_worker > 0 {
+            true => {
+                let siblings = job.step_tasks(name.occurrence, name.step).iter();
+                let placed = siblings.filter_map(|state| self.workers.get(state.worker()?));
+                placed.collect()
+            }
+            false => Vec::new(),
+        };
+        Some((step, states, placed))
+    }
+
     /// Chooses workers for waiting tasks of one step, in order, until one fits nowhere.
     pub(crate) fn choose_workers(
         &self,
@@ -310,21 +375,11 @@
         pool: &mut PlacementPool,
         now_ms: u64,
     ) -> Vec<WorkerId> {
-        let first = waiting.first().and_then(|name| {
-            let job = self.jobs.get(&name.job)?;
-            Some((name, job, job.step(name.step)?))
-        });
-        let Some((name, job, step)) = first else {
+        let inputs = self.placement_inputs(waiting);
+        let job = waiting.first().and_then(|name| self.jobs.get(&name.job));
+        let (Some((step, states, placed)), Some(job)) = (inputs, job) else {
             return Vec::new();
         };
-        let states: Vec<_> = waiting.iter().filter_map(|name| job.task(name)).collect();
-        let siblings = job.step_tasks(name.occurrence, name.step).iter();
-        let placed = siblings.filter_map(|state| self.workers.get(state.worker()?));
-        // Siblings matter only to few steps.
-        let placed: Vec<_> = match step.long_running || step.max_per_worker > 0 {
-            true => placed.collect(),
-            false => Vec::new(),
-        };
         // Times matter to slow workers only.
         let times = match pool.has_slow_workers() {
             true => self.expected_and_waited_ms(job, step, now_ms),
@@ -359,6 +414,7 @@
                 age_ms: 0,
                 expected_ms: history.history_based_ms(&spec.queue, step.estimate_ms),
                 is_running: false,
+                stalls: 0,
             };
             worker.add_new_task(name.clone(), step, now_ms + time.review_in_ms());
         }
--- a/src/workflow/planner_loop.rs
+++ b/src/workflow/planner_loop.rs
@@ -165,6 +165,9 @@
     for (state, count) in &health.counts {
         term.metrics.set_worker_count(state.as_str(), *count);
     }
+    for (service, count) in &health.limited {
+        term.metrics.set_limited_workers(service, *count);
+    }
     term.metrics.slow_workers.set(health.slow_count as i64);
     let wait = engine.check_long_tasks(boot_ms());
     let waited_ms = wait.map_or(0, |wait| wait.waited_ms);
--- a/src/workflow/progress/job_state.rs
+++ b/src/workflow/progress/job_state.rs
@@ -57,6 +57,9 @@
     /// A run of one of its tasks is known to have begun. A placement does not tell: its start may
     /// not be sent, or the lease may be lost first.
     pub has_begun: bool,
+    /// Since when each placement pass has left tasks without a worker that were ready, in ms; `None` if the last
+    /// one left none.
+    pub(crate) waiting_since_ms: Option<u64>,
     /// Its organisation had submitted more jobs a second than it is entitled to when the job arrived.
     pub is_over_rate: bool,
     tasks: Vec<TaskState>,
@@ -89,6 +92,7 @@
             first_read_ms: now_ms,
             ended_ms: 0,
             has_begun: false,
+            waiting_since_ms: None,
             is_over_rate: false,
             tasks: vec![TaskState::new(); total * occurrences],
             omits_tasks: false,
@@ -323,9 +327,10 @@
         if step.long_running || step.gang || self.phase.has_ended() {
             return None;
         }
+        let state = self.task(name)?;
         let TaskPhase::Placed {
             command, since_ms, ..
-        } = &self.task(name)?.phase
+        } = &state.phase
         else {
             return None;
         };
@@ -333,6 +338,7 @@
             age_ms: now_ms.saturating_sub(*since_ms),
             expected_ms: durations.history_based_ms(&self.spec.queue, step.estimate_ms),
             is_running: *command == CommandPhase::Running,
+            stalls: state.stalls,
         })
     }
 
--- a/src/workflow/progress/task_state.rs
+++ b/src/workflow/progress/task_state.rs
@@ -66,8 +66,8 @@
     Done,
 }
 
-/// The state of a task. The command's phase, `started_ms`, `crashed_on`, `failed_on` and the reported
-/// `percent` and `load` are not durable; `is_suspect`, `crashes` and `failed_run` are stored with the job.
+/// The state of a task. The command's phase, `started_ms`, `crashed_on`, `failed_on`, `stalls` and the
+/// reported `percent` and `load` are not durable; `is_suspect`, `crashes` and `failed_run` are stored with the job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TaskState {
     /// The phase; a placed task is restored with an inherited command.
@@ -92,6 +92,8 @@
     pub crashed_on: Vec<WorkerId>,
     /// The workers on which a run failed or stalled; later runs prefer others.
     pub failed_on: Vec<WorkerId>,
+    /// The number of runs that were stopped as stalled; each of them lets the next one take longer.
+    pub stalls: u32,
     /// The last reported share of the full processing rate, in percent.
     pub percent: u32,
     /// The last reported load: tail latency in ms for a task that serves users, otherwise the CPU
@@ -114,6 +116,7 @@
             crashes: 0,
             crashed_on: Vec::new(),
             failed_on: Vec::new(),
+            stalls: 0,
             percent: 0,
             load: 0,
         }
--- a/src/workflow/worker_state.rs
+++ b/src/workflow/worker_state.rs
@@ -323,12 +323,16 @@
 
     /// Returns whether new tasks may be placed on the worker.
     pub fn accepts_tasks(&self, now_ms: u64) -> bool {
+        self.may_accept_tasks(now_ms) && self.health.state(now_ms) != HealthState::Quarantined
+    }
+
+    /// Returns whether new tasks may be placed on the worker once no quarantine keeps them off.
+    pub(crate) fn may_accept_tasks(&self, now_ms: u64) -> bool {
         let responsive = self.unresponsive_since_ms == 0
             || now_ms < self.unresponsive_since_ms + UNRESPONSIVE_LIMIT_MS / 4;
         self.has_accepted_epoch
             && !self.is_leaving()
             && self.held_ends < MAX_HELD_ENDS
             && responsive
-            && self.health.state(now_ms) != HealthState::Quarantined
     }
 }
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -272,6 +272,7 @@
         self.note_crashes(DETECTION_MS);
         self.restart_workers();
         self.report();
+        self.engine.release_stalled(self.now_ms);
         self.engine.place_tasks(self.now_ms, self.now_ms);
         self.engine.take_changes();
         self.answer_stops();
