Hold the states of job steps that are under way, not of all accepted occurrences

Cause: a job made a state of some 200 bytes for each task of each occurrence, and counters of row bytes and done tasks beside them. Passes walked all of them, due or not.

Change: a job holds the states of steps that have begun and are not done. Occurrences that are over are ranges of numbers, those that aren't due are nothing. A pass looks at occurrences that are due or have begun, of the due ones at as many as the row could hold runs of; jobs without any take no part in it.

--- a/src/workflow/crash/engine_crashes.rs
+++ b/src/workflow/crash/engine_crashes.rs
@@ -218,12 +218,10 @@
         if !job.has_suspects() {
             return;
         }
-        let names = job.task_names().filter(|name| {
-            let state = job.task(name);
-            let is_open = state.is_some_and(|state| state.phase != TaskPhase::Done);
-            is_open && state.is_some_and(|state| state.is_suspect)
-        });
-        let names: Vec<_> = names.collect();
+        let suspects = job
+            .begun_tasks()
+            .filter(|(_, state)| state.is_suspect && state.phase != TaskPhase::Done);
+        let names: Vec<_> = suspects.map(|(name, _)| name).collect();
         for name in names {
             self.suspects.insert(name, now_ms);
         }
--- a/src/workflow/engine_demand.rs
+++ b/src/workflow/engine_demand.rs
@@ -15,7 +15,6 @@
 use crate::workflow::QueueConfig;
 use crate::workflow::ResourceCap;
 use crate::workflow::StepSpec;
-use crate::workflow::TaskPhase;
 use crate::workflow::WorkerResources;
 
 /// The most queues whose backlogs are told: a few KB of the leader row, which holds 64 KB.
@@ -195,9 +194,8 @@
                 {
                     continue;
                 }
-                let tasks = job.step_tasks(0, number as u32).iter();
-                let unstarted = tasks.filter(|state| state.phase == TaskPhase::Waiting);
-                let unstarted = unstarted.count() as u64;
+                let tasks = job.step_tasks(0, number as u32);
+                let unstarted = tasks.waiting_count() as u64;
                 let expected_ms = self.durations.expected_ms(&queue.name, step.estimate_ms);
                 let millis = step_work(step, unstarted, expected_ms) / backlog_ms;
                 if let Some((id, _)) = cap {
@@ -251,8 +249,7 @@
     let steps = job.spec.steps.iter().enumerate();
     let steps = steps.filter(move |(_, step)| !cap.is_some_and(|cap| exceeds_cap(cap, step)));
     steps.map(|(number, step)| {
-        let tasks = job.step_tasks(0, number as u32).iter();
-        let waiting = tasks.filter(|state| state.phase == TaskPhase::Waiting);
-        (step, waiting.count() as u64)
+        let tasks = job.step_tasks(0, number as u32);
+        (step, tasks.waiting_count() as u64)
     })
 }
--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -142,7 +142,7 @@
             return;
         };
         let long_running = job.step(name.step).is_some_and(|step| step.long_running);
-        let Some(state) = job.task_mut(name) else {
+        let Some(state) = job.task(name) else {
             return;
         };
         if state.last_run != end.run {
@@ -327,7 +327,7 @@
             return false;
         };
         let ended = job.phase.has_ended();
-        let Some(state) = job.task_mut(&running.task) else {
+        let Some(state) = job.task(&running.task) else {
             return false;
         };
         if state.worker() != Some(id) || state.last_run != running.run {
--- a/src/workflow/job_spec.rs
+++ b/src/workflow/job_spec.rs
@@ -148,6 +148,21 @@
         self.schedule.map_or(1, |schedule| schedule.times.max(1))
     }
 
+    /// Returns the number of occurrences that are due at `wall_ms`, in ms since the Unix epoch; 1 without a
+    /// schedule.
+    pub fn due_occurrences(&self, wall_ms: u64) -> u32 {
+        let Some(schedule) = self.schedule else {
+            return 1;
+        };
+        let Some(since_ms) = wall_ms.checked_sub(schedule.first_ms) else {
+            return 0;
+        };
+        let later = since_ms.checked_div(schedule.interval_ms);
+        let later = later.and_then(|later| u32::try_from(later).ok());
+        let due = later.map_or(u32::MAX, |later| later.saturating_add(1));
+        due.min(self.occurrences())
+    }
+
     /// Returns the length in ms of the critical path, where `step_ms` gives each step's duration.
     pub fn critical_path_ms(&self, step_ms: impl Fn(usize, &StepSpec) -> u64) -> u64 {
         let (length, _) = self.critical_paths_ms(|number, step| (step_ms(number, step), 0));
--- a/src/workflow/lost_runs.rs
+++ b/src/workflow/lost_runs.rs
@@ -11,6 +11,7 @@
 use crate::workflow::JobEngine;
 use crate::workflow::TaskName;
 use crate::workflow::TaskPhase;
+use crate::workflow::TaskState;
 use crate::workflow::WorkerReport;
 
 /// The limit on how long tasks are held back for a worker that stays silent: as long as the longest
@@ -66,13 +67,14 @@
                 self.lost_runs.remove(id);
             }
         }
+        let is_held = |state: &&TaskState| state.lost_on.as_ref() == Some(id);
+        if self.task_state(name).filter(is_held).is_none() {
+            return false;
+        }
         let job = self.jobs.get_mut(&name.job);
         let Some(state) = job.and_then(|job| job.task_mut(name)) else {
             return false;
         };
-        if state.lost_on.as_ref() != Some(id) {
-            return false;
-        }
         state.lost_on = None;
         self.changed.insert(name.job.clone());
         state.phase == TaskPhase::Waiting
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -215,6 +215,7 @@
 pub use pool_pressure::PoolPressure;
 pub use progress::job_state::JobState;
 pub use progress::row_limit::RowLimit;
+pub use progress::step_tasks::StepTasks;
 pub use progress::task_state::CommandPhase;
 pub use progress::task_state::TaskPhase;
 pub use progress::task_state::TaskState;
--- a/src/workflow/placement/engine_shares.rs
+++ b/src/workflow/placement/engine_shares.rs
@@ -33,9 +33,9 @@
         config: &FleetConfig,
         pools: &BTreeMap<ServiceId, PlacementPool>,
         services: &[&ServiceId],
-        now_ms: u64,
+        (now_ms, wall_ms): (u64, u64),
     ) -> PassPlan {
-        let mut planned = self.planned_jobs(config, services, now_ms);
+        let mut planned = self.planned_jobs(config, services, (now_ms, wall_ms));
         let oversized = match self.caps.is_empty() {
             true => Vec::new(),
             false => self.block_capped_jobs(&mut planned),
@@ -56,7 +56,11 @@
     /// Returns the services with tasks that may be placed now. Where all unplaced tasks wait for earlier
     /// steps, the order of the jobs decides nothing. A cap may hold for several services, so with caps
     /// one such service is a reason to look at all.
-    pub(crate) fn placeable_services<'a>(&self, config: &'a FleetConfig) -> Vec<&'a ServiceId> {
+    pub(crate) fn placeable_services<'a>(
+        &self,
+        config: &'a FleetConfig,
+        wall_ms: u64,
+    ) -> Vec<&'a ServiceId> {
         let (mut placeable, mut others) = (Vec::new(), Vec::new());
         for job in self.waiting_jobs.iter().filter_map(|id| self.jobs.get(id)) {
             let queue = config.queue(&job.spec.queue);
@@ -64,7 +68,7 @@
             let Some(service) = service.filter(|service| !placeable.contains(service)) else {
                 continue;
             };
-            if may_place_tasks(job) {
+            if may_place_tasks(job, wall_ms) {
                 others.retain(|other| *other != service);
                 placeable.push(service);
             } else if !others.contains(&service) {
@@ -83,7 +87,7 @@
         &'a self,
         config: &'a FleetConfig,
         services: &[&ServiceId],
-        now_ms: u64,
+        (now_ms, wall_ms): (u64, u64),
     ) -> BTreeMap<ServiceId, Vec<PlannedJob<'a>>> {
         let mut planned: BTreeMap<ServiceId, Vec<PlannedJob<'a>>> = BTreeMap::new();
         if services.is_empty() {
@@ -94,7 +98,8 @@
             // Both sets are in the order of the ids.
             while waiting.next_if(|next| *next < id).is_some() {}
             let is_waiting = waiting.peek() == Some(&id);
-            let Some(job) = self.jobs.get(id).filter(|job| !job.phase.has_ended()) else {
+            let job = self.jobs.get(id).filter(|job| !job.phase.has_ended());
+            let Some(job) = job.filter(|job| job.has_due_work(wall_ms)) else {
                 continue;
             };
             let queue = config.queue(&job.spec.queue);
@@ -249,13 +254,13 @@
 
 /// Returns whether a step of a job is ready with a task to place, or with one that has failed and may end
 /// the job.
-fn may_place_tasks(job: &JobState) -> bool {
+fn may_place_tasks(job: &JobState, wall_ms: u64) -> bool {
     let is_open = |state: &TaskState| state.is_placeable() || state.failures > 0;
-    (0..job.spec.occurrences()).any(|occurrence| {
+    job.due_occurrences(wall_ms).any(|occurrence| {
         let mut steps = 0..job.spec.steps.len() as u32;
         steps.any(|step| {
-            let mut tasks = job.step_tasks(occurrence, step).iter();
-            job.is_step_ready(occurrence, step) && tasks.any(is_open)
+            let tasks = job.step_tasks(occurrence, step);
+            tasks.any(is_open) && job.is_step_ready(occurrence, step)
         })
     })
 }
--- a/src/workflow/placement/planned_job.rs
+++ b/src/workflow/placement/planned_job.rs
@@ -9,7 +9,6 @@
 use crate::workflow::JobUrgency;
 use crate::workflow::QueueConfig;
 use crate::workflow::StepSpec;
-use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 use crate::workflow::WorkerResources;
 
@@ -70,9 +69,8 @@
         }
         let history = durations.history(&self.queue.name);
         for (number, step) in self.job.spec.steps.iter().enumerate() {
-            let tasks = self.job.step_tasks(0, number as u32).iter();
-            let waiting = tasks.filter(|state| state.phase == TaskPhase::Waiting);
-            let waiting = waiting.count() as u64;
+            let tasks = self.job.step_tasks(0, number as u32);
+            let waiting = tasks.waiting_count() as u64;
             let expected_ms = history.expected_ms(step.estimate_ms);
             let amount = amount(step);
             amounts.work.add(&amount.times(waiting * expected_ms));
@@ -91,9 +89,9 @@
         let steps = steps.map(|(number, step)| (number as u32, step));
         let ready = steps.filter(move |(number, _)| job.is_step_ready(0, *number));
         let counted = ready.map(move |(number, step)| {
-            let tasks = job.step_tasks(0, number).iter();
-            let placeable = tasks.filter(|state: &&TaskState| state.is_placeable());
-            (number, step, placeable.count() as u64)
+            let tasks = job.step_tasks(0, number);
+            let placeable = tasks.count(TaskState::is_placeable);
+            (number, step, placeable as u64)
         });
         counted.filter(|(_, _, placeable)| *placeable > 0)
     }
--- a/src/workflow/placement/task_placer.rs
+++ b/src/workflow/placement/task_placer.rs
@@ -44,7 +44,7 @@
         self.full_rows.clear();
         self.caps.refresh(&config, now_ms);
         self.forget_placed_jobs();
-        let services = self.placeable_services(&config);
+        let services = self.placeable_services(&config, wall_ms);
         let has_work =
             !services.is_empty() || !self.suspects.is_empty() || !self.leaving_workers.is_empty();
         if !has_work && now_ms < self.capacities_ms + CAPACITY_INTERVAL_MS {
@@ -58,7 +58,7 @@
         }
         self.place_suspects(&mut pools, now_ms, wall_ms);
         self.move_leaving_tasks(&config, &mut pools, now_ms);
-        let plan = self.plan_pass(&config, &pools, &services, now_ms);
+        let plan = self.plan_pass(&config, &pools, &services, (now_ms, wall_ms));
         self.log_oversized(plan.oversized);
         for (service, mut jobs) in plan.by_service {
             let pool = pools.entry(service.clone()).or_default();
@@ -140,21 +140,7 @@
             return unplaced;
         };
         let spec = Rc::clone(&job.spec);
-        let mut ready_steps = Vec::new();
-        for occurrence in 0..spec.occurrences() {
-            let due_ms = spec.schedule.map_or(0, |schedule| {
-                let offset_ms = u64::from(occurrence).saturating_mul(schedule.interval_ms);
-                schedule.first_ms.saturating_add(offset_ms)
-            });
-            if due_ms > wall_ms {
-                break;
-            }
-            let steps = 0..spec.steps.len() as u32;
-            ready_steps.extend(steps.filter_map(|step| {
-                job.is_step_ready(occurrence, step)
-                    .then_some((occurrence, step))
-            }));
-        }
+        let ready_steps = job.ready_steps(wall_ms);
         if self.end_if_exhausted(id, &ready_steps, now_ms) {
             return unplaced;
         }
--- a/src/workflow/progress/engine_failures.rs
+++ b/src/workflow/progress/engine_failures.rs
@@ -42,7 +42,8 @@
             return false;
         };
         let failed = steps.iter().flat_map(|&(occurrence, step)| {
-            let tasks = job.step_tasks(occurrence, step).iter().enumerate();
+            let tasks = job.step_tasks(occurrence, step);
+            let tasks = tasks.iter().enumerate();
             let failed = tasks.filter(|(_, task)| task.failures > 0);
             failed.map(move |(index, _)| TaskName {
                 job: id.clone(),
--- a/src/workflow/progress/failed_runs.rs
+++ b/src/workflow/progress/failed_runs.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use serde_json::Value;
 
+use crate::workflow::JobState;
 use crate::workflow::TaskState;
 
 /// The field of a job's durable row with the last failed runs of its gangs: a list of pairs of the position of
@@ -14,20 +15,21 @@
 pub(crate) const FAILED_RUNS_FIELD: &str = "failed-runs";
 
 /// Encodes the last failed runs of a job's gangs; `None` if there are none.
-pub(crate) fn encode_failed_runs(tasks: &[TaskState]) -> Option<Value> {
-    let failed = tasks.iter().enumerate();
-    let failed = failed.filter_map(|(position, task)| Some((position, task.failed_run?)));
+pub(crate) fn encode_failed_runs(job: &JobState) -> Option<Value> {
+    let failed = job.begun_tasks();
+    let failed = failed.filter_map(|(name, task)| Some((job.position(&name), task.failed_run?)));
     let pairs: Vec<_> = failed.collect();
     (!pairs.is_empty()).then(|| json!(pairs))
 }
 
 /// Restores the last failed runs of a job's gangs. Pairs that can't be decoded, or are of no task, are left
 /// out: the other progress still holds.
-pub(crate) fn restore_failed_runs(tasks: &mut [TaskState], field: Option<&Value>) {
+pub(crate) fn restore_failed_runs(job: &mut JobState, field: Option<&Value>) {
     let pairs = field.and_then(Value::as_array);
     for pair in pairs.into_iter().flatten() {
         let position = pair.get(0).and_then(Value::as_u64);
-        let task = position.and_then(|position| tasks.get_mut(usize::try_from(position).ok()?));
+        let name = position.and_then(|position| job.name_at(position));
+        let task = name.and_then(|name| job.task_mut(&name));
         if let Some(task) = task {
             task.failed_run = pair.get(1).and_then(Value::as_u64);
         }
--- a/src/workflow/progress/job_state.rs
+++ b/src/workflow/progress/job_state.rs
@@ -1,27 +1,22 @@
 //! The state of a job and of all its tasks.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::iter::successors;
 use std::rc::Rc;
 
-use serde_json::json;
-use serde_json::Value;
-
 use crate::id::JobId;
 use crate::id::Revision;
 use crate::id::WorkerId;
-use crate::workflow::crash::crash_rows::encode_crashes;
-use crate::workflow::crash::crash_rows::restore_crashes;
-use crate::workflow::crash::crash_rows::CRASHES_FIELD;
 use crate::workflow::health::running_time::RunningTime;
-use crate::workflow::intake::job_status::OWNER_FIELD;
 use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
-use crate::workflow::progress::failed_runs::encode_failed_runs;
-use crate::workflow::progress::failed_runs::merge_member_failures;
-use crate::workflow::progress::failed_runs::restore_failed_runs;
-use crate::workflow::progress::failed_runs::FAILED_RUNS_FIELD;
-use crate::workflow::progress::row_budget::RowBudget;
+use crate::workflow::progress::occurrence_set::OccurrenceSet;
 use crate::workflow::progress::row_bytes::RowBytes;
 use crate::workflow::progress::row_room::RowRoom;
+use crate::workflow::progress::row_totals::RowTotals;
+use crate::workflow::progress::row_totals::StepKey;
+use crate::workflow::progress::step_progress::StepProgress;
+use crate::workflow::progress::step_tasks::StepTasks;
 use crate::workflow::progress::task_state::exact_run_bytes;
 use crate::workflow::progress::task_state::run_row_bytes;
 use crate::workflow::progress::task_state::RUN_ROW_BYTES;
@@ -39,7 +34,7 @@
 /// The bytes of a job's durable row besides its tasks and its owner's name.
 const ROW_OVERHEAD_BYTES: usize = 100;
 
-/// A job with the states of its tasks, which are ordered by occurrence, step and index.
+/// A job with the progress of its tasks.
 #[derive(Clone, Debug)]
 pub struct JobState {
     /// The id, unique among all jobs.
@@ -62,16 +57,18 @@
     pub(crate) waiting_since_ms: Option<u64>,
     /// Its organisation had submitted more jobs a second than it is entitled to when the job arrived.
     pub is_over_rate: bool,
-    tasks: Vec<TaskState>,
+    /// The steps of the occurrences that have begun and are not done. Of the others nothing is kept, so that a
+    /// job takes memory for what is under way, and not for what is due later.
+    pub(super) begun: BTreeMap<u32, Vec<StepProgress>>,
+    /// The occurrences that are done.
+    pub(super) done: OccurrenceSet,
     /// The durable row holds only the phase, since the table refuses a larger one.
-    omits_tasks: bool,
-    /// The bytes of the durable row that the tasks reserve.
-    row_budget: RefCell<RowBudget>,
+    pub(super) omits_tasks: bool,
+    /// The bytes of the durable row that the begun steps take.
+    pub(super) row_totals: RefCell<RowTotals>,
     row_limit: RowLimit,
     /// The position of each step's first task within an occurrence.
-    step_offsets: Vec<usize>,
-    /// The number of done tasks of each step in each occurrence; see `step_position`.
-    done_counts: Vec<u32>,
+    pub(super) step_offsets: Vec<usize>,
 }
 
 impl JobState {
@@ -83,8 +80,6 @@
             step_offsets.push(total);
             total += step.tasks as usize;
         }
-        let occurrences = spec.occurrences() as usize;
-        let done_counts = vec![0; spec.steps.len() * occurrences];
         Self {
             id,
             submitted_revision: Revision::new(0),
@@ -94,12 +89,12 @@
             has_begun: false,
             waiting_since_ms: None,
             is_over_rate: false,
-            tasks: vec![TaskState::new(); total * occurrences],
+            begun: BTreeMap::new(),
+            done: OccurrenceSet::default(),
             omits_tasks: false,
-            row_budget: RefCell::default(),
+            row_totals: RefCell::default(),
             row_limit: RowLimit::default(),
             step_offsets,
-            done_counts,
             spec,
         }
     }
@@ -111,36 +106,6 @@
         self
     }
 
-    /// Restores the state from a durable row; `None` if the row is unreadable.
-    pub fn restore(&mut self, value: &Value, now_ms: u64) -> Option<()> {
-        let phase = JobPhase::from_name(value.get("phase")?.as_str()?)?;
-        let task_values = value.get("tasks")?.as_array()?;
-        if task_values.len() != self.tasks.len() && !task_values.is_empty() {
-            return None;
-        }
-        for (number, task_value) in task_values.iter().enumerate() {
-            self.tasks[number] = TaskState::from_value(task_value, now_ms)?;
-        }
-        self.row_budget = RefCell::default();
-        self.phase = phase;
-        if phase.has_ended() {
-            self.ended_ms = now_ms;
-        }
-        restore_crashes(&mut self.tasks, value.get(CRASHES_FIELD));
-        restore_failed_runs(&mut self.tasks, value.get(FAILED_RUNS_FIELD));
-        for occurrence in 0..self.spec.occurrences() {
-            for step in 0..self.spec.steps.len() as u32 {
-                self.merge_gang_failures(occurrence, step);
-            }
-        }
-        let has_ended_run = |task: &TaskState| {
-            task.phase == TaskPhase::Done || task.failures > 0 || task.crashes > 0
-        };
-        self.has_begun = self.tasks.iter().any(has_ended_run);
-        self.recount_done();
-        Some(())
-    }
-
     /// Returns the phase and the owner.
     pub fn status(&self) -> JobStatus {
         JobStatus {
@@ -162,38 +127,23 @@
 
     /// Removes the checkpoints of all tasks, which then start from the beginning.
     pub(crate) fn drop_checkpoints(&mut self) {
-        self.row_budget = RefCell::default();
-        for task in &mut self.tasks {
-            task.checkpoint.clear();
-        }
-    }
-
-    /// Returns the durable row. It omits the tasks of an ended job without placed tasks, whose
-    /// states are no longer needed.
-    pub fn to_value(&self) -> Value {
-        let finished = self.phase.has_ended() && self.placed_tasks().next().is_none();
-        let tasks = if finished || self.omits_tasks {
-            Vec::new()
-        } else {
-            self.tasks.iter().map(TaskState::to_value).collect()
-        };
-        let has_tasks = !tasks.is_empty();
-        let mut row = json!({ "phase": self.phase.as_str(), "tasks": tasks });
-        if let Some(crashes) = encode_crashes(&self.tasks).filter(|_| has_tasks) {
-            row[CRASHES_FIELD] = crashes;
-        }
-        if let Some(runs) = encode_failed_runs(&self.tasks).filter(|_| has_tasks) {
-            row[FAILED_RUNS_FIELD] = runs;
-        }
-        if let Some(owner) = &self.spec.organisation {
-            row[OWNER_FIELD] = json!(owner);
+        let totals = self.row_totals.get_mut();
+        for (&occurrence, steps) in &mut self.begun {
+            for (number, step) in steps.iter_mut().enumerate() {
+                if let StepProgress::Begun(step) = step {
+                    totals.record_change((occurrence, number as u32));
+                    step.row_budget = RefCell::default();
+                    for task in &mut step.tasks {
+                        task.checkpoint.clear();
+                    }
+                }
+            }
         }
-        row
     }
 
     /// Returns whether tasks may have crashed their workers.
     pub(crate) fn has_suspects(&self) -> bool {
-        self.tasks.iter().any(|task| task.is_suspect)
+        self.begun_tasks().any(|(_, task)| task.is_suspect)
     }
 
     /// Returns the bytes that the durable row has left. Tasks that have started and are not done
@@ -206,20 +156,45 @@
     fn counted_room(&self) -> RowRoom {
         let owner = self.spec.organisation.as_ref();
         let overhead = ROW_OVERHEAD_BYTES + owner.map_or(0, |owner| owner.as_str().len());
-        let per_occurrence = self.tasks_per_occurrence();
-        let bytes = |position: usize| {
-            let state = &self.tasks[position];
-            let offset = position % per_occurrence;
-            let step = self.step_offsets.partition_point(|first| *first <= offset) - 1;
-            RowBytes {
-                reserved: self.reserved_bytes(state, &self.spec.steps[step]),
-                taken: state.exact_row_bytes(),
-            }
-        };
-        let tasks = self.row_budget.borrow_mut().count(self.tasks.len(), bytes);
+        let mut totals = self.row_totals.borrow_mut();
+        let mut tasks = totals.count(|step| self.begun_bytes(step));
+        let occurrences = self.spec.occurrences() as usize;
+        for step in &self.spec.steps {
+            tasks += self
+                .idle_bytes(step)
+                .times(occurrences * step.tasks as usize);
+        }
         RowRoom::new(self.row_limit, overhead, tasks)
     }
 
+    /// Returns the bytes that a step takes of the durable row beyond those of one that has not begun.
+    fn begun_bytes(&self, (occurrence, number): StepKey) -> RowBytes {
+        let progress = self.begun.get(&occurrence);
+        let progress = progress.and_then(|steps| steps.get(number as usize));
+        let (Some(StepProgress::Begun(begun)), Some(step)) = (progress, self.step(number)) else {
+            return RowBytes::default();
+        };
+        let bytes = |index: usize| self.task_bytes(&begun.tasks[index], step);
+        let mut total = begun
+            .row_budget
+            .borrow_mut()
+            .count(begun.tasks.len(), bytes);
+        total -= self.idle_bytes(step).times(begun.tasks.len());
+        total
+    }
+
+    fn idle_bytes(&self, step: &StepSpec) -> RowBytes {
+        let idle = StepTasks::idle(1).get(0);
+        idle.map_or(RowBytes::default(), |state| self.task_bytes(state, step))
+    }
+
+    fn task_bytes(&self, state: &TaskState, step: &StepSpec) -> RowBytes {
+        RowBytes {
+            reserved: self.reserved_bytes(state, step),
+            taken: state.exact_row_bytes(),
+        }
+    }
+
     /// Returns the bytes that a run of a task on `worker` takes of the durable row beyond what the task
     /// has reserved.
     pub(crate) fn added_row_bytes(
@@ -282,37 +257,83 @@
         })
     }
 
+    /// Iterates over the tasks of the steps that have begun and are not done, by occurrence, step and index.
+    pub(crate) fn begun_tasks(&self) -> impl Iterator<Item = (TaskName, &TaskState)> + '_ {
+        self.begun.iter().flat_map(move |(&occurrence, steps)| {
+            let steps = steps.iter().enumerate();
+            let begun = steps.filter_map(|(number, step)| match step {
+                StepProgress::Begun(step) => Some((number, &step.tasks)),
+                StepProgress::Idle | StepProgress::Done => None,
+            });
+            begun.flat_map(move |(number, tasks)| {
+                let tasks = tasks.iter().enumerate();
+                tasks.map(move |(index, state)| {
+                    let name = TaskName {
+                        job: self.id.clone(),
+                        occurrence,
+                        step: number as u32,
+                        index: index as u32,
+                    };
+                    (name, state)
+                })
+            })
+        })
+    }
+
     /// Iterates over the tasks that are placed on a worker.
     pub fn placed_tasks(&self) -> impl Iterator<Item = (TaskName, &TaskState)> + '_ {
         let placed = |state: &TaskState| matches!(state.phase, TaskPhase::Placed { .. });
-        let named = self.task_names().zip(&self.tasks);
-        named.filter(move |(_, state)| placed(state))
+        self.begun_tasks().filter(move |(_, state)| placed(state))
     }
 
     /// Returns whether tasks wait for a worker, ready to start or not.
     pub fn has_waiting_tasks(&self) -> bool {
-        let mut tasks = self.tasks.iter();
-        tasks.any(|state| state.phase == TaskPhase::Waiting)
+        let steps = || 0..self.spec.steps.len() as u32;
+        self.untouched_count() > 0
+            || self.begun.keys().any(|&occurrence| {
+                let mut steps = steps().map(|step| self.step_tasks(occurrence, step));
+                steps.any(|tasks| tasks.any(|state| state.phase == TaskPhase::Waiting))
+            })
     }
 
     /// Returns the number of waiting tasks.
     pub fn waiting_task_count(&self) -> usize {
-        let tasks = self.tasks.iter();
-        tasks
-            .filter(|state| state.phase == TaskPhase::Waiting)
-            .count()
+        let steps = || 0..self.spec.steps.len() as u32;
+        let waiting = self.begun.keys().flat_map(|&occurrence| {
+            steps().map(move |step| self.step_tasks(occurrence, step).waiting_count())
+        });
+        waiting.sum::<usize>() + self.untouched_count() * self.tasks_per_occurrence()
+    }
+
+    /// Returns the number of occurrences of which no step has begun.
+    fn untouched_count(&self) -> usize {
+        let others = self.done.len() as usize + self.begun.len();
+        (self.spec.occurrences() as usize).saturating_sub(others)
     }
 
     /// Returns a task's state; `None` if the job has no such task.
     pub fn task(&self, name: &TaskName) -> Option<&TaskState> {
-        self.tasks.get(self.position(name)?)
+        let tasks = self.step_tasks(name.occurrence, name.step);
+        tasks.get(name.index as usize)
     }
 
-    /// Returns a task's state for modification; `None` if the job has no such task.
+    /// Returns a task's state for modification; `None` if the job has no such task, or all of its step are
+    /// done.
     pub fn task_mut(&mut self, name: &TaskName) -> Option<&mut TaskState> {
-        let position = self.position(name)?;
-        self.row_budget.get_mut().record_change(position);
-        self.tasks.get_mut(position)
+        let (len, index) = (self.step(name.step)?.tasks, name.index as usize);
+        let is_known = name.index < len && name.occurrence < self.spec.occurrences();
+        if !is_known || self.done.contains(name.occurrence) {
+            return None;
+        }
+        let steps = self.begun.entry(name.occurrence).or_insert_with(|| {
+            let steps = self.spec.steps.iter();
+            steps.map(|_| StepProgress::Idle).collect()
+        });
+        let begun = steps.get_mut(name.step as usize)?.begin(len as usize)?;
+        begun.row_budget.get_mut().record_change(index);
+        let totals = self.row_totals.get_mut();
+        totals.record_change((name.occurrence, name.step));
+        begun.tasks.get_mut(index)
     }
 
     /// Returns for how long a placed task has run; `None` for long-running tasks, members of gangs and
@@ -348,20 +369,23 @@
     }
 
     /// Returns the task states of one occurrence of a step; empty for an unknown step.
-    pub fn step_tasks(&self, occurrence: u32, step: u32) -> &[TaskState] {
-        let Some(spec) = self.step(step) else {
-            return &[];
+    pub fn step_tasks(&self, occurrence: u32, step: u32) -> StepTasks<'_> {
+        let spec = self.step(step);
+        let Some(spec) = spec.filter(|_| occurrence < self.spec.occurrences()) else {
+            return StepTasks::idle(0);
         };
-        let start =
-            occurrence as usize * self.tasks_per_occurrence() + self.step_offsets[step as usize];
-        &self.tasks[start..start + spec.tasks as usize]
+        let len = spec.tasks as usize;
+        match self.begun.get(&occurrence) {
+            Some(steps) => steps[step as usize].tasks(len),
+            None if self.done.contains(occurrence) => StepTasks::done(len),
+            None => StepTasks::idle(len),
+        }
     }
 
     /// Returns whether all tasks of one occurrence of a step are done.
     pub fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
-        let position = self.step_position(occurrence, step);
-        self.step(step)
-            .is_some_and(|spec| self.done_counts[position] == spec.tasks)
+        let tasks = self.step_tasks(occurrence, step);
+        self.step(step).is_some() && !tasks.any(|state| state.phase != TaskPhase::Done)
     }
 
     /// Returns whether one occurrence of a step is unfinished and all its dependencies are done.
@@ -383,8 +407,30 @@
         }
         state.phase = TaskPhase::Done;
         state.clear_suspicion();
-        let position = self.step_position(name.occurrence, name.step);
-        self.done_counts[position] += 1;
+        self.forget_done(name.occurrence, name.step);
+    }
+
+    /// Counts a done task of a step, and drops the states of the step and the occurrence once all of their tasks
+    /// are done.
+    fn forget_done(&mut self, occurrence: u32, step: u32) {
+        let Some(steps) = self.begun.get_mut(&occurrence) else {
+            return;
+        };
+        let Some(progress) = steps.get_mut(step as usize) else {
+            return;
+        };
+        if let StepProgress::Begun(begun) = progress {
+            begun.done += 1;
+            if begun.done == begun.tasks.len() {
+                *progress = StepProgress::Done;
+                self.row_totals.get_mut().forget((occurrence, step));
+            }
+        }
+        let mut specs = self.spec.steps.iter().zip(steps.iter());
+        if specs.all(|(spec, step)| spec.tasks == 0 || matches!(step, StepProgress::Done)) {
+            self.begun.remove(&occurrence);
+            self.done.insert(occurrence);
+        }
     }
 
     /// Counts the failed run of a task. A failed run of a gang counts once, however many of its members failed.
@@ -413,20 +459,44 @@
         tasks.get(index).map_or(0, |task| task.failures)
     }
 
-    fn merge_gang_failures(&mut self, occurrence: u32, step: u32) {
-        let Some(spec) = self.spec.steps.get(step as usize).filter(|step| step.gang) else {
-            return;
+    /// Returns whether all tasks of all occurrences are done.
+    pub fn is_done(&self) -> bool {
+        self.done.len() == self.spec.occurrences()
+    }
+
+    /// Returns the steps that are ready, with their occurrences: those of all occurrences that have begun, and of
+    /// the first due ones that have not, as many as the durable row could hold runs of.
+    pub(crate) fn ready_steps(&self, wall_ms: u64) -> Vec<(u32, u32)> {
+        let mut tasks_left = MAX_OCCURRENCE_TASKS as usize;
+        let due = self.due_occurrences(wall_ms);
+        let untouched = due.filter(|occurrence| !self.begun.contains_key(occurrence));
+        let untouched = untouched.take_while(|_| {
+            let is_left = tasks_left > 0;
+            tasks_left = tasks_left.saturating_sub(self.tasks_per_occurrence().max(1));
+            is_left
+        });
+        let mut occurrences: Vec<_> = untouched.chain(self.begun.keys().copied()).collect();
+        occurrences.sort_unstable();
+        let steps = |occurrence| {
+            let steps = 0..self.spec.steps.len() as u32;
+            let ready = steps.filter(move |&step| self.is_step_ready(occurrence, step));
+            ready.map(move |step| (occurrence, step))
         };
-        let start =
-            occurrence as usize * self.tasks_per_occurrence() + self.step_offsets[step as usize];
-        merge_member_failures(&mut self.tasks[start..start + spec.tasks as usize]);
+        occurrences.into_iter().flat_map(steps).collect()
     }
 
-    /// Returns whether all tasks of all occurrences are done.
-    pub fn is_done(&self) -> bool {
-        let steps = self.spec.steps.len() as u32;
-        let done = |occurrence| (0..steps).all(|step| self.is_step_done(occurrence, step));
-        (0..self.spec.occurrences()).all(done)
+    /// Returns whether an occurrence is due and not done, or has begun.
+    pub(crate) fn has_due_work(&self, wall_ms: u64) -> bool {
+        !self.begun.is_empty() || self.due_occurrences(wall_ms).next().is_some()
+    }
+
+    /// Iterates over the occurrences that are due and not done.
+    pub(crate) fn due_occurrences(&self, wall_ms: u64) -> impl Iterator<Item = u32> + '_ {
+        let due = self.spec.due_occurrences(wall_ms);
+        let first = self.done.next_absent(0);
+        let next = |occurrence: &u32| Some(self.done.next_absent(occurrence + 1));
+        let absent = successors(Some(first), next);
+        absent.take_while(move |&occurrence| occurrence < due)
     }
 
     /// Returns whether the job has a step that runs until the job is cancelled.
@@ -435,7 +505,7 @@
     }
 
     fn reserved_bytes(&self, state: &TaskState, step: &StepSpec) -> usize {
-        let is_small = self.tasks.len() as u64 <= MAX_OCCURRENCE_TASKS;
+        let is_small = self.task_count() as u64 <= MAX_OCCURRENCE_TASKS;
         let least = match is_small || step.long_running {
             true => RUN_ROW_BYTES,
             false => 0,
@@ -443,33 +513,14 @@
         state.row_bytes().max(least)
     }
 
-    fn recount_done(&mut self) {
-        for occurrence in 0..self.spec.occurrences() {
-            for step in 0..self.spec.steps.len() as u32 {
-                let tasks = self.step_tasks(occurrence, step).iter();
-                let done = tasks.filter(|state| state.phase == TaskPhase::Done);
-                let count = done.count() as u32;
-                let position = self.step_position(occurrence, step);
-                self.done_counts[position] = count;
-            }
-        }
+    /// Returns the number of tasks of all occurrences.
+    pub(super) fn task_count(&self) -> usize {
+        self.tasks_per_occurrence() * self.spec.occurrences() as usize
     }
 
-    fn tasks_per_occurrence(&self) -> usize {
+    /// Returns the number of tasks of one occurrence.
+    pub(super) fn tasks_per_occurrence(&self) -> usize {
         let steps = self.spec.steps.iter();
         steps.map(|step| step.tasks as usize).sum()
     }
-
-    fn step_position(&self, occurrence: u32, step: u32) -> usize {
-        occurrence as usize * self.spec.steps.len() + step as usize
-    }
-
-    fn position(&self, name: &TaskName) -> Option<usize> {
-        let offset = *self.step_offsets.get(name.step as usize)?;
-        let spec = self.step(name.step)?;
-        let known = name.index < spec.tasks && name.occurrence < self.spec.occurrences();
-        known.then(|| {
-            name.occurrence as usize * self.tasks_per_occurrence() + offset + name.index as usize
-        })
-    }
 }
--- a/src/workflow/progress/row_bytes.rs
+++ b/src/workflow/progress/row_bytes.rs
@@ -12,6 +12,21 @@
     pub(crate) taken: usize,
 }
 
+impl RowBytes {
+    /// Returns whether there are none.
+    pub(crate) fn is_zero(self) -> bool {
+        self.reserved == 0 && self.taken == 0
+    }
+
+    /// Returns the bytes of so many tasks alike.
+    pub(crate) fn times(self, tasks: usize) -> Self {
+        Self {
+            reserved: self.reserved.saturating_mul(tasks),
+            taken: self.taken.saturating_mul(tasks),
+        }
+    }
+}
+
 impl AddAssign for RowBytes {
     fn add_assign(&mut self, other: Self) {
         self.reserved += other.reserved;
