--- a/src/workflow/placement/placement_pool.rs
+++ b/src/workflow/placement/placement_pool.rs
@@ -7,16 +7,15 @@
 //! A best-fit choice keeps the larger gaps for larger tasks. Tasks of long-running steps are
 //! spread over racks, so that the loss of one rack affects few of them.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 
 use crate::id::WorkerId;
 use crate::workflow::placement::placement_candidate::DueTime;
 use crate::workflow::placement::placement_candidate::PlacementCandidate;
+use crate::workflow::placement::step_siblings::StepSiblings;
 use crate::workflow::SlowdownFactor;
 use crate::workflow::StepSpec;
 use crate::workflow::TaskState;
-use crate::workflow::WorkerEntry;
 use crate::workflow::WorkerResources;
 use crate::workflow::WorkerState;
 
@@ -41,12 +40,6 @@
     reserved_millis: u64,
 }
 
-/// The placed tasks of one step, by worker and rack.
-struct StepSiblings {
-    by_worker: HashMap<WorkerId, u32>,
-    by_rack: HashMap<String, u64>,
-}
-
 impl PlacementPool {
     /// Adds a worker that accepts tasks. Of workers that suit a task equally, the first one added is
     /// chosen.
@@ -416,38 +409,3 @@
         free_millis,
     ]
 }
-
-impl StepSiblings {
-    fn new(step: &StepSpec, placed: &[&WorkerState]) -> Self {
-        let mut siblings = Self {
-            by_worker: HashMap::new(),
-            by_rack: HashMap::new(),
-        };
-        for worker in placed {
-            siblings.add(step, &worker.entry);
-        }
-        siblings
-    }
-
-    /// Counts a task on a worker, as far as the step depends on it.
-    fn add(&mut self, step: &StepSpec, entry: &WorkerEntry) {
-        if step.max_per_worker > 0 {
-            *self.by_worker.entry(entry.id.clone()).or_default() += 1;
-        }
-        if step.long_running {
-            let rack = entry.rack().unwrap_or_default().to_owned();
-            *self.by_rack.entry(rack).or_default() += 1;
-        }
-    }
-
-    /// Returns whether a worker holds fewer tasks of the step than `max_per_worker`.
-    fn permit(&self, step: &StepSpec, id: &WorkerId) -> bool {
-        step.max_per_worker == 0
-            || self.by_worker.get(id).copied().unwrap_or(0) < step.max_per_worker
-    }
-
-    fn on_rack(&self, rack: Option<&str>) -> u64 {
-        let count = self.by_rack.get(rack.unwrap_or_default());
-        count.copied().unwrap_or(0)
-    }
-}
--- a/src/workflow/progress/job_state.rs
+++ b/src/workflow/progress/job_state.rs
@@ -2,24 +2,15 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::iter::successors;
 use std::rc::Rc;
 
 use crate::id::JobId;
 use crate::id::Revision;
-use crate::id::WorkerId;
 use crate::workflow::health::running_time::RunningTime;
-use crate::workflow::job_spec::MAX_OCCURRENCE_TASKS;
 use crate::workflow::progress::occurrence_set::OccurrenceSet;
-use crate::workflow::progress::row_bytes::RowBytes;
-use crate::workflow::progress::row_room::RowRoom;
 use crate::workflow::progress::row_totals::RowTotals;
-use crate::workflow::progress::row_totals::StepKey;
 use crate::workflow::progress::step_progress::StepProgress;
 use crate::workflow::progress::step_tasks::StepTasks;
-use crate::workflow::progress::task_state::exact_run_bytes;
-use crate::workflow::progress::task_state::run_row_bytes;
-use crate::workflow::progress::task_state::RUN_ROW_BYTES;
 use crate::workflow::CommandPhase;
 use crate::workflow::DurationTracker;
 use crate::workflow::JobPhase;
@@ -31,9 +22,6 @@
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 
-/// The bytes of a job's durable row besides its tasks and its owner's name.
-const ROW_OVERHEAD_BYTES: usize = 100;
-
 /// A job with the progress of its tasks.
 #[derive(Clone, Debug)]
 pub struct JobState {
@@ -66,7 +54,7 @@
     pub(super) omits_tasks: bool,
     /// The bytes of the durable row that the begun steps take.
     pub(super) row_totals: RefCell<RowTotals>,
-    row_limit: RowLimit,
+    pub(super) row_limit: RowLimit,
     /// The position of each step's first task within an occurrence.
     pub(super) step_offsets: Vec<usize>,
 }
@@ -146,101 +134,6 @@
         self.begun_tasks().any(|(_, task)| task.is_suspect)
     }
 
-    /// Returns the bytes that the durable row has left. Tasks that have started and are not done
-    /// reserve those of a usual run, and so do long-running ones from the beginning. In a job that is
-    /// small enough, all do.
-    pub(crate) fn row_room(&self) -> usize {
-        self.counted_room().bytes
-    }
-
-    fn counted_room(&self) -> RowRoom {
-        let owner = self.spec.organisation.as_ref();
-        let overhead = ROW_OVERHEAD_BYTES + owner.map_or(0, |owner| owner.as_str().len());
-        let mut totals = self.row_totals.borrow_mut();
-        let mut tasks = totals.count(|step| self.begun_bytes(step));
-        let occurrences = self.spec.occurrences() as usize;
-        for step in &self.spec.steps {
-            tasks += self
-                .idle_bytes(step)
-                .times(occurrences * step.tasks as usize);
-        }
-        RowRoom::new(self.row_limit, overhead, tasks)
-    }
-
-    /// Returns the bytes that a step takes of the durable row beyond those of one that has not begun.
-    fn begun_bytes(&self, (occurrence, number): StepKey) -> RowBytes {
-        let progress = self.begun.get(&occurrence);
-        let progress = progress.and_then(|steps| steps.get(number as usize));
-        let (Some(StepProgress::Begun(begun)), Some(step)) = (progress, self.step(number)) else {
-            return RowBytes::default();
-        };
-        let bytes = |index: usize| self.task_bytes(&begun.tasks[index], step);
-        let mut total = begun
-            .row_budget
-            .borrow_mut()
-            .count(begun.tasks.len(), bytes);
-        total -= self.idle_bytes(step).times(begun.tasks.len());
-        total
-    }
-
-    fn idle_bytes(&self, step: &StepSpec) -> RowBytes {
-        let idle = StepTasks::idle(1).get(0);
-        idle.map_or(RowBytes::default(), |state| self.task_bytes(state, step))
-    }
-
-    fn task_bytes(&self, state: &TaskState, step: &StepSpec) -> RowBytes {
-        RowBytes {
-            reserved: self.reserved_bytes(state, step),
-            taken: state.exact_row_bytes(),
-        }
-    }
-
-    /// Returns the bytes that a run of a task on `worker` takes of the durable row beyond what the task
-    /// has reserved.
-    pub(crate) fn added_row_bytes(
-        &self,
-        name: &TaskName,
-        worker: Option<&WorkerId>,
-        checkpoint: &str,
-    ) -> usize {
-        let state = self.task(name);
-        let extra_bytes = state.map_or(0, TaskState::extra_row_bytes);
-        if self.counted_room().is_exact {
-            let taken = state.map_or(0, TaskState::exact_row_bytes);
-            let needed = exact_run_bytes(worker, checkpoint) + extra_bytes;
-            return needed.saturating_sub(taken);
-        }
-        let reserved = match (state, self.step(name.step)) {
-            (Some(state), Some(step)) => self.reserved_bytes(state, step),
-            _ => 0,
-        };
-        (run_row_bytes(worker, checkpoint) + extra_bytes).saturating_sub(reserved)
-    }
-
-    /// Sets the checkpoint of a task unless it is empty, or too long for the durable row; the task
-    /// then keeps its last one.
-    pub(crate) fn set_checkpoint(&mut self, name: &TaskName, checkpoint: &str) {
-        let Some(state) = self.task(name) else {
-            return;
-        };
-        if checkpoint.is_empty() || state.checkpoint == checkpoint {
-            return;
-        }
-        let worker = state.worker().or(state.lost_on.as_ref());
-        let added = self.added_row_bytes(name, worker, checkpoint);
-        // All members of a gang resume from one checkpoint.
-        let step = self.step(name.step).filter(|step| step.gang);
-        let copies = step.map_or(1, |step| step.tasks as usize);
-        if added > 0 && added * copies > self.counted_room().checkpoint_bytes() {
-            let bytes = checkpoint.len();
-            log::warn!("event=checkpoint_dropped task={name} bytes={bytes}");
-            return;
-        }
-        if let Some(state) = self.task_mut(name) {
-            checkpoint.clone_into(&mut state.checkpoint);
-        }
-    }
-
     /// Iterates over the names of all tasks, by occurrence, step and index.
     pub fn task_names(&self) -> impl Iterator<Item = TaskName> + '_ {
         let occurrences = 0..self.spec.occurrences();
@@ -464,55 +357,11 @@
         self.done.len() == self.spec.occurrences()
     }
 
-    /// Returns the steps that are ready, with their occurrences: those of all occurrences that have begun, and of
-    /// the first due ones that have not, as many as the durable row could hold runs of.
-    pub(crate) fn ready_steps(&self, wall_ms: u64) -> Vec<(u32, u32)> {
-        let mut tasks_left = MAX_OCCURRENCE_TASKS as usize;
-        let due = self.due_occurrences(wall_ms);
-        let untouched = due.filter(|occurrence| !self.begun.contains_key(occurrence));
-        let untouched = untouched.take_while(|_| {
-            let is_left = tasks_left > 0;
-            tasks_left = tasks_left.saturating_sub(self.tasks_per_occurrence().max(1));
-            is_left
-        });
-        let mut occurrences: Vec<_> = untouched.chain(self.begun.keys().copied()).collect();
-        occurrences.sort_unstable();
-        let steps = |occurrence| {
-            let steps = 0..self.spec.steps.len() as u32;
-            let ready = steps.filter(move |&step| self.is_step_ready(occurrence, step));
-            ready.map(move |step| (occurrence, step))
-        };
-        occurrences.into_iter().flat_map(steps).collect()
-    }
-
-    /// Returns whether an occurrence is due and not done, or has begun.
-    pub(crate) fn has_due_work(&self, wall_ms: u64) -> bool {
-        !self.begun.is_empty() || self.due_occurrences(wall_ms).next().is_some()
-    }
-
-    /// Iterates over the occurrences that are due and not done.
-    pub(crate) fn due_occurrences(&self, wall_ms: u64) -> impl Iterator<Item = u32> + '_ {
-        let due = self.spec.due_occurrences(wall_ms);
-        let first = self.done.next_absent(0);
-        let next = |occurrence: &u32| Some(self.done.next_absent(occurrence + 1));
-        let absent = successors(Some(first), next);
-        absent.take_while(move |&occurrence| occurrence < due)
-    }
-
     /// Returns whether the job has a step that runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.spec.steps.iter().any(|step| step.long_running)
     }
 
-    fn reserved_bytes(&self, state: &TaskState, step: &StepSpec) -> usize {
-        let is_small = self.task_count() as u64 <= MAX_OCCURRENCE_TASKS;
-        let least = match is_small || step.long_running {
-            true => RUN_ROW_BYTES,
-            false => 0,
-        };
-        state.row_bytes().max(least)
-    }
-
     /// Returns the number of tasks of all occurrences.
     pub(super) fn task_count(&self) -> usize {
         self.tasks_per_occurrence() * self.spec.occurrences() as usize
