Refuse new jobs while the lease's holder has no memory for them

Accepted jobs can't be given up for memory, and nothing bounded what was accepted: payloads, steps, and the states of all that is due. A holder that exceeds its memory is ended, and so is the next one.

Change: the holder measures twice a second what its jobs hold, and what they hold once all that is due has begun, against half of memory-mb of the platform's settings. Beyond the limit no further step begins until others are done; what was accepted waits. Builds before this one ignore the field, which is absent while there is room. Without memory-mb nothing is bounded, as before.

Fixtures of three tests name the new field of HostResources.

--- a/src/process/entry_metrics.rs
+++ b/src/process/entry_metrics.rs
@@ -77,6 +77,11 @@
     pub config_version: Gauge,
     /// Jobs that have not ended, as known to the lease holder; 0 on other hosts.
     pub open_jobs: Gauge,
+    /// The memory that jobs hold, in bytes, as known to the lease holder; stays at its last value on other
+    /// hosts.
+    pub job_bytes: Gauge,
+    /// The same once all that is due has begun.
+    pub due_job_bytes: Gauge,
     /// How far the controller's work is behind, in ms; stays at its last value on other hosts.
     pub control_lag_ms: Gauge,
     /// Metrics by organisation; without values where the configuration has no organisations.
@@ -160,6 +165,11 @@
             "open_jobs",
             "Jobs that have not ended, on the lease's holder",
         );
+        let job_bytes = gauge("job_bytes", "Memory of jobs, on the lease's holder");
+        let due_job_bytes = gauge(
+            "due_job_bytes",
+            "Memory of jobs once all that is due has begun, on the lease's holder",
+        );
         let control_lag_ms = gauge(
             "control_lag_ms",
             "Time by which the controller's work is behind",
@@ -207,6 +217,8 @@
             lease_epoch,
             config_version,
             open_jobs,
+            job_bytes,
+            due_job_bytes,
             control_lag_ms,
             organisations,
             slow_workers,
--- a/src/workflow/commit/committer.rs
+++ b/src/workflow/commit/committer.rs
@@ -12,6 +12,7 @@
 
 use crate::id::JobId;
 use crate::process::boot_ms;
+use crate::process::now_ms;
 use crate::process::ShutdownSignal;
 use crate::provider::RowWrite;
 use crate::workflow::admission_window::hash_text;
@@ -57,6 +58,9 @@
 /// It is below the renewal interval, so that each renewal without changes states new counts.
 const COUNT_INTERVAL_MS: u64 = 250;
 
+/// Min time between measurements of the memory that jobs take, in ms.
+const MEMORY_INTERVAL_MS: u64 = 500;
+
 /// Commits the changes of one term of the controller.
 pub(crate) struct Committer<P, G> {
     platform: Rc<P>,
@@ -71,6 +75,8 @@
     published_counts: BTreeMap<String, u64>,
     /// When the pending jobs were last counted, in ms.
     count_ms: u64,
+    /// When the memory of jobs was last measured, in ms.
+    memory_ms: u64,
     /// Time up to which the published counts contain all submissions, in ms, once there are any.
     counted_ms: Option<u64>,
     /// The last written row of command ages was empty, so it need not be written again.
@@ -97,6 +103,7 @@
             commit_bytes: resources.commit_bytes(),
             published_counts: BTreeMap::new(),
             count_ms: 0,
+            memory_ms: 0,
             counted_ms: None,
             published_no_commands: false,
             refused_rows: RefusedRows::new(),
@@ -288,17 +295,35 @@
     /// Tells the other entry hosts, with the next commit, and this one how long new jobs wait and
     /// which organisations are limited.
     fn measure_backlogs(&mut self, lease: &mut LeaderLease) {
+        let is_full = self.measure_memory();
         let now_ms = boot_ms();
         let lag_ms = self.term.lag.average().as_millis() as u64;
         let mut engine = self.term.engine.borrow_mut();
         let backlogs = engine.queue_backlogs(lag_ms, now_ms);
         self.backlogs.record_own(&backlogs, now_ms);
+        self.backlogs.record_own_memory(is_full);
         lease.set_backlogs(backlogs);
+        lease.set_full(is_full);
         let limits = self.organisations.measure(&mut engine, lag_ms, now_ms);
         self.backlogs.limits.record(limits.clone(), now_ms);
         lease.set_limits(limits);
     }
 
+    /// Returns whether there is no memory for further jobs, which is measured at most once per
+    /// [`MEMORY_INTERVAL_MS`].
+    fn measure_memory(&mut self) -> bool {
+        let mut engine = self.term.engine.borrow_mut();
+        if boot_ms() < self.memory_ms + MEMORY_INTERVAL_MS {
+            return engine.job_memory().is_full();
+        }
+        self.memory_ms = boot_ms();
+        let memory = engine.measure_job_memory(now_ms());
+        self.term.metrics.job_bytes.set(memory.held_bytes as i64);
+        let due_bytes = memory.due_bytes as i64;
+        self.term.metrics.due_job_bytes.set(due_bytes);
+        memory.is_full()
+    }
+
     /// Counts the pending jobs, at most once per [`COUNT_INTERVAL_MS`]. Returns the rows of changed
     /// counts, and the time in ms up to which all counts contain all submissions.
     fn changed_counts(&mut self) -> (Vec<RowWrite>, Option<u64>) {
--- a/src/workflow/controller.rs
+++ b/src/workflow/controller.rs
@@ -241,7 +241,8 @@
     /// Loads the state from the table while the workers' leases are kept, and runs one term until it ends.
     async fn run_term(&self, mut lease: LeaderLease) {
         let engine = JobEngine::new(boot_ms(), lease.inherited_ms());
-        let mut engine = engine.with_row_limit(self.row_limit);
+        let engine = engine.with_row_limit(self.row_limit);
+        let mut engine = engine.with_memory_limit(self.resources.job_bytes());
         engine.adopt_caps(&self.view);
         engine.adopt_silent_workers(lease.silent_workers(), boot_ms());
         let term = ControllerTerm::with_start_limit(
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -28,6 +28,7 @@
 use crate::workflow::EarlyCancels;
 use crate::workflow::FleetConfig;
 use crate::workflow::FleetHealth;
+use crate::workflow::JobMemory;
 use crate::workflow::JobPhase;
 use crate::workflow::JobSpec;
 use crate::workflow::JobState;
@@ -147,6 +148,7 @@
     pub(crate) usage: OrganisationUsage,
     pub(crate) caps: CapLimits,
     pub(crate) capped_arrivals: CappedArrivals,
+    pub(crate) job_memory: JobMemory,
     /// Jobs of which a task or gang exceeds its organisation's cap, so that they are logged once.
     pub(crate) oversized_jobs: BTreeSet<JobId>,
 }
@@ -196,6 +198,7 @@
             usage: OrganisationUsage::default(),
             caps: CapLimits::default(),
             capped_arrivals: CappedArrivals::default(),
+            job_memory: JobMemory::default(),
             oversized_jobs: BTreeSet::new(),
         }
     }
@@ -207,6 +210,13 @@
         self
     }
 
+    /// Sets the limit on the bytes that jobs take in memory.
+    #[must_use]
+    pub fn with_memory_limit(mut self, limit_bytes: Option<usize>) -> Self {
+        self.job_memory.limit_bytes = limit_bytes;
+        self
+    }
+
     /// Adds a job and restores its durable progress; a job without progress counts as a new
     /// arrival, and one whose progress is unreadable runs nothing. No effect if the job is already
     /// known or archived: a feed that is read again from its start may deliver a submission that was
--- a/src/workflow/host_resources.rs
+++ b/src/workflow/host_resources.rs
@@ -4,6 +4,10 @@
 
 use crate::workflow::controller_term::DEFAULT_START_BYTES;
 
+/// The bytes of a MB, and the share of a process's memory that its jobs may take.
+const BYTES_PER_MB: f64 = 1_000_000.0;
+const JOB_MEMORY_SHARE: f64 = 0.5;
+
 /// Processor time that a controller needs, in cores: the smallest share at which the sweep in
 /// docs/CAPACITY.md shows one of 1,000 workers that leaves two thirds of its share free.
 const MIN_PROCESSOR_SHARE: f64 = 0.25;
@@ -43,9 +47,18 @@
     pub processor_share: Option<f64>,
     /// Bandwidth of the link, in Mbit/s.
     pub link_mbps: Option<f64>,
+    /// Memory that the process may take, in MB.
+    pub memory_mb: Option<f64>,
 }
 
 impl HostResources {
+    /// Returns the limit on the bytes that jobs take in memory; `None` if the memory is unknown. The rest is for
+    /// the process itself, connections, and the rows of a commit or of a load.
+    pub fn job_bytes(&self) -> Option<usize> {
+        let bytes = self.memory_mb? * BYTES_PER_MB * JOB_MEMORY_SHARE;
+        Some(bytes as usize)
+    }
+
     /// Returns the bytes of start commands that may be on their way together: what the link carries
     /// in 0.1 s. An unknown link counts as one of 10 Mbit/s.
     pub fn start_bytes(&self) -> usize {
--- a/src/workflow/leader_lease.rs
+++ b/src/workflow/leader_lease.rs
@@ -218,6 +218,11 @@
         }
     }
 
+    /// Sets whether the holder has no memory for further jobs. The next commit stores it.
+    pub fn set_full(&mut self, is_full: bool) {
+        self.record.is_full = is_full;
+    }
+
     /// Sets the limits on organisations, like [`LeaderLease::set_backlogs`].
     pub fn set_limits(&mut self, limits: OrganisationLimits) {
         if boot_ms() >= self.reduced_until_ms {
--- a/src/workflow/leader_record.rs
+++ b/src/workflow/leader_record.rs
@@ -57,6 +57,14 @@
         skip_serializing_if = "QueueBacklogs::is_empty"
     )]
     pub backlogs: QueueBacklogs,
+    /// The holder has no memory for further jobs, as of this commit.
+    #[serde(
+        default,
+        rename = "full",
+        deserialize_with = "decode_statement",
+        skip_serializing_if = "is_false"
+    )]
+    pub is_full: bool,
     /// The limits on organisations, as of this commit; nothing is limited before the holder has
     /// measured.
     #[serde(
@@ -137,6 +145,10 @@
     Ok(serde_json::from_value(value).unwrap_or_default())
 }
 
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 /// Decodes the leader row. Returns `None` if it cannot be decoded, or if no claims add up to its epoch.
 pub(crate) fn read_record(row: &TableRow) -> Option<LeaderRecord> {
     let record: LeaderRecord = serde_json::from_value(row.value.clone()).ok()?;
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -213,6 +213,7 @@
 pub use placement::PlacementPool;
 pub use pool_pressure::DueWork;
 pub use pool_pressure::PoolPressure;
+pub use progress::job_memory::JobMemory;
 pub use progress::job_state::JobState;
 pub use progress::row_limit::RowLimit;
 pub use progress::step_tasks::StepTasks;
--- a/src/workflow/placement/task_placer.rs
+++ b/src/workflow/placement/task_placer.rs
@@ -138,6 +138,9 @@
             return unplaced;
         }
         for (occurrence, step) in ready_steps {
+            if self.must_not_begin(id, occurrence, step) {
+                continue;
+            }
             let placed = if spec.steps[step as usize].gang {
                 self.place_gang(id, occurrence, step, pool, now_ms)
             } else {
@@ -162,6 +165,13 @@
         unplaced
     }
 
+    /// Returns whether a step has not begun and there is no memory for another one.
+    fn must_not_begin(&self, id: &JobId, occurrence: u32, step: u32) -> bool {
+        let job = self.jobs.get(id);
+        self.job_memory.is_exhausted()
+            && job.is_some_and(|job| !job.step_tasks(occurrence, step).is_held())
+    }
+
     /// Places as many of a step's waiting tasks as possible; returns whether all were placed that the
     /// organisation's cap and the row of the job allow to run.
     fn place_step(
--- a/src/workflow/progress/mod.rs
+++ b/src/workflow/progress/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod engine_rows;
 pub(crate) mod failed_runs;
 pub(crate) mod full_rows;
+pub(crate) mod job_memory;
 pub(crate) mod job_row;
 pub(crate) mod job_row_room;
 pub(crate) mod job_state;
--- a/src/workflow/progress/step_tasks.rs
+++ b/src/workflow/progress/step_tasks.rs
@@ -55,6 +55,11 @@
         self.len() == 0
     }
 
+    /// Returns whether the tasks have states of their own.
+    pub(crate) fn is_held(self) -> bool {
+        matches!(self.0, Tasks::Held(_))
+    }
+
     /// Returns the state of the task with this index.
     pub fn get(self, index: usize) -> Option<&'a TaskState> {
         match self.0 {
--- a/src/workflow/queue_backlog.rs
+++ b/src/workflow/queue_backlog.rs
@@ -41,6 +41,8 @@
     /// The revision in the last read of the leader row, and when the read was sent, in ms.
     last_read: Option<(Revision, u64)>,
     backlogs: QueueBacklogs,
+    /// The holder has no memory for further jobs.
+    is_full: bool,
     /// Time in ms at which the backlogs are known to have been valid.
     valid_ms: Option<u64>,
 }
@@ -62,6 +64,7 @@
         };
         if let Some(record) = row.and_then(read_record) {
             state.backlogs = record.backlogs;
+            state.is_full = record.is_full;
             self.limits.record(record.limits, written_ms);
             state.valid_ms = Some(written_ms);
         }
@@ -75,6 +78,11 @@
         state.valid_ms = Some(now_ms);
     }
 
+    /// Records whether this entry host's own controller has no memory for further jobs.
+    pub fn record_own_memory(&self, is_full: bool) {
+        self.state.borrow_mut().is_full = is_full;
+    }
+
     /// Returns the backlog that a new job meets and its age in ms, like [`BacklogView::get`]. The jobs of
     /// an organisation wait only for its own work, on its share of the pool.
     pub fn get_for(
@@ -91,6 +99,13 @@
         Some((QueueBacklog { wait_ms, ..backlog }, age_ms))
     }
 
+    /// Returns whether the holder has no memory for further jobs, as far as that is known of the present.
+    pub fn is_full(&self, now_ms: u64) -> bool {
+        let state = self.state.borrow();
+        let valid_ms = state.valid_ms;
+        state.is_full && valid_ms.is_some_and(|at_ms| now_ms <= at_ms + MAX_AGE_MS)
+    }
+
     /// Returns a queue's backlog and its age in ms; `None` if there is none or it is too old to
     /// decide by.
     pub fn get(&self, queue: &str, now_ms: u64) -> Option<(QueueBacklog, u64)> {
--- a/tests/common/carriers.rs
+++ b/tests/common/carriers.rs
@@ -85,6 +85,7 @@
     let resources = HostResources {
         processor_share: Some(0.001),
         link_mbps: None,
+        memory_mb: None,
     };
     let pool = CarrierPool::new(Arc::clone(board), resources);
     pool.open();
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -140,6 +140,12 @@
         fleet
     }
 
+    /// Sets the limit on the bytes that jobs take in memory.
+    pub(crate) fn with_memory_limit(mut self, limit_bytes: usize) -> Self {
+        self.engine = self.engine.with_memory_limit(Some(limit_bytes));
+        self
+    }
+
     /// Lets workers start again under their ids, with a later start.
     pub(crate) fn with_kept_ids(mut self) -> Self {
         self.keeps_ids = true;
--- a/tests/extreme_amounts.rs
+++ b/tests/extreme_amounts.rs
@@ -87,6 +87,7 @@
     let resources = HostResources {
         processor_share: None,
         link_mbps: Some(f64::MIN_POSITIVE),
+        memory_mb: None,
     };
 
     let interval = resources.host_list_interval(1_000);
--- a/tests/job_memory.rs
+++ b/tests/job_memory.rs
@@ -14,25 +14,34 @@
 use rand::SeedableRng;
 use serde_json::json;
 use serde_json::Value;
+use zincpier::id::Revision;
+use zincpier::provider::TableRow;
+use zincpier::workflow::BacklogView;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
 use zincpier::workflow::JobSpec;
 use zincpier::workflow::JobState;
+use zincpier::workflow::LeaderRecord;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::TaskName;
 use zincpier::workflow::TaskPhase;
 use zincpier::workflow::TaskState;
+use zincpier::workflow::LEADER_KEY;
 
 use crate::crashes::CrashFleet;
 use crate::fixtures::gang;
 use crate::fixtures::step;
 use crate::fixtures::step_after;
+use crate::fixtures::with_cpu;
 use crate::fixtures::JOB;
 use crate::fixtures::QUEUE;
 
 /// The most occurrences that are accepted.
 const TIMES: u32 = 7_000;
 
+/// A limit on the memory of jobs for a small controller, in bytes.
+const MEMORY_LIMIT: usize = 500_000;
+
 fn spec(steps: Vec<StepSpec>, times: u32) -> JobSpec {
     JobSpec {
         queue: QUEUE.to_owned(),
@@ -169,3 +178,94 @@
         modelled.check(seed);
     }
 }
+
+/// Returns a job of many tasks that is due at once.
+fn wide_job(fleet: &mut CrashFleet, number: usize) -> String {
+    let id = format!("{number:016x}");
+    fleet.submit(&id, vec![with_cpu(1_000, step(100))]);
+    id
+}
+
+/// Runs the fleet and measures the memory of its jobs, which is that of the last measurement meanwhile.
+fn run_measured(fleet: &mut CrashFleet, time_ms: u64) -> usize {
+    let until_ms = fleet.now_ms + time_ms;
+    let mut most = 0;
+    while fleet.now_ms < until_ms {
+        fleet.pass();
+        let memory = fleet.engine.measure_job_memory(fleet.now_ms);
+        most = most.max(memory.held_bytes);
+    }
+    most
+}
+
+/// Guards against accepted jobs that a controller can't hold once they are due: it says that it is full before, and
+/// has room again when they have ended.
+#[test]
+fn controller_is_full_before_its_jobs_exceed_the_limit() {
+    let mut fleet = CrashFleet::new(8).with_memory_limit(MEMORY_LIMIT);
+    let mut jobs = 0;
+    while !fleet.engine.measure_job_memory(fleet.now_ms).is_full() {
+        wide_job(&mut fleet, jobs);
+        jobs += 1;
+    }
+
+    let most = run_measured(&mut fleet, 30_000);
+
+    assert!(jobs > 5, "{jobs} jobs");
+    assert!(most <= MEMORY_LIMIT, "{most} bytes");
+    assert!(!fleet.engine.job_memory().is_full());
+    let jobs = fleet.engine.jobs.values();
+    assert!(jobs.into_iter().all(|job| job.phase == JobPhase::Complete));
+}
+
+/// Guards against jobs given up for memory: what was accepted beyond the limit waits until others have ended.
+#[test]
+fn jobs_beyond_the_limit_wait_and_complete() {
+    let mut fleet = CrashFleet::new(64).with_memory_limit(MEMORY_LIMIT);
+    let ids: Vec<_> = (0..60).map(|number| wide_job(&mut fleet, number)).collect();
+
+    let most = run_measured(&mut fleet, 60_000);
+
+    let job_bytes = fleet.engine.job_memory().due_bytes;
+    assert!(most <= 2 * MEMORY_LIMIT + job_bytes, "{most} bytes");
+    for id in &ids {
+        assert_eq!(fleet.phase(id), JobPhase::Complete, "job {id}");
+    }
+}
+
+fn leader_row(revision: u64, is_full: bool) -> TableRow {
+    let record = LeaderRecord {
+        epoch: 1,
+        is_full,
+        ..LeaderRecord::default()
+    };
+    TableRow {
+        key: LEADER_KEY.to_owned(),
+        revision: Revision::new(revision),
+        value: serde_json::to_value(record).unwrap(),
+    }
+}
+
+/// Guards against entry hosts that accept jobs which the holder of the lease can't hold, or refuse them by what it
+/// said long ago.
+#[test]
+fn entry_hosts_know_that_the_holder_is_full() {
+    let view = BacklogView::new();
+    view.record_read(Some(&leader_row(1, false)), 1_000);
+    assert!(!view.is_full(1_000));
+
+    view.record_read(Some(&leader_row(2, true)), 1_300);
+
+    assert!(view.is_full(1_400));
+    assert!(!view.is_full(4_000));
+    view.record_read(Some(&leader_row(3, false)), 1_600);
+    assert!(!view.is_full(1_700));
+}
+
+/// Guards against a record that builds before this one don't know, while nothing is to be told.
+#[test]
+fn record_of_a_holder_with_room_says_nothing_of_its_memory() {
+    let row = leader_row(1, false);
+
+    assert_eq!(row.value.get("full"), None);
+}
--- a/tests/lease_after_outage.rs
+++ b/tests/lease_after_outage.rs
@@ -39,11 +39,13 @@
 const STRONG: HostResources = HostResources {
     processor_share: Some(0.5),
     link_mbps: Some(200.0),
+    memory_mb: None,
 };
 
 const WEAK: HostResources = HostResources {
     processor_share: Some(0.12),
     link_mbps: Some(10.0),
+    memory_mb: None,
 };
 
 fn fleet() -> Rc<FakeFleet> {
--- a/tests/lease_monitor.rs
+++ b/tests/lease_monitor.rs
@@ -110,6 +110,7 @@
     let interval = |link_mbps| {
         let resources = HostResources {
             link_mbps,
+            memory_mb: None,
             ..HostResources::default()
         };
         resources.host_list_interval(132).as_millis()
@@ -126,6 +127,7 @@
     let thin = HostResources {
         processor_share: Some(0.5),
         link_mbps: Some(10.0),
+        memory_mb: None,
     };
     let mut thin = LeaseMonitor::new(0).with_claim_delay(thin.claim_delay_ms());
     let expired = leader_row(7, "boston-2", false);
@@ -142,6 +144,7 @@
     let slow = HostResources {
         processor_share: Some(0.12),
         link_mbps: Some(200.0),
+        memory_mb: None,
     };
     let mut slow = LeaseMonitor::new(95_000).with_claim_delay(slow.claim_delay_ms());
     let row = leader_row(7, "boston-2", true);
@@ -160,6 +163,7 @@
     let bytes = |link_mbps| {
         let resources = HostResources {
             link_mbps,
+            memory_mb: None,
             ..HostResources::default()
         };
         resources.start_bytes()
