Take back a gang whole when one of its starts comes to nothing

Cause: a host may be cordoned after a gang was placed and before all of its starts are sent. prepare_start then took back this member alone, and so did apply_start for one that was refused or couldn't be sent; the others waited for gang-ms. Only a shrunken capacity took back the whole gang.

Change: each of these takes back the gang, as withdraw_start does: members that were not sent are released, the others stopped.

--- a/src/workflow/engine_reports.rs
+++ b/src/workflow/engine_reports.rs
@@ -93,7 +93,7 @@
             }
             CommandOutcome::NotSent(_) | CommandOutcome::Refused(_) => {
                 self.avoid_refusing_worker(name, outcome);
-                self.release_task(name);
+                self.withdraw_start(name);
             }
         }
     }
--- a/src/workflow/worker_calls.rs
+++ b/src/workflow/worker_calls.rs
@@ -355,7 +355,7 @@
     // A successor may rely on no start being sent this long after the last confirmation.
     if !term.may_direct_runs() {
         log::info!("event=start_withdrawn task={task} reason=\"the lease is not confirmed\"");
-        engine.release_task(task);
+        engine.withdraw_start(task);
         return None;
     }
     let is_list_recent = term.has_recent_worker_list();
@@ -373,7 +373,7 @@
     let with_clock = accepting.and_then(|worker| Some((worker.clock_ms(now_ms)?, worker)));
     let Some((clock_ms, worker)) = with_clock else {
         log::info!("event=start_withdrawn task={task} reason=\"the worker does not accept tasks\"");
-        engine.release_task(task);
+        engine.withdraw_start(task);
         return None;
     };
     let lease_end_ms = clock_ms.saturating_add(WORKER_LEASE_MS);
