Clear only the member of a gang that its worker has survived

By reading: with the clearing of other occurrences, the survival of one member cleared the crashes of the others of its gang, which start together, so that a gang with a deadly member could have been started again and again. No run showed it: the law of failure_causes and the new test of worker_crashes, in both of which the members of a gang run on for some time after one has crashed its worker, pass with and without this change.

--- a/src/workflow/crash/engine_crashes.rs
+++ b/src/workflow/crash/engine_crashes.rs
@@ -251,13 +251,13 @@
         }
     }
 
-    /// Clears a suspect, and the other occurrences of its task, which run the same text.
+    /// Clears a suspect, and the other occurrences of its task, which run the same text. Of a gang, it clears only
+    /// the member that its worker has survived.
     fn clear_suspect(&mut self, name: &TaskName) {
-        let unit = self.crash_unit(name);
-        let others = self.suspects.of_job(&name.job);
-        let others = others.filter(|other| same_text(&self.crash_unit(other), &unit));
-        let cleared: Vec<_> = others.filter(|other| *other != name).cloned().collect();
-        for name in cleared.iter().chain([name]) {
+        let suspects = self.suspects.of_job(&name.job);
+        let cleared = suspects.filter(|other| same_text(other, name));
+        let cleared: Vec<_> = cleared.cloned().collect();
+        for name in &cleared {
             log::info!("event=suspect_cleared job={} task={name}", name.job);
             self.suspects.remove(name);
             self.suspects.count_cleared();
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -102,6 +102,10 @@
     pub(crate) exhausted_starts: Vec<TaskName>,
     /// The number of starts of each task after three workers had crashed under it.
     pub(crate) late_starts: BTreeMap<TaskName, u32>,
+    /// How long the other members of a gang run on after one has crashed its worker, in ms.
+    pub(crate) break_delay_ms: u64,
+    /// Gangs that have lost a member, and when the others end, in ms.
+    late_breaks: Vec<(u64, TaskName)>,
     /// Workers that fail all that they start.
     pub(crate) failing: BTreeSet<usize>,
     workers: Vec<SimulatedWorker>,
@@ -127,6 +131,8 @@
             noted_failures: BTreeMap::new(),
             exhausted_starts: Vec::new(),
             late_starts: BTreeMap::new(),
+            break_delay_ms: 0,
+            late_breaks: Vec::new(),
             failing: BTreeSet::new(),
             workers: (0..workers)
                 .map(|index| simulated(worker_entry(index)))
@@ -275,6 +281,7 @@
     pub(crate) fn pass(&mut self) {
         self.now_ms += PASS_MS;
         self.end_runs();
+        self.break_gangs();
         self.note_crashes(DETECTION_MS);
         self.restart_workers();
         self.report();
@@ -553,7 +560,18 @@
                 self.engine.apply_start(&name, run, &outcome, now_ms);
             }
         }
-        for name in broken {
+        let due_ms = self.now_ms + self.break_delay_ms;
+        let late = broken.into_iter().map(|name| (due_ms, name));
+        self.late_breaks.extend(late);
+        self.break_gangs();
+    }
+
+    /// Ends the gangs that have lost a member for long enough.
+    fn break_gangs(&mut self) {
+        let now_ms = self.now_ms;
+        let is_due = |(due_ms, _): &mut (u64, TaskName)| now_ms >= *due_ms;
+        let due: Vec<_> = self.late_breaks.extract_if(.., is_due).collect();
+        for (_, name) in due {
             self.break_gang(&name);
         }
     }
--- a/tests/failure_causes.rs
+++ b/tests/failure_causes.rs
@@ -123,6 +123,7 @@
 fn play(seed: u64) -> usize {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut fleet = CrashFleet::new(WORKERS);
+    fleet.break_delay_ms = [0, 300][rng.random_range(0..2)];
     for number in 0..rng.random_range(2..=8) {
         let id = format!("{number:016x}");
         submit_drawn(&mut fleet, &id, &mut rng);
--- a/tests/worker_crashes.rs
+++ b/tests/worker_crashes.rs
@@ -206,6 +206,26 @@
     assert_eq!(fleet.phase(JOB), JobPhase::Failed);
 }
 
+/// Guards against a member that is cleared since the worker of another one has survived.
+#[test]
+fn gang_with_a_deadly_member_is_given_up_although_the_others_run_on_for_some_time() {
+    let mut fleet = CrashFleet::new(8);
+    fleet.break_delay_ms = 400;
+    fleet.deadly.insert(task(JOB, 2));
+    let gang = StepSpec {
+        gang: true,
+        max_per_worker: 2,
+        ..step(4)
+    };
+    fleet.submit(JOB, vec![gang]);
+
+    fleet.run(30_000);
+
+    let starts = fleet.start_count(&task(JOB, 2));
+    assert!(starts <= MAX_DEADLY_STARTS, "{starts} starts");
+    assert_eq!(fleet.phase(JOB), JobPhase::Failed);
+}
+
 /// The occurrences of a job run the same task, and overlap.
 #[test]
 fn crashes_of_one_occurrence_count_for_the_next() {
