Count no limited workers for a pool that has lost all of its own, and what ended jobs hold

The gauge of a pool without workers stayed at its last value. Jobs that have ended hold the states of begun steps until they are archived, which the measure of memory left out.

--- a/src/workflow/health/engine_trust.rs
+++ b/src/workflow/health/engine_trust.rs
@@ -254,7 +254,9 @@
             counts[state as usize].1 += 1;
             slow_count += u64::from(worker.health.pace.is_slow());
         }
-        let mut limited = BTreeMap::new();
+        // A pool that has lost its workers counts none.
+        let pools = self.fleet_health.limited.keys();
+        let mut limited: BTreeMap<_, _> = pools.map(|service| (service.clone(), 0)).collect();
         for worker in self.workers.values().filter(|worker| worker.listed) {
             let count = limited.entry(worker.entry.service.clone()).or_default();
             *count += u64::from(worker.health.task_limit(now_ms).is_some());
--- a/src/workflow/progress/job_memory.rs
+++ b/src/workflow/progress/job_memory.rs
@@ -73,9 +73,10 @@
     pub fn measure_job_memory(&mut self, wall_ms: u64) -> JobMemory {
         let was_full = self.job_memory.is_full();
         let jobs = self.jobs.values();
-        let sizes = jobs.map(|job| match job.phase.has_ended() {
-            true => (JOB_BYTES, JOB_BYTES),
-            false => job.memory_bytes(wall_ms),
+        let sizes = jobs.map(|job| {
+            let (held, due) = job.memory_bytes(wall_ms);
+            let later = if job.phase.has_ended() { held } else { due };
+            (held, later)
         });
         let (held, due) = sizes.fold((0, 0), |sum, size| (sum.0 + size.0, sum.1 + size.1));
         self.job_memory.held_bytes = held;
--- a/tests/common/crashes.rs
+++ b/tests/common/crashes.rs
@@ -569,8 +569,9 @@
     /// Ends the gangs that have lost a member for long enough.
     fn break_gangs(&mut self) {
         let now_ms = self.now_ms;
-        let is_due = |(due_ms, _): &mut (u64, TaskName)| now_ms >= *due_ms;
-        let due: Vec<_> = self.late_breaks.extract_if(.., is_due).collect();
+        let late = std::mem::take(&mut self.late_breaks).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) = late.partition(|(due_ms, _)| now_ms >= *due_ms);
+        self.late_breaks = later;
         for (_, name) in due {
             self.break_gang(&name);
         }
