Take the rows of a commit in parts, so that many due jobs don't take a holder's memory

Change: a commit takes rows of 100,000 tasks at most. The others stay for the next one, which follows at once, and so do the effects that their decisions have: starts of these jobs, and all acknowledgements of a worker from the first on that covers an end of one of them.

Tests: rows_of_many_changed_jobs_are_taken_in_parts_with_their_effects and acknowledgements_wait_for_all_rows_of_their_worker (job_memory).

--- a/src/workflow/commit/committer.rs
+++ b/src/workflow/commit/committer.rs
@@ -206,6 +206,9 @@
             self.counted_ms = published_ms;
         }
         self.apply_effects(effects.take(last_part));
+        if self.term.engine.borrow().has_untaken_rows() {
+            self.term.commit.notify_one();
+        }
         for CommitNotice { sender, keys } in notices {
             if !keys.iter().any(|key| self.refused_rows.contains(key)) {
                 // The receiver may have timed out and been dropped.
--- a/src/workflow/engine.rs
+++ b/src/workflow/engine.rs
@@ -50,6 +50,10 @@
 /// lease that it requests, on a slow clock, plus a renewal in flight.
 pub const RELEASED_RUN_MS: u64 = 6_000;
 
+/// The number of tasks in the rows of one commit from which the others wait for the next one: rows take some 30
+/// bytes of memory for each task until they are encoded.
+const MAX_TAKEN_TASKS: usize = 100_000;
+
 /// An action that must wait until the rows that caused it are durable.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CommitEffect {
@@ -390,20 +394,56 @@
         }
     }
 
-    /// Takes the changed rows, and the effects to apply once they are durable.
+    /// Takes changed rows, and the effects to apply once they are durable. Rows that list more tasks than
+    /// [`MAX_TAKEN_TASKS`] together are left for the next call, with their effects.
     pub fn take_changes(&mut self) -> (Vec<(JobId, Value)>, Vec<CommitEffect>) {
-        let changed = std::mem::take(&mut self.changed);
-        let row = |id: JobId| {
-            let value = self.jobs.get(&id)?.to_value();
-            Some((id, value))
-        };
-        let rows = changed.into_iter().filter_map(row).collect();
+        let mut changed = std::mem::take(&mut self.changed);
+        let mut rows = Vec::new();
+        let mut tasks = 0;
+        while tasks < MAX_TAKEN_TASKS {
+            let Some(id) = changed.pop_first() else {
+                break;
+            };
+            if let Some(job) = self.jobs.get(&id) {
+                tasks += job.task_count();
+                rows.push((id, job.to_value()));
+            }
+        }
+        self.changed = changed;
         // Withheld acknowledgements come before later ones of the same worker.
         let mut effects = std::mem::take(&mut self.withheld_effects);
         effects.append(&mut self.effects);
+        if !self.changed.is_empty() {
+            effects = self.keep_effects_of_changed(effects);
+        }
         (rows, effects)
     }
 
+    /// Keeps the effects of decisions whose rows are not taken yet; returns the others. An acknowledgement covers
+    /// all earlier ends of its worker, so later ones wait for one that is kept.
+    fn keep_effects_of_changed(&mut self, effects: Vec<CommitEffect>) -> Vec<CommitEffect> {
+        let mut waiting_workers = BTreeSet::new();
+        let (kept, taken) = effects.into_iter().partition(|effect| match effect {
+            CommitEffect::Start(task, _) => self.changed.contains(&task.job),
+            CommitEffect::Acknowledge(worker, _, _, jobs) => {
+                let mut jobs = jobs.iter();
+                let is_kept = waiting_workers.contains(worker)
+                    || jobs.any(|(_, job)| self.changed.contains(job));
+                if is_kept {
+                    waiting_workers.insert(worker.clone());
+                }
+                is_kept
+            }
+        });
+        self.effects = kept;
+        taken
+    }
+
+    /// Returns whether rows were left for the next commit.
+    pub(crate) fn has_untaken_rows(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
     /// Returns whether rows or effects wait for a commit.
     pub fn has_changes(&self) -> bool {
         !self.changed.is_empty() || !self.effects.is_empty()
--- a/src/workflow/progress/job_state.rs
+++ b/src/workflow/progress/job_state.rs
@@ -363,7 +363,7 @@
     }
 
     /// Returns the number of tasks of all occurrences.
-    pub(super) fn task_count(&self) -> usize {
+    pub(crate) fn task_count(&self) -> usize {
         self.tasks_per_occurrence() * self.spec.occurrences() as usize
     }
 
--- a/tests/job_memory.rs
+++ b/tests/job_memory.rs
@@ -7,6 +7,7 @@
 #[path = "common/crashes.rs"]
 mod crashes;
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use rand::rngs::SmallRng;
@@ -14,9 +15,12 @@
 use rand::SeedableRng;
 use serde_json::json;
 use serde_json::Value;
+use zincpier::id::JobId;
 use zincpier::id::Revision;
 use zincpier::provider::TableRow;
 use zincpier::workflow::BacklogView;
+use zincpier::workflow::CommitEffect;
+use zincpier::workflow::EndKind;
 use zincpier::workflow::JobPhase;
 use zincpier::workflow::JobSchedule;
 use zincpier::workflow::JobSpec;
@@ -26,13 +30,16 @@
 use zincpier::workflow::TaskName;
 use zincpier::workflow::TaskPhase;
 use zincpier::workflow::TaskState;
+use zincpier::workflow::WorkerResources;
 use zincpier::workflow::LEADER_KEY;
 
 use crate::crashes::CrashFleet;
 use crate::fixtures::gang;
 use crate::fixtures::step;
 use crate::fixtures::step_after;
+use crate::fixtures::task;
 use crate::fixtures::with_cpu;
+use crate::fixtures::EngineFleet;
 use crate::fixtures::JOB;
 use crate::fixtures::QUEUE;
 
@@ -269,3 +276,80 @@
 
     assert_eq!(row.value.get("full"), None);
 }
+
+/// Guards against a commit with the rows of all jobs that change at once: those of wide jobs take memory by their
+/// tasks. Each effect waits for the row of its decision.
+#[test]
+fn rows_of_many_changed_jobs_are_taken_in_parts_with_their_effects() {
+    let mut fleet = EngineFleet::new(8);
+    for number in 0..60 {
+        let id = format!("{number:016x}").parse().unwrap();
+        let spec = spec(vec![step(1)], TIMES);
+        fleet.engine.add_job(id, spec, None, fleet.now_ms);
+    }
+    fleet.engine.place_tasks(fleet.now_ms, 1_000);
+
+    let mut taken = BTreeSet::new();
+    let mut started = BTreeSet::new();
+    let mut parts = 0;
+    while fleet.engine.has_changes() {
+        let (rows, effects) = fleet.engine.take_changes();
+        let tasks: usize = rows.len() * TIMES as usize;
+        assert!(tasks < 100_000 + TIMES as usize, "{tasks} tasks");
+        taken.extend(rows.into_iter().map(|(id, _)| id));
+        for effect in effects {
+            let CommitEffect::Start(task, _) = effect else {
+                panic!("{effect:?}");
+            };
+            assert!(taken.contains(&task.job), "{task}");
+            started.insert(task.job);
+        }
+        parts += 1;
+    }
+
+    assert!(parts > 3, "{parts} parts");
+    assert_eq!((taken.len(), started.len()), (60, 60));
+}
+
+/// Guards against an acknowledgement that covers an end whose row is not durable: later ones of its worker wait.
+#[test]
+fn acknowledgements_wait_for_all_rows_of_their_worker() {
+    let mut fleet = EngineFleet::new(1);
+    let ids: Vec<JobId> = (0..30)
+        .map(|number| format!("{number:016x}").parse().unwrap())
+        .collect();
+    let demand = WorkerResources {
+        cpu_millis: 100,
+        memory_mb: 100,
+        gpus: 0,
+    };
+    for id in &ids {
+        let small = StepSpec { demand, ..step(1) };
+        let spec = spec(vec![small], TIMES);
+        fleet.engine.add_job(id.clone(), spec, None, fleet.now_ms);
+    }
+    fleet.engine.place_tasks(fleet.now_ms, 1_000);
+    while fleet.engine.has_changes() {
+        fleet.engine.take_changes();
+    }
+
+    // The last jobs end first, so that their rows are the last ones to be taken.
+    let last = ids.iter().rev().take(20);
+    for id in last.clone() {
+        fleet.end(&task(&id.to_string(), 0), EndKind::Done);
+    }
+
+    let mut taken = BTreeSet::new();
+    while fleet.engine.has_changes() {
+        let (rows, effects) = fleet.engine.take_changes();
+        taken.extend(rows.into_iter().map(|(id, _)| id));
+        for effect in effects {
+            if let CommitEffect::Acknowledge(_, _, number, _) = effect {
+                let ended = last.clone().take(number as usize);
+                let unsaved: Vec<_> = ended.filter(|id| !taken.contains(*id)).collect();
+                assert!(unsaved.is_empty(), "{number} covers {unsaved:?}");
+            }
+        }
+    }
+    assert_eq!(taken.len(), 20);
+}
