--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -237,6 +237,7 @@
 pub use spec_error::SpecError;
 pub(crate) use state_reader::StateReader;
 pub use takeover::EarlyWorkers;
+pub use takeover::PackedProgress;
 pub use task_name::TaskName;
 pub use upkeep_plan::choose_upkeep;
 pub use upkeep_plan::UpkeepChoice;
--- a/src/workflow/takeover/mod.rs
+++ b/src/workflow/takeover/mod.rs
@@ -10,9 +10,11 @@
 mod early_workers;
 mod engine_handover;
 mod lease_keeper;
+mod packed_progress;
 mod state_loader;
 
 pub use early_workers::EarlyWorkers;
 pub(crate) use lease_keeper::keep_leases;
 pub(crate) use lease_keeper::LeaseKeeper;
+pub use packed_progress::PackedProgress;
 pub(crate) use state_loader::StateLoader;
--- a/src/workflow/takeover/state_loader.rs
+++ b/src/workflow/takeover/state_loader.rs
@@ -13,6 +13,7 @@
 use crate::workflow::feed::feed_watcher::apply_job_row;
 use crate::workflow::intake::job_key::parse_job_key;
 use crate::workflow::intake::job_key::JOB_TABLE;
+use crate::workflow::takeover::packed_progress::PackedProgress;
 use crate::workflow::CommandAges;
 use crate::workflow::ControllerTerm;
 use crate::workflow::FleetPlatform;
@@ -92,7 +93,8 @@
         let mut reader = StateReader::new(self.platform);
         let mut progress = BTreeMap::new();
         let add_progress = |row: TableRow| {
-            progress.insert(row.key[PROGRESS_PREFIX.len()..].to_owned(), row.value);
+            let id = row.key[PROGRESS_PREFIX.len()..].to_owned();
+            progress.insert(id, PackedProgress::new(row.value));
         };
         reader.read_table(PROGRESS_PREFIX, add_progress).await;
         // A cancellation can only be applied to a known job, so submissions come first.
@@ -101,7 +103,7 @@
             Some((_, true)) => cancels.push(row),
             _ => {
                 let id = row.key.rsplit('/').next().unwrap_or_default();
-                let progress = progress.remove(id);
+                let progress = progress.remove(id).map(PackedProgress::into_row);
                 let table_ms = self.platform.clock_ms();
                 let mut engine = term.engine.borrow_mut();
                 apply_job_row(&mut engine, &row, progress.as_ref(), table_ms);
--- a/tests/job_memory.rs
+++ b/tests/job_memory.rs
@@ -26,6 +26,7 @@
 use zincpier::workflow::JobSpec;
 use zincpier::workflow::JobState;
 use zincpier::workflow::LeaderRecord;
+use zincpier::workflow::PackedProgress;
 use zincpier::workflow::StepSpec;
 use zincpier::workflow::TaskName;
 use zincpier::workflow::TaskPhase;
@@ -177,8 +178,9 @@
             modelled.check(seed);
         }
 
+        let packed = PackedProgress::new(modelled.row());
         let mut restored = job(steps, times);
-        restored.restore(&modelled.row(), 0).unwrap();
+        restored.restore(&packed.into_row(), 0).unwrap();
 
         assert_eq!(restored.to_value(), modelled.row(), "seed {seed}");
         modelled.job = restored;
@@ -353,3 +355,20 @@
     }
     assert_eq!(taken.len(), 20);
 }
+
+/// Guards against rows that a new holder changes by packing them, whatever they hold.
+#[test]
+fn packed_progress_is_that_of_the_row() {
+    let rows = [
+        json!({ "phase": "running", "tasks": [1, 1, 0, [2, 0, "", "w"], 0, 0], "crashes": [[3, 1]] }),
+        json!({ "phase": "complete", "tasks": [] }),
+        json!({ "phase": "queued", "tasks": "odd" }),
+        json!([1, 1]),
+        Value::Null,
+    ];
+    for row in rows {
+        let packed = PackedProgress::new(row.clone());
+
+        assert_eq!(packed.into_row(), row);
+    }
+}
