--- a/src/workflow/progress/job_state.rs
+++ b/src/workflow/progress/job_state.rs
@@ -1,4 +1,4 @@
-//! The state of a job and of all its tasks.
+//! The state of a job: what is known of its tasks as far as they have begun or are done.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -22,7 +22,7 @@
 use crate::workflow::TaskPhase;
 use crate::workflow::TaskState;
 
-/// A job with the progress of its tasks.
+/// A job with the progress of its tasks; those of steps that have not begun have no states of their own.
 #[derive(Clone, Debug)]
 pub struct JobState {
     /// The id, unique among all jobs.
