--- a/review/standin-3/src/bin/late_start.rs
+++ b/review/standin-3/src/bin/late_start.rs
@@ -54,8 +54,13 @@
 }
 
 fn run(program: &Path, directory: &Path, record: &Arc<Record>) -> i32 {
-    let names: Vec<String> = (1..=EXECUTORS).map(|number| format!("m-{number}")).collect();
-    let hosts: Vec<_> = names.iter().map(|name| (name.as_str(), "grading", 64_000)).collect();
+    let names: Vec<String> = (1..=EXECUTORS)
+        .map(|number| format!("m-{number}"))
+        .collect();
+    let hosts: Vec<_> = names
+        .iter()
+        .map(|name| (name.as_str(), "grading", 64_000))
+        .collect();
     let platform = PlatformSimulator::start(&hosts).expect("platform");
     platform.state().state_incarnation_starts();
     let faults = Arc::new(RelayFaults {
@@ -67,7 +72,10 @@
     let mut relays = Vec::new();
     for id in &ids {
         let entry = platform.state().read_row("servers", id).expect("entry");
-        let target = entry["addr"].as_str().and_then(|text| text.parse().ok()).expect("address");
+        let target = entry["addr"]
+            .as_str()
+            .and_then(|text| text.parse().ok())
+            .expect("address");
         relays.push(OrderRelay::start(id, target, Arc::clone(&faults)).expect("relay"));
     }
     let publish = |number: usize| {
@@ -81,9 +89,18 @@
     let text = sample_config(1, "/photos/").to_string();
     platform.state().write_row("op", "config", text.as_bytes());
     let start = |number| {
-        EntryHost::start(program, directory, number, platform.table(), platform.hosts(), DESCRIPTORS)
+        EntryHost::start(
+            program,
+            directory,
+            number,
+            platform.table(),
+            platform.hosts(),
+            DESCRIPTORS,
+        )
     };
-    let entries: Vec<_> = (1..=ENTRY_HOSTS).map(|number| start(number).expect("entry host")).collect();
+    let entries: Vec<_> = (1..=ENTRY_HOSTS)
+        .map(|number| start(number).expect("entry host"))
+        .collect();
     let is_ready = |entry: &EntryHost| {
         request(entry.readiness(), "GET", "x", "/v1/readyz", "", BUDGET).status == 200
     };
@@ -97,7 +114,14 @@
     let body = json!({ "spec": spec, "phases": [step] }).to_string();
     let submit = |id: &str| -> bool {
         let path = format!("/photos/{id}");
-        let answer = request(entries[0].callers(), "POST", SAMPLE_HOST, &path, &body, BUDGET);
+        let answer = request(
+            entries[0].callers(),
+            "POST",
+            SAMPLE_HOST,
+            &path,
+            &body,
+            BUDGET,
+        );
         record.line(&format!("POST {id} -> {}", answer.status));
         let mut last = String::new();
         wait_until(Duration::from_secs(10), || {
@@ -124,7 +148,8 @@
         let used = |number: &usize| {
             let state = platform.state();
             let runs = &state.workers[&ids[*number]].runs;
-            runs.iter().any(|run| run.task.starts_with("00000000000000a2"))
+            runs.iter()
+                .any(|run| run.task.starts_with("00000000000000a2"))
         };
         let crashed: Vec<usize> = (0..EXECUTORS).filter(used).collect();
         for &number in &crashed {
@@ -142,7 +167,11 @@
     thread::sleep(DELAY + Duration::from_secs(4));
     let runs: Vec<TaskRun> = {
         let state = platform.state();
-        state.workers.values().flat_map(|worker| worker.runs.clone()).collect()
+        state
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.clone())
+            .collect()
     };
     let mut code = HELD;
     for run in &runs {
@@ -155,7 +184,10 @@
             other.task == run.task && is_done
         });
         if done_before {
-            record.line(&format!("BROKEN: {} was started after it was done", run.task));
+            record.line(&format!(
+                "BROKEN: {} was started after it was done",
+                run.task
+            ));
             code = BROKEN;
         }
     }
--- a/review/standin-3/src/lib.rs
+++ b/review/standin-3/src/lib.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+pub mod machines;
 pub mod order_relay;
 pub mod relay;
 
@@ -97,7 +98,9 @@
             ))
             .arg(program)
             .arg(&settings)
-            .stdout(Stdio::from(File::create(&log)?))
+            .stdout(Stdio::from(
+                File::options().create(true).append(true).open(&log)?,
+            ))
             .stderr(Stdio::null())
             .spawn()?;
         // The shell has become the program, so this is the program's id.
--- a/review/standin-3/src/order_relay.rs
+++ b/review/standin-3/src/order_relay.rs
@@ -37,7 +37,11 @@
 }
 
 impl OrderRelay {
-    pub fn start(name: &str, target: SocketAddr, faults: Arc<RelayFaults>) -> io::Result<Arc<Self>> {
+    pub fn start(
+        name: &str,
+        target: SocketAddr,
+        faults: Arc<RelayFaults>,
+    ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let relay = Arc::new(Self {
             address: listener.local_addr()?,
@@ -53,7 +57,9 @@
                 if accepting.is_down.load(Ordering::SeqCst) {
                     continue;
                 }
-                if let (Ok(channel), Ok(mut channels)) = (client.try_clone(), accepting.channels.lock()) {
+                if let (Ok(channel), Ok(mut channels)) =
+                    (client.try_clone(), accepting.channels.lock())
+                {
                     channels.push(channel);
                 }
                 let relay = Arc::clone(&accepting);
@@ -91,7 +97,10 @@
 
     fn take_fault(&self) -> bool {
         let held = &self.faults.held_starts;
-        held.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok()
+        held.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+            left.checked_sub(1)
+        })
+        .is_ok()
     }
 
     /// Delivers an order late, on a channel of its own.
@@ -100,12 +109,16 @@
         let body = text.split("\r\n\r\n").nth(1).unwrap_or_default().to_owned();
         let (name, target) = (self.name.clone(), self.target);
         let faults = Arc::clone(&self.faults);
-        faults.record.line(&format!("start to {name} is held up and not answered: {body}"));
+        faults.record.line(&format!(
+            "start to {name} is held up and not answered: {body}"
+        ));
         thread::spawn(move || {
             thread::sleep(faults.delay);
             let answer = forward(target, &request);
             let status = answer.map(|answer| first_line(&answer));
-            faults.record.line(&format!("the held start reaches {name}: {body} -> {status:?}"));
+            faults.record.line(&format!(
+                "the held start reaches {name}: {body} -> {status:?}"
+            ));
         });
     }
 
@@ -115,7 +128,9 @@
             let text = String::from_utf8_lossy(request);
             let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
             let status = first_line(&answer);
-            self.faults.record.line(&format!("start to {}: {body} -> {status}", self.name));
+            self.faults
+                .record
+                .line(&format!("start to {}: {body} -> {status}", self.name));
         }
         Ok(answer)
     }
